--- a/include/walnut/protocol/messages.h
+++ b/include/walnut/protocol/messages.h
@@ -18,6 +18,7 @@
 #include "walnut/base/time.h"
 #include "walnut/consensus/messages.h"
 #include "walnut/control/commands.h"
+#include "walnut/registry/messages.h"
 #include "walnut/resource/types.h"
 
 namespace walnut::protocol {
@@ -286,7 +287,7 @@
 
 using Message = std::variant<Hello, consensus::Message, ProbeRequest, ProbeReply, WatchRequest,
                              WatchDelta, WatchSnapshotPage, DemandReport, ClaimRequest, ClaimReply,
-                             ForwardedRequest, ForwardedReply>;
+                             ForwardedRequest, ForwardedReply, registry::RegistryMessage>;
 
 /// A connection of the process, numbered by its driver; never reused within a run.
 using ConnectionId = base::StrongId<struct ConnectionTag, std::uint64_t>;
--- /dev/null
+++ b/include/walnut/registry/messages.h
@@ -0,0 +1,202 @@
+#pragma once
+/// @file
+/// Messages of the registry: between its servers, and between its leader and gateways.
+/// Alternatives of the variants are part of the protocol: append only.
+
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "walnut/base/error.h"
+#include "walnut/catalog/document.h"
+#include "walnut/consensus/messages.h"
+#include "walnut/registry/worker.h"
+
+namespace walnut::registry {
+
+/// @name Calls from outside, as any server takes them and forwards them to the leader
+/// @{
+/// Declares a document, in the text form that it is read back in.
+struct ReplaceDocument {
+  std::string text;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(text);
+  }
+};
+struct ReadDocument {
+  template <class Archive>
+  void serialize(Archive&) {}
+};
+struct ReportAlive {
+  Heartbeat heartbeat;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(heartbeat);
+  }
+};
+/// The worker gets no new work and is forgotten.
+struct ReportGone {
+  WorkerId worker;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker);
+  }
+};
+/// @}
+
+using ControlCall = std::variant<ReplaceDocument, ReadDocument, ReportAlive, ReportGone>;
+
+enum class ControlStatus : std::uint8_t {
+  done = 0,         ///< Durable beyond the losses that the cell is to survive.
+  refused = 1,      ///< The caller must change its input; `error` names the field.
+  unavailable = 2,  ///< It may or may not take effect; to be sent again.
+};
+
+struct ControlAnswer {
+  ControlStatus status = ControlStatus::unavailable;
+  base::Error error;
+  std::string text;  ///< The document, for ReadDocument.
+  /// Where further calls are answered without being forwarded.
+  std::optional<base::Endpoint> leader;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(status, error, text, leader);
+  }
+};
+
+struct ForwardedCall {
+  std::uint64_t sequence = 0;
+  ControlCall call;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, call);
+  }
+};
+struct ForwardedAnswer {
+  std::uint64_t sequence = 0;
+  ControlAnswer answer;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, answer);
+  }
+};
+
+/// A server that hears no leader asks any other one to be admitted to the cell.
+struct JoinRequest {
+  consensus::Member member;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(member);
+  }
+};
+/// Who is in the cell as far as the answering server knows.
+struct JoinReply {
+  consensus::Membership membership;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(membership);
+  }
+};
+
+/// A gateway asks for the state of workers and for the document, now and as they change.
+struct Subscribe {
+  std::uint64_t documentVersion = 0;  ///< That it holds; 0: none.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(documentVersion);
+  }
+};
+/// The server doesn't lead, or no longer does.
+struct NotLeading {
+  std::vector<base::Endpoint> servers;  ///< Internal endpoints of the cell.
+  std::optional<base::Endpoint> leader;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(servers, leader);
+  }
+};
+
+/// Requests that run on a worker.
+struct WorkerLoad {
+  WorkerId worker;
+  std::uint32_t running = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker, running);
+  }
+};
+
+/// A worker as gateways see it.
+struct WorkerView {
+  WorkerRecord record;
+  bool silent = false;            ///< It has not been heard of for some time.
+  bool holdingsKnown = false;     ///< Else a gateway keeps what it was told before.
+  std::vector<HeldModel> models;  ///< Without what is about to be unloaded.
+
+  bool operator==(const WorkerView&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(record, silent, holdingsKnown, models);
+  }
+};
+
+/// Leader to gateway. The first one on a connection is complete and replaces what the gateway knows
+/// of workers; the document is there if the gateway's is older. Sent at least every view interval.
+struct ViewUpdate {
+  consensus::Term term = 0;
+  bool complete = false;
+  std::uint64_t documentVersion = 0;
+  std::optional<catalog::Document> document;
+  std::vector<WorkerView> changed;
+  std::vector<WorkerId> removed;
+  std::vector<WorkerLoad> loads;        ///< Of all gateways; workers without any are left out.
+  std::uint32_t gateways = 1;           ///< That share what is allotted to all of them.
+  std::vector<base::Endpoint> servers;  ///< Internal endpoints of the cell.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(term, complete, documentVersion, document, changed, removed, loads, gateways, servers);
+  }
+};
+
+/// Requests for one model, or one adapter of it, at one gateway.
+struct ModelDemand {
+  std::string service;
+  std::string model;
+  std::string adapter;  ///< Empty: the model itself.
+  std::uint32_t waiting = 0;
+  std::uint32_t arrivals = 0;  ///< Since the last report.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, model, adapter, waiting, arrivals);
+  }
+};
+/// Gateway to leader. Replaces the waiting counts and the loads that this gateway reported before.
+struct DemandUpdate {
+  std::vector<ModelDemand> demands;
+  std::vector<WorkerLoad> loads;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(demands, loads);
+  }
+};
+
+using MessageBody = std::variant<ForwardedCall, ForwardedAnswer, JoinRequest, JoinReply, Subscribe,
+                                 NotLeading, ViewUpdate, DemandUpdate>;
+
+/// One alternative of protocol::Message for all of the registry's.
+struct RegistryMessage {
+  MessageBody body;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(body);
+  }
+};
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/include/walnut/runtime/event_log.h
@@ -0,0 +1,82 @@
+#pragma once
+/// @file
+/// The decision log: one structured line on standard output for each decision that touches a
+/// request and each change of what the process believes. Bounded, and never blocks: what standard
+/// output does not take in time is dropped and counted in the log itself.
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace walnut::runtime {
+
+/// Every event of the decision log; docs/OPERATIONS.md lists their fields.
+enum class LogEvent : std::uint8_t {
+  processStarted,
+  processStopping,
+  processStopped,
+  settingsReloaded,
+  dependencyLost,
+  dependencyRegained,
+  linesDropped,
+  // What a process believes.
+  roleChanged,
+  membershipChanged,
+  memberProposed,
+  documentStored,
+  documentRefused,
+  documentTaken,
+  workerStored,
+  workerForgotten,
+  workerSilent,
+  workerHeard,
+  workerView,
+  breakerOpened,
+  breakerClosed,
+  orderTurn,
+  orderSent,
+  orderFinished,
+  reportRead,
+  callUnavailable,
+  // Requests.
+  requestRefused,
+  requestWaiting,
+  attemptStarted,
+  attemptFailed,
+  requestResumed,
+  requestEnded,
+  requestLeft,
+};
+
+/// @return the event's name in logs.
+std::string_view logEventName(LogEvent event);
+
+/// One key=value of a line.
+struct EventField {
+  std::string_view key;
+  std::string value;
+
+  EventField(std::string_view fieldKey, std::string fieldValue)
+      : key(fieldKey), value(std::move(fieldValue)) {}
+  EventField(std::string_view fieldKey, std::string_view fieldValue)
+      : key(fieldKey), value(fieldValue) {}
+  EventField(std::string_view fieldKey, const char* fieldValue)
+      : key(fieldKey), value(fieldValue) {}
+  EventField(std::string_view fieldKey, std::uint64_t fieldValue)
+      : key(fieldKey), value(std::to_string(fieldValue)) {}
+};
+
+class EventLog {
+ public:
+  virtual ~EventLog() = default;
+  virtual void write(LogEvent event, std::initializer_list<EventField> fields) = 0;
+};
+
+/// Writes nothing; for tests and simulations.
+class NullEventLog : public EventLog {
+ public:
+  void write(LogEvent /*event*/, std::initializer_list<EventField> /*fields*/) override {}
+};
+
+}  // namespace walnut::runtime
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl
   libpoco-dev libspdlog-dev libcpputest-dev libcereal-dev libboost-dev libxxhash-dev
-  prometheus-cpp-dev libssl-dev libyaml-cpp-dev)
+  prometheus-cpp-dev libssl-dev libyaml-cpp-dev libhttp-parser-dev)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' ||
--- /dev/null
+++ b/src/catalog/validation.cpp
@@ -0,0 +1,81 @@
+#include "walnut/catalog/validation.h"
+
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace walnut::catalog {
+
+namespace {
+
+using base::Error;
+using base::ErrorCode;
+using base::Result;
+
+Error invalid(ErrorCode code, const Route& route, const std::string& field,
+              const std::string& detail) {
+  return {code, "routes[" + route.name + "]." + field, detail};
+}
+
+Result<void> checkServices(const Route& route, const std::set<std::string>& declared) {
+  if (route.services.empty()) {
+    return invalid(ErrorCode::missingField, route, "services", "the route names no service");
+  }
+  double total = 0;
+  for (const WeightedService& part : route.services) {
+    if (declared.count(part.service) == 0) {
+      return invalid(ErrorCode::referenceMissing, route, "services",
+                     "there is no service '" + part.service + "'");
+    }
+    if (!std::isfinite(part.weight) || part.weight < 0) {
+      return invalid(ErrorCode::outOfRange, route, "weight", "a weight is below 0");
+    }
+    total += part.weight;
+  }
+  if (total <= 0) {
+    return invalid(ErrorCode::outOfRange, route, "weight", "the weights add up to 0");
+  }
+  return base::success();
+}
+
+Result<void> checkRoute(const Route& route, const std::set<std::string>& declared) {
+  if (route.timeout <= base::Duration::zero()) {
+    return invalid(ErrorCode::outOfRange, route, "timeout", "must be above 0");
+  }
+  if (route.pathPrefix.empty() || route.pathPrefix.front() != '/') {
+    return invalid(ErrorCode::outOfRange, route, "pathPrefix", "must begin with a slash");
+  }
+  return checkServices(route, declared);
+}
+
+}  // namespace
+
+const Service* Document::findService(const std::string& name) const {
+  for (const Service& service : services) {
+    if (service.name == name) {
+      return &service;
+    }
+  }
+  return nullptr;
+}
+
+Result<void> validate(const Document& document) {
+  std::set<std::string> declared;
+  for (const Service& service : document.services) {
+    if (!declared.insert(service.name).second) {
+      return Error{ErrorCode::alreadyExists, "services[" + service.name + "]",
+                   "the service is declared twice"};
+    }
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : document.routes) {
+    BOOST_OUTCOME_TRYV(checkRoute(route, declared));
+    if (!places.emplace(route.host, route.pathPrefix).second) {
+      return invalid(ErrorCode::alreadyExists, route, "pathPrefix",
+                     "another route has this host and prefix");
+    }
+  }
+  return base::success();
+}
+
+}  // namespace walnut::catalog
--- /dev/null
+++ b/src/daemon/gateway_host.cpp
@@ -0,0 +1,166 @@
+#include "daemon/gateway_host.h"
+
+#include <utility>
+#include <variant>
+
+#include "walnut/runtime/clock.h"
+
+namespace walnut::daemon {
+
+namespace {
+
+using runtime::LogEvent;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr std::string_view kMetricsPath = "/metrics";
+/// Until new connections have stopped coming: two readiness calls, a second apart, and some more.
+constexpr base::Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
+constexpr base::Duration kStopCheckInterval = std::chrono::milliseconds(50);
+
+net::ClientPoolOptions poolOptions() {
+  net::ClientPoolOptions options;
+  options.timeouts.connect = std::chrono::milliseconds(400);
+  return options;
+}
+
+net::ServerLimits toServerLimits(const catalog::RequestLimits& limits) {
+  net::ServerLimits server;
+  server.maxHeadBytes = limits.maxHeaderBytes;
+  server.maxBodyBytes = limits.maxBodyBytes;
+  server.headTimeout = limits.headerTimeout;
+  server.idleTimeout = limits.idleTimeout;
+  return server;
+}
+
+}  // namespace
+
+GatewayHost::GatewayHost(const GatewaySettings& settings, const gateway::RequestDialect& dialect,
+                         runtime::OutputLog& log)
+    : settings_(settings),
+      dialect_(dialect),
+      log_(log),
+      launcher_(dispatcher_, poolOptions()),
+      session_(settings.session, dispatcher_, *this, log, runtime::randomSeed()),
+      gateway_(settings.logic, dispatcher_, dialect, launcher_, session_, log, metrics_),
+      probe_(*this),
+      stopTimer_(dispatcher_.createTimer([this] { checkStopped(); })) {
+  dispatcher_.setEndOfTurn([this] { log_.flushIfDue(dispatcher_.now()); });
+}
+
+GatewayHost::~GatewayHost() = default;
+
+base::Result<void> GatewayHost::start() {
+  transport::TransportOptions options;
+  options.listen = false;
+  options.hello.role = protocol::PeerRole::router;
+  options.hello.id = runtime::randomSeed();
+  options.hello.zone = settings_.logic.zone;
+  BOOST_OUTCOME_TRY(
+      transport, transport::makeTransport(options, [this](transport::Event event) {
+        dispatcher_.post([this, event = std::move(event)]() mutable { takeEvent(event); });
+      }));
+  transport_ = std::move(transport);
+  BOOST_OUTCOME_TRY(front, net::HttpServer::open(dispatcher_, settings_.listen, {}, gateway_));
+  front_ = std::move(front);
+  BOOST_OUTCOME_TRY(readiness, net::HttpServer::open(dispatcher_, settings_.readiness, {}, probe_));
+  readiness_ = std::move(readiness);
+  session_.start();
+  gateway_.start();
+  return base::success();
+}
+
+void GatewayHost::ProbeHandler::onRequest(net::HttpRequest request, net::ResponseSink& sink) {
+  net::HttpResponse response;
+  if (host_.dialect_.isReadinessCall(request)) {
+    response.head.status = host_.gateway_.ready() ? kOk : kUnavailable;
+  } else if (request.path() == kMetricsPath) {
+    response.head.status = kOk;
+    response.head.headers.add("Content-Type", "text/plain; version=0.0.4");
+    response.body = host_.metrics_.text();
+  } else {
+    response.head.status = kNotFound;
+  }
+  sink.respond(std::move(response));
+}
+
+void GatewayHost::open(const base::Endpoint& server) { transport_->open(server); }
+
+void GatewayHost::close(protocol::ConnectionId connection) { transport_->close(connection); }
+
+void GatewayHost::send(protocol::ConnectionId connection, registry::MessageBody message) {
+  transport_->send(connection, registry::RegistryMessage{std::move(message)});
+}
+
+void GatewayHost::takeEvent(transport::Event& event) {
+  if (const auto* opened = std::get_if<transport::Opened>(&event)) {
+    session_.opened(opened->connection, opened->remote);
+  } else if (const auto* failed = std::get_if<transport::OpenFailed>(&event)) {
+    session_.openFailed(failed->remote);
+  } else if (const auto* closed = std::get_if<transport::Closed>(&event)) {
+    session_.closed(closed->connection);
+  } else if (const auto* received = std::get_if<transport::Received>(&event)) {
+    if (const auto* message = std::get_if<registry::RegistryMessage>(&received->message)) {
+      takeMessage(received->connection, *message);
+    }
+  }
+}
+
+void GatewayHost::takeMessage(protocol::ConnectionId connection,
+                              const registry::RegistryMessage& message) {
+  if (const auto* view = std::get_if<registry::ViewUpdate>(&message.body)) {
+    if (session_.viewReceived(connection, *view)) {
+      takeView(*view);
+    }
+  } else if (const auto* other = std::get_if<registry::NotLeading>(&message.body)) {
+    session_.notLeading(connection, *other);
+  }
+}
+
+void GatewayHost::takeView(const registry::ViewUpdate& update) {
+  gateway_.viewReceived(update);
+  for (const registry::WorkerId& gone : gateway_.takeGoneWorkers()) {
+    launcher_.forget(gone);
+  }
+  const auto document = gateway_.document();
+  if (document != nullptr && document->version != limitsVersion_) {
+    limitsVersion_ = document->version;
+    front_->setLimits(toServerLimits(document->limits));
+  }
+}
+
+void GatewayHost::reload(const GatewaySettings& settings) {
+  session_.setServers(settings.session.servers);
+  log_.write(LogEvent::settingsReloaded,
+             {{"servers", static_cast<std::uint64_t>(settings.session.servers.size())}});
+}
+
+void GatewayHost::beginStop() {
+  log_.write(
+      LogEvent::processStopping,
+      {{"reason", "signal"}, {"running", static_cast<std::uint64_t>(gateway_.exchangeCount())}});
+  gateway_.beginStop();
+  front_->announceClose();
+  stopBeganAt_ = dispatcher_.now();
+  stopDeadline_ = stopBeganAt_ + settings_.stopTimeout;
+  checkStopped();
+}
+
+void GatewayHost::checkStopped() {
+  const base::TimePoint now = dispatcher_.now();
+  if (now >= stopBeganAt_ + kAcceptAfterStop) {
+    front_->closeIdle();
+  }
+  const bool settled = now >= stopBeganAt_ + kAcceptAfterStop && gateway_.exchangeCount() == 0 &&
+                       front_->connectionCount() == 0;
+  if (settled || now >= stopDeadline_) {
+    log_.write(LogEvent::processStopped,
+               {{"cut", static_cast<std::uint64_t>(gateway_.exchangeCount())}});
+    dispatcher_.stop();
+    return;
+  }
+  stopTimer_->enableAt(now + kStopCheckInterval);
+}
+
+}  // namespace walnut::daemon
--- /dev/null
+++ b/src/daemon/registry_host.cpp
@@ -0,0 +1,257 @@
+#include "daemon/registry_host.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+#include <variant>
+
+#include "walnut/runtime/clock.h"
+
+namespace walnut::daemon {
+
+namespace {
+
+using runtime::LogEvent;
+
+constexpr int kOk = 200;
+constexpr std::string_view kMetricsPath = "/metrics";
+constexpr base::Duration kStopCheckInterval = std::chrono::milliseconds(50);
+/// A document of thousands of routes.
+constexpr std::size_t kMaxCallBytes = 4U << 20U;
+constexpr std::size_t kMaxWaitingMessages = 4;
+
+net::ServerLimits controlLimits() {
+  net::ServerLimits limits;
+  limits.maxBodyBytes = kMaxCallBytes;
+  limits.idleTimeout = std::chrono::seconds(60);
+  return limits;
+}
+
+net::ClientPoolOptions callOptions() {
+  net::ClientPoolOptions options;
+  options.timeouts.connect = std::chrono::milliseconds(500);
+  return options;
+}
+
+}  // namespace
+
+RegistryHost::RegistryHost(const RegistrySettings& settings, const RegistryDialects& dialects,
+                           DataFolder folder, runtime::OutputLog& log)
+    : settings_(settings),
+      dialects_(dialects),
+      self_(folder.recovered.self),
+      log_(log),
+      folder_(std::move(folder)),
+      registry_(registry::makeRegistry(settings.logic, std::move(folder_.recovered),
+                                       foundersOf(settings), dialects.document, log,
+                                       runtime::randomSeed(), runtime::now())),
+      client_(dispatcher_, callOptions()),
+      wakeup_(dispatcher_.createTimer([this] { step(registry::Tick{}); })),
+      stopTimer_(dispatcher_.createTimer([this] { checkStopped(); })) {}
+
+RegistryHost::~RegistryHost() = default;
+
+base::Result<void> RegistryHost::start() {
+  transport::TransportOptions options;
+  options.hello.role = protocol::PeerRole::controller;
+  options.hello.id = self_.value;
+  options.hello.zone = settings_.logic.self.zone;
+  options.listenAddress = settings_.peer.address;
+  options.listenPort = settings_.peer.port;
+  BOOST_OUTCOME_TRY(
+      transport, transport::makeTransport(options, [this](transport::Event event) {
+        dispatcher_.post([this, event = std::move(event)]() mutable { takeEvent(event); });
+      }));
+  transport_ = std::move(transport);
+  links_.emplace(*transport_, self_, runtime::randomSeed());
+  BOOST_OUTCOME_TRY(control,
+                    net::HttpServer::open(dispatcher_, settings_.listen, controlLimits(), *this));
+  control_ = std::move(control);
+  dispatcher_.setEndOfTurn([this] { settle(); });
+  wakeup_->enableAt(dispatcher_.now());
+  return base::success();
+}
+
+void RegistryHost::step(const registry::RegistryInput& input) {
+  registry_->step(dispatcher_.now(), input);
+}
+
+void RegistryHost::takeEvent(transport::Event& event) {
+  if (const auto* opened = std::get_if<transport::Opened>(&event)) {
+    takeOpened(*opened);
+  } else if (const auto* closed = std::get_if<transport::Closed>(&event)) {
+    takeClosed(*closed);
+  } else if (const auto* failed = std::get_if<transport::OpenFailed>(&event)) {
+    takeOpenFailed(*failed);
+  } else if (auto* received = std::get_if<transport::Received>(&event)) {
+    step(registry::LinkReceived{received->connection, std::move(received->message)});
+  }
+}
+
+void RegistryHost::takeOpened(const transport::Opened& event) {
+  step(registry::LinkOpened{event.connection, event.hello});
+  if (event.hello.role != protocol::PeerRole::controller) {
+    return;
+  }
+  links_->opened(dispatcher_.now(), event);
+  const auto found = endpointLinks_.find(event.remote);
+  if (event.accepted || found == endpointLinks_.end()) {
+    return;
+  }
+  found->second.connection = event.connection;
+  found->second.opening = false;
+  for (const protocol::Message& message : std::exchange(found->second.waiting, {})) {
+    transport_->send(event.connection, message);
+  }
+}
+
+void RegistryHost::takeClosed(const transport::Closed& event) {
+  links_->closed(event);
+  std::erase_if(endpointLinks_, [&event](const auto& entry) {
+    return entry.second.connection == event.connection;
+  });
+  step(registry::LinkClosed{event.connection});
+}
+
+void RegistryHost::takeOpenFailed(const transport::OpenFailed& event) {
+  links_->openFailed(dispatcher_.now(), event);
+  const auto found = endpointLinks_.find(event.remote);
+  if (found != endpointLinks_.end() && found->second.opening) {
+    endpointLinks_.erase(found);
+  }
+}
+
+void RegistryHost::settle() {
+  constexpr int kMostRounds = 16;
+  for (int round = 0; round < kMostRounds; ++round) {
+    if (!settleOnce()) {
+      break;
+    }
+  }
+  wakeup_->enableAt(registry_->nextWakeup());
+  log_.flushIfDue(dispatcher_.now());
+}
+
+bool RegistryHost::settleOnce() {
+  registry::RegistryOutputs outputs = registry_->takeOutputs();
+  const bool persisted = !outputs.persist.empty();
+  if (persisted) {
+    const auto outcome = folder_.storage->persist(outputs.persist);
+    if (outcome.has_error()) {
+      endAfterStorageFailure(outcome.error());
+    }
+  }
+  for (registry::RegistryAction& action : outputs.actions) {
+    std::visit([this](auto& body) { perform(body); }, action);
+  }
+  if (persisted) {
+    registry_->step(runtime::now(), registry::Persisted{});
+  }
+  return persisted || !outputs.actions.empty();
+}
+
+void RegistryHost::endAfterStorageFailure(const base::Error& error) {
+  log_.write(LogEvent::processStopped, {{"error", base::errorCodeName(error.code)},
+                                        {"field", error.field},
+                                        {"detail", error.detail}});
+  log_.flush();
+  std::_Exit(static_cast<int>(runtime::ExitCode::storageFailed));
+}
+
+void RegistryHost::perform(control::SendToServer& send) { links_->send(dispatcher_.now(), send); }
+
+void RegistryHost::perform(control::SendToConnection& send) {
+  transport_->send(send.connection, send.message);
+}
+
+void RegistryHost::perform(registry::SendToEndpoint& send) {
+  EndpointLink& link = endpointLinks_[send.endpoint];
+  if (link.connection) {
+    transport_->send(*link.connection, send.message);
+    return;
+  }
+  if (link.waiting.size() < kMaxWaitingMessages) {
+    link.waiting.push_back(std::move(send.message));
+  }
+  if (!std::exchange(link.opening, true)) {
+    transport_->open(send.endpoint);
+  }
+}
+
+void RegistryHost::perform(registry::CallAnswered& answered) {
+  const auto found = calls_.find(answered.call);
+  if (found == calls_.end()) {
+    return;
+  }
+  const OutsideCall call = std::move(found->second);
+  calls_.erase(found);
+  net::HttpResponse response = dialects_.control.writeAnswer(call.call, answered.answer);
+  metrics_.count("walnut_registry_calls_total", std::to_string(response.head.status));
+  call.sink->respond(std::move(response));
+}
+
+void RegistryHost::perform(registry::SendOrder& order) {
+  const net::HttpRequest request = dialects_.worker.writeOrder(order);
+  client_.call(order.worker.id.value, order.worker.endpoint, request, settings_.logic.orderTimeout,
+               [this, number = order.order](const net::CallOutcome& outcome) {
+                 const registry::OrderOutcome result =
+                     outcome.response ? dialects_.worker.readOrderAnswer(outcome.response.value())
+                                      : registry::OrderOutcome::unclear;
+                 step(registry::OrderFinished{number, result});
+               });
+}
+
+void RegistryHost::perform(registry::ReadReport& read) {
+  const net::HttpRequest request = dialects_.worker.writeReportCall(read.worker);
+  client_.call(read.worker.id.value, read.worker.endpoint, request, settings_.logic.orderTimeout,
+               [this, worker = read.worker.id](const net::CallOutcome& outcome) {
+                 if (outcome.response.has_error()) {
+                   step(registry::ReportFinished{worker, outcome.response.error()});
+                   return;
+                 }
+                 step(registry::ReportFinished{
+                     worker, dialects_.worker.readReport(outcome.response.value())});
+               });
+}
+
+void RegistryHost::onRequest(net::HttpRequest request, net::ResponseSink& sink) {
+  if (request.path() == kMetricsPath) {
+    net::HttpResponse response;
+    response.head.status = kOk;
+    response.head.headers.add("Content-Type", "text/plain; version=0.0.4");
+    response.body = metrics_.text();
+    sink.respond(std::move(response));
+    return;
+  }
+  auto call = dialects_.control.readCall(request);
+  if (call.has_error()) {
+    sink.respond(dialects_.control.writeError(call.error()));
+    return;
+  }
+  const std::uint64_t number = ++lastCall_;
+  calls_[number] = {call.value(), &sink};
+  sink.setGoneCallback([this, number] { calls_.erase(number); });
+  step(registry::CallReceived{number, std::move(call.value())});
+}
+
+void RegistryHost::beginStop() {
+  log_.write(LogEvent::processStopping, {{"reason", "signal"}});
+  control_->announceClose();
+  step(registry::PlannedStop{});
+  stopDeadline_ = dispatcher_.now() + settings_.stopTimeout;
+  checkStopped();
+}
+
+/// The process ends once another server leads and what came before is answered.
+void RegistryHost::checkStopped() {
+  const bool leading = registry_->raftStatus().role == consensus::Role::leader;
+  const bool settled = !leading && calls_.empty();
+  if (settled || dispatcher_.now() >= stopDeadline_) {
+    log_.write(LogEvent::processStopped, {{"leading", leading ? "yes" : "no"}});
+    dispatcher_.stop();
+    return;
+  }
+  stopTimer_->enableAt(dispatcher_.now() + kStopCheckInterval);
+}
+
+}  // namespace walnut::daemon
--- /dev/null
+++ b/src/daemon/registry_host.h
@@ -0,0 +1,100 @@
+#pragma once
+/// @file
+/// A registry process around the registry's logic.
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "daemon/data_folder.h"
+#include "daemon/peer_links.h"
+#include "daemon/registry_settings.h"
+#include "event/dispatcher.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "runtime/output_log.h"
+#include "runtime/prometheus_sink.h"
+#include "walnut/registry/dialect.h"
+#include "walnut/transport/transport.h"
+
+namespace walnut::daemon {
+
+/// How the outside is spoken to.
+struct RegistryDialects {
+  const registry::DocumentReader& document;
+  const registry::ControlDialect& control;
+  const registry::WorkerDialect& worker;
+};
+
+/// Everything but the transport's own thread runs on the event loop. Invariant: nothing that a
+/// batch of outputs says goes out before the batch is synced. If the storage fails, the process
+/// ends: what is on disk is unknown until the next recovery.
+class RegistryHost : public net::RequestHandler {
+ public:
+  RegistryHost(const RegistrySettings& settings, const RegistryDialects& dialects,
+               DataFolder folder, runtime::OutputLog& log);
+  ~RegistryHost() override;
+  RegistryHost(const RegistryHost&) = delete;
+  RegistryHost& operator=(const RegistryHost&) = delete;
+
+  base::Result<void> start();
+  void run() { dispatcher_.run(); }
+  event::Dispatcher& dispatcher() { return dispatcher_; }
+  void beginStop();
+
+  /// A call of an operator or a worker, or a question for metrics.
+  void onRequest(net::HttpRequest request, net::ResponseSink& sink) override;
+
+ private:
+  struct OutsideCall {
+    registry::ControlCall call;
+    net::ResponseSink* sink = nullptr;
+  };
+  /// A connection to a server whose identity is not known.
+  struct EndpointLink {
+    std::optional<protocol::ConnectionId> connection;
+    bool opening = false;
+    std::vector<protocol::Message> waiting;
+  };
+
+  void takeEvent(transport::Event& event);
+  void takeOpened(const transport::Opened& event);
+  void takeClosed(const transport::Closed& event);
+  void takeOpenFailed(const transport::OpenFailed& event);
+  void step(const registry::RegistryInput& input);
+
+  /// Persists and carries out what the logic has decided.
+  void settle();
+  /// @return true if there may be more at once.
+  bool settleOnce();
+  void perform(control::SendToServer& send);
+  void perform(control::SendToConnection& send);
+  void perform(registry::SendToEndpoint& send);
+  void perform(registry::CallAnswered& answered);
+  void perform(registry::SendOrder& order);
+  void perform(registry::ReadReport& read);
+  void endAfterStorageFailure(const base::Error& error);
+  void checkStopped();
+
+  const RegistrySettings settings_;
+  const RegistryDialects dialects_;
+  const base::ServerId self_;
+  runtime::OutputLog& log_;
+  event::Dispatcher dispatcher_;
+  runtime::PrometheusSink metrics_;
+  DataFolder folder_;
+  std::unique_ptr<registry::Registry> registry_;
+  net::HttpClient client_;
+  std::unique_ptr<net::HttpServer> control_;
+  event::TimerPtr wakeup_;
+  event::TimerPtr stopTimer_;
+  base::TimePoint stopDeadline_;
+  std::uint64_t lastCall_ = 0;
+  std::map<std::uint64_t, OutsideCall> calls_;
+  std::map<base::Endpoint, EndpointLink> endpointLinks_;
+  std::optional<PeerLinks> links_;
+  std::unique_ptr<transport::Transport> transport_;  ///< Last: its thread posts to the loop.
+};
+
+}  // namespace walnut::daemon
--- /dev/null
+++ b/src/daemon/registry_settings.cpp
@@ -0,0 +1,81 @@
+#include "daemon/registry_settings.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "daemon/arguments.h"
+#include "daemon/gateway_settings.h"
+
+namespace walnut::daemon {
+
+namespace {
+
+constexpr std::int64_t kMaxPort = 65535;
+constexpr std::int64_t kMaxLosses = 6;
+constexpr std::int64_t kMaxMillis = 3'600'000;
+
+}  // namespace
+
+RegistrySettingsBinder::RegistrySettingsBinder()
+    : keys_("walnut-controller registry",
+            "One server of the cell that holds the document and the list of workers.") {
+  keys_.addString("name", settings_.logic.name, "Name of this server, also as giver of orders");
+  keys_.addString("zone", zone_, "Availability zone of this server");
+  keys_.addEndpoint("listen", settings_.listen, "Address for operators and workers");
+  keys_.addInteger("peer-port", peerPort_, 1, kMaxPort,
+                   "Port of the internal protocol, on all servers");
+  keys_.addString("data-folder", settings_.dataFolder, "Folder of the log and the snapshots");
+  keys_.addBoolean("bootstrap", settings_.bootstrap,
+                   "First start of the whole system: the seeds found the cell");
+  keys_.addEndpointList("seeds", settings_.seeds, "Control addresses of some servers");
+  keys_.addInteger("tolerable-losses", tolerableLosses_, 0, kMaxLosses,
+                   "Disks that may be lost at once");
+  keys_.addMillis("order-lease-ms", settings_.logic.orderLease, 0, kMaxMillis,
+                  "Between the orders of two servers");
+  keys_.addMillis("worker-silent-ms", settings_.logic.workerSilentAfter, 1, kMaxMillis,
+                  "Silence from which a worker gets no new work while others can take it");
+  keys_.addMillis("worker-forgotten-ms", settings_.logic.workerForgottenAfter, 1, kMaxMillis,
+                  "Silence after which a worker is forgotten");
+}
+
+runtime::Settings::Parsed RegistrySettingsBinder::parse(int argc, char** argv) {
+  Arguments arguments(argc, argv);
+  return arguments.parse(keys_, "walnut-controller registry", [this] { return resolve(); });
+}
+
+base::Result<void> RegistrySettingsBinder::resolve() {
+  if (settings_.dataFolder.empty()) {
+    return base::Error{base::ErrorCode::missingField, "data-folder", "required"};
+  }
+  settings_.peer = {settings_.listen.address, static_cast<std::uint16_t>(peerPort_)};
+  settings_.logic.tolerableLosses = static_cast<std::uint32_t>(tolerableLosses_);
+  settings_.logic.joinEndpoints = internalEndpoints(settings_.seeds, peerPort_);
+  settings_.logic.self.peerEndpoint = settings_.peer;
+  settings_.logic.self.resourceEndpoint = settings_.listen;
+  settings_.logic.self.zone = {zone_};
+  return base::success();
+}
+
+base::ServerId founderIdentity(const base::Endpoint& control) {
+  const std::string text = runtime::formatEndpoint(control);
+  return {std::max<std::uint64_t>(XXH3_64bits(text.data(), text.size()), 1)};
+}
+
+consensus::Membership foundersOf(const RegistrySettings& settings) {
+  consensus::Membership membership;
+  if (!settings.bootstrap) {
+    return membership;
+  }
+  for (const base::Endpoint& seed : settings.seeds) {
+    consensus::Member member;
+    member.id = founderIdentity(seed);
+    member.role = consensus::MemberRole::voter;
+    member.peerEndpoint = {seed.address, settings.peer.port};
+    member.resourceEndpoint = seed;
+    membership.members.push_back(member);
+  }
+  return membership;
+}
+
+}  // namespace walnut::daemon
--- a/src/transport/output_buffer.h
+++ b/src/event/output_buffer.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace walnut::transport {
+namespace walnut::event {
 
 /// Queue of bytes in one run of memory, so that many small frames leave in one write. Memory is
 /// given back whenever it is empty.
@@ -38,4 +38,4 @@
   std::size_t written_ = 0;
 };
 
-}  // namespace walnut::transport
+}  // namespace walnut::event
--- a/src/transport/waker.cpp
+++ b/src/event/waker.cpp
@@ -1,11 +1,11 @@
-#include "transport/waker.h"
+#include "event/waker.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
 #include <array>
 
-namespace walnut::transport {
+namespace walnut::event {
 
 Waker::Waker() : socket_(Poco::Net::SocketAddress("127.0.0.1", 0)) {
   socket_.connect(socket_.address());
@@ -36,4 +36,4 @@
   pending_ = false;
 }
 
-}  // namespace walnut::transport
+}  // namespace walnut::event
--- a/src/transport/waker.h
+++ b/src/event/waker.h
@@ -6,7 +6,7 @@
 
 #include <atomic>
 
-namespace walnut::transport {
+namespace walnut::event {
 
 /// A loopback datagram socket connected to itself; POCO 1.11's PollSet has no wake-up of its own.
 /// Connected, so that the kernel drops datagrams of anyone else.
@@ -26,4 +26,4 @@
   std::atomic<bool> pending_ = false;
 };
 
-}  // namespace walnut::transport
+}  // namespace walnut::event
--- /dev/null
+++ b/src/gateway/demand_tracker.h
@@ -0,0 +1,36 @@
+#pragma once
+/// @file
+/// The demand for models and the load on workers at this gateway, as the registry is told of them.
+
+#include <map>
+#include <string>
+#include <tuple>
+
+#include "gateway/worker_directory.h"
+#include "walnut/registry/messages.h"
+
+namespace walnut::gateway {
+
+class DemandTracker {
+ public:
+  void arrived(const std::string& service, const std::string& model, const std::string& adapter);
+  void waitBegan(const std::string& service, const std::string& model, const std::string& adapter);
+  void waitEnded(const std::string& service, const std::string& model, const std::string& adapter);
+
+  /// @return true if something waits that the last update did not tell.
+  bool urgent() const { return urgent_; }
+  /// @return the present state; arrivals since the last call.
+  registry::DemandUpdate takeUpdate(const WorkerDirectory& directory);
+
+ private:
+  struct Figures {
+    std::uint32_t waiting = 0;
+    std::uint32_t arrivals = 0;
+  };
+  using Key = std::tuple<std::string, std::string, std::string>;
+
+  std::map<Key, Figures> figures_;
+  bool urgent_ = false;
+};
+
+}  // namespace walnut::gateway
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,158 @@
+#pragma once
+/// @file
+/// One request of a caller, from its arrival to its one answer.
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "gateway/event_stream.h"
+#include "gateway/worker_selector.h"
+#include "net/client_connection.h"
+#include "walnut/catalog/document.h"
+#include "walnut/event/scheduler.h"
+#include "walnut/gateway/dialect.h"
+#include "walnut/net/server.h"
+#include "walnut/runtime/event_log.h"
+
+namespace walnut::gateway {
+
+/// A request on its way to a worker.
+class Attempt {
+ public:
+  virtual ~Attempt() = default;
+  /// Gives it up: no callback follows, and the worker is told by the end of the connection.
+  virtual void cancel() = 0;
+  /// The answer is complete: the connection may carry another request.
+  virtual void release() = 0;
+  virtual void setReading(bool enabled) = 0;
+};
+
+class AttemptLauncher {
+ public:
+  virtual ~AttemptLauncher() = default;
+  /// @param callbacks valid until the attempt has ended or is destroyed.
+  virtual std::unique_ptr<Attempt> start(const registry::WorkerRecord& worker,
+                                         const net::HttpRequest& request,
+                                         net::ResponseCallbacks& callbacks) = 0;
+};
+
+class Exchange;
+
+/// What exchanges share. Implemented by the gateway.
+class ExchangeContext {
+ public:
+  virtual ~ExchangeContext() = default;
+  virtual event::Scheduler& scheduler() = 0;
+  virtual const RequestDialect& dialect() const = 0;
+  virtual AttemptLauncher& launcher() = 0;
+  virtual WorkerSelector& selector() = 0;
+  virtual runtime::EventLog& log() = 0;
+  /// Takes one from the budget of arrivals beyond the first of a request.
+  virtual bool takeRetry(const std::string& service) = 0;
+  virtual void waitBegan(const std::string& service, const RequestFacts& facts) = 0;
+  virtual void waitEnded(const std::string& service, const RequestFacts& facts) = 0;
+  virtual void attemptFailed(Worker& worker) = 0;
+  virtual std::uint64_t documentVersion() const = 0;
+  /// The exchange is over; it is destroyed soon.
+  virtual void ended(Exchange& exchange, int status) = 0;
+};
+
+/// States: choosing -> attempting (sent to a worker) -> choosing ... -> ended. Choosing waits while
+/// no worker can be had. An exchange ends with exactly one answer, or without any when its caller
+/// has left. Owned by the gateway.
+///
+/// Invariants: a request that may not be repeated is sent again only if each earlier attempt is
+/// known not to have run; a refusal that promises "not run" is given only if that is so; a stream's
+/// events leave whole, in order and once.
+class Exchange : public net::ResponseCallbacks {
+ public:
+  /// @param document keeps the route alive.
+  Exchange(ExchangeContext& context, std::shared_ptr<const catalog::Document> document,
+           const catalog::Route& route, std::string service, RequestFacts facts,
+           net::HttpRequest request, net::ResponseSink& sink);
+  ~Exchange() override;
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  void start();
+  /// Workers, or what they hold, have changed.
+  void viewChanged();
+
+ private:
+  enum class State : std::uint8_t { choosing, attempting, ended };
+  /// What is known of an attempt that did not succeed.
+  enum class Executed : std::uint8_t { no, yes, unknown };
+  /// What is done with the body that comes in.
+  enum class BodyUse : std::uint8_t { discard, collect, stream };
+
+  // net::ResponseCallbacks
+  bool onResponseHead(net::MessageHead head) override;
+  void onResponseBody(std::string_view bytes) override;
+  void onResponseComplete() override;
+  void onResponseFailure(const base::Error& error, bool sent) override;
+
+  void choose();
+  void wait(NoWorkerReason reason);
+  void endWait();
+  void launch(const WorkerDirectory::WorkerPtr& worker);
+  void takeSuccessHead();
+  void streamEvents(std::string_view bytes);
+  void completeStream();
+  void attemptEnded(Executed executed, std::string_view reason);
+  void retryOrFail(Executed executed, std::string_view reason);
+  bool mayRunAgain(Executed executed) const;
+  void releaseAttempt();
+  void dropAttempt();
+
+  void respondWith(net::HttpResponseHead head, std::string body);
+  void refuse(int status, std::string_view reason, base::Duration retryAfter);
+  void failFinally(std::string_view reason);
+  void onDeadline();
+  void onStall();
+  void armStall(base::Duration patience);
+  void onCallerGone();
+  void onCallerDrained();
+  void finish(int status, std::string_view outcome);
+  base::TimePoint now() const { return context_.scheduler().now(); }
+  bool isStreaming() const { return route_.kind == catalog::RouteKind::streaming; }
+
+  ExchangeContext& context_;
+  const std::shared_ptr<const catalog::Document> document_;
+  const catalog::Route& route_;
+  const std::string service_;
+  const RequestFacts facts_;
+  net::HttpRequest request_;
+  net::ResponseSink& sink_;
+  const base::TimePoint arrivedAt_;
+  const base::TimePoint deadline_;
+  State state_ = State::choosing;
+  event::TimerPtr deadlineTimer_;
+  event::TimerPtr retryTimer_;
+  event::TimerPtr stallTimer_;
+
+  std::set<registry::WorkerId> excluded_;  ///< Not to be chosen again for now.
+  bool waiting_ = false;
+  bool mayHaveRun_ = false;     ///< Some earlier attempt has run, or may have.
+  std::uint32_t arrivals_ = 0;  ///< Attempts that reached a worker.
+  std::uint32_t runs_ = 0;      ///< Attempts that have run, or may have.
+  std::uint32_t backoffs_ = 0;
+
+  // Of the present attempt.
+  std::unique_ptr<Attempt> attempt_;
+  WorkerDirectory::WorkerPtr worker_;
+  base::TimePoint attemptAt_;
+  net::HttpResponseHead head_;
+  AnswerFacts answer_;
+  bool headSeen_ = false;
+  bool accepted_ = false;  ///< The answer is the worker's own success.
+  BodyUse bodyUse_ = BodyUse::discard;
+  std::string body_;
+
+  // Of a stream.
+  bool headSent_ = false;
+  EventStream events_;
+};
+
+}  // namespace walnut::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,196 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace walnut::gateway {
+
+namespace {
+
+using runtime::LogEvent;
+
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+/// Share of the budget that is used: gateways are counted with a delay.
+constexpr double kBudgetShare = 0.7;
+constexpr const char* kRetryAfterNoDocument = "0.5";
+
+}  // namespace
+
+Gateway::Gateway(const GatewayOptions& options, event::Scheduler& scheduler,
+                 const RequestDialect& dialect, AttemptLauncher& launcher, RegistrySession& session,
+                 runtime::EventLog& log, runtime::MetricsSink& metrics)
+    : options_(options),
+      scheduler_(scheduler),
+      dialect_(dialect),
+      launcher_(launcher),
+      session_(session),
+      log_(log),
+      metrics_(metrics),
+      selector_(directory_, options.zone),
+      demandTimer_(scheduler.createTimer([this] { reportDemand(); })) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::start() { demandTimer_->enableAt(scheduler_.now() + options_.demandInterval); }
+
+std::shared_ptr<const catalog::Document> Gateway::document() const { return document_; }
+
+std::uint64_t Gateway::documentVersion() const {
+  return document_ == nullptr ? 0 : document_->version;
+}
+
+void Gateway::viewReceived(const registry::ViewUpdate& update) {
+  directory_.apply(update);
+  gateways_ = std::max<std::uint32_t>(1, update.gateways);
+  if (update.document && update.document->version > documentVersion()) {
+    takeDocument(*update.document);
+  }
+  for (auto& [service, budget] : budgets_) {
+    budget.setFloor(kBudgetShare * options_.retrySlack / gateways_);
+  }
+  const bool news = update.complete || update.document || !update.changed.empty();
+  if (news) {
+    wakeWaiting();
+  }
+  if (update.complete && !std::exchange(demandSoon_, true)) {
+    scheduler_.runSoon([this] { reportDemand(); });
+  }
+}
+
+void Gateway::takeDocument(const catalog::Document& document) {
+  log_.write(LogEvent::documentTaken,
+             {{"version", document.version}, {"former", documentVersion()}});
+  document_ = std::make_shared<const catalog::Document>(document);
+  routes_ = std::make_unique<catalog::RouteTable>(document_);
+  session_.setDocumentVersion(document.version);
+}
+
+void Gateway::wakeWaiting() {
+  std::vector<Exchange*> all;
+  all.reserve(exchanges_.size());
+  for (const auto& [key, exchange] : exchanges_) {
+    all.push_back(key);
+  }
+  for (Exchange* const exchange : all) {
+    if (exchanges_.count(exchange) != 0) {
+      exchange->viewChanged();
+    }
+  }
+}
+
+void Gateway::onRequest(net::HttpRequest request, net::ResponseSink& sink) {
+  RequestFacts facts = dialect_.readRequest(request);
+  if (routes_ == nullptr) {
+    refuse(sink, facts.requestId, kUnavailable, "no document is known");
+    return;
+  }
+  const std::string* host = request.headers.find("Host");
+  const catalog::Route* route = host == nullptr ? nullptr : routes_->find(*host, request.path());
+  if (route == nullptr) {
+    refuse(sink, facts.requestId, kNotFound, "no such route");
+    return;
+  }
+  const std::string service = pickService(*route);
+  budgetOf(service).firstAttempt(scheduler_.now());
+  if (!facts.model.empty()) {
+    demand_.arrived(service, facts.model, facts.adapter);
+  }
+  auto exchange = std::make_unique<Exchange>(*this, document_, *route, service, std::move(facts),
+                                             std::move(request), sink);
+  Exchange* const started = exchange.get();
+  exchanges_.emplace(started, std::move(exchange));
+  started->start();
+}
+
+void Gateway::refuse(net::ResponseSink& sink, const std::string& requestId, int status,
+                     std::string_view reason) {
+  log_.write(LogEvent::requestRefused, {{"request", requestId},
+                                        {"status", static_cast<std::uint64_t>(status)},
+                                        {"reason", reason},
+                                        {"document", documentVersion()},
+                                        {"executed", "no"}});
+  metrics_.count("walnut_gateway_requests_total", std::to_string(status));
+  net::HttpResponse response;
+  response.head.status = status;
+  if (status == kUnavailable) {
+    response.head.headers.add("Retry-After", kRetryAfterNoDocument);
+  }
+  sink.respond(std::move(response));
+}
+
+const std::string& Gateway::pickService(const catalog::Route& route) {
+  if (route.services.size() == 1) {
+    return route.services.front().service;
+  }
+  // Smooth weighted round robin: the one that is furthest behind its share is next.
+  std::map<std::string, double>& behind = rotations_[route.name];
+  double total = 0;
+  const catalog::WeightedService* next = nullptr;
+  for (const catalog::WeightedService& part : route.services) {
+    total += part.weight;
+    double& share = behind[part.service];
+    share += part.weight;
+    if (part.weight > 0 && (next == nullptr || share > behind[next->service])) {
+      next = &part;
+    }
+  }
+  behind[next->service] -= total;
+  return next->service;
+}
+
+routing::RetryBudget& Gateway::budgetOf(const std::string& service) {
+  return budgets_
+      .try_emplace(service, options_.retryRatio * kBudgetShare,
+                   kBudgetShare * options_.retrySlack / gateways_)
+      .first->second;
+}
+
+bool Gateway::takeRetry(const std::string& service) {
+  return budgetOf(service).takeRetry(scheduler_.now());
+}
+
+void Gateway::waitBegan(const std::string& service, const RequestFacts& facts) {
+  if (facts.model.empty()) {
+    return;
+  }
+  demand_.waitBegan(service, facts.model, facts.adapter);
+  if (!std::exchange(demandSoon_, true)) {
+    scheduler_.runSoon([this] { reportDemand(); });
+  }
+}
+
+void Gateway::waitEnded(const std::string& service, const RequestFacts& facts) {
+  if (!facts.model.empty()) {
+    demand_.waitEnded(service, facts.model, facts.adapter);
+  }
+}
+
+void Gateway::reportDemand() {
+  demandSoon_ = false;
+  demandTimer_->enableAt(scheduler_.now() + options_.demandInterval);
+  if (session_.following()) {
+    session_.send(demand_.takeUpdate(directory_));
+  }
+}
+
+void Gateway::attemptFailed(Worker& worker) {
+  const bool wasOpen = worker.breaker.state() == routing::BreakerState::open;
+  worker.failures.observe(true, scheduler_.now());
+  worker.breaker.failed(scheduler_.now(), options_.breakerFailures, options_.breakerOpenFor);
+  if (!wasOpen && worker.breaker.state() == routing::BreakerState::open) {
+    log_.write(LogEvent::breakerOpened, {{"worker", worker.view.record.id.value}});
+  }
+}
+
+void Gateway::ended(Exchange& exchange, int status) {
+  metrics_.count("walnut_gateway_requests_total", std::to_string(status));
+  const auto found = exchanges_.find(&exchange);
+  if (found != exchanges_.end()) {
+    scheduler_.destroySoon(std::move(found->second));
+    exchanges_.erase(found);
+  }
+}
+
+}  // namespace walnut::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,97 @@
+#pragma once
+/// @file
+/// The gateway's logic: routes requests of callers to workers of services.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "gateway/demand_tracker.h"
+#include "gateway/exchange.h"
+#include "gateway/registry_session.h"
+#include "routing/retry_budget.h"
+#include "walnut/catalog/route_table.h"
+#include "walnut/runtime/metrics_sink.h"
+
+namespace walnut::gateway {
+
+struct GatewayOptions {
+  base::ZoneId zone;
+  /// Arrivals at the workers of a service beyond the first of each request, over all gateways: this
+  /// share of its requests, and so many more in a window.
+  double retryRatio = 0.2;
+  double retrySlack = 10;
+  std::uint32_t breakerFailures = 3;
+  base::Duration breakerOpenFor = std::chrono::milliseconds(800);
+  base::Duration demandInterval = std::chrono::milliseconds(500);
+};
+
+/// Owns the exchanges in progress. Its view of workers and its document come from the registry's
+/// leader; without one it goes on with what it knows, but never back to an older document.
+class Gateway : public net::RequestHandler, public ExchangeContext {
+ public:
+  Gateway(const GatewayOptions& options, event::Scheduler& scheduler, const RequestDialect& dialect,
+          AttemptLauncher& launcher, RegistrySession& session, runtime::EventLog& log,
+          runtime::MetricsSink& metrics);
+  ~Gateway() override;
+
+  void start();
+  /// @return the document in force; null while there is none.
+  std::shared_ptr<const catalog::Document> document() const;
+  void viewReceived(const registry::ViewUpdate& update);
+
+  /// @return true if the gateway knows a document and is not stopping.
+  bool ready() const { return routes_ != nullptr && !stopping_; }
+  void beginStop() { stopping_ = true; }
+  std::size_t exchangeCount() const { return exchanges_.size(); }
+  /// @return workers that have gone since the last call.
+  std::vector<registry::WorkerId> takeGoneWorkers() { return directory_.takeGone(); }
+
+  // net::RequestHandler
+  void onRequest(net::HttpRequest request, net::ResponseSink& sink) override;
+
+  // ExchangeContext
+  event::Scheduler& scheduler() override { return scheduler_; }
+  const RequestDialect& dialect() const override { return dialect_; }
+  AttemptLauncher& launcher() override { return launcher_; }
+  WorkerSelector& selector() override { return selector_; }
+  runtime::EventLog& log() override { return log_; }
+  bool takeRetry(const std::string& service) override;
+  void waitBegan(const std::string& service, const RequestFacts& facts) override;
+  void waitEnded(const std::string& service, const RequestFacts& facts) override;
+  void attemptFailed(Worker& worker) override;
+  std::uint64_t documentVersion() const override;
+  void ended(Exchange& exchange, int status) override;
+
+ private:
+  void refuse(net::ResponseSink& sink, const std::string& requestId, int status,
+              std::string_view reason);
+  const std::string& pickService(const catalog::Route& route);
+  routing::RetryBudget& budgetOf(const std::string& service);
+  void takeDocument(const catalog::Document& document);
+  void reportDemand();
+  void wakeWaiting();
+
+  const GatewayOptions options_;
+  event::Scheduler& scheduler_;
+  const RequestDialect& dialect_;
+  AttemptLauncher& launcher_;
+  RegistrySession& session_;
+  runtime::EventLog& log_;
+  runtime::MetricsSink& metrics_;
+  std::shared_ptr<const catalog::Document> document_;
+  std::unique_ptr<catalog::RouteTable> routes_;
+  WorkerDirectory directory_;
+  WorkerSelector selector_;
+  DemandTracker demand_;
+  event::TimerPtr demandTimer_;
+  bool demandSoon_ = false;
+  std::uint32_t gateways_ = 1;
+  std::map<std::string, routing::RetryBudget> budgets_;             ///< By service.
+  std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
+  std::unordered_map<Exchange*, std::unique_ptr<Exchange>> exchanges_;
+  bool stopping_ = false;
+};
+
+}  // namespace walnut::gateway
--- /dev/null
+++ b/src/gateway/pooled_launcher.cpp
@@ -0,0 +1,46 @@
+#include "gateway/pooled_launcher.h"
+
+#include <utility>
+
+namespace walnut::gateway {
+
+namespace {
+
+class PooledAttempt : public Attempt {
+ public:
+  PooledAttempt(event::Dispatcher& dispatcher, net::ClientPool& pool, std::string key,
+                std::unique_ptr<net::ClientConnection> connection)
+      : dispatcher_(dispatcher),
+        pool_(pool),
+        key_(std::move(key)),
+        connection_(std::move(connection)) {}
+
+  void cancel() override {
+    connection_->cancel();
+    dispatcher_.destroySoon(std::move(connection_));
+  }
+  void release() override { pool_.release(key_, std::move(connection_)); }
+  void setReading(bool enabled) override { connection_->setReading(enabled); }
+
+ private:
+  event::Dispatcher& dispatcher_;
+  net::ClientPool& pool_;
+  const std::string key_;
+  std::unique_ptr<net::ClientConnection> connection_;
+};
+
+}  // namespace
+
+std::unique_ptr<Attempt> PooledLauncher::start(const registry::WorkerRecord& worker,
+                                               const net::HttpRequest& request,
+                                               net::ResponseCallbacks& callbacks) {
+  std::unique_ptr<net::ClientConnection> connection =
+      pool_.acquire(worker.id.value, worker.endpoint);
+  net::ClientConnection* const sending = connection.get();
+  auto attempt =
+      std::make_unique<PooledAttempt>(dispatcher_, pool_, worker.id.value, std::move(connection));
+  sending->send(request, callbacks);
+  return attempt;
+}
+
+}  // namespace walnut::gateway
--- /dev/null
+++ b/src/gateway/pooled_launcher.h
@@ -0,0 +1,26 @@
+#pragma once
+/// @file
+/// Attempts over pooled HTTP connections.
+
+#include "gateway/exchange.h"
+#include "net/client_pool.h"
+
+namespace walnut::gateway {
+
+class PooledLauncher : public AttemptLauncher {
+ public:
+  PooledLauncher(event::Dispatcher& dispatcher, const net::ClientPoolOptions& options)
+      : dispatcher_(dispatcher), pool_(dispatcher, options) {}
+
+  std::unique_ptr<Attempt> start(const registry::WorkerRecord& worker,
+                                 const net::HttpRequest& request,
+                                 net::ResponseCallbacks& callbacks) override;
+  /// Closes idle connections to a worker that is gone.
+  void forget(const registry::WorkerId& worker) { pool_.forget(worker.value); }
+
+ private:
+  event::Dispatcher& dispatcher_;
+  net::ClientPool pool_;
+};
+
+}  // namespace walnut::gateway
--- /dev/null
+++ b/src/gateway/worker_directory.h
@@ -0,0 +1,72 @@
+#pragma once
+/// @file
+/// The workers that a gateway knows of: what the registry says of them, and what this gateway sees.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "routing/circuit_breaker.h"
+#include "routing/moving_average.h"
+#include "walnut/registry/messages.h"
+
+namespace walnut::gateway {
+
+/// Share of failures among recent attempts. Fades with time, so that a worker that is not chosen
+/// any more is tried again.
+class FailureShare {
+ public:
+  void observe(bool failed, base::TimePoint now);
+  double value(base::TimePoint now) const;
+
+ private:
+  double share_ = 0;
+  base::TimePoint updatedAt_;
+};
+
+/// One worker. The registry's part is replaced by each update; the rest is this gateway's own.
+class Worker {
+ public:
+  explicit Worker(registry::WorkerView initial) : view(std::move(initial)) {}
+
+  registry::WorkerView view;
+  std::uint32_t running = 0;           ///< Requests of this gateway.
+  std::uint32_t runningElsewhere = 0;  ///< Requests of other gateways, as last told.
+  routing::CircuitBreaker breaker;
+  routing::MovingAverage latency;  ///< To the head of an answer, or to a stream's first event.
+  FailureShare failures;
+
+  /// @return true if it is known to hold the model; always for a plain service (no model).
+  bool holds(const std::string& model, const std::string& adapter, base::TimePoint now) const;
+  /// The worker said that it does not hold it: not to be asked again for a while.
+  void missed(const std::string& model, const std::string& adapter, base::TimePoint until);
+
+ private:
+  std::map<std::pair<std::string, std::string>, base::TimePoint> missedUntil_;
+};
+
+/// Entries stay valid while somebody holds them, also when the worker is gone.
+class WorkerDirectory {
+ public:
+  using WorkerPtr = std::shared_ptr<Worker>;
+
+  /// @param own what this gateway last reported of its own running requests is part of the loads.
+  void apply(const registry::ViewUpdate& update);
+
+  const std::map<registry::WorkerId, WorkerPtr>& workers() const { return workers_; }
+  /// @return workers that may get new work for a service.
+  std::vector<WorkerPtr> candidates(const std::string& service) const;
+  /// @return keys of workers that have gone since the last call.
+  std::vector<registry::WorkerId> takeGone() { return std::exchange(gone_, {}); }
+
+ private:
+  void takeView(const registry::WorkerView& view);
+  void remove(const registry::WorkerId& id);
+
+  std::map<registry::WorkerId, WorkerPtr> workers_;
+  std::vector<registry::WorkerId> gone_;
+};
+
+}  // namespace walnut::gateway
--- /dev/null
+++ b/src/gateway/worker_selector.cpp
@@ -0,0 +1,121 @@
+#include "gateway/worker_selector.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace walnut::gateway {
+
+namespace {
+
+constexpr std::size_t kMaxPrompts = 4096;
+/// Parts of a prompt that decide the affinity: beyond them it belongs to one request alone.
+constexpr std::size_t kSharedParts = 2;
+/// Expected time of a worker with all slots taken, as a multiple of that of an idle one.
+constexpr double kFullFactor = 4.0;
+constexpr double kOtherZoneFactor = 1.12;
+constexpr double kKnownPromptFactor = 0.85;
+constexpr double kFailureFactor = 6.0;
+constexpr double kSilentFactor = 20.0;
+constexpr double kDefaultLatency = 0.05;  ///< In seconds, until any was observed.
+constexpr double kDefaultSlots = 8.0;
+/// Latencies count less than in proportion: they also depend on the requests.
+constexpr double kLatencyFloor = 0.3;
+
+double seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+}  // namespace
+
+std::string PromptAffinity::keyOf(const RequestFacts& facts) {
+  std::string key = facts.model + "/" + facts.adapter;
+  const std::size_t parts = std::min(kSharedParts, facts.promptParts.size());
+  for (std::size_t index = 0; index < parts; ++index) {
+    key += "," + facts.promptParts[index];
+  }
+  return key;
+}
+
+void PromptAffinity::sent(const RequestFacts& facts, const registry::WorkerId& worker) {
+  if (facts.promptParts.empty()) {
+    return;
+  }
+  std::string key = keyOf(facts);
+  const auto found = entries_.find(key);
+  if (found != entries_.end()) {
+    found->second.worker = worker;
+    byUse_.splice(byUse_.begin(), byUse_, found->second.use);
+    return;
+  }
+  byUse_.push_front(key);
+  entries_.emplace(std::move(key), Entry{worker, byUse_.begin()});
+  if (entries_.size() > kMaxPrompts) {
+    entries_.erase(byUse_.back());
+    byUse_.pop_back();
+  }
+}
+
+const registry::WorkerId* PromptAffinity::find(const RequestFacts& facts) const {
+  if (facts.promptParts.empty()) {
+    return nullptr;
+  }
+  const auto found = entries_.find(keyOf(facts));
+  return found == entries_.end() ? nullptr : &found->second.worker;
+}
+
+Selection WorkerSelector::select(const std::string& service, const RequestFacts& facts,
+                                 const std::set<registry::WorkerId>& excluded,
+                                 base::TimePoint now) const {
+  Selection selection;
+  std::vector<WorkerDirectory::WorkerPtr> usable;
+  double latencySum = 0;
+  std::size_t latencies = 0;
+  const auto worse = [&selection](NoWorkerReason reason) {
+    selection.reason = std::max(selection.reason, reason);
+  };
+  for (const WorkerDirectory::WorkerPtr& worker : directory_.candidates(service)) {
+    if (!worker->holds(facts.model, facts.adapter, now)) {
+      worse(NoWorkerReason::notHeld);
+    } else if (excluded.count(worker->view.record.id) != 0) {
+      worse(NoWorkerReason::excluded);
+    } else if (!worker->breaker.allows(now)) {
+      worse(NoWorkerReason::broken);
+    } else {
+      usable.push_back(worker);
+    }
+    if (const auto latency = worker->latency.value()) {
+      latencySum += seconds(*latency);
+      ++latencies;
+    }
+  }
+  const double typical =
+      latencies == 0 ? kDefaultLatency : latencySum / static_cast<double>(latencies);
+  const registry::WorkerId* preferred = affinity_.find(facts);
+  double bestCost = std::numeric_limits<double>::infinity();
+  for (const WorkerDirectory::WorkerPtr& worker : usable) {
+    const double price = cost(*worker, typical, preferred, now);
+    if (price < bestCost) {
+      bestCost = price;
+      selection.worker = worker;
+    }
+  }
+  return selection;
+}
+
+double WorkerSelector::cost(const Worker& worker, double typicalLatency,
+                            const registry::WorkerId* preferred, base::TimePoint now) const {
+  const double own = worker.latency.value() ? seconds(*worker.latency.value()) : typicalLatency;
+  double cost = kLatencyFloor * typicalLatency + (1 - kLatencyFloor) * own;
+  const double slots =
+      worker.view.record.slots == 0 ? kDefaultSlots : static_cast<double>(worker.view.record.slots);
+  const double running = static_cast<double>(worker.running) + worker.runningElsewhere;
+  cost *= 1 + (kFullFactor - 1) * running / slots;
+  cost *= 1 + kFailureFactor * worker.failures.value(now);
+  if (worker.view.record.zone != zone_) {
+    cost *= kOtherZoneFactor;
+  }
+  if (preferred != nullptr && *preferred == worker.view.record.id) {
+    cost *= kKnownPromptFactor;
+  }
+  return worker.view.silent ? cost * kSilentFactor : cost;
+}
+
+}  // namespace walnut::gateway
--- /dev/null
+++ b/src/gateway/worker_selector.h
@@ -0,0 +1,68 @@
+#pragma once
+/// @file
+/// Which worker a request goes to.
+
+#include <list>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "gateway/worker_directory.h"
+#include "walnut/gateway/dialect.h"
+
+namespace walnut::gateway {
+
+/// Why no worker can be had at present.
+enum class NoWorkerReason : std::uint8_t {
+  noWorkers,  ///< The service has none.
+  notHeld,    ///< None holds the model or the adapter.
+  excluded,   ///< All that could have refused this request already.
+  broken,     ///< All that could have an open circuit breaker.
+};
+
+struct Selection {
+  WorkerDirectory::WorkerPtr worker;  ///< Null: see `reason`.
+  NoWorkerReason reason = NoWorkerReason::noWorkers;
+};
+
+/// Remembers which worker read a prompt last, as its cache holds the prompt's shared parts. A
+/// guess: being wrong costs time only. Bounded; forgets what was used least recently.
+class PromptAffinity {
+ public:
+  void sent(const RequestFacts& facts, const registry::WorkerId& worker);
+  /// @return the worker that last read a prompt beginning alike, or nullptr.
+  const registry::WorkerId* find(const RequestFacts& facts) const;
+
+ private:
+  struct Entry {
+    registry::WorkerId worker;
+    std::list<std::string>::iterator use;
+  };
+  static std::string keyOf(const RequestFacts& facts);
+
+  std::unordered_map<std::string, Entry> entries_;
+  std::list<std::string> byUse_;  ///< Most recently used first.
+};
+
+/// Picks the worker with the least expected time: its observed latency, grown by the requests that
+/// run there and by its failures; workers of the own zone and those that know the prompt are
+/// preferred when that makes no great difference.
+class WorkerSelector {
+ public:
+  WorkerSelector(const WorkerDirectory& directory, base::ZoneId zone)
+      : directory_(directory), zone_(std::move(zone)) {}
+
+  Selection select(const std::string& service, const RequestFacts& facts,
+                   const std::set<registry::WorkerId>& excluded, base::TimePoint now) const;
+  PromptAffinity& affinity() { return affinity_; }
+
+ private:
+  double cost(const Worker& worker, double typicalLatency, const registry::WorkerId* preferred,
+              base::TimePoint now) const;
+
+  const WorkerDirectory& directory_;
+  const base::ZoneId zone_;
+  PromptAffinity affinity_;
+};
+
+}  // namespace walnut::gateway
--- /dev/null
+++ b/src/net/client_connection.cpp
@@ -0,0 +1,144 @@
+#include "net/client_connection.h"
+
+#include <charconv>
+#include <utility>
+
+namespace walnut::net {
+
+namespace {
+
+using base::Error;
+using base::ErrorCode;
+
+constexpr std::size_t kMaxResponseHeadBytes = 64U << 10U;
+constexpr int kFirstFinalStatus = 200;
+
+/// @return the `timeout` parameter of a Keep-Alive field.
+std::optional<base::Duration> parseKeepAlive(const HeaderList& headers) {
+  const std::string* text = headers.find("Keep-Alive");
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  constexpr std::string_view kParameter = "timeout=";
+  const std::size_t begin = text->find(kParameter);
+  if (begin == std::string::npos) {
+    return std::nullopt;
+  }
+  std::uint32_t seconds = 0;
+  const char* const from = text->data() + begin + kParameter.size();
+  const auto [rest, failure] = std::from_chars(from, text->data() + text->size(), seconds);
+  if (failure != std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(event::Dispatcher& dispatcher, const base::Endpoint& remote,
+                                   const ClientTimeouts& timeouts)
+    : connection_(dispatcher, remote, timeouts.connect, timeouts.unacked, *this),
+      parser_(MessageParser::Kind::response, kMaxResponseHeadBytes, *this) {}
+
+void ClientConnection::send(const HttpRequest& request, ResponseCallbacks& callbacks) {
+  callbacks_ = &callbacks;
+  reusable_ = false;
+  passOver_ = false;
+  if (request.method == "HEAD") {
+    parser_.expectNoBody();
+  }
+  connection_.write(encodeRequestHead(request) + request.body);
+}
+
+void ClientConnection::cancel() {
+  callbacks_ = nullptr;
+  onIdleEnd_ = nullptr;
+  connection_.close();
+}
+
+void ClientConnection::onData(std::string_view bytes) {
+  while (!bytes.empty() && callbacks_ != nullptr) {
+    const auto taken = parser_.feed(bytes);
+    if (taken.has_error()) {
+      fail(taken.error());
+      return;
+    }
+    bytes.remove_prefix(taken.value());
+  }
+  if (!bytes.empty() && !connection_.closed()) {
+    // Bytes that belong to no request.
+    reusable_ = false;
+    idleEnded();
+  }
+}
+
+void ClientConnection::onEndOfStream() {
+  if (callbacks_ == nullptr) {
+    idleEnded();
+    return;
+  }
+  const auto ended = parser_.feedEnd();
+  if (callbacks_ != nullptr) {
+    fail(ended.has_error()
+             ? ended.error()
+             : Error{ErrorCode::connectionLost, "connection", "closed by the server"});
+  }
+}
+
+void ClientConnection::onEnd(const Error& error) {
+  if (callbacks_ == nullptr) {
+    idleEnded();
+    return;
+  }
+  if (error.code == ErrorCode::connectFailed) {
+    ResponseCallbacks* const callbacks = std::exchange(callbacks_, nullptr);
+    callbacks->onResponseFailure(error, false);
+    return;
+  }
+  fail(error);
+}
+
+void ClientConnection::onHead(MessageHead head) {
+  interim_ = head.status < kFirstFinalStatus;
+  if (interim_) {
+    return;
+  }
+  keepAlive_ = head.keepAlive;
+  framed_ = head.framed;
+  keepAliveTimeout_ = parseKeepAlive(head.headers);
+  passOver_ = !callbacks_->onResponseHead(std::move(head));
+  passedOver_ = passedOver_ || passOver_;
+}
+
+void ClientConnection::onBody(std::string_view bytes) {
+  if (!passOver_ && !interim_ && callbacks_ != nullptr) {
+    callbacks_->onResponseBody(bytes);
+  }
+}
+
+void ClientConnection::onComplete() {
+  if (std::exchange(interim_, false) || std::exchange(passOver_, false) || callbacks_ == nullptr) {
+    return;
+  }
+  const bool writtenWhole = connection_.bufferedBytes() == 0;
+  reusable_ = keepAlive_ && framed_ && writtenWhole && !passedOver_;
+  ResponseCallbacks* const callbacks = std::exchange(callbacks_, nullptr);
+  callbacks->onResponseComplete();
+}
+
+void ClientConnection::fail(const Error& error) {
+  ResponseCallbacks* const callbacks = std::exchange(callbacks_, nullptr);
+  connection_.close();
+  if (callbacks != nullptr) {
+    callbacks->onResponseFailure(error, true);
+  }
+}
+
+void ClientConnection::idleEnded() {
+  connection_.close();
+  if (onIdleEnd_) {
+    std::exchange(onIdleEnd_, nullptr)();
+  }
+}
+
+}  // namespace walnut::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,58 @@
+#include "net/http_server.h"
+
+#include <utility>
+#include <vector>
+
+namespace walnut::net {
+
+base::Result<std::unique_ptr<HttpServer>> HttpServer::open(event::Dispatcher& dispatcher,
+                                                           const base::Endpoint& endpoint,
+                                                           const ServerLimits& limits,
+                                                           RequestHandler& handler) {
+  auto server = std::make_unique<HttpServer>(dispatcher, limits, handler);
+  HttpServer* const accepting = server.get();
+  BOOST_OUTCOME_TRY(listener, Listener::open(dispatcher, endpoint,
+                                             [accepting](const Poco::Net::StreamSocket& socket) {
+                                               accepting->accept(socket);
+                                             }));
+  server->listener_ = std::move(listener);
+  return server;
+}
+
+void HttpServer::accept(const Poco::Net::StreamSocket& socket) {
+  auto connection =
+      std::make_unique<ServerConnection>(dispatcher_, socket, limits_, handler_,
+                                         [this](ServerConnection& closed) { release(closed); });
+  if (announceClose_) {
+    connection->announceClose();
+  }
+  ServerConnection* const key = connection.get();
+  connections_.emplace(key, std::move(connection));
+}
+
+void HttpServer::release(ServerConnection& connection) {
+  const auto found = connections_.find(&connection);
+  if (found != connections_.end()) {
+    dispatcher_.destroySoon(std::move(found->second));
+    connections_.erase(found);
+  }
+}
+
+void HttpServer::announceClose() {
+  announceClose_ = true;
+  for (const auto& [key, connection] : connections_) {
+    connection->announceClose();
+  }
+}
+
+void HttpServer::closeIdle() {
+  std::vector<ServerConnection*> all;
+  for (const auto& [key, connection] : connections_) {
+    all.push_back(key);
+  }
+  for (ServerConnection* const connection : all) {
+    connection->closeWhenIdle();
+  }
+}
+
+}  // namespace walnut::net
--- /dev/null
+++ b/src/net/server_connection.h
@@ -0,0 +1,89 @@
+#pragma once
+/// @file
+/// One connection of a caller.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/connection.h"
+#include "net/message_parser.h"
+#include "walnut/net/server.h"
+
+namespace walnut::net {
+
+/// States: idle -> reading a request -> handling it -> idle, ... -> closing (the last answer is
+/// still being written) -> closed. One request at a time: bytes of a next one wait until the
+/// present one is answered. Owned by HttpServer.
+class ServerConnection : public ConnectionCallbacks,
+                         public MessageParserCallbacks,
+                         public ResponseSink {
+ public:
+  using ClosedCallback = std::function<void(ServerConnection&)>;
+
+  ServerConnection(event::Dispatcher& dispatcher, const Poco::Net::StreamSocket& socket,
+                   const ServerLimits& limits, RequestHandler& handler, ClosedCallback onClosed);
+
+  /// Closes it once the present request, if any, is answered.
+  void closeWhenIdle();
+  /// The answers from now on tell the caller to open another connection.
+  void announceClose() { announceClose_ = true; }
+  bool idle() const { return state_ == State::idle && pending_.empty(); }
+
+  // ResponseSink
+  void respond(HttpResponse response) override;
+  void beginChunked(HttpResponseHead head) override;
+  void writeChunk(std::string_view bytes) override;
+  void endChunked() override;
+  void abort() override;
+  std::size_t bufferedBytes() const override { return connection_.bufferedBytes(); }
+  void setGoneCallback(std::function<void()> callback) override { onGone_ = std::move(callback); }
+  void setDrainedCallback(std::function<void()> callback) override {
+    onDrained_ = std::move(callback);
+  }
+
+ private:
+  enum class State : std::uint8_t { idle, reading, handling, closing, closed };
+
+  // ConnectionCallbacks
+  void onData(std::string_view bytes) override;
+  void onEndOfStream() override;
+  void onEnd(const base::Error& error) override;
+  void onDrained() override;
+  // MessageParserCallbacks
+  void onHead(MessageHead head) override;
+  void onBody(std::string_view bytes) override;
+  void onComplete() override;
+
+  void parsePending();
+  void refuse(int status);
+  void finishAnswer();
+  void beginClosing();
+  void callerLeft();
+  void becomeClosed();
+  void onTimeout();
+  void armTimer();
+  bool willClose() const;
+  void finishHead(HttpResponseHead& head) const;
+
+  event::Dispatcher& dispatcher_;
+  const ServerLimits& limits_;
+  RequestHandler& handler_;
+  const ClosedCallback onClosed_;
+  Connection connection_;
+  MessageParser parser_;
+  event::TimerPtr timer_;
+  State state_ = State::idle;
+  HttpRequest request_;
+  std::string pending_;  ///< Received and not parsed yet.
+  std::function<void()> onGone_;
+  std::function<void()> onDrained_;
+  bool keepAlive_ = true;
+  bool announceClose_ = false;
+  bool closeWhenIdle_ = false;
+  bool headRequest_ = false;
+  bool refused_ = false;
+  bool parsing_ = false;
+};
+
+}  // namespace walnut::net
--- /dev/null
+++ b/src/registry/cell_keeper.cpp
@@ -0,0 +1,143 @@
+#include "registry/cell_keeper.h"
+
+#include <algorithm>
+
+namespace walnut::registry {
+
+namespace {
+
+using consensus::Member;
+using consensus::MemberRole;
+using consensus::Membership;
+
+std::size_t voterCount(const Membership& membership) {
+  return static_cast<std::size_t>(
+      std::count_if(membership.members.begin(), membership.members.end(),
+                    [](const Member& member) { return member.role == MemberRole::voter; }));
+}
+
+const Member* find(const Membership& membership, base::ServerId server) {
+  for (const Member& member : membership.members) {
+    if (member.id == server) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+Membership without(const Membership& membership, base::ServerId server) {
+  Membership next = membership;
+  std::erase_if(next.members, [server](const Member& member) { return member.id == server; });
+  return next;
+}
+
+Membership promoted(const Membership& membership, base::ServerId server) {
+  Membership next = membership;
+  for (Member& member : next.members) {
+    if (member.id == server) {
+      member.role = MemberRole::voter;
+    }
+  }
+  return next;
+}
+
+}  // namespace
+
+bool majorityOutlivesLosses(const Membership& membership, std::uint32_t tolerableLosses) {
+  return voterCount(membership) / 2 + 1 > tolerableLosses;
+}
+
+CellKeeper::CellKeeper(const CellKeeperOptions& options, base::TimePoint now)
+    : options_(options), since_(now) {}
+
+void CellKeeper::requested(const Member& member, const Membership& membership,
+                           base::TimePoint now) {
+  if (find(membership, member.id) != nullptr) {
+    return;
+  }
+  for (const Member& other : membership.members) {
+    if (other.peerEndpoint == member.peerEndpoint) {
+      lost_.insert(other.id);
+    }
+  }
+  std::erase_if(applicants_, [&member](const auto& entry) {
+    return entry.second.member.peerEndpoint == member.peerEndpoint;
+  });
+  Member learner = member;
+  learner.role = MemberRole::learner;
+  applicants_[member.id] = {learner, now};
+}
+
+base::Duration CellKeeper::silenceOf(base::ServerId server, base::TimePoint now) const {
+  const auto found = lastHeard_.find(server);
+  return now - (found == lastHeard_.end() ? since_ : std::max(since_, found->second));
+}
+
+std::optional<Membership> CellKeeper::nextChange(const Membership& membership, base::ServerId self,
+                                                 base::TimePoint now) const {
+  if (const auto admitted = admission(membership, now)) {
+    return admitted;
+  }
+  if (const auto replaced = replacement(membership, self, now)) {
+    return replaced;
+  }
+  return lapsedLearner(membership, now);
+}
+
+std::optional<Membership> CellKeeper::admission(const Membership& membership,
+                                                base::TimePoint now) const {
+  for (const auto& [id, applicant] : applicants_) {
+    const bool lapsed = now - applicant.requestedAt > options_.requestLifetime;
+    if (!lapsed && find(membership, id) == nullptr) {
+      Membership next = membership;
+      next.members.push_back(applicant.member);
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Membership> CellKeeper::replacement(const Membership& membership, base::ServerId self,
+                                                  base::TimePoint now) const {
+  const Member* ready = nullptr;
+  const Member* failed = nullptr;
+  for (const Member& member : membership.members) {
+    const bool lost = lost_.count(member.id) != 0;
+    const base::Duration silence = silenceOf(member.id, now);
+    if (member.role == MemberRole::learner) {
+      const bool heard = lastHeard_.count(member.id) != 0;
+      if (!lost && heard && silence < options_.silenceLimit) {
+        ready = &member;
+      }
+    } else if (member.id != self && (lost || silence > options_.silenceLimit)) {
+      failed = failed == nullptr || lost ? &member : failed;
+    }
+  }
+  if (ready == nullptr) {
+    return std::nullopt;
+  }
+  const std::size_t wanted = 2 * static_cast<std::size_t>(options_.tolerableLosses) + 1;
+  const std::size_t voters = voterCount(membership);
+  if (voters < wanted) {
+    return promoted(membership, ready->id);
+  }
+  if (failed != nullptr) {
+    return without(membership, failed->id);
+  }
+  return std::nullopt;
+}
+
+std::optional<Membership> CellKeeper::lapsedLearner(const Membership& membership,
+                                                    base::TimePoint now) const {
+  for (const Member& member : membership.members) {
+    if (member.role != MemberRole::learner) {
+      continue;
+    }
+    if (lost_.count(member.id) != 0 || silenceOf(member.id, now) > options_.learnerSilenceLimit) {
+      return without(membership, member.id);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/cell_state.cpp
@@ -0,0 +1,91 @@
+#include "registry/cell_state.h"
+
+#include <algorithm>
+
+#include "base/archive.h"
+
+namespace walnut::registry {
+
+namespace {
+
+/// A worker's call may be seconds late; far fewer workers than this end in that time.
+constexpr std::size_t kMaxForgotten = 1024;
+
+template <class... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+}  // namespace
+
+std::string encodeCommand(const Command& command) { return base::encode(command); }
+
+base::Result<Command> decodeCommand(std::string_view bytes) {
+  return base::decode<Command>(bytes, "command");
+}
+
+void CellState::apply(const Command& command) {
+  std::visit(Overloaded{
+                 [this](const StoreDocument& body) {
+                   if (body.version > documentVersion_) {
+                     documentVersion_ = body.version;
+                     documentText_ = body.text;
+                   }
+                 },
+                 [this](const StoreWorker& body) { store(body.worker); },
+                 [this](const ForgetWorker& body) { forget(body.worker); },
+                 [this](const StoreOrderHolder& body) { orderHolder_ = body.server; },
+             },
+             command);
+}
+
+void CellState::store(const WorkerRecord& worker) {
+  if (wasForgotten(worker.id)) {
+    return;
+  }
+  std::vector<WorkerId> replaced;
+  for (const auto& [id, other] : workers_) {
+    if (id != worker.id && other.endpoint == worker.endpoint) {
+      replaced.push_back(id);
+    }
+  }
+  for (const WorkerId& id : replaced) {
+    forget(id);
+  }
+  WorkerRecord& held = workers_[worker.id];
+  const bool leaving = held.leaving || worker.leaving;
+  held = worker;
+  held.leaving = leaving;
+}
+
+void CellState::forget(const WorkerId& id) {
+  workers_.erase(id);
+  if (wasForgotten(id)) {
+    return;
+  }
+  forgotten_.push_back(id);
+  if (forgotten_.size() > kMaxForgotten) {
+    forgotten_.erase(forgotten_.begin());
+  }
+}
+
+const WorkerRecord* CellState::findWorker(const WorkerId& id) const {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+bool CellState::wasForgotten(const WorkerId& id) const {
+  return std::find(forgotten_.begin(), forgotten_.end(), id) != forgotten_.end();
+}
+
+std::string CellState::encode() const { return base::encode(*this); }
+
+base::Result<void> CellState::restore(std::string_view bytes) {
+  BOOST_OUTCOME_TRY(state, base::decode<CellState>(bytes, "snapshot"));
+  *this = std::move(state);
+  return base::success();
+}
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/cell_state.h
@@ -0,0 +1,98 @@
+#pragma once
+/// @file
+/// The replicated state of the registry: the declared document and the list of workers.
+
+#include <cereal/types/map.hpp>
+#include <cereal/types/variant.hpp>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "walnut/base/error.h"
+#include "walnut/registry/worker.h"
+
+namespace walnut::registry {
+
+/// @name Commands, each an entry of the log
+/// @{
+/// Takes effect only if its version is above the one held.
+struct StoreDocument {
+  std::uint64_t version = 0;
+  std::string text;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version, text);
+  }
+};
+/// Adds a worker or replaces what is known of it. A worker that leaves stays leaving, and one that
+/// was forgotten is not added again. Any other worker at its endpoint is forgotten.
+struct StoreWorker {
+  WorkerRecord worker;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker);
+  }
+};
+struct ForgetWorker {
+  WorkerId worker;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker);
+  }
+};
+/// The server that sends orders to workers from now on.
+struct StoreOrderHolder {
+  base::ServerId server;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server);
+  }
+};
+/// @}
+
+using Command = std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder>;
+
+std::string encodeCommand(const Command& command);
+base::Result<Command> decodeCommand(std::string_view bytes);
+
+/// Applies commands in the order of the log; equal on all servers.
+class CellState {
+ public:
+  using Workers = std::map<WorkerId, WorkerRecord>;
+
+  void apply(const Command& command);
+
+  std::uint64_t documentVersion() const { return documentVersion_; }
+  /// The document as it was declared.
+  const std::string& documentText() const { return documentText_; }
+  const Workers& workers() const { return workers_; }
+  const WorkerRecord* findWorker(const WorkerId& id) const;
+  /// @return true if the worker was there once and has been forgotten.
+  bool wasForgotten(const WorkerId& id) const;
+  base::ServerId orderHolder() const { return orderHolder_; }
+
+  /// @name Contents of a snapshot
+  /// @{
+  std::string encode() const;
+  base::Result<void> restore(std::string_view bytes);
+  /// @}
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(documentVersion_, documentText_, workers_, forgotten_, orderHolder_);
+  }
+
+ private:
+  void store(const WorkerRecord& worker);
+  void forget(const WorkerId& id);
+
+  std::uint64_t documentVersion_ = 0;
+  std::string documentText_;
+  Workers workers_;
+  std::vector<WorkerId> forgotten_;  ///< Oldest first, bounded.
+  base::ServerId orderHolder_;
+};
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/demand_book.cpp
@@ -0,0 +1,111 @@
+#include "registry/demand_book.h"
+
+#include <cmath>
+
+namespace walnut::registry {
+
+namespace {
+
+/// Time constant of the mean arrival rate, in seconds: shorter than the time in which demand moves
+/// from one model to another.
+constexpr double kRateSeconds = 8.0;
+
+double decayed(double weight, base::Duration age) {
+  return weight * std::exp(-std::chrono::duration<double>(age).count() / kRateSeconds);
+}
+
+}  // namespace
+
+void DemandBook::update(protocol::ConnectionId gateway, const DemandUpdate& update,
+                        base::TimePoint now) {
+  Gateway& reported = gateways_[gateway];
+  reported.waiting.clear();
+  reported.running.clear();
+  for (const ModelDemand& demand : update.demands) {
+    const ModelKey key{demand.service, demand.model, demand.adapter};
+    if (demand.waiting > 0) {
+      reported.waiting[key] = demand.waiting;
+    }
+    count(key, demand.arrivals, now);
+    if (!key.adapter.empty()) {
+      count(key.withoutAdapter(), demand.arrivals, now);
+    }
+  }
+  for (const WorkerLoad& load : update.loads) {
+    reported.running[load.worker] = load.running;
+  }
+}
+
+void DemandBook::count(const ModelKey& key, std::uint32_t arrivals, base::TimePoint now) {
+  if (arrivals == 0) {
+    return;
+  }
+  History& history = history_[key];
+  history.weight = decayed(history.weight, now - history.updatedAt) + arrivals;
+  history.updatedAt = now;
+  history.lastArrival = now;
+}
+
+void DemandBook::forget(protocol::ConnectionId gateway) { gateways_.erase(gateway); }
+
+DemandFigures DemandBook::figures(const ModelKey& key, base::TimePoint now) const {
+  DemandFigures figures;
+  for (const auto& [gateway, reported] : gateways_) {
+    for (const auto& [wanted, count] : reported.waiting) {
+      if (wanted == key || (key.adapter.empty() && wanted.withoutAdapter() == key)) {
+        figures.waiting += count;
+      }
+    }
+  }
+  const auto found = history_.find(key);
+  if (found != history_.end()) {
+    figures.rate = decayed(found->second.weight, now - found->second.updatedAt) / kRateSeconds;
+    figures.lastArrival = found->second.lastArrival;
+  }
+  return figures;
+}
+
+std::uint32_t DemandBook::running(const WorkerId& worker) const {
+  std::uint32_t total = 0;
+  for (const auto& [gateway, reported] : gateways_) {
+    const auto found = reported.running.find(worker);
+    total += found == reported.running.end() ? 0 : found->second;
+  }
+  return total;
+}
+
+std::vector<WorkerLoad> DemandBook::loads() const {
+  std::map<WorkerId, std::uint32_t> totals;
+  for (const auto& [gateway, reported] : gateways_) {
+    for (const auto& [worker, count] : reported.running) {
+      totals[worker] += count;
+    }
+  }
+  std::vector<WorkerLoad> loads;
+  for (const auto& [worker, count] : totals) {
+    loads.push_back({worker, count});
+  }
+  return loads;
+}
+
+std::map<ModelKey, std::uint32_t> DemandBook::waiting() const {
+  std::map<ModelKey, std::uint32_t> all;
+  for (const auto& [gateway, reported] : gateways_) {
+    for (const auto& [key, count] : reported.waiting) {
+      all[key] += count;
+    }
+  }
+  return all;
+}
+
+std::vector<ModelKey> DemandBook::recentModels() const {
+  std::vector<ModelKey> models;
+  for (const auto& [key, history] : history_) {
+    if (key.adapter.empty()) {
+      models.push_back(key);
+    }
+  }
+  return models;
+}
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/leader_duties.h
@@ -0,0 +1,95 @@
+#pragma once
+/// @file
+/// What a server does while it leads: it hears workers and gateways, publishes the view, decides
+/// placements and has them ordered.
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "registry/cell_state.h"
+#include "registry/demand_book.h"
+#include "registry/placement.h"
+#include "registry/view_publisher.h"
+#include "registry/worker_status.h"
+#include "walnut/registry/registry.h"
+
+namespace walnut::registry {
+
+/// Soft state of one leadership; nothing of it survives it. Holds references to the replicated
+/// state, which its owner changes and then reports by `stateChanged`.
+class LeaderDuties {
+ public:
+  LeaderDuties(const RegistryOptions& options, const DocumentReader& reader, const CellState& state,
+               consensus::Term term, base::ServerId self, runtime::EventLog& log,
+               base::TimePoint now);
+
+  /// @return true if the replicated record must change for this heartbeat.
+  bool heartbeat(const Heartbeat& heartbeat, base::TimePoint now);
+  void subscribe(protocol::ConnectionId gateway, const Subscribe& request);
+  void unsubscribe(protocol::ConnectionId gateway);
+  void demand(protocol::ConnectionId gateway, const DemandUpdate& update, base::TimePoint now);
+  void orderFinished(const OrderFinished& finished, base::TimePoint now);
+  void reportFinished(const ReportFinished& finished, base::TimePoint now);
+  /// The replicated state has changed.
+  void stateChanged(base::TimePoint now);
+
+  /// Does what is due.
+  /// @param leaseValid whether this server is sure to lead at `now`: else nothing is ordered.
+  void run(base::TimePoint now, bool leaseValid, const std::vector<base::Endpoint>& servers);
+
+  std::vector<RegistryAction> takeActions() { return std::exchange(actions_, {}); }
+  std::vector<Command> takeCommands() { return std::exchange(commands_, {}); }
+  base::TimePoint nextWakeup() const;
+  std::vector<protocol::ConnectionId> gateways() const { return publisher_.gateways(); }
+
+ private:
+  struct SentOrder {
+    PlacementStep step;
+    base::TimePoint sentAt;
+  };
+
+  void refreshDocument();
+  void noteSilence(base::TimePoint now);
+  void publish(base::TimePoint now, const std::vector<base::Endpoint>& servers);
+  void plan(base::TimePoint now);
+  void planService(const catalog::Service& service, base::TimePoint now);
+  PlacementWorker placementWorker(const WorkerRecord& record, const WorkerStatus& status,
+                                  base::TimePoint now) const;
+  void carryOut(const PlacementStep& step, base::TimePoint now);
+  void requestReport(const WorkerRecord& record, WorkerStatus& status);
+  void askOverdueWorkers(base::TimePoint now);
+  bool ordersAllowed(base::TimePoint now) const;
+  void claimOrders(base::TimePoint now);
+  base::Duration loadTime(const PlacementStep& step, const std::string& service) const;
+  WorkerStatus& statusOf(const WorkerId& id, base::TimePoint now);
+
+  const RegistryOptions& options_;
+  const DocumentReader& reader_;
+  const CellState& state_;
+  const consensus::Term term_;
+  const base::ServerId self_;
+  runtime::EventLog& log_;
+  const base::TimePoint since_;
+
+  std::shared_ptr<const catalog::Document> document_;
+  std::map<WorkerId, WorkerStatus> workers_;
+  DemandBook demand_;
+  ViewPublisher publisher_;
+  std::map<std::string, PlacementPolicy> policies_;  ///< By service.
+  std::map<std::string, StoreRate> storeRates_;      ///< By service.
+  std::map<std::uint64_t, SentOrder> orders_;
+  std::uint64_t lastOrder_ = 0;
+  bool holderProposed_ = false;
+  bool fenced_ = false;  ///< A worker has seen a higher token: this leadership is over.
+  base::TimePoint nextPlan_;
+  base::TimePoint lastRunAt_;
+  bool planSoon_ = true;
+  std::vector<RegistryAction> actions_;
+  std::vector<Command> commands_;
+};
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/registry_impl.cpp
@@ -0,0 +1,521 @@
+#include "registry/registry_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "walnut/catalog/validation.h"
+#include "walnut/factories.h"
+
+namespace walnut::registry {
+
+namespace {
+
+using base::Error;
+using base::ErrorCode;
+using consensus::Role;
+using runtime::LogEvent;
+
+std::string_view roleName(Role role) {
+  switch (role) {
+    case Role::follower:
+      return "follower";
+    case Role::preCandidate:
+      return "pre-candidate";
+    case Role::candidate:
+      return "candidate";
+    case Role::leader:
+      return "leader";
+  }
+  return "unknown";
+}
+
+protocol::Message wrap(MessageBody body) { return RegistryMessage{std::move(body)}; }
+
+}  // namespace
+
+RegistryImpl::RegistryImpl(const RegistryOptions& options, consensus::RecoveredState recovered,
+                           const consensus::Membership& founders, const DocumentReader& reader,
+                           runtime::EventLog& log, std::uint64_t seed, base::TimePoint now)
+    : options_([&options, &recovered] {
+        RegistryOptions own = options;
+        own.self.id = recovered.self;
+        return own;
+      }()),
+      reader_(reader),
+      log_(log),
+      now_(now),
+      raft_(consensus::makeRaft(options.raft, std::move(recovered), founders, seed, now)),
+      leaderHeardAt_(now) {}
+
+void RegistryImpl::step(base::TimePoint now, const RegistryInput& input) {
+  now_ = std::max(now_, now);
+  raft_->tick(now_);
+  std::visit([this](const auto& body) { handle(body); }, input);
+}
+
+RegistryOutputs RegistryImpl::takeOutputs() {
+  raft_->tick(now_);
+  consensus::RaftOutputs raftOutputs = raft_->takeOutputs();
+  RegistryOutputs outputs;
+  outputs.persist = std::move(raftOutputs.persist);
+  for (consensus::Message& message : raftOutputs.messages) {
+    // A server that is being admitted answers a leader that it does not know as a member yet: that
+    // goes over the connection which the leader opened.
+    const base::ServerId to = message.to;
+    const base::Endpoint endpoint = endpointOf(to, false).value_or(base::Endpoint{});
+    actions_.emplace_back(control::SendToServer{to, endpoint, std::move(message)});
+  }
+  if (raftOutputs.installed) {
+    (void)state_.restore(raftOutputs.installed->data);
+    appliedIndex_ = raftOutputs.installed->lastIndex;
+    bytesSinceSnapshot_ = 0;
+  }
+  applyEntries(raftOutputs.committed);
+  followLeadership();
+  runDuties();
+  outputs.actions = std::exchange(actions_, {});
+  return outputs;
+}
+
+base::TimePoint RegistryImpl::nextWakeup() const {
+  base::TimePoint next = std::min(raft_->nextWakeup(), calls_.nextDeadline());
+  if (leading_ != nullptr) {
+    next = std::min(next, leading_->nextWakeup());
+  } else {
+    next = std::min(next, std::max(nextJoinAt_, leaderHeardAt_ + options_.joinAfterSilence));
+  }
+  return next;
+}
+
+// Inputs
+
+void RegistryImpl::handle(const LinkClosed& input) {
+  if (leading_ != nullptr) {
+    leading_->unsubscribe(input.connection);
+  }
+}
+
+void RegistryImpl::handle(const LinkReceived& input) {
+  std::visit([this, &input](const auto& body) { receive(input.connection, body); }, input.message);
+}
+
+void RegistryImpl::handle(const CallReceived& input) {
+  const bool document = std::holds_alternative<ReplaceDocument>(input.body) ||
+                        std::holds_alternative<ReadDocument>(input.body);
+  const base::Duration timeout = document ? options_.documentTimeout : options_.callTimeout;
+  calls_.add({{std::nullopt, input.call}, input.body, now_ + timeout, {}});
+}
+
+void RegistryImpl::handle(const OrderFinished& input) {
+  if (leading_ != nullptr) {
+    leading_->orderFinished(input, now_);
+  }
+}
+
+void RegistryImpl::handle(const ReportFinished& input) {
+  if (leading_ != nullptr) {
+    leading_->reportFinished(input, now_);
+  }
+}
+
+void RegistryImpl::handle(const Persisted&) { raft_->onPersisted(now_); }
+
+void RegistryImpl::handle(const PlannedStop&) { raft_->transferLeadership(now_); }
+
+// Messages
+
+void RegistryImpl::receive(protocol::ConnectionId /*from*/, const consensus::Message& message) {
+  if (keeper_) {
+    keeper_->heard(message.from, now_);
+  }
+  raft_->receive(now_, message);
+  const consensus::RaftStatus status = raft_->status();
+  if (status.leader == message.from && status.leader != base::ServerId{}) {
+    leaderHeardAt_ = now_;
+  }
+}
+
+void RegistryImpl::receive(protocol::ConnectionId from, const RegistryMessage& message) {
+  std::visit([this, from](const auto& body) { receiveBody(from, body); }, message.body);
+}
+
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const ForwardedCall& message) {
+  calls_.add({{from, message.sequence}, message.call, now_ + options_.callTimeout, {}});
+}
+
+void RegistryImpl::receiveBody(protocol::ConnectionId /*from*/, const ForwardedAnswer& message) {
+  if (message.answer.status != ControlStatus::unavailable) {
+    answer(message.sequence, message.answer);
+  }
+}
+
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const JoinRequest& message) {
+  const consensus::RaftStatus status = raft_->status();
+  if (leading_ != nullptr) {
+    keeper_->requested(message.member, status.membership, now_);
+  } else if (const auto leader = endpointOf(status.leader, false)) {
+    actions_.emplace_back(control::SendToServer{status.leader, *leader, wrap(message)});
+  }
+  actions_.emplace_back(control::SendToConnection{from, wrap(JoinReply{status.membership})});
+}
+
+void RegistryImpl::receiveBody(protocol::ConnectionId /*from*/, const JoinReply& message) {
+  for (const consensus::Member& member : message.membership.members) {
+    const bool known = std::find(learnedEndpoints_.begin(), learnedEndpoints_.end(),
+                                 member.peerEndpoint) != learnedEndpoints_.end();
+    if (!known) {
+      learnedEndpoints_.push_back(member.peerEndpoint);
+    }
+  }
+}
+
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const Subscribe& message) {
+  if (leadingActively()) {
+    leading_->subscribe(from, message);
+    return;
+  }
+  const consensus::RaftStatus status = raft_->status();
+  actions_.emplace_back(control::SendToConnection{
+      from, wrap(NotLeading{serverEndpoints(), endpointOf(status.leader, false)})});
+}
+
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const DemandUpdate& message) {
+  if (leadingActively()) {
+    leading_->demand(from, message, now_);
+  }
+}
+
+// Calls
+
+void RegistryImpl::decide(std::uint64_t call, const ReplaceDocument& body) {
+  auto read = reader_.read(body.text);
+  base::Result<void> valid = base::success();
+  if (read) {
+    valid = catalog::validate(read.value());
+  }
+  if (!read || !valid) {
+    ControlAnswer refusal;
+    refusal.status = ControlStatus::refused;
+    refusal.error = read ? valid.error() : read.error();
+    log_.write(LogEvent::documentRefused,
+               {{"field", refusal.error.field}, {"detail", refusal.error.detail}});
+    answer(call, std::move(refusal));
+    return;
+  }
+  const std::uint64_t version = read.value().version;
+  if (version <= state_.documentVersion()) {
+    answerDone(call);
+    return;
+  }
+  if (version <= pendingDocumentVersion_) {
+    callsByEntry_[pendingDocumentIndex_].push_back(call);
+    return;
+  }
+  propose(call, StoreDocument{version, body.text});
+  pendingDocumentVersion_ = version;
+  pendingDocumentIndex_ = raft_->status().lastIndex;
+}
+
+void RegistryImpl::decide(std::uint64_t call, const ReadDocument& /*body*/) {
+  const auto token = raft_->beginRead(now_);
+  if (token) {
+    reads_.push_back({call, token.value()});
+  }
+}
+
+void RegistryImpl::decide(std::uint64_t call, const ReportAlive& body) {
+  if (leading_->heartbeat(body.heartbeat, now_)) {
+    propose(call, StoreWorker{body.heartbeat.worker});
+  } else {
+    answerDone(call);
+  }
+}
+
+void RegistryImpl::decide(std::uint64_t call, const ReportGone& body) {
+  if (state_.wasForgotten(body.worker)) {
+    answerDone(call);
+  } else {
+    propose(call, ForgetWorker{body.worker});
+  }
+}
+
+void RegistryImpl::propose(std::uint64_t call, const Command& command) {
+  const auto index = raft_->propose(now_, encodeCommand(command));
+  if (index) {
+    callsByEntry_[index.value()].push_back(call);
+  }
+}
+
+void RegistryImpl::answer(std::uint64_t number, ControlAnswer answer) {
+  const WaitingCall* call = calls_.find(number);
+  if (call == nullptr) {
+    return;
+  }
+  const CallOrigin origin = call->origin;
+  calls_.erase(number);
+  if (origin.connection) {
+    actions_.emplace_back(control::SendToConnection{
+        *origin.connection, wrap(ForwardedAnswer{origin.sequence, std::move(answer)})});
+  } else {
+    actions_.emplace_back(CallAnswered{origin.sequence, std::move(answer)});
+  }
+}
+
+void RegistryImpl::answerDone(std::uint64_t call) {
+  ControlAnswer done;
+  done.status = ControlStatus::done;
+  done.leader = options_.self.resourceEndpoint;
+  answer(call, std::move(done));
+}
+
+void RegistryImpl::answerUnavailable(std::uint64_t call, std::string_view reason) {
+  log_.write(LogEvent::callUnavailable, {{"reason", reason}});
+  ControlAnswer unavailable;
+  unavailable.status = ControlStatus::unavailable;
+  unavailable.error = {ErrorCode::noQuorum, "", std::string(reason)};
+  answer(call, std::move(unavailable));
+}
+
+// Duties
+
+bool RegistryImpl::durableBeyondLosses() const {
+  return majorityOutlivesLosses(raft_->status().membership, options_.tolerableLosses);
+}
+
+void RegistryImpl::followLeadership() {
+  const consensus::RaftStatus status = raft_->status();
+  if (status.role != lastRole_ || status.leader != lastLeader_) {
+    log_.write(
+        LogEvent::roleChanged,
+        {{"role", roleName(status.role)}, {"term", status.term}, {"leader", status.leader.value}});
+    lastRole_ = status.role;
+    lastLeader_ = status.leader;
+  }
+  noteMembership();
+  if (status.role == Role::leader && leading_ == nullptr) {
+    beginLeading(status);
+  } else if (status.role != Role::leader && leading_ != nullptr) {
+    endLeading();
+  }
+}
+
+void RegistryImpl::noteMembership() {
+  const consensus::RaftStatus status = raft_->status();
+  if (status.membershipIndex == lastMembershipIndex_) {
+    return;
+  }
+  lastMembershipIndex_ = status.membershipIndex;
+  std::string members;
+  for (const consensus::Member& member : status.membership.members) {
+    members += members.empty() ? "" : ",";
+    members += member.peerEndpoint.address;
+    members += member.role == consensus::MemberRole::voter ? "" : "(learner)";
+  }
+  log_.write(LogEvent::membershipChanged,
+             {{"index", status.membershipIndex}, {"members", members}});
+}
+
+void RegistryImpl::beginLeading(const consensus::RaftStatus& status) {
+  activeIndex_ = status.lastIndex;
+  keeper_.emplace(CellKeeperOptions{options_.tolerableLosses}, now_);
+  leading_ = std::make_unique<LeaderDuties>(options_, reader_, state_, status.term, status.self,
+                                            log_, now_);
+  pendingDocumentVersion_ = 0;
+}
+
+void RegistryImpl::endLeading() {
+  const consensus::RaftStatus status = raft_->status();
+  for (const protocol::ConnectionId gateway : leading_->gateways()) {
+    actions_.emplace_back(control::SendToConnection{
+        gateway, wrap(NotLeading{serverEndpoints(), endpointOf(status.leader, false)})});
+  }
+  leading_.reset();
+  keeper_.reset();
+  callsByEntry_.clear();
+  reads_.clear();
+  leaderHeardAt_ = now_;
+}
+
+void RegistryImpl::runDuties() {
+  expireCalls();
+  handOverCalls();
+  answerReads();
+  if (leading_ != nullptr) {
+    keepCell();
+    if (leadingActively()) {
+      leading_->run(now_, raft_->leaseValid(now_), serverEndpoints());
+      for (const Command& command : leading_->takeCommands()) {
+        (void)raft_->propose(now_, encodeCommand(command));
+      }
+      for (RegistryAction& action : leading_->takeActions()) {
+        actions_.push_back(std::move(action));
+      }
+    }
+  } else {
+    askToJoin();
+  }
+  takeSnapshotIfDue();
+}
+
+void RegistryImpl::handOverCalls() {
+  const consensus::RaftStatus status = raft_->status();
+  if (status.leader == base::ServerId{}) {
+    return;
+  }
+  const bool own = status.role == Role::leader;
+  if (own && (!leadingActively() || !durableBeyondLosses())) {
+    return;
+  }
+  for (const std::uint64_t number : calls_.notHandedTo(status.leader)) {
+    WaitingCall& call = *calls_.find(number);
+    if (!own && call.origin.connection) {
+      continue;  // Forwarded to this server, which doesn't lead any more: its sender sees that too.
+    }
+    call.handedTo = status.leader;
+    if (own) {
+      const ControlCall body = call.call;
+      std::visit([this, number](const auto& alternative) { decide(number, alternative); }, body);
+    } else if (const auto leader = endpointOf(status.leader, false)) {
+      actions_.emplace_back(
+          control::SendToServer{status.leader, *leader, wrap(ForwardedCall{number, call.call})});
+    }
+  }
+}
+
+void RegistryImpl::expireCalls() {
+  for (const std::uint64_t number : calls_.expired(now_)) {
+    answerUnavailable(number, raft_->status().leader == base::ServerId{} ? "no leader is known"
+                                                                         : "not confirmed in time");
+  }
+}
+
+void RegistryImpl::answerReads() {
+  std::erase_if(reads_, [this](const PendingRead& read) {
+    const auto ready = raft_->readReady(read.token);
+    if (ready.has_error()) {
+      answerUnavailable(read.call, "leadership was lost");
+      return true;
+    }
+    if (!ready.value() || appliedIndex_ < *ready.value()) {
+      return false;
+    }
+    ControlAnswer found;
+    found.status = ControlStatus::done;
+    found.leader = options_.self.resourceEndpoint;
+    found.text = state_.documentText();
+    if (state_.documentVersion() == 0) {
+      found.status = ControlStatus::unavailable;
+    }
+    answer(read.call, std::move(found));
+    return true;
+  });
+}
+
+void RegistryImpl::applyEntries(const std::vector<consensus::LogEntry>& entries) {
+  for (const consensus::LogEntry& entry : entries) {
+    applyEntry(entry);
+  }
+  if (!entries.empty() && leading_ != nullptr) {
+    leading_->stateChanged(now_);
+  }
+}
+
+void RegistryImpl::applyEntry(const consensus::LogEntry& entry) {
+  appliedIndex_ = entry.index;
+  if (entry.type == consensus::EntryType::command) {
+    bytesSinceSnapshot_ += entry.payload.size();
+    const auto command = decodeCommand(entry.payload);
+    if (command) {
+      state_.apply(command.value());
+      if (const auto* document = std::get_if<StoreDocument>(&command.value())) {
+        log_.write(LogEvent::documentStored,
+                   {{"version", document->version}, {"index", entry.index}});
+      } else if (const auto* worker = std::get_if<StoreWorker>(&command.value())) {
+        log_.write(LogEvent::workerStored,
+                   {{"worker", worker->worker.id.value},
+                    {"service", worker->worker.service},
+                    {"state", std::string_view(worker->worker.leaving ? "leaving" : "ready")}});
+      } else if (const auto* gone = std::get_if<ForgetWorker>(&command.value())) {
+        log_.write(LogEvent::workerForgotten, {{"worker", gone->worker.value}});
+      }
+    }
+  }
+  const auto waiting = callsByEntry_.find(entry.index);
+  if (waiting != callsByEntry_.end()) {
+    const std::vector<std::uint64_t> calls = std::move(waiting->second);
+    callsByEntry_.erase(waiting);
+    for (const std::uint64_t call : calls) {
+      answerDone(call);
+    }
+  }
+}
+
+void RegistryImpl::takeSnapshotIfDue() {
+  if (bytesSinceSnapshot_ >= options_.snapshotEveryBytes) {
+    bytesSinceSnapshot_ = 0;
+    raft_->compact(appliedIndex_, state_.encode(), options_.snapshotKeepEntries);
+  }
+}
+
+void RegistryImpl::keepCell() {
+  const consensus::RaftStatus status = raft_->status();
+  const auto next = keeper_->nextChange(status.membership, status.self, now_);
+  if (!next) {
+    return;
+  }
+  const auto index = raft_->changeMembership(now_, *next);
+  if (index) {
+    log_.write(LogEvent::memberProposed, {{"index", index.value()},
+                                          {"members", next->members.size()},
+                                          {"before", status.membership.members.size()}});
+  }
+}
+
+/// A server that hears no leader asks all that it knows of to be admitted; those that are in the
+/// membership are told nothing new by it.
+void RegistryImpl::askToJoin() {
+  if (now_ < leaderHeardAt_ + options_.joinAfterSilence || now_ < nextJoinAt_) {
+    return;
+  }
+  nextJoinAt_ = now_ + options_.joinInterval;
+  const consensus::RaftStatus status = raft_->status();
+  std::vector<base::Endpoint> endpoints = options_.joinEndpoints;
+  const std::vector<base::Endpoint> members = serverEndpoints();
+  endpoints.insert(endpoints.end(), members.begin(), members.end());
+  endpoints.insert(endpoints.end(), learnedEndpoints_.begin(), learnedEndpoints_.end());
+  std::sort(endpoints.begin(), endpoints.end());
+  endpoints.erase(std::unique(endpoints.begin(), endpoints.end()), endpoints.end());
+  for (const base::Endpoint& endpoint : endpoints) {
+    if (endpoint != options_.self.peerEndpoint) {
+      actions_.emplace_back(SendToEndpoint{endpoint, wrap(JoinRequest{options_.self})});
+    }
+  }
+}
+
+std::vector<base::Endpoint> RegistryImpl::serverEndpoints() const {
+  std::vector<base::Endpoint> endpoints;
+  for (const consensus::Member& member : raft_->status().membership.members) {
+    endpoints.push_back(member.peerEndpoint);
+  }
+  return endpoints;
+}
+
+std::optional<base::Endpoint> RegistryImpl::endpointOf(base::ServerId server, bool control) const {
+  for (const consensus::Member& member : raft_->status().membership.members) {
+    if (member.id == server && server != base::ServerId{}) {
+      return control ? member.resourceEndpoint : member.peerEndpoint;
+    }
+  }
+  return std::nullopt;
+}
+
+std::unique_ptr<Registry> makeRegistry(const RegistryOptions& options,
+                                       consensus::RecoveredState recovered,
+                                       const consensus::Membership& founders,
+                                       const DocumentReader& reader, runtime::EventLog& log,
+                                       std::uint64_t seed, base::TimePoint now) {
+  return std::make_unique<RegistryImpl>(options, std::move(recovered), founders, reader, log, seed,
+                                        now);
+}
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/registry_impl.h
@@ -0,0 +1,124 @@
+#pragma once
+/// @file
+/// A server of the registry.
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "registry/call_table.h"
+#include "registry/cell_keeper.h"
+#include "registry/cell_state.h"
+#include "registry/leader_duties.h"
+#include "walnut/registry/registry.h"
+
+namespace walnut::registry {
+
+/// Any server takes calls; the leader decides them. A call that changes something is answered once
+/// its entry is committed by a majority that is larger than the disks which may be lost. Gateways
+/// are served by the leader, once it has applied all that was committed before its term.
+class RegistryImpl : public Registry {
+ public:
+  RegistryImpl(const RegistryOptions& options, consensus::RecoveredState recovered,
+               const consensus::Membership& founders, const DocumentReader& reader,
+               runtime::EventLog& log, std::uint64_t seed, base::TimePoint now);
+
+  void step(base::TimePoint now, const RegistryInput& input) override;
+  RegistryOutputs takeOutputs() override;
+  base::TimePoint nextWakeup() const override;
+  consensus::RaftStatus raftStatus() const override { return raft_->status(); }
+
+ private:
+  /// A call that waits for a log entry, or for a read to be confirmed.
+  struct PendingRead {
+    std::uint64_t call = 0;
+    std::uint64_t token = 0;
+  };
+
+  // Inputs
+  void handle(const LinkOpened&) {}
+  void handle(const LinkClosed& input);
+  void handle(const LinkReceived& input);
+  void handle(const CallReceived& input);
+  void handle(const OrderFinished& input);
+  void handle(const ReportFinished& input);
+  void handle(const Persisted&);
+  void handle(const Tick&) {}
+  void handle(const PlannedStop&);
+
+  // Messages
+  void receive(protocol::ConnectionId from, const consensus::Message& message);
+  void receive(protocol::ConnectionId from, const RegistryMessage& message);
+  template <class Other>
+  void receive(protocol::ConnectionId, const Other&) {}
+  void receiveBody(protocol::ConnectionId from, const ForwardedCall& message);
+  void receiveBody(protocol::ConnectionId from, const ForwardedAnswer& message);
+  void receiveBody(protocol::ConnectionId from, const JoinRequest& message);
+  void receiveBody(protocol::ConnectionId from, const JoinReply& message);
+  void receiveBody(protocol::ConnectionId from, const Subscribe& message);
+  void receiveBody(protocol::ConnectionId from, const DemandUpdate& message);
+  void receiveBody(protocol::ConnectionId, const NotLeading&) {}
+  void receiveBody(protocol::ConnectionId, const ViewUpdate&) {}
+
+  // Calls, at the leader
+  void decide(std::uint64_t call, const ReplaceDocument& body);
+  void decide(std::uint64_t call, const ReadDocument& body);
+  void decide(std::uint64_t call, const ReportAlive& body);
+  void decide(std::uint64_t call, const ReportGone& body);
+  void propose(std::uint64_t call, const Command& command);
+  void answer(std::uint64_t call, ControlAnswer answer);
+  void answerDone(std::uint64_t call);
+  void answerUnavailable(std::uint64_t call, std::string_view reason);
+
+  // Duties
+  void followLeadership();
+  void beginLeading(const consensus::RaftStatus& status);
+  void endLeading();
+  void handOverCalls();
+  void expireCalls();
+  void answerReads();
+  void applyEntries(const std::vector<consensus::LogEntry>& entries);
+  void applyEntry(const consensus::LogEntry& entry);
+  void takeSnapshotIfDue();
+  void keepCell();
+  void askToJoin();
+  void runDuties();
+  bool durableBeyondLosses() const;
+  bool leadingActively() const { return leading_ != nullptr && activeIndex_ <= appliedIndex_; }
+  std::vector<base::Endpoint> serverEndpoints() const;
+  std::optional<base::Endpoint> endpointOf(base::ServerId server, bool control) const;
+  void noteMembership();
+
+  const RegistryOptions options_;
+  const DocumentReader& reader_;
+  runtime::EventLog& log_;
+  base::TimePoint now_;
+  std::unique_ptr<consensus::Raft> raft_;
+  CellState state_;
+  consensus::LogIndex appliedIndex_ = 0;
+  std::size_t bytesSinceSnapshot_ = 0;
+  std::vector<RegistryAction> actions_;
+
+  CallTable calls_;
+  std::map<consensus::LogIndex, std::vector<std::uint64_t>> callsByEntry_;  ///< At the leader.
+  std::vector<PendingRead> reads_;                                          ///< At the leader.
+
+  // Of the present leadership of this server.
+  std::unique_ptr<LeaderDuties> leading_;
+  consensus::LogIndex activeIndex_ = 0;  ///< The leader's first own entry.
+  std::optional<CellKeeper> keeper_;
+  std::uint64_t pendingDocumentVersion_ = 0;
+  consensus::LogIndex pendingDocumentIndex_ = 0;
+
+  // What this server believes, as last logged.
+  consensus::Role lastRole_ = consensus::Role::follower;
+  base::ServerId lastLeader_;
+  consensus::LogIndex lastMembershipIndex_ = 0;
+
+  base::TimePoint leaderHeardAt_;
+  base::TimePoint nextJoinAt_;
+  std::vector<base::Endpoint> learnedEndpoints_;  ///< From answers to requests to join.
+};
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/view_publisher.h
@@ -0,0 +1,66 @@
+#pragma once
+/// @file
+/// Keeps gateways told of the document and of workers, by changes since what each was last sent.
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "walnut/protocol/messages.h"
+#include "walnut/registry/messages.h"
+
+namespace walnut::registry {
+
+/// Kept by the leader. A connection delivers in order or ends, so what was sent to it needs no
+/// acknowledgement.
+class ViewPublisher {
+ public:
+  explicit ViewPublisher(base::Duration interval) : interval_(interval) {}
+
+  void subscribe(protocol::ConnectionId gateway, std::uint64_t documentVersion);
+  void unsubscribe(protocol::ConnectionId gateway) { gateways_.erase(gateway); }
+  std::size_t gatewayCount() const { return gateways_.size(); }
+  std::vector<protocol::ConnectionId> gateways() const;
+
+  void setWorker(const WorkerView& view);
+  void removeWorker(const WorkerId& worker);
+  /// @return the workers that were set and not removed.
+  std::vector<WorkerId> workers() const;
+
+  struct Update {
+    protocol::ConnectionId gateway;
+    ViewUpdate update;
+  };
+  /// @param document the one in force, or nullptr.
+  /// @return what to send now.
+  std::vector<Update> takeUpdates(base::TimePoint now, consensus::Term term,
+                                  const catalog::Document* document,
+                                  const std::vector<WorkerLoad>& loads,
+                                  const std::vector<base::Endpoint>& servers);
+  /// @return when `takeUpdates` has something by the passing of time alone.
+  base::TimePoint nextUpdate() const;
+
+ private:
+  struct Gateway {
+    bool complete = false;  ///< It has got the whole view.
+    std::uint64_t documentVersion = 0;
+    std::uint64_t revision = 0;
+    std::uint32_t gateways = 0;  ///< As it was last told.
+    base::TimePoint lastSent;
+  };
+  struct Worker {
+    WorkerView view;
+    std::uint64_t revision = 0;
+    bool removed = false;
+  };
+
+  ViewUpdate makeUpdate(const Gateway& gateway, const catalog::Document* document) const;
+  void dropRemoved();
+
+  const base::Duration interval_;
+  std::uint64_t revision_ = 0;
+  std::map<protocol::ConnectionId, Gateway> gateways_;
+  std::map<WorkerId, Worker> workers_;
+};
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/worker_status.cpp
@@ -0,0 +1,130 @@
+#include "registry/worker_status.h"
+
+#include <algorithm>
+
+namespace walnut::registry {
+
+namespace {
+
+/// Longer than two heartbeats: by then a worker's word includes the order.
+constexpr base::Duration kOverlayLifetime = std::chrono::seconds(4);
+
+}  // namespace
+
+bool WorkerStatus::takeHeartbeat(const Heartbeat& heartbeat, base::TimePoint now) {
+  if (heartbeat.sequence < lastSequence) {
+    return false;
+  }
+  lastSequence = heartbeat.sequence;
+  lastHeard = now;
+  silent = false;
+  if (heartbeat.holdingsKnown) {
+    holdingsKnown = true;
+    reported_ = heartbeat.holdings;
+    finishModelOrder();
+  }
+  return true;
+}
+
+void WorkerStatus::takeReport(const WorkerReport& report, base::TimePoint now) {
+  reportFresh = true;
+  orderCount = report.orderCount;
+  lastHeard = now;
+  silent = false;
+  std::vector<std::string> inMemory = std::move(reported_.inMemory);
+  std::vector<std::string> onDisk = std::move(reported_.onDisk);
+  reported_ = report.holdings;
+  if (reported_.inMemory.empty() && reported_.onDisk.empty()) {
+    reported_.inMemory = std::move(inMemory);
+    reported_.onDisk = std::move(onDisk);
+  }
+  holdingsKnown = true;
+  finishModelOrder();
+  if (!report.orderUnderWay) {
+    modelOrder.reset();
+  }
+}
+
+void WorkerStatus::finishModelOrder() {
+  if (!modelOrder) {
+    return;
+  }
+  const bool held = reported_.find(modelOrder->model) != nullptr;
+  if (held == (modelOrder->operation == OrderOperation::load)) {
+    modelOrder.reset();
+  }
+}
+
+void WorkerStatus::adapterOrdered(const PlacementStep& step, base::TimePoint now,
+                                  base::Duration settleTime) {
+  const bool present = step.operation == OrderOperation::load;
+  adapterChanges_[{step.model, step.adapter}] = {present, present ? now + settleTime : now,
+                                                 now + kOverlayLifetime};
+}
+
+void WorkerStatus::modelOrdered(const PlacementStep& step, base::TimePoint dueAt) {
+  modelOrder = ModelOrder{step.operation, step.model, dueAt};
+  if (step.operation == OrderOperation::unload) {
+    std::erase_if(adapterChanges_,
+                  [&step](const auto& entry) { return entry.first.first == step.model; });
+  }
+}
+
+void WorkerStatus::modelOrderDone(const PlacementStep& step) {
+  modelOrder.reset();
+  const bool held = reported_.find(step.model) != nullptr;
+  if (step.operation == OrderOperation::load && !held) {
+    reported_.models.push_back({step.model, 0, {}});
+  } else if (step.operation == OrderOperation::unload && held) {
+    std::erase_if(reported_.models,
+                  [&step](const HeldModel& model) { return model.name == step.model; });
+  }
+}
+
+void WorkerStatus::setAdapter(std::vector<HeldModel>& models, const AdapterKey& key, bool present) {
+  for (HeldModel& model : models) {
+    if (model.name != key.first) {
+      continue;
+    }
+    std::erase(model.adapters, key.second);
+    if (present) {
+      model.adapters.push_back(key.second);
+    }
+  }
+}
+
+Holdings WorkerStatus::expected(base::TimePoint now) const {
+  Holdings holdings = reported_;
+  for (const auto& [key, change] : adapterChanges_) {
+    if (now < change.until) {
+      setAdapter(holdings.models, key, change.present);
+    }
+  }
+  return holdings;
+}
+
+std::vector<HeldModel> WorkerStatus::serving(base::TimePoint now) const {
+  std::vector<HeldModel> models = reported_.models;
+  for (const auto& [key, change] : adapterChanges_) {
+    if (now < change.until) {
+      setAdapter(models, key, change.present && now >= change.effectiveAt);
+    }
+  }
+  if (modelOrder && modelOrder->operation == OrderOperation::unload) {
+    std::erase_if(models,
+                  [this](const HeldModel& model) { return model.name == modelOrder->model; });
+  }
+  return models;
+}
+
+base::TimePoint WorkerStatus::nextChange(base::TimePoint now) const {
+  base::TimePoint next = base::kNever;
+  for (const auto& [key, change] : adapterChanges_) {
+    if (change.effectiveAt > now) {
+      next = std::min(next, change.effectiveAt);
+    }
+  }
+  return next;
+}
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/worker_status.h
@@ -0,0 +1,76 @@
+#pragma once
+/// @file
+/// What the leader knows of a worker beside its replicated record.
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "registry/placement.h"
+#include "walnut/registry/messages.h"
+
+namespace walnut::registry {
+
+/// An order for a model that the worker has accepted and not finished.
+struct ModelOrder {
+  OrderOperation operation = OrderOperation::load;
+  std::string model;
+  base::TimePoint dueAt;  ///< When the worker is asked, if it has not told by then.
+};
+
+/// What the worker holds is known from its heartbeats and reports, overlaid by the adapters that it
+/// was ordered to load or unload since, as those orders are not followed by a heartbeat.
+///
+/// Orders: `reportFresh` says that `orderCount` is the worker's own count of orders. Each order
+/// names that count, so that of all orders whose outcome is unclear at most one is ever carried
+/// out.
+class WorkerStatus {
+ public:
+  explicit WorkerStatus(base::TimePoint now) : lastHeard(now) {}
+
+  base::TimePoint lastHeard;
+  std::uint64_t lastSequence = 0;
+  bool silent = false;
+  bool holdingsKnown = false;
+
+  bool reportFresh = false;
+  std::uint64_t orderCount = 0;
+  bool reportUnderWay = false;
+  bool orderUnderWay = false;    ///< Sent, not answered.
+  base::TimePoint orderAgainAt;  ///< Not ordered before this time, after a refusal.
+  std::optional<ModelOrder> modelOrder;
+
+  /// @return false if the heartbeat is older than one seen before.
+  bool takeHeartbeat(const Heartbeat& heartbeat, base::TimePoint now);
+  void takeReport(const WorkerReport& report, base::TimePoint now);
+
+  /// An order was accepted or found done.
+  void adapterOrdered(const PlacementStep& step, base::TimePoint now, base::Duration settleTime);
+  void modelOrdered(const PlacementStep& step, base::TimePoint dueAt);
+  void modelOrderDone(const PlacementStep& step);
+
+  /// @return what it holds or is about to, adapters on their way included.
+  Holdings expected(base::TimePoint now) const;
+  /// @return what gateways may send requests for: without what is being unloaded or on its way.
+  std::vector<HeldModel> serving(base::TimePoint now) const;
+  /// @return when `serving` changes by itself; kNever if it doesn't.
+  base::TimePoint nextChange(base::TimePoint now) const;
+
+ private:
+  struct AdapterChange {
+    bool present = false;
+    base::TimePoint effectiveAt;
+    base::TimePoint until;  ///< From then on the worker's own word counts.
+  };
+  using AdapterKey = std::pair<std::string, std::string>;
+
+  void finishModelOrder();
+  static void setAdapter(std::vector<HeldModel>& models, const AdapterKey& key, bool present);
+
+  Holdings reported_;
+  std::map<AdapterKey, AdapterChange> adapterChanges_;
+};
+
+}  // namespace walnut::registry
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 constexpr base::Duration kBucketWidth = std::chrono::seconds(1);
-/// Retries that are allowed in a window whatever the traffic, so that a router with few requests
-/// can retry at all. Envoy's retry budget has such a floor as well.
-constexpr double kMinRetries = 10.0;
 }  // namespace
 
 RetryBudget::Bucket& RetryBudget::bucket(base::TimePoint now) {
@@ -28,7 +25,7 @@
 
 bool RetryBudget::takeRetry(base::TimePoint now) {
   Bucket& current = bucket(now);
-  const double allowed = kMinRetries + ratio_ * static_cast<double>(first_);
+  const double allowed = floor_ + ratio_ * static_cast<double>(first_);
   if (static_cast<double>(retries_) + 1.0 > allowed) {
     return false;
   }
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -14,8 +14,14 @@
  public:
   static constexpr base::Duration kWindow = std::chrono::seconds(10);
 
+  /// Retries that are allowed in a window whatever the traffic, so that a router with few requests
+  /// can retry at all. Envoy's retry budget has such a floor as well.
+  static constexpr double kDefaultFloor = 10.0;
+
   /// @param ratio retries allowed per first attempt.
-  explicit RetryBudget(double ratio) : ratio_(ratio) {}
+  explicit RetryBudget(double ratio, double floor = kDefaultFloor) : ratio_(ratio), floor_(floor) {}
+
+  void setFloor(double floor) { floor_ = floor; }
 
   void firstAttempt(base::TimePoint now);
   /// Takes one retry. @return false if the budget is used up.
@@ -30,6 +36,7 @@
   Bucket& bucket(base::TimePoint now);
 
   double ratio_;
+  double floor_;
   std::deque<Bucket> buckets_;
   std::uint64_t first_ = 0;    ///< Sum over the buckets.
   std::uint64_t retries_ = 0;  ///< Sum over the buckets.
--- /dev/null
+++ b/src/runtime/log_fields.h
@@ -0,0 +1,13 @@
+#pragma once
+/// @file
+/// Text form of the fields of a log line.
+
+#include <string>
+#include <string_view>
+
+namespace walnut::runtime {
+
+/// Appends " key=value"; the value is quoted where a reader could else not tell its end.
+void appendField(std::string& line, std::string_view key, std::string_view value);
+
+}  // namespace walnut::runtime
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "event/output_buffer.h"
 #include "transport/frame.h"
-#include "transport/output_buffer.h"
 #include "walnut/base/error.h"
 #include "walnut/base/ids.h"
 #include "walnut/base/time.h"
@@ -73,7 +73,7 @@
   const base::TimePoint startedAt_;
   base::TimePoint lastReceivedAt_;
   FrameReader reader_;
-  OutputBuffer output_;
+  event::OutputBuffer output_;
 };
 
 }  // namespace walnut::transport
--- a/src/transport/transport_impl.h
+++ b/src/transport/transport_impl.h
@@ -16,8 +16,8 @@
 #include <variant>
 #include <vector>
 
+#include "event/waker.h"
 #include "transport/connection.h"
-#include "transport/waker.h"
 #include "walnut/transport/transport.h"
 
 namespace walnut::transport {
@@ -86,7 +86,7 @@
   std::mutex commandsMutex_;
   std::vector<Command> commands_;
   std::atomic<bool> stopping_ = false;
-  Waker waker_;
+  event::Waker waker_;
 
   // Of the poll thread.
   std::optional<Poco::Net::ServerSocket> listener_;
