registry: a report from before an order does not undo it; streams are refused late in a stop

A full disk ended registry processes 3 times.

Change: a report counts only if its count of orders reaches what was accepted; from 2.6 s after SIGTERM a gateway refuses streams as not run; a registry server whose storage fails begins anew within its process.

--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -150,6 +150,7 @@
 void GatewayHost::checkStopped() {
   const base::TimePoint now = dispatcher_.now();
   if (now >= stopBeganAt_ + kAcceptAfterStop) {
+    gateway_.refuseStreams();
     front_->closeIdle();
   }
   const bool settled = now >= stopBeganAt_ + kAcceptAfterStop && gateway_.exchangeCount() == 0 &&
--- a/src/daemon/gateway_program.cpp
+++ b/src/daemon/gateway_program.cpp
@@ -10,6 +10,17 @@
 using runtime::ExitCode;
 using runtime::LogEvent;
 
+namespace {
+
+void reload(GatewayHost& host, int argc, char** argv) {
+  GatewaySettingsBinder binder;
+  if (!binder.parse(argc, argv).exitNow) {
+    host.reload(binder.settings());
+  }
+}
+
+}  // namespace
+
 int runGateway(int argc, char** argv, const gateway::RequestDialect& dialect) {
   GatewaySettingsBinder binder;
   const auto parsed = binder.parse(argc, argv);
@@ -26,13 +37,10 @@
                                          {"detail", started.error().detail}});
     return static_cast<int>(ExitCode::unavailable);
   }
-  watchSignals(host.dispatcher(), {[&host] { host.beginStop(); },
-                                   [&host, argc, argv] {
-                                     GatewaySettingsBinder again;
-                                     if (!again.parse(argc, argv).exitNow) {
-                                       host.reload(again.settings());
-                                     }
-                                   }});
+  watchSignals({[&host] { host.dispatcher().post([&host] { host.beginStop(); }); },
+                [&host, argc, argv] {
+                  host.dispatcher().post([&host, argc, argv] { reload(host, argc, argv); });
+                }});
   log.write(LogEvent::processStarted,
             {{"version", WALNUT_VERSION},
              {"name", binder.settings().name},
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -1,7 +1,6 @@
 #include "daemon/registry_host.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 #include <variant>
 
@@ -122,13 +121,18 @@
 }
 
 void RegistryHost::settle() {
+  if (storageFailed_) {
+    return;
+  }
   constexpr int kMostRounds = 16;
   for (int round = 0; round < kMostRounds; ++round) {
     if (!settleOnce()) {
       break;
     }
   }
-  wakeup_->enableAt(registry_->nextWakeup());
+  if (!storageFailed_) {
+    wakeup_->enableAt(registry_->nextWakeup());
+  }
   log_.flushIfDue(dispatcher_.now());
 }
 
@@ -138,7 +142,8 @@
   if (persisted) {
     const auto outcome = folder_.storage->persist(outputs.persist);
     if (outcome.has_error()) {
-      endAfterStorageFailure(outcome.error());
+      noteStorageFailure(outcome.error());
+      return false;
     }
   }
   for (registry::RegistryAction& action : outputs.actions) {
@@ -150,12 +155,13 @@
   return persisted || !outputs.actions.empty();
 }
 
-void RegistryHost::endAfterStorageFailure(const base::Error& error) {
-  log_.write(LogEvent::processStopped, {{"error", base::errorCodeName(error.code)},
+void RegistryHost::noteStorageFailure(const base::Error& error) {
+  log_.write(LogEvent::dependencyLost, {{"dependency", "storage"},
+                                        {"error", base::errorCodeName(error.code)},
                                         {"field", error.field},
                                         {"detail", error.detail}});
-  log_.flush();
-  std::_Exit(static_cast<int>(runtime::ExitCode::storageFailed));
+  storageFailed_ = true;
+  dispatcher_.stop();
 }
 
 void RegistryHost::perform(control::SendToServer& send) { links_->send(dispatcher_.now(), send); }
--- a/src/daemon/registry_host.h
+++ b/src/daemon/registry_host.h
@@ -40,6 +40,8 @@
 
   base::Result<void> start();
   void run() { dispatcher_.run(); }
+  /// @return true if the loop has ended because the storage failed.
+  bool storageFailed() const { return storageFailed_; }
   event::Dispatcher& dispatcher() { return dispatcher_; }
   void beginStop();
 
@@ -74,7 +76,7 @@
   void perform(registry::CallAnswered& answered);
   void perform(registry::SendOrder& order);
   void perform(registry::ReadReport& read);
-  void endAfterStorageFailure(const base::Error& error);
+  void noteStorageFailure(const base::Error& error);
   void checkStopped();
 
   const RegistrySettings settings_;
@@ -91,6 +93,7 @@
   event::TimerPtr stopTimer_;
   base::TimePoint stopDeadline_;
   std::uint64_t lastCall_ = 0;
+  bool storageFailed_ = false;
   std::map<std::uint64_t, OutsideCall> calls_;
   std::map<base::Endpoint, EndpointLink> endpointLinks_;
   std::optional<PeerLinks> links_;
--- a/src/daemon/registry_program.cpp
+++ b/src/daemon/registry_program.cpp
@@ -3,6 +3,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <mutex>
+#include <optional>
+#include <thread>
 
 #include "daemon/signal_watcher.h"
 #include "walnut/factories.h"
@@ -16,6 +19,9 @@
 using runtime::ExitCode;
 using runtime::LogEvent;
 
+/// Before a server whose disk refused a write begins anew.
+constexpr base::Duration kStorageRetryPause = std::chrono::milliseconds(300);
+
 /// A folder without an identity is new or its disk was lost: only a founder gets the identity that
 /// the others expect; any other server gets a fresh one and asks to be admitted.
 Result<DataFolder> openFolder(const RegistrySettings& settings) {
@@ -41,42 +47,96 @@
   return static_cast<int>(code);
 }
 
-}  // namespace
+/// Hands signals to whichever host runs at present.
+class HostSlot {
+ public:
+  void set(RegistryHost* host) {
+    const std::lock_guard lock(mutex_);
+    host_ = host;
+    if (host_ != nullptr && stopRequested_) {
+      postStop();
+    }
+  }
+  void requestStop() {
+    const std::lock_guard lock(mutex_);
+    stopRequested_ = true;
+    if (host_ != nullptr) {
+      postStop();
+    }
+  }
+  bool stopRequested() {
+    const std::lock_guard lock(mutex_);
+    return stopRequested_;
+  }
 
-int runRegistry(int argc, char** argv, const RegistryDialects& dialects) {
-  RegistrySettingsBinder binder;
-  const auto parsed = binder.parse(argc, argv);
-  if (parsed.exitNow) {
-    return static_cast<int>(parsed.exitCode);
+ private:
+  void postStop() {
+    host_->dispatcher().post([host = host_] { host->beginStop(); });
   }
-  blockWatchedSignals();
-  runtime::OutputLog log("walnut-registry", STDOUT_FILENO);
-  auto folder = openFolder(binder.settings());
+
+  std::mutex mutex_;
+  RegistryHost* host_ = nullptr;
+  bool stopRequested_ = false;
+};
+
+/// One life of the server, from recovery to a planned stop or a failure of its storage.
+/// @return the exit code; nothing if the storage failed and the server is to begin anew.
+std::optional<int> runOnce(const RegistrySettings& settings, const RegistryDialects& dialects,
+                           runtime::OutputLog& log, HostSlot& slot) {
+  auto folder = openFolder(settings);
   if (folder.has_error()) {
-    return endWith(log, folder.error(), ExitCode::storageFailed);
+    if (folder.error().code != base::ErrorCode::fileError) {
+      return endWith(log, folder.error(), ExitCode::storageFailed);
+    }
+    log.write(LogEvent::dependencyLost, {{"dependency", "storage"},
+                                         {"field", folder.error().field},
+                                         {"detail", folder.error().detail}});
+    return std::nullopt;
   }
   const base::ServerId self = folder.value().recovered.self;
   const bool fresh = isPristine(folder.value().recovered);
-  RegistryHost host(binder.settings(), dialects, std::move(folder.value()), log);
+  RegistryHost host(settings, dialects, std::move(folder.value()), log);
   const auto started = host.start();
   if (started.has_error()) {
     return endWith(log, started.error(), ExitCode::unavailable);
   }
-  watchSignals(host.dispatcher(),
-               {[&host] { host.beginStop(); },
-                [&log] {
-                  log.write(LogEvent::settingsReloaded, {{"changes", "none apply"}});
-                }});
   log.write(LogEvent::processStarted,
             {{"version", WALNUT_VERSION},
-             {"name", binder.settings().logic.name},
+             {"name", settings.logic.name},
              {"server", self.value},
-             {"listen", runtime::formatEndpoint(binder.settings().listen)},
-             {"bootstrap", binder.settings().bootstrap ? "yes" : "no"},
+             {"listen", runtime::formatEndpoint(settings.listen)},
+             {"bootstrap", settings.bootstrap ? "yes" : "no"},
              {"data", fresh ? "empty" : "recovered"}});
   log.flush();
+  slot.set(&host);
   host.run();
+  slot.set(nullptr);
   log.flush();
+  if (host.storageFailed()) {
+    return std::nullopt;
+  }
+  return static_cast<int>(ExitCode::ok);
+}
+
+}  // namespace
+
+int runRegistry(int argc, char** argv, const RegistryDialects& dialects) {
+  RegistrySettingsBinder binder;
+  const auto parsed = binder.parse(argc, argv);
+  if (parsed.exitNow) {
+    return static_cast<int>(parsed.exitCode);
+  }
+  blockWatchedSignals();
+  runtime::OutputLog log("walnut-registry", STDOUT_FILENO);
+  HostSlot slot;
+  watchSignals({[&slot] { slot.requestStop(); }, [] {}});
+  while (!slot.stopRequested()) {
+    const std::optional<int> code = runOnce(binder.settings(), dialects, log, slot);
+    if (code) {
+      return *code;
+    }
+    std::this_thread::sleep_for(kStorageRetryPause);
+  }
   return static_cast<int>(ExitCode::ok);
 }
 
--- a/src/daemon/signal_watcher.cpp
+++ b/src/daemon/signal_watcher.cpp
@@ -28,16 +28,16 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-void watchSignals(event::Dispatcher& dispatcher, SignalCallbacks callbacks) {
-  std::thread([&dispatcher, callbacks = std::move(callbacks)] {
+void watchSignals(SignalCallbacks callbacks) {
+  std::thread([callbacks = std::move(callbacks)] {
     const sigset_t signals = watchedSignals();
     int number = 0;
     bool stopped = false;
     while (sigwait(&signals, &number) == 0) {
       if (number == SIGHUP) {
-        dispatcher.post(callbacks.reload);
+        callbacks.reload();
       } else if (!std::exchange(stopped, true)) {
-        dispatcher.post(callbacks.stop);
+        callbacks.stop();
       }
     }
   }).detach();
--- a/src/daemon/signal_watcher.h
+++ b/src/daemon/signal_watcher.h
@@ -1,11 +1,9 @@
 #pragma once
 /// @file
-/// SIGTERM, SIGINT and SIGHUP as calls on the event loop.
+/// SIGTERM, SIGINT and SIGHUP as calls.
 
 #include <functional>
 
-#include "event/dispatcher.h"
-
 namespace walnut::daemon {
 
 struct SignalCallbacks {
@@ -16,7 +14,8 @@
 /// Blocks the signals in this thread and those it starts from now on. Before any thread is started.
 void blockWatchedSignals();
 
-/// Waits for the signals on a thread of its own, which lives as long as the process.
-void watchSignals(event::Dispatcher& dispatcher, SignalCallbacks callbacks);
+/// Waits for the signals on a thread of its own, which lives as long as the process. The callbacks
+/// run on that thread.
+void watchSignals(SignalCallbacks callbacks);
 
 }  // namespace walnut::daemon
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,7 +14,7 @@
 constexpr int kUnavailable = 503;
 /// Share of the budget that is used: gateways are counted with a delay.
 constexpr double kBudgetShare = 0.7;
-constexpr const char* kRetryAfterNoDocument = "0.5";
+constexpr const char* kRetryAfterRefusal = "0.2";
 
 }  // namespace
 
@@ -92,6 +92,10 @@
     refuse(sink, facts.requestId, kNotFound, "no such route");
     return;
   }
+  if (refusingStreams_ && route->kind == catalog::RouteKind::streaming) {
+    refuse(sink, facts.requestId, kUnavailable, "stopping");
+    return;
+  }
   const std::string service = pickService(*route);
   budgetOf(service).firstAttempt(scheduler_.now());
   if (!facts.model.empty()) {
@@ -115,7 +119,7 @@
   net::HttpResponse response;
   response.head.status = status;
   if (status == kUnavailable) {
-    response.head.headers.add("Retry-After", kRetryAfterNoDocument);
+    response.head.headers.add("Retry-After", kRetryAfterRefusal);
   }
   sink.respond(std::move(response));
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,6 +44,8 @@
   /// @return true if the gateway knows a document and is not stopping.
   bool ready() const { return routes_ != nullptr && !stopping_; }
   void beginStop() { stopping_ = true; }
+  /// From now on streams are refused: the process may end before they would.
+  void refuseStreams() { refusingStreams_ = true; }
   std::size_t exchangeCount() const { return exchanges_.size(); }
   /// @return workers that have gone since the last call.
   std::vector<registry::WorkerId> takeGoneWorkers() { return directory_.takeGone(); }
@@ -92,6 +94,7 @@
   std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
   std::unordered_map<Exchange*, std::unique_ptr<Exchange>> exchanges_;
   bool stopping_ = false;
+  bool refusingStreams_ = false;
 };
 
 }  // namespace walnut::gateway
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -369,6 +369,9 @@
               {"orders", report.orderCount},
               {"busy", std::string_view(report.orderUnderWay ? "yes" : "no")}});
   status.takeReport(report, now);
+  if (!status.reportFresh) {
+    status.orderAgainAt = now + kRefusedPause;
+  }
   if (report.orderUnderWay && !status.modelOrder) {
     // An order of a former leader: nothing is known of it but that it is under way.
     status.reportFresh = false;
--- a/src/registry/worker_status.cpp
+++ b/src/registry/worker_status.cpp
@@ -27,7 +27,12 @@
 }
 
 void WorkerStatus::takeReport(const WorkerReport& report, base::TimePoint now) {
-  reportFresh = true;
+  // A report is some time old: one from before the last order must not undo what is known of it.
+  const bool current = report.orderCount >= orderCount;
+  reportFresh = current;
+  if (!current) {
+    return;
+  }
   orderCount = report.orderCount;
   lastHeard = now;
   silent = false;
@@ -40,7 +45,7 @@
   }
   holdingsKnown = true;
   finishModelOrder();
-  if (!report.orderUnderWay) {
+  if (modelOrder && !report.orderUnderWay && report.orderCount >= modelOrder->countAfter) {
     modelOrder.reset();
   }
 }
@@ -63,7 +68,7 @@
 }
 
 void WorkerStatus::modelOrdered(const PlacementStep& step, base::TimePoint dueAt) {
-  modelOrder = ModelOrder{step.operation, step.model, dueAt};
+  modelOrder = ModelOrder{step.operation, step.model, dueAt, orderCount};
   if (step.operation == OrderOperation::unload) {
     std::erase_if(adapterChanges_,
                   [&step](const auto& entry) { return entry.first.first == step.model; });
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -18,6 +18,7 @@
   OrderOperation operation = OrderOperation::load;
   std::string model;
   base::TimePoint dueAt;  ///< When the worker is asked, if it has not told by then.
+  std::uint64_t countAfter = 0;  ///< The worker's count of orders once it has taken this one.
 };
 
 /// What the worker holds is known from its heartbeats and reports, overlaid by the adapters that it
