--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -126,10 +126,11 @@
 /// Requests that run on a worker.
 struct WorkerLoad {
   WorkerId worker;
+  std::string model;  ///< Empty: of a plain service, or all models together.
   std::uint32_t running = 0;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker, running);
+    archive(worker, model, running);
   }
 };
 
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -17,6 +17,8 @@
 constexpr std::string_view kMetricsPath = "/metrics";
 /// Until new connections have stopped coming: two readiness calls, a second apart, and some more.
 constexpr base::Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
+/// Requests that come as late as this before the end of the process are refused as not run.
+constexpr base::Duration kRefuseBeforeEnd = std::chrono::milliseconds(1500);
 constexpr base::Duration kStopCheckInterval = std::chrono::milliseconds(50);
 
 net::ClientPoolOptions poolOptions() {
@@ -153,6 +155,9 @@
     gateway_.refuseStreams();
     front_->closeIdle();
   }
+  if (now >= stopDeadline_ - kRefuseBeforeEnd) {
+    gateway_.refuseAll();
+  }
   const bool settled = now >= stopBeganAt_ + kAcceptAfterStop && gateway_.exchangeCount() == 0 &&
                        front_->connectionCount() == 0;
   if (settled || now >= stopDeadline_) {
--- a/src/daemon/registry_program.cpp
+++ b/src/daemon/registry_program.cpp
@@ -100,13 +100,12 @@
   if (started.has_error()) {
     return endWith(log, started.error(), ExitCode::unavailable);
   }
-  log.write(LogEvent::processStarted,
-            {{"version", WALNUT_VERSION},
-             {"name", settings.logic.name},
-             {"server", self.value},
-             {"listen", runtime::formatEndpoint(settings.listen)},
-             {"bootstrap", settings.bootstrap ? "yes" : "no"},
-             {"data", fresh ? "empty" : "recovered"}});
+  log.write(LogEvent::processStarted, {{"version", WALNUT_VERSION},
+                                       {"name", settings.logic.name},
+                                       {"server", self.value},
+                                       {"listen", runtime::formatEndpoint(settings.listen)},
+                                       {"bootstrap", settings.bootstrap ? "yes" : "no"},
+                                       {"data", fresh ? "empty" : "recovered"}});
   log.flush();
   slot.set(&host);
   host.run();
--- a/src/gateway/demand_tracker.cpp
+++ b/src/gateway/demand_tracker.cpp
@@ -30,8 +30,8 @@
   }
   std::erase_if(figures_, [](const auto& entry) { return entry.second.waiting == 0; });
   for (const auto& [id, worker] : directory.workers()) {
-    if (worker->running > 0) {
-      update.loads.push_back({id, worker->running});
+    for (const auto& [model, running] : worker->runningByModel) {
+      update.loads.push_back({id, model, running});
     }
   }
   urgent_ = false;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -139,7 +139,7 @@
   accepted_ = false;
   bodyUse_ = BodyUse::discard;
   body_.clear();
-  ++worker->running;
+  worker->began(facts_.model);
   worker->breaker.attempted();
   AttemptFacts facts;
   facts.target = worker->view.record.id;
@@ -293,13 +293,13 @@
 }
 
 void Exchange::releaseAttempt() {
-  --worker_->running;
+  worker_->ended(facts_.model);
   attempt_->release();
   context_.scheduler().destroySoon(std::move(attempt_));
 }
 
 void Exchange::dropAttempt() {
-  --worker_->running;
+  worker_->ended(facts_.model);
   if (attempt_ != nullptr) {
     attempt_->cancel();
     context_.scheduler().destroySoon(std::move(attempt_));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -92,7 +92,8 @@
     refuse(sink, facts.requestId, kNotFound, "no such route");
     return;
   }
-  if (refusingStreams_ && route->kind == catalog::RouteKind::streaming) {
+  const bool stream = route->kind == catalog::RouteKind::streaming;
+  if (refusingAll_ || (refusingStreams_ && stream)) {
     refuse(sink, facts.requestId, kUnavailable, "stopping");
     return;
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,8 @@
   void beginStop() { stopping_ = true; }
   /// From now on streams are refused: the process may end before they would.
   void refuseStreams() { refusingStreams_ = true; }
+  /// From now on every request is refused: the process is about to end.
+  void refuseAll() { refusingAll_ = true; }
   std::size_t exchangeCount() const { return exchanges_.size(); }
   /// @return workers that have gone since the last call.
   std::vector<registry::WorkerId> takeGoneWorkers() { return directory_.takeGone(); }
@@ -95,6 +97,7 @@
   std::unordered_map<Exchange*, std::unique_ptr<Exchange>> exchanges_;
   bool stopping_ = false;
   bool refusingStreams_ = false;
+  bool refusingAll_ = false;
 };
 
 }  // namespace walnut::gateway
--- a/src/gateway/worker_directory.cpp
+++ b/src/gateway/worker_directory.cpp
@@ -41,6 +41,19 @@
   return false;
 }
 
+void Worker::began(const std::string& model) {
+  ++running;
+  ++runningByModel[model];
+}
+
+void Worker::ended(const std::string& model) {
+  --running;
+  const auto found = runningByModel.find(model);
+  if (found != runningByModel.end() && --found->second == 0) {
+    runningByModel.erase(found);
+  }
+}
+
 void Worker::missed(const std::string& model, const std::string& adapter, base::TimePoint until) {
   missedUntil_[{model, adapter}] = until;
 }
--- a/src/gateway/worker_directory.h
+++ b/src/gateway/worker_directory.h
@@ -32,7 +32,8 @@
   explicit Worker(registry::WorkerView initial) : view(std::move(initial)) {}
 
   registry::WorkerView view;
-  std::uint32_t running = 0;           ///< Requests of this gateway.
+  std::uint32_t running = 0;                            ///< Requests of this gateway.
+  std::map<std::string, std::uint32_t> runningByModel;  ///< The same; none at 0.
   std::uint32_t runningElsewhere = 0;  ///< Requests of other gateways, as last told.
   routing::CircuitBreaker breaker;
   routing::MovingAverage latency;  ///< To the head of an answer, or to a stream's first event.
@@ -40,6 +41,12 @@
 
   /// @return true if it is known to hold the model; always for a plain service (no model).
   bool holds(const std::string& model, const std::string& adapter, base::TimePoint now) const;
+  /// @name A request of this gateway begins or ends there
+  /// @{
+  void began(const std::string& model);
+  void ended(const std::string& model);
+  /// @}
+
   /// The worker said that it does not hold it: not to be asked again for a while.
   void missed(const std::string& model, const std::string& adapter, base::TimePoint until);
 
@@ -52,7 +59,6 @@
  public:
   using WorkerPtr = std::shared_ptr<Worker>;
 
-  /// @param own what this gateway last reported of its own running requests is part of the loads.
   void apply(const registry::ViewUpdate& update);
 
   const std::map<registry::WorkerId, WorkerPtr>& workers() const { return workers_; }
--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -32,7 +32,7 @@
     }
   }
   for (const WorkerLoad& load : update.loads) {
-    reported.running[load.worker] = load.running;
+    reported.running[load.worker][load.model] = load.running;
   }
 }
 
@@ -69,7 +69,23 @@
   std::uint32_t total = 0;
   for (const auto& [gateway, reported] : gateways_) {
     const auto found = reported.running.find(worker);
-    total += found == reported.running.end() ? 0 : found->second;
+    if (found != reported.running.end()) {
+      for (const auto& [model, count] : found->second) {
+        total += count;
+      }
+    }
+  }
+  return total;
+}
+
+std::uint32_t DemandBook::running(const WorkerId& worker, const std::string& model) const {
+  std::uint32_t total = 0;
+  for (const auto& [gateway, reported] : gateways_) {
+    const auto found = reported.running.find(worker);
+    if (found != reported.running.end()) {
+      const auto count = found->second.find(model);
+      total += count == found->second.end() ? 0 : count->second;
+    }
   }
   return total;
 }
@@ -77,13 +93,15 @@
 std::vector<WorkerLoad> DemandBook::loads() const {
   std::map<WorkerId, std::uint32_t> totals;
   for (const auto& [gateway, reported] : gateways_) {
-    for (const auto& [worker, count] : reported.running) {
-      totals[worker] += count;
+    for (const auto& [worker, models] : reported.running) {
+      for (const auto& [model, count] : models) {
+        totals[worker] += count;
+      }
     }
   }
   std::vector<WorkerLoad> loads;
   for (const auto& [worker, count] : totals) {
-    loads.push_back({worker, count});
+    loads.push_back({worker, {}, count});
   }
   return loads;
 }
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -37,6 +37,8 @@
   DemandFigures figures(const ModelKey& key, base::TimePoint now) const;
   /// @return the requests of all gateways on that worker.
   std::uint32_t running(const WorkerId& worker) const;
+  /// @return those of one model.
+  std::uint32_t running(const WorkerId& worker, const std::string& model) const;
   /// @return the running requests of all workers that have any.
   std::vector<WorkerLoad> loads() const;
   /// @return all models and adapters for which requests wait.
@@ -47,7 +49,7 @@
  private:
   struct Gateway {
     std::map<ModelKey, std::uint32_t> waiting;
-    std::map<WorkerId, std::uint32_t> running;
+    std::map<WorkerId, std::map<std::string, std::uint32_t>> running;  ///< By model.
   };
   struct History {
     double weight = 0;
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -38,6 +38,14 @@
   return "unknown";
 }
 
+std::uint64_t adapterCount(const Holdings& holdings) {
+  std::uint64_t count = 0;
+  for (const HeldModel& model : holdings.models) {
+    count += model.adapters.size();
+  }
+  return count;
+}
+
 std::string_view operationName(OrderOperation operation) {
   return operation == OrderOperation::load ? "load" : "unload";
 }
@@ -232,6 +240,7 @@
   worker.serving = !record.leaving && !status.silent;
   worker.mayBeOrdered =
       !status.orderUnderWay && !status.reportUnderWay && now >= status.orderAgainAt;
+  worker.mayTakeAdapters = !(status.adaptersBlocked && status.modelOrder);
   worker.running = demand_.running(record.id);
   if (status.modelOrder && status.modelOrder->operation == OrderOperation::load) {
     worker.arriving = status.modelOrder->model;
@@ -343,6 +352,13 @@
       fenced_ = true;
       return;
     case OrderOutcome::busy:
+      if (!ofModel && status.modelOrder && !status.adaptersBlocked) {
+        status.adaptersBlocked = true;
+        return;
+      }
+      status.reportFresh = false;
+      status.orderAgainAt = now + kRefusedPause;
+      return;
     case OrderOutcome::misdirected:
     case OrderOutcome::refused:
     case OrderOutcome::unclear:
@@ -367,6 +383,9 @@
   log_.write(LogEvent::reportRead,
              {{"worker", finished.worker.value},
               {"orders", report.orderCount},
+              {"models", report.holdings.models.size()},
+              {"adapters", adapterCount(report.holdings)},
+              {"pending", report.pendingAdapters.size()},
               {"busy", std::string_view(report.orderUnderWay ? "yes" : "no")}});
   status.takeReport(report, now);
   if (!status.reportFresh) {
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -17,12 +17,34 @@
 constexpr base::Duration kWakeLifetime = std::chrono::seconds(15);
 /// Arrivals a second from which a model is held by two workers.
 constexpr double kSecondReplicaRate = 0.6;
-/// Requests per replica, as a share of a worker's slots, from which another replica is added.
-constexpr double kScaleOutShare = 0.4;
-/// Seconds that an arrival a second is worth when a replica is chosen to make room.
-constexpr double kRateWeight = 5.0;
-constexpr double kLastReplicaCost = 0.5;
+/// Seconds of cost that a second replica is worth, for each arrival a second.
+constexpr double kSecondReplicaWorth = 6.0;
+/// Running requests per replica, as a share of a worker's slots, from which another replica is
+/// added. Far below 1: reading the prompts of others makes pauses in a stream long before slots run
+/// out.
+constexpr double kScaleOutShare = 0.1;
+/// @name Cost of unloading a replica, in seconds of a request's wait
+/// @{
+/// Of a surplus one, of the second last one, of the last one.
+constexpr double kSurplusCost = 0.1;
+constexpr double kSecondCost = 0.4;
+constexpr double kLastCost = 0.5;
+/// For each arrival a second, of a surplus one, of the second last one, of the last one.
+constexpr double kSurplusRateCost = 0.05;
+constexpr double kSecondRateCost = 0.2;
+constexpr double kLastRateCost = 5.0;
+/// If the others would be loaded beyond kScaleOutShare without it.
+constexpr double kOverloadCost = 5.0;
+/// An unload waits for the requests that run: for each one, and at most.
+constexpr double kRunningCost = 1.0;
+constexpr double kMaxRunningCost = 4.0;
 constexpr double kRecentUseCost = 1.0;
+/// @}
+/// A wake that has not led to a load in this time is decided anew: the worker may be waiting for
+/// long requests to end.
+constexpr base::Duration kWakePatience = std::chrono::milliseconds(1500);
+/// Of choosing a worker that has an order under way, in seconds.
+constexpr double kBusyCost = 2.0;
 constexpr base::Duration kRecentUse = std::chrono::seconds(10);
 /// A replica that somebody waits for never makes room.
 constexpr double kWantedCost = 1000.0;
@@ -131,17 +153,33 @@
            !contains(worker.holdings.onDisk, model.name);
   }
 
+  /// @return the load of a model's other replicas if one is taken away, as a share of their slots.
+  double loadWithout(const std::string& model, std::uint32_t count) const {
+    std::uint32_t running = 0;
+    for (const PlacementWorker& worker : workers) {
+      running += demand.running(worker.id, model);
+    }
+    const double slots = std::max<double>(engine.slots, 1) * (count - 1);
+    return running / std::max(slots, 1.0);
+  }
+
   /// @return what it costs, in seconds of a request's wait, to unload a model from a worker.
-  double unloadCost(const HeldModel& held) const {
+  double unloadCost(const PlacementWorker& worker, const HeldModel& held) const {
     const DemandFigures wanted = figures(held.name);
     const std::uint32_t count = replicas(held.name);
-    double cost = kRateWeight * wanted.rate / std::max<std::uint32_t>(count, 1);
+    const double running = demand.running(worker.id, held.name);
+    double cost = std::min(kRunningCost * running, kMaxRunningCost);
     if (count <= 1) {
-      cost += kLastReplicaCost + (wanted.waiting > 0 ? kWantedCost : 0);
+      const bool recent =
+          wanted.lastArrival != base::TimePoint() && now - wanted.lastArrival < kRecentUse;
+      return cost + kLastCost + kLastRateCost * wanted.rate + (recent ? kRecentUseCost : 0) +
+             (wanted.waiting > 0 ? kWantedCost : 0);
+    }
+    if (loadWithout(held.name, count) > kScaleOutShare) {
+      cost += kOverloadCost;
     }
-    const bool recent =
-        wanted.lastArrival != base::TimePoint() && now - wanted.lastArrival < kRecentUse;
-    return cost + (recent ? kRecentUseCost / std::max<std::uint32_t>(count, 1) : 0);
+    return cost + (count == 2 ? kSecondCost + kSecondRateCost * wanted.rate
+                              : kSurplusCost + kSurplusRateCost * wanted.rate);
   }
 
   /// @return the models to unload from a worker so that `megabytes` are free, cheapest first, and
@@ -151,7 +189,7 @@
     double free = freeMegabytes(worker);
     std::vector<std::pair<double, const HeldModel*>> candidates;
     for (const HeldModel& held : worker.holdings.models) {
-      candidates.emplace_back(unloadCost(held), &held);
+      candidates.emplace_back(unloadCost(worker, held), &held);
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const auto& left, const auto& right) { return left.first < right.first; });
@@ -184,8 +222,8 @@
   store.setRate(engine.storeLoadsPerSecond);
   dropEndedWakes(round);
   chooseWakes(round);
-  for (const auto& [model, wake] : wakes_) {
-    carryOut(round, model, wake);
+  for (const std::string& model : byWorth_) {
+    carryOut(round, model, wakes_.at(model));
   }
   placeAdapters(round);
   return std::move(round.steps);
@@ -200,16 +238,26 @@
 }
 
 void PlacementPolicy::chooseWakes(Round& round) {
+  std::vector<std::pair<double, std::string>> wanted;
   for (const ModelSpec& model : round.engine.models) {
-    if (wakes_.count(model.name) != 0) {
-      continue;
-    }
-    const DemandFigures wanted = round.figures(model.name);
+    const DemandFigures figures = round.figures(model.name);
     const std::uint32_t replicas = round.replicas(model.name);
-    if (replicas == 0 && wanted.waiting > 0) {
-      wakeModel(round, model.name);
-    } else if (replicas == 1 && wanted.rate >= kSecondReplicaRate) {
-      wakeModel(round, model.name);
+    const bool cold = replicas == 0 && figures.waiting > 0;
+    const bool alone = replicas == 1 && figures.rate >= kSecondReplicaRate;
+    const bool crowded =
+        replicas > 0 && round.loadWithout(model.name, replicas + 1) > kScaleOutShare;
+    if (cold || alone || crowded) {
+      wanted.emplace_back(figures.rate + (cold ? kWantedCost + figures.waiting : 0), model.name);
+    }
+  }
+  std::sort(wanted.rbegin(), wanted.rend());
+  byWorth_.clear();
+  for (const auto& [worth, name] : wanted) {
+    if (wakes_.count(name) == 0) {
+      wakeModel(round, name);
+    }
+    if (wakes_.count(name) != 0) {
+      byWorth_.push_back(name);
     }
   }
 }
@@ -228,7 +276,8 @@
     }
     const double load =
         round.engine.slots == 0 ? 0 : static_cast<double>(worker.running) / round.engine.slots;
-    const double busy = worker.mayBeOrdered ? 0 : 1;
+    const bool orderUnderWay = worker.arriving || worker.retiring || !worker.mayBeOrdered;
+    const double busy = orderUnderWay ? kBusyCost : 0;
     const double cost = seconds(round.loadTime(worker, model)) + load + busy +
                         round.roomFor(worker, model.weightsMegabytes).second;
     if (cost < bestCost) {
@@ -236,8 +285,8 @@
       best = &worker;
     }
   }
-  const double worth = first ? kWantedCost : kRateWeight * round.figures(name).rate;
-  if (best != nullptr && (first ? bestCost < worth : bestCost < worth + 2)) {
+  const double worth = first ? kWantedCost : kSecondReplicaWorth * round.figures(name).rate;
+  if (best != nullptr && bestCost < worth) {
     wakes_[name] = {best->id, round.now};
   }
 }
@@ -288,8 +337,8 @@
   const PlacementWorker* best = nullptr;
   double bestCost = std::numeric_limits<double>::infinity();
   for (const PlacementWorker& worker : round.workers) {
-    if (!round.mayOrder(worker) || worker.holdings.find(model.name) == nullptr ||
-        worker.retiring == model.name) {
+    if (!round.mayOrder(worker) || !worker.mayTakeAdapters ||
+        worker.holdings.find(model.name) == nullptr || worker.retiring == model.name) {
       continue;
     }
     const bool full = Round::adapterCount(worker) >= round.engine.adapterSlots ||
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -29,8 +29,9 @@
 /// A worker as the policy sees it.
 struct PlacementWorker {
   WorkerId id;
-  Holdings holdings;                    ///< With adapters that are on their way.
-  bool mayBeOrdered = false;            ///< It is ready, and no order to it is under way.
+  Holdings holdings;          ///< With adapters that are on their way.
+  bool mayBeOrdered = false;  ///< It is ready, and no order to it is under way.
+  bool mayTakeAdapters = true;
   bool serving = true;                  ///< It is neither leaving nor silent.
   std::optional<std::string> arriving;  ///< A model that it is loading.
   std::optional<std::string> retiring;  ///< A model that it is unloading.
@@ -78,6 +79,7 @@
 
   const std::string service_;
   std::map<std::string, Wake> wakes_;
+  std::vector<std::string> byWorth_;  ///< Models to wake in this run, the most wanted first.
 };
 
 }  // namespace walnut::registry
--- a/src/registry/worker_status.cpp
+++ b/src/registry/worker_status.cpp
@@ -39,6 +39,13 @@
   std::vector<std::string> inMemory = std::move(reported_.inMemory);
   std::vector<std::string> onDisk = std::move(reported_.onDisk);
   reported_ = report.holdings;
+  // On their way, but they take their places already.
+  for (const std::string& pending : report.pendingAdapters) {
+    const std::size_t slash = pending.find('/');
+    if (slash != std::string::npos) {
+      setAdapter(reported_.models, {pending.substr(0, slash), pending.substr(slash + 1)}, true);
+    }
+  }
   if (reported_.inMemory.empty() && reported_.onDisk.empty()) {
     reported_.inMemory = std::move(inMemory);
     reported_.onDisk = std::move(onDisk);
@@ -69,6 +76,7 @@
 
 void WorkerStatus::modelOrdered(const PlacementStep& step, base::TimePoint dueAt) {
   modelOrder = ModelOrder{step.operation, step.model, dueAt, orderCount};
+  adaptersBlocked = false;
   if (step.operation == OrderOperation::unload) {
     std::erase_if(adapterChanges_,
                   [&step](const auto& entry) { return entry.first.first == step.model; });
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -17,7 +17,7 @@
 struct ModelOrder {
   OrderOperation operation = OrderOperation::load;
   std::string model;
-  base::TimePoint dueAt;  ///< When the worker is asked, if it has not told by then.
+  base::TimePoint dueAt;         ///< When the worker is asked, if it has not told by then.
   std::uint64_t countAfter = 0;  ///< The worker's count of orders once it has taken this one.
 };
 
@@ -42,6 +42,8 @@
   bool orderUnderWay = false;    ///< Sent, not answered.
   base::TimePoint orderAgainAt;  ///< Not ordered before this time, after a refusal.
   std::optional<ModelOrder> modelOrder;
+  /// An adapter was refused while an order for a model was under way: none is sent before its end.
+  bool adaptersBlocked = false;
 
   /// @return false if the heartbeat is older than one seen before.
   bool takeHeartbeat(const Heartbeat& heartbeat, base::TimePoint now);
