registry: an old enough report is the truth; adapters that were just loaded make no room

Adapters wanted at one worker threw each other out. A wake moved on every 1.5 s and emptied one worker after the other.

Change: a report read 350 ms after the last order is taken as it is; adapters that are waited for or were loaded within 1.5 s stay; a wake stays with its worker unless another has room at once; a worker that refuses a model is passed over for 0.5 s, which saves the retry budget.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -28,7 +28,7 @@
 
 constexpr base::Duration kDefaultDeadline = std::chrono::seconds(60);
 /// A worker that said it does not hold a model is not asked again for this long.
-constexpr base::Duration kMissedFor = std::chrono::milliseconds(800);
+constexpr base::Duration kMissedFor = std::chrono::milliseconds(500);
 constexpr base::Duration kMissedAdapterFor = std::chrono::milliseconds(25);
 constexpr base::Duration kBackoffMin = std::chrono::milliseconds(25);
 constexpr std::uint32_t kMaxBackoffDoublings = 4;
@@ -238,7 +238,8 @@
 void Exchange::onResponseComplete() {
   stallTimer_->disable();
   if (answer_.notExecuted) {
-    if (head_.status == kMisdirected && !facts_.model.empty()) {
+    if (!facts_.model.empty()) {
+      // It does not hold it, is about to drop it, or is full.
       worker_->missed(facts_.model, facts_.adapter,
                       now() + (facts_.adapter.empty() ? kMissedFor : kMissedAdapterFor));
     }
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -241,6 +241,13 @@
   worker.mayBeOrdered =
       !status.orderUnderWay && !status.reportUnderWay && now >= status.orderAgainAt;
   worker.mayTakeAdapters = !(status.adaptersBlocked && status.modelOrder);
+  for (const HeldModel& held : worker.holdings.models) {
+    for (const std::string& adapter : held.adapters) {
+      if (status.adapterIsNew(held.name, adapter, now)) {
+        worker.newAdapters.insert({held.name, adapter});
+      }
+    }
+  }
   worker.running = demand_.running(record.id);
   if (status.modelOrder && status.modelOrder->operation == OrderOperation::load) {
     worker.arriving = status.modelOrder->model;
@@ -324,6 +331,7 @@
   }
   WorkerStatus& status = statusOf(step.worker, now);
   status.orderUnderWay = false;
+  status.orderFinishedAt = now;
   planSoon_ = true;
   const bool ofModel = step.adapter.empty();
   switch (finished.outcome) {
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -43,6 +43,8 @@
 /// A wake that has not led to a load in this time is decided anew: the worker may be waiting for
 /// long requests to end.
 constexpr base::Duration kWakePatience = std::chrono::milliseconds(1500);
+/// A worker that has room at this cost has it at once.
+constexpr double kEasyRoomCost = 0.9;
 /// Of choosing a worker that has an order under way, in seconds.
 constexpr double kBusyCost = 2.0;
 constexpr base::Duration kRecentUse = std::chrono::seconds(10);
@@ -230,13 +232,29 @@
 }
 
 void PlacementPolicy::dropEndedWakes(const Round& round) {
-  std::erase_if(wakes_, [&round](const auto& entry) {
-    const PlacementWorker* worker = round.find(entry.second.worker);
-    return worker == nullptr || !worker->serving || worker->holdings.find(entry.first) != nullptr ||
-           round.now - entry.second.since > kWakeLifetime;
+  std::erase_if(wakes_, [this, &round](const auto& entry) {
+    const auto& [model, wake] = entry;
+    const PlacementWorker* worker = round.find(wake.worker);
+    const base::Duration age = round.now - wake.since;
+    return worker == nullptr || !worker->serving || worker->holdings.find(model) != nullptr ||
+           age > kWakeLifetime ||
+           (age > kWakePatience && worker->arriving != model && hasBetterWorker(round, model, wake));
   });
 }
 
+/// The chosen worker may have to wait for long requests to end before it has room.
+bool PlacementPolicy::hasBetterWorker(const Round& round, const std::string& model,
+                                      const Wake& wake) const {
+  const ModelSpec* spec = findModel(round.engine, model);
+  return spec == nullptr ||
+         std::any_of(round.workers.begin(), round.workers.end(),
+                     [&round, &wake, spec](const PlacementWorker& worker) {
+                       return worker.id != wake.worker && round.mayOrder(worker) &&
+                              !worker.arriving && !worker.retiring &&
+                              round.roomFor(worker, spec->weightsMegabytes).second < kEasyRoomCost;
+                     });
+}
+
 void PlacementPolicy::chooseWakes(Round& round) {
   std::vector<std::pair<double, std::string>> wanted;
   for (const ModelSpec& model : round.engine.models) {
@@ -364,9 +382,11 @@
   base::TimePoint oldest = base::kNever;
   for (const HeldModel& held : best->holdings.models) {
     for (const std::string& name : held.adapters) {
-      const base::TimePoint used = round.figures(held.name, name).lastArrival;
-      if (used < oldest) {
-        oldest = used;
+      const DemandFigures wanted = round.figures(held.name, name);
+      const bool protectedNow =
+          wanted.waiting > 0 || best->newAdapters.count({held.name, name}) != 0;
+      if (!protectedNow && wanted.lastArrival < oldest) {
+        oldest = wanted.lastArrival;
         unload = PlacementStep{best->id, OrderOperation::unload, held.name, name, false};
       }
     }
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "registry/demand_book.h"
@@ -36,6 +37,8 @@
   std::optional<std::string> arriving;  ///< A model that it is loading.
   std::optional<std::string> retiring;  ///< A model that it is unloading.
   std::uint32_t running = 0;
+  /// By model: adapters that were loaded a short while ago and make no room yet.
+  std::set<std::pair<std::string, std::string>> newAdapters;
 };
 
 /// Spaces loads from the weight store.
@@ -71,6 +74,7 @@
   struct Round;
 
   void dropEndedWakes(const Round& round);
+  bool hasBetterWorker(const Round& round, const std::string& model, const Wake& wake) const;
   void chooseWakes(Round& round);
   void wakeModel(Round& round, const std::string& model);
   void carryOut(Round& round, const std::string& model, const Wake& wake);
--- a/src/registry/worker_status.cpp
+++ b/src/registry/worker_status.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 /// Longer than two heartbeats: by then a worker's word includes the order.
+/// Reports are some 100 ms old.
+constexpr base::Duration kReportAge = std::chrono::milliseconds(350);
+/// For the requests that an adapter was loaded for to reach it.
+constexpr base::Duration kNewAdapter = std::chrono::milliseconds(1500);
 constexpr base::Duration kOverlayLifetime = std::chrono::seconds(4);
 
 }  // namespace
@@ -28,7 +32,7 @@
 
 void WorkerStatus::takeReport(const WorkerReport& report, base::TimePoint now) {
   // A report is some time old: one from before the last order must not undo what is known of it.
-  const bool current = report.orderCount >= orderCount;
+  const bool current = report.orderCount >= orderCount || now >= orderFinishedAt + kReportAge;
   reportFresh = current;
   if (!current) {
     return;
@@ -52,7 +56,7 @@
   }
   holdingsKnown = true;
   finishModelOrder();
-  if (modelOrder && !report.orderUnderWay && report.orderCount >= modelOrder->countAfter) {
+  if (modelOrder && !report.orderUnderWay) {
     modelOrder.reset();
   }
 }
@@ -67,15 +71,22 @@
   }
 }
 
+bool WorkerStatus::adapterIsNew(const std::string& model, const std::string& adapter,
+                                base::TimePoint now) const {
+  const auto found = adapterChanges_.find({model, adapter});
+  return found != adapterChanges_.end() && found->second.present &&
+         now < found->second.orderedAt + kNewAdapter;
+}
+
 void WorkerStatus::adapterOrdered(const PlacementStep& step, base::TimePoint now,
                                   base::Duration settleTime) {
   const bool present = step.operation == OrderOperation::load;
-  adapterChanges_[{step.model, step.adapter}] = {present, present ? now + settleTime : now,
+  adapterChanges_[{step.model, step.adapter}] = {present, now, present ? now + settleTime : now,
                                                  now + kOverlayLifetime};
 }
 
 void WorkerStatus::modelOrdered(const PlacementStep& step, base::TimePoint dueAt) {
-  modelOrder = ModelOrder{step.operation, step.model, dueAt, orderCount};
+  modelOrder = ModelOrder{step.operation, step.model, dueAt};
   adaptersBlocked = false;
   if (step.operation == OrderOperation::unload) {
     std::erase_if(adapterChanges_,
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -18,7 +18,6 @@
   OrderOperation operation = OrderOperation::load;
   std::string model;
   base::TimePoint dueAt;         ///< When the worker is asked, if it has not told by then.
-  std::uint64_t countAfter = 0;  ///< The worker's count of orders once it has taken this one.
 };
 
 /// What the worker holds is known from its heartbeats and reports, overlaid by the adapters that it
@@ -38,6 +37,7 @@
 
   bool reportFresh = false;
   std::uint64_t orderCount = 0;
+  base::TimePoint orderFinishedAt;  ///< When an order was last answered.
   bool reportUnderWay = false;
   bool orderUnderWay = false;    ///< Sent, not answered.
   base::TimePoint orderAgainAt;  ///< Not ordered before this time, after a refusal.
@@ -49,6 +49,9 @@
   bool takeHeartbeat(const Heartbeat& heartbeat, base::TimePoint now);
   void takeReport(const WorkerReport& report, base::TimePoint now);
 
+  /// @return true if the adapter was ordered a short while ago.
+  bool adapterIsNew(const std::string& model, const std::string& adapter, base::TimePoint now) const;
+
   /// An order was accepted or found done.
   void adapterOrdered(const PlacementStep& step, base::TimePoint now, base::Duration settleTime);
   void modelOrdered(const PlacementStep& step, base::TimePoint dueAt);
@@ -64,6 +67,7 @@
  private:
   struct AdapterChange {
     bool present = false;
+    base::TimePoint orderedAt;
     base::TimePoint effectiveAt;
     base::TimePoint until;  ///< From then on the worker's own word counts.
   };
