--- /dev/null
+++ b/test/gateway/exchange_test.cpp
@@ -0,0 +1,241 @@
+/// Requests under failures of their workers and callers.
+
+#include "gateway/gateway_harness.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::gateway::testing;
+using namespace std::chrono_literals;
+
+TEST_GROUP(ExchangeTest) {
+  GatewayHarness harness;
+  const Sent& sent(std::size_t index) { return *harness.launcher.sent.at(index); }
+  std::size_t sentCount() { return harness.launcher.sent.size(); }
+};
+
+TEST(ExchangeTest, withoutADocumentNothingIsRefusedForGood) {
+  const auto caller = harness.request("safe", "r1");
+  CHECK_EQUAL(503, caller->status);
+  CHECK(caller->headers.find("Retry-After") != nullptr);
+}
+
+TEST(ExchangeTest, anUnknownRouteIsNotFound) {
+  harness.declare(1);
+  CHECK_EQUAL(404, harness.request("none", "r1")->status);
+}
+
+TEST(ExchangeTest, theAnswerIsPassedOnUnchanged) {
+  harness.declare(1);
+  const auto caller = harness.request("once", "r1");
+  CHECK_EQUAL(1, sentCount());
+  STRCMP_EQUAL("body of r1", sent(0).request.body.c_str());
+  STRCMP_EQUAL("w1", sent(0).request.headers.find("Target")->c_str());
+  harness.answer(sent(0), 418, "r1", "teapot");
+  CHECK_EQUAL(418, caller->status);
+  STRCMP_EQUAL("teapot", caller->body.c_str());
+}
+
+TEST(ExchangeTest, whatIsLeftOfTheDeadlineIsSaid) {
+  harness.declare(2);
+  const auto caller = harness.request("safe", "r1");
+  harness.scheduler.advance(2s);
+  harness.lose(sent(0));
+  STRCMP_EQUAL("3000", sent(1).request.headers.find("Deadline-Ms")->c_str());
+}
+
+TEST(ExchangeTest, anAnswerToAnotherRequestIsPassedOver) {
+  harness.declare(1);
+  const auto caller = harness.request("once", "r1");
+  CHECK_FALSE(harness.head(sent(0), 200, "r0", true));
+  harness.answer(sent(0), 200, "r1", "mine");
+  STRCMP_EQUAL("mine", caller->body.c_str());
+}
+
+TEST(ExchangeTest, anAnswerThatNobodyVouchesForIsNotPassedOn) {
+  harness.declare(1);
+  const auto caller = harness.request("once", "r1");
+  harness.head(sent(0), 200, "r1", false);
+  sent(0).callbacks->onResponseComplete();
+  CHECK_EQUAL(502, caller->status);
+}
+
+TEST(ExchangeTest, aRequestThatMayHaveRunIsNotRunAgain) {
+  harness.declare(2);
+  const auto caller = harness.request("once", "r1");
+  harness.lose(sent(0));
+  CHECK_EQUAL(1, sentCount());
+  CHECK_EQUAL(502, caller->status);
+}
+
+TEST(ExchangeTest, aRequestThatDidNotRunIsSentElsewhere) {
+  harness.declare(2);
+  const auto caller = harness.request("once", "r1");
+  harness.refuse(sent(0), 503, "r1");
+  CHECK_EQUAL(2, sentCount());
+  CHECK_TRUE(sent(0).worker.id.value != sent(1).worker.id.value);
+  harness.unreachable(sent(1));
+  harness.scheduler.advance(1s);
+  CHECK_TRUE(sentCount() > 2);
+}
+
+TEST(ExchangeTest, aRepeatableRequestRunsOnNoMoreWorkersThanAllowed) {
+  harness.declare(3);
+  const auto caller = harness.request("safe", "r1");
+  harness.lose(sent(0));
+  harness.lose(sent(1));
+  CHECK_EQUAL(2, sentCount());
+  CHECK_EQUAL(502, caller->status);
+}
+
+TEST(ExchangeTest, aWorkersOwnFailureIsTheAnswerWhenNoAttemptIsLeft) {
+  harness.declare(3);
+  const auto caller = harness.request("safe", "r1");
+  harness.answer(sent(0), 500, "r1", "first");
+  harness.answer(sent(1), 500, "r1", "second");
+  CHECK_EQUAL(500, caller->status);
+  STRCMP_EQUAL("second", caller->body.c_str());
+}
+
+TEST(ExchangeTest, theTimeoutIsAnsweredAtOnce) {
+  harness.declare(1);
+  const auto caller = harness.request("once", "r1");
+  harness.scheduler.advance(4999ms);
+  CHECK_EQUAL(0, caller->status);
+  harness.scheduler.advance(1ms);
+  CHECK_EQUAL(504, caller->status);
+  CHECK_TRUE(sent(0).cancelled);
+}
+
+TEST(ExchangeTest, withoutWorkersARefusalPromisesThatNothingRan) {
+  harness.declare(0);
+  const auto caller = harness.request("once", "r1");
+  CHECK_EQUAL(0, caller->status);
+  harness.scheduler.advance(300ms);
+  CHECK_EQUAL(503, caller->status);
+  CHECK(caller->headers.find("Retry-After") != nullptr);
+}
+
+TEST(ExchangeTest, aCallerThatLeavesEndsItsAttempt) {
+  harness.declare(1);
+  const auto caller = harness.request("stream", "r1");
+  caller->gone();
+  harness.scheduler.settle();
+  CHECK_TRUE(sent(0).cancelled);
+  CHECK_EQUAL(0, harness.gateway.exchangeCount());
+}
+
+TEST(ExchangeTest, aBrokenStreamGoesOnElsewhereAfterItsLastEvent) {
+  harness.declare(2);
+  const auto caller = harness.request("stream", "r1");
+  harness.head(sent(0), 200, "r1", true);
+  sent(0).callbacks->onResponseBody("id: 1\n\nid: 2\n\nid: 3\nda");
+  harness.lose(sent(0));
+  CHECK_EQUAL(2, sentCount());
+  STRCMP_EQUAL("2", sent(1).request.headers.find("Resume")->c_str());
+  harness.head(sent(1), 200, "r1", true);
+  sent(1).callbacks->onResponseBody("id: 2\n\nid: 3\n\n");
+  sent(1).callbacks->onResponseComplete();
+  STRCMP_EQUAL("id: 1\n\nid: 2\n\nid: 3\n\n", caller->body.c_str());
+  CHECK_TRUE(caller->complete);
+}
+
+TEST(ExchangeTest, aBrokenStreamThatMayNotBeResumedDoesNotLookComplete) {
+  harness.declare(2);
+  const auto caller = harness.request("bound", "r1");
+  harness.head(sent(0), 200, "r1", true);
+  sent(0).callbacks->onResponseBody("id: 1\n\n");
+  harness.lose(sent(0));
+  CHECK_EQUAL(1, sentCount());
+  CHECK_TRUE(caller->aborted);
+  CHECK_FALSE(caller->complete);
+}
+
+TEST(ExchangeTest, aStreamThatEndsWithinAnEventIsNotComplete) {
+  harness.declare(1);
+  const auto caller = harness.request("bound", "r1");
+  harness.head(sent(0), 200, "r1", true);
+  sent(0).callbacks->onResponseBody("id: 1\n\nid: 2\nda");
+  sent(0).callbacks->onResponseComplete();
+  CHECK_TRUE(caller->aborted);
+}
+
+TEST(ExchangeTest, aSilentWorkerLosesAStreamThatMayBeResumed) {
+  harness.declare(2);
+  const auto caller = harness.request("stream", "r1");
+  harness.scheduler.advance(2s);
+  CHECK_EQUAL(2, sentCount());
+  CHECK_TRUE(sent(0).cancelled);
+}
+
+TEST(ExchangeTest, aRequestWaitsForItsModel) {
+  harness.declare(1);
+  const auto caller = harness.request("stream", "r1", "m/a1");
+  CHECK_EQUAL(0, sentCount());
+  registry::ViewUpdate update;
+  update.changed.push_back(GatewayHarness::worker(1));
+  update.changed[0].holdingsKnown = true;
+  update.changed[0].models = {{"m", 1, {"a1"}}};
+  harness.gateway.viewReceived(update);
+  CHECK_EQUAL(1, sentCount());
+}
+
+TEST(ExchangeTest, aWorkerThatLacksTheModelIsNotAskedAgainAtOnce) {
+  harness.declare(1);
+  registry::ViewUpdate update;
+  update.changed.push_back(GatewayHarness::worker(1));
+  update.changed[0].holdingsKnown = true;
+  update.changed[0].models = {{"m", 1, {}}};
+  harness.gateway.viewReceived(update);
+  const auto caller = harness.request("stream", "r1", "m");
+  harness.refuse(sent(0), 421, "r1");
+  harness.scheduler.advance(100ms);
+  CHECK_EQUAL(1, sentCount());
+  harness.scheduler.advance(1s);
+  CHECK_EQUAL(2, sentCount());
+}
+
+TEST(ExchangeTest, anOlderDocumentIsNeverTaken) {
+  harness.declare(1, 5);
+  harness.declare(1, 4);
+  CHECK_EQUAL(5, harness.gateway.documentVersion());
+}
+
+TEST(ExchangeTest, aLeavingWorkerGetsNothingNew) {
+  harness.declare(2);
+  registry::ViewUpdate update;
+  update.changed.push_back(GatewayHarness::worker(1));
+  update.changed[0].record.leaving = true;
+  harness.gateway.viewReceived(update);
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int number = 0; number < 10; ++number) {
+    callers.push_back(harness.request("safe", "r" + std::to_string(number)));
+  }
+  for (const auto& one : harness.launcher.sent) {
+    STRCMP_EQUAL("w2", one->worker.id.value.c_str());
+  }
+}
+
+TEST(ExchangeTest, aStoppingGatewayRefusesStreamsAsNotRun) {
+  harness.declare(1);
+  harness.gateway.refuseStreams();
+  CHECK_EQUAL(503, harness.request("stream", "r1")->status);
+  const auto plain = harness.request("once", "r2");
+  CHECK_EQUAL(1, sentCount());
+  harness.gateway.refuseAll();
+  CHECK_EQUAL(503, harness.request("once", "r3")->status);
+}
+
+TEST(ExchangeTest, theRetryBudgetHoldsForAllRequestsTogether) {
+  harness.declare(3);
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int number = 0; number < 500; ++number) {
+    const std::string id = "r" + std::to_string(number);
+    callers.push_back(harness.request("safe", id));
+    harness.answer(*harness.launcher.sent.back(), 500, id, "");
+  }
+  // 70 % of a slack of 100 and of a fifth of 500 requests.
+  CHECK_TRUE(sentCount() <= 500 + 70 + 70);
+  CHECK_TRUE(sentCount() > 500 + 100);
+}
--- /dev/null
+++ b/test/gateway/gateway_harness.h
@@ -0,0 +1,265 @@
+#pragma once
+/// @file
+/// A gateway in virtual time, with workers played by the test.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "event/timer_queue.h"
+#include "gateway/gateway.h"
+
+namespace walnut::gateway::testing {
+
+/// Time stands still but for `advance`.
+class ManualScheduler : public event::Scheduler {
+ public:
+  base::TimePoint now() const override { return now_; }
+  event::TimerPtr createTimer(std::function<void()> callback) override {
+    return timers_.create(std::move(callback));
+  }
+  void runSoon(std::function<void()> callback) override {
+    deferred_.push_back(std::move(callback));
+  }
+
+  void settle() {
+    while (!deferred_.empty()) {
+      for (const auto& callback : std::exchange(deferred_, {})) {
+        callback();
+      }
+    }
+  }
+  void advance(base::Duration duration) {
+    const base::TimePoint end = now_ + duration;
+    while (timers_.next() <= end) {
+      now_ = std::max(now_, timers_.next());
+      timers_.runDue(now_);
+      settle();
+    }
+    now_ = end;
+  }
+
+ private:
+  base::TimePoint now_ = base::TimePoint(std::chrono::seconds(1000));
+  event::TimerQueue timers_;
+  std::vector<std::function<void()>> deferred_;
+};
+
+/// Fields: Id, Deadline-Ms, Model ("m" or "m/a"), Resume; of answers: Id, Sealed, Not-Run.
+class PlainDialect : public RequestDialect {
+ public:
+  RequestFacts readRequest(const net::HttpRequest& request) const override {
+    RequestFacts facts;
+    facts.requestId = text(request.headers, "Id");
+    if (const auto millis = request.headers.findNumber("Deadline-Ms")) {
+      facts.deadline = std::chrono::milliseconds(*millis);
+    }
+    const std::string model = text(request.headers, "Model");
+    facts.model = model.substr(0, model.find('/'));
+    facts.adapter = model.find('/') == std::string::npos ? "" : model.substr(model.find('/') + 1);
+    return facts;
+  }
+  void writeAttempt(net::HttpRequest& request, const AttemptFacts& facts) const override {
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(facts.deadline);
+    request.headers.set("Deadline-Ms", std::to_string(millis.count()));
+    request.headers.set("Target", facts.target.value);
+    request.headers.set("Resume", facts.resumeAfter);
+  }
+  AnswerFacts readAnswer(int /*status*/, const net::HeaderList& headers) const override {
+    return {text(headers, "Id"), headers.find("Sealed") != nullptr,
+            headers.find("Not-Run") != nullptr, false};
+  }
+  bool isReadinessCall(const net::HttpRequest&) const override { return false; }
+
+ private:
+  static std::string text(const net::HeaderList& headers, const char* name) {
+    const std::string* found = headers.find(name);
+    return found == nullptr ? "" : *found;
+  }
+};
+
+/// The caller's side of one request.
+struct Caller : net::ResponseSink {
+  int status = 0;  ///< Of the answer; 0: none yet.
+  net::HeaderList headers;
+  std::string body;
+  bool complete = false;
+  bool aborted = false;
+  std::function<void()> gone;
+
+  void respond(net::HttpResponse response) override {
+    status = response.head.status;
+    headers = std::move(response.head.headers);
+    body = std::move(response.body);
+    complete = true;
+  }
+  void beginChunked(net::HttpResponseHead head) override {
+    status = head.status;
+    headers = std::move(head.headers);
+  }
+  void writeChunk(std::string_view bytes) override { body.append(bytes); }
+  void endChunked() override { complete = true; }
+  void abort() override { aborted = true; }
+  std::size_t bufferedBytes() const override { return 0; }
+  void setGoneCallback(std::function<void()> callback) override { gone = std::move(callback); }
+  void setDrainedCallback(std::function<void()>) override {}
+};
+
+/// What reached a worker.
+struct Sent {
+  registry::WorkerRecord worker;
+  net::HttpRequest request;
+  net::ResponseCallbacks* callbacks = nullptr;
+  bool cancelled = false;
+};
+
+class RecordingLauncher : public AttemptLauncher {
+ public:
+  std::vector<std::shared_ptr<Sent>> sent;
+
+  std::unique_ptr<Attempt> start(const registry::WorkerRecord& worker,
+                                 const net::HttpRequest& request,
+                                 net::ResponseCallbacks& callbacks) override {
+    sent.push_back(std::make_shared<Sent>(Sent{worker, request, &callbacks, false}));
+    return std::make_unique<Recorded>(sent.back());
+  }
+
+ private:
+  struct Recorded : Attempt {
+    explicit Recorded(std::shared_ptr<Sent> entry) : sent(std::move(entry)) {}
+    void cancel() override { sent->cancelled = true; }
+    void release() override {}
+    void setReading(bool) override {}
+    std::shared_ptr<Sent> sent;
+  };
+};
+
+class SilentLink : public RegistryLink {
+ public:
+  void open(const base::Endpoint&) override {}
+  void close(protocol::ConnectionId) override {}
+  void send(protocol::ConnectionId, registry::MessageBody) override {}
+};
+
+/// One gateway with a document of one service "svc" and routes /safe/, /once/, /stream/ (may be
+/// resumed) and /bound/ (may not).
+class GatewayHarness {
+ public:
+  GatewayHarness()
+      : session_({}, scheduler, link_, log_, 1),
+        gateway(options(), scheduler, dialect_, launcher, session_, log_, metrics_) {}
+
+  ManualScheduler scheduler;
+  RecordingLauncher launcher;
+
+ private:
+  PlainDialect dialect_;
+  SilentLink link_;
+  runtime::NullEventLog log_;
+  runtime::NullMetricsSink metrics_;
+  RegistrySession session_;
+
+ public:
+  Gateway gateway;
+
+  static GatewayOptions options() {
+    GatewayOptions made;
+    made.retrySlack = 100;
+    return made;
+  }
+
+  static catalog::Route route(const char* name, catalog::RouteKind kind, bool resumable,
+                              std::uint32_t attempts) {
+    catalog::Route made;
+    made.name = name;
+    made.host = "h";
+    made.pathPrefix = std::string("/") + name + "/";
+    made.kind = kind;
+    made.resumable = resumable;
+    made.maxAttempts = attempts;
+    made.timeout = std::chrono::seconds(10);
+    made.targetLatency = std::chrono::milliseconds(400);
+    made.targetGap = std::chrono::milliseconds(300);
+    made.services = {{"svc", 1}};
+    return made;
+  }
+
+  /// Tells the gateway of a document and of workers w1, w2, ...
+  void declare(std::size_t workers, std::uint64_t version = 1) {
+    registry::ViewUpdate update;
+    update.complete = true;
+    update.documentVersion = version;
+    update.document.emplace();
+    update.document->version = version;
+    update.document->services = {{"svc", "", 0, std::nullopt}};
+    update.document->routes = {route("safe", catalog::RouteKind::idempotent, false, 2),
+                               route("once", catalog::RouteKind::nonIdempotent, false, 1),
+                               route("stream", catalog::RouteKind::streaming, true, 2),
+                               route("bound", catalog::RouteKind::streaming, false, 1)};
+    for (std::size_t number = 1; number <= workers; ++number) {
+      update.changed.push_back(worker(number));
+    }
+    gateway.viewReceived(update);
+    scheduler.settle();
+  }
+
+  static registry::WorkerView worker(std::size_t number) {
+    registry::WorkerView view;
+    view.record = {{"w" + std::to_string(number)}, "svc", {"10.0.0.1", 80}, {}, 4, false};
+    return view;
+  }
+
+  /// @return the caller of a request on that route.
+  std::unique_ptr<Caller> request(const std::string& routeName, const std::string& id,
+                                  const std::string& model = "") {
+    net::HttpRequest made;
+    made.method = "POST";
+    made.target = "/" + routeName + "/x";
+    made.headers.add("Host", "h");
+    made.headers.add("Id", id);
+    made.headers.add("Deadline-Ms", "5000");
+    if (!model.empty()) {
+      made.headers.add("Model", model);
+    }
+    made.body = "body of " + id;
+    auto caller = std::make_unique<Caller>();
+    gateway.onRequest(std::move(made), *caller);
+    scheduler.settle();
+    return caller;
+  }
+
+  /// The worker's answer begins.
+  bool head(const Sent& sent, int status, const std::string& id, bool sealed, bool notRun = false) {
+    net::MessageHead made;
+    made.status = status;
+    made.headers.add("Id", id);
+    if (sealed) {
+      made.headers.add("Sealed", "1");
+    }
+    if (notRun) {
+      made.headers.add("Not-Run", "1");
+    }
+    return sent.callbacks->onResponseHead(std::move(made));
+  }
+  void answer(const Sent& sent, int status, const std::string& id, const std::string& body) {
+    head(sent, status, id, true);
+    sent.callbacks->onResponseBody(body);
+    sent.callbacks->onResponseComplete();
+    scheduler.settle();
+  }
+  void refuse(const Sent& sent, int status, const std::string& id) {
+    head(sent, status, id, false, true);
+    sent.callbacks->onResponseComplete();
+    scheduler.settle();
+  }
+  void lose(const Sent& sent) {
+    sent.callbacks->onResponseFailure({base::ErrorCode::connectionLost, "", ""}, true);
+    scheduler.settle();
+  }
+  void unreachable(const Sent& sent) {
+    sent.callbacks->onResponseFailure({base::ErrorCode::connectFailed, "", ""}, false);
+    scheduler.settle();
+  }
+};
+
+}  // namespace walnut::gateway::testing
--- /dev/null
+++ b/test/gateway/registry_session_test.cpp
@@ -0,0 +1,95 @@
+/// Finding and following the registry's leader.
+
+#include "gateway/registry_session.h"
+
+#include "gateway/gateway_harness.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::gateway;
+using namespace walnut::gateway::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct RecordingLink : RegistryLink {
+  std::vector<base::Endpoint> opens;
+  std::vector<protocol::ConnectionId> closes;
+  std::vector<registry::MessageBody> sent;
+  void open(const base::Endpoint& server) override { opens.push_back(server); }
+  void close(protocol::ConnectionId connection) override { closes.push_back(connection); }
+  void send(protocol::ConnectionId, registry::MessageBody message) override {
+    sent.push_back(std::move(message));
+  }
+};
+
+base::Endpoint server(std::uint16_t port) { return {"10.0.0.1", port}; }
+
+}  // namespace
+
+TEST_GROUP(RegistrySessionTest) {
+  ManualScheduler scheduler;
+  RecordingLink link;
+  runtime::NullEventLog log;
+  RegistrySessionOptions options;
+  std::unique_ptr<RegistrySession> session;
+
+  void setup() override {
+    options.servers = {server(1), server(2), server(3)};
+    session = std::make_unique<RegistrySession>(options, scheduler, link, log, 1);
+    session->start();
+  }
+  /// The server asked last accepts, as connection `number`.
+  void accept(std::uint64_t number) { session->opened({number}, link.opens.back()); }
+  void follow(std::uint64_t number) {
+    accept(number);
+    CHECK_TRUE(session->viewReceived({number}, {}));
+  }
+};
+
+TEST(RegistrySessionTest, allServersAreTriedUntilOneLeads) {
+  for (std::size_t tried = 1; tried <= 6; ++tried) {
+    CHECK_EQUAL(tried, link.opens.size());
+    session->openFailed(link.opens.back());
+    scheduler.advance(100ms);
+  }
+  CHECK_TRUE(link.opens[0] != link.opens[1] && link.opens[1] != link.opens[2]);
+}
+
+TEST(RegistrySessionTest, itSubscribesAndFollows) {
+  session->setDocumentVersion(7);
+  accept(1);
+  CHECK_EQUAL(7, std::get<registry::Subscribe>(link.sent.at(0)).documentVersion);
+  CHECK_FALSE(session->following());
+  CHECK_TRUE(session->viewReceived({1}, {}));
+  CHECK_TRUE(session->following());
+}
+
+TEST(RegistrySessionTest, theNamedLeaderIsAskedNext) {
+  accept(1);
+  session->notLeading({1}, {{server(8), server(9)}, server(9)});
+  scheduler.advance(100ms);
+  CHECK_TRUE(link.opens.back() == server(9));
+}
+
+TEST(RegistrySessionTest, aSilentLeaderIsLeft) {
+  follow(1);
+  scheduler.advance(800ms);
+  CHECK_TRUE(session->viewReceived({1}, {}));
+  scheduler.advance(800ms);
+  CHECK_TRUE(session->following());
+  scheduler.advance(200ms);
+  CHECK_FALSE(session->following());
+  CHECK_EQUAL(1, link.closes.size());
+  CHECK_EQUAL(2, link.opens.size());
+}
+
+TEST(RegistrySessionTest, viewsOfAFormerServerAreNotTaken) {
+  follow(1);
+  session->closed({1});
+  scheduler.advance(100ms);
+  accept(2);
+  CHECK_FALSE(session->viewReceived({1}, {}));
+}
--- /dev/null
+++ b/test/gateway/worker_selector_test.cpp
@@ -0,0 +1,90 @@
+/// Choice of a worker.
+
+#include "gateway/worker_selector.h"
+
+#include "gateway/gateway_harness.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::gateway;
+using namespace walnut::gateway::testing;
+using namespace std::chrono_literals;
+
+TEST_GROUP(WorkerSelectorTest) {
+  const base::TimePoint now = base::TimePoint(100s);
+  WorkerDirectory directory;
+  WorkerSelector selector{directory, {"here"}};
+
+  void know(std::size_t count) {
+    registry::ViewUpdate update;
+    update.complete = true;
+    for (std::size_t number = 1; number <= count; ++number) {
+      update.changed.push_back(GatewayHarness::worker(number));
+      update.changed.back().record.zone = {"here"};
+    }
+    directory.apply(update);
+  }
+  Worker& worker(const char* id) { return *directory.workers().at({id}); }
+  std::string chosen(const RequestFacts& facts = {}) {
+    const Selection selection = selector.select("svc", facts, {}, now);
+    return selection.worker == nullptr ? "" : selection.worker->view.record.id.value;
+  }
+};
+
+TEST(WorkerSelectorTest, theLessLoadedWorkerIsChosen) {
+  know(2);
+  worker("w1").began("");
+  STRCMP_EQUAL("w2", chosen().c_str());
+  worker("w2").runningElsewhere = 3;
+  STRCMP_EQUAL("w1", chosen().c_str());
+}
+
+TEST(WorkerSelectorTest, aFailingWorkerIsPassedOverForAWhile) {
+  know(2);
+  for (int count = 0; count < 5; ++count) {
+    worker("w1").failures.observe(true, now);
+  }
+  worker("w2").began("");
+  STRCMP_EQUAL("w2", chosen().c_str());
+  CHECK_TRUE(worker("w1").failures.value(now + 60s) < 0.01);
+}
+
+TEST(WorkerSelectorTest, theOwnZoneIsPreferredAtEqualLoad) {
+  know(2);
+  worker("w1").view.record.zone = {"there"};
+  STRCMP_EQUAL("w2", chosen().c_str());
+}
+
+TEST(WorkerSelectorTest, aWorkerThatKnowsThePromptIsPreferred) {
+  know(3);
+  for (const char* id : {"w1", "w2", "w3"}) {
+    worker(id).view.models = {{"m", 1, {}}};
+  }
+  RequestFacts facts;
+  facts.model = "m";
+  facts.promptParts = {"p1", "p2", "own"};
+  selector.affinity().sent(facts, {"w3"});
+  facts.promptParts = {"p1", "p2", "another"};
+  STRCMP_EQUAL("w3", chosen(facts).c_str());
+}
+
+TEST(WorkerSelectorTest, theReasonIsNamedWhenNobodyCanBeHad) {
+  CHECK_TRUE(selector.select("svc", {}, {}, now).reason == NoWorkerReason::noWorkers);
+  know(1);
+  RequestFacts facts;
+  facts.model = "m";
+  CHECK_TRUE(selector.select("svc", facts, {}, now).reason == NoWorkerReason::notHeld);
+  CHECK_TRUE(selector.select("svc", {}, {{"w1"}}, now).reason == NoWorkerReason::excluded);
+}
+
+TEST(WorkerSelectorTest, loadsReplaceThoseBefore) {
+  know(1);
+  registry::ViewUpdate update;
+  update.loads = {{{"w1"}, "", 5}};
+  directory.apply(update);
+  CHECK_EQUAL(5, worker("w1").runningElsewhere);
+  directory.apply({});
+  CHECK_EQUAL(0, worker("w1").runningElsewhere);
+}
--- /dev/null
+++ b/test/platform/dialect_test.cpp
@@ -0,0 +1,192 @@
+/// Formats of the users' platform.
+
+#include "platform/control_dialect.h"
+#include "platform/document_reader.h"
+#include "platform/request_dialect.h"
+#include "platform/worker_dialect.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kDocument = R"({"version":7,
+  "routes":[{"name":"r1","host":"a.example","pathPrefix":"/x/","kind":"streaming","timeoutMs":25000,
+    "targetLatencyMs":600,"priority":1,"trafficSplit":[{"service":"s1","weight":90},
+    {"service":"s2","weight":10}],"maxAttempts":2,"sticky":true,"resumable":true,"targetGapMs":300},
+    {"name":"r2","host":"a.example","pathPrefix":"/y/","kind":"non_idempotent","timeoutMs":1000,
+    "service":"s2"}],
+  "services":[{"name":"s1","healthPath":"/healthz","maxConns":370,"engine":{"slots":64,
+    "kvCapacityTokens":129500,"weightsMb":200000.0,"adapterSlots":8,"loadsPerS":3.0,
+    "models":[{"name":"m1","weightsMb":42700.0,"loadS":2.5,"adapters":37,"adapterMb":66.0,
+    "warmupS":0.89,"diskS":1.2}]}},{"name":"s2","healthPath":"/healthz","maxConns":110}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+    "idleTimeoutMs":15000}})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+net::HttpRequest post(const std::string& target, const std::string& body) {
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = target;
+  request.body = body;
+  return request;
+}
+
+}  // namespace
+
+TEST_GROUP(DialectTest) {
+  PlatformDocumentReader documents;
+  PlatformControlDialect control;
+  PlatformWorkerDialect workers;
+  PlatformRequestDialect requests;
+};
+
+TEST(DialectTest, aDocumentIsRead) {
+  const catalog::Document document = documents.read(kDocument).value();
+  CHECK_EQUAL(7, document.version);
+  CHECK_TRUE(document.routes.at(0).kind == catalog::RouteKind::streaming);
+  CHECK_TRUE(document.routes.at(0).repeatable());
+  CHECK_TRUE(document.routes.at(0).targetLatency == 600ms);
+  CHECK_EQUAL(2, document.routes.at(0).services.size());
+  STRCMP_EQUAL("s2", document.routes.at(1).services.at(0).service.c_str());
+  CHECK_TRUE(document.services.at(0).engine->models.at(0).storeLoadTime == 2500ms);
+  CHECK_FALSE(document.services.at(1).engine.has_value());
+  CHECK_TRUE(document.limits.idleTimeout == 15s);
+}
+
+TEST(DialectTest, malformedDocumentsNameTheField) {
+  const struct {
+    std::string text;
+    base::ErrorCode code;
+    const char* field;
+  } cases[] = {
+      {std::string(kDocument).substr(0, 300), base::ErrorCode::malformedInput, "body"},
+      {"[]", base::ErrorCode::wrongType, "body"},
+      {replaced(kDocument, "\"version\":7,", ""), base::ErrorCode::missingField, "version"},
+      {replaced(kDocument, "\"timeoutMs\":25000,", ""), base::ErrorCode::missingField,
+       "routes[0].timeoutMs"},
+      {replaced(kDocument, "\"streaming\"", "\"steaming\""), base::ErrorCode::outOfRange,
+       "routes[0].kind"},
+      {replaced(kDocument, "\"weight\":90", "\"weight\":\"x\""), base::ErrorCode::wrongType,
+       "routes[0].trafficSplit[0].weight"},
+  };
+  for (const auto& fault : cases) {
+    const auto outcome = documents.read(fault.text);
+    CHECK_TRUE(outcome.has_error());
+    CHECK_TRUE_TEXT(outcome.error().code == fault.code, fault.field);
+    STRCMP_EQUAL(fault.field, outcome.error().field.c_str());
+  }
+}
+
+TEST(DialectTest, aHeartbeatIsRead) {
+  const auto call = control.readCall(
+      post("/v1/Instances.Heartbeat/i-7",
+           R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":64,
+          "state":"draining","coldLeftMs":0,"models":[{"name":"m1","version":1,"adapters":["a2"]}],
+          "seq":4,"available":{"inMemory":["m1"],"onDisk":[]}})"));
+  const auto& alive = std::get<registry::ReportAlive>(call.value());
+  STRCMP_EQUAL("i-7", alive.heartbeat.worker.id.value.c_str());
+  CHECK_TRUE(alive.heartbeat.worker.leaving);
+  CHECK_TRUE(alive.heartbeat.holdings.holds("m1", "a2"));
+  CHECK_EQUAL(1, alive.heartbeat.holdings.inMemory.size());
+}
+
+TEST(DialectTest, otherCallsAreRead) {
+  CHECK_TRUE(std::holds_alternative<registry::ReportGone>(
+      control.readCall(post("/v1/Instances.Deregister/i-7", "")).value()));
+  CHECK_TRUE(std::holds_alternative<registry::ReplaceDocument>(
+      control.readCall(post("/v1/Config.Replace", "x")).value()));
+  CHECK_TRUE(control.readCall(post("/v1/other", "")).has_error());
+  CHECK_TRUE(control.readCall(post("/v1/Instances.Heartbeat/i-7", "{}")).has_error());
+}
+
+TEST(DialectTest, answersHaveTheStatusThatCallersActOn) {
+  registry::ControlAnswer answer;
+  answer.status = registry::ControlStatus::done;
+  answer.leader = base::Endpoint{"10.0.0.4", 8080};
+  const auto beat = control.writeAnswer(registry::ReportAlive{}, answer);
+  CHECK_EQUAL(200, beat.head.status);
+  STRCMP_EQUAL("{\"heartbeatAddr\":\"10.0.0.4:8080\"}", beat.body.c_str());
+  answer.status = registry::ControlStatus::refused;
+  CHECK_EQUAL(400, control.writeAnswer(registry::ReplaceDocument{}, answer).head.status);
+  answer.status = registry::ControlStatus::unavailable;
+  CHECK_EQUAL(503, control.writeAnswer(registry::ReadDocument{}, answer).head.status);
+}
+
+TEST(DialectTest, anOrderNamesItsFenceAndCount) {
+  registry::SendOrder order;
+  order.worker = {{"i-7"}, "s1", {"10.0.0.9", 8080}, {}, 64, false};
+  order.model = "m1";
+  order.adapter = "a2";
+  order.expectedOrderCount = 3;
+  order.holder = "core-1";
+  order.fence = 41;
+  const net::HttpRequest request = workers.writeOrder(order);
+  STRCMP_EQUAL("/v1/order", request.target.c_str());
+  STRCMP_EQUAL("i-7", request.headers.find("X-Walnutlead-Target-Instance")->c_str());
+  CHECK_TRUE(request.body.find("\"fencingToken\":41") != std::string::npos);
+  CHECK_TRUE(request.body.find("\"expectedRev\":3") != std::string::npos);
+  CHECK_TRUE(request.body.find("\"operation\":\"loading\"") != std::string::npos);
+}
+
+TEST(DialectTest, answersToOrdersAreTold) {
+  const std::pair<int, registry::OrderOutcome> cases[] = {
+      {202, registry::OrderOutcome::accepted},    {200, registry::OrderOutcome::alreadyDone},
+      {409, registry::OrderOutcome::busy},        {412, registry::OrderOutcome::fenced},
+      {421, registry::OrderOutcome::misdirected}, {400, registry::OrderOutcome::refused},
+      {500, registry::OrderOutcome::unclear},
+  };
+  for (const auto& [status, outcome] : cases) {
+    net::HttpResponse response;
+    response.head.status = status;
+    CHECK_TRUE(workers.readOrderAnswer(response) == outcome);
+  }
+}
+
+TEST(DialectTest, aReportIsRead) {
+  net::HttpResponse response;
+  response.head.status = 200;
+  response.body =
+      R"({"stage":"colocated","models":[{"name":"m1","version":1,"adapters":[]}],"inFlight":true,
+          "seq":2,"queued":1,"active":12,"kvUsed":4,"kvTotal":9,"handles":0,"pending":["m1/a2@1"]})";
+  const registry::WorkerReport report = workers.readReport(response).value();
+  CHECK_TRUE(report.orderUnderWay);
+  CHECK_EQUAL(2, report.orderCount);
+  STRCMP_EQUAL("m1/a2", report.pendingAdapters.at(0).c_str());
+  response.body = "{}";
+  CHECK_TRUE(workers.readReport(response).has_error());
+}
+
+TEST(DialectTest, aRequestIsReadAndSentOn) {
+  net::HttpRequest request;
+  request.headers.add("X-Walnutlead-Attempt-Id", "id-1");
+  request.headers.add("X-Walnutlead-Deadline-Ms", "15000");
+  request.headers.add("X-Walnutlead-Model", "m1/a2");
+  request.headers.add("X-Walnutlead-Token-Count", "1460,80");
+  request.headers.add("X-Walnutlead-Prompt-Prefix", "5c:800,91:410");
+  const gateway::RequestFacts facts = requests.readRequest(request);
+  STRCMP_EQUAL("m1", facts.model.c_str());
+  STRCMP_EQUAL("a2", facts.adapter.c_str());
+  CHECK_EQUAL(1460, facts.promptTokens);
+  CHECK_EQUAL(2, facts.promptParts.size());
+  CHECK_TRUE(facts.deadline == 15s);
+  requests.writeAttempt(request, {{"i-7"}, 900ms, 12, "5"});
+  STRCMP_EQUAL("900", request.headers.find("X-Walnutlead-Deadline-Ms")->c_str());
+  STRCMP_EQUAL("9", request.headers.find("X-Walnutlead-Request-Urgency")->c_str());
+  STRCMP_EQUAL("5", request.headers.find("Last-Event-Id")->c_str());
+}
+
+TEST(DialectTest, whatDidNotRunIsKnown) {
+  net::HeaderList headers;
+  CHECK_FALSE(requests.readAnswer(503, headers).notExecuted);
+  CHECK_TRUE(requests.readAnswer(421, headers).notExecuted);
+  headers.add("X-Walnutlead-Not-Executed", "1");
+  CHECK_TRUE(requests.readAnswer(503, headers).notExecuted);
+}
--- /dev/null
+++ b/test/registry/cell_state_test.cpp
@@ -0,0 +1,66 @@
+/// The replicated state.
+
+#include "registry/cell_state.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+
+namespace {
+
+WorkerRecord worker(const char* id, std::uint16_t port, bool leaving = false) {
+  return {{id}, "svc", {"10.0.0.1", port}, {"zone"}, 4, leaving};
+}
+
+}  // namespace
+
+TEST_GROUP(CellStateTest) { CellState state; };
+
+TEST(CellStateTest, theHighestVersionHolds) {
+  state.apply(StoreDocument{5, "five"});
+  state.apply(StoreDocument{4, "four"});
+  state.apply(StoreDocument{5, "other five"});
+  CHECK_EQUAL(5, state.documentVersion());
+  STRCMP_EQUAL("five", state.documentText().c_str());
+}
+
+TEST(CellStateTest, leavingIsFinal) {
+  state.apply(StoreWorker{worker("w", 1, true)});
+  state.apply(StoreWorker{worker("w", 1, false)});
+  CHECK_TRUE(state.findWorker({"w"})->leaving);
+}
+
+TEST(CellStateTest, aForgottenWorkerDoesNotComeBack) {
+  state.apply(StoreWorker{worker("w", 1)});
+  state.apply(ForgetWorker{{"w"}});
+  state.apply(StoreWorker{worker("w", 1)});
+  POINTERS_EQUAL(nullptr, state.findWorker({"w"}));
+  CHECK_TRUE(state.wasForgotten({"w"}));
+}
+
+TEST(CellStateTest, aWorkerAtAnAddressReplacesTheFormerOne) {
+  state.apply(StoreWorker{worker("old", 1)});
+  state.apply(StoreWorker{worker("new", 1)});
+  POINTERS_EQUAL(nullptr, state.findWorker({"old"}));
+  CHECK(state.findWorker({"new"}) != nullptr);
+}
+
+TEST(CellStateTest, aSnapshotHoldsAll) {
+  state.apply(StoreDocument{5, "five"});
+  state.apply(StoreWorker{worker("w", 1)});
+  state.apply(ForgetWorker{{"gone"}});
+  state.apply(StoreOrderHolder{{7}});
+  CellState restored;
+  CHECK_TRUE(restored.restore(state.encode()).has_value());
+  STRCMP_EQUAL("five", restored.documentText().c_str());
+  CHECK(restored.findWorker({"w"}) != nullptr);
+  CHECK_TRUE(restored.wasForgotten({"gone"}));
+  CHECK_TRUE(restored.orderHolder() == base::ServerId{7});
+}
+
+TEST(CellStateTest, malformedBytesAreRefused) {
+  CHECK_TRUE(state.restore("nonsense").has_error());
+  CHECK_TRUE(decodeCommand(std::string_view("\xff\xff\xff", 3)).has_error());
+}
--- /dev/null
+++ b/test/registry/cluster.h
@@ -0,0 +1,257 @@
+#pragma once
+/// @file
+/// Several registry servers in virtual time, over a network that can be cut and disks that can be
+/// lost.
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "walnut/factories.h"
+#include "walnut/registry/registry.h"
+
+namespace walnut::registry::testing {
+
+/// Reads "VERSION CONTENT"; anything else is malformed.
+class PlainReader : public DocumentReader {
+ public:
+  base::Result<catalog::Document> read(const std::string& text) const override {
+    catalog::Document document;
+    try {
+      document.version = std::stoull(text);
+    } catch (const std::exception&) {
+      return base::Error{base::ErrorCode::malformedInput, "version", text};
+    }
+    return document;
+  }
+};
+
+/// What a disk holds, as consensus handed it over.
+struct Disk {
+  consensus::RecoveredState state;
+
+  void persist(const consensus::PersistBatch& batch) {
+    if (batch.snapshot) {
+      state.snapshot = batch.snapshot;
+      if (batch.discardLog) {
+        state.entries.clear();
+      }
+      std::erase_if(state.entries, [&batch](const consensus::LogEntry& entry) {
+        return entry.index <= batch.snapshot->lastIndex;
+      });
+    }
+    if (batch.truncateFrom) {
+      std::erase_if(state.entries, [&batch](const consensus::LogEntry& entry) {
+        return entry.index >= *batch.truncateFrom;
+      });
+    }
+    state.entries.insert(state.entries.end(), batch.entries.begin(), batch.entries.end());
+    if (batch.hardState) {
+      state.hardState = *batch.hardState;
+    }
+  }
+};
+
+/// Servers are numbered by their port. Messages take a millisecond; connections are numbered by the
+/// servers at their ends and never end.
+class Cluster {
+ public:
+  explicit Cluster(std::uint32_t tolerableLosses) : losses_(tolerableLosses) {}
+
+  static base::Endpoint endpoint(std::uint16_t port) { return {"10.0.0.1", port}; }
+
+  /// @param founders ports of the servers that found the cell; empty: it asks `seeds` to join.
+  void start(std::uint16_t port, std::uint64_t identity, const std::vector<std::uint16_t>& founders,
+             const std::vector<std::uint16_t>& seeds) {
+    Node& node = nodes_[port];
+    if (node.disk.state.self == base::ServerId{}) {
+      node.disk.state.self = {identity};
+    }
+    RegistryOptions options;
+    options.name = "server-" + std::to_string(port);
+    options.tolerableLosses = losses_;
+    options.self.peerEndpoint = endpoint(port);
+    options.self.resourceEndpoint = endpoint(port);
+    for (const std::uint16_t seed : seeds) {
+      options.joinEndpoints.push_back(endpoint(seed));
+    }
+    consensus::Membership membership;
+    for (const std::uint16_t founder : founders) {
+      membership.members.push_back(
+          {{founder}, consensus::MemberRole::voter, endpoint(founder), endpoint(founder), {}});
+    }
+    node.registry = makeRegistry(options, node.disk.state, membership, reader_, log_, port, now_);
+  }
+  void stop(std::uint16_t port) { nodes_.at(port).registry.reset(); }
+  void loseDisk(std::uint16_t port) { nodes_.at(port).disk = {}; }
+  void cut(std::uint16_t port) { cut_.insert(port); }
+  void heal(std::uint16_t port) { cut_.erase(port); }
+
+  /// Makes a call at a server and runs until it is answered.
+  ControlAnswer call(std::uint16_t port, ControlCall body) {
+    const std::uint64_t number = ++lastCall_;
+    nodes_.at(port).registry->step(now_, CallReceived{number, std::move(body)});
+    settle(port);
+    const base::TimePoint limit = now_ + std::chrono::seconds(5);
+    while (answers_.count(number) == 0 && now_ < limit) {
+      advance();
+    }
+    return answers_.count(number) == 0 ? ControlAnswer{} : answers_.at(number);
+  }
+  /// Repeats a call at a server until it is done or the time is up.
+  bool callUntilDone(std::uint16_t port, const ControlCall& body, base::Duration patience) {
+    const base::TimePoint limit = now_ + patience;
+    while (now_ < limit) {
+      if (call(port, body).status == ControlStatus::done) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void run(base::Duration duration) {
+    const base::TimePoint limit = now_ + duration;
+    while (now_ < limit) {
+      advance();
+    }
+  }
+
+  std::optional<std::uint16_t> leader() const {
+    for (const auto& [port, node] : nodes_) {
+      if (node.registry && cut_.count(port) == 0 &&
+          node.registry->raftStatus().role == consensus::Role::leader) {
+        return port;
+      }
+    }
+    return std::nullopt;
+  }
+  std::size_t voterCount(std::uint16_t port) const {
+    std::size_t count = 0;
+    for (const auto& member : nodes_.at(port).registry->raftStatus().membership.members) {
+      count += member.role == consensus::MemberRole::voter ? 1 : 0;
+    }
+    return count;
+  }
+  bool runs(std::uint16_t port) const { return nodes_.at(port).registry != nullptr; }
+  base::TimePoint now() const { return now_; }
+  const std::vector<SendOrder>& orders() const { return orders_; }
+  const std::vector<std::pair<base::TimePoint, std::uint64_t>>& orderFences() const {
+    return fences_;
+  }
+
+  /// A worker's heartbeat; it holds `models`.
+  static ReportAlive alive(const char* id, std::uint64_t sequence, bool leaving,
+                           std::initializer_list<const char*> models) {
+    Heartbeat heartbeat;
+    heartbeat.worker = {{id}, "svc", {"10.0.1.1", 80}, {}, 4, leaving};
+    heartbeat.sequence = sequence;
+    heartbeat.holdingsKnown = true;
+    for (const char* model : models) {
+      heartbeat.holdings.models.push_back({model, 1, {}});
+    }
+    return {heartbeat};
+  }
+
+ private:
+  struct Node {
+    Disk disk;
+    std::unique_ptr<Registry> registry;
+  };
+  struct InFlight {
+    base::TimePoint arrival;
+    std::uint16_t from = 0;
+    std::uint16_t to = 0;
+    protocol::Message message;
+  };
+
+  static protocol::ConnectionId connection(std::uint16_t from, std::uint16_t to) {
+    return {(std::uint64_t{from} << 16U) | to};
+  }
+
+  void advance() {
+    now_ += std::chrono::milliseconds(1);
+    std::vector<InFlight> due;
+    std::vector<InFlight> later;
+    for (InFlight& message : std::exchange(network_, {})) {
+      (message.arrival <= now_ ? due : later).push_back(std::move(message));
+    }
+    network_ = std::move(later);
+    for (InFlight& message : due) {
+      const bool lost = cut_.count(message.from) != 0 || cut_.count(message.to) != 0;
+      const auto found = nodes_.find(message.to);
+      if (lost || found == nodes_.end() || !found->second.registry) {
+        continue;
+      }
+      // The connection is numbered as the receiver sees it: by whom it answers.
+      found->second.registry->step(
+          now_, LinkReceived{connection(message.to, message.from), std::move(message.message)});
+      settle(message.to);
+    }
+    for (auto& [port, node] : nodes_) {
+      if (node.registry && node.registry->nextWakeup() <= now_) {
+        node.registry->step(now_, Tick{});
+        settle(port);
+      }
+    }
+  }
+
+  void settle(std::uint16_t port) {
+    Node& node = nodes_.at(port);
+    for (int round = 0; round < 16; ++round) {
+      RegistryOutputs outputs = node.registry->takeOutputs();
+      const bool persisted = !outputs.persist.empty();
+      node.disk.persist(outputs.persist);
+      for (RegistryAction& action : outputs.actions) {
+        perform(port, action);
+      }
+      if (persisted) {
+        node.registry->step(now_, Persisted{});
+      }
+      if (!persisted && outputs.actions.empty()) {
+        return;
+      }
+    }
+  }
+
+  void perform(std::uint16_t from, RegistryAction& action) {
+    if (auto* server = std::get_if<control::SendToServer>(&action)) {
+      for (const auto& [port, node] : nodes_) {
+        if (node.registry && node.registry->raftStatus().self == server->server) {
+          send(from, port, std::move(server->message));
+          return;
+        }
+      }
+    } else if (auto* back = std::get_if<control::SendToConnection>(&action)) {
+      send(from, static_cast<std::uint16_t>(back->connection.value & 0xffffU),
+           std::move(back->message));
+    } else if (auto* endpoint = std::get_if<SendToEndpoint>(&action)) {
+      send(from, endpoint->endpoint.port, std::move(endpoint->message));
+    } else if (auto* answered = std::get_if<CallAnswered>(&action)) {
+      answers_[answered->call] = answered->answer;
+    } else if (auto* order = std::get_if<SendOrder>(&action)) {
+      orders_.push_back(*order);
+      fences_.emplace_back(now_, order->fence);
+    }
+  }
+
+  void send(std::uint16_t from, std::uint16_t to, protocol::Message message) {
+    network_.push_back({now_ + std::chrono::milliseconds(1), from, to, std::move(message)});
+  }
+
+  const std::uint32_t losses_;
+  PlainReader reader_;
+  runtime::NullEventLog log_;
+  base::TimePoint now_ = base::TimePoint(std::chrono::seconds(1000));
+  std::map<std::uint16_t, Node> nodes_;
+  std::set<std::uint16_t> cut_;
+  std::vector<InFlight> network_;
+  std::uint64_t lastCall_ = 0;
+  std::map<std::uint64_t, ControlAnswer> answers_;
+  std::vector<SendOrder> orders_;
+  std::vector<std::pair<base::TimePoint, std::uint64_t>> fences_;
+};
+
+}  // namespace walnut::registry::testing
--- /dev/null
+++ b/test/registry/placement_test.cpp
@@ -0,0 +1,149 @@
+/// What is loaded and unloaded for a given demand.
+
+#include "registry/placement.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double kRoom = 100;
+
+catalog::EngineSpec engineOf(std::initializer_list<const char*> models) {
+  catalog::EngineSpec engine;
+  engine.slots = 64;
+  engine.weightsMegabytes = kRoom;
+  engine.adapterSlots = 2;
+  engine.storeLoadsPerSecond = 2;
+  for (const char* name : models) {
+    catalog::ModelSpec model;
+    model.name = name;
+    model.weightsMegabytes = 50;
+    model.storeLoadTime = 4s;
+    model.diskLoadTime = 2s;
+    model.memoryLoadTime = 1s;
+    model.adapters = 9;
+    model.adapterMegabytes = 0;
+    engine.models.push_back(model);
+  }
+  return engine;
+}
+
+PlacementWorker workerWith(const char* id, std::initializer_list<const char*> models) {
+  PlacementWorker worker;
+  worker.id = {id};
+  worker.mayBeOrdered = true;
+  for (const char* model : models) {
+    worker.holdings.models.push_back({model, 1, {}});
+  }
+  return worker;
+}
+
+}  // namespace
+
+TEST_GROUP(PlacementTest) {
+  const base::TimePoint now = base::TimePoint(100s);
+  PlacementPolicy policy{"svc"};
+  StoreRate store;
+  DemandBook demand;
+
+  void want(const char* model, const char* adapter, std::uint32_t waiting, std::uint32_t arrivals,
+            std::uint64_t gateway = 1) {
+    DemandUpdate update;
+    update.demands.push_back({"svc", model, adapter, waiting, arrivals});
+    demand.update({gateway}, update, now);
+  }
+  std::vector<PlacementStep> plan(const catalog::EngineSpec& engine,
+                                  const std::vector<PlacementWorker>& workers) {
+    return policy.plan(engine, workers, demand, store, now);
+  }
+};
+
+TEST(PlacementTest, nothingIsDoneWithoutDemand) {
+  CHECK_TRUE(plan(engineOf({"a"}), {workerWith("w", {})}).empty());
+}
+
+TEST(PlacementTest, aWaitedForModelIsLoadedWhereItIsQuickest) {
+  PlacementWorker near = workerWith("near", {});
+  near.holdings.inMemory = {"a"};
+  want("a", "", 1, 1);
+  const auto steps = plan(engineOf({"a"}), {workerWith("far", {}), near});
+  CHECK_EQUAL(1, steps.size());
+  CHECK_TRUE((steps[0] == PlacementStep{{"near"}, OrderOperation::load, "a", "", false}));
+}
+
+TEST(PlacementTest, aBurstAtManyGatewaysLoadsOneReplica) {
+  for (std::uint64_t gateway = 1; gateway <= 20; ++gateway) {
+    want("a", "", 5, 1, gateway);
+  }
+  PlacementWorker loading = workerWith("w1", {});
+  const auto first = plan(engineOf({"a"}), {loading, workerWith("w2", {})});
+  CHECK_EQUAL(1, first.size());
+  loading.arriving = "a";
+  CHECK_TRUE(plan(engineOf({"a"}), {loading, workerWith("w2", {})}).empty());
+}
+
+TEST(PlacementTest, aSurplusReplicaMakesRoomBeforeALastOne) {
+  want("new", "", 1, 1);
+  const auto steps = plan(engineOf({"new", "busy", "rare1", "rare2"}),
+                          {workerWith("w1", {"busy", "rare1"}), workerWith("w2", {"busy", "rare2"}),
+                           workerWith("w3", {"busy", "busy"})});
+  CHECK_EQUAL(1, steps.size());
+  CHECK_TRUE(steps[0].operation == OrderOperation::unload);
+  STRCMP_EQUAL("busy", steps[0].model.c_str());
+}
+
+TEST(PlacementTest, whatIsWaitedForNeverMakesRoom) {
+  want("new", "", 1, 1);
+  want("other", "", 1, 1, 2);
+  CHECK_TRUE(plan(engineOf({"new", "other"}), {[] {
+                    PlacementWorker full = workerWith("w", {"other", "other"});
+                    return full;
+                  }()})
+                 .empty());
+}
+
+TEST(PlacementTest, loadsFromTheStoreKeepItsRate) {
+  want("a", "", 1, 1, 1);
+  want("b", "", 1, 1, 2);
+  want("c", "", 1, 1, 3);
+  const auto steps = plan(engineOf({"a", "b", "c"}),
+                          {workerWith("w1", {}), workerWith("w2", {}), workerWith("w3", {})});
+  CHECK_EQUAL(1, steps.size());
+}
+
+TEST(PlacementTest, aBusyModelGetsASecondReplica) {
+  want("a", "", 0, 50);
+  const auto steps = plan(engineOf({"a"}), {workerWith("w1", {"a"}), workerWith("w2", {})});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("w2", steps[0].worker.value.c_str());
+}
+
+TEST(PlacementTest, anAdapterGoesWhereItsModelIs) {
+  want("a", "a3", 1, 1);
+  const auto steps = plan(engineOf({"a", "b"}), {workerWith("w1", {"b"}), workerWith("w2", {"a"})});
+  CHECK_EQUAL(1, steps.size());
+  CHECK_TRUE((steps[0] == PlacementStep{{"w2"}, OrderOperation::load, "a", "a3", false}));
+}
+
+TEST(PlacementTest, adapterPlacesAreNotExceeded) {
+  want("a", "a3", 1, 1);
+  PlacementWorker full = workerWith("w", {"a"});
+  full.holdings.models[0].adapters = {"a1", "a2"};
+  const auto steps = plan(engineOf({"a"}), {full});
+  CHECK_EQUAL(1, steps.size());
+  CHECK_TRUE(steps[0].operation == OrderOperation::unload);
+}
+
+TEST(PlacementTest, adaptersThatAreWaitedForOrNewStay) {
+  want("a", "a3", 1, 1, 1);
+  want("a", "a1", 1, 1, 2);
+  PlacementWorker full = workerWith("w", {"a"});
+  full.holdings.models[0].adapters = {"a1", "a2"};
+  full.newAdapters = {{"a", "a2"}};
+  CHECK_TRUE(plan(engineOf({"a"}), {full}).empty());
+}
--- /dev/null
+++ b/test/registry/registry_cluster_test.cpp
@@ -0,0 +1,170 @@
+/// A cell of registry servers under failures.
+
+#include "registry/cluster.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace walnut::registry::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<std::uint16_t> kSeeds = {1, 2, 3};
+
+}  // namespace
+
+TEST_GROUP(RegistryClusterTest) {
+  Cluster cluster{2};
+
+  /// Three founders and two servers that join them.
+  void startFive() {
+    for (const std::uint16_t port : kSeeds) {
+      cluster.start(port, port, kSeeds, kSeeds);
+    }
+    cluster.start(4, 4, {}, kSeeds);
+    cluster.start(5, 5, {}, kSeeds);
+  }
+  void declare(std::uint16_t port, const char* text) {
+    CHECK_TRUE(cluster.callUntilDone(port, ReplaceDocument{text}, 20s));
+  }
+  std::string readAt(std::uint16_t port) {
+    ControlAnswer answer;
+    for (int attempt = 0; attempt < 20; ++attempt) {
+      answer = cluster.call(port, ReadDocument{});
+      if (answer.status == ControlStatus::done) {
+        return answer.text;
+      }
+    }
+    return "";
+  }
+};
+
+TEST(RegistryClusterTest, nothingIsAcknowledgedBeforeItOutlivesTheLosses) {
+  for (const std::uint16_t port : kSeeds) {
+    cluster.start(port, port, kSeeds, kSeeds);
+  }
+  cluster.run(3s);
+  CHECK_TRUE(cluster.leader().has_value());
+  CHECK_TRUE(cluster.call(1, ReplaceDocument{"1 one"}).status == ControlStatus::unavailable);
+  cluster.start(4, 4, {}, kSeeds);
+  declare(1, "1 one");
+}
+
+TEST(RegistryClusterTest, fiveServersBecomeVoters) {
+  startFive();
+  cluster.run(5s);
+  CHECK_EQUAL(5, cluster.voterCount(*cluster.leader()));
+}
+
+TEST(RegistryClusterTest, seedsMayBeLate) {
+  cluster.start(4, 4, {}, kSeeds);
+  cluster.start(5, 5, {}, kSeeds);
+  cluster.start(1, 1, kSeeds, kSeeds);
+  cluster.run(4s);
+  cluster.start(2, 2, kSeeds, kSeeds);
+  cluster.run(2s);
+  cluster.start(3, 3, kSeeds, kSeeds);
+  cluster.run(4s);
+  CHECK_EQUAL(5, cluster.voterCount(*cluster.leader()));
+}
+
+TEST(RegistryClusterTest, anyServerTakesAndReadsADocument) {
+  startFive();
+  for (std::uint16_t port = 1; port <= 5; ++port) {
+    declare(port, (std::to_string(port) + " text").c_str());
+    for (std::uint16_t reader = 1; reader <= 5; ++reader) {
+      CHECK_EQUAL(std::to_string(port) + " text", readAt(reader));
+    }
+  }
+}
+
+TEST(RegistryClusterTest, anOlderOrEqualVersionIsAcknowledgedAndChangesNothing) {
+  startFive();
+  declare(1, "7 seven");
+  declare(2, "6 six");
+  declare(3, "7 another seven");
+  STRCMP_EQUAL("7 seven", readAt(4).c_str());
+}
+
+TEST(RegistryClusterTest, anInvalidDocumentIsRefused) {
+  startFive();
+  declare(1, "1 one");
+  CHECK_TRUE(cluster.call(1, ReplaceDocument{"no version"}).status == ControlStatus::refused);
+}
+
+TEST(RegistryClusterTest, aCutOffLeaderNeitherAcknowledgesNorReads) {
+  startFive();
+  declare(1, "1 one");
+  const std::uint16_t old = *cluster.leader();
+  cluster.cut(old);
+  CHECK_TRUE(cluster.call(old, ReplaceDocument{"2 two"}).status == ControlStatus::unavailable);
+  const std::uint16_t other = old == 1 ? 2 : 1;
+  declare(other, "3 three");
+  CHECK_TRUE(cluster.call(old, ReadDocument{}).status == ControlStatus::unavailable);
+  cluster.heal(old);
+  cluster.run(3s);
+  STRCMP_EQUAL("3 three", readAt(old).c_str());
+}
+
+TEST(RegistryClusterTest, twoDisksLostRightAfterAnAcknowledgementLoseNothing) {
+  startFive();
+  cluster.run(5s);
+  for (std::uint16_t first = 1; first <= 5; ++first) {
+    const std::uint16_t second = static_cast<std::uint16_t>(first % 5 + 1);
+    const std::string text = std::to_string(first * 10) + " text";
+    const std::uint16_t third = static_cast<std::uint16_t>(second % 5 + 1);
+    declare(third, text.c_str());
+    for (const std::uint16_t wiped : {first, second}) {
+      cluster.stop(wiped);
+      cluster.loseDisk(wiped);
+    }
+    cluster.run(500ms);
+    for (const std::uint16_t wiped : {first, second}) {
+      cluster.start(wiped, static_cast<std::uint64_t>(1000 + 100 * first + wiped), {}, kSeeds);
+    }
+    cluster.run(8s);
+    CHECK_EQUAL(text, readAt(first));
+    CHECK_EQUAL(5, cluster.voterCount(*cluster.leader()));
+  }
+}
+
+TEST(RegistryClusterTest, allServersRestartWithTheirDisks) {
+  startFive();
+  declare(1, "1 one");
+  for (std::uint16_t port = 1; port <= 5; ++port) {
+    cluster.stop(port);
+  }
+  cluster.run(1s);
+  for (std::uint16_t port = 1; port <= 5; ++port) {
+    cluster.start(port, port, {}, kSeeds);
+  }
+  STRCMP_EQUAL("1 one", readAt(5).c_str());
+}
+
+TEST(RegistryClusterTest, aReplacementAtAnotherAddressBecomesAVoter) {
+  startFive();
+  declare(1, "1 one");
+  cluster.run(5s);
+  cluster.stop(3);
+  cluster.run(1s);
+  cluster.start(6, 6, {}, {1, 2, 3});
+  cluster.run(4s);
+  // Two more may be lost now.
+  cluster.stop(1);
+  cluster.stop(2);
+  cluster.run(3s);
+  STRCMP_EQUAL("1 one", readAt(6).c_str());
+}
+
+TEST(RegistryClusterTest, aLeavingWorkerIsAcknowledgedOnceItIsCommitted) {
+  startFive();
+  declare(1, "1 one");
+  CHECK_TRUE(cluster.callUntilDone(2, Cluster::alive("w", 1, false, {}), 5s));
+  CHECK_TRUE(cluster.callUntilDone(2, Cluster::alive("w", 2, true, {}), 5s));
+  CHECK_TRUE(cluster.callUntilDone(3, ReportGone{{"w"}}, 5s));
+  // A late heartbeat is acknowledged and changes nothing.
+  CHECK_TRUE(cluster.callUntilDone(4, Cluster::alive("w", 1, false, {}), 5s));
+}
