registry: holdings are replicated and any server tells a gateway that knows nothing what it has

Change: the leader stores what workers hold in the log, at most twice a second each; a server that does not lead sends a provisional view to a gateway without a document; a gateway keeps requests up to 1.5 s until it has one, and then routes them with what is left of their time.

Test seen failing: the request before a document.

--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -153,6 +153,9 @@
 struct ViewUpdate {
   consensus::Term term = 0;
   bool complete = false;
+  /// From a server that doesn't lead, to a gateway that knows nothing: it may be outdated and is
+  /// taken only until the leader is found.
+  bool provisional = false;
   std::uint64_t documentVersion = 0;
   std::optional<catalog::Document> document;
   std::vector<WorkerView> changed;
@@ -162,7 +165,8 @@
   std::vector<base::Endpoint> servers;  ///< Internal endpoints of the cell.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(term, complete, documentVersion, document, changed, removed, loads, gateways, servers);
+    archive(term, complete, provisional, documentVersion, document, changed, removed, loads,
+            gateways, servers);
   }
 };
 
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -112,7 +112,9 @@
 void GatewayHost::takeMessage(protocol::ConnectionId connection,
                               const registry::RegistryMessage& message) {
   if (const auto* view = std::get_if<registry::ViewUpdate>(&message.body)) {
-    if (session_.viewReceived(connection, *view)) {
+    const bool fromLeader = !view->provisional && session_.viewReceived(connection, *view);
+    const bool better = view->provisional && gateway_.documentVersion() == 0;
+    if (fromLeader || better) {
       takeView(*view);
     }
   } else if (const auto* other = std::get_if<registry::NotLeading>(&message.body)) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -14,6 +15,9 @@
 constexpr int kUnavailable = 503;
 /// Share of the budget that is used: gateways are counted with a delay.
 constexpr double kBudgetShare = 0.7;
+/// For the first document after a start: little more than an election takes.
+constexpr base::Duration kEarlyPatience = std::chrono::milliseconds(1500);
+constexpr std::size_t kMaxEarly = 256;
 constexpr const char* kRetryAfterRefusal = "0.2";
 
 }  // namespace
@@ -29,7 +33,8 @@
       log_(log),
       metrics_(metrics),
       selector_(directory_, options.zone),
-      demandTimer_(scheduler.createTimer([this] { reportDemand(); })) {}
+      demandTimer_(scheduler.createTimer([this] { reportDemand(); })),
+      earlyTimer_(scheduler.createTimer([this] { refuseLateEarly(); })) {}
 
 Gateway::~Gateway() = default;
 
@@ -43,7 +48,9 @@
 
 void Gateway::viewReceived(const registry::ViewUpdate& update) {
   directory_.apply(update);
-  gateways_ = std::max<std::uint32_t>(1, update.gateways);
+  if (!update.provisional) {
+    gateways_ = std::max<std::uint32_t>(1, update.gateways);
+  }
   if (update.document && update.document->version > documentVersion()) {
     takeDocument(*update.document);
   }
@@ -65,6 +72,9 @@
   document_ = std::make_shared<const catalog::Document>(document);
   routes_ = std::make_unique<catalog::RouteTable>(document_);
   session_.setDocumentVersion(document.version);
+  if (!early_.empty()) {
+    scheduler_.runSoon([this] { routeEarly(); });
+  }
 }
 
 void Gateway::wakeWaiting() {
@@ -81,11 +91,50 @@
 }
 
 void Gateway::onRequest(net::HttpRequest request, net::ResponseSink& sink) {
-  RequestFacts facts = dialect_.readRequest(request);
   if (routes_ == nullptr) {
-    refuse(sink, facts.requestId, kUnavailable, "no document is known");
+    keepEarly(std::move(request), sink);
+  } else {
+    routeRequest(std::move(request), sink, base::Duration::zero());
+  }
+}
+
+/// The document comes within moments of the start of a gateway; what can't wait is refused.
+void Gateway::keepEarly(net::HttpRequest request, net::ResponseSink& sink) {
+  if (early_.size() >= kMaxEarly) {
+    refuse(sink, dialect_.readRequest(request).requestId, kUnavailable, "no document is known");
     return;
   }
+  early_.push_back({std::move(request), &sink, scheduler_.now()});
+  const auto entry = std::prev(early_.end());
+  sink.setGoneCallback([this, entry] { early_.erase(entry); });
+  earlyTimer_->enableAt(early_.front().arrivedAt + kEarlyPatience);
+}
+
+void Gateway::routeEarly() {
+  for (EarlyRequest& early : std::exchange(early_, {})) {
+    early.sink->setGoneCallback(nullptr);
+    routeRequest(std::move(early.request), *early.sink, scheduler_.now() - early.arrivedAt);
+  }
+}
+
+void Gateway::refuseLateEarly() {
+  while (!early_.empty() && early_.front().arrivedAt + kEarlyPatience <= scheduler_.now()) {
+    const EarlyRequest early = std::move(early_.front());
+    early_.pop_front();
+    refuse(*early.sink, dialect_.readRequest(early.request).requestId, kUnavailable,
+           "no document is known");
+  }
+  if (!early_.empty()) {
+    earlyTimer_->enableAt(early_.front().arrivedAt + kEarlyPatience);
+  }
+}
+
+void Gateway::routeRequest(net::HttpRequest request, net::ResponseSink& sink,
+                           base::Duration waited) {
+  RequestFacts facts = dialect_.readRequest(request);
+  if (facts.deadline) {
+    *facts.deadline -= std::min(waited, *facts.deadline);
+  }
   const std::string* host = request.headers.find("Host");
   const catalog::Route* route = host == nullptr ? nullptr : routes_->find(*host, request.path());
   if (route == nullptr) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 /// @file
 /// The gateway's logic: routes requests of callers to workers of services.
 
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -69,6 +70,21 @@
   void ended(Exchange& exchange, int status) override;
 
  private:
+  /// Assumed until the registry tells: rather too many.
+  static constexpr std::uint32_t kUnknownGateways = 16;
+
+  /// A request that came before any document was known.
+  struct EarlyRequest {
+    net::HttpRequest request;
+    net::ResponseSink* sink = nullptr;
+    base::TimePoint arrivedAt;
+  };
+
+  /// @param waited time that the request has spent here.
+  void routeRequest(net::HttpRequest request, net::ResponseSink& sink, base::Duration waited);
+  void keepEarly(net::HttpRequest request, net::ResponseSink& sink);
+  void routeEarly();
+  void refuseLateEarly();
   void refuse(net::ResponseSink& sink, const std::string& requestId, int status,
               std::string_view reason);
   const std::string& pickService(const catalog::Route& route);
@@ -91,10 +107,12 @@
   DemandTracker demand_;
   event::TimerPtr demandTimer_;
   bool demandSoon_ = false;
-  std::uint32_t gateways_ = 1;
+  std::uint32_t gateways_ = kUnknownGateways;
   std::map<std::string, routing::RetryBudget> budgets_;             ///< By service.
   std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
   std::unordered_map<Exchange*, std::unique_ptr<Exchange>> exchanges_;
+  std::list<EarlyRequest> early_;
+  event::TimerPtr earlyTimer_;
   bool stopping_ = false;
   bool refusingStreams_ = false;
   bool refusingAll_ = false;
--- a/src/registry/cell_state.cpp
+++ b/src/registry/cell_state.cpp
@@ -37,6 +37,11 @@
                  [this](const StoreWorker& body) { store(body.worker); },
                  [this](const ForgetWorker& body) { forget(body.worker); },
                  [this](const StoreOrderHolder& body) { orderHolder_ = body.server; },
+                 [this](const StoreHoldings& body) {
+                   if (workers_.count(body.worker) != 0) {
+                     holdings_[body.worker] = body.models;
+                   }
+                 },
              },
              command);
 }
@@ -62,6 +67,7 @@
 
 void CellState::forget(const WorkerId& id) {
   workers_.erase(id);
+  holdings_.erase(id);
   if (wasForgotten(id)) {
     return;
   }
@@ -76,6 +82,11 @@
   return found == workers_.end() ? nullptr : &found->second;
 }
 
+const std::vector<HeldModel>* CellState::findHoldings(const WorkerId& id) const {
+  const auto found = holdings_.find(id);
+  return found == holdings_.end() ? nullptr : &found->second;
+}
+
 bool CellState::wasForgotten(const WorkerId& id) const {
   return std::find(forgotten_.begin(), forgotten_.end(), id) != forgotten_.end();
 }
--- a/src/registry/cell_state.h
+++ b/src/registry/cell_state.h
@@ -42,6 +42,15 @@
     archive(worker);
   }
 };
+/// What a worker holds, as its leader last knew it: where a later leader and gateways begin.
+struct StoreHoldings {
+  WorkerId worker;
+  std::vector<HeldModel> models;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker, models);
+  }
+};
 /// The server that sends orders to workers from now on.
 struct StoreOrderHolder {
   base::ServerId server;
@@ -52,7 +61,8 @@
 };
 /// @}
 
-using Command = std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder>;
+using Command =
+    std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder, StoreHoldings>;
 
 std::string encodeCommand(const Command& command);
 base::Result<Command> decodeCommand(std::string_view bytes);
@@ -72,6 +82,8 @@
   /// @return true if the worker was there once and has been forgotten.
   bool wasForgotten(const WorkerId& id) const;
   base::ServerId orderHolder() const { return orderHolder_; }
+  /// @return what the worker held when it was last stored; nullptr if it never was.
+  const std::vector<HeldModel>* findHoldings(const WorkerId& id) const;
 
   /// @name Contents of a snapshot
   /// @{
@@ -81,7 +93,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(documentVersion_, documentText_, workers_, forgotten_, orderHolder_);
+    archive(documentVersion_, documentText_, workers_, holdings_, forgotten_, orderHolder_);
   }
 
  private:
@@ -91,7 +103,8 @@
   std::uint64_t documentVersion_ = 0;
   std::string documentText_;
   Workers workers_;
-  std::vector<WorkerId> forgotten_;  ///< Oldest first, bounded.
+  std::map<WorkerId, std::vector<HeldModel>> holdings_;  ///< Of workers that are there.
+  std::vector<WorkerId> forgotten_;                      ///< Oldest first, bounded.
   base::ServerId orderHolder_;
 };
 
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -12,6 +12,8 @@
 
 /// Beyond the lease of a former holder, for its clock and the network.
 constexpr base::Duration kTurnMargin = std::chrono::milliseconds(300);
+/// Least time between two stored states of one worker's holdings.
+constexpr base::Duration kHoldingsInterval = std::chrono::milliseconds(500);
 /// A worker that refused an order is not ordered again for this long.
 constexpr base::Duration kRefusedPause = std::chrono::milliseconds(200);
 /// Beyond a load's expected time.
@@ -67,7 +69,13 @@
 }
 
 WorkerStatus& LeaderDuties::statusOf(const WorkerId& id, base::TimePoint now) {
-  return workers_.try_emplace(id, now).first->second;
+  const auto [found, added] = workers_.try_emplace(id, now);
+  if (added) {
+    if (const std::vector<HeldModel>* held = state_.findHoldings(id)) {
+      found->second.begin(*held);
+    }
+  }
+  return found->second;
 }
 
 bool LeaderDuties::heartbeat(const Heartbeat& heartbeat, base::TimePoint now) {
@@ -135,6 +143,7 @@
                        const std::vector<base::Endpoint>& servers) {
   lastRunAt_ = now;
   noteSilence(now);
+  storeHoldings(now);
   if (!leaseValid && now >= nextPlan_) {
     nextPlan_ = now + options_.planInterval;
   }
@@ -167,6 +176,21 @@
   }
 }
 
+void LeaderDuties::storeHoldings(base::TimePoint now) {
+  for (auto& [id, status] : workers_) {
+    if (!status.holdingsKnown || now < status.holdingsStoredAt + kHoldingsInterval ||
+        state_.findWorker(id) == nullptr) {
+      continue;
+    }
+    std::vector<HeldModel> models = status.serving(now);
+    const std::vector<HeldModel>* stored = state_.findHoldings(id);
+    if (stored == nullptr || *stored != models) {
+      status.holdingsStoredAt = now;
+      commands_.emplace_back(StoreHoldings{id, std::move(models)});
+    }
+  }
+}
+
 void LeaderDuties::publish(base::TimePoint now, const std::vector<base::Endpoint>& servers) {
   for (const auto& [id, record] : state_.workers()) {
     const WorkerStatus& status = statusOf(id, now);
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -54,6 +54,7 @@
 
   void refreshDocument();
   void noteSilence(base::TimePoint now);
+  void storeHoldings(base::TimePoint now);
   void publish(base::TimePoint now, const std::vector<base::Endpoint>& servers);
   void plan(base::TimePoint now);
   void planService(const catalog::Service& service, base::TimePoint now);
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -29,6 +29,9 @@
   return "unknown";
 }
 
+/// A server that has just recovered, and knows of no leader yet, tells gateways what it recovered.
+constexpr base::Duration kProvisionalFor = std::chrono::seconds(3);
+
 protocol::Message wrap(MessageBody body) { return RegistryMessage{std::move(body)}; }
 
 }  // namespace
@@ -45,6 +48,7 @@
       log_(log),
       now_(now),
       raft_(consensus::makeRaft(options.raft, std::move(recovered), founders, seed, now)),
+      startedAt_(now),
       leaderHeardAt_(now) {}
 
 void RegistryImpl::step(base::TimePoint now, const RegistryInput& input) {
@@ -175,10 +179,34 @@
     return;
   }
   const consensus::RaftStatus status = raft_->status();
+  const bool current = status.leader != base::ServerId{} || now_ < startedAt_ + kProvisionalFor;
+  if (message.documentVersion == 0 && state_.documentVersion() != 0 && current) {
+    sendProvisionalView(from);
+  }
   actions_.emplace_back(control::SendToConnection{
       from, wrap(NotLeading{serverEndpoints(), endpointOf(status.leader, false)})});
 }
 
+/// After a restart of everything, gateways can serve before a leader is elected.
+void RegistryImpl::sendProvisionalView(protocol::ConnectionId gateway) {
+  auto document = reader_.read(state_.documentText());
+  if (document.has_error()) {
+    return;
+  }
+  ViewUpdate update;
+  update.complete = true;
+  update.provisional = true;
+  update.documentVersion = state_.documentVersion();
+  update.document = std::move(document.value());
+  for (const auto& [id, record] : state_.workers()) {
+    const std::vector<HeldModel>* held = state_.findHoldings(id);
+    update.changed.push_back(
+        {record, false, held != nullptr, held == nullptr ? std::vector<HeldModel>() : *held});
+  }
+  update.servers = serverEndpoints();
+  actions_.emplace_back(control::SendToConnection{gateway, wrap(std::move(update))});
+}
+
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const DemandUpdate& message) {
   if (leadingActively()) {
     leading_->demand(from, message, now_);
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -58,6 +58,7 @@
   void receiveBody(protocol::ConnectionId from, const JoinReply& message);
   void receiveBody(protocol::ConnectionId from, const Subscribe& message);
   void receiveBody(protocol::ConnectionId from, const DemandUpdate& message);
+  void sendProvisionalView(protocol::ConnectionId gateway);
   void receiveBody(protocol::ConnectionId, const NotLeading&) {}
   void receiveBody(protocol::ConnectionId, const ViewUpdate&) {}
 
@@ -116,6 +117,7 @@
   base::ServerId lastLeader_;
   consensus::LogIndex lastMembershipIndex_ = 0;
 
+  const base::TimePoint startedAt_;
   base::TimePoint leaderHeardAt_;
   base::TimePoint nextJoinAt_;
   std::vector<base::Endpoint> learnedEndpoints_;  ///< From answers to requests to join.
--- a/src/registry/worker_status.cpp
+++ b/src/registry/worker_status.cpp
@@ -15,6 +15,11 @@
 
 }  // namespace
 
+void WorkerStatus::begin(const std::vector<HeldModel>& models) {
+  reported_.models = models;
+  holdingsKnown = true;
+}
+
 bool WorkerStatus::takeHeartbeat(const Heartbeat& heartbeat, base::TimePoint now) {
   if (heartbeat.sequence < lastSequence) {
     return false;
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -17,7 +17,7 @@
 struct ModelOrder {
   OrderOperation operation = OrderOperation::load;
   std::string model;
-  base::TimePoint dueAt;         ///< When the worker is asked, if it has not told by then.
+  base::TimePoint dueAt;  ///< When the worker is asked, if it has not told by then.
 };
 
 /// What the worker holds is known from its heartbeats and reports, overlaid by the adapters that it
@@ -31,6 +31,7 @@
   explicit WorkerStatus(base::TimePoint now) : lastHeard(now) {}
 
   base::TimePoint lastHeard;
+  base::TimePoint holdingsStoredAt;  ///< When its holdings were last proposed for the log.
   std::uint64_t lastSequence = 0;
   bool silent = false;
   bool holdingsKnown = false;
@@ -45,12 +46,15 @@
   /// An adapter was refused while an order for a model was under way: none is sent before its end.
   bool adaptersBlocked = false;
 
+  /// Takes what a former leader knew, until the worker itself is heard.
+  void begin(const std::vector<HeldModel>& models);
   /// @return false if the heartbeat is older than one seen before.
   bool takeHeartbeat(const Heartbeat& heartbeat, base::TimePoint now);
   void takeReport(const WorkerReport& report, base::TimePoint now);
 
   /// @return true if the adapter was ordered a short while ago.
-  bool adapterIsNew(const std::string& model, const std::string& adapter, base::TimePoint now) const;
+  bool adapterIsNew(const std::string& model, const std::string& adapter,
+                    base::TimePoint now) const;
 
   /// An order was accepted or found done.
   void adapterOrdered(const PlacementStep& step, base::TimePoint now, base::Duration settleTime);
--- a/test/gateway/exchange_test.cpp
+++ b/test/gateway/exchange_test.cpp
@@ -17,10 +17,22 @@
 
 TEST(ExchangeTest, withoutADocumentNothingIsRefusedForGood) {
   const auto caller = harness.request("safe", "r1");
+  CHECK_EQUAL(0, caller->status);
+  harness.scheduler.advance(2s);
   CHECK_EQUAL(503, caller->status);
   CHECK(caller->headers.find("Retry-After") != nullptr);
 }
 
+TEST(ExchangeTest, aRequestThatCameBeforeTheDocumentIsRoutedWithWhatIsLeftOfItsTime) {
+  const auto caller = harness.request("safe", "r1");
+  const auto left = harness.request("safe", "r2");
+  left->gone();
+  harness.scheduler.advance(1s);
+  harness.declare(1);
+  CHECK_EQUAL(1, sentCount());
+  STRCMP_EQUAL("4000", sent(0).request.headers.find("Deadline-Ms")->c_str());
+}
+
 TEST(ExchangeTest, anUnknownRouteIsNotFound) {
   harness.declare(1);
   CHECK_EQUAL(404, harness.request("none", "r1")->status);
