placement: hot models get a second replica first; a worker that is overdue and unreachable is silent

Two unloads of one model in one round each counted the other as staying. Workers that load a model take no adapters: waits of 5 s.

Change: wakes in the order of rate and waiting requests; an order counts from its sending; a worker that alone serves a model with adapters in demand is not kept busy; gateways report workers they can't reach, which count as silent after 1.3 heartbeats instead of 3.4; idle connections are preferred; the first event and the longest pause of a stream are logged.

--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -186,9 +186,10 @@
 struct DemandUpdate {
   std::vector<ModelDemand> demands;
   std::vector<WorkerLoad> loads;
+  std::vector<WorkerId> unreachable;  ///< Workers that the gateway can't reach at present.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(demands, loads);
+    archive(demands, loads, unreachable);
   }
 };
 
--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -41,7 +41,11 @@
   base::Duration planInterval = std::chrono::milliseconds(100);
   base::Duration joinInterval = std::chrono::milliseconds(250);
   base::Duration joinAfterSilence = std::chrono::milliseconds(1200);
-  base::Duration workerSilentAfter = std::chrono::milliseconds(4000);
+  base::Duration heartbeatInterval = std::chrono::milliseconds(1200);  ///< Of workers.
+  /// Silence from which a worker gets no new work while others can take it, in heartbeats.
+  double silentHeartbeats = 3.4;
+  /// The same, if some gateway can't reach it.
+  double overdueHeartbeats = 1.3;
   base::Duration workerForgottenAfter = std::chrono::seconds(20);
   base::Duration orderLease = std::chrono::milliseconds(3000);  ///< A holder's turn, after its end.
   base::Duration orderTimeout = std::chrono::seconds(1);
--- a/src/daemon/registry_settings.cpp
+++ b/src/daemon/registry_settings.cpp
@@ -33,8 +33,8 @@
                    "Disks that may be lost at once");
   keys_.addMillis("order-lease-ms", settings_.logic.orderLease, 0, kMaxMillis,
                   "Between the orders of two servers");
-  keys_.addMillis("worker-silent-ms", settings_.logic.workerSilentAfter, 1, kMaxMillis,
-                  "Silence from which a worker gets no new work while others can take it");
+  keys_.addMillis("heartbeat-ms", settings_.logic.heartbeatInterval, 1, kMaxMillis,
+                  "Between two heartbeats of a worker");
   keys_.addMillis("worker-forgotten-ms", settings_.logic.workerForgottenAfter, 1, kMaxMillis,
                   "Silence after which a worker is forgotten");
 }
--- a/src/gateway/demand_tracker.cpp
+++ b/src/gateway/demand_tracker.cpp
@@ -33,6 +33,9 @@
     for (const auto& [model, running] : worker->runningByModel) {
       update.loads.push_back({id, model, running});
     }
+    if (worker->breaker.state() != routing::BreakerState::closed) {
+      update.unreachable.push_back(id);
+    }
   }
   urgent_ = false;
   return update;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -47,6 +47,11 @@
   return Poco::NumberFormatter::format(std::chrono::duration<double>(duration).count(), kDecimals);
 }
 
+std::uint64_t millisOf(base::Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 }  // namespace
 
 Exchange::Exchange(ExchangeContext& context, std::shared_ptr<const catalog::Document> document,
@@ -218,9 +223,13 @@
   }
   if (!headSent_) {
     headSent_ = true;
+    firstEventAt_ = now();
+    lastEventAt_ = firstEventAt_;
     worker_->latency.observe(now() - attemptAt_);
     sink_.beginChunked(head_);
   }
+  longestGap_ = std::max(longestGap_, now() - lastEventAt_);
+  lastEventAt_ = now();
   sink_.writeChunk(whole);
   armStall(std::max(kStallFloor, kStallFactor * route_.targetGap));
   if (sink_.bufferedBytes() > kHighWatermark) {
@@ -455,9 +464,12 @@
        {"route", route_.name},
        {"status", static_cast<std::uint64_t>(status)},
        {"outcome", outcome},
-       {"millis",
-        static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(now() - arrivedAt_).count())}});
+       {"model", facts_.model},
+       {"worker", worker_ == nullptr ? "" : worker_->view.record.id.value},
+       {"attempts", runs_ + std::uint64_t{accepted_}},
+       {"first", millisOf(headSent_ ? firstEventAt_ - arrivedAt_ : base::Duration::zero())},
+       {"gap", millisOf(longestGap_)},
+       {"millis", millisOf(now() - arrivedAt_)}});
   context_.ended(*this, status);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -36,6 +36,8 @@
   virtual std::unique_ptr<Attempt> start(const registry::WorkerRecord& worker,
                                          const net::HttpRequest& request,
                                          net::ResponseCallbacks& callbacks) = 0;
+  /// @return true if a request to that worker would need no new connection.
+  virtual bool connected(const registry::WorkerId& worker) const = 0;
 };
 
 class Exchange;
@@ -152,6 +154,9 @@
 
   // Of a stream.
   bool headSent_ = false;
+  base::TimePoint firstEventAt_;
+  base::TimePoint lastEventAt_;
+  base::Duration longestGap_{0};
   EventStream events_;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,7 +32,8 @@
       session_(session),
       log_(log),
       metrics_(metrics),
-      selector_(directory_, options.zone),
+      selector_(directory_, options.zone,
+                [&launcher](const registry::WorkerId& id) { return launcher.connected(id); }),
       demandTimer_(scheduler.createTimer([this] { reportDemand(); })),
       earlyTimer_(scheduler.createTimer([this] { refuseLateEarly(); })) {}
 
@@ -61,8 +62,8 @@
   if (news) {
     wakeWaiting();
   }
-  if (update.complete && !std::exchange(demandSoon_, true)) {
-    scheduler_.runSoon([this] { reportDemand(); });
+  if (update.complete) {
+    reportDemandSoon();
   }
 }
 
@@ -210,6 +211,10 @@
     return;
   }
   demand_.waitBegan(service, facts.model, facts.adapter);
+  reportDemandSoon();
+}
+
+void Gateway::reportDemandSoon() {
   if (!std::exchange(demandSoon_, true)) {
     scheduler_.runSoon([this] { reportDemand(); });
   }
@@ -235,6 +240,7 @@
   worker.breaker.failed(scheduler_.now(), options_.breakerFailures, options_.breakerOpenFor);
   if (!wasOpen && worker.breaker.state() == routing::BreakerState::open) {
     log_.write(LogEvent::breakerOpened, {{"worker", worker.view.record.id.value}});
+    reportDemandSoon();
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -91,6 +91,7 @@
   routing::RetryBudget& budgetOf(const std::string& service);
   void takeDocument(const catalog::Document& document);
   void reportDemand();
+  void reportDemandSoon();
   void wakeWaiting();
 
   const GatewayOptions options_;
--- a/src/gateway/pooled_launcher.h
+++ b/src/gateway/pooled_launcher.h
@@ -15,6 +15,9 @@
   std::unique_ptr<Attempt> start(const registry::WorkerRecord& worker,
                                  const net::HttpRequest& request,
                                  net::ResponseCallbacks& callbacks) override;
+  bool connected(const registry::WorkerId& worker) const override {
+    return pool_.hasIdle(worker.value);
+  }
   /// Closes idle connections to a worker that is gone.
   void forget(const registry::WorkerId& worker) { pool_.forget(worker.value); }
 
--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -14,6 +14,7 @@
 constexpr double kFullFactor = 4.0;
 constexpr double kOtherZoneFactor = 1.12;
 constexpr double kKnownPromptFactor = 0.85;
+constexpr double kNewConnectionFactor = 1.2;
 constexpr double kFailureFactor = 6.0;
 constexpr double kSilentFactor = 20.0;
 constexpr double kDefaultLatency = 0.05;  ///< In seconds, until any was observed.
@@ -112,6 +113,9 @@
   if (worker.view.record.zone != zone_) {
     cost *= kOtherZoneFactor;
   }
+  if (!connectedTo_(worker.view.record.id)) {
+    cost *= kNewConnectionFactor;
+  }
   if (preferred != nullptr && *preferred == worker.view.record.id) {
     cost *= kKnownPromptFactor;
   }
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -2,6 +2,7 @@
 /// @file
 /// Which worker a request goes to.
 
+#include <functional>
 #include <list>
 #include <set>
 #include <string>
@@ -49,8 +50,11 @@
 /// preferred when that makes no great difference.
 class WorkerSelector {
  public:
-  WorkerSelector(const WorkerDirectory& directory, base::ZoneId zone)
-      : directory_(directory), zone_(std::move(zone)) {}
+  /// Whether a request to a worker would need no new connection.
+  using ConnectedTo = std::function<bool(const registry::WorkerId&)>;
+
+  WorkerSelector(const WorkerDirectory& directory, base::ZoneId zone, ConnectedTo connectedTo)
+      : directory_(directory), zone_(std::move(zone)), connectedTo_(std::move(connectedTo)) {}
 
   Selection select(const std::string& service, const RequestFacts& facts,
                    const std::set<registry::WorkerId>& excluded, base::TimePoint now) const;
@@ -62,6 +66,7 @@
 
   const WorkerDirectory& directory_;
   const base::ZoneId zone_;
+  const ConnectedTo connectedTo_;
   PromptAffinity affinity_;
 };
 
--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -1,5 +1,6 @@
 #include "registry/demand_book.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace walnut::registry {
@@ -21,6 +22,7 @@
   Gateway& reported = gateways_[gateway];
   reported.waiting.clear();
   reported.running.clear();
+  reported.unreachable = {update.unreachable.begin(), update.unreachable.end()};
   for (const ModelDemand& demand : update.demands) {
     const ModelKey key{demand.service, demand.model, demand.adapter};
     if (demand.waiting > 0) {
@@ -65,6 +67,19 @@
   return figures;
 }
 
+double DemandBook::adapterRate(const std::string& service, const std::string& model,
+                               base::TimePoint now) const {
+  double rate = 0;
+  for (auto entry = history_.lower_bound({service, model, {}});
+       entry != history_.end() && entry->first.service == service && entry->first.model == model;
+       ++entry) {
+    if (!entry->first.adapter.empty()) {
+      rate += decayed(entry->second.weight, now - entry->second.updatedAt) / kRateSeconds;
+    }
+  }
+  return rate;
+}
+
 std::uint32_t DemandBook::running(const WorkerId& worker) const {
   std::uint32_t total = 0;
   for (const auto& [gateway, reported] : gateways_) {
@@ -90,6 +105,12 @@
   return total;
 }
 
+bool DemandBook::unreachable(const WorkerId& worker) const {
+  return std::any_of(gateways_.begin(), gateways_.end(), [&worker](const auto& entry) {
+    return entry.second.unreachable.count(worker) != 0;
+  });
+}
+
 std::vector<WorkerLoad> DemandBook::loads() const {
   std::map<WorkerId, std::uint32_t> totals;
   for (const auto& [gateway, reported] : gateways_) {
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <map>
+#include <set>
 #include <string>
 
 #include "walnut/protocol/messages.h"
@@ -35,10 +36,15 @@
   void forget(protocol::ConnectionId gateway);
 
   DemandFigures figures(const ModelKey& key, base::TimePoint now) const;
+  /// @return arrivals a second for adapters of a model, all together.
+  double adapterRate(const std::string& service, const std::string& model,
+                     base::TimePoint now) const;
   /// @return the requests of all gateways on that worker.
   std::uint32_t running(const WorkerId& worker) const;
   /// @return those of one model.
   std::uint32_t running(const WorkerId& worker, const std::string& model) const;
+  /// @return true if some gateway can't reach the worker.
+  bool unreachable(const WorkerId& worker) const;
   /// @return the running requests of all workers that have any.
   std::vector<WorkerLoad> loads() const;
   /// @return all models and adapters for which requests wait.
@@ -49,6 +55,7 @@
  private:
   struct Gateway {
     std::map<ModelKey, std::uint32_t> waiting;
+    std::set<WorkerId> unreachable;
     std::map<WorkerId, std::map<std::string, std::uint32_t>> running;  ///< By model.
   };
   struct History {
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -48,6 +48,10 @@
   return count;
 }
 
+void noteOrder(PlacementWorker& worker, OrderOperation operation, const std::string& model) {
+  (operation == OrderOperation::load ? worker.arriving : worker.retiring) = model;
+}
+
 std::string_view operationName(OrderOperation operation) {
   return operation == OrderOperation::load ? "load" : "unload";
 }
@@ -165,7 +169,7 @@
       continue;
     }
     const base::Duration silence = now - status.lastHeard;
-    if (!status.silent && silence > options_.workerSilentAfter) {
+    if (!status.silent && isSilent(id, status, now)) {
       status.silent = true;
       log_.write(LogEvent::workerSilent, {{"worker", id.value}});
     }
@@ -176,6 +180,14 @@
   }
 }
 
+bool LeaderDuties::isSilent(const WorkerId& id, const WorkerStatus& status,
+                            base::TimePoint now) const {
+  const double heartbeats =
+      demand_.unreachable(id) ? options_.overdueHeartbeats : options_.silentHeartbeats;
+  const std::chrono::duration<double> limit = heartbeats * options_.heartbeatInterval;
+  return now - status.lastHeard > limit;
+}
+
 void LeaderDuties::storeHoldings(base::TimePoint now) {
   for (auto& [id, status] : workers_) {
     if (!status.holdingsKnown || now < status.holdingsStoredAt + kHoldingsInterval ||
@@ -262,8 +274,7 @@
   worker.id = record.id;
   worker.holdings = status.expected(now);
   worker.serving = !record.leaving && !status.silent;
-  worker.mayBeOrdered =
-      !status.orderUnderWay && !status.reportUnderWay && now >= status.orderAgainAt;
+  worker.mayBeOrdered = !status.sentOrder && !status.reportUnderWay && now >= status.orderAgainAt;
   worker.mayTakeAdapters = !(status.adaptersBlocked && status.modelOrder);
   for (const HeldModel& held : worker.holdings.models) {
     for (const std::string& adapter : held.adapters) {
@@ -273,10 +284,11 @@
     }
   }
   worker.running = demand_.running(record.id);
-  if (status.modelOrder && status.modelOrder->operation == OrderOperation::load) {
-    worker.arriving = status.modelOrder->model;
-  } else if (status.modelOrder) {
-    worker.retiring = status.modelOrder->model;
+  if (status.modelOrder) {
+    noteOrder(worker, status.modelOrder->operation, status.modelOrder->model);
+  }
+  if (status.sentOrder && status.sentOrder->adapter.empty()) {
+    noteOrder(worker, status.sentOrder->operation, status.sentOrder->model);
   }
   return worker;
 }
@@ -289,7 +301,7 @@
     return;
   }
   const std::uint64_t order = ++lastOrder_;
-  status.orderUnderWay = true;
+  status.sentOrder = step;
   orders_[order] = {step, now};
   SendOrder send;
   send.order = order;
@@ -354,7 +366,7 @@
     return;
   }
   WorkerStatus& status = statusOf(step.worker, now);
-  status.orderUnderWay = false;
+  status.sentOrder.reset();
   status.orderFinishedAt = now;
   planSoon_ = true;
   const bool ofModel = step.adapter.empty();
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -54,6 +54,7 @@
 
   void refreshDocument();
   void noteSilence(base::TimePoint now);
+  bool isSilent(const WorkerId& id, const WorkerStatus& status, base::TimePoint now) const;
   void storeHoldings(base::TimePoint now);
   void publish(base::TimePoint now, const std::vector<base::Endpoint>& servers);
   void plan(base::TimePoint now);
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -17,6 +17,8 @@
 constexpr base::Duration kWakeLifetime = std::chrono::seconds(15);
 /// Arrivals a second from which a model is held by two workers.
 constexpr double kSecondReplicaRate = 0.6;
+/// Of a model's rate, in the order of wakes, if it has two replicas or more.
+constexpr double kCrowdedShare = 0.1;
 /// Seconds of cost that a second replica is worth, for each arrival a second.
 constexpr double kSecondReplicaWorth = 6.0;
 /// Running requests per replica, as a share of a worker's slots, from which another replica is
@@ -39,7 +41,12 @@
 constexpr double kRunningCost = 1.0;
 constexpr double kMaxRunningCost = 4.0;
 constexpr double kRecentUseCost = 1.0;
+/// For each adapter that is dropped with it.
+constexpr double kHeldAdapterCost = 0.05;
 /// @}
+/// Of holding up adapters, for each arrival a second, and at most.
+constexpr double kAdapterCost = 2.0;
+constexpr double kMaxAdapterCost = 4.0;
 /// A wake that has not led to a load in this time is decided anew: the worker may be waiting for
 /// long requests to end.
 constexpr base::Duration kWakePatience = std::chrono::milliseconds(1500);
@@ -165,6 +172,24 @@
     return running / std::max(slots, 1.0);
   }
 
+  /// @return what it costs to keep a worker busy with a model: it takes no adapters meanwhile, and
+  /// those of models that no other worker serves have to wait.
+  double adapterBlockCost(const PlacementWorker& worker) const {
+    double cost = 0;
+    for (const HeldModel& held : worker.holdings.models) {
+      const bool elsewhere =
+          std::any_of(workers.begin(), workers.end(), [&](const PlacementWorker& other) {
+            return other.id != worker.id && other.serving && !other.arriving && !other.retiring &&
+                   other.holdings.find(held.name) != nullptr;
+          });
+      if (!elsewhere) {
+        cost +=
+            std::min(kMaxAdapterCost, kAdapterCost * demand.adapterRate(service, held.name, now));
+      }
+    }
+    return cost;
+  }
+
   /// @return what it costs, in seconds of a request's wait, to unload a model from a worker.
   double unloadCost(const PlacementWorker& worker, const HeldModel& held) const {
     const DemandFigures wanted = figures(held.name);
@@ -180,6 +205,7 @@
     if (loadWithout(held.name, count) > kScaleOutShare) {
       cost += kOverloadCost;
     }
+    cost += kHeldAdapterCost * static_cast<double>(held.adapters.size());
     return cost + (count == 2 ? kSecondCost + kSecondRateCost * wanted.rate
                               : kSurplusCost + kSurplusRateCost * wanted.rate);
   }
@@ -238,7 +264,8 @@
     const base::Duration age = round.now - wake.since;
     return worker == nullptr || !worker->serving || worker->holdings.find(model) != nullptr ||
            age > kWakeLifetime ||
-           (age > kWakePatience && worker->arriving != model && hasBetterWorker(round, model, wake));
+           (age > kWakePatience && worker->arriving != model &&
+            hasBetterWorker(round, model, wake));
   });
 }
 
@@ -265,7 +292,9 @@
     const bool crowded =
         replicas > 0 && round.loadWithout(model.name, replicas + 1) > kScaleOutShare;
     if (cold || alone || crowded) {
-      wanted.emplace_back(figures.rate + (cold ? kWantedCost + figures.waiting : 0), model.name);
+      // What waits now, and what would wait if the only replica were lost.
+      const double share = replicas >= 2 ? kCrowdedShare : 1.0;
+      wanted.emplace_back(share * figures.rate + (cold ? figures.waiting : 0), model.name);
     }
   }
   std::sort(wanted.rbegin(), wanted.rend());
@@ -297,6 +326,7 @@
     const bool orderUnderWay = worker.arriving || worker.retiring || !worker.mayBeOrdered;
     const double busy = orderUnderWay ? kBusyCost : 0;
     const double cost = seconds(round.loadTime(worker, model)) + load + busy +
+                        round.adapterBlockCost(worker) +
                         round.roomFor(worker, model.weightsMegabytes).second;
     if (cost < bestCost) {
       bestCost = cost;
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -40,8 +40,8 @@
   std::uint64_t orderCount = 0;
   base::TimePoint orderFinishedAt;  ///< When an order was last answered.
   bool reportUnderWay = false;
-  bool orderUnderWay = false;    ///< Sent, not answered.
-  base::TimePoint orderAgainAt;  ///< Not ordered before this time, after a refusal.
+  std::optional<PlacementStep> sentOrder;  ///< Sent, not answered.
+  base::TimePoint orderAgainAt;            ///< Not ordered before this time, after a refusal.
   std::optional<ModelOrder> modelOrder;
   /// An adapter was refused while an order for a model was under way: none is sent before its end.
   bool adaptersBlocked = false;
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -124,6 +124,8 @@
     return std::make_unique<Recorded>(sent.back());
   }
 
+  bool connected(const registry::WorkerId&) const override { return true; }
+
  private:
   struct Recorded : Attempt {
     explicit Recorded(std::shared_ptr<Sent> entry) : sent(std::move(entry)) {}
--- a/test/gateway/worker_selector_test.cpp
+++ b/test/gateway/worker_selector_test.cpp
@@ -15,7 +15,10 @@
 TEST_GROUP(WorkerSelectorTest) {
   const base::TimePoint now = base::TimePoint(100s);
   WorkerDirectory directory;
-  WorkerSelector selector{directory, {"here"}};
+  std::set<std::string> unconnected;
+  WorkerSelector selector{directory, {"here"}, [this](const registry::WorkerId& id) {
+                            return unconnected.count(id.value) == 0;
+                          }};
 
   void know(std::size_t count) {
     registry::ViewUpdate update;
@@ -70,6 +73,12 @@
   STRCMP_EQUAL("w3", chosen(facts).c_str());
 }
 
+TEST(WorkerSelectorTest, aNewConnectionIsAvoidedAtEqualLoad) {
+  know(2);
+  unconnected = {"w1"};
+  STRCMP_EQUAL("w2", chosen().c_str());
+}
+
 TEST(WorkerSelectorTest, theReasonIsNamedWhenNobodyCanBeHad) {
   CHECK_TRUE(selector.select("svc", {}, {}, now).reason == NoWorkerReason::noWorkers);
   know(1);
