registry: planning by totals, views of changed workers only

Change: totals over gateways are kept with each report; a plan counts replicas once; it is spaced by the number of workers; only workers that changed are viewed again.

--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -1,7 +1,7 @@
 #include "registry/demand_book.h"
 
-#include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace walnut::registry {
 
@@ -15,14 +15,24 @@
   return weight * std::exp(-std::chrono::duration<double>(age).count() / kRateSeconds);
 }
 
+template <class Key>
+void takeAway(std::map<Key, std::uint32_t>& totals, const Key& key, std::uint32_t count) {
+  const auto found = totals.find(key);
+  if (found == totals.end()) {
+    return;
+  }
+  if (found->second <= count) {
+    totals.erase(found);
+  } else {
+    found->second -= count;
+  }
+}
+
 }  // namespace
 
 void DemandBook::update(protocol::ConnectionId gateway, const DemandUpdate& update,
                         base::TimePoint now) {
-  Gateway& reported = gateways_[gateway];
-  reported.waiting.clear();
-  reported.running.clear();
-  reported.unreachable = {update.unreachable.begin(), update.unreachable.end()};
+  Gateway reported;
   for (const ModelDemand& demand : update.demands) {
     const ModelKey key{demand.service, demand.model, demand.adapter};
     if (demand.waiting > 0) {
@@ -34,7 +44,54 @@
     }
   }
   for (const WorkerLoad& load : update.loads) {
-    reported.running[load.worker][load.model] = load.running;
+    if (load.running > 0) {
+      reported.running[load.worker][load.model] = load.running;
+    }
+  }
+  reported.unreachable = {update.unreachable.begin(), update.unreachable.end()};
+  forget(gateway);
+  add(reported);
+  gateways_[gateway] = std::move(reported);
+}
+
+void DemandBook::forget(protocol::ConnectionId gateway) {
+  const auto found = gateways_.find(gateway);
+  if (found != gateways_.end()) {
+    subtract(found->second);
+    gateways_.erase(found);
+  }
+}
+
+void DemandBook::add(const Gateway& gateway) {
+  for (const auto& [key, count] : gateway.waiting) {
+    waiting_[key] += count;
+    modelWaiting_[key.withoutAdapter()] += count;
+  }
+  for (const auto& [worker, models] : gateway.running) {
+    for (const auto& [model, count] : models) {
+      running_[worker][model] += count;
+    }
+  }
+  for (const WorkerId& worker : gateway.unreachable) {
+    ++unreachable_[worker];
+  }
+}
+
+void DemandBook::subtract(const Gateway& gateway) {
+  for (const auto& [key, count] : gateway.waiting) {
+    takeAway(waiting_, key, count);
+    takeAway(modelWaiting_, key.withoutAdapter(), count);
+  }
+  for (const auto& [worker, models] : gateway.running) {
+    for (const auto& [model, count] : models) {
+      takeAway(running_[worker], model, count);
+    }
+    if (running_[worker].empty()) {
+      running_.erase(worker);
+    }
+  }
+  for (const WorkerId& worker : gateway.unreachable) {
+    takeAway(unreachable_, worker, 1);
   }
 }
 
@@ -48,17 +105,11 @@
   history.lastArrival = now;
 }
 
-void DemandBook::forget(protocol::ConnectionId gateway) { gateways_.erase(gateway); }
-
 DemandFigures DemandBook::figures(const ModelKey& key, base::TimePoint now) const {
   DemandFigures figures;
-  for (const auto& [gateway, reported] : gateways_) {
-    for (const auto& [wanted, count] : reported.waiting) {
-      if (wanted == key || (key.adapter.empty() && wanted.withoutAdapter() == key)) {
-        figures.waiting += count;
-      }
-    }
-  }
+  const auto& totals = key.adapter.empty() ? modelWaiting_ : waiting_;
+  const auto waiting = totals.find(key);
+  figures.waiting = waiting == totals.end() ? 0 : waiting->second;
   const auto found = history_.find(key);
   if (found != history_.end()) {
     figures.rate = decayed(found->second.weight, now - found->second.updatedAt) / kRateSeconds;
@@ -81,70 +132,31 @@
 }
 
 std::uint32_t DemandBook::running(const WorkerId& worker) const {
+  const auto found = running_.find(worker);
   std::uint32_t total = 0;
-  for (const auto& [gateway, reported] : gateways_) {
-    const auto found = reported.running.find(worker);
-    if (found != reported.running.end()) {
-      for (const auto& [model, count] : found->second) {
-        total += count;
-      }
+  if (found != running_.end()) {
+    for (const auto& [model, count] : found->second) {
+      total += count;
     }
   }
   return total;
 }
 
 std::uint32_t DemandBook::running(const WorkerId& worker, const std::string& model) const {
-  std::uint32_t total = 0;
-  for (const auto& [gateway, reported] : gateways_) {
-    const auto found = reported.running.find(worker);
-    if (found != reported.running.end()) {
-      const auto count = found->second.find(model);
-      total += count == found->second.end() ? 0 : count->second;
-    }
+  const auto found = running_.find(worker);
+  if (found == running_.end()) {
+    return 0;
   }
-  return total;
-}
-
-bool DemandBook::unreachable(const WorkerId& worker) const {
-  return std::any_of(gateways_.begin(), gateways_.end(), [&worker](const auto& entry) {
-    return entry.second.unreachable.count(worker) != 0;
-  });
+  const auto count = found->second.find(model);
+  return count == found->second.end() ? 0 : count->second;
 }
 
 std::vector<WorkerLoad> DemandBook::loads() const {
-  std::map<WorkerId, std::uint32_t> totals;
-  for (const auto& [gateway, reported] : gateways_) {
-    for (const auto& [worker, models] : reported.running) {
-      for (const auto& [model, count] : models) {
-        totals[worker] += count;
-      }
-    }
-  }
   std::vector<WorkerLoad> loads;
-  for (const auto& [worker, count] : totals) {
-    loads.push_back({worker, {}, count});
+  for (const auto& [worker, models] : running_) {
+    loads.push_back({worker, {}, running(worker)});
   }
   return loads;
 }
 
-std::map<ModelKey, std::uint32_t> DemandBook::waiting() const {
-  std::map<ModelKey, std::uint32_t> all;
-  for (const auto& [gateway, reported] : gateways_) {
-    for (const auto& [key, count] : reported.waiting) {
-      all[key] += count;
-    }
-  }
-  return all;
-}
-
-std::vector<ModelKey> DemandBook::recentModels() const {
-  std::vector<ModelKey> models;
-  for (const auto& [key, history] : history_) {
-    if (key.adapter.empty()) {
-      models.push_back(key);
-    }
-  }
-  return models;
-}
-
 }  // namespace walnut::registry
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "walnut/protocol/messages.h"
 #include "walnut/registry/messages.h"
@@ -29,9 +30,12 @@
   base::TimePoint lastArrival;  ///< Zero if there was none.
 };
 
-/// Kept by the leader; empty at the start of its leadership.
+/// Kept by the leader; empty at the start of its leadership. Totals over the gateways are kept up
+/// to date with each report, so that reading them does not depend on the number of gateways.
 class DemandBook {
  public:
+  using RunningByModel = std::map<std::string, std::uint32_t>;
+
   void update(protocol::ConnectionId gateway, const DemandUpdate& update, base::TimePoint now);
   void forget(protocol::ConnectionId gateway);
 
@@ -44,19 +48,17 @@
   /// @return those of one model.
   std::uint32_t running(const WorkerId& worker, const std::string& model) const;
   /// @return true if some gateway can't reach the worker.
-  bool unreachable(const WorkerId& worker) const;
+  bool unreachable(const WorkerId& worker) const { return unreachable_.count(worker) != 0; }
   /// @return the running requests of all workers that have any.
   std::vector<WorkerLoad> loads() const;
   /// @return all models and adapters for which requests wait.
-  std::map<ModelKey, std::uint32_t> waiting() const;
-  /// @return all models with demand in the recent past.
-  std::vector<ModelKey> recentModels() const;
+  const std::map<ModelKey, std::uint32_t>& waiting() const { return waiting_; }
 
  private:
   struct Gateway {
     std::map<ModelKey, std::uint32_t> waiting;
+    std::map<WorkerId, RunningByModel> running;
     std::set<WorkerId> unreachable;
-    std::map<WorkerId, std::map<std::string, std::uint32_t>> running;  ///< By model.
   };
   struct History {
     double weight = 0;
@@ -65,9 +67,17 @@
   };
 
   void count(const ModelKey& key, std::uint32_t arrivals, base::TimePoint now);
+  void add(const Gateway& gateway);
+  void subtract(const Gateway& gateway);
 
   std::map<protocol::ConnectionId, Gateway> gateways_;
   std::map<ModelKey, History> history_;
+
+  // Totals over the gateways; no entry is 0.
+  std::map<ModelKey, std::uint32_t> waiting_;
+  std::map<ModelKey, std::uint32_t> modelWaiting_;  ///< With those for adapters.
+  std::map<WorkerId, RunningByModel> running_;
+  std::map<WorkerId, std::uint32_t> unreachable_;
 };
 
 }  // namespace walnut::registry
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -18,6 +18,9 @@
 constexpr base::Duration kRefusedPause = std::chrono::milliseconds(200);
 /// Beyond a load's expected time.
 constexpr base::Duration kOrderMargin = std::chrono::milliseconds(1500);
+constexpr base::Duration kCheckInterval = std::chrono::milliseconds(50);
+constexpr base::Duration kPlanSpacing = std::chrono::milliseconds(15);
+constexpr base::Duration kPlanSpacingPerWorker = std::chrono::microseconds(500);
 constexpr base::Duration kUnloadPatience = std::chrono::seconds(4);
 
 std::string_view outcomeName(OrderOutcome outcome) {
@@ -92,6 +95,7 @@
   if (!status.takeHeartbeat(heartbeat, now)) {
     return false;
   }
+  changed_.insert(id);
   if (wasSilent) {
     log_.write(LogEvent::workerHeard, {{"worker", id.value}});
   }
@@ -126,6 +130,7 @@
     statusOf(id, now);
   }
   std::erase_if(workers_, [this](const auto& entry) { return state_.wasForgotten(entry.first); });
+  listChanged_ = true;
   planSoon_ = true;
 }
 
@@ -145,14 +150,19 @@
 
 void LeaderDuties::run(base::TimePoint now, bool leaseValid,
                        const std::vector<base::Endpoint>& servers) {
-  lastRunAt_ = now;
-  noteSilence(now);
-  storeHoldings(now);
-  if (!leaseValid && now >= nextPlan_) {
-    nextPlan_ = now + options_.planInterval;
+  if (now >= nextCheck_) {
+    nextCheck_ = now + kCheckInterval;
+    noteSilence(now);
+    storeHoldings(now);
+  }
+  if (!leaseValid) {
+    nextPlan_ = std::max(nextPlan_, now + options_.planInterval);
+    planSoon_ = false;
   }
-  if (leaseValid && (planSoon_ || now >= nextPlan_)) {
+  const bool planDue = (planSoon_ && now >= lastPlanAt_ + planSpacing()) || now >= nextPlan_;
+  if (leaseValid && planDue) {
     planSoon_ = false;
+    lastPlanAt_ = now;
     nextPlan_ = now + options_.planInterval;
     claimOrders(now);
     if (ordersAllowed(now)) {
@@ -171,6 +181,7 @@
     const base::Duration silence = now - status.lastHeard;
     if (!status.silent && isSilent(id, status, now)) {
       status.silent = true;
+      changed_.insert(id);
       log_.write(LogEvent::workerSilent, {{"worker", id.value}});
     }
     if (silence > options_.workerForgottenAfter) {
@@ -204,14 +215,9 @@
 }
 
 void LeaderDuties::publish(base::TimePoint now, const std::vector<base::Endpoint>& servers) {
-  for (const auto& [id, record] : state_.workers()) {
-    const WorkerStatus& status = statusOf(id, now);
-    publisher_.setWorker({record, status.silent, status.holdingsKnown, status.serving(now)});
-  }
-  for (const WorkerId& id : publisher_.workers()) {
-    if (state_.findWorker(id) == nullptr) {
-      publisher_.removeWorker(id);
-    }
+  refreshViews(now);
+  if (!publisher_.due(now, document_ == nullptr ? 0 : document_->version)) {
+    return;
   }
   for (ViewPublisher::Update& update :
        publisher_.takeUpdates(now, term_, document_.get(), demand_.loads(), servers)) {
@@ -220,6 +226,34 @@
   }
 }
 
+void LeaderDuties::refreshViews(base::TimePoint now) {
+  if (std::exchange(listChanged_, false)) {
+    for (const auto& [id, record] : state_.workers()) {
+      changed_.insert(id);
+    }
+    for (const WorkerId& id : publisher_.workers()) {
+      if (state_.findWorker(id) == nullptr) {
+        publisher_.removeWorker(id);
+      }
+    }
+  }
+  while (!changesAt_.empty() && changesAt_.begin()->first <= now) {
+    changed_.insert(changesAt_.begin()->second);
+    changesAt_.erase(changesAt_.begin());
+  }
+  for (const WorkerId& id : std::exchange(changed_, {})) {
+    if (const WorkerRecord* record = state_.findWorker(id)) {
+      const WorkerStatus& status = statusOf(id, now);
+      publisher_.setWorker({*record, status.silent, status.holdingsKnown, status.serving(now)});
+    }
+  }
+}
+
+/// Planning takes time in proportion to the workers; the spacing keeps its share of a core bounded.
+base::Duration LeaderDuties::planSpacing() const {
+  return kPlanSpacing + kPlanSpacingPerWorker * workers_.size();
+}
+
 bool LeaderDuties::ordersAllowed(base::TimePoint now) const {
   const base::ServerId holder = state_.orderHolder();
   return !fenced_ && holder == self_ && now >= since_;
@@ -368,6 +402,8 @@
   WorkerStatus& status = statusOf(step.worker, now);
   status.sentOrder.reset();
   status.orderFinishedAt = now;
+  changed_.insert(step.worker);
+  changesAt_.emplace(now + options_.adapterSettleTime, step.worker);
   planSoon_ = true;
   const bool ofModel = step.adapter.empty();
   switch (finished.outcome) {
@@ -432,6 +468,7 @@
               {"pending", report.pendingAdapters.size()},
               {"busy", std::string_view(report.orderUnderWay ? "yes" : "no")}});
   status.takeReport(report, now);
+  changed_.insert(finished.worker);
   if (!status.reportFresh) {
     status.orderAgainAt = now + kRefusedPause;
   }
@@ -443,11 +480,11 @@
 }
 
 base::TimePoint LeaderDuties::nextWakeup() const {
-  base::TimePoint next = std::min(publisher_.nextUpdate(), nextPlan_);
-  for (const auto& [id, status] : workers_) {
-    next = std::min(next, status.nextChange(lastRunAt_));
+  base::TimePoint next = std::min({publisher_.nextUpdate(), nextPlan_, nextCheck_});
+  if (planSoon_) {
+    next = std::min(next, lastPlanAt_ + planSpacing());
   }
-  return next;
+  return changesAt_.empty() ? next : std::min(next, changesAt_.begin()->first);
 }
 
 }  // namespace walnut::registry
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -57,6 +58,8 @@
   bool isSilent(const WorkerId& id, const WorkerStatus& status, base::TimePoint now) const;
   void storeHoldings(base::TimePoint now);
   void publish(base::TimePoint now, const std::vector<base::Endpoint>& servers);
+  void refreshViews(base::TimePoint now);
+  base::Duration planSpacing() const;
   void plan(base::TimePoint now);
   void planService(const catalog::Service& service, base::TimePoint now);
   PlacementWorker placementWorker(const WorkerRecord& record, const WorkerStatus& status,
@@ -88,7 +91,14 @@
   bool holderProposed_ = false;
   bool fenced_ = false;  ///< A worker has seen a higher token: this leadership is over.
   base::TimePoint nextPlan_;
-  base::TimePoint lastRunAt_;
+  base::TimePoint lastPlanAt_;
+  base::TimePoint nextCheck_;  ///< Of silence and of holdings to store.
+  /// @name Workers whose view may have changed
+  /// @{
+  std::set<WorkerId> changed_;
+  std::multimap<base::TimePoint, WorkerId> changesAt_;  ///< By the passing of time.
+  bool listChanged_ = true;                             ///< Some may have been added or removed.
+  /// @}
   bool planSoon_ = true;
   std::vector<RegistryAction> actions_;
   std::vector<Command> commands_;
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <unordered_map>
 #include <utility>
 
 namespace walnut::registry {
@@ -64,15 +65,6 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-const ModelSpec* findModel(const EngineSpec& engine, const std::string& name) {
-  for (const ModelSpec& model : engine.models) {
-    if (model.name == name) {
-      return &model;
-    }
-  }
-  return nullptr;
-}
-
 }  // namespace
 
 void StoreRate::taken(base::TimePoint now) {
@@ -93,6 +85,14 @@
   std::vector<PlacementStep> steps;
   std::set<WorkerId> ordered;
 
+  struct ModelSummary {
+    std::uint32_t replicas = 0;
+    std::uint32_t running = 0;
+    std::uint32_t takingAdapters = 0;  ///< Workers that hold it and take adapters now.
+  };
+  std::unordered_map<std::string, const ModelSpec*> specs;
+  std::unordered_map<std::string, ModelSummary> models;
+
   DemandFigures figures(const std::string& model, const std::string& adapter = {}) const {
     return demand.figures({service, model, adapter}, now);
   }
@@ -115,28 +115,52 @@
     return nullptr;
   }
 
-  /// @return workers that serve the model or are about to.
-  std::uint32_t replicas(const std::string& model) const {
-    std::uint32_t count = 0;
+  /// Counts what the rest asks for again and again.
+  void summarise() {
+    for (const ModelSpec& model : engine.models) {
+      specs.emplace(model.name, &model);
+    }
     for (const PlacementWorker& worker : workers) {
-      const bool held = worker.holdings.find(model) != nullptr && worker.retiring != model;
-      if (worker.serving && (held || worker.arriving == model)) {
-        ++count;
+      const bool takesAdapters = worker.serving && !worker.arriving && !worker.retiring;
+      for (const HeldModel& held : worker.holdings.models) {
+        ModelSummary& summary = models[held.name];
+        summary.running += demand.running(worker.id, held.name);
+        if (worker.serving && worker.retiring != held.name) {
+          ++summary.replicas;
+        }
+        summary.takingAdapters += takesAdapters ? 1 : 0;
+      }
+      const bool arriving =
+          worker.serving && worker.arriving && worker.holdings.find(*worker.arriving) == nullptr;
+      if (arriving) {
+        ++models[*worker.arriving].replicas;
       }
     }
-    return count;
   }
 
+  const ModelSpec* spec(const std::string& name) const {
+    const auto found = specs.find(name);
+    return found == specs.end() ? nullptr : found->second;
+  }
+
+  ModelSummary summary(const std::string& model) const {
+    const auto found = models.find(model);
+    return found == models.end() ? ModelSummary{} : found->second;
+  }
+
+  /// @return workers that serve the model or are about to.
+  std::uint32_t replicas(const std::string& model) const { return summary(model).replicas; }
+
   double freeMegabytes(const PlacementWorker& worker) const {
     double used = 0;
     for (const HeldModel& held : worker.holdings.models) {
-      if (const ModelSpec* model = findModel(engine, held.name)) {
+      if (const ModelSpec* model = spec(held.name)) {
         used += model->weightsMegabytes +
                 model->adapterMegabytes * static_cast<double>(held.adapters.size());
       }
     }
     if (worker.arriving && worker.holdings.find(*worker.arriving) == nullptr) {
-      const ModelSpec* model = findModel(engine, *worker.arriving);
+      const ModelSpec* model = spec(*worker.arriving);
       used += model == nullptr ? 0 : model->weightsMegabytes;
     }
     return engine.weightsMegabytes - used;
@@ -164,12 +188,8 @@
 
   /// @return the load of a model's other replicas if one is taken away, as a share of their slots.
   double loadWithout(const std::string& model, std::uint32_t count) const {
-    std::uint32_t running = 0;
-    for (const PlacementWorker& worker : workers) {
-      running += demand.running(worker.id, model);
-    }
     const double slots = std::max<double>(engine.slots, 1) * (count - 1);
-    return running / std::max(slots, 1.0);
+    return summary(model).running / std::max(slots, 1.0);
   }
 
   /// @return what it costs to keep a worker busy with a model: it takes no adapters meanwhile, and
@@ -177,11 +197,8 @@
   double adapterBlockCost(const PlacementWorker& worker) const {
     double cost = 0;
     for (const HeldModel& held : worker.holdings.models) {
-      const bool elsewhere =
-          std::any_of(workers.begin(), workers.end(), [&](const PlacementWorker& other) {
-            return other.id != worker.id && other.serving && !other.arriving && !other.retiring &&
-                   other.holdings.find(held.name) != nullptr;
-          });
+      const bool own = worker.serving && !worker.arriving && !worker.retiring;
+      const bool elsewhere = summary(held.name).takingAdapters > (own ? 1U : 0U);
       if (!elsewhere) {
         cost +=
             std::min(kMaxAdapterCost, kAdapterCost * demand.adapterRate(service, held.name, now));
@@ -227,7 +244,7 @@
       if (free >= megabytes) {
         break;
       }
-      const ModelSpec* model = findModel(engine, held->name);
+      const ModelSpec* model = spec(held->name);
       free += model == nullptr
                   ? 0
                   : model->weightsMegabytes +
@@ -246,7 +263,8 @@
                                                  const std::vector<PlacementWorker>& workers,
                                                  const DemandBook& demand, StoreRate& store,
                                                  base::TimePoint now) {
-  Round round{engine, workers, demand, store, now, service_, {}, {}};
+  Round round{engine, workers, demand, store, now, service_, {}, {}, {}, {}};
+  round.summarise();
   store.setRate(engine.storeLoadsPerSecond);
   dropEndedWakes(round);
   chooseWakes(round);
@@ -272,7 +290,7 @@
 /// The chosen worker may have to wait for long requests to end before it has room.
 bool PlacementPolicy::hasBetterWorker(const Round& round, const std::string& model,
                                       const Wake& wake) const {
-  const ModelSpec* spec = findModel(round.engine, model);
+  const ModelSpec* spec = round.spec(model);
   return spec == nullptr ||
          std::any_of(round.workers.begin(), round.workers.end(),
                      [&round, &wake, spec](const PlacementWorker& worker) {
@@ -310,7 +328,7 @@
 }
 
 void PlacementPolicy::wakeModel(Round& round, const std::string& name) {
-  const ModelSpec& model = *findModel(round.engine, name);
+  const ModelSpec& model = *round.spec(name);
   const bool first = round.replicas(name) == 0;
   const PlacementWorker* best = nullptr;
   double bestCost = std::numeric_limits<double>::infinity();
@@ -341,7 +359,7 @@
 
 void PlacementPolicy::carryOut(Round& round, const std::string& name, const Wake& wake) {
   const PlacementWorker& worker = *round.find(wake.worker);
-  const ModelSpec* model = findModel(round.engine, name);
+  const ModelSpec* model = round.spec(name);
   if (model == nullptr || !round.mayOrder(worker) || worker.arriving || worker.retiring) {
     return;
   }
@@ -373,7 +391,7 @@
           return worker.serving && worker.holdings.holds(key.model, key.adapter) &&
                  worker.retiring != key.model;
         });
-    const ModelSpec* model = findModel(round.engine, key.model);
+    const ModelSpec* model = round.spec(key.model);
     if (!held && model != nullptr) {
       placeAdapter(round, *model, key.adapter);
     }
--- a/src/registry/view_publisher.cpp
+++ b/src/registry/view_publisher.cpp
@@ -46,6 +46,18 @@
   return present;
 }
 
+bool ViewPublisher::isDue(const Gateway& gateway, base::TimePoint now,
+                          std::uint64_t documentVersion) const {
+  return !gateway.complete || gateway.revision < revision_ ||
+         gateway.documentVersion < documentVersion || gateway.gateways != gateways_.size() ||
+         now >= gateway.lastSent + interval_;
+}
+
+bool ViewPublisher::due(base::TimePoint now, std::uint64_t documentVersion) const {
+  return std::any_of(gateways_.begin(), gateways_.end(),
+                     [&](const auto& entry) { return isDue(entry.second, now, documentVersion); });
+}
+
 std::vector<ViewPublisher::Update> ViewPublisher::takeUpdates(
     base::TimePoint now, consensus::Term term, const catalog::Document* document,
     const std::vector<WorkerLoad>& loads, const std::vector<base::Endpoint>& servers) {
@@ -53,9 +65,7 @@
   const std::uint64_t version = document == nullptr ? 0 : document->version;
   const auto count = static_cast<std::uint32_t>(gateways_.size());
   for (auto& [connection, gateway] : gateways_) {
-    const bool news = !gateway.complete || gateway.revision < revision_ ||
-                      gateway.documentVersion < version || gateway.gateways != count;
-    if (!news && now < gateway.lastSent + interval_) {
+    if (!isDue(gateway, now, version)) {
       continue;
     }
     ViewUpdate update = makeUpdate(gateway, document);
--- a/src/registry/view_publisher.h
+++ b/src/registry/view_publisher.h
@@ -27,6 +27,9 @@
   /// @return the workers that were set and not removed.
   std::vector<WorkerId> workers() const;
 
+  /// @return true if `takeUpdates` would have something.
+  bool due(base::TimePoint now, std::uint64_t documentVersion) const;
+
   struct Update {
     protocol::ConnectionId gateway;
     ViewUpdate update;
@@ -41,6 +44,9 @@
   base::TimePoint nextUpdate() const;
 
  private:
+  struct Gateway;
+  bool isDue(const Gateway& gateway, base::TimePoint now, std::uint64_t documentVersion) const;
+
   struct Gateway {
     bool complete = false;  ///< It has got the whole view.
     std::uint64_t documentVersion = 0;
