--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -19,6 +19,8 @@
 constexpr base::Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
 /// Requests that come as late as this before the end of the process are refused as not run.
 constexpr base::Duration kRefuseBeforeEnd = std::chrono::milliseconds(1500);
+/// For the last answers to leave.
+constexpr base::Duration kFinalAnswers = std::chrono::milliseconds(60);
 constexpr base::Duration kStopCheckInterval = std::chrono::milliseconds(50);
 
 net::ClientPoolOptions poolOptions() {
@@ -162,6 +164,11 @@
   }
   const bool settled = now >= stopBeganAt_ + kAcceptAfterStop && gateway_.exchangeCount() == 0 &&
                        front_->connectionCount() == 0;
+  if (!settled && now >= stopDeadline_ && now < stopDeadline_ + kFinalAnswers) {
+    gateway_.giveUpAll();
+    stopTimer_->enableAt(stopDeadline_ + kFinalAnswers);
+    return;
+  }
   if (settled || now >= stopDeadline_) {
     log_.write(LogEvent::processStopped,
                {{"cut", static_cast<std::uint64_t>(gateway_.exchangeCount())}});
--- a/src/daemon/gateway_host.h
+++ b/src/daemon/gateway_host.h
@@ -31,6 +31,7 @@
   void run() { dispatcher_.run(); }
   event::Dispatcher& dispatcher() { return dispatcher_; }
   const base::Endpoint& frontEndpoint() const { return front_->endpoint(); }
+  const base::Endpoint& readinessEndpoint() const { return readiness_->endpoint(); }
 
   void beginStop();
   /// Takes what may change while the process runs: the servers of the registry.
--- a/src/daemon/registry_host.h
+++ b/src/daemon/registry_host.h
@@ -43,6 +43,8 @@
   /// @return true if the loop has ended because the storage failed.
   bool storageFailed() const { return storageFailed_; }
   event::Dispatcher& dispatcher() { return dispatcher_; }
+  const base::Endpoint& controlEndpoint() const { return control_->endpoint(); }
+  base::Endpoint peerEndpoint() const { return {settings_.peer.address, transport_->port()}; }
   void beginStop();
 
   /// A call of an operator or a worker, or a question for metrics.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -90,6 +90,22 @@
   }
 }
 
+void Exchange::stopWaiting() {
+  if (state_ == State::choosing) {
+    failFinally("stopping");
+  }
+}
+
+void Exchange::giveUp() {
+  if (state_ == State::attempting) {
+    worker_->breaker.undecided(now());
+    dropAttempt();
+    mayHaveRun_ = true;
+    state_ = State::choosing;
+  }
+  stopWaiting();
+}
+
 void Exchange::choose() {
   if (state_ != State::choosing) {
     return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -81,6 +81,10 @@
   void start();
   /// Workers, or what they hold, have changed.
   void viewChanged();
+  /// The process is about to end: a request that waits for a worker is refused.
+  void stopWaiting();
+  /// The process ends: what runs is given up.
+  void giveUp();
 
  private:
   enum class State : std::uint8_t { choosing, attempting, ended };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -78,7 +78,17 @@
   }
 }
 
-void Gateway::wakeWaiting() {
+void Gateway::refuseAll() {
+  if (!std::exchange(refusingAll_, true)) {
+    forEachExchange(&Exchange::stopWaiting);
+  }
+}
+
+void Gateway::giveUpAll() { forEachExchange(&Exchange::giveUp); }
+
+void Gateway::wakeWaiting() { forEachExchange(&Exchange::viewChanged); }
+
+void Gateway::forEachExchange(void (Exchange::*method)()) {
   std::vector<Exchange*> all;
   all.reserve(exchanges_.size());
   for (const auto& [key, exchange] : exchanges_) {
@@ -86,7 +96,7 @@
   }
   for (Exchange* const exchange : all) {
     if (exchanges_.count(exchange) != 0) {
-      exchange->viewChanged();
+      (exchange->*method)();
     }
   }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -47,8 +47,11 @@
   void beginStop() { stopping_ = true; }
   /// From now on streams are refused: the process may end before they would.
   void refuseStreams() { refusingStreams_ = true; }
-  /// From now on every request is refused: the process is about to end.
-  void refuseAll() { refusingAll_ = true; }
+  /// From now on every request is refused, those that wait for a worker too: the process is about
+  /// to end.
+  void refuseAll();
+  /// Gives up what still runs.
+  void giveUpAll();
   std::size_t exchangeCount() const { return exchanges_.size(); }
   /// @return workers that have gone since the last call.
   std::vector<registry::WorkerId> takeGoneWorkers() { return directory_.takeGone(); }
@@ -93,6 +96,8 @@
   void reportDemand();
   void reportDemandSoon();
   void wakeWaiting();
+  /// Calls a method of all exchanges, which may end them.
+  void forEachExchange(void (Exchange::*method)());
 
   const GatewayOptions options_;
   event::Scheduler& scheduler_;
--- a/test/gateway/exchange_test.cpp
+++ b/test/gateway/exchange_test.cpp
@@ -239,6 +239,19 @@
   CHECK_EQUAL(503, harness.request("once", "r3")->status);
 }
 
+TEST(ExchangeTest, aRequestThatWaitsIsRefusedWhenTheProcessIsAboutToEnd) {
+  harness.declare(1);
+  const auto waiting = harness.request("stream", "r1", "m");
+  const auto running = harness.request("once", "r2");
+  harness.gateway.refuseAll();
+  CHECK_EQUAL(503, waiting->status);
+  CHECK(waiting->headers.find("Retry-After") != nullptr);
+  CHECK_EQUAL(0, running->status);
+  harness.gateway.giveUpAll();
+  CHECK_EQUAL(502, running->status);
+  CHECK_TRUE(sent(0).cancelled);
+}
+
 TEST(ExchangeTest, theRetryBudgetHoldsForAllRequestsTogether) {
   harness.declare(3);
   std::vector<std::unique_ptr<Caller>> callers;
