--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -17,6 +17,7 @@
 std::vector<base::Endpoint> internalEndpoints(const std::vector<base::Endpoint>& seeds,
                                               std::int64_t peerPort) {
   std::vector<base::Endpoint> endpoints;
+  endpoints.reserve(seeds.size());
   for (const base::Endpoint& seed : seeds) {
     endpoints.push_back({seed.address, static_cast<std::uint16_t>(peerPort)});
   }
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -140,7 +140,9 @@
   registry::RegistryOutputs outputs = registry_->takeOutputs();
   const bool persisted = !outputs.persist.empty();
   if (persisted) {
+    const base::TimePoint begin = runtime::now();
     const auto outcome = folder_.storage->persist(outputs.persist);
+    metrics_.observe("walnut_registry_sync_seconds", runtime::now() - begin);
     if (outcome.has_error()) {
       noteStorageFailure(outcome.error());
       return false;
@@ -203,6 +205,10 @@
                  const registry::OrderOutcome result =
                      outcome.response ? dialects_.worker.readOrderAnswer(outcome.response.value())
                                       : registry::OrderOutcome::unclear;
+                 metrics_.count("walnut_registry_orders_total",
+                                outcome.response
+                                    ? std::to_string(outcome.response.value().head.status)
+                                    : std::string("unclear"));
                  step(registry::OrderFinished{number, result});
                });
 }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -3,7 +3,6 @@
 #include <Poco/NumberFormatter.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace walnut::gateway {
@@ -12,24 +11,12 @@
 
 using runtime::LogEvent;
 
-constexpr int kOk = 200;
-constexpr int kMultipleChoices = 300;
-constexpr int kInternalError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
-constexpr int kMisdirected = 421;
 constexpr int kNoAnswer = 0;  ///< The caller had left, or the answer was broken off.
 
-/// Answers without events are kept whole before they are passed on, up to this size.
-constexpr std::size_t kMaxCollected = 8U << 20U;
-/// A slow caller holds up its worker from here on.
-constexpr std::size_t kHighWatermark = 256U << 10U;
-
 constexpr base::Duration kDefaultDeadline = std::chrono::seconds(60);
-/// A worker that said it does not hold a model is not asked again for this long.
-constexpr base::Duration kMissedFor = std::chrono::milliseconds(500);
-constexpr base::Duration kMissedAdapterFor = std::chrono::milliseconds(25);
 constexpr base::Duration kBackoffMin = std::chrono::milliseconds(25);
 constexpr std::uint32_t kMaxBackoffDoublings = 4;
 constexpr std::uint32_t kMaxArrivals = 8;
@@ -38,15 +25,26 @@
 constexpr base::Duration kRetryAfterTimeout = std::chrono::milliseconds(500);
 /// Without workers, a plain request waits this share of its target latency.
 constexpr int kPatienceDivisor = 4;
-/// Least time to the first event, and between events, after which a stream is tried elsewhere.
-constexpr base::Duration kStallFloor = std::chrono::milliseconds(900);
-constexpr int kStallFactor = 4;
 
 std::string retryAfterText(base::Duration duration) {
   constexpr int kDecimals = 2;
   return Poco::NumberFormatter::format(std::chrono::duration<double>(duration).count(), kDecimals);
 }
 
+std::string_view reasonName(NoWorkerReason reason) {
+  switch (reason) {
+    case NoWorkerReason::noWorkers:
+      return "no-workers";
+    case NoWorkerReason::notHeld:
+      return "not-held";
+    case NoWorkerReason::excluded:
+      return "excluded";
+    case NoWorkerReason::broken:
+      return "breaker-open";
+  }
+  return "unknown";
+}
+
 std::uint64_t millisOf(base::Duration duration) {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -127,12 +125,13 @@
   const bool first = !waiting_;
   if (first) {
     waiting_ = true;
+    context_.metrics().count("walnut_gateway_waits_total", std::string(reasonName(reason)));
     context_.waitBegan(service_, facts_);
     context_.log().write(LogEvent::requestWaiting, {{"request", facts_.requestId},
                                                     {"service", service_},
                                                     {"model", facts_.model},
                                                     {"adapter", facts_.adapter},
-                                                    {"reason", static_cast<std::uint64_t>(reason)},
+                                                    {"reason", reasonName(reason)},
                                                     {"document", context_.documentVersion()}});
   }
   const bool plain = facts_.model.empty();
@@ -182,142 +181,6 @@
   attempt_ = context_.launcher().start(worker->view.record, request_, *this);
 }
 
-bool Exchange::onResponseHead(net::MessageHead head) {
-  AnswerFacts facts = context_.dialect().readAnswer(head.status, head.headers);
-  if (!facts.requestId.empty() && facts.requestId != facts_.requestId) {
-    return false;
-  }
-  answer_ = std::move(facts);
-  headSeen_ = true;
-  head_.status = head.status;
-  head_.reason = std::move(head.reason);
-  head_.headers = std::move(head.headers);
-  net::removeConnectionHeaders(head_.headers);
-  worker_->breaker.succeeded();
-  const bool success = head_.status >= kOk && head_.status < kMultipleChoices;
-  accepted_ = success && answer_.sealed && !answer_.encoded && !answer_.requestId.empty();
-  if (accepted_) {
-    takeSuccessHead();
-  } else {
-    bodyUse_ = answer_.sealed ? BodyUse::collect : BodyUse::discard;
-  }
-  return true;
-}
-
-void Exchange::takeSuccessHead() {
-  bodyUse_ = isStreaming() ? BodyUse::stream : BodyUse::collect;
-  if (!isStreaming()) {
-    worker_->latency.observe(now() - attemptAt_);
-  }
-  if (isStreaming() && headSent_) {
-    std::uint64_t last = 0;
-    const std::string& id = events_.lastId();
-    std::from_chars(id.data(), id.data() + id.size(), last);
-    events_.skipUpTo(last);
-  }
-}
-
-void Exchange::onResponseBody(std::string_view bytes) {
-  switch (bodyUse_) {
-    case BodyUse::discard:
-      return;
-    case BodyUse::collect:
-      if (body_.size() + bytes.size() <= kMaxCollected) {
-        body_.append(bytes);
-      }
-      return;
-    case BodyUse::stream:
-      streamEvents(bytes);
-      return;
-  }
-}
-
-void Exchange::streamEvents(std::string_view bytes) {
-  const std::string whole = events_.feed(bytes);
-  if (whole.empty()) {
-    return;
-  }
-  if (!headSent_) {
-    headSent_ = true;
-    firstEventAt_ = now();
-    lastEventAt_ = firstEventAt_;
-    worker_->latency.observe(now() - attemptAt_);
-    sink_.beginChunked(head_);
-  }
-  longestGap_ = std::max(longestGap_, now() - lastEventAt_);
-  lastEventAt_ = now();
-  sink_.writeChunk(whole);
-  armStall(std::max(kStallFloor, kStallFactor * route_.targetGap));
-  if (sink_.bufferedBytes() > kHighWatermark) {
-    attempt_->setReading(false);
-    stallTimer_->disable();
-  }
-}
-
-void Exchange::onCallerDrained() {
-  if (state_ == State::attempting && attempt_ != nullptr) {
-    attempt_->setReading(true);
-  }
-}
-
-void Exchange::onResponseComplete() {
-  stallTimer_->disable();
-  if (answer_.notExecuted) {
-    if (!facts_.model.empty()) {
-      // It does not hold it, is about to drop it, or is full.
-      worker_->missed(facts_.model, facts_.adapter,
-                      now() + (facts_.adapter.empty() ? kMissedFor : kMissedAdapterFor));
-    }
-    releaseAttempt();
-    attemptEnded(Executed::no, "not run by the worker");
-    return;
-  }
-  if (accepted_ && isStreaming()) {
-    completeStream();
-    return;
-  }
-  worker_->failures.observe(!accepted_ && head_.status >= kInternalError, now());
-  if (accepted_) {
-    releaseAttempt();
-    respondWith(std::move(head_), std::move(body_));
-    return;
-  }
-  const bool retriable = head_.status >= kInternalError || !answer_.sealed;
-  releaseAttempt();
-  if (retriable && !headSent_ && mayRunAgain(Executed::yes)) {
-    attemptEnded(Executed::yes, "failure of the worker");
-    return;
-  }
-  if (answer_.sealed && !headSent_) {
-    respondWith(std::move(head_), std::move(body_));
-    return;
-  }
-  attemptEnded(Executed::unknown, "an answer that the worker does not vouch for");
-}
-
-void Exchange::completeStream() {
-  if (events_.midEvent()) {
-    dropAttempt();
-    attemptEnded(Executed::yes, "the stream ended within an event");
-    return;
-  }
-  worker_->failures.observe(false, now());
-  releaseAttempt();
-  if (!headSent_) {
-    sink_.beginChunked(head_);
-  }
-  sink_.endChunked();
-  finish(head_.status, "complete");
-}
-
-void Exchange::onResponseFailure(const base::Error& error, bool sent) {
-  stallTimer_->disable();
-  context_.attemptFailed(*worker_);
-  dropAttempt();
-  const bool notRun = !sent || (headSeen_ && answer_.notExecuted);
-  attemptEnded(notRun ? Executed::no : Executed::unknown, base::errorCodeName(error.code));
-}
-
 void Exchange::releaseAttempt() {
   worker_->ended(facts_.model);
   attempt_->release();
@@ -347,6 +210,7 @@
                     : executed == Executed::yes ? "yes"
                                                 : "unknown"},
        {"reason", reason}});
+  context_.metrics().count("walnut_gateway_attempt_failures_total", std::string(reason));
   events_.restart();
   excluded_.insert(worker_->view.record.id);
   if (executed != Executed::no || headSeen_) {
@@ -450,6 +314,7 @@
 
 void Exchange::respondWith(net::HttpResponseHead head, std::string body) {
   const int status = head.status;
+  context_.metrics().observe("walnut_gateway_answer_seconds", now() - arrivedAt_);
   sink_.respond({std::move(head), std::move(body)});
   finish(status, "answered");
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "walnut/gateway/dialect.h"
 #include "walnut/net/server.h"
 #include "walnut/runtime/event_log.h"
+#include "walnut/runtime/metrics_sink.h"
 
 namespace walnut::gateway {
 
@@ -51,6 +52,7 @@
   virtual AttemptLauncher& launcher() = 0;
   virtual WorkerSelector& selector() = 0;
   virtual runtime::EventLog& log() = 0;
+  virtual runtime::MetricsSink& metrics() = 0;
   /// Takes one from the budget of arrivals beyond the first of a request.
   virtual bool takeRetry(const std::string& service) = 0;
   virtual void waitBegan(const std::string& service, const RequestFacts& facts) = 0;
@@ -87,6 +89,9 @@
   void giveUp();
 
  private:
+  /// Least time to the first event, and between events, after which a stream is tried elsewhere.
+  static constexpr base::Duration kStallFloor = std::chrono::milliseconds(900);
+
   enum class State : std::uint8_t { choosing, attempting, ended };
   /// What is known of an attempt that did not succeed.
   enum class Executed : std::uint8_t { no, yes, unknown };
--- /dev/null
+++ b/src/gateway/exchange_answer.cpp
@@ -0,0 +1,166 @@
+/// @file
+/// The part of an exchange that takes the answer of a worker.
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "gateway/exchange.h"
+
+namespace walnut::gateway {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
+constexpr int kInternalError = 500;
+
+/// Answers without events are kept whole before they are passed on, up to this size.
+constexpr std::size_t kMaxCollected = 8U << 20U;
+/// A slow caller holds up its worker from here on.
+constexpr std::size_t kHighWatermark = 256U << 10U;
+/// A worker that said it does not hold a model is not asked again for this long.
+constexpr base::Duration kMissedFor = std::chrono::milliseconds(500);
+constexpr base::Duration kMissedAdapterFor = std::chrono::milliseconds(25);
+constexpr int kStallFactor = 4;
+
+}  // namespace
+
+bool Exchange::onResponseHead(net::MessageHead head) {
+  AnswerFacts facts = context_.dialect().readAnswer(head.status, head.headers);
+  if (!facts.requestId.empty() && facts.requestId != facts_.requestId) {
+    return false;
+  }
+  answer_ = std::move(facts);
+  headSeen_ = true;
+  head_.status = head.status;
+  head_.reason = std::move(head.reason);
+  head_.headers = std::move(head.headers);
+  net::removeConnectionHeaders(head_.headers);
+  worker_->breaker.succeeded();
+  const bool success = head_.status >= kOk && head_.status < kMultipleChoices;
+  accepted_ = success && answer_.sealed && !answer_.encoded && !answer_.requestId.empty();
+  if (accepted_) {
+    takeSuccessHead();
+  } else {
+    bodyUse_ = answer_.sealed ? BodyUse::collect : BodyUse::discard;
+  }
+  return true;
+}
+
+void Exchange::takeSuccessHead() {
+  bodyUse_ = isStreaming() ? BodyUse::stream : BodyUse::collect;
+  if (!isStreaming()) {
+    worker_->latency.observe(now() - attemptAt_);
+  }
+  if (isStreaming() && headSent_) {
+    std::uint64_t last = 0;
+    const std::string& id = events_.lastId();
+    std::from_chars(id.data(), id.data() + id.size(), last);
+    events_.skipUpTo(last);
+  }
+}
+
+void Exchange::onResponseBody(std::string_view bytes) {
+  switch (bodyUse_) {
+    case BodyUse::discard:
+      return;
+    case BodyUse::collect:
+      if (body_.size() + bytes.size() <= kMaxCollected) {
+        body_.append(bytes);
+      }
+      return;
+    case BodyUse::stream:
+      streamEvents(bytes);
+      return;
+  }
+}
+
+void Exchange::streamEvents(std::string_view bytes) {
+  const std::string whole = events_.feed(bytes);
+  if (whole.empty()) {
+    return;
+  }
+  if (!headSent_) {
+    headSent_ = true;
+    firstEventAt_ = now();
+    lastEventAt_ = firstEventAt_;
+    context_.metrics().observe("walnut_gateway_first_event_seconds", now() - arrivedAt_);
+    worker_->latency.observe(now() - attemptAt_);
+    sink_.beginChunked(head_);
+  }
+  longestGap_ = std::max(longestGap_, now() - lastEventAt_);
+  lastEventAt_ = now();
+  sink_.writeChunk(whole);
+  armStall(std::max(kStallFloor, kStallFactor * route_.targetGap));
+  if (sink_.bufferedBytes() > kHighWatermark) {
+    attempt_->setReading(false);
+    stallTimer_->disable();
+  }
+}
+
+void Exchange::onCallerDrained() {
+  if (state_ == State::attempting && attempt_ != nullptr) {
+    attempt_->setReading(true);
+  }
+}
+
+void Exchange::onResponseComplete() {
+  stallTimer_->disable();
+  if (answer_.notExecuted) {
+    if (!facts_.model.empty()) {
+      // It does not hold it, is about to drop it, or is full.
+      worker_->missed(facts_.model, facts_.adapter,
+                      now() + (facts_.adapter.empty() ? kMissedFor : kMissedAdapterFor));
+    }
+    releaseAttempt();
+    attemptEnded(Executed::no, "not run by the worker");
+    return;
+  }
+  if (accepted_ && isStreaming()) {
+    completeStream();
+    return;
+  }
+  worker_->failures.observe(!accepted_ && head_.status >= kInternalError, now());
+  if (accepted_) {
+    releaseAttempt();
+    respondWith(std::move(head_), std::move(body_));
+    return;
+  }
+  const bool retriable = head_.status >= kInternalError || !answer_.sealed;
+  releaseAttempt();
+  if (retriable && !headSent_ && mayRunAgain(Executed::yes)) {
+    attemptEnded(Executed::yes, "failure of the worker");
+    return;
+  }
+  if (answer_.sealed && !headSent_) {
+    respondWith(std::move(head_), std::move(body_));
+    return;
+  }
+  attemptEnded(Executed::unknown, "an answer that the worker does not vouch for");
+}
+
+void Exchange::completeStream() {
+  if (events_.midEvent()) {
+    dropAttempt();
+    attemptEnded(Executed::yes, "the stream ended within an event");
+    return;
+  }
+  worker_->failures.observe(false, now());
+  releaseAttempt();
+  if (!headSent_) {
+    sink_.beginChunked(head_);
+  }
+  sink_.endChunked();
+  finish(head_.status, "complete");
+}
+
+void Exchange::onResponseFailure(const base::Error& error, bool sent) {
+  stallTimer_->disable();
+  context_.attemptFailed(*worker_);
+  dropAttempt();
+  const bool notRun = !sent || (headSeen_ && answer_.notExecuted);
+  attemptEnded(notRun ? Executed::no : Executed::unknown, base::errorCodeName(error.code));
+}
+
+}  // namespace walnut::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -213,7 +213,9 @@
 }
 
 bool Gateway::takeRetry(const std::string& service) {
-  return budgetOf(service).takeRetry(scheduler_.now());
+  const bool taken = budgetOf(service).takeRetry(scheduler_.now());
+  metrics_.count("walnut_gateway_retries_total", taken ? "taken" : "denied");
+  return taken;
 }
 
 void Gateway::waitBegan(const std::string& service, const RequestFacts& facts) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -65,6 +65,7 @@
   AttemptLauncher& launcher() override { return launcher_; }
   WorkerSelector& selector() override { return selector_; }
   runtime::EventLog& log() override { return log_; }
+  runtime::MetricsSink& metrics() override { return metrics_; }
   bool takeRetry(const std::string& service) override;
   void waitBegan(const std::string& service, const RequestFacts& facts) override;
   void waitEnded(const std::string& service, const RequestFacts& facts) override;
--- a/src/registry/cell_keeper.cpp
+++ b/src/registry/cell_keeper.cpp
@@ -75,10 +75,10 @@
 
 std::optional<Membership> CellKeeper::nextChange(const Membership& membership, base::ServerId self,
                                                  base::TimePoint now) const {
-  if (const auto admitted = admission(membership, now)) {
+  if (auto admitted = admission(membership, now)) {
     return admitted;
   }
-  if (const auto replaced = replacement(membership, self, now)) {
+  if (auto replaced = replacement(membership, self, now)) {
     return replaced;
   }
   return lapsedLearner(membership, now);
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -3,15 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include "walnut/catalog/validation.h"
 #include "walnut/factories.h"
 
 namespace walnut::registry {
 
 namespace {
 
-using base::Error;
-using base::ErrorCode;
 using consensus::Role;
 using runtime::LogEvent;
 
@@ -213,97 +210,6 @@
   }
 }
 
-// Calls
-
-void RegistryImpl::decide(std::uint64_t call, const ReplaceDocument& body) {
-  auto read = reader_.read(body.text);
-  base::Result<void> valid = base::success();
-  if (read) {
-    valid = catalog::validate(read.value());
-  }
-  if (!read || !valid) {
-    ControlAnswer refusal;
-    refusal.status = ControlStatus::refused;
-    refusal.error = read ? valid.error() : read.error();
-    log_.write(LogEvent::documentRefused,
-               {{"field", refusal.error.field}, {"detail", refusal.error.detail}});
-    answer(call, std::move(refusal));
-    return;
-  }
-  const std::uint64_t version = read.value().version;
-  if (version <= state_.documentVersion()) {
-    answerDone(call);
-    return;
-  }
-  if (version <= pendingDocumentVersion_) {
-    callsByEntry_[pendingDocumentIndex_].push_back(call);
-    return;
-  }
-  propose(call, StoreDocument{version, body.text});
-  pendingDocumentVersion_ = version;
-  pendingDocumentIndex_ = raft_->status().lastIndex;
-}
-
-void RegistryImpl::decide(std::uint64_t call, const ReadDocument& /*body*/) {
-  const auto token = raft_->beginRead(now_);
-  if (token) {
-    reads_.push_back({call, token.value()});
-  }
-}
-
-void RegistryImpl::decide(std::uint64_t call, const ReportAlive& body) {
-  if (leading_->heartbeat(body.heartbeat, now_)) {
-    propose(call, StoreWorker{body.heartbeat.worker});
-  } else {
-    answerDone(call);
-  }
-}
-
-void RegistryImpl::decide(std::uint64_t call, const ReportGone& body) {
-  if (state_.wasForgotten(body.worker)) {
-    answerDone(call);
-  } else {
-    propose(call, ForgetWorker{body.worker});
-  }
-}
-
-void RegistryImpl::propose(std::uint64_t call, const Command& command) {
-  const auto index = raft_->propose(now_, encodeCommand(command));
-  if (index) {
-    callsByEntry_[index.value()].push_back(call);
-  }
-}
-
-void RegistryImpl::answer(std::uint64_t number, ControlAnswer answer) {
-  const WaitingCall* call = calls_.find(number);
-  if (call == nullptr) {
-    return;
-  }
-  const CallOrigin origin = call->origin;
-  calls_.erase(number);
-  if (origin.connection) {
-    actions_.emplace_back(control::SendToConnection{
-        *origin.connection, wrap(ForwardedAnswer{origin.sequence, std::move(answer)})});
-  } else {
-    actions_.emplace_back(CallAnswered{origin.sequence, std::move(answer)});
-  }
-}
-
-void RegistryImpl::answerDone(std::uint64_t call) {
-  ControlAnswer done;
-  done.status = ControlStatus::done;
-  done.leader = options_.self.resourceEndpoint;
-  answer(call, std::move(done));
-}
-
-void RegistryImpl::answerUnavailable(std::uint64_t call, std::string_view reason) {
-  log_.write(LogEvent::callUnavailable, {{"reason", reason}});
-  ControlAnswer unavailable;
-  unavailable.status = ControlStatus::unavailable;
-  unavailable.error = {ErrorCode::noQuorum, "", std::string(reason)};
-  answer(call, std::move(unavailable));
-}
-
 // Duties
 
 bool RegistryImpl::durableBeyondLosses() const {
@@ -385,60 +291,6 @@
   takeSnapshotIfDue();
 }
 
-void RegistryImpl::handOverCalls() {
-  const consensus::RaftStatus status = raft_->status();
-  if (status.leader == base::ServerId{}) {
-    return;
-  }
-  const bool own = status.role == Role::leader;
-  if (own && (!leadingActively() || !durableBeyondLosses())) {
-    return;
-  }
-  for (const std::uint64_t number : calls_.notHandedTo(status.leader)) {
-    WaitingCall& call = *calls_.find(number);
-    if (!own && call.origin.connection) {
-      continue;  // Forwarded to this server, which doesn't lead any more: its sender sees that too.
-    }
-    call.handedTo = status.leader;
-    if (own) {
-      const ControlCall body = call.call;
-      std::visit([this, number](const auto& alternative) { decide(number, alternative); }, body);
-    } else if (const auto leader = endpointOf(status.leader, false)) {
-      actions_.emplace_back(
-          control::SendToServer{status.leader, *leader, wrap(ForwardedCall{number, call.call})});
-    }
-  }
-}
-
-void RegistryImpl::expireCalls() {
-  for (const std::uint64_t number : calls_.expired(now_)) {
-    answerUnavailable(number, raft_->status().leader == base::ServerId{} ? "no leader is known"
-                                                                         : "not confirmed in time");
-  }
-}
-
-void RegistryImpl::answerReads() {
-  std::erase_if(reads_, [this](const PendingRead& read) {
-    const auto ready = raft_->readReady(read.token);
-    if (ready.has_error()) {
-      answerUnavailable(read.call, "leadership was lost");
-      return true;
-    }
-    if (!ready.value() || appliedIndex_ < *ready.value()) {
-      return false;
-    }
-    ControlAnswer found;
-    found.status = ControlStatus::done;
-    found.leader = options_.self.resourceEndpoint;
-    found.text = state_.documentText();
-    if (state_.documentVersion() == 0) {
-      found.status = ControlStatus::unavailable;
-    }
-    answer(read.call, std::move(found));
-    return true;
-  });
-}
-
 void RegistryImpl::applyEntries(const std::vector<consensus::LogEntry>& entries) {
   for (const consensus::LogEntry& entry : entries) {
     applyEntry(entry);
