placement: a model that a worker names twice counts once

Cause: the test whatIsWaitedForNeverMakesRoom failed since replicas are counted once a plan: a worker that names a model twice counted as two.

--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -123,6 +123,9 @@
     for (const PlacementWorker& worker : workers) {
       const bool takesAdapters = worker.serving && !worker.arriving && !worker.retiring;
       for (const HeldModel& held : worker.holdings.models) {
+        if (worker.holdings.find(held.name) != &held) {
+          continue;  // Named twice by its worker.
+        }
         ModelSummary& summary = models[held.name];
         summary.running += demand.running(worker.id, held.name);
         if (worker.serving && worker.retiring != held.name) {
