--- a/src/runtime/log_fields.cpp
+++ b/src/runtime/log_fields.cpp
@@ -24,7 +24,8 @@
       line += character;
     } else if (character == '\n') {
       line += "\\n";
-    } else if (code < ' ' || code == 0x7f) {
+    } else if (code < ' ' || code >= 0x7f) {
+      // Also what may be no valid text: a line must stay readable for any tool.
       line += "\\x";
       line += kHexDigits[code >> 4U];
       line += kHexDigits[code & 0xfU];
