gateway: a worker whose streams pause is passed over

Change: a pause beyond the route's target counts against the worker like a failure, once a stream.

Test seen failing: aWorkerWhoseStreamsPauseIsPassedOver.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -110,6 +110,10 @@
   void launch(const WorkerDirectory::WorkerPtr& worker);
   void takeSuccessHead();
   void streamEvents(std::string_view bytes);
+  void notePause(base::Duration pause);
+  base::Duration pauseLimit() const {
+    return route_.targetGap > base::Duration::zero() ? route_.targetGap : base::Duration::max();
+  }
   void completeStream();
   void attemptEnded(Executed executed, std::string_view reason);
   void retryOrFail(Executed executed, std::string_view reason);
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -89,7 +89,7 @@
     worker_->latency.observe(now() - attemptAt_);
     sink_.beginChunked(head_);
   }
-  longestGap_ = std::max(longestGap_, now() - lastEventAt_);
+  notePause(now() - lastEventAt_);
   lastEventAt_ = now();
   sink_.writeChunk(whole);
   armStall(std::max(kStallFloor, kStallFactor * route_.targetGap));
@@ -99,6 +99,15 @@
   }
 }
 
+/// A pause that makes the answer late speaks against the worker like a failure, once a stream.
+void Exchange::notePause(base::Duration pause) {
+  const bool first = longestGap_ <= pauseLimit();
+  longestGap_ = std::max(longestGap_, pause);
+  if (first && longestGap_ > pauseLimit()) {
+    worker_->failures.observe(true, now());
+  }
+}
+
 void Exchange::onCallerDrained() {
   if (state_ == State::attempting && attempt_ != nullptr) {
     attempt_->setReading(true);
@@ -146,7 +155,9 @@
     attemptEnded(Executed::yes, "the stream ended within an event");
     return;
   }
-  worker_->failures.observe(false, now());
+  if (longestGap_ <= pauseLimit()) {
+    worker_->failures.observe(false, now());
+  }
   releaseAttempt();
   if (!headSent_) {
     sink_.beginChunked(head_);
--- a/test/gateway/exchange_test.cpp
+++ b/test/gateway/exchange_test.cpp
@@ -252,6 +252,20 @@
   CHECK_TRUE(sent(0).cancelled);
 }
 
+TEST(ExchangeTest, aWorkerWhoseStreamsPauseIsPassedOver) {
+  harness.declare(2);
+  const auto paused = harness.request("stream", "r1");
+  harness.scheduler.advance(50ms);
+  harness.head(sent(0), 200, "r1", true);
+  sent(0).callbacks->onResponseBody("id: 1\n\n");
+  harness.scheduler.advance(500ms);
+  sent(0).callbacks->onResponseBody("id: 2\n\n");
+  sent(0).callbacks->onResponseComplete();
+  harness.scheduler.settle();
+  const auto next = harness.request("stream", "r2");
+  CHECK_TRUE(sent(1).worker.id.value != sent(0).worker.id.value);
+}
+
 TEST(ExchangeTest, theRetryBudgetHoldsForAllRequestsTogether) {
   harness.declare(3);
   std::vector<std::unique_ptr<Caller>> callers;
