placement: a replica that is still coming does not make the serving one surplus

Change: what makes room is judged by the workers that serve a model; one that is waited for is not surplus.

Test seen failing: aReplicaThatIsStillComingDoesNotMakeTheServingOneSurplus.

--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -86,7 +86,8 @@
   std::set<WorkerId> ordered;
 
   struct ModelSummary {
-    std::uint32_t replicas = 0;
+    std::uint32_t replicas = 0;  ///< Workers that serve it or are about to.
+    std::uint32_t serving = 0;   ///< Workers that serve it.
     std::uint32_t running = 0;
     std::uint32_t takingAdapters = 0;  ///< Workers that hold it and take adapters now.
   };
@@ -130,6 +131,7 @@
         summary.running += demand.running(worker.id, held.name);
         if (worker.serving && worker.retiring != held.name) {
           ++summary.replicas;
+          ++summary.serving;
         }
         summary.takingAdapters += takesAdapters ? 1 : 0;
       }
@@ -213,7 +215,8 @@
   /// @return what it costs, in seconds of a request's wait, to unload a model from a worker.
   double unloadCost(const PlacementWorker& worker, const HeldModel& held) const {
     const DemandFigures wanted = figures(held.name);
-    const std::uint32_t count = replicas(held.name);
+    // One that is still coming serves nobody yet.
+    const std::uint32_t count = summary(held.name).serving;
     const double running = demand.running(worker.id, held.name);
     double cost = std::min(kRunningCost * running, kMaxRunningCost);
     if (count <= 1) {
@@ -222,7 +225,7 @@
       return cost + kLastCost + kLastRateCost * wanted.rate + (recent ? kRecentUseCost : 0) +
              (wanted.waiting > 0 ? kWantedCost : 0);
     }
-    if (loadWithout(held.name, count) > kScaleOutShare) {
+    if (wanted.waiting > 0 || loadWithout(held.name, count) > kScaleOutShare) {
       cost += kOverloadCost;
     }
     cost += kHeldAdapterCost * static_cast<double>(held.adapters.size());
--- a/test/registry/placement_test.cpp
+++ b/test/registry/placement_test.cpp
@@ -97,6 +97,21 @@
   STRCMP_EQUAL("busy", steps[0].model.c_str());
 }
 
+TEST(PlacementTest, aReplicaThatIsStillComingDoesNotMakeTheServingOneSurplus) {
+  want("new", "", 1, 1, 1);
+  want("hot", "", 1, 20, 2);
+  want("rare1", "", 0, 2, 3);
+  want("rare2", "", 0, 2, 4);
+  PlacementWorker coming = workerWith("w2", {"rare2"});
+  coming.arriving = "hot";
+  const auto steps = plan(engineOf({"new", "hot", "rare1", "rare2"}),
+                          {workerWith("w1", {"hot", "rare1"}), coming});
+  for (const PlacementStep& step : steps) {
+    CHECK_TRUE(step.operation == OrderOperation::load || step.model != "hot");
+  }
+  CHECK_EQUAL(1, steps.size());
+}
+
 TEST(PlacementTest, whatIsWaitedForNeverMakesRoom) {
   want("new", "", 1, 1);
   want("other", "", 1, 1, 2);
