--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -225,7 +225,7 @@
       return cost + kLastCost + kLastRateCost * wanted.rate + (recent ? kRecentUseCost : 0) +
              (wanted.waiting > 0 ? kWantedCost : 0);
     }
-    if (wanted.waiting > 0 || loadWithout(held.name, count) > kScaleOutShare) {
+    if (loadWithout(held.name, count) > kScaleOutShare) {
       cost += kOverloadCost;
     }
     cost += kHeldAdapterCost * static_cast<double>(held.adapters.size());
