control, routing: streams go on with the version that they began with after it was replaced

Cause: a stream that may not be repeated and whose machine is reclaimed waits for a replica of the weights that it began with. Routers reported its demand by the model's name alone, so the cell placed the active version, and the router ended the stream (stream_broken, executed yes) as nothing could come. Change: demand names the former version; the planner asks for one replica of it within max_replicas while a stream waits, keeps it from being unloaded or evicted as outdated, and places an adapter over it; the cell's rule takes a former version only in a placement that says so. A deleted version still ends its streams at once.

--- a/include/walnut/control/commands.h
+++ b/include/walnut/control/commands.h
@@ -66,9 +66,11 @@
   base::Incarnation incarnation;
   base::AcceleratorIndex accelerator;
   std::uint64_t bytes = 0;
+  /// For streams that began with a version that is no longer the active one.
+  bool formerVersion = false;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(servable, engine, incarnation, accelerator, bytes);
+    archive(servable, engine, incarnation, accelerator, bytes, formerVersion);
   }
 };
 
--- a/include/walnut/protocol/messages.h
+++ b/include/walnut/protocol/messages.h
@@ -158,6 +158,8 @@
 struct Demand {
   std::string model;
   std::string adapter;  ///< Empty: the model itself.
+  /// Of streams that can only go on with a version that is no longer the active one; else empty.
+  std::string version;
   std::uint32_t waitingInteractive = 0;
   std::uint32_t waitingBatch = 0;
   std::uint32_t running = 0;
@@ -165,7 +167,7 @@
   base::TimePoint lastArrival;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(model, adapter, waitingInteractive, waitingBatch, running, earliestDeadline,
+    archive(model, adapter, version, waitingInteractive, waitingBatch, running, earliestDeadline,
             lastArrival);
   }
 };
--- a/src/control/cell_placement_rules.cpp
+++ b/src/control/cell_placement_rules.cpp
@@ -18,8 +18,8 @@
   std::uint64_t bytes = 0;
 };
 
-base::Result<Target> resolveServable(const CellContents& contents,
-                                     const resource::Servable& servable) {
+base::Result<Target> resolveServable(const CellContents& contents, const PlaceReplica& placement) {
+  const resource::Servable& servable = placement.servable;
   const auto* model = contents.findSpec<resource::ModelSpec>(Kind::model, servable.model);
   if (model == nullptr) {
     return Error{ErrorCode::referenceMissing, "servable.model", "no such model"};
@@ -29,7 +29,7 @@
   if (version == nullptr || version->model != servable.model) {
     return Error{ErrorCode::referenceMissing, "servable.version", "no such version of the model"};
   }
-  if (model->activeVersion != servable.version) {
+  if (model->activeVersion != servable.version && !placement.formerVersion) {
     return Error{ErrorCode::versionConflict, "servable.version", "not the active version"};
   }
   if (servable.adapter.empty()) {
@@ -122,7 +122,7 @@
 
 base::Result<void> check(const CellContents& contents, const CellLedger& ledger,
                          const PlaceReplica& placement) {
-  BOOST_OUTCOME_TRY(target, resolveServable(contents, placement.servable));
+  BOOST_OUTCOME_TRY(target, resolveServable(contents, placement));
   BOOST_OUTCOME_TRYV(checkEngine(contents, *target.model, placement));
   if (placement.bytes != target.bytes) {
     return Error{ErrorCode::outOfRange, "bytes", "not the accelerator bytes of the spec"};
--- a/src/control/demand_table.cpp
+++ b/src/control/demand_table.cpp
@@ -7,7 +7,7 @@
 
 void DemandTable::put(base::RouterId router, RouterEntries& entries,
                       const protocol::Demand& demand) {
-  const DemandTarget target{demand.model, demand.adapter};
+  const DemandTarget target{demand.model, demand.adapter, demand.version};
   const protocol::Demand former = std::exchange(entries_[target][router], demand);
   entries.targets.insert(target);
   stale_.insert(target);
@@ -42,7 +42,14 @@
   const std::set<DemandTarget> former =
       report.complete ? std::exchange(known.targets, {}) : std::set<DemandTarget>{};
   for (const protocol::Demand& demand : report.entries) {
-    put(report.router, known, demand);
+    const bool waits = demand.waitingInteractive + demand.waitingBatch > 0;
+    if (demand.version.empty() || waits) {
+      put(report.router, known, demand);
+      continue;
+    }
+    const DemandTarget ended{demand.model, demand.adapter, demand.version};
+    known.targets.erase(ended);
+    remove(report.router, ended);
   }
   for (const DemandTarget& target : former) {
     if (!known.targets.contains(target)) {
--- a/src/control/demand_table.h
+++ b/src/control/demand_table.h
@@ -18,6 +18,8 @@
 struct DemandTarget {
   std::string model;
   std::string adapter;  ///< Empty: the model itself.
+  /// A former version that streams have to go on with; empty: the active one.
+  std::string version;
   auto operator<=>(const DemandTarget&) const = default;
 };
 
--- a/src/control/placement_input.h
+++ b/src/control/placement_input.h
@@ -40,6 +40,19 @@
   bool serves(const resource::Replica& replica) const {
     return replica.state != resource::ReplicaState::unloading && takesWork(replica.engine);
   }
+  /// @return true if streams have to go on with this servable of a former version, or with an
+  /// adapter over it.
+  bool formerVersionWanted(const resource::Servable& servable) const {
+    for (auto entry = demand.lower_bound({servable.model, "", ""});
+         entry != demand.end() && entry->first.model == servable.model; ++entry) {
+      const bool same = entry->first.version == servable.version &&
+                        (servable.adapter.empty() || entry->first.adapter == servable.adapter);
+      if (same && entry->second.waiting() > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
   /// @return demand of the target; none if no router reports it.
   TotalDemand demandOf(const DemandTarget& target) const {
     const auto found = demand.find(target);
@@ -47,9 +60,9 @@
   }
 };
 
-/// @return the target whose demand a servable answers.
+/// @return the target whose demand a servable of the active version answers.
 inline DemandTarget targetOf(const resource::Servable& servable) {
-  return {servable.model, servable.adapter};
+  return {servable.model, servable.adapter, ""};
 }
 
 /// @return the model itself, of an adapter's servable.
--- a/src/control/placement_policy.cpp
+++ b/src/control/placement_policy.cpp
@@ -142,6 +142,7 @@
   placement.incarnation = choice->incarnation;
   placement.accelerator = choice->place.accelerator;
   placement.bytes = need.bytes;
+  placement.formerVersion = need.formerVersion;
   loads_[{choice->place, need.servable}] = {choice->source, need.checkpointBytes};
   decisions_.emplace_back(std::move(placement));
 }
--- a/src/control/space_finder.cpp
+++ b/src/control/space_finder.cpp
@@ -91,6 +91,7 @@
   placement.incarnation = input_.state.engines().at(place.engine).incarnation;
   placement.accelerator = place.accelerator;
   placement.bytes = need.bytes;
+  placement.formerVersion = need.formerVersion;
   return placement;
 }
 
@@ -190,7 +191,8 @@
 
 bool SpaceFinder::outdated(const Servable& servable) const {
   const auto* model = input_.state.findModel(servable.model);
-  return model == nullptr || model->activeVersion != servable.version;
+  const bool former = model == nullptr || model->activeVersion != servable.version;
+  return former && !input_.formerVersionWanted(servable);
 }
 
 bool SpaceFinder::aboveMinimum(const Servable& servable) const {
--- a/src/control/target_planner.cpp
+++ b/src/control/target_planner.cpp
@@ -98,6 +98,9 @@
     const auto range = demandRange(model);
     for (auto entry = range.first; entry != range.second; ++entry) {
       const TotalDemand& total = entry->second;
+      if (!entry->first.version.empty()) {
+        continue;  // Says nothing of what callers will ask for.
+      }
       usage_.used(total.load() > 0 ? input_.now : std::min(input_.now, total.lastArrival),
                   entry->first);
     }
@@ -106,7 +109,7 @@
   using DemandIterator = std::map<DemandTarget, TotalDemand>::const_iterator;
   /// @return the demand of the model and of its adapters.
   std::pair<DemandIterator, DemandIterator> demandRange(const std::string& model) const {
-    auto end = input_.demand.lower_bound({model, ""});
+    auto end = input_.demand.lower_bound({model, "", ""});
     const auto begin = end;
     while (end != input_.demand.end() && end->first.model == model) {
       ++end;
@@ -160,7 +163,9 @@
     std::uint64_t adapterBytes = 0;
     const auto range = demandRange(name);
     for (auto entry = range.first; entry != range.second; ++entry) {
-      if (entry->first.adapter.empty()) {
+      if (isFormer(entry->first, model)) {
+        planFormerVersion(entry->first, entry->second, model);
+      } else if (entry->first.adapter.empty()) {
         demand.add(entry->second);
       } else {
         adapterBytes += planAdapter(entry->first, entry->second, model, demand);
@@ -168,7 +173,8 @@
     }
     const Servable servable{name, model.activeVersion, ""};
     std::uint32_t wanted = std::max(replicasFor(demand.load), model.minReplicas);
-    if (wanted == 0 && held({name, ""}, model) && replacementWanted(name, model.activeVersion)) {
+    if (wanted == 0 && held({name, "", ""}, model) &&
+        replacementWanted(name, model.activeVersion)) {
       wanted = 1;
     }
     ReplicaNeed need;
@@ -183,6 +189,54 @@
     settle(std::move(need), std::min(wanted, model.maxReplicas), model.minReplicas);
   }
 
+  static bool isFormer(const DemandTarget& target, const resource::ModelSpec& model) {
+    return !target.version.empty() && target.version != model.activeVersion;
+  }
+
+  /// Streams that may not be repeated go on with the weights that they began with, and their engine
+  /// leaves: one replica of those weights takes them up. The model's limit holds as ever.
+  void planFormerVersion(const DemandTarget& target, const TotalDemand& total,
+                         const resource::ModelSpec& model) {
+    const auto* version = input_.state.findModelVersion(target.version);
+    if (version == nullptr || version->model != target.model || total.waiting() == 0) {
+      return;
+    }
+    ReplicaNeed need;
+    need.servable = {target.model, target.version, ""};
+    need.bytes = version->acceleratorBytes;
+    need.checkpoint = version->checkpoint;
+    need.checkpointBytes = version->checkpointBytes;
+    need.model = model;
+    need.urgency = Urgency::interactive;
+    need.deadline = total.earliestDeadline.value_or(base::kNever);
+    need.formerVersion = true;
+    const auto* adapter = input_.state.findAdapter(target.adapter);
+    if (adapter != nullptr) {
+      need.adapterBytes = adapter->acceleratorBytes;
+    }
+    needOneOf(need);
+    if (adapter == nullptr || adapter->model != target.model) {
+      return;
+    }
+    need.servable.adapter = target.adapter;
+    need.bytes = adapter->acceleratorBytes;
+    need.adapterBytes = 0;
+    need.checkpoint = adapter->checkpoint;
+    need.checkpointBytes = adapter->checkpointBytes;
+    needOneOf(need);
+  }
+
+  /// Asks for one replica unless there is one, or the limit is reached, or it is asked for already.
+  void needOneOf(ReplicaNeed need) {
+    const auto all = static_cast<std::uint32_t>(input_.state.replicaCount(need.servable));
+    const bool allowed = all < need.model.maxReplicas;
+    if (serving(need.servable).heard > 0 || !allowed || !planned_.insert(need.servable).second) {
+      return;
+    }
+    need.count = 1;
+    plan_.needs.push_back(std::move(need));
+  }
+
   /// @return the adapter's bytes if it has demand, else 0.
   std::uint64_t planAdapter(const DemandTarget& target, const TotalDemand& total,
                             const resource::ModelSpec& model, ModelDemand& demand) {
@@ -283,8 +337,9 @@
       }
       for (const base::ReplicaId id : ids) {
         const Replica& replica = *input_.ledger.find(id);
-        const bool useless =
-            !input_.takesWork(replica.engine) || (outdated && !awaitsSuccessor(servable, replica));
+        const bool kept =
+            !outdated || input_.formerVersionWanted(servable) || awaitsSuccessor(servable, replica);
+        const bool useless = !input_.takesWork(replica.engine) || !kept;
         if (useless && replica.state != ReplicaState::unloading) {
           unloadWithAdapters(replica);
         }
@@ -318,7 +373,7 @@
         model->activeVersion == servable.version || replica.state != ReplicaState::ready) {
       return false;
     }
-    if (!held({servable.model, ""}, *model)) {
+    if (!held({servable.model, "", ""}, *model)) {
       return false;
     }
     for (const base::ReplicaId id :
--- a/src/control/target_planner.h
+++ b/src/control/target_planner.h
@@ -28,6 +28,7 @@
   resource::ModelSpec model;
   Urgency urgency = Urgency::standby;
   base::TimePoint deadline = base::kNever;  ///< Of the first that waits.
+  bool formerVersion = false;               ///< Streams have to go on with it.
 };
 
 /// Outcome of a run, both in a deterministic order.
--- a/src/routing/cluster_view.h
+++ b/src/routing/cluster_view.h
@@ -37,6 +37,10 @@
   std::optional<resource::Servable> resolve(const std::string& target) const {
     return contents_.resolve(target);
   }
+  /// @return whether the servable's version is declared, be it the active one or not.
+  bool declaresVersion(const resource::Servable& servable) const {
+    return contents_.declaresVersion(servable);
+  }
   /// @return replicas ready on engines that are live, not drained and of the same incarnation, in
   /// order of their ids. Valid until the next message is applied.
   const std::vector<ReadyReplica>& readyReplicas(const resource::Servable& servable) const {
--- a/src/routing/demand_reporter.cpp
+++ b/src/routing/demand_reporter.cpp
@@ -139,9 +139,35 @@
   return entries;
 }
 
+void DemandReporter::addFormerVersions(const ClusterView& view, const RequestTable& requests,
+                                       bool complete, std::vector<protocol::Demand>& entries) {
+  std::map<resource::Servable, std::uint32_t> waiting = requests.waitingToGoOn();
+  std::erase_if(waiting, [&](const auto& entry) {
+    return view.resolve(targetName(entry.first)) == entry.first;
+  });
+  std::map<resource::Servable, std::uint32_t> told = waiting;
+  for (const auto& [servable, count] : reportedFormer_) {
+    told.try_emplace(servable, 0);  // Tells that none waits any more.
+  }
+  for (const auto& [servable, count] : told) {
+    const auto known = reportedFormer_.find(servable);
+    const bool same = known != reportedFormer_.end() && known->second == count;
+    if (same && !complete) {
+      continue;
+    }
+    protocol::Demand demand;
+    demand.model = servable.model;
+    demand.adapter = servable.adapter;
+    demand.version = servable.version;
+    demand.waitingInteractive = count;
+    entries.push_back(std::move(demand));
+  }
+  reportedFormer_ = std::move(waiting);
+}
+
 void DemandReporter::tick(base::TimePoint now, const std::map<std::string, Target>& targets,
                           const RequestQueue& queue, const ClusterView& view,
-                          std::vector<RouterAction>& actions) {
+                          const RequestTable& requests, std::vector<RouterAction>& actions) {
   if (now < nextAt_) {
     return;
   }
@@ -154,6 +180,7 @@
   report.complete = now >= completeAt_;
   report.entries = report.complete ? allActive(now, targets, queue, view)
                                    : changedEntries(now, targets, queue, view);
+  addFormerVersions(view, requests, report.complete, report.entries);
   if (report.entries.empty() && !report.complete && now < sentAt_ + kAliveInterval) {
     return;
   }
--- a/src/routing/demand_reporter.h
+++ b/src/routing/demand_reporter.h
@@ -11,6 +11,7 @@
 #include "routing/cluster_view.h"
 #include "routing/controller_sessions.h"
 #include "routing/request_queue.h"
+#include "routing/request_table.h"
 #include "routing/target_table.h"
 
 namespace walnut::routing {
@@ -37,7 +38,8 @@
 
   /// Sends what is due to the leader.
   void tick(base::TimePoint now, const std::map<std::string, Target>& targets,
-            const RequestQueue& queue, const ClusterView& view, std::vector<RouterAction>& actions);
+            const RequestQueue& queue, const ClusterView& view, const RequestTable& requests,
+            std::vector<RouterAction>& actions);
 
  private:
   /// The entry that the leader holds of a target.
@@ -59,6 +61,10 @@
                                                const std::map<std::string, Target>& targets,
                                                const RequestQueue& queue, const ClusterView& view);
 
+  /// Adds streams that have to go on with a former version, where the leader does not know them so.
+  void addFormerVersions(const ClusterView& view, const RequestTable& requests, bool complete,
+                         std::vector<protocol::Demand>& entries);
+
   const RouterOptions& options_;
   base::RouterId id_;
   std::optional<LeaderSession> leader_;
@@ -66,6 +72,8 @@
   /// entry of a refused request changes by the passing of time alone.
   std::set<std::string> changed_;
   std::map<std::string, Reported> reported_;
+  /// Streams that wait for a servable of a former version, as the leader knows them.
+  std::map<resource::Servable, std::uint32_t> reportedFormer_;
   std::uint64_t sequence_ = 0;
   base::TimePoint nextAt_;
   base::TimePoint completeAt_;
--- a/src/routing/request_table.cpp
+++ b/src/routing/request_table.cpp
@@ -27,6 +27,20 @@
   requests_.erase(id);
 }
 
+std::map<resource::Servable, std::uint32_t> RequestTable::waitingToGoOn() const {
+  std::map<resource::Servable, std::uint32_t> waiting;
+  for (const auto& [id, request] : requests_) {
+    const RequestState state = request->machine.state();
+    const bool waits = request->wantsReplica || state == RequestState::queued ||
+                       state == RequestState::claiming || state == RequestState::starting ||
+                       state == RequestState::backingOff;
+    if (request->pinned.has_value() && waits) {
+      ++waiting[*request->pinned];
+    }
+  }
+  return waiting;
+}
+
 void RequestTable::arm(Request& request) {
   const base::TimePoint at = std::min({request.deadline, request.phaseDeadline, request.moveAt});
   if (at == request.timer) {
--- a/src/routing/request_table.h
+++ b/src/routing/request_table.h
@@ -28,6 +28,8 @@
   Request* find(const base::RequestId& id);
   void erase(Request& request);
   std::size_t size() const { return requests_.size(); }
+  /// @return how many requests wait for each servable that they have to go on with.
+  std::map<resource::Servable, std::uint32_t> waitingToGoOn() const;
 
   /// Registers the least of the request's deadline, phaseDeadline and moveAt. To be called after
   /// any of them changed.
--- a/src/routing/state_parker.cpp
+++ b/src/routing/state_parker.cpp
@@ -215,13 +215,17 @@
   if (mayBecomeReady(request.caller.target, *request.pinned)) {
     return false;
   }
-  giveUp(request, "the version that the stream began with is no longer loaded");
+  giveUp(request, "the version that the stream began with is no longer declared");
   return true;
 }
 
 bool StateParker::mayBecomeReady(const std::string& target,
                                  const resource::Servable& servable) const {
-  return core_.view.resolve(target) == servable || core_.view.hasReadyReplica(servable);
+  if (core_.view.hasReadyReplica(servable)) {
+    return true;
+  }
+  const std::optional<resource::Servable> current = core_.view.resolve(target);
+  return current.has_value() && (current == servable || core_.view.declaresVersion(servable));
 }
 
 bool StateParker::mayHold(const resource::Engine& engine) const {
--- a/src/routing/view_contents.cpp
+++ b/src/routing/view_contents.cpp
@@ -99,6 +99,8 @@
       touchEngine(base::EngineId{name}, touched);
       break;
     case Kind::modelVersion:
+      modelOfVersion_[name] = std::get<resource::ModelVersionSpec>(resource.spec).model;
+      break;
     case Kind::capacityBudget:
     case Kind::enginePool:
       break;  // Routing does not depend on them.
@@ -122,6 +124,8 @@
       touchEngine(base::EngineId{name}, touched);
       break;
     case Kind::modelVersion:
+      modelOfVersion_.erase(name);
+      break;
     case Kind::capacityBudget:
     case Kind::enginePool:
       break;
@@ -231,6 +235,11 @@
   return servable;
 }
 
+bool ViewContents::declaresVersion(const resource::Servable& servable) const {
+  const auto version = modelOfVersion_.find(servable.version);
+  return version != modelOfVersion_.end() && version->second == servable.model;
+}
+
 const ViewContents::ServableReplicas* ViewContents::findServable(
     const resource::Servable& servable) const {
   const auto version = servables_.find({servable.model, servable.version});
--- a/src/routing/view_contents.h
+++ b/src/routing/view_contents.h
@@ -56,6 +56,7 @@
   /// @name As in ClusterView
   /// @{
   std::optional<resource::Servable> resolve(const std::string& target) const;
+  bool declaresVersion(const resource::Servable& servable) const;
   const std::vector<ReadyReplica>& readyReplicas(const resource::Servable& servable) const;
   const resource::Engine* engine(const base::EngineId& id) const;
   std::vector<const resource::Engine*> enginesThatTakeWork() const;
@@ -135,6 +136,7 @@
 
   std::map<std::string, Model> models_;
   std::map<std::string, Adapter> adapters_;
+  std::map<std::string, std::string> modelOfVersion_;
   std::set<base::EngineId> drained_;
   ServableTable servables_;
   EngineTable engines_;
--- a/test/control/cell_placement_test.cpp
+++ b/test/control/cell_placement_test.cpp
@@ -277,3 +277,9 @@
   CHECK_TRUE(cell.state.replicas().at(beside).state == ReplicaState::reserved);
   LONGS_EQUAL(2, cell.state.history().since(cell.index - 1)->size());
 }
+
+TEST(CellPlacement, aFormerVersionIsPlacedOnlyWhenItIsAskedForAsOne) {
+  PlaceReplica placement = placementOf({"m", "v2", ""}, "e1");
+  placement.formerVersion = true;
+  CHECK_FALSE(cell.apply(placement).refusal.has_value());
+}
--- a/test/control/demand_table_test.cpp
+++ b/test/control/demand_table_test.cpp
@@ -80,3 +80,15 @@
   CHECK_TRUE(expire(6));
   CHECK_EQUAL(1, waiting());
 }
+
+TEST(DemandTable, aFormerVersionCountsApartAndGoesWhenNoStreamWaitsForIt) {
+  protocol::DemandReport report = reportOf(1, 1, false, 2);
+  report.entries[0].version = "v0";
+  CHECK_TRUE(take(1, report));
+  CHECK_EQUAL(0U, table.totals().count(kTarget));
+  CHECK_EQUAL(2U, table.totals().at({"m", "", "v0"}).waiting());
+  report.sequence = 2;
+  report.entries[0].waitingInteractive = 0;
+  CHECK_TRUE(take(2, report));
+  CHECK_TRUE(table.totals().empty());
+}
--- a/test/control/placement_policy_test.cpp
+++ b/test/control/placement_policy_test.cpp
@@ -299,3 +299,45 @@
   CHECK_EQUAL(0U, places(decide()));
   CHECK_EQUAL(1U, places(decide()));
 }
+
+namespace {
+
+const control::DemandTarget kFormerTarget{"m", "", "v1"};
+const control::DemandTarget kFormerAdapterTarget{"m", "a", "v1"};
+
+}  // namespace
+
+TEST(PlacementPolicy, aFormerVersionIsPlacedOnceForStreamsThatHaveToGoOnWithIt) {
+  cell.put(control::declare(resource::Kind::model, "m", control::modelSpec("v2")));
+  demand[kFormerTarget] = waiting(40);
+  const auto decisions = decide();
+  CHECK_EQUAL(1, places(decisions));
+  const auto& placement = std::get<control::PlaceReplica>(decisions.front());
+  CHECK_TRUE(placement.servable == kModel);
+  CHECK_TRUE(placement.formerVersion);
+  cell.apply(control::MarkReplicaReady{base::ReplicaId{cell.index}});
+  CHECK_EQUAL(0, decide().size());  // Neither a second one, nor is it outdated.
+  demand.clear();
+  CHECK_EQUAL(1, unloads(decide()));
+}
+
+TEST(PlacementPolicy, aFormerVersionIsPlacedWithTheAdapterThatItsStreamsUse) {
+  cell.put(control::declare(resource::Kind::model, "m", control::modelSpec("v2")));
+  demand[kFormerAdapterTarget] = waiting(1);
+  CHECK_EQUAL(1, places(decide()));
+  cell.apply(control::MarkReplicaReady{base::ReplicaId{cell.index}});
+  ++second;  // The store allows one load a second.
+  const auto decisions = decide();
+  CHECK_EQUAL(1, places(decisions));
+  CHECK_TRUE(std::get<control::PlaceReplica>(decisions.front()).servable == control::kAdapter);
+}
+
+TEST(PlacementPolicy, aFormerVersionIsNotPlacedBeyondTheLimitNorOnceItIsDeleted) {
+  cell.put(control::declare(resource::Kind::model, "m", control::modelSpec("v2", 0)));
+  demand[kFormerTarget] = waiting(1);
+  CHECK_EQUAL(0, places(decide()));
+  cell.put(control::declare(resource::Kind::model, "m", control::modelSpec("v2")));
+  demand.clear();
+  demand[{"m", "", "v9"}] = waiting(1);
+  CHECK_EQUAL(0, places(decide()));
+}
--- a/test/routing/demand_reporter_test.cpp
+++ b/test/routing/demand_reporter_test.cpp
@@ -30,7 +30,7 @@
   std::optional<protocol::DemandReport> run() {
     now_ += kStep;
     std::vector<RouterAction> actions;
-    reporter_.tick(now_, targets_, queue_, view_, actions);
+    reporter_.tick(now_, targets_, queue_, view_, requests_, actions);
     if (actions.empty()) {
       return std::nullopt;
     }
@@ -60,6 +60,16 @@
     targets_["m"].refusedDemandUntil = until;
     reporter_.changed("m");
   }
+  /// A stream that began with `version` waits for an engine from now on.
+  Request& streamWaits(const std::string& version) {
+    CallerRequest caller;
+    caller.request = {"stream"};
+    caller.target = "m";
+    Request& request = *requests_.add(caller);
+    request.pinned = resource::Servable{"m", version, ""};
+    return request;
+  }
+  RequestTable& requests() { return requests_; }
   base::TimePoint now() const { return now_; }
   DemandReporter& reporter() { return reporter_; }
   ClusterView& view() { return view_; }
@@ -69,6 +79,7 @@
   DemandReporter reporter_{options_, base::RouterId{1}};
   ClusterView view_;
   RequestQueue queue_;
+  RequestTable requests_;
   std::map<std::string, Target> targets_;
   base::TimePoint now_ = base::fromMicros(1'000'000'000);
 };
@@ -166,3 +177,23 @@
   }
   CHECK_TRUE(dropped);
 }
+
+TEST(DemandReporter, aStreamOfAFormerVersionIsToldWithItsVersionUntilItGoesOn) {
+  Fixture fixture;
+  Request& stream = fixture.streamWaits("v0");
+  const std::vector<protocol::Demand> begun = fixture.entriesWithin(3);
+  CHECK_EQUAL(1U, begun.size());
+  STRCMP_EQUAL("v0", begun[0].version.c_str());
+  CHECK_EQUAL(1U, begun[0].waitingInteractive);
+  fixture.requests().erase(stream);
+  const std::vector<protocol::Demand> ended = fixture.entriesWithin(3);
+  CHECK_EQUAL(1U, ended.size());
+  STRCMP_EQUAL("v0", ended[0].version.c_str());
+  CHECK_EQUAL(0U, ended[0].waitingInteractive);
+}
+
+TEST(DemandReporter, aStreamOfTheActiveVersionIsNotToldApart) {
+  Fixture fixture;
+  fixture.streamWaits("v1");
+  CHECK_EQUAL(0U, fixture.entriesWithin(3).size());
+}
--- a/test/routing/fake_cell.h
+++ b/test/routing/fake_cell.h
@@ -48,6 +48,13 @@
   return protocol::ResourceChanged{resource};
 }
 
+inline protocol::Change versionChange(const std::string& name, const std::string& model) {
+  resource::Resource resource;
+  resource.key = {resource::Kind::modelVersion, name};
+  resource.spec = resource::ModelVersionSpec{model, "weights", 1, 1};
+  return protocol::ResourceChanged{resource};
+}
+
 inline resource::Engine engineRecord(std::size_t number) {
   resource::Engine engine;
   engine.id = {"engine" + std::to_string(number)};
--- a/test/routing/state_parking_test.cpp
+++ b/test/routing/state_parking_test.cpp
@@ -217,6 +217,19 @@
   CHECK_EQUAL(1U, harness.cancels.size());  // The holder may free the copy.
 }
 
+TEST(StateParkingTest, replacedVersionThatIsDeclaredIsWaitedForAndTakenUp) {
+  ParkingHarness harness;
+  harness.change(versionChange("v1", "model"));
+  harness.park();
+  harness.change(modelChange("model", "v2"));
+  harness.advance(300ms);
+  CHECK_EQUAL(0U, harness.refusals.size());
+  const std::size_t before = harness.started.size();
+  harness.change(protocol::ReplicaChanged{replicaRecord(9, "model", 1)});
+  CHECK_EQUAL(before + 1, harness.started.size());
+  STRCMP_EQUAL("v1", harness.started.back().generate.servable.version.c_str());
+}
+
 TEST(StateParkingTest, streamOfAReplacedVersionStaysUntilItsMachineGoes) {
   ParkingHarness harness;
   harness.change(modelChange("model", "v2"));
