registry: a new leader orders after half a second where workers check fences; the store's rate has a burst

Three reasons: a new leader waited out the lease of the former holder; each first order to a worker took its token from the store's rate and was then put off for a report, so half the rate was lost; and the rate was spaced without a burst. Ruled out: late news of finished loads (model-order-ended, logged since this commit, comes within 10 ms of the load's own time). Change: with orders-fenced the turn is claimed 0.5 s after the election, unless it changed hands within the lease before; all workers are asked for reports when a turn begins, and only workers with one are planned for; loads from the store pass a token bucket that keeps the bound of any window. The tests of the turn, the reports and the rate were written with the change.

--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -48,6 +48,12 @@
   double overdueHeartbeats = 1.3;
   base::Duration workerForgottenAfter = std::chrono::seconds(20);
   base::Duration orderLease = std::chrono::milliseconds(3000);  ///< A holder's turn, after its end.
+  bool ordersFenced = false;  ///< Workers refuse a fencing token below one that they have seen.
+  /// @name Loads from the weight store, counted in any such window
+  /// @{
+  base::Duration storeWindow = std::chrono::seconds(5);
+  double storeOvershoot = 1.1;  ///< Of the rate, allowed within a window.
+  /// @}
   base::Duration orderTimeout = std::chrono::seconds(1);
   base::Duration adapterSettleTime = std::chrono::milliseconds(40);
   std::size_t snapshotEveryBytes = 512U << 10U;  ///< Of commands since the last snapshot.
--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -31,12 +31,11 @@
   workerForgotten,
   workerSilent,
   workerHeard,
-  workerView,
   breakerOpened,
-  breakerClosed,
   orderTurn,
   orderSent,
   orderFinished,
+  modelOrderEnded,
   reportRead,
   callUnavailable,
   // Requests.
--- a/src/daemon/registry_settings.cpp
+++ b/src/daemon/registry_settings.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::int64_t kMaxPort = 65535;
 constexpr std::int64_t kMaxLosses = 6;
+constexpr double kMaxOvershoot = 10;
 constexpr std::int64_t kMaxMillis = 3'600'000;
 
 }  // namespace
@@ -33,6 +34,12 @@
                    "Disks that may be lost at once");
   keys_.addMillis("order-lease-ms", settings_.logic.orderLease, 0, kMaxMillis,
                   "Between the orders of two servers");
+  keys_.addBoolean("orders-fenced", settings_.logic.ordersFenced,
+                   "Workers refuse a lower fencing token than one that they have seen");
+  keys_.addMillis("store-window-ms", settings_.logic.storeWindow, 1, kMaxMillis,
+                  "In which loads from the weight store are counted");
+  keys_.addReal("store-overshoot", settings_.logic.storeOvershoot, 1, kMaxOvershoot,
+                "Of the weight store's rate, allowed within a window");
   keys_.addMillis("heartbeat-ms", settings_.logic.heartbeatInterval, 1, kMaxMillis,
                   "Between two heartbeats of a worker");
   keys_.addMillis("worker-forgotten-ms", settings_.logic.workerForgottenAfter, 1, kMaxMillis,
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -12,6 +12,9 @@
 
 /// Beyond the lease of a former holder, for its clock and the network.
 constexpr base::Duration kTurnMargin = std::chrono::milliseconds(300);
+/// Workers check fences: as old as reports are, and some, so that they tell of all orders that the
+/// former holder gave.
+constexpr base::Duration kFencedTurnDelay = std::chrono::milliseconds(500);
 /// Least time between two stored states of one worker's holdings.
 constexpr base::Duration kHoldingsInterval = std::chrono::milliseconds(500);
 /// A worker that refused an order is not ordered again for this long.
@@ -63,7 +66,8 @@
 
 LeaderDuties::LeaderDuties(const RegistryOptions& options, const DocumentReader& reader,
                            const CellState& state, consensus::Term term, base::ServerId self,
-                           runtime::EventLog& log, base::TimePoint now)
+                           runtime::EventLog& log, base::TimePoint now,
+                           std::optional<base::TimePoint> lastTurnAt)
     : options_(options),
       reader_(reader),
       state_(state),
@@ -71,6 +75,7 @@
       self_(self),
       log_(log),
       since_(now),
+      turnAllowedAt_(turnAllowedAt(lastTurnAt)),
       publisher_(options.viewInterval) {
   stateChanged(now);
 }
@@ -96,6 +101,7 @@
     return false;
   }
   changed_.insert(id);
+  logEndedOrder(id, status, now);
   if (wasSilent) {
     log_.write(LogEvent::workerHeard, {{"worker", id.value}});
   }
@@ -166,6 +172,7 @@
     nextPlan_ = now + options_.planInterval;
     claimOrders(now);
     if (ordersAllowed(now)) {
+      refreshReports(now);
       plan(now);
       askOverdueWorkers(now);
     }
@@ -259,15 +266,23 @@
   return !fenced_ && holder == self_ && now >= since_;
 }
 
-/// Two servers must not give orders in turn within the lease: a new leader waits until the turn of
-/// the former holder, which can't have known of it at once, is over.
+/// Two servers must not give orders in turn within the lease. Without fences a new leader waits
+/// until the turn of the former holder, which can't have known of it at once, is over. With fences
+/// the former holder's late orders are refused, so one change needs no such wait; a second one
+/// within the lease does, as the first holder might be back.
+base::TimePoint LeaderDuties::turnAllowedAt(std::optional<base::TimePoint> lastTurnAt) const {
+  const base::Duration lease = options_.orderLease + kTurnMargin;
+  const bool recent = lastTurnAt && since_ < *lastTurnAt + lease;
+  return since_ + (options_.ordersFenced && !recent ? kFencedTurnDelay : lease);
+}
+
 void LeaderDuties::claimOrders(base::TimePoint now) {
   const base::ServerId holder = state_.orderHolder();
   if (holder == self_ || holderProposed_ || document_ == nullptr) {
     return;
   }
   const bool first = holder == base::ServerId{};
-  if (!first && now < since_ + options_.orderLease + kTurnMargin) {
+  if (!first && now < turnAllowedAt_) {
     return;
   }
   holderProposed_ = true;
@@ -296,6 +311,8 @@
   }
   PlacementPolicy& policy = policies_.try_emplace(service.name, service.name).first->second;
   StoreRate& store = storeRates_[service.name];
+  store.setLimit(service.engine->storeLoadsPerSecond,
+                 {options_.storeWindow, options_.storeOvershoot}, now);
   for (const PlacementStep& step : policy.plan(*service.engine, workers, demand_, store, now)) {
     carryOut(step, now);
   }
@@ -308,7 +325,8 @@
   worker.id = record.id;
   worker.holdings = status.expected(now);
   worker.serving = !record.leaving && !status.silent;
-  worker.mayBeOrdered = !status.sentOrder && !status.reportUnderWay && now >= status.orderAgainAt;
+  worker.mayBeOrdered = status.reportFresh && !status.sentOrder && !status.reportUnderWay &&
+                        now >= status.orderAgainAt;
   worker.mayTakeAdapters = !(status.adaptersBlocked && status.modelOrder);
   for (const HeldModel& held : worker.holdings.models) {
     for (const std::string& adapter : held.adapters) {
@@ -330,10 +348,6 @@
 void LeaderDuties::carryOut(const PlacementStep& step, base::TimePoint now) {
   const WorkerRecord& record = *state_.findWorker(step.worker);
   WorkerStatus& status = statusOf(step.worker, now);
-  if (!status.reportFresh) {
-    requestReport(record, status);
-    return;
-  }
   const std::uint64_t order = ++lastOrder_;
   status.sentOrder = step;
   orders_[order] = {step, now};
@@ -363,6 +377,20 @@
   }
 }
 
+/// Only a worker whose count of orders is known can be ordered.
+void LeaderDuties::refreshReports(base::TimePoint now) {
+  for (const auto& [id, record] : state_.workers()) {
+    const catalog::Service* service =
+        document_ == nullptr ? nullptr : document_->findService(record.service);
+    WorkerStatus& status = statusOf(id, now);
+    const bool wanted = service != nullptr && service->engine && !record.leaving &&
+                        !status.silent && !status.reportFresh && !status.sentOrder;
+    if (wanted && now >= status.orderAgainAt) {
+      requestReport(record, status);
+    }
+  }
+}
+
 void LeaderDuties::askOverdueWorkers(base::TimePoint now) {
   for (const auto& [id, record] : state_.workers()) {
     WorkerStatus& status = statusOf(id, now);
@@ -413,7 +441,7 @@
         const bool load = step.operation == OrderOperation::load;
         const base::Duration patience =
             load ? 2 * loadTime(step, record->service) + kOrderMargin : kUnloadPatience;
-        status.modelOrdered(step, now + patience);
+        status.modelOrdered(step, now, now + patience);
       } else {
         status.adapterOrdered(step, now, options_.adapterSettleTime);
       }
@@ -439,9 +467,13 @@
       status.reportFresh = false;
       status.orderAgainAt = now + kRefusedPause;
       return;
+    case OrderOutcome::unclear:
+      if (step.fromStore) {
+        storeRates_[record->service].unclear(now);
+      }
+      [[fallthrough]];
     case OrderOutcome::misdirected:
     case OrderOutcome::refused:
-    case OrderOutcome::unclear:
       status.reportFresh = false;
       status.orderAgainAt = now + kRefusedPause;
       return;
@@ -468,6 +500,7 @@
               {"pending", report.pendingAdapters.size()},
               {"busy", std::string_view(report.orderUnderWay ? "yes" : "no")}});
   status.takeReport(report, now);
+  logEndedOrder(finished.worker, status, now);
   changed_.insert(finished.worker);
   if (!status.reportFresh) {
     status.orderAgainAt = now + kRefusedPause;
@@ -479,6 +512,19 @@
   }
 }
 
+void LeaderDuties::logEndedOrder(const WorkerId& id, WorkerStatus& status, base::TimePoint now) {
+  const std::optional<ModelOrder> ended = std::exchange(status.endedOrder, std::nullopt);
+  if (!ended) {
+    return;
+  }
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - ended->acceptedAt).count();
+  log_.write(LogEvent::modelOrderEnded, {{"worker", id.value},
+                                         {"operation", operationName(ended->operation)},
+                                         {"model", ended->model},
+                                         {"millis", static_cast<std::uint64_t>(millis)}});
+}
+
 base::TimePoint LeaderDuties::nextWakeup() const {
   base::TimePoint next = std::min({publisher_.nextUpdate(), nextPlan_, nextCheck_});
   if (planSoon_) {
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -24,9 +24,10 @@
 /// state, which its owner changes and then reports by `stateChanged`.
 class LeaderDuties {
  public:
+  /// @param lastTurnAt when this server, while it ran, saw another server take its turn to order.
   LeaderDuties(const RegistryOptions& options, const DocumentReader& reader, const CellState& state,
                consensus::Term term, base::ServerId self, runtime::EventLog& log,
-               base::TimePoint now);
+               base::TimePoint now, std::optional<base::TimePoint> lastTurnAt = std::nullopt);
 
   /// @return true if the replicated record must change for this heartbeat.
   bool heartbeat(const Heartbeat& heartbeat, base::TimePoint now);
@@ -67,9 +68,12 @@
   void carryOut(const PlacementStep& step, base::TimePoint now);
   void requestReport(const WorkerRecord& record, WorkerStatus& status);
   void askOverdueWorkers(base::TimePoint now);
+  void refreshReports(base::TimePoint now);
+  base::TimePoint turnAllowedAt(std::optional<base::TimePoint> lastTurnAt) const;
   bool ordersAllowed(base::TimePoint now) const;
   void claimOrders(base::TimePoint now);
   base::Duration loadTime(const PlacementStep& step, const std::string& service) const;
+  void logEndedOrder(const WorkerId& id, WorkerStatus& status, base::TimePoint now);
   WorkerStatus& statusOf(const WorkerId& id, base::TimePoint now);
 
   const RegistryOptions& options_;
@@ -79,6 +83,7 @@
   const base::ServerId self_;
   runtime::EventLog& log_;
   const base::TimePoint since_;
+  const base::TimePoint turnAllowedAt_;  ///< Not before, if another server had the last turn.
 
   std::shared_ptr<const catalog::Document> document_;
   std::map<WorkerId, WorkerStatus> workers_;
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -12,8 +12,6 @@
 using catalog::EngineSpec;
 using catalog::ModelSpec;
 
-/// Share of the store's rate that is used: loads are counted in windows that nobody aligns.
-constexpr double kStoreRateShare = 0.9;
 /// A wake that has not come about in this time is decided anew.
 constexpr base::Duration kWakeLifetime = std::chrono::seconds(15);
 /// Arrivals a second from which a model is held by two workers.
@@ -67,13 +65,6 @@
 
 }  // namespace
 
-void StoreRate::taken(base::TimePoint now) {
-  if (perSecond_ > 0) {
-    const auto gap = std::chrono::duration<double>(1.0 / (perSecond_ * kStoreRateShare));
-    nextAt_ = std::max(nextAt_, now) + std::chrono::duration_cast<base::Duration>(gap);
-  }
-}
-
 /// One run of the policy: its inputs, and what was decided so far.
 struct PlacementPolicy::Round {
   const EngineSpec& engine;
@@ -271,7 +262,6 @@
                                                  base::TimePoint now) {
   Round round{engine, workers, demand, store, now, service_, {}, {}, {}, {}};
   round.summarise();
-  store.setRate(engine.storeLoadsPerSecond);
   dropEndedWakes(round);
   chooseWakes(round);
   for (const std::string& model : byWorth_) {
@@ -378,11 +368,11 @@
     return;
   }
   const bool fromStore = round.fromStore(worker, *model);
-  if (fromStore && !round.store.allows(round.now)) {
+  if (fromStore && !round.store.allows()) {
     return;
   }
   if (fromStore) {
-    round.store.taken(round.now);
+    round.store.taken();
   }
   round.order({worker.id, OrderOperation::load, name, {}, fromStore});
 }
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "registry/demand_book.h"
+#include "registry/store_rate.h"
 #include "walnut/catalog/document.h"
 
 namespace walnut::registry {
@@ -41,19 +42,6 @@
   std::set<std::pair<std::string, std::string>> newAdapters;
 };
 
-/// Spaces loads from the weight store.
-class StoreRate {
- public:
-  /// @param perSecond 0: not limited.
-  void setRate(double perSecond) { perSecond_ = perSecond; }
-  bool allows(base::TimePoint now) const { return perSecond_ <= 0 || now >= nextAt_; }
-  void taken(base::TimePoint now);
-
- private:
-  double perSecond_ = 0;
-  base::TimePoint nextAt_;
-};
-
 /// Wakes models and adapters that requests wait for, and keeps a second replica of busy models.
 /// Kept by the leader for one service. A wake names a worker and holds until the model is there, so
 /// that making room and loading are steps of one decision.
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -45,6 +45,7 @@
       log_(log),
       now_(now),
       raft_(consensus::makeRaft(options.raft, std::move(recovered), founders, seed, now)),
+      recoveredIndex_(raft_->status().lastIndex),
       startedAt_(now),
       leaderHeardAt_(now) {}
 
@@ -253,7 +254,7 @@
   activeIndex_ = status.lastIndex;
   keeper_.emplace(CellKeeperOptions{options_.tolerableLosses}, now_);
   leading_ = std::make_unique<LeaderDuties>(options_, reader_, state_, status.term, status.self,
-                                            log_, now_);
+                                            log_, now_, lastTurnAt_);
   pendingDocumentVersion_ = 0;
 }
 
@@ -317,6 +318,9 @@
                     {"state", std::string_view(worker->worker.leaving ? "leaving" : "ready")}});
       } else if (const auto* gone = std::get_if<ForgetWorker>(&command.value())) {
         log_.write(LogEvent::workerForgotten, {{"worker", gone->worker.value}});
+      } else if (std::holds_alternative<StoreOrderHolder>(command.value()) &&
+                 entry.index > recoveredIndex_) {
+        lastTurnAt_ = now_;
       }
     }
   }
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -117,6 +117,9 @@
   base::ServerId lastLeader_;
   consensus::LogIndex lastMembershipIndex_ = 0;
 
+  /// When another server took the turn to order, while this one ran.
+  std::optional<base::TimePoint> lastTurnAt_;
+  const consensus::LogIndex recoveredIndex_;  ///< The last entry of the log as it was recovered.
   const base::TimePoint startedAt_;
   base::TimePoint leaderHeardAt_;
   base::TimePoint nextJoinAt_;
--- /dev/null
+++ b/src/registry/store_rate.cpp
@@ -0,0 +1,43 @@
+#include "registry/store_rate.h"
+
+#include <algorithm>
+
+namespace walnut::registry {
+
+namespace {
+
+/// Share of the store's rate that is used in the long run.
+constexpr double kRateShare = 0.97;
+/// Loads that a window may hold beyond the rate and its overshoot, less one for safety.
+constexpr double kBurstBeyondOvershoot = 2.0;
+/// In this time an order without a clear answer is carried out, or never.
+constexpr base::Duration kUnclearFor = std::chrono::seconds(12);
+
+double seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+}  // namespace
+
+void StoreRate::setLimit(double perSecond, const StoreWindow& window, base::TimePoint now) {
+  perSecond_ = perSecond * kRateShare;
+  burst_ = kBurstBeyondOvershoot + perSecond * seconds(window.length) * (window.overshoot - 1.0);
+  refill(now);
+  while (!unclear_.empty() && unclear_.front() + kUnclearFor <= now) {
+    unclear_.pop_front();
+  }
+}
+
+void StoreRate::refill(base::TimePoint now) {
+  if (refilledAt_ != base::TimePoint()) {
+    tokens_ = std::min(burst_, tokens_ + perSecond_ * seconds(now - refilledAt_));
+  }
+  refilledAt_ = now;
+}
+
+bool StoreRate::allows() const {
+  const double kept = std::min(burst_ - 1.0, static_cast<double>(unclear_.size()));
+  return perSecond_ <= 0 || tokens_ >= 1.0 + kept;
+}
+
+void StoreRate::taken() { tokens_ -= 1.0; }
+
+}  // namespace walnut::registry
--- a/src/registry/worker_status.cpp
+++ b/src/registry/worker_status.cpp
@@ -62,7 +62,7 @@
   holdingsKnown = true;
   finishModelOrder();
   if (modelOrder && !report.orderUnderWay) {
-    modelOrder.reset();
+    endedOrder = std::exchange(modelOrder, std::nullopt);
   }
 }
 
@@ -72,7 +72,7 @@
   }
   const bool held = reported_.find(modelOrder->model) != nullptr;
   if (held == (modelOrder->operation == OrderOperation::load)) {
-    modelOrder.reset();
+    endedOrder = std::exchange(modelOrder, std::nullopt);
   }
 }
 
@@ -90,8 +90,9 @@
                                                  now + kOverlayLifetime};
 }
 
-void WorkerStatus::modelOrdered(const PlacementStep& step, base::TimePoint dueAt) {
-  modelOrder = ModelOrder{step.operation, step.model, dueAt};
+void WorkerStatus::modelOrdered(const PlacementStep& step, base::TimePoint now,
+                                base::TimePoint dueAt) {
+  modelOrder = ModelOrder{step.operation, step.model, now, dueAt};
   adaptersBlocked = false;
   if (step.operation == OrderOperation::unload) {
     std::erase_if(adapterChanges_,
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -17,6 +17,7 @@
 struct ModelOrder {
   OrderOperation operation = OrderOperation::load;
   std::string model;
+  base::TimePoint acceptedAt;
   base::TimePoint dueAt;  ///< When the worker is asked, if it has not told by then.
 };
 
@@ -45,6 +46,8 @@
   std::optional<ModelOrder> modelOrder;
   /// An adapter was refused while an order for a model was under way: none is sent before its end.
   bool adaptersBlocked = false;
+  /// The last order for a model that ended; whoever reports it takes it out.
+  std::optional<ModelOrder> endedOrder;
 
   /// Takes what a former leader knew, until the worker itself is heard.
   void begin(const std::vector<HeldModel>& models);
@@ -58,7 +61,7 @@
 
   /// An order was accepted or found done.
   void adapterOrdered(const PlacementStep& step, base::TimePoint now, base::Duration settleTime);
-  void modelOrdered(const PlacementStep& step, base::TimePoint dueAt);
+  void modelOrdered(const PlacementStep& step, base::TimePoint now, base::TimePoint dueAt);
   void modelOrderDone(const PlacementStep& step);
 
   /// @return what it holds or is about to, adapters on their way included.
--- a/src/runtime/event_log.cpp
+++ b/src/runtime/event_log.cpp
@@ -12,17 +12,14 @@
     "dependency-lost",    "dependency-regained", "lines-dropped",    "role-changed",
     "membership-changed", "member-proposed",     "document-stored",  "document-refused",
     "document-taken",     "worker-stored",       "worker-forgotten", "worker-silent",
-    "worker-heard",       "worker-view",         "breaker-opened",   "breaker-closed",
-    "order-turn",         "order-sent",          "order-finished",   "report-read",
-    "call-unavailable",   "request-refused",     "request-waiting",  "attempt-started",
-    "attempt-failed",     "request-resumed",     "request-ended"};
-constexpr std::string_view kLast = "request-left";
+    "worker-heard",       "breaker-opened",      "order-turn",       "order-sent",
+    "order-finished",     "model-order-ended",   "report-read",      "call-unavailable",
+    "request-refused",    "request-waiting",     "attempt-started",  "attempt-failed",
+    "request-resumed",    "request-ended",       "request-left"};
+static_assert(kNames.size() == static_cast<std::size_t>(LogEvent::requestLeft) + 1);
 
 }  // namespace
 
-std::string_view logEventName(LogEvent event) {
-  const auto index = static_cast<std::size_t>(event);
-  return index < kNames.size() ? kNames[index] : kLast;
-}
+std::string_view logEventName(LogEvent event) { return kNames.at(static_cast<std::size_t>(event)); }
 
 }  // namespace walnut::runtime
--- /dev/null
+++ b/test/registry/leader_duties_test.cpp
@@ -0,0 +1,148 @@
+/// When a leader orders workers, and what it must know before.
+
+#include "registry/leader_duties.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::ServerId kSelf{7};
+constexpr base::ServerId kFormer{3};
+constexpr base::Duration kLease = 3s;
+constexpr protocol::ConnectionId kGateway{1};
+
+/// A service "svc" with models a and b, whatever the text.
+class EngineReader : public DocumentReader {
+ public:
+  base::Result<catalog::Document> read(const std::string& /*text*/) const override {
+    catalog::Document document;
+    document.version = 1;
+    catalog::Service service;
+    service.name = "svc";
+    service.engine.emplace();
+    service.engine->slots = 4;
+    service.engine->weightsMegabytes = 100;
+    service.engine->storeLoadsPerSecond = 1;
+    for (const char* name : {"a", "b"}) {
+      catalog::ModelSpec model;
+      model.name = name;
+      model.weightsMegabytes = 40;
+      model.storeLoadTime = 2s;
+      service.engine->models.push_back(model);
+    }
+    document.services.push_back(service);
+    return document;
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(LeaderDutiesTest) {
+  EngineReader reader;
+  runtime::NullEventLog log;
+  RegistryOptions options;
+  CellState state;
+  base::TimePoint now = base::TimePoint(100s);
+  std::unique_ptr<LeaderDuties> duties;
+  std::vector<RegistryAction> actions;
+
+  void setup() override {
+    options.orderLease = kLease;
+    options.ordersFenced = true;
+    state.apply(StoreDocument{1, "text"});
+    state.apply(StoreOrderHolder{kFormer});
+    for (const char* id : {"w1", "w2"}) {
+      state.apply(StoreWorker{
+          {{id}, "svc", {"10.0.1.1", static_cast<std::uint16_t>(id[1])}, {}, 4, false}});
+    }
+  }
+
+  void lead(std::optional<base::TimePoint> lastTurnAt = std::nullopt) {
+    duties = std::make_unique<LeaderDuties>(options, reader, state, 2, kSelf, log, now, lastTurnAt);
+  }
+  /// Runs the leader; its commands are applied at once.
+  void run(base::Duration duration) {
+    const base::TimePoint end = now + duration;
+    for (; now < end; now += 10ms) {
+      duties->run(now, true, {});
+      for (const Command& command : duties->takeCommands()) {
+        state.apply(command);
+        duties->stateChanged(now);
+      }
+      for (RegistryAction& action : duties->takeActions()) {
+        actions.push_back(std::move(action));
+      }
+    }
+  }
+  void demandModel(const char* model) {
+    DemandUpdate update;
+    update.demands.push_back({"svc", model, "", 1, 1});
+    duties->demand(kGateway, update, now);
+  }
+  void answerReports() {
+    for (const RegistryAction& action : std::exchange(actions, {})) {
+      if (const auto* read = std::get_if<ReadReport>(&action)) {
+        duties->reportFinished({read->worker.id, WorkerReport{}}, now);
+      }
+    }
+  }
+  template <class Action>
+  std::size_t count() const {
+    return static_cast<std::size_t>(std::count_if(
+        actions.begin(), actions.end(),
+        [](const RegistryAction& action) { return std::holds_alternative<Action>(action); }));
+  }
+};
+
+TEST(LeaderDutiesTest, whereWorkersCheckFencesATurnBeginsOnceReportsCanTellOfTheFormerOrders) {
+  lead();
+  run(400ms);
+  CHECK_TRUE(state.orderHolder() == kFormer);
+  run(300ms);
+  CHECK_TRUE(state.orderHolder() == kSelf);
+}
+
+TEST(LeaderDutiesTest, whereTheyDoNotATurnWaitsForTheLeaseOfTheFormerHolder) {
+  options.ordersFenced = false;
+  lead();
+  run(kLease);
+  CHECK_TRUE(state.orderHolder() == kFormer);
+  run(500ms);
+  CHECK_TRUE(state.orderHolder() == kSelf);
+}
+
+TEST(LeaderDutiesTest, aTurnThatFollowsAnotherChangeSoonWaitsForTheLease) {
+  lead(now - 1s);
+  run(kLease);
+  CHECK_TRUE(state.orderHolder() == kFormer);
+  run(500ms);
+  CHECK_TRUE(state.orderHolder() == kSelf);
+}
+
+TEST(LeaderDutiesTest, aChangeThatIsLongerAgoThanTheLeaseDoesNotHoldATurnUp) {
+  lead(now - 10s);
+  run(700ms);
+  CHECK_TRUE(state.orderHolder() == kSelf);
+}
+
+TEST(LeaderDutiesTest, allWorkersAreAskedForReportsBeforeAnyIsOrdered) {
+  lead();
+  demandModel("a");
+  run(800ms);
+  CHECK_EQUAL(2, count<ReadReport>());
+  CHECK_EQUAL(0, count<SendOrder>());
+}
+
+TEST(LeaderDutiesTest, askingForReportsTakesNothingFromTheStoreRate) {
+  lead();
+  demandModel("a");
+  run(800ms);
+  answerReports();
+  run(50ms);
+  CHECK_EQUAL(1, count<SendOrder>());
+}
--- a/test/registry/placement_test.cpp
+++ b/test/registry/placement_test.cpp
@@ -59,6 +59,7 @@
   }
   std::vector<PlacementStep> plan(const catalog::EngineSpec& engine,
                                   const std::vector<PlacementWorker>& workers) {
+    store.setLimit(engine.storeLoadsPerSecond, {}, now);
     return policy.plan(engine, workers, demand, store, now);
   }
 };
--- /dev/null
+++ b/test/registry/store_rate_test.cpp
@@ -0,0 +1,85 @@
+/// How many loads may begin in any window.
+
+#include "registry/store_rate.h"
+
+#include <deque>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double kPerSecond = 3;
+constexpr StoreWindow kWindow{5s, 1.1};
+/// 3 a second for 5 s, a tenth more, and 3.
+constexpr std::size_t kMostInWindow = 19;
+
+}  // namespace
+
+TEST_GROUP(StoreRateTest) {
+  StoreRate store;
+  base::TimePoint now = base::TimePoint(100s);
+
+  /// Begins all loads that may begin at each step. @return how many did.
+  std::size_t run(base::Duration duration, std::size_t* mostInWindow = nullptr) {
+    std::deque<base::TimePoint> begun;
+    std::size_t count = 0;
+    const base::TimePoint end = now + duration;
+    for (; now < end; now += 20ms) {
+      store.setLimit(kPerSecond, kWindow, now);
+      while (store.allows()) {
+        store.taken();
+        begun.push_back(now);
+        ++count;
+      }
+      while (!begun.empty() && begun.front() + kWindow.length < now) {
+        begun.pop_front();
+      }
+      if (mostInWindow != nullptr) {
+        *mostInWindow = std::max(*mostInWindow, begun.size());
+      }
+    }
+    return count;
+  }
+};
+
+TEST(StoreRateTest, noWindowHoldsMoreThanAllowedAfterARest) {
+  store.setLimit(kPerSecond, kWindow, now);
+  now += 60s;
+  std::size_t most = 0;
+  run(30s, &most);
+  CHECK_TRUE(most <= kMostInWindow);
+}
+
+TEST(StoreRateTest, nearlyAllOfTheRateIsUsedInTheLongRun) { CHECK_TRUE(run(100s) >= 285); }
+
+TEST(StoreRateTest, severalBeginAtOnceAfterARest) {
+  store.setLimit(kPerSecond, kWindow, now);
+  now += 10s;
+  CHECK_EQUAL(3, run(20ms));
+}
+
+TEST(StoreRateTest, aNewLeaderBeginsWithoutTheBurst) { CHECK_EQUAL(1, run(20ms)); }
+
+TEST(StoreRateTest, ordersWithoutAnAnswerKeepTheBurst) {
+  store.setLimit(kPerSecond, kWindow, now);
+  now += 10s;
+  for (int count = 0; count < 5; ++count) {
+    store.unclear(now);
+  }
+  CHECK_EQUAL(1, run(20ms));
+  now += 12s;
+  CHECK_EQUAL(3, run(20ms));
+}
+
+TEST(StoreRateTest, withoutARateNothingIsLimited) {
+  store.setLimit(0, kWindow, now);
+  for (int count = 0; count < 100; ++count) {
+    CHECK_TRUE(store.allows());
+    store.taken();
+  }
+}
