test: the stand-in worker's report tells what its heartbeats tell

Cause: since a leader asks all workers for reports when its turn begins, the stand-in's report, which named no model whatever it held, took its model away; GatewayPathTest.aStreamThatBreaksGoesOnInOnePiece waited for 20 s and failed, each time. Ruled out: a fault of the product: a report that is current is the worker's own word. The check itself is unchanged.

--- a/test/daemon/standin_worker.h
+++ b/test/daemon/standin_worker.h
@@ -33,14 +33,9 @@
 
   /// @return the body of its next heartbeat.
   std::string heartbeat(const std::string& service, bool draining) {
-    std::string held;
-    for (const std::string& model : models) {
-      held += held.empty() ? "" : ",";
-      held += R"({"name":")" + model + R"(","version":1,"adapters":[]})";
-    }
     return R"({"service":")" + service + R"(","address":"127.0.0.1:)" +
            std::to_string(endpoint().port) + R"(","zone":"z","version":"v1","slots":4,"state":")" +
-           (draining ? "draining" : "ready") + R"(","coldLeftMs":0,"models":[)" + held +
+           (draining ? "draining" : "ready") + R"(","coldLeftMs":0,"models":[)" + heldModels() +
            R"(],"seq":)" + std::to_string(++sequence_) + "}";
   }
 
@@ -55,6 +50,16 @@
   }
 
  private:
+  /// @return the entries of the models that it holds, as heartbeats and reports have them.
+  std::string heldModels() const {
+    std::string held;
+    for (const std::string& model : models) {
+      held += held.empty() ? "" : ",";
+      held += R"({"name":")" + model + R"(","version":1,"adapters":[]})";
+    }
+    return held;
+  }
+
   void serve(net::HttpRequest request, net::ResponseSink& sink) {
     const std::string* target = request.headers.find(platform::kTargetHeader);
     const std::string* model = request.headers.find(platform::kModelHeader);
@@ -106,8 +111,8 @@
   void report(net::ResponseSink& sink) {
     net::HttpResponse response;
     response.head.status = 200;
-    response.body = R"({"stage":"colocated","models":[],"inFlight":false,"seq":)" +
-                    std::to_string(orders.size()) + "}";
+    response.body = R"({"stage":"colocated","models":[)" + heldModels() +
+                    R"(],"inFlight":false,"seq":)" + std::to_string(orders.size()) + "}";
     sink.respond(std::move(response));
   }
 
