--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -160,9 +160,11 @@
   std::optional<catalog::Document> document;
   std::vector<WorkerView> changed;
   std::vector<WorkerId> removed;
-  std::vector<WorkerLoad> loads;        ///< Of all gateways; workers without any are left out.
+  /// Of all gateways together: what changed since the last update that had any; 0 ends one. A
+  /// complete update has all.
+  std::vector<WorkerLoad> loads;
   std::uint32_t gateways = 1;           ///< That share what is allotted to all of them.
-  std::vector<base::Endpoint> servers;  ///< Internal endpoints of the cell.
+  std::vector<base::Endpoint> servers;  ///< Internal endpoints of the cell; empty: as before.
   template <class Archive>
   void serialize(Archive& archive) {
     archive(term, complete, provisional, documentVersion, document, changed, removed, loads,
--- a/src/gateway/worker_directory.cpp
+++ b/src/gateway/worker_directory.cpp
@@ -78,16 +78,25 @@
       remove(id);
     }
   }
-  for (const auto& [id, worker] : workers_) {
-    worker->runningElsewhere = 0;
+  takeLoads(update);
+}
+
+void WorkerDirectory::takeLoads(const registry::ViewUpdate& update) {
+  if (update.complete) {
+    for (const auto& [id, worker] : workers_) {
+      worker->runningInAll = 0;
+    }
   }
   for (const registry::WorkerLoad& load : update.loads) {
     const auto found = workers_.find(load.worker);
     if (found != workers_.end()) {
-      Worker& worker = *found->second;
-      worker.runningElsewhere = load.running > worker.running ? load.running - worker.running : 0;
+      found->second->runningInAll = load.running;
     }
   }
+  for (const auto& [id, worker] : workers_) {
+    const std::uint32_t all = worker->runningInAll;
+    worker->runningElsewhere = all > worker->running ? all - worker->running : 0;
+  }
 }
 
 void WorkerDirectory::takeView(const registry::WorkerView& view) {
--- a/src/gateway/worker_directory.h
+++ b/src/gateway/worker_directory.h
@@ -34,7 +34,8 @@
   registry::WorkerView view;
   std::uint32_t running = 0;                            ///< Requests of this gateway.
   std::map<std::string, std::uint32_t> runningByModel;  ///< The same; none at 0.
-  std::uint32_t runningElsewhere = 0;  ///< Requests of other gateways, as last told.
+  std::uint32_t runningInAll = 0;                       ///< Requests of all gateways, as last told.
+  std::uint32_t runningElsewhere = 0;                   ///< Those of other gateways.
   routing::CircuitBreaker breaker;
   routing::MovingAverage latency;  ///< To the head of an answer, or to a stream's first event.
   FailureShare failures;
@@ -68,6 +69,7 @@
   std::vector<registry::WorkerId> takeGone() { return std::exchange(gone_, {}); }
 
  private:
+  void takeLoads(const registry::ViewUpdate& update);
   void takeView(const registry::WorkerView& view);
   void remove(const registry::WorkerId& id);
 
--- a/src/registry/view_publisher.cpp
+++ b/src/registry/view_publisher.cpp
@@ -4,6 +4,15 @@
 
 namespace walnut::registry {
 
+namespace {
+
+/// Loads change all the time: a gateway is told of them this seldom, so that what they take does
+/// not grow with the square of a deployment.
+constexpr base::Duration kLoadSpacing = std::chrono::milliseconds(20);
+constexpr base::Duration kLoadSpacingPerWorker = std::chrono::milliseconds(2);
+
+}  // namespace
+
 void ViewPublisher::subscribe(protocol::ConnectionId gateway, std::uint64_t documentVersion) {
   Gateway& added = gateways_[gateway];
   added = {};
@@ -62,6 +71,7 @@
     base::TimePoint now, consensus::Term term, const catalog::Document* document,
     const std::vector<WorkerLoad>& loads, const std::vector<base::Endpoint>& servers) {
   std::vector<Update> updates;
+  setLoads(loads);
   const std::uint64_t version = document == nullptr ? 0 : document->version;
   const auto count = static_cast<std::uint32_t>(gateways_.size());
   for (auto& [connection, gateway] : gateways_) {
@@ -71,8 +81,11 @@
     ViewUpdate update = makeUpdate(gateway, document);
     update.term = term;
     update.gateways = count;
-    update.loads = loads;
-    update.servers = servers;
+    addLoads(gateway, now, update);
+    if (gateway.servers != servers) {
+      update.servers = servers;
+      gateway.servers = servers;
+    }
     gateway.complete = true;
     gateway.revision = revision_;
     gateway.documentVersion = std::max(gateway.documentVersion, version);
@@ -84,6 +97,43 @@
   return updates;
 }
 
+void ViewPublisher::setLoads(const std::vector<WorkerLoad>& loads) {
+  std::map<WorkerId, std::uint32_t> present;
+  for (const WorkerLoad& load : loads) {
+    present[load.worker] = load.running;
+    loads_.try_emplace(load.worker);
+  }
+  for (auto& [id, load] : loads_) {
+    const auto found = present.find(id);
+    const std::uint32_t running = found == present.end() ? 0 : found->second;
+    if (running != load.running || load.revision == 0) {
+      load = {running, ++loadRevision_};
+    }
+  }
+  std::erase_if(loads_, [this](const auto& entry) {
+    return entry.second.running == 0 && workers_.count(entry.first) == 0;
+  });
+}
+
+base::Duration ViewPublisher::loadSpacing() const {
+  return std::min<base::Duration>(interval_,
+                                  kLoadSpacing + kLoadSpacingPerWorker * workers_.size());
+}
+
+void ViewPublisher::addLoads(Gateway& gateway, base::TimePoint now, ViewUpdate& update) const {
+  if (!update.complete && now < gateway.loadsSentAt + loadSpacing()) {
+    return;
+  }
+  for (const auto& [id, load] : loads_) {
+    const bool wanted = update.complete ? load.running > 0 : load.revision > gateway.loadRevision;
+    if (wanted) {
+      update.loads.push_back({id, {}, load.running});
+    }
+  }
+  gateway.loadRevision = loadRevision_;
+  gateway.loadsSentAt = now;
+}
+
 ViewUpdate ViewPublisher::makeUpdate(const Gateway& gateway,
                                      const catalog::Document* document) const {
   ViewUpdate update;
--- a/src/registry/view_publisher.h
+++ b/src/registry/view_publisher.h
@@ -53,6 +53,14 @@
     std::uint64_t revision = 0;
     std::uint32_t gateways = 0;  ///< As it was last told.
     base::TimePoint lastSent;
+    std::uint64_t loadRevision = 0;  ///< Up to which it was told loads.
+    base::TimePoint loadsSentAt;
+    std::vector<base::Endpoint> servers;  ///< As it was last told.
+  };
+  /// A worker's requests of all gateways; kept at 0, as gateways have to be told of that too.
+  struct Load {
+    std::uint32_t running = 0;
+    std::uint64_t revision = 0;
   };
   struct Worker {
     WorkerView view;
@@ -60,6 +68,9 @@
     bool removed = false;
   };
 
+  void setLoads(const std::vector<WorkerLoad>& loads);
+  void addLoads(Gateway& gateway, base::TimePoint now, ViewUpdate& update) const;
+  base::Duration loadSpacing() const;
   ViewUpdate makeUpdate(const Gateway& gateway, const catalog::Document* document) const;
   void dropRemoved();
 
@@ -67,6 +78,8 @@
   std::uint64_t revision_ = 0;
   std::map<protocol::ConnectionId, Gateway> gateways_;
   std::map<WorkerId, Worker> workers_;
+  std::uint64_t loadRevision_ = 0;
+  std::map<WorkerId, Load> loads_;
 };
 
 }  // namespace walnut::registry
