placement: adapters are ordered before wakes

Ruled out: the load itself, some ms. Change: adapters come first in a plan; the wake follows in the next one, some 50 ms later. Test seen failing first: anAdapterIsOrderedBeforeTheWakeThatWouldHoldItUp.

--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -264,10 +264,11 @@
   round.summarise();
   dropEndedWakes(round);
   chooseWakes(round);
+  // An adapter takes some ms, a model seconds in which its worker takes no adapter.
+  placeAdapters(round);
   for (const std::string& model : byWorth_) {
     carryOut(round, model, wakes_.at(model));
   }
-  placeAdapters(round);
   return std::move(round.steps);
 }
 
--- a/test/registry/placement_test.cpp
+++ b/test/registry/placement_test.cpp
@@ -163,3 +163,16 @@
   full.newAdapters = {{"a", "a2"}};
   CHECK_TRUE(plan(engineOf({"a"}), {full}).empty());
 }
+
+TEST(PlacementTest, anAdapterIsOrderedBeforeTheWakeThatWouldHoldItUp) {
+  want("x", "", 1, 1, 1);
+  want("a", "a1", 1, 1, 2);
+  std::vector<PlacementStep> steps = plan(engineOf({"a", "x"}), {workerWith("w1", {"a"})});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("a1", steps[0].adapter.c_str());
+  PlacementWorker worker = workerWith("w1", {"a"});
+  worker.holdings.models[0].adapters.push_back("a1");
+  steps = plan(engineOf({"a", "x"}), {worker});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("x", steps[0].model.c_str());
+}
