--- /dev/null
+++ b/src/registry/leader_orders.cpp
@@ -0,0 +1,271 @@
+/// @file
+/// The part of a leader's duties that orders workers: when it may, what it must know before, and
+/// what it learns from the answers.
+
+#include <algorithm>
+#include <utility>
+
+#include "registry/leader_duties.h"
+
+namespace walnut::registry {
+
+namespace {
+
+using runtime::LogEvent;
+
+/// Beyond the lease of a former holder, for its clock and the network.
+constexpr base::Duration kTurnMargin = std::chrono::milliseconds(300);
+/// Workers check fences: as old as reports are, and some, so that they tell of all orders that the
+/// former holder gave.
+constexpr base::Duration kFencedTurnDelay = std::chrono::milliseconds(500);
+/// A worker that refused an order is not ordered again for this long.
+constexpr base::Duration kRefusedPause = std::chrono::milliseconds(200);
+/// Beyond a load's expected time.
+constexpr base::Duration kOrderMargin = std::chrono::milliseconds(1500);
+/// For an unload, which waits for the requests that run.
+constexpr base::Duration kUnloadPatience = std::chrono::seconds(4);
+
+std::string_view outcomeName(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::accepted:
+      return "accepted";
+    case OrderOutcome::alreadyDone:
+      return "already-done";
+    case OrderOutcome::busy:
+      return "busy";
+    case OrderOutcome::fenced:
+      return "fenced";
+    case OrderOutcome::misdirected:
+      return "misdirected";
+    case OrderOutcome::refused:
+      return "refused";
+    case OrderOutcome::unclear:
+      return "unclear";
+  }
+  return "unknown";
+}
+
+std::uint64_t adapterCount(const Holdings& holdings) {
+  std::uint64_t count = 0;
+  for (const HeldModel& model : holdings.models) {
+    count += model.adapters.size();
+  }
+  return count;
+}
+
+std::string_view operationName(OrderOperation operation) {
+  return operation == OrderOperation::load ? "load" : "unload";
+}
+
+}  // namespace
+
+bool LeaderDuties::ordersAllowed(base::TimePoint now) const {
+  const base::ServerId holder = state_.orderHolder();
+  return !fenced_ && holder == self_ && now >= since_;
+}
+
+/// Two servers must not give orders in turn within the lease. Without fences a new leader waits
+/// until the turn of the former holder, which can't have known of it at once, is over. With fences
+/// the former holder's late orders are refused, so one change needs no such wait; a second one
+/// within the lease does, as the first holder might be back.
+base::TimePoint LeaderDuties::turnAllowedAt(std::optional<base::TimePoint> lastTurnAt) const {
+  const base::Duration lease = options_.orderLease + kTurnMargin;
+  const bool recent = lastTurnAt && since_ < *lastTurnAt + lease;
+  return since_ + (options_.ordersFenced && !recent ? kFencedTurnDelay : lease);
+}
+
+void LeaderDuties::claimOrders(base::TimePoint now) {
+  const base::ServerId holder = state_.orderHolder();
+  if (holder == self_ || holderProposed_ || document_ == nullptr) {
+    return;
+  }
+  const bool first = holder == base::ServerId{};
+  if (!first && now < turnAllowedAt_) {
+    return;
+  }
+  holderProposed_ = true;
+  commands_.emplace_back(StoreOrderHolder{self_});
+  log_.write(LogEvent::orderTurn, {{"term", term_}, {"former", holder.value}});
+}
+
+void LeaderDuties::carryOut(const PlacementStep& step, base::TimePoint now) {
+  const WorkerRecord& record = *state_.findWorker(step.worker);
+  WorkerStatus& status = statusOf(step.worker, now);
+  const std::uint64_t order = ++lastOrder_;
+  status.sentOrder = step;
+  orders_[order] = {step, now};
+  SendOrder send;
+  send.order = order;
+  send.worker = record;
+  send.load = step.operation == OrderOperation::load;
+  send.model = step.model;
+  send.adapter = step.adapter;
+  send.expectedOrderCount = status.orderCount;
+  send.holder = options_.name;
+  send.fence = term_;
+  log_.write(LogEvent::orderSent, {{"order", order},
+                                   {"worker", step.worker.value},
+                                   {"operation", operationName(step.operation)},
+                                   {"model", step.model},
+                                   {"adapter", step.adapter},
+                                   {"expected", status.orderCount},
+                                   {"fence", term_}});
+  actions_.emplace_back(std::move(send));
+}
+
+void LeaderDuties::requestReport(const WorkerRecord& record, WorkerStatus& status) {
+  if (!status.reportUnderWay) {
+    status.reportUnderWay = true;
+    actions_.emplace_back(ReadReport{record});
+  }
+}
+
+/// Only a worker whose count of orders is known can be ordered.
+void LeaderDuties::refreshReports(base::TimePoint now) {
+  for (const auto& [id, record] : state_.workers()) {
+    const catalog::Service* service =
+        document_ == nullptr ? nullptr : document_->findService(record.service);
+    WorkerStatus& status = statusOf(id, now);
+    const bool wanted = service != nullptr && service->engine && !record.leaving &&
+                        !status.silent && !status.reportFresh && !status.sentOrder;
+    if (wanted && now >= status.orderAgainAt) {
+      requestReport(record, status);
+    }
+  }
+}
+
+void LeaderDuties::askOverdueWorkers(base::TimePoint now) {
+  for (const auto& [id, record] : state_.workers()) {
+    WorkerStatus& status = statusOf(id, now);
+    if (status.modelOrder && now >= status.modelOrder->dueAt && !status.silent) {
+      status.modelOrder->dueAt = now + kOrderMargin;
+      requestReport(record, status);
+    }
+  }
+}
+
+base::Duration LeaderDuties::loadTime(const PlacementStep& step, const std::string& service) const {
+  const catalog::Service* found = document_ ? document_->findService(service) : nullptr;
+  if (found != nullptr && found->engine) {
+    for (const catalog::ModelSpec& model : found->engine->models) {
+      if (model.name == step.model) {
+        return model.storeLoadTime;
+      }
+    }
+  }
+  return kUnloadPatience;
+}
+
+void LeaderDuties::orderFinished(const OrderFinished& finished, base::TimePoint now) {
+  const auto found = orders_.find(finished.order);
+  if (found == orders_.end()) {
+    return;
+  }
+  const PlacementStep step = found->second.step;
+  orders_.erase(found);
+  log_.write(LogEvent::orderFinished, {{"order", finished.order},
+                                       {"worker", step.worker.value},
+                                       {"outcome", outcomeName(finished.outcome)}});
+  const WorkerRecord* record = state_.findWorker(step.worker);
+  if (record == nullptr) {
+    return;
+  }
+  WorkerStatus& status = statusOf(step.worker, now);
+  status.sentOrder.reset();
+  status.orderFinishedAt = now;
+  changed_.insert(step.worker);
+  changesAt_.emplace(now + options_.adapterSettleTime, step.worker);
+  planSoon_ = true;
+  const bool ofModel = step.adapter.empty();
+  switch (finished.outcome) {
+    case OrderOutcome::accepted:
+      ++status.orderCount;
+      if (ofModel) {
+        const bool load = step.operation == OrderOperation::load;
+        const base::Duration patience =
+            load ? 2 * loadTime(step, record->service) + kOrderMargin : kUnloadPatience;
+        status.modelOrdered(step, now, now + patience);
+      } else {
+        status.adapterOrdered(step, now, options_.adapterSettleTime);
+      }
+      return;
+    case OrderOutcome::alreadyDone:
+      if (ofModel) {
+        status.modelOrderDone(step);
+        status.reportFresh = false;
+      } else {
+        // An adapter that is unloaded at once counts as an order; one that is there does not.
+        status.orderCount += step.operation == OrderOperation::unload ? 1 : 0;
+        status.adapterOrdered(step, now, base::Duration::zero());
+      }
+      return;
+    case OrderOutcome::fenced:
+      fenced_ = true;
+      return;
+    case OrderOutcome::busy:
+      if (!ofModel && status.modelOrder && !status.adaptersBlocked) {
+        status.adaptersBlocked = true;
+        return;
+      }
+      status.reportFresh = false;
+      status.orderAgainAt = now + kRefusedPause;
+      return;
+    case OrderOutcome::unclear:
+      if (step.fromStore) {
+        storeRates_[record->service].unclear(now);
+      }
+      [[fallthrough]];
+    case OrderOutcome::misdirected:
+    case OrderOutcome::refused:
+      status.reportFresh = false;
+      status.orderAgainAt = now + kRefusedPause;
+      return;
+  }
+}
+
+void LeaderDuties::reportFinished(const ReportFinished& finished, base::TimePoint now) {
+  if (state_.findWorker(finished.worker) == nullptr) {
+    return;
+  }
+  WorkerStatus& status = statusOf(finished.worker, now);
+  status.reportUnderWay = false;
+  planSoon_ = true;
+  if (finished.report.has_error()) {
+    status.orderAgainAt = now + kRefusedPause;
+    return;
+  }
+  const WorkerReport& report = finished.report.value();
+  log_.write(LogEvent::reportRead,
+             {{"worker", finished.worker.value},
+              {"orders", report.orderCount},
+              {"models", report.holdings.models.size()},
+              {"adapters", adapterCount(report.holdings)},
+              {"pending", report.pendingAdapters.size()},
+              {"busy", std::string_view(report.orderUnderWay ? "yes" : "no")}});
+  status.takeReport(report, now);
+  logEndedOrder(finished.worker, status, now);
+  changed_.insert(finished.worker);
+  if (!status.reportFresh) {
+    status.orderAgainAt = now + kRefusedPause;
+  }
+  if (report.orderUnderWay && !status.modelOrder) {
+    // An order of a former leader: nothing is known of it but that it is under way.
+    status.reportFresh = false;
+    status.orderAgainAt = now + kRefusedPause;
+  }
+}
+
+void LeaderDuties::logEndedOrder(const WorkerId& id, WorkerStatus& status, base::TimePoint now) {
+  const std::optional<ModelOrder> ended = std::exchange(status.endedOrder, std::nullopt);
+  if (!ended) {
+    return;
+  }
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - ended->acceptedAt).count();
+  log_.write(LogEvent::modelOrderEnded, {{"worker", id.value},
+                                         {"operation", operationName(ended->operation)},
+                                         {"model", ended->model},
+                                         {"millis", static_cast<std::uint64_t>(millis)}});
+}
+
+}  // namespace walnut::registry
--- a/src/registry/registry_calls.cpp
+++ b/src/registry/registry_calls.cpp
@@ -120,7 +120,7 @@
     if (own) {
       const ControlCall body = call.call;
       std::visit([this, number](const auto& alternative) { decide(number, alternative); }, body);
-    } else if (const auto leader = endpointOf(status.leader, false)) {
+    } else if (const auto leader = peerEndpointOf(status.leader)) {
       actions_.emplace_back(control::SendToServer{
           status.leader, *leader, RegistryMessage{MessageBody(ForwardedCall{number, call.call})}});
     }
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -64,7 +64,7 @@
     // A server that is being admitted answers a leader that it does not know as a member yet: that
     // goes over the connection which the leader opened.
     const base::ServerId to = message.to;
-    const base::Endpoint endpoint = endpointOf(to, false).value_or(base::Endpoint{});
+    const base::Endpoint endpoint = peerEndpointOf(to).value_or(base::Endpoint{});
     actions_.emplace_back(control::SendToServer{to, endpoint, std::move(message)});
   }
   if (raftOutputs.installed) {
@@ -155,7 +155,7 @@
   const consensus::RaftStatus status = raft_->status();
   if (leading_ != nullptr) {
     keeper_->requested(message.member, status.membership, now_);
-  } else if (const auto leader = endpointOf(status.leader, false)) {
+  } else if (const auto leader = peerEndpointOf(status.leader)) {
     actions_.emplace_back(control::SendToServer{status.leader, *leader, wrap(message)});
   }
   actions_.emplace_back(control::SendToConnection{from, wrap(JoinReply{status.membership})});
@@ -182,7 +182,7 @@
     sendProvisionalView(from);
   }
   actions_.emplace_back(control::SendToConnection{
-      from, wrap(NotLeading{serverEndpoints(), endpointOf(status.leader, false)})});
+      from, wrap(NotLeading{serverEndpoints(), peerEndpointOf(status.leader)})});
 }
 
 /// After a restart of everything, gateways can serve before a leader is elected.
@@ -262,7 +262,7 @@
   const consensus::RaftStatus status = raft_->status();
   for (const protocol::ConnectionId gateway : leading_->gateways()) {
     actions_.emplace_back(control::SendToConnection{
-        gateway, wrap(NotLeading{serverEndpoints(), endpointOf(status.leader, false)})});
+        gateway, wrap(NotLeading{serverEndpoints(), peerEndpointOf(status.leader)})});
   }
   leading_.reset();
   keeper_.reset();
@@ -384,10 +384,10 @@
   return endpoints;
 }
 
-std::optional<base::Endpoint> RegistryImpl::endpointOf(base::ServerId server, bool control) const {
+std::optional<base::Endpoint> RegistryImpl::peerEndpointOf(base::ServerId server) const {
   for (const consensus::Member& member : raft_->status().membership.members) {
     if (member.id == server && server != base::ServerId{}) {
-      return control ? member.resourceEndpoint : member.peerEndpoint;
+      return member.peerEndpoint;
     }
   }
   return std::nullopt;
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -88,7 +88,7 @@
   bool durableBeyondLosses() const;
   bool leadingActively() const { return leading_ != nullptr && activeIndex_ <= appliedIndex_; }
   std::vector<base::Endpoint> serverEndpoints() const;
-  std::optional<base::Endpoint> endpointOf(base::ServerId server, bool control) const;
+  std::optional<base::Endpoint> peerEndpointOf(base::ServerId server) const;
   void noteMembership();
 
   const RegistryOptions options_;
