--- a/src/daemon/registry_settings.cpp
+++ b/src/daemon/registry_settings.cpp
@@ -14,6 +14,8 @@
 constexpr std::int64_t kMaxPort = 65535;
 constexpr std::int64_t kMaxLosses = 6;
 constexpr double kMaxOvershoot = 10;
+constexpr double kMinWindowSeconds = 0.1;
+constexpr double kMaxWindowSeconds = 3600;
 constexpr std::int64_t kMaxMillis = 3'600'000;
 
 }  // namespace
@@ -36,8 +38,8 @@
                   "Between the orders of two servers");
   keys_.addBoolean("orders-fenced", settings_.logic.ordersFenced,
                    "Workers refuse a lower fencing token than one that they have seen");
-  keys_.addMillis("store-window-ms", settings_.logic.storeWindow, 1, kMaxMillis,
-                  "In which loads from the weight store are counted");
+  keys_.addReal("store-window-seconds", storeWindowSeconds_, kMinWindowSeconds, kMaxWindowSeconds,
+                "In which loads from the weight store are counted");
   keys_.addReal("store-overshoot", settings_.logic.storeOvershoot, 1, kMaxOvershoot,
                 "Of the weight store's rate, allowed within a window");
   keys_.addMillis("heartbeat-ms", settings_.logic.heartbeatInterval, 1, kMaxMillis,
@@ -56,6 +58,8 @@
     return base::Error{base::ErrorCode::missingField, "data-folder", "required"};
   }
   settings_.peer = {settings_.listen.address, static_cast<std::uint16_t>(peerPort_)};
+  settings_.logic.storeWindow = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(storeWindowSeconds_));
   settings_.logic.tolerableLosses = static_cast<std::uint32_t>(tolerableLosses_);
   settings_.logic.joinEndpoints = internalEndpoints(settings_.seeds, peerPort_);
   settings_.logic.self.peerEndpoint = settings_.peer;
--- a/src/daemon/registry_settings.h
+++ b/src/daemon/registry_settings.h
@@ -38,6 +38,7 @@
   std::string zone_;
   std::int64_t peerPort_ = 0;
   std::int64_t tolerableLosses_ = 2;
+  double storeWindowSeconds_ = 5;
   runtime::Settings keys_;
 };
 
