--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -179,9 +179,13 @@
   std::string adapter;  ///< Empty: the model itself.
   std::uint32_t waiting = 0;
   std::uint32_t arrivals = 0;  ///< Since the last report.
+  /// Of the most urgent one among those that wait or arrived; 0 is the highest.
+  std::uint32_t priority = 0;
+  /// The shortest target latency among them; 0 if there is none.
+  base::Duration targetLatency{0};
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(service, model, adapter, waiting, arrivals);
+    archive(service, model, adapter, waiting, arrivals, priority, targetLatency);
   }
 };
 /// Gateway to leader. Replaces the waiting counts and the loads that this gateway reported before.
--- a/src/gateway/demand_tracker.cpp
+++ b/src/gateway/demand_tracker.cpp
@@ -1,15 +1,26 @@
 #include "gateway/demand_tracker.h"
 
+#include <algorithm>
+
 namespace walnut::gateway {
 
+void DemandTracker::Figures::note(const catalog::Route& route) {
+  priority = std::min(priority, route.priority);
+  targetLatency = std::min(targetLatency, route.targetLatency);
+}
+
 void DemandTracker::arrived(const std::string& service, const std::string& model,
-                            const std::string& adapter) {
-  ++figures_[{service, model, adapter}].arrivals;
+                            const std::string& adapter, const catalog::Route& route) {
+  Figures& figures = figures_[{service, model, adapter}];
+  ++figures.arrivals;
+  figures.note(route);
 }
 
 void DemandTracker::waitBegan(const std::string& service, const std::string& model,
-                              const std::string& adapter) {
-  ++figures_[{service, model, adapter}].waiting;
+                              const std::string& adapter, const catalog::Route& route) {
+  Figures& figures = figures_[{service, model, adapter}];
+  ++figures.waiting;
+  figures.note(route);
   urgent_ = true;
 }
 
@@ -25,7 +36,8 @@
   registry::DemandUpdate update;
   for (auto& [key, figures] : figures_) {
     const auto& [service, model, adapter] = key;
-    update.demands.push_back({service, model, adapter, figures.waiting, figures.arrivals});
+    update.demands.push_back({service, model, adapter, figures.waiting, figures.arrivals,
+                              figures.priority, figures.targetLatency});
     figures.arrivals = 0;
   }
   std::erase_if(figures_, [](const auto& entry) { return entry.second.waiting == 0; });
--- a/src/gateway/demand_tracker.h
+++ b/src/gateway/demand_tracker.h
@@ -2,19 +2,24 @@
 /// @file
 /// The demand for models and the load on workers at this gateway, as the registry is told of them.
 
+#include <limits>
 #include <map>
 #include <string>
 #include <tuple>
 
 #include "gateway/worker_directory.h"
+#include "walnut/catalog/document.h"
 #include "walnut/registry/messages.h"
 
 namespace walnut::gateway {
 
 class DemandTracker {
  public:
-  void arrived(const std::string& service, const std::string& model, const std::string& adapter);
-  void waitBegan(const std::string& service, const std::string& model, const std::string& adapter);
+  /// @param route that the request came on: tells how urgent it is.
+  void arrived(const std::string& service, const std::string& model, const std::string& adapter,
+               const catalog::Route& route);
+  void waitBegan(const std::string& service, const std::string& model, const std::string& adapter,
+                 const catalog::Route& route);
   void waitEnded(const std::string& service, const std::string& model, const std::string& adapter);
 
   /// @return true if something waits that the last update did not tell.
@@ -26,6 +31,10 @@
   struct Figures {
     std::uint32_t waiting = 0;
     std::uint32_t arrivals = 0;
+    std::uint32_t priority = std::numeric_limits<std::uint32_t>::max();
+    base::Duration targetLatency = base::Duration::max();
+
+    void note(const catalog::Route& route);
   };
   using Key = std::tuple<std::string, std::string, std::string>;
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -126,7 +126,7 @@
   if (first) {
     waiting_ = true;
     context_.metrics().count("walnut_gateway_waits_total", std::string(reasonName(reason)));
-    context_.waitBegan(service_, facts_);
+    context_.waitBegan(service_, facts_, route_);
     context_.log().write(LogEvent::requestWaiting, {{"request", facts_.requestId},
                                                     {"service", service_},
                                                     {"model", facts_.model},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -55,7 +55,8 @@
   virtual runtime::MetricsSink& metrics() = 0;
   /// Takes one from the budget of arrivals beyond the first of a request.
   virtual bool takeRetry(const std::string& service) = 0;
-  virtual void waitBegan(const std::string& service, const RequestFacts& facts) = 0;
+  virtual void waitBegan(const std::string& service, const RequestFacts& facts,
+                         const catalog::Route& route) = 0;
   virtual void waitEnded(const std::string& service, const RequestFacts& facts) = 0;
   virtual void attemptFailed(Worker& worker) = 0;
   virtual std::uint64_t documentVersion() const = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -160,7 +160,7 @@
   const std::string service = pickService(*route);
   budgetOf(service).firstAttempt(scheduler_.now());
   if (!facts.model.empty()) {
-    demand_.arrived(service, facts.model, facts.adapter);
+    demand_.arrived(service, facts.model, facts.adapter, *route);
   }
   auto exchange = std::make_unique<Exchange>(*this, document_, *route, service, std::move(facts),
                                              std::move(request), sink);
@@ -218,11 +218,12 @@
   return taken;
 }
 
-void Gateway::waitBegan(const std::string& service, const RequestFacts& facts) {
+void Gateway::waitBegan(const std::string& service, const RequestFacts& facts,
+                        const catalog::Route& route) {
   if (facts.model.empty()) {
     return;
   }
-  demand_.waitBegan(service, facts.model, facts.adapter);
+  demand_.waitBegan(service, facts.model, facts.adapter, route);
   reportDemandSoon();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,7 +67,8 @@
   runtime::EventLog& log() override { return log_; }
   runtime::MetricsSink& metrics() override { return metrics_; }
   bool takeRetry(const std::string& service) override;
-  void waitBegan(const std::string& service, const RequestFacts& facts) override;
+  void waitBegan(const std::string& service, const RequestFacts& facts,
+                 const catalog::Route& route) override;
   void waitEnded(const std::string& service, const RequestFacts& facts) override;
   void attemptFailed(Worker& worker) override;
   std::uint64_t documentVersion() const override;
--- /dev/null
+++ b/src/registry/adapter_placement.cpp
@@ -0,0 +1,89 @@
+/// @file
+/// The part of the placement policy that decides where adapters go.
+
+#include <algorithm>
+#include <limits>
+
+#include "registry/placement_round.h"
+
+namespace walnut::registry {
+
+namespace {
+
+using catalog::ModelSpec;
+
+std::size_t adapterCount(const PlacementWorker& worker) {
+  std::size_t count = 0;
+  for (const HeldModel& held : worker.holdings.models) {
+    count += held.adapters.size();
+  }
+  return count;
+}
+
+}  // namespace
+
+void PlacementPolicy::placeAdapters(PlacementRound& round) const {
+  for (const auto& [key, count] : round.demand().waiting()) {
+    if (key.service != service_ || key.adapter.empty()) {
+      continue;
+    }
+    const bool held = std::any_of(round.workers().begin(), round.workers().end(),
+                                  [&key = key](const PlacementWorker& worker) {
+                                    return worker.serving &&
+                                           worker.holdings.holds(key.model, key.adapter) &&
+                                           worker.retiring != key.model;
+                                  });
+    const ModelSpec* model = round.spec(key.model);
+    if (!held && model != nullptr) {
+      placeAdapter(round, *model, key.adapter);
+    }
+  }
+}
+
+void PlacementPolicy::placeAdapter(PlacementRound& round, const ModelSpec& model,
+                                   const std::string& adapter) {
+  const PlacementWorker* best = nullptr;
+  double bestCost = std::numeric_limits<double>::infinity();
+  for (const PlacementWorker& worker : round.workers()) {
+    if (!round.mayOrder(worker) || !worker.mayTakeAdapters ||
+        worker.holdings.find(model.name) == nullptr || worker.retiring == model.name) {
+      continue;
+    }
+    const bool full = adapterCount(worker) >= round.engine().adapterSlots ||
+                      round.freeMegabytes(worker) < model.adapterMegabytes;
+    const double cost = worker.running + static_cast<double>(adapterCount(worker)) +
+                        (full ? static_cast<double>(round.engine().slots) : 0);
+    if (cost < bestCost) {
+      bestCost = cost;
+      best = &worker;
+    }
+  }
+  if (best == nullptr) {
+    return;
+  }
+  const bool full = adapterCount(*best) >= round.engine().adapterSlots ||
+                    round.freeMegabytes(*best) < model.adapterMegabytes;
+  if (!full) {
+    round.order({best->id, OrderOperation::load, model.name, adapter, false});
+    return;
+  }
+  // The adapter that was wanted least recently makes room.
+  std::optional<PlacementStep> unload;
+  base::TimePoint oldest = base::kNever;
+  for (const HeldModel& held : best->holdings.models) {
+    for (const std::string& name : held.adapters) {
+      const DemandFigures wanted = round.figures(held.name, name);
+      const bool protectedNow =
+          wanted.waiting > 0 || best->newAdapters.count({held.name, name}) != 0;
+      if (!protectedNow && wanted.lastArrival < oldest) {
+        oldest = wanted.lastArrival;
+        unload = PlacementStep{best->id, OrderOperation::unload, held.name, name, false};
+      }
+    }
+  }
+  if (unload) {
+    round.order(std::move(*unload));
+  }
+}
+
+}  // namespace walnut::registry
--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -11,6 +11,9 @@
 /// from one model to another.
 constexpr double kRateSeconds = 8.0;
 
+/// For how long the most urgent route to a model is remembered: some time constants of the rate.
+constexpr base::Duration kUrgencyMemory = std::chrono::seconds(20);
+
 double decayed(double weight, base::Duration age) {
   return weight * std::exp(-std::chrono::duration<double>(age).count() / kRateSeconds);
 }
@@ -38,9 +41,9 @@
     if (demand.waiting > 0) {
       reported.waiting[key] = demand.waiting;
     }
-    count(key, demand.arrivals, now);
+    count(key, demand, now);
     if (!key.adapter.empty()) {
-      count(key.withoutAdapter(), demand.arrivals, now);
+      count(key.withoutAdapter(), demand, now);
     }
   }
   for (const WorkerLoad& load : update.loads) {
@@ -95,14 +98,28 @@
   }
 }
 
-void DemandBook::count(const ModelKey& key, std::uint32_t arrivals, base::TimePoint now) {
-  if (arrivals == 0) {
+void DemandBook::count(const ModelKey& key, const ModelDemand& demand, base::TimePoint now) {
+  if (demand.arrivals == 0) {
     return;
   }
   History& history = history_[key];
-  history.weight = decayed(history.weight, now - history.updatedAt) + arrivals;
+  history.weight = decayed(history.weight, now - history.updatedAt) + demand.arrivals;
   history.updatedAt = now;
   history.lastArrival = now;
+  noteUrgency(history, demand, now);
+}
+
+/// The most urgent of several routes to a model counts, until none has asked for some time.
+void DemandBook::noteUrgency(History& history, const ModelDemand& demand, base::TimePoint now) {
+  const bool outdated = now >= history.urgencyAt + kUrgencyMemory;
+  if (outdated || demand.priority <= history.priority) {
+    history.priority = demand.priority;
+    history.urgencyAt = now;
+  }
+  if (outdated || demand.targetLatency <= history.targetLatency) {
+    history.targetLatency = demand.targetLatency;
+    history.urgencyAt = now;
+  }
 }
 
 DemandFigures DemandBook::figures(const ModelKey& key, base::TimePoint now) const {
@@ -114,6 +131,8 @@
   if (found != history_.end()) {
     figures.rate = decayed(found->second.weight, now - found->second.updatedAt) / kRateSeconds;
     figures.lastArrival = found->second.lastArrival;
+    figures.priority = found->second.priority;
+    figures.targetLatency = found->second.targetLatency;
   }
   return figures;
 }
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -28,6 +28,9 @@
   std::uint32_t waiting = 0;
   double rate = 0;              ///< Arrivals a second, a decaying mean.
   base::TimePoint lastArrival;  ///< Zero if there was none.
+  std::uint32_t priority = 0;   ///< Of the most urgent ones lately; 0 is the highest.
+  /// The shortest target latency lately; 0 if there is none.
+  base::Duration targetLatency{0};
 };
 
 /// Kept by the leader; empty at the start of its leadership. Totals over the gateways are kept up
@@ -64,9 +67,13 @@
     double weight = 0;
     base::TimePoint updatedAt;
     base::TimePoint lastArrival;
+    std::uint32_t priority = 0;
+    base::Duration targetLatency{0};
+    base::TimePoint urgencyAt;  ///< When priority and target were last as urgent as this.
   };
 
-  void count(const ModelKey& key, std::uint32_t arrivals, base::TimePoint now);
+  void count(const ModelKey& key, const ModelDemand& demand, base::TimePoint now);
+  static void noteUrgency(History& history, const ModelDemand& demand, base::TimePoint now);
   void add(const Gateway& gateway);
   void subtract(const Gateway& gateway);
 
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -16,10 +16,23 @@
 constexpr base::Duration kPlanSpacing = std::chrono::milliseconds(15);
 constexpr base::Duration kPlanSpacingPerWorker = std::chrono::microseconds(500);
 
+/// Of a worker that has an order under way: an order and its answer.
+constexpr base::Duration kLeastBusyTime = std::chrono::milliseconds(50);
+
 void noteOrder(PlacementWorker& worker, OrderOperation operation, const std::string& model) {
   (operation == OrderOperation::load ? worker.arriving : worker.retiring) = model;
 }
 
+/// @return until the order under way is expected to end. One that is overdue is taken to need as
+/// long again as it is late.
+base::Duration busyTime(const WorkerStatus& status, base::TimePoint now) {
+  if (status.modelOrder) {
+    const base::TimePoint end = status.modelOrder->expectedEnd;
+    return std::max<base::Duration>(kLeastBusyTime, end > now ? end - now : now - end);
+  }
+  return status.sentOrder || status.foreignOrder ? kLeastBusyTime : base::Duration::zero();
+}
+
 }  // namespace
 
 LeaderDuties::LeaderDuties(const RegistryOptions& options, const DocumentReader& reader,
@@ -146,6 +159,7 @@
     const base::Duration silence = now - status.lastHeard;
     if (!status.silent && isSilent(id, status, now)) {
       status.silent = true;
+      forgetLoad(*state_.findWorker(id));
       changed_.insert(id);
       log_.write(LogEvent::workerSilent, {{"worker", id.value}});
     }
@@ -239,14 +253,27 @@
     }
   }
   PlacementPolicy& policy = policies_.try_emplace(service.name, service.name).first->second;
-  StoreRate& store = storeRates_[service.name];
+  StoreScheduler& store = stores_[service.name];
   store.setLimit(service.engine->storeLoadsPerSecond,
                  {options_.storeWindow, options_.storeOvershoot}, now);
+  countForeignLoads(service, store);
   for (const PlacementStep& step : policy.plan(*service.engine, workers, demand_, store, now)) {
     carryOut(step, now);
   }
 }
 
+/// An order of a former leader that is under way may be a load from the store.
+void LeaderDuties::countForeignLoads(const catalog::Service& service, StoreScheduler& store) {
+  std::size_t foreign = 0;
+  for (const auto& [id, record] : state_.workers()) {
+    const auto status = workers_.find(id);
+    const bool counts = record.service == service.name && status != workers_.end() &&
+                        status->second.foreignOrder && !status->second.silent;
+    foreign += counts ? 1 : 0;
+  }
+  store.setForeign(foreign);
+}
+
 PlacementWorker LeaderDuties::placementWorker(const WorkerRecord& record,
                                               const WorkerStatus& status,
                                               base::TimePoint now) const {
@@ -271,6 +298,7 @@
   if (status.sentOrder && status.sentOrder->adapter.empty()) {
     noteOrder(worker, status.sentOrder->operation, status.sentOrder->model);
   }
+  worker.busyFor = busyTime(status, now);
   return worker;
 }
 
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -72,7 +72,10 @@
   base::TimePoint turnAllowedAt(std::optional<base::TimePoint> lastTurnAt) const;
   bool ordersAllowed(base::TimePoint now) const;
   void claimOrders(base::TimePoint now);
-  base::Duration loadTime(const PlacementStep& step, const std::string& service) const;
+  base::Duration expectedTime(const PlacementStep& step, const WorkerRecord& record,
+                              const WorkerStatus& status) const;
+  void countForeignLoads(const catalog::Service& service, StoreScheduler& store);
+  void forgetLoad(const WorkerRecord& record);
   void logEndedOrder(const WorkerId& id, WorkerStatus& status, base::TimePoint now);
   WorkerStatus& statusOf(const WorkerId& id, base::TimePoint now);
 
@@ -90,7 +93,7 @@
   DemandBook demand_;
   ViewPublisher publisher_;
   std::map<std::string, PlacementPolicy> policies_;  ///< By service.
-  std::map<std::string, StoreRate> storeRates_;      ///< By service.
+  std::map<std::string, StoreScheduler> stores_;     ///< By service.
   std::map<std::uint64_t, SentOrder> orders_;
   std::uint64_t lastOrder_ = 0;
   bool holderProposed_ = false;
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -20,8 +20,11 @@
 constexpr base::Duration kFencedTurnDelay = std::chrono::milliseconds(500);
 /// A worker that refused an order is not ordered again for this long.
 constexpr base::Duration kRefusedPause = std::chrono::milliseconds(200);
-/// Beyond a load's expected time.
+/// Beyond a load's expected time, before its worker is asked for it: its heartbeat may be late.
 constexpr base::Duration kOrderMargin = std::chrono::milliseconds(1500);
+/// An unload of an idle model, as seen in logs; of one that has requests, which it waits for.
+constexpr base::Duration kUnloadTime = std::chrono::milliseconds(60);
+constexpr base::Duration kUnloadOfBusyModel = std::chrono::seconds(1);
 /// For an unload, which waits for the requests that run.
 constexpr base::Duration kUnloadPatience = std::chrono::seconds(4);
 
@@ -53,6 +56,11 @@
   return count;
 }
 
+std::uint64_t percent(double share) {
+  constexpr double kHundred = 100;
+  return static_cast<std::uint64_t>(kHundred * share);
+}
+
 std::string_view operationName(OrderOperation operation) {
   return operation == OrderOperation::load ? "load" : "unload";
 }
@@ -144,18 +152,34 @@
   }
 }
 
-base::Duration LeaderDuties::loadTime(const PlacementStep& step, const std::string& service) const {
-  const catalog::Service* found = document_ ? document_->findService(service) : nullptr;
-  if (found != nullptr && found->engine) {
-    for (const catalog::ModelSpec& model : found->engine->models) {
-      if (model.name == step.model) {
-        return model.storeLoadTime;
-      }
+/// @return how long the order will take its worker, as far as is known.
+base::Duration LeaderDuties::expectedTime(const PlacementStep& step, const WorkerRecord& record,
+                                          const WorkerStatus& status) const {
+  if (step.operation == OrderOperation::unload) {
+    return demand_.running(step.worker, step.model) > 0 ? kUnloadOfBusyModel : kUnloadTime;
+  }
+  const catalog::Service* service = document_ ? document_->findService(record.service) : nullptr;
+  if (service == nullptr || !service->engine) {
+    return kUnloadPatience;
+  }
+  for (const catalog::ModelSpec& model : service->engine->models) {
+    if (model.name == step.model) {
+      return step.fromStore                   ? model.storeLoadTime
+             : status.hasInMemory(step.model) ? model.memoryLoadTime
+                                              : model.diskLoadTime;
     }
   }
   return kUnloadPatience;
 }
 
+/// The load that its worker was ordered will not be heard of again.
+void LeaderDuties::forgetLoad(const WorkerRecord& record) {
+  const auto store = stores_.find(record.service);
+  if (store != stores_.end()) {
+    store->second.abandoned(record.id);
+  }
+}
+
 void LeaderDuties::orderFinished(const OrderFinished& finished, base::TimePoint now) {
   const auto found = orders_.find(finished.order);
   if (found == orders_.end()) {
@@ -177,14 +201,20 @@
   changesAt_.emplace(now + options_.adapterSettleTime, step.worker);
   planSoon_ = true;
   const bool ofModel = step.adapter.empty();
+  const bool taken =
+      finished.outcome == OrderOutcome::accepted || finished.outcome == OrderOutcome::unclear;
+  if (step.fromStore && !taken) {
+    forgetLoad(*record);
+  }
   switch (finished.outcome) {
     case OrderOutcome::accepted:
       ++status.orderCount;
       if (ofModel) {
         const bool load = step.operation == OrderOperation::load;
-        const base::Duration patience =
-            load ? 2 * loadTime(step, record->service) + kOrderMargin : kUnloadPatience;
-        status.modelOrdered(step, now, now + patience);
+        const base::Duration expected = expectedTime(step, *record, status);
+        const base::Duration patience = load ? expected + kOrderMargin : kUnloadPatience;
+        status.modelOrdered(step, now, now + expected, now + patience);
+        stores_[record->service].accepted(step.worker, now);
       } else {
         status.adapterOrdered(step, now, options_.adapterSettleTime);
       }
@@ -212,7 +242,7 @@
       return;
     case OrderOutcome::unclear:
       if (step.fromStore) {
-        storeRates_[record->service].unclear(now);
+        stores_[record->service].unclear(step.worker, now);
       }
       [[fallthrough]];
     case OrderOutcome::misdirected:
@@ -253,6 +283,7 @@
     status.reportFresh = false;
     status.orderAgainAt = now + kRefusedPause;
   }
+  status.foreignOrder = report.orderUnderWay && !status.modelOrder;
 }
 
 void LeaderDuties::logEndedOrder(const WorkerId& id, WorkerStatus& status, base::TimePoint now) {
@@ -262,10 +293,15 @@
   }
   const auto millis =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - ended->acceptedAt).count();
+  const WorkerRecord* record = state_.findWorker(id);
+  StoreScheduler* store = record == nullptr ? nullptr : &stores_[record->service];
+  const double lateness = store == nullptr ? 0 : store->ended(id, now);
   log_.write(LogEvent::modelOrderEnded, {{"worker", id.value},
                                          {"operation", operationName(ended->operation)},
                                          {"model", ended->model},
-                                         {"millis", static_cast<std::uint64_t>(millis)}});
+                                         {"millis", static_cast<std::uint64_t>(millis)},
+                                         {"lateness-percent", percent(lateness)},
+                                         {"store-limit", store == nullptr ? 0 : store->limit()}});
 }
 
 }  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/load_concurrency.h
@@ -0,0 +1,43 @@
+#pragma once
+/// @file
+/// How many loads from the weight store are worth having under way at once, found from how long
+/// they take.
+
+#include <cstddef>
+
+namespace walnut::registry {
+
+/// An adaptive concurrency limit. Up to some number of loads at once, which nobody tells, a load
+/// takes its declared time; beyond it each takes longer in proportion to the loads under way when
+/// it began, so that more at once bring no more throughput, only late ends. A late load therefore
+/// tells the number: the loads under way at its start, by its lateness.
+///
+/// Begins low and grows by one with each load that ends in time while the limit is in use (it
+/// doubles in the time of a load), until a load is late; from then on it grows slowly, to notice a
+/// store that has become faster.
+class LoadConcurrency {
+ public:
+  /// Loads at once to begin with, and the least that the limit falls to. Low, since what is begun
+  /// beyond the store's number is late as a whole; a round of doubling costs one load's time.
+  static constexpr double kInitialLimit = 4;
+  static constexpr double kLeastLimit = 2;
+
+  /// @return loads that may be under way.
+  std::size_t limit() const { return static_cast<std::size_t>(limit_); }
+
+  /// A load has ended, or is overdue.
+  /// @param underWayAtStart loads under way when it began, itself included.
+  /// @param lateness its time as a multiple of the declared one.
+  /// @param limitReached whether the limit kept another load from beginning in that time.
+  void observe(std::size_t underWayAtStart, double lateness, bool limitReached);
+
+ private:
+  void grow();
+  void shrink(double estimate);
+
+  double limit_ = kInitialLimit;
+  bool probing_ = true;      ///< No load was late yet.
+  double lastEstimate_ = 0;  ///< Of the late load before; 0: the load before was in time.
+};
+
+}  // namespace walnut::registry
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -2,6 +2,7 @@
 /// @file
 /// Which model or adapter is to be loaded or unloaded where. Policy only: nothing is ordered here.
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -10,13 +11,19 @@
 #include <vector>
 
 #include "registry/demand_book.h"
-#include "registry/store_rate.h"
+#include "registry/store_scheduler.h"
 #include "walnut/catalog/document.h"
 
 namespace walnut::registry {
 
 enum class OrderOperation : std::uint8_t { load = 0, unload = 1 };
 
+/// What is unloaded to make room, and what that costs.
+struct Room {
+  std::vector<std::string> unloads;  ///< The cheapest first.
+  double cost = 0;                   ///< In seconds of a request's wait; infinite: no room.
+};
+
 /// A change of what one worker holds.
 struct PlacementStep {
   WorkerId worker;
@@ -37,14 +44,27 @@
   bool serving = true;                  ///< It is neither leaving nor silent.
   std::optional<std::string> arriving;  ///< A model that it is loading.
   std::optional<std::string> retiring;  ///< A model that it is unloading.
+  /// Until the order that is under way is expected to end; zero if there is none.
+  base::Duration busyFor{0};
   std::uint32_t running = 0;
   /// By model: adapters that were loaded a short while ago and make no room yet.
   std::set<std::pair<std::string, std::string>> newAdapters;
 };
 
-/// Wakes models and adapters that requests wait for, and keeps a second replica of busy models.
-/// Kept by the leader for one service. A wake names a worker and holds until the model is there, so
-/// that making room and loading are steps of one decision.
+class PlacementRound;
+
+/// Running requests per replica, as a share of a worker's slots, from which another replica is
+/// added. Far below 1: reading the prompts of others makes pauses in a stream long before slots run
+/// out.
+constexpr double kScaleOutShare = 0.1;
+
+/// Wakes models and adapters that requests wait for, and keeps further replicas of busy models.
+/// Kept by the leader for one service.
+///
+/// Each run decides anew, the most wanted model first, where a model would serve soonest at the
+/// least cost to others; it orders the first step if that worker can take it now. A worker that is
+/// busy, or a load that the store has no place for, is waited for without keeping anybody else from
+/// being ordered. What was begun (`Wake`) is preferred, so that room that was made is used.
 class PlacementPolicy {
  public:
   explicit PlacementPolicy(std::string service) : service_(std::move(service)) {}
@@ -52,26 +72,41 @@
   /// @return what to order now, one step a worker at most.
   std::vector<PlacementStep> plan(const catalog::EngineSpec& engine,
                                   const std::vector<PlacementWorker>& workers,
-                                  const DemandBook& demand, StoreRate& store, base::TimePoint now);
+                                  const DemandBook& demand, StoreScheduler& store,
+                                  base::TimePoint now);
 
  private:
+  /// Room is being made for a model.
   struct Wake {
     WorkerId worker;
     base::TimePoint since;
   };
-  struct Round;
+  /// A model that should have another replica.
+  struct Want {
+    double worth = 0;  ///< By which they are ordered.
+    std::string model;
+    bool cold = false;  ///< Requests wait, and no worker serves it or is about to.
+  };
+  struct Choice {
+    const PlacementWorker* worker = nullptr;
+    double cost = std::numeric_limits<double>::infinity();
+    Room room;
+    bool fromStore = false;
+  };
 
-  void dropEndedWakes(const Round& round);
-  bool hasBetterWorker(const Round& round, const std::string& model, const Wake& wake) const;
-  void chooseWakes(Round& round);
-  void wakeModel(Round& round, const std::string& model);
-  void carryOut(Round& round, const std::string& model, const Wake& wake);
-  void placeAdapters(Round& round);
-  void placeAdapter(Round& round, const catalog::ModelSpec& model, const std::string& adapter);
+  void dropEndedWakes(const PlacementRound& round);
+  static std::vector<Want> wants(const PlacementRound& round);
+  void wake(PlacementRound& round, const Want& want);
+  Choice choose(PlacementRound& round, const std::string& model) const;
+  void carryOut(PlacementRound& round, const std::string& model, const Choice& choice);
+  void placeAdapters(PlacementRound& round) const;
+  static void placeAdapter(PlacementRound& round, const catalog::ModelSpec& model,
+                           const std::string& adapter);
 
   const std::string service_;
-  std::map<std::string, Wake> wakes_;
-  std::vector<std::string> byWorth_;  ///< Models to wake in this run, the most wanted first.
+  std::map<std::string, Wake> wakes_;  ///< By model.
+  /// Seconds that models decided on in this run keep their workers, beyond the present order.
+  std::map<WorkerId, double> queued_;
 };
 
 }  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/placement_round.cpp
@@ -0,0 +1,255 @@
+#include "registry/placement_round.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace walnut::registry {
+
+namespace {
+
+using catalog::ModelSpec;
+
+/// @name Cost of unloading a replica
+/// The figures come from rounds on the earlier deployments, those of last replicas from
+/// docs/DECISIONS.md.
+/// @{
+/// Of a surplus one, and of the second last one.
+constexpr double kSurplusCost = 0.1;
+constexpr double kSecondCost = 0.4;
+/// For each arrival a second.
+constexpr double kSurplusRateCost = 0.05;
+constexpr double kSecondRateCost = 0.2;
+/// If the others would be loaded beyond kScaleOutShare without it.
+constexpr double kOverloadCost = 5.0;
+/// An unload waits for the requests that run: for each one, and at most.
+constexpr double kRunningCost = 1.0;
+constexpr double kMaxRunningCost = 4.0;
+/// For each adapter that is dropped with it.
+constexpr double kHeldAdapterCost = 0.05;
+/// A replica that somebody waits for never makes room.
+constexpr double kWantedCost = 1000.0;
+/// @}
+
+/// @name Cost of unloading the last replica
+/// @{
+/// Whose next request would be late, and for each arrival a second; more if it was used lately.
+constexpr double kLastCost = 0.5;
+constexpr double kLastRateCost = 5.0;
+constexpr double kRecentUseCost = 1.0;
+constexpr base::Duration kRecentUse = std::chrono::seconds(10);
+/// Whose next request would still be in time.
+constexpr double kRecoverableCost = 0.1;
+constexpr double kRecoverableRateCost = 0.5;
+/// Beside the load itself, until a model that was unloaded serves again: a free worker, the unload
+/// of another model, and the way of the demand and of the news.
+constexpr double kReturnOverheadSeconds = 0.6;
+/// Of a model that no disk would have any more, in addition.
+constexpr double kLastCopyCost = 2.0;
+/// @}
+
+/// Each level of priority counts as this much of the one before it.
+constexpr double kPriorityShare = 0.7;
+
+/// Of holding up adapters, for each arrival a second, and at most.
+constexpr double kAdapterCost = 2.0;
+constexpr double kMaxAdapterCost = 4.0;
+
+double seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+bool contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}  // namespace
+
+PlacementRound::PlacementRound(const catalog::EngineSpec& engine,
+                               const std::vector<PlacementWorker>& workers,
+                               const DemandBook& demand, StoreScheduler& store,
+                               const std::string& service, base::TimePoint now)
+    : engine_(engine),
+      workers_(workers),
+      demand_(demand),
+      store_(store),
+      service_(service),
+      now_(now) {
+  summarise();
+}
+
+/// Counts what the rest asks for again and again.
+void PlacementRound::summarise() {
+  for (const ModelSpec& model : engine_.models) {
+    specs_.emplace(model.name, &model);
+  }
+  for (const PlacementWorker& worker : workers_) {
+    std::set<std::string> copies(worker.holdings.inMemory.begin(), worker.holdings.inMemory.end());
+    copies.insert(worker.holdings.onDisk.begin(), worker.holdings.onDisk.end());
+    const bool takesAdapters = worker.serving && !worker.arriving && !worker.retiring;
+    for (const HeldModel& held : worker.holdings.models) {
+      if (worker.holdings.find(held.name) != &held) {
+        continue;  // Named twice by its worker.
+      }
+      Replicas& replicas = replicas_[held.name];
+      replicas.running += demand_.running(worker.id, held.name);
+      if (worker.serving && worker.retiring != held.name) {
+        ++replicas.present;
+        ++replicas.serving;
+      }
+      replicas.takingAdapters += takesAdapters ? 1 : 0;
+      copies.insert(held.name);
+    }
+    if (worker.serving && worker.arriving && worker.holdings.find(*worker.arriving) == nullptr) {
+      ++replicas_[*worker.arriving].present;
+      copies.insert(*worker.arriving);
+    }
+    for (const std::string& model : copies) {
+      replicas_[model].copies += worker.serving ? 1 : 0;
+    }
+  }
+}
+
+const ModelSpec* PlacementRound::spec(const std::string& model) const {
+  const auto found = specs_.find(model);
+  return found == specs_.end() ? nullptr : found->second;
+}
+
+PlacementRound::Replicas PlacementRound::replicas(const std::string& model) const {
+  const auto found = replicas_.find(model);
+  return found == replicas_.end() ? Replicas{} : found->second;
+}
+
+DemandFigures PlacementRound::figures(const std::string& model, const std::string& adapter) const {
+  return demand_.figures({service_, model, adapter}, now_);
+}
+
+bool PlacementRound::mayOrder(const PlacementWorker& worker) const {
+  return worker.mayBeOrdered && worker.serving && ordered_.count(worker.id) == 0;
+}
+
+void PlacementRound::order(PlacementStep step) {
+  ordered_.insert(step.worker);
+  steps_.push_back(std::move(step));
+}
+
+WeightTier PlacementRound::tier(const PlacementWorker& worker, const std::string& model) const {
+  if (contains(worker.holdings.inMemory, model)) {
+    return WeightTier::hostMemory;
+  }
+  return contains(worker.holdings.onDisk, model) ? WeightTier::disk : WeightTier::store;
+}
+
+base::Duration PlacementRound::loadTime(WeightTier tier, const ModelSpec& model) {
+  switch (tier) {
+    case WeightTier::hostMemory:
+      return model.memoryLoadTime;
+    case WeightTier::disk:
+      return model.diskLoadTime;
+    case WeightTier::store:
+      break;
+  }
+  return model.storeLoadTime;
+}
+
+double PlacementRound::freeMegabytes(const PlacementWorker& worker) const {
+  double used = 0;
+  for (const HeldModel& held : worker.holdings.models) {
+    if (const ModelSpec* model = spec(held.name)) {
+      used += model->weightsMegabytes +
+              model->adapterMegabytes * static_cast<double>(held.adapters.size());
+    }
+  }
+  if (worker.arriving && worker.holdings.find(*worker.arriving) == nullptr) {
+    const ModelSpec* model = spec(*worker.arriving);
+    used += model == nullptr ? 0 : model->weightsMegabytes;
+  }
+  return engine_.weightsMegabytes - used;
+}
+
+double PlacementRound::loadWith(const std::string& model, std::uint32_t workers) const {
+  const double slots = std::max<double>(engine_.slots, 1) * workers;
+  return replicas(model).running / std::max(slots, 1.0);
+}
+
+double PlacementRound::adapterBlockCost(const PlacementWorker& worker) const {
+  double cost = 0;
+  for (const HeldModel& held : worker.holdings.models) {
+    const bool own = worker.serving && !worker.arriving && !worker.retiring;
+    const bool elsewhere = replicas(held.name).takingAdapters > (own ? 1U : 0U);
+    if (!elsewhere) {
+      const double rate = demand_.adapterRate(service_, held.name, now_);
+      cost += std::min(kMaxAdapterCost, kAdapterCost * rate);
+    }
+  }
+  return cost;
+}
+
+double PlacementRound::unloadCost(const PlacementWorker& worker, const HeldModel& held) const {
+  // One that is still coming serves nobody yet.
+  const std::uint32_t count = replicas(held.name).serving;
+  const double running = demand_.running(worker.id, held.name);
+  const double wait = std::min(kRunningCost * running, kMaxRunningCost);
+  if (count <= 1) {
+    return wait + lastReplicaCost(worker, held.name);
+  }
+  const double rate = figures(held.name).rate;
+  double cost = wait + kHeldAdapterCost * static_cast<double>(held.adapters.size());
+  if (loadWith(held.name, count - 1) > kScaleOutShare) {
+    cost += kOverloadCost;
+  }
+  return cost + (count == 2 ? kSecondCost + kSecondRateCost * rate
+                            : kSurplusCost + kSurplusRateCost * rate);
+}
+
+/// A model whose callers wait longer than it takes to come back may fall to disk; one that they
+/// expect sooner, or that would have to come from the store, should stay.
+double PlacementRound::lastReplicaCost(const PlacementWorker& worker,
+                                       const std::string& model) const {
+  const DemandFigures wanted = figures(model);
+  const ModelSpec* declared = spec(model);
+  if (wanted.waiting > 0) {
+    return kWantedCost;
+  }
+  const bool copied = contains(worker.holdings.onDisk, model);
+  const bool otherCopy = replicas(model).copies > 1;
+  const double urgency = std::pow(kPriorityShare, wanted.priority);
+  double cost = copied || otherCopy ? 0 : kLastCopyCost;
+  const double comeBack =
+      (declared == nullptr ? 0 : seconds(declared->diskLoadTime)) + kReturnOverheadSeconds;
+  if (copied && comeBack <= seconds(wanted.targetLatency)) {
+    return cost + kRecoverableCost + kRecoverableRateCost * urgency * wanted.rate;
+  }
+  const bool recent =
+      wanted.lastArrival != base::TimePoint() && now_ - wanted.lastArrival < kRecentUse;
+  return cost + kLastCost + kLastRateCost * urgency * wanted.rate + (recent ? kRecentUseCost : 0);
+}
+
+Room PlacementRound::roomFor(const PlacementWorker& worker, double megabytes) const {
+  double free = freeMegabytes(worker);
+  if (free >= megabytes) {
+    return {};
+  }
+  std::vector<std::pair<double, const HeldModel*>> candidates;
+  for (const HeldModel& held : worker.holdings.models) {
+    candidates.emplace_back(unloadCost(worker, held), &held);
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const auto& left, const auto& right) { return left.first < right.first; });
+  Room room;
+  for (const auto& [price, held] : candidates) {
+    if (free >= megabytes) {
+      break;
+    }
+    const ModelSpec* model = spec(held->name);
+    free += model == nullptr
+                ? 0
+                : model->weightsMegabytes +
+                      model->adapterMegabytes * static_cast<double>(held->adapters.size());
+    room.cost += price;
+    room.unloads.push_back(held->name);
+  }
+  if (free < megabytes) {
+    return {{}, std::numeric_limits<double>::infinity()};
+  }
+  return room;
+}
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/store_scheduler.cpp
@@ -0,0 +1,106 @@
+#include "registry/store_scheduler.h"
+
+#include <algorithm>
+
+namespace walnut::registry {
+
+namespace {
+
+/// In this time an order without a clear answer is carried out, or never; the load comes after it.
+constexpr base::Duration kUnclearFor = std::chrono::seconds(12);
+/// A load that is later than this, as a multiple of its declared time, tells of a crowded store
+/// before it ends; again each time it is that much later.
+constexpr double kOverdueStep = 1.3;
+
+double seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+}  // namespace
+
+double StoreScheduler::Load::lateness(base::TimePoint now) const {
+  const double declared = seconds(declaredTime);
+  return declared <= 0 ? 0 : seconds(now - begunAt) / declared;
+}
+
+base::TimePoint StoreScheduler::Load::expectedEnd(std::size_t limit) const {
+  const double crowding = static_cast<double>(underWayAtStart) / static_cast<double>(limit);
+  return begunAt + std::chrono::duration_cast<base::Duration>(
+                       std::chrono::duration<double>(declaredTime) * std::max(1.0, crowding));
+}
+
+void StoreScheduler::setLimit(double perSecond, const StoreWindow& window, base::TimePoint now) {
+  rate_.setLimit(perSecond, window, now);
+  std::erase_if(loads_, [now](const auto& entry) { return entry.second.forgottenAt <= now; });
+  noteOverdue(now);
+}
+
+void StoreScheduler::noteOverdue(base::TimePoint now) {
+  for (auto& [worker, load] : loads_) {
+    const double lateness = load.lateness(now);
+    const bool clear = load.forgottenAt == base::kNever;
+    if (clear && lateness >= load.notedLateness * kOverdueStep) {
+      load.notedLateness = lateness;
+      observe(load, lateness);
+    }
+  }
+}
+
+void StoreScheduler::observe(const Load& load, double lateness) {
+  concurrency_.observe(load.underWayAtStart, lateness, limitReachedAt_ >= load.begunAt);
+}
+
+base::Duration StoreScheduler::expectedWait(base::TimePoint now) const {
+  if (allows()) {
+    return base::Duration::zero();
+  }
+  base::TimePoint first = base::kNever;
+  for (const auto& [worker, load] : loads_) {
+    first = std::min(first, load.expectedEnd(concurrency_.limit()));
+  }
+  return first == base::kNever ? base::Duration::zero()
+                               : std::max(base::Duration::zero(), first - now);
+}
+
+void StoreScheduler::ordered(const WorkerId& worker, base::Duration declaredTime,
+                             base::TimePoint now) {
+  rate_.taken();
+  Load load;
+  load.begunAt = now;
+  load.declaredTime = declaredTime;
+  load.underWayAtStart = underWay() + 1;
+  loads_[worker] = load;
+  if (underWay() >= concurrency_.limit()) {
+    limitReachedAt_ = now;
+  }
+}
+
+void StoreScheduler::accepted(const WorkerId& worker, base::TimePoint now) {
+  const auto found = loads_.find(worker);
+  if (found != loads_.end()) {
+    found->second.begunAt = now;
+  }
+}
+
+void StoreScheduler::unclear(const WorkerId& worker, base::TimePoint now) {
+  rate_.unclear(now);
+  const auto found = loads_.find(worker);
+  if (found != loads_.end()) {
+    found->second.forgottenAt = now + kUnclearFor;
+  }
+}
+
+double StoreScheduler::ended(const WorkerId& worker, base::TimePoint now) {
+  const auto found = loads_.find(worker);
+  if (found == loads_.end()) {
+    return 0;
+  }
+  const Load load = found->second;
+  loads_.erase(found);
+  const double lateness = load.lateness(now);
+  // One without a clear answer may have begun at any time.
+  if (load.forgottenAt == base::kNever) {
+    observe(load, lateness);
+  }
+  return lateness;
+}
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/store_scheduler.h
@@ -0,0 +1,70 @@
+#pragma once
+/// @file
+/// When a load from the weight store may begin: the store's rate, and the loads under way.
+
+#include <map>
+
+#include "registry/load_concurrency.h"
+#include "registry/store_rate.h"
+#include "walnut/registry/worker.h"
+
+namespace walnut::registry {
+
+/// Kept by the leader for one service. A worker has one load under way at most.
+class StoreScheduler {
+ public:
+  /// To be called before the rest, with the present time.
+  void setLimit(double perSecond, const StoreWindow& window, base::TimePoint now);
+  /// Loads under way that a former leader ordered, by workers that are busy with an unknown order.
+  void setForeign(std::size_t loads) { foreign_ = loads; }
+
+  /// @return true if a load may begin now.
+  bool allows() const { return rate_.allows() && underWay() < concurrency_.limit(); }
+  /// @return true if a load that nobody waits for may begin: some places stay free.
+  bool allowsAhead() const {
+    return rate_.allows() && underWay() + kKeptFree < concurrency_.limit();
+  }
+  std::size_t underWay() const { return loads_.size() + foreign_; }
+  std::size_t limit() const { return concurrency_.limit(); }
+  /// @return time until a place is free, of the load that ends first; zero if one is free.
+  base::Duration expectedWait(base::TimePoint now) const;
+
+  /// @name The life of a load
+  /// @{
+  /// @param declaredTime that it takes if the store isn't crowded.
+  void ordered(const WorkerId& worker, base::Duration declaredTime, base::TimePoint now);
+  void accepted(const WorkerId& worker, base::TimePoint now);
+  /// Nobody knows whether it begins: it counts for some time.
+  void unclear(const WorkerId& worker, base::TimePoint now);
+  /// @return its time as a multiple of the declared one; 0 if there is no such load.
+  double ended(const WorkerId& worker, base::TimePoint now);
+  /// It was refused, or its worker is lost.
+  void abandoned(const WorkerId& worker) { loads_.erase(worker); }
+  /// @}
+
+ private:
+  /// Places that loads ahead of demand leave free.
+  static constexpr std::size_t kKeptFree = 1;
+
+  struct Load {
+    base::TimePoint begunAt;
+    base::Duration declaredTime{0};
+    std::size_t underWayAtStart = 1;
+    double notedLateness = 1;  ///< Up to which it was taken note of before its end.
+    base::TimePoint forgottenAt = base::kNever;
+
+    double lateness(base::TimePoint now) const;
+    base::TimePoint expectedEnd(std::size_t limit) const;
+  };
+
+  void noteOverdue(base::TimePoint now);
+  void observe(const Load& load, double lateness);
+
+  StoreRate rate_;
+  LoadConcurrency concurrency_;
+  std::map<WorkerId, Load> loads_;
+  std::size_t foreign_ = 0;
+  base::TimePoint limitReachedAt_;  ///< Last time.
+};
+
+}  // namespace walnut::registry
--- a/src/registry/worker_status.cpp
+++ b/src/registry/worker_status.cpp
@@ -91,8 +91,8 @@
 }
 
 void WorkerStatus::modelOrdered(const PlacementStep& step, base::TimePoint now,
-                                base::TimePoint dueAt) {
-  modelOrder = ModelOrder{step.operation, step.model, now, dueAt};
+                                base::TimePoint expectedEnd, base::TimePoint dueAt) {
+  modelOrder = ModelOrder{step.operation, step.model, now, expectedEnd, dueAt};
   adaptersBlocked = false;
   if (step.operation == OrderOperation::unload) {
     std::erase_if(adapterChanges_,
@@ -123,6 +123,11 @@
   }
 }
 
+bool WorkerStatus::hasInMemory(const std::string& model) const {
+  return std::find(reported_.inMemory.begin(), reported_.inMemory.end(), model) !=
+         reported_.inMemory.end();
+}
+
 Holdings WorkerStatus::expected(base::TimePoint now) const {
   Holdings holdings = reported_;
   for (const auto& [key, change] : adapterChanges_) {
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -18,6 +18,7 @@
   OrderOperation operation = OrderOperation::load;
   std::string model;
   base::TimePoint acceptedAt;
+  base::TimePoint expectedEnd;
   base::TimePoint dueAt;  ///< When the worker is asked, if it has not told by then.
 };
 
@@ -44,6 +45,7 @@
   std::optional<PlacementStep> sentOrder;  ///< Sent, not answered.
   base::TimePoint orderAgainAt;            ///< Not ordered before this time, after a refusal.
   std::optional<ModelOrder> modelOrder;
+  bool foreignOrder = false;  ///< It last said that it carries out an order of a former leader.
   /// An adapter was refused while an order for a model was under way: none is sent before its end.
   bool adaptersBlocked = false;
   /// The last order for a model that ended; whoever reports it takes it out.
@@ -61,9 +63,12 @@
 
   /// An order was accepted or found done.
   void adapterOrdered(const PlacementStep& step, base::TimePoint now, base::Duration settleTime);
-  void modelOrdered(const PlacementStep& step, base::TimePoint now, base::TimePoint dueAt);
+  void modelOrdered(const PlacementStep& step, base::TimePoint now, base::TimePoint expectedEnd,
+                    base::TimePoint dueAt);
   void modelOrderDone(const PlacementStep& step);
 
+  /// @return true if a copy of the model's weights is in its host memory.
+  bool hasInMemory(const std::string& model) const;
   /// @return what it holds or is about to, adapters on their way included.
   Holdings expected(base::TimePoint now) const;
   /// @return what gateways may send requests for: without what is being unloaded or on its way.
--- /dev/null
+++ b/test/registry/load_concurrency_test.cpp
@@ -0,0 +1,73 @@
+/// How many loads at once are allowed, found from how long loads take.
+
+#include "registry/load_concurrency.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut::registry;
+
+TEST_GROUP(LoadConcurrencyTest) {
+  LoadConcurrency concurrency;
+
+  /// Loads that each begin with all places taken, at a store that takes `capacity` at full speed.
+  void play(double capacity, int loads) {
+    for (int load = 0; load < loads; ++load) {
+      const auto underWay = static_cast<double>(concurrency.limit());
+      concurrency.observe(concurrency.limit(), underWay > capacity ? underWay / capacity : 1.0,
+                          true);
+    }
+  }
+};
+
+TEST(LoadConcurrencyTest, doublesInTheTimeOfALoadWhileLoadsAreInTime) {
+  const std::size_t first = concurrency.limit();
+  play(1000, static_cast<int>(first));
+  CHECK_EQUAL(2 * first, concurrency.limit());
+}
+
+TEST(LoadConcurrencyTest, lateLoadsTellTheNumberOfTheStore) {
+  for (const double capacity : {3.0, 8.0, 25.0, 148.0}) {
+    concurrency = {};
+    play(capacity, 400);
+    CHECK_TRUE(static_cast<double>(concurrency.limit()) >= capacity - 1);
+    CHECK_TRUE(static_cast<double>(concurrency.limit()) <= 1.2 * capacity + 1);
+  }
+}
+
+TEST(LoadConcurrencyTest, oneLateLoadAloneTellsNothing) {
+  const std::size_t first = concurrency.limit();
+  concurrency.observe(first, 3.0, true);
+  CHECK_EQUAL(first, concurrency.limit());
+  concurrency.observe(first, 1.0, true);
+  concurrency.observe(first, 3.0, true);
+  CHECK_EQUAL(first + 1, concurrency.limit());
+}
+
+TEST(LoadConcurrencyTest, aStoreThatSlowsDownAndRecoversIsFollowed) {
+  play(20, 200);
+  CHECK_TRUE(concurrency.limit() >= 19);
+  play(6, 20);
+  CHECK_TRUE(concurrency.limit() <= 8);
+  play(20, 1500);
+  CHECK_TRUE(concurrency.limit() >= 16);
+}
+
+TEST(LoadConcurrencyTest, neverFallsBelowItsLeast) {
+  play(0.1, 50);
+  CHECK_EQUAL(static_cast<std::size_t>(LoadConcurrency::kLeastLimit), concurrency.limit());
+}
+
+TEST(LoadConcurrencyTest, doesNotGrowWhileItIsNotUsed) {
+  const std::size_t first = concurrency.limit();
+  for (int load = 0; load < 50; ++load) {
+    concurrency.observe(1, 1.0, false);
+  }
+  CHECK_EQUAL(first, concurrency.limit());
+}
+
+TEST(LoadConcurrencyTest, aLoadThatCameFromElsewhereTellsNothing) {
+  const std::size_t first = concurrency.limit();
+  concurrency.observe(first, 0.14, true);
+  CHECK_EQUAL(first, concurrency.limit());
+}
--- a/test/registry/placement_test.cpp
+++ b/test/registry/placement_test.cpp
@@ -48,7 +48,7 @@
 TEST_GROUP(PlacementTest) {
   const base::TimePoint now = base::TimePoint(100s);
   PlacementPolicy policy{"svc"};
-  StoreRate store;
+  StoreScheduler store;
   DemandBook demand;
 
   void want(const char* model, const char* adapter, std::uint32_t waiting, std::uint32_t arrivals,
@@ -176,3 +176,70 @@
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("x", steps[0].model.c_str());
 }
+
+TEST(PlacementTest, aModelThatWaitsForTheStoreKeepsNoWorkerFromALoadFromItsDisk) {
+  want("cold1", "", 5, 9, 1);
+  want("cold2", "", 5, 9, 2);
+  want("onDisk", "", 1, 1, 3);
+  PlacementWorker worker = workerWith("w", {});
+  worker.holdings.onDisk = {"onDisk"};
+  const catalog::EngineSpec engine = engineOf({"cold1", "cold2", "onDisk"});
+  store.setLimit(engine.storeLoadsPerSecond, {}, now);
+  store.ordered({"elsewhere"}, 4s, now);
+  const auto steps = plan(engine, {worker});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("onDisk", steps[0].model.c_str());
+}
+
+TEST(PlacementTest, aBusyWorkerWithACopyIsWaitedForRatherThanTheStore) {
+  want("a", "", 1, 1);
+  PlacementWorker busy = workerWith("busy", {});
+  busy.holdings.onDisk = {"a"};
+  busy.mayBeOrdered = false;
+  busy.arriving = "b";
+  busy.busyFor = 500ms;
+  CHECK_TRUE(plan(engineOf({"a", "b"}), {busy, workerWith("idle", {})}).empty());
+  busy.busyFor = 10s;
+  const auto steps = plan(engineOf({"a", "b"}), {busy, workerWith("idle", {})});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("idle", steps[0].worker.value.c_str());
+}
+
+TEST(PlacementTest, aModelWhoseCallersCanWaitMakesRoomBeforeAnUrgentOne) {
+  DemandUpdate update;
+  update.demands.push_back({"svc", "patient", "", 0, 4, 0, 5s});
+  update.demands.push_back({"svc", "urgent", "", 0, 2, 1, 400ms});
+  update.demands.push_back({"svc", "new", "", 1, 1, 1, 400ms});
+  demand.update({1}, update, now);
+  PlacementWorker worker = workerWith("w", {"urgent", "patient"});
+  worker.holdings.onDisk = {"urgent", "patient", "new"};
+  const auto steps = plan(engineOf({"new", "patient", "urgent"}), {worker});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("patient", steps[0].model.c_str());
+}
+
+TEST(PlacementTest, aModelThatNoDiskHasStaysBeforeOneThatCanComeBack) {
+  want("new", "", 1, 1);
+  PlacementWorker worker = workerWith("w", {"onlyHere", "copied"});
+  worker.holdings.onDisk = {"copied", "new"};
+  const auto steps = plan(engineOf({"new", "copied", "onlyHere"}), {worker});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("copied", steps[0].model.c_str());
+}
+
+TEST(PlacementTest, theRoomThatWasMadeIsUsedWhereItWasMade) {
+  want("new", "", 1, 1);
+  PlacementWorker full = workerWith("w1", {"x", "y"});
+  full.holdings.onDisk = {"x", "y", "new"};
+  PlacementWorker other = workerWith("w2", {"z", "v"});
+  other.holdings.onDisk = {"z", "v", "new"};
+  const catalog::EngineSpec engine = engineOf({"new", "x", "y", "z", "v"});
+  const auto first = plan(engine, {full, other});
+  CHECK_EQUAL(1, first.size());
+  CHECK_TRUE(first[0].operation == OrderOperation::unload);
+  PlacementWorker& chosen = first[0].worker == full.id ? full : other;
+  chosen.retiring = first[0].model;
+  chosen.mayBeOrdered = false;
+  chosen.busyFor = 100ms;
+  CHECK_TRUE(plan(engine, {full, other}).empty());
+}
--- /dev/null
+++ b/test/registry/store_scheduler_test.cpp
@@ -0,0 +1,139 @@
+/// When loads from the weight store may begin, played against a modelled store.
+
+#include "registry/store_scheduler.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::Duration kDeclared = 6s;
+constexpr base::Duration kStep = 50ms;
+
+/// A load's time is fixed as it begins, in proportion to the loads under way beyond the capacity.
+struct ModelledStore {
+  double capacity = 4;
+  struct Load {
+    WorkerId worker;
+    base::TimePoint endsAt;
+  };
+  std::vector<Load> loads;
+
+  void begin(const WorkerId& worker, base::TimePoint now) {
+    const double crowding = std::max(1.0, static_cast<double>(loads.size() + 1) / capacity);
+    loads.push_back(
+        {worker, now + std::chrono::duration_cast<base::Duration>(kDeclared * crowding)});
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(StoreSchedulerTest) {
+  StoreScheduler store;
+  ModelledStore modelled;
+  base::TimePoint now = base::TimePoint(100s);
+  int names = 0;
+  std::size_t done = 0;
+  std::size_t mostUnderWay = 0;
+
+  WorkerId nextWorker() { return {"w" + std::to_string(++names)}; }
+  void begin(const WorkerId& worker) {
+    store.ordered(worker, kDeclared, now);
+    store.accepted(worker, now);
+  }
+  /// Begins a load whenever one may begin, for that long.
+  void play(base::Duration duration) {
+    for (const base::TimePoint end = now + duration; now < end; now += kStep) {
+      store.setLimit(50, {}, now);
+      std::erase_if(modelled.loads, [this](const ModelledStore::Load& load) {
+        const bool ended = load.endsAt <= now;
+        if (ended) {
+          store.ended(load.worker, now);
+          ++done;
+        }
+        return ended;
+      });
+      while (store.allows()) {
+        const WorkerId worker = nextWorker();
+        begin(worker);
+        modelled.begin(worker, now);
+      }
+      mostUnderWay = std::max(mostUnderWay, modelled.loads.size());
+    }
+  }
+};
+
+TEST(StoreSchedulerTest, aStoreThatTakesFewIsNotCrowded) {
+  play(120s);
+  CHECK_TRUE(mostUnderWay <= 3 * 4);
+  // 4 in 6 s are the most that this store gives.
+  CHECK_TRUE(done >= 60);
+  mostUnderWay = 0;
+  play(60s);
+  CHECK_TRUE(mostUnderWay <= 5);
+}
+
+TEST(StoreSchedulerTest, aStoreThatTakesManyIsUsed) {
+  modelled.capacity = 40;
+  play(30s);
+  CHECK_TRUE(store.limit() >= 40);
+}
+
+TEST(StoreSchedulerTest, aCrowdedStoreIsNoticedBeforeItsLoadsEnd) {
+  modelled.capacity = 0.5;
+  play(9s);
+  CHECK_EQUAL(0, done);
+  CHECK_EQUAL(static_cast<std::size_t>(LoadConcurrency::kLeastLimit), store.limit());
+}
+
+TEST(StoreSchedulerTest, theRateHoldsAsWell) {
+  store.setLimit(1, {}, now);
+  CHECK_TRUE(store.allows());
+  begin({"w"});
+  CHECK_FALSE(store.allows());
+}
+
+TEST(StoreSchedulerTest, anOrderWithoutAClearAnswerKeepsItsPlaceForAWhile) {
+  store.setLimit(50, {}, now);
+  store.ordered({"w"}, kDeclared, now);
+  store.unclear({"w"}, now);
+  store.setLimit(50, {}, now + 5s);
+  CHECK_EQUAL(1, store.underWay());
+  store.setLimit(50, {}, now + 13s);
+  CHECK_EQUAL(0, store.underWay());
+}
+
+TEST(StoreSchedulerTest, loadsOfAFormerLeaderTakePlaces) {
+  store.setLimit(50, {}, now);
+  store.setForeign(static_cast<std::size_t>(LoadConcurrency::kInitialLimit));
+  CHECK_FALSE(store.allows());
+  store.setForeign(0);
+  CHECK_TRUE(store.allows());
+}
+
+TEST(StoreSchedulerTest, aLostLoadFreesItsPlaceAndTellsNothing) {
+  store.setLimit(50, {}, now);
+  begin({"w"});
+  store.abandoned({"w"});
+  CHECK_EQUAL(0, store.underWay());
+  DOUBLES_EQUAL(0, store.ended({"w"}, now + 60s), 1e-9);
+}
+
+TEST(StoreSchedulerTest, theWaitForAPlaceIsThatOfTheLoadThatEndsFirst) {
+  store.setLimit(50, {}, now);
+  for (double load = 0; load < LoadConcurrency::kInitialLimit; ++load) {
+    store.setLimit(50, {}, now += 200ms);
+    begin(nextWorker());
+  }
+  CHECK_TRUE(store.expectedWait(now) > 5s);
+  CHECK_TRUE(store.expectedWait(now) < 6s);
+  CHECK_TRUE(store.expectedWait(now + 3s) < 3s);
+}
--- a/test/registry/worker_status_test.cpp
+++ b/test/registry/worker_status_test.cpp
@@ -45,7 +45,7 @@
   status.takeReport(report(3, {}, false), start);
   status.orderCount = 4;
   status.orderFinishedAt = start;
-  status.modelOrdered(load("a"), start, start + 10s);
+  status.modelOrdered(load("a"), start, start + 9s, start + 10s);
   status.takeReport(report(3, {}, false), start + 50ms);
   CHECK_TRUE(status.modelOrder.has_value());
   CHECK_FALSE(status.reportFresh);
@@ -80,7 +80,7 @@
 
 TEST(WorkerStatusTest, aModelThatIsUnloadedServesNoMore) {
   beat(1, {{"a", 1, {}}, {"b", 1, {}}});
-  status.modelOrdered(unload("a"), start, start + 10s);
+  status.modelOrdered(unload("a"), start, start + 9s, start + 10s);
   CHECK_EQUAL(1, status.serving(start).size());
   CHECK(status.expected(start).find("a") != nullptr);
   beat(2, {{"b", 1, {}}});
