registry: a heartbeat that was on its way does not undo a report

A new leader can't tell the first heartbeat's age by its sequence.

Change: while a report is fresh, models that come or go in a heartbeat without an order that explains it lead to a new report; the heartbeat is not taken.

--- a/src/registry/worker_status.cpp
+++ b/src/registry/worker_status.cpp
@@ -27,14 +27,35 @@
   lastSequence = heartbeat.sequence;
   lastHeard = now;
   silent = false;
-  if (heartbeat.holdingsKnown) {
-    holdingsKnown = true;
-    reported_ = heartbeat.holdings;
-    finishModelOrder();
+  if (!heartbeat.holdingsKnown) {
+    return true;
   }
+  if (reportFresh && !explains(heartbeat.holdings)) {
+    reportFresh = false;
+    return true;
+  }
+  holdingsKnown = true;
+  reported_ = heartbeat.holdings;
+  finishModelOrder();
   return true;
 }
 
+/// A heartbeat may have been on its way for seconds, and the first one that a leader hears can't be
+/// told from a current one by its sequence. Models come and go by orders only: one that tells
+/// otherwise than the last report did, without an order to explain it, is from before the report.
+bool WorkerStatus::explains(const Holdings& holdings) const {
+  const auto ordered = [this](const std::string& model) {
+    return (modelOrder && modelOrder->model == model) ||
+           (sentOrder && sentOrder->adapter.empty() && sentOrder->model == model);
+  };
+  const auto within = [&ordered](const Holdings& inner, const Holdings& outer) {
+    return std::all_of(inner.models.begin(), inner.models.end(), [&](const HeldModel& held) {
+      return outer.find(held.name) != nullptr || ordered(held.name);
+    });
+  };
+  return within(holdings, reported_) && within(reported_, holdings);
+}
+
 void WorkerStatus::takeReport(const WorkerReport& report, base::TimePoint now) {
   // A report is some time old: one from before the last order must not undo what is known of it.
   const bool current = report.orderCount >= orderCount || now >= orderFinishedAt + kReportAge;
--- a/test/registry/worker_status_test.cpp
+++ b/test/registry/worker_status_test.cpp
@@ -41,6 +41,22 @@
   CHECK(status.expected(start).find("a") != nullptr);
 }
 
+TEST(WorkerStatusTest, aFirstHeartbeatThatIsOlderThanTheReportDoesNotUndoIt) {
+  status.takeReport(report(2, {{"a", 1, {}}, {"b", 1, {}}}, false), start);
+  beat(5, {{"a", 1, {}}});
+  CHECK(status.expected(start).find("b") != nullptr);
+  CHECK_FALSE(status.reportFresh);
+}
+
+TEST(WorkerStatusTest, aHeartbeatThatTellsTheEndOfAnOrderIsTaken) {
+  status.takeReport(report(2, {{"a", 1, {}}}, false), start);
+  status.modelOrdered(load("b"), start, start + 9s, start + 10s);
+  beat(5, {{"a", 1, {}}, {"b", 1, {}}});
+  CHECK(status.expected(start).find("b") != nullptr);
+  CHECK_FALSE(status.modelOrder.has_value());
+  CHECK_TRUE(status.reportFresh);
+}
+
 TEST(WorkerStatusTest, aReportFromBeforeTheLastOrderDoesNotUndoIt) {
   status.takeReport(report(3, {}, false), start);
   status.orderCount = 4;
