registry: without fences a new leader waits for each worker's own lease, not for all

The lease concerns the orders to one worker.

Orders that a server did not see count as given when it started. Where fences are checked nothing changes.

--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -34,6 +34,7 @@
   breakerOpened,
   orderTurn,
   orderSent,
+  orderCancelled,
   orderFinished,
   modelOrderEnded,
   reportRead,
--- a/src/registry/cell_state.cpp
+++ b/src/registry/cell_state.cpp
@@ -37,6 +37,13 @@
                  [this](const StoreWorker& body) { store(body.worker); },
                  [this](const ForgetWorker& body) { forget(body.worker); },
                  [this](const StoreOrderHolder& body) { orderHolder_ = body.server; },
+                 [this](const StoreOrderedWorkers& body) {
+                   for (const WorkerId& id : body.workers) {
+                     if (workers_.count(id) != 0) {
+                       lastOrderedBy_[id] = body.server;
+                     }
+                   }
+                 },
                  [this](const StoreHoldings& body) {
                    if (workers_.count(body.worker) != 0) {
                      holdings_[body.worker] = body.models;
@@ -68,6 +75,7 @@
 void CellState::forget(const WorkerId& id) {
   workers_.erase(id);
   holdings_.erase(id);
+  lastOrderedBy_.erase(id);
   if (wasForgotten(id)) {
     return;
   }
@@ -87,6 +95,11 @@
   return found == holdings_.end() ? nullptr : &found->second;
 }
 
+base::ServerId CellState::lastOrderedBy(const WorkerId& id) const {
+  const auto found = lastOrderedBy_.find(id);
+  return found == lastOrderedBy_.end() ? base::ServerId{} : found->second;
+}
+
 bool CellState::wasForgotten(const WorkerId& id) const {
   return std::find(forgotten_.begin(), forgotten_.end(), id) != forgotten_.end();
 }
--- a/src/registry/cell_state.h
+++ b/src/registry/cell_state.h
@@ -59,10 +59,23 @@
     archive(server);
   }
 };
+/// A leader is about to order workers, and does so at once when this is applied or not at all: a
+/// later leader knows by it which workers have been ordered lately. One entry for the orders of a
+/// plan.
+struct StoreOrderedWorkers {
+  base::ServerId server;
+  std::uint64_t term = 0;
+  std::uint64_t batch = 0;  ///< Of that leadership.
+  std::vector<WorkerId> workers;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, term, batch, workers);
+  }
+};
 /// @}
 
-using Command =
-    std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder, StoreHoldings>;
+using Command = std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder,
+                             StoreHoldings, StoreOrderedWorkers>;
 
 std::string encodeCommand(const Command& command);
 base::Result<Command> decodeCommand(std::string_view bytes);
@@ -85,6 +98,9 @@
   /// @return what the worker held when it was last stored; nullptr if it never was.
   const std::vector<HeldModel>* findHoldings(const WorkerId& id) const;
 
+  /// @return the server that ordered the worker last; zero if none did.
+  base::ServerId lastOrderedBy(const WorkerId& id) const;
+
   /// @name Contents of a snapshot
   /// @{
   std::string encode() const;
@@ -93,7 +109,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(documentVersion_, documentText_, workers_, holdings_, forgotten_, orderHolder_);
+    archive(documentVersion_, documentText_, workers_, holdings_, forgotten_, orderHolder_,
+            lastOrderedBy_);
   }
 
  private:
@@ -106,6 +123,7 @@
   std::map<WorkerId, std::vector<HeldModel>> holdings_;  ///< Of workers that are there.
   std::vector<WorkerId> forgotten_;                      ///< Oldest first, bounded.
   base::ServerId orderHolder_;
+  std::map<WorkerId, base::ServerId> lastOrderedBy_;  ///< Of workers that are there.
 };
 
 }  // namespace walnut::registry
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -37,7 +37,7 @@
 
 LeaderDuties::LeaderDuties(const RegistryOptions& options, const DocumentReader& reader,
                            const CellState& state, consensus::Term term, base::ServerId self,
-                           runtime::EventLog& log, base::TimePoint now,
+                           runtime::EventLog& log, base::TimePoint now, const OrderTurns& turns,
                            std::optional<base::TimePoint> lastTurnAt)
     : options_(options),
       reader_(reader),
@@ -46,6 +46,7 @@
       self_(self),
       log_(log),
       since_(now),
+      turns_(turns),
       turnAllowedAt_(turnAllowedAt(lastTurnAt)),
       publisher_(options.viewInterval) {
   stateChanged(now);
@@ -142,6 +143,7 @@
     lastPlanAt_ = now;
     nextPlan_ = now + options_.planInterval;
     claimOrders(now);
+    dropUnrecorded(now);
     if (ordersAllowed(now)) {
       refreshReports(now);
       plan(now);
@@ -257,9 +259,7 @@
   store.setLimit(service.engine->storeLoadsPerSecond,
                  {options_.storeWindow, options_.storeOvershoot}, now);
   countForeignLoads(service, store);
-  for (const PlacementStep& step : policy.plan(*service.engine, workers, demand_, store, now)) {
-    carryOut(step, now);
-  }
+  carryOut(policy.plan(*service.engine, workers, demand_, store, now), now);
 }
 
 /// An order of a former leader that is under way may be a load from the store.
@@ -282,7 +282,7 @@
   worker.holdings = status.expected(now);
   worker.serving = !record.leaving && !status.silent;
   worker.mayBeOrdered = status.reportFresh && !status.sentOrder && !status.reportUnderWay &&
-                        now >= status.orderAgainAt;
+                        now >= status.orderAgainAt && mayOrder(record.id, now);
   worker.mayTakeAdapters = !(status.adaptersBlocked && status.modelOrder);
   for (const HeldModel& held : worker.holdings.models) {
     for (const std::string& adapter : held.adapters) {
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -13,6 +13,7 @@
 
 #include "registry/cell_state.h"
 #include "registry/demand_book.h"
+#include "registry/order_turns.h"
 #include "registry/placement.h"
 #include "registry/view_publisher.h"
 #include "registry/worker_status.h"
@@ -24,10 +25,12 @@
 /// state, which its owner changes and then reports by `stateChanged`.
 class LeaderDuties {
  public:
+  /// @param turns kept by the owner: when workers were last ordered.
   /// @param lastTurnAt when this server, while it ran, saw another server take its turn to order.
   LeaderDuties(const RegistryOptions& options, const DocumentReader& reader, const CellState& state,
                consensus::Term term, base::ServerId self, runtime::EventLog& log,
-               base::TimePoint now, std::optional<base::TimePoint> lastTurnAt = std::nullopt);
+               base::TimePoint now, const OrderTurns& turns,
+               std::optional<base::TimePoint> lastTurnAt = std::nullopt);
 
   /// @return true if the replicated record must change for this heartbeat.
   bool heartbeat(const Heartbeat& heartbeat, base::TimePoint now);
@@ -36,6 +39,8 @@
   void demand(protocol::ConnectionId gateway, const DemandUpdate& update, base::TimePoint now);
   void orderFinished(const OrderFinished& finished, base::TimePoint now);
   void reportFinished(const ReportFinished& finished, base::TimePoint now);
+  /// The orders of a batch are in the log: they are sent, unless it took too long.
+  void ordersRecorded(std::uint64_t batch, base::TimePoint now, bool leaseValid);
   /// The replicated state has changed.
   void stateChanged(base::TimePoint now);
 
@@ -53,6 +58,11 @@
     PlacementStep step;
     base::TimePoint sentAt;
   };
+  /// Orders that are being recorded in the log.
+  struct Batch {
+    std::vector<PlacementStep> steps;
+    base::TimePoint plannedAt;
+  };
 
   void refreshDocument();
   void noteSilence(base::TimePoint now);
@@ -65,7 +75,12 @@
   void planService(const catalog::Service& service, base::TimePoint now);
   PlacementWorker placementWorker(const WorkerRecord& record, const WorkerStatus& status,
                                   base::TimePoint now) const;
-  void carryOut(const PlacementStep& step, base::TimePoint now);
+  void carryOut(const std::vector<PlacementStep>& steps, base::TimePoint now);
+  void record(const std::vector<PlacementStep>& steps, base::TimePoint now);
+  void dropUnrecorded(base::TimePoint now);
+  void cancel(const PlacementStep& step, base::TimePoint now);
+  void send(const PlacementStep& step, base::TimePoint now);
+  bool mayOrder(const WorkerId& worker, base::TimePoint now) const;
   void requestReport(const WorkerRecord& record, WorkerStatus& status);
   void askOverdueWorkers(base::TimePoint now);
   void refreshReports(base::TimePoint now);
@@ -86,6 +101,7 @@
   const base::ServerId self_;
   runtime::EventLog& log_;
   const base::TimePoint since_;
+  const OrderTurns& turns_;
   const base::TimePoint turnAllowedAt_;  ///< Not before, if another server had the last turn.
 
   std::shared_ptr<const catalog::Document> document_;
@@ -96,6 +112,8 @@
   std::map<std::string, StoreScheduler> stores_;     ///< By service.
   std::map<std::uint64_t, SentOrder> orders_;
   std::uint64_t lastOrder_ = 0;
+  std::map<std::uint64_t, Batch> batches_;
+  std::uint64_t lastBatch_ = 0;
   bool holderProposed_ = false;
   bool fenced_ = false;  ///< A worker has seen a higher token: this leadership is over.
   base::TimePoint nextPlan_;
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -13,8 +13,6 @@
 
 using runtime::LogEvent;
 
-/// Beyond the lease of a former holder, for its clock and the network.
-constexpr base::Duration kTurnMargin = std::chrono::milliseconds(300);
 /// Workers check fences: as old as reports are, and some, so that they tell of all orders that the
 /// former holder gave.
 constexpr base::Duration kFencedTurnDelay = std::chrono::milliseconds(500);
@@ -72,14 +70,25 @@
   return !fenced_ && holder == self_ && now >= since_;
 }
 
-/// Two servers must not give orders in turn within the lease. Without fences a new leader waits
-/// until the turn of the former holder, which can't have known of it at once, is over. With fences
-/// the former holder's late orders are refused, so one change needs no such wait; a second one
-/// within the lease does, as the first holder might be back.
+/// Two servers must not order one worker in turn within the lease. With fences the former holder's
+/// late orders are refused, so one change needs no such wait, only that reports tell of its orders;
+/// a second change within the lease does, as the first holder might be back. Without fences each
+/// worker is waited for by itself: see `mayOrder`.
 base::TimePoint LeaderDuties::turnAllowedAt(std::optional<base::TimePoint> lastTurnAt) const {
+  if (!options_.ordersFenced) {
+    return since_;
+  }
   const base::Duration lease = options_.orderLease + kTurnMargin;
   const bool recent = lastTurnAt && since_ < *lastTurnAt + lease;
-  return since_ + (options_.ordersFenced && !recent ? kFencedTurnDelay : lease);
+  return since_ + (recent ? lease : kFencedTurnDelay);
+}
+
+/// Without fences, a worker that a former holder ordered lately is not ordered before that holder's
+/// lease is over.
+bool LeaderDuties::mayOrder(const WorkerId& worker, base::TimePoint now) const {
+  const base::ServerId last = state_.lastOrderedBy(worker);
+  return options_.ordersFenced || last == self_ || last == base::ServerId{} ||
+         now >= turns_.allowedAt(worker, since_, options_.orderLease);
 }
 
 void LeaderDuties::claimOrders(base::TimePoint now) {
@@ -96,7 +105,73 @@
   log_.write(LogEvent::orderTurn, {{"term", term_}, {"former", holder.value}});
 }
 
-void LeaderDuties::carryOut(const PlacementStep& step, base::TimePoint now) {
+void LeaderDuties::carryOut(const std::vector<PlacementStep>& steps, base::TimePoint now) {
+  if (steps.empty()) {
+    return;
+  }
+  if (!options_.ordersFenced) {
+    record(steps, now);
+    return;
+  }
+  for (const PlacementStep& step : steps) {
+    send(step, now);
+  }
+}
+
+/// Without fences, orders are in the log before they are sent, so that the next leader knows which
+/// workers it has to wait for.
+void LeaderDuties::record(const std::vector<PlacementStep>& steps, base::TimePoint now) {
+  StoreOrderedWorkers command{self_, term_, ++lastBatch_, {}};
+  for (const PlacementStep& step : steps) {
+    command.workers.push_back(step.worker);
+    statusOf(step.worker, now).sentOrder = step;
+  }
+  batches_[lastBatch_] = {steps, now};
+  commands_.emplace_back(std::move(command));
+}
+
+void LeaderDuties::ordersRecorded(std::uint64_t batch, base::TimePoint now, bool leaseValid) {
+  const auto found = batches_.find(batch);
+  if (found == batches_.end()) {
+    return;
+  }
+  const Batch recorded = std::move(found->second);
+  batches_.erase(found);
+  const bool late = now > recorded.plannedAt + kRecordedOrderLifetime;
+  for (const PlacementStep& step : recorded.steps) {
+    if (late || !leaseValid || state_.findWorker(step.worker) == nullptr) {
+      cancel(step, now);
+    } else {
+      send(step, now);
+    }
+  }
+}
+
+/// Proposals may be lost, and a slow disk may hold them up: their orders are not sent any more.
+void LeaderDuties::dropUnrecorded(base::TimePoint now) {
+  while (!batches_.empty() && now > batches_.begin()->second.plannedAt + kRecordedOrderLifetime) {
+    const Batch late = std::move(batches_.begin()->second);
+    batches_.erase(batches_.begin());
+    for (const PlacementStep& step : late.steps) {
+      cancel(step, now);
+    }
+  }
+}
+
+void LeaderDuties::cancel(const PlacementStep& step, base::TimePoint now) {
+  statusOf(step.worker, now).sentOrder.reset();
+  planSoon_ = true;
+  const WorkerRecord* record = state_.findWorker(step.worker);
+  if (step.fromStore && record != nullptr) {
+    forgetLoad(*record);
+  }
+  log_.write(LogEvent::orderCancelled, {{"worker", step.worker.value},
+                                        {"operation", operationName(step.operation)},
+                                        {"model", step.model},
+                                        {"adapter", step.adapter}});
+}
+
+void LeaderDuties::send(const PlacementStep& step, base::TimePoint now) {
   const WorkerRecord& record = *state_.findWorker(step.worker);
   WorkerStatus& status = statusOf(step.worker, now);
   const std::uint64_t order = ++lastOrder_;
@@ -136,7 +211,7 @@
     WorkerStatus& status = statusOf(id, now);
     const bool wanted = service != nullptr && service->engine && !record.leaving &&
                         !status.silent && !status.reportFresh && !status.sentOrder;
-    if (wanted && now >= status.orderAgainAt) {
+    if (wanted && now >= status.orderAgainAt && mayOrder(id, now)) {
       requestReport(record, status);
     }
   }
@@ -271,6 +346,8 @@
               {"models", report.holdings.models.size()},
               {"adapters", adapterCount(report.holdings)},
               {"pending", report.pendingAdapters.size()},
+              {"memory-copies", report.holdings.inMemory.size()},
+              {"disk-copies", report.holdings.onDisk.size()},
               {"busy", std::string_view(report.orderUnderWay ? "yes" : "no")}});
   status.takeReport(report, now);
   logEndedOrder(finished.worker, status, now);
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -45,6 +45,7 @@
       log_(log),
       now_(now),
       raft_(consensus::makeRaft(options.raft, std::move(recovered), founders, seed, now)),
+      orderTurns_(now),
       recoveredIndex_(raft_->status().lastIndex),
       startedAt_(now),
       leaderHeardAt_(now) {}
@@ -71,6 +72,7 @@
     (void)state_.restore(raftOutputs.installed->data);
     appliedIndex_ = raftOutputs.installed->lastIndex;
     bytesSinceSnapshot_ = 0;
+    orderTurns_.restored(now_);
   }
   applyEntries(raftOutputs.committed);
   followLeadership();
@@ -254,7 +256,7 @@
   activeIndex_ = status.lastIndex;
   keeper_.emplace(CellKeeperOptions{options_.tolerableLosses}, now_);
   leading_ = std::make_unique<LeaderDuties>(options_, reader_, state_, status.term, status.self,
-                                            log_, now_, lastTurnAt_);
+                                            log_, now_, orderTurns_, lastTurnAt_);
   pendingDocumentVersion_ = 0;
 }
 
@@ -318,9 +320,12 @@
                     {"state", std::string_view(worker->worker.leaving ? "leaving" : "ready")}});
       } else if (const auto* gone = std::get_if<ForgetWorker>(&command.value())) {
         log_.write(LogEvent::workerForgotten, {{"worker", gone->worker.value}});
+        orderTurns_.forget(gone->worker);
       } else if (std::holds_alternative<StoreOrderHolder>(command.value()) &&
                  entry.index > recoveredIndex_) {
         lastTurnAt_ = now_;
+      } else if (const auto* ordered = std::get_if<StoreOrderedWorkers>(&command.value())) {
+        noteOrdered(*ordered, entry.index);
       }
     }
   }
@@ -334,6 +339,16 @@
   }
 }
 
+void RegistryImpl::noteOrdered(const StoreOrderedWorkers& ordered, consensus::LogIndex index) {
+  if (index > recoveredIndex_) {
+    orderTurns_.ordered(ordered.workers, now_);
+  }
+  const consensus::RaftStatus status = raft_->status();
+  if (leading_ != nullptr && ordered.server == status.self && ordered.term == status.term) {
+    leading_->ordersRecorded(ordered.batch, now_, raft_->leaseValid(now_));
+  }
+}
+
 void RegistryImpl::takeSnapshotIfDue() {
   if (bytesSinceSnapshot_ >= options_.snapshotEveryBytes) {
     bytesSinceSnapshot_ = 0;
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -11,6 +11,7 @@
 #include "registry/cell_keeper.h"
 #include "registry/cell_state.h"
 #include "registry/leader_duties.h"
+#include "registry/order_turns.h"
 #include "walnut/registry/registry.h"
 
 namespace walnut::registry {
@@ -81,6 +82,7 @@
   void answerReads();
   void applyEntries(const std::vector<consensus::LogEntry>& entries);
   void applyEntry(const consensus::LogEntry& entry);
+  void noteOrdered(const StoreOrderedWorkers& ordered, consensus::LogIndex index);
   void takeSnapshotIfDue();
   void keepCell();
   void askToJoin();
@@ -119,6 +121,7 @@
 
   /// When another server took the turn to order, while this one ran.
   std::optional<base::TimePoint> lastTurnAt_;
+  OrderTurns orderTurns_;
   const consensus::LogIndex recoveredIndex_;  ///< The last entry of the log as it was recovered.
   const base::TimePoint startedAt_;
   base::TimePoint leaderHeardAt_;
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -20,10 +20,6 @@
 
   /// @return true if a load may begin now.
   bool allows() const { return rate_.allows() && underWay() < concurrency_.limit(); }
-  /// @return true if a load that nobody waits for may begin: some places stay free.
-  bool allowsAhead() const {
-    return rate_.allows() && underWay() + kKeptFree < concurrency_.limit();
-  }
   std::size_t underWay() const { return loads_.size() + foreign_; }
   std::size_t limit() const { return concurrency_.limit(); }
   /// @return time until a place is free, of the load that ends first; zero if one is free.
@@ -43,9 +39,6 @@
   /// @}
 
  private:
-  /// Places that loads ahead of demand leave free.
-  static constexpr std::size_t kKeptFree = 1;
-
   struct Load {
     base::TimePoint begunAt;
     base::Duration declaredTime{0};
