registry: scale-outs cost the wakes that they hold up; one late load counts once

Change: models that nobody serves come before further replicas; a choice costs what the loads that come to a worker at the present rate would wait for it (rate x time^2 / 2); the limit tries no more than twice what a load in time began with, and two late loads are needed to lower it, not one twice.

--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -1,23 +1,14 @@
 #include "registry/demand_book.h"
 
-#include <cmath>
 #include <utility>
 
 namespace walnut::registry {
 
 namespace {
 
-/// Time constant of the mean arrival rate, in seconds: shorter than the time in which demand moves
-/// from one model to another.
-constexpr double kRateSeconds = 8.0;
-
 /// For how long the most urgent route to a model is remembered: some time constants of the rate.
 constexpr base::Duration kUrgencyMemory = std::chrono::seconds(20);
 
-double decayed(double weight, base::Duration age) {
-  return weight * std::exp(-std::chrono::duration<double>(age).count() / kRateSeconds);
-}
-
 template <class Key>
 void takeAway(std::map<Key, std::uint32_t>& totals, const Key& key, std::uint32_t count) {
   const auto found = totals.find(key);
@@ -103,8 +94,7 @@
     return;
   }
   History& history = history_[key];
-  history.weight = decayed(history.weight, now - history.updatedAt) + demand.arrivals;
-  history.updatedAt = now;
+  history.arrivals.count(now, demand.arrivals);
   history.lastArrival = now;
   noteUrgency(history, demand, now);
 }
@@ -129,7 +119,7 @@
   figures.waiting = waiting == totals.end() ? 0 : waiting->second;
   const auto found = history_.find(key);
   if (found != history_.end()) {
-    figures.rate = decayed(found->second.weight, now - found->second.updatedAt) / kRateSeconds;
+    figures.rate = found->second.arrivals.perSecond(now);
     figures.lastArrival = found->second.lastArrival;
     figures.priority = found->second.priority;
     figures.targetLatency = found->second.targetLatency;
@@ -144,7 +134,7 @@
        entry != history_.end() && entry->first.service == service && entry->first.model == model;
        ++entry) {
     if (!entry->first.adapter.empty()) {
-      rate += decayed(entry->second.weight, now - entry->second.updatedAt) / kRateSeconds;
+      rate += entry->second.arrivals.perSecond(now);
     }
   }
   return rate;
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "registry/decaying_rate.h"
 #include "walnut/protocol/messages.h"
 #include "walnut/registry/messages.h"
 
@@ -64,8 +65,7 @@
     std::set<WorkerId> unreachable;
   };
   struct History {
-    double weight = 0;
-    base::TimePoint updatedAt;
+    DecayingRate arrivals;
     base::TimePoint lastArrival;
     std::uint32_t priority = 0;
     base::Duration targetLatency{0};
--- a/src/registry/load_concurrency.cpp
+++ b/src/registry/load_concurrency.cpp
@@ -11,36 +11,46 @@
 constexpr double kOnTime = 1.15;
 /// A load that is much shorter came from elsewhere than the store: it tells nothing.
 constexpr double kTooShort = 0.8;
+/// Loads at once that are tried, for each that the store was seen to take.
+constexpr double kTriedBeyondShown = 2.0;
 /// Growth for each load in time, once the store's number was met, divided by the limit: a load more
 /// at once after four rounds, as each try makes loads late.
 constexpr double kSlowGrowth = 0.25;
 
 }  // namespace
 
-void LoadConcurrency::observe(std::size_t underWayAtStart, double lateness, bool limitReached) {
+void LoadConcurrency::observe(std::uint64_t load, std::size_t underWayAtStart, double lateness,
+                              bool limitReached) {
   if (lateness < kTooShort) {
     return;
   }
   if (lateness <= kOnTime) {
-    lastEstimate_ = 0;
+    lastLate_.reset();
     if (limitReached) {
-      grow();
+      grow(underWayAtStart);
     }
   } else {
-    shrink(static_cast<double>(underWayAtStart) / lateness);
+    shrink(load, static_cast<double>(underWayAtStart) / lateness);
   }
 }
 
-void LoadConcurrency::grow() { limit_ += probing_ ? 1.0 : kSlowGrowth / limit_; }
+/// A load that was in time shows that the store takes as many as were under way then: no more than
+/// a multiple of those is tried.
+void LoadConcurrency::grow(std::size_t underWayAtStart) {
+  const double tried = kTriedBeyondShown * static_cast<double>(underWayAtStart);
+  if (limit_ < tried) {
+    limit_ = std::min(tried, limit_ + (probing_ ? 1.0 : kSlowGrowth / limit_));
+  }
+}
 
-/// A single late load may be a late heartbeat or a slow worker: two in a row count, and the more
-/// favourable of them.
-void LoadConcurrency::shrink(double estimate) {
-  const double former = lastEstimate_;
-  lastEstimate_ = estimate;
-  if (former > 0) {
+/// A single late load may be a late heartbeat, or a worker that is lost: two in a row count, and
+/// the more favourable of them.
+void LoadConcurrency::shrink(std::uint64_t load, double estimate) {
+  const std::optional<LateLoad> former = lastLate_;
+  lastLate_ = {load, estimate};
+  if (former && former->load != load) {
     probing_ = false;
-    limit_ = std::clamp(std::max(former, estimate), kLeastLimit, limit_);
+    limit_ = std::clamp(std::max(former->estimate, estimate), kLeastLimit, limit_);
   }
 }
 
--- a/src/registry/load_concurrency.h
+++ b/src/registry/load_concurrency.h
@@ -4,6 +4,8 @@
 /// they take.
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 
 namespace walnut::registry {
 
@@ -12,9 +14,9 @@
 /// it began, so that more at once bring no more throughput, only late ends. A late load therefore
 /// tells the number: the loads under way at its start, by its lateness.
 ///
-/// Begins low and grows by one with each load that ends in time while the limit is in use (it
-/// doubles in the time of a load), until a load is late; from then on it grows slowly, to notice a
-/// store that has become faster.
+/// Begins low and grows by one with each load that ends in time while the limit is in use, to no
+/// more than twice the loads that it began with (it doubles in the time of a load), until a load is
+/// late; from then on it grows slowly, to notice a store that has become faster.
 class LoadConcurrency {
  public:
   /// Loads at once to begin with, and the least that the limit falls to. Low, since what is begun
@@ -26,18 +28,25 @@
   std::size_t limit() const { return static_cast<std::size_t>(limit_); }
 
   /// A load has ended, or is overdue.
+  /// @param load names it: what is told of one load again and again counts once.
   /// @param underWayAtStart loads under way when it began, itself included.
   /// @param lateness its time as a multiple of the declared one.
   /// @param limitReached whether the limit kept another load from beginning in that time.
-  void observe(std::size_t underWayAtStart, double lateness, bool limitReached);
+  void observe(std::uint64_t load, std::size_t underWayAtStart, double lateness, bool limitReached);
 
  private:
-  void grow();
-  void shrink(double estimate);
+  void grow(std::size_t underWayAtStart);
+  void shrink(std::uint64_t load, double estimate);
+
+  struct LateLoad {
+    std::uint64_t load = 0;
+    double estimate = 0;  ///< Of the store's number.
+  };
 
   double limit_ = kInitialLimit;
-  bool probing_ = true;      ///< No load was late yet.
-  double lastEstimate_ = 0;  ///< Of the late load before; 0: the load before was in time.
+  bool probing_ = true;  ///< No load was late yet.
+  /// Of the late load before; none if the load before was in time.
+  std::optional<LateLoad> lastLate_;
 };
 
 }  // namespace walnut::registry
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -1,6 +1,8 @@
 #include "registry/placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 #include <utility>
 
 #include "registry/placement_round.h"
@@ -68,8 +70,9 @@
       wanted.push_back({share * figures.rate + (cold ? figures.waiting : 0), model.name, cold});
     }
   }
-  std::sort(wanted.begin(), wanted.end(),
-            [](const Want& left, const Want& right) { return left.worth > right.worth; });
+  std::sort(wanted.begin(), wanted.end(), [](const Want& left, const Want& right) {
+    return std::tie(left.cold, left.worth) > std::tie(right.cold, right.worth);
+  });
   return wanted;
 }
 
@@ -93,6 +96,15 @@
   }
 }
 
+/// @return what it costs that a worker can take no other order for that long: of the loads that
+/// come to a worker at the present rate, each would wait for half of it.
+double PlacementPolicy::blockCost(const PlacementRound& round, base::Duration duration) const {
+  const double workers = std::max<double>(1.0, static_cast<double>(round.workers().size()));
+  const double blocked = seconds(duration);
+  constexpr double kMeanRest = 0.5;
+  return loadRate_.perSecond(round.now()) / workers * blocked * blocked * kMeanRest;
+}
+
 /// @return where the model would serve soonest at the least cost to others.
 PlacementPolicy::Choice PlacementPolicy::choose(PlacementRound& round,
                                                 const std::string& name) const {
@@ -110,7 +122,8 @@
         round.engine().slots == 0 ? 0 : static_cast<double>(worker.running) / round.engine().slots;
     double cost = seconds(worker.busyFor) + (queued == queued_.end() ? 0 : queued->second) +
                   seconds(PlacementRound::loadTime(tier, model)) + load +
-                  (tier == WeightTier::store ? storeWait : 0) + round.adapterBlockCost(worker);
+                  (tier == WeightTier::store ? storeWait : 0) + round.adapterBlockCost(worker) +
+                  blockCost(round, PlacementRound::loadTime(tier, model));
     if (begun != wakes_.end() && begun->second.worker == worker.id) {
       cost -= kWakeCommitment;
     }
@@ -135,6 +148,7 @@
     return;
   }
   wakes_.erase(name);
+  loadRate_.count(round.now());
   if (choice.fromStore) {
     round.store().ordered(worker.id, round.spec(name)->storeLoadTime, round.now());
   }
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "registry/decaying_rate.h"
 #include "registry/demand_book.h"
 #include "registry/store_scheduler.h"
 #include "walnut/catalog/document.h"
@@ -98,6 +99,7 @@
   static std::vector<Want> wants(const PlacementRound& round);
   void wake(PlacementRound& round, const Want& want);
   Choice choose(PlacementRound& round, const std::string& model) const;
+  double blockCost(const PlacementRound& round, base::Duration duration) const;
   void carryOut(PlacementRound& round, const std::string& model, const Choice& choice);
   void placeAdapters(PlacementRound& round) const;
   static void placeAdapter(PlacementRound& round, const catalog::ModelSpec& model,
@@ -105,6 +107,7 @@
 
   const std::string service_;
   std::map<std::string, Wake> wakes_;  ///< By model.
+  DecayingRate loadRate_;              ///< Of loads of models, on all workers.
   /// Seconds that models decided on in this run keep their workers, beyond the present order.
   std::map<WorkerId, double> queued_;
 };
--- a/src/registry/store_scheduler.cpp
+++ b/src/registry/store_scheduler.cpp
@@ -45,7 +45,8 @@
 }
 
 void StoreScheduler::observe(const Load& load, double lateness) {
-  concurrency_.observe(load.underWayAtStart, lateness, limitReachedAt_ >= load.begunAt);
+  concurrency_.observe(load.number, load.underWayAtStart, lateness,
+                       limitReachedAt_ >= load.begunAt);
 }
 
 base::Duration StoreScheduler::expectedWait(base::TimePoint now) const {
@@ -64,6 +65,7 @@
                              base::TimePoint now) {
   rate_.taken();
   Load load;
+  load.number = ++lastLoad_;
   load.begunAt = now;
   load.declaredTime = declaredTime;
   load.underWayAtStart = underWay() + 1;
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -40,6 +40,7 @@
 
  private:
   struct Load {
+    std::uint64_t number = 0;
     base::TimePoint begunAt;
     base::Duration declaredTime{0};
     std::size_t underWayAtStart = 1;
@@ -56,6 +57,7 @@
   StoreRate rate_;
   LoadConcurrency concurrency_;
   std::map<WorkerId, Load> loads_;
+  std::uint64_t lastLoad_ = 0;
   std::size_t foreign_ = 0;
   base::TimePoint limitReachedAt_;  ///< Last time.
 };
