placement: a model in use is waited for, not unloaded under its requests; gateways tell its use soon

And gateways told only twice a second that a model was no longer in use.

Change: a last replica that soon has no requests is not unloaded before; whoever waits for it takes its turn then, and the worker may be ordered other things meanwhile. A gateway tells within 50 ms (more the more gateways) that a model at a worker has come into use or out of it.

Test failed first.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -159,7 +159,7 @@
   accepted_ = false;
   bodyUse_ = BodyUse::discard;
   body_.clear();
-  worker->began(facts_.model);
+  context_.attemptBegan(*worker, facts_);
   worker->breaker.attempted();
   AttemptFacts facts;
   facts.target = worker->view.record.id;
@@ -182,13 +182,13 @@
 }
 
 void Exchange::releaseAttempt() {
-  worker_->ended(facts_.model);
+  context_.attemptEnded(*worker_, facts_);
   attempt_->release();
   context_.scheduler().destroySoon(std::move(attempt_));
 }
 
 void Exchange::dropAttempt() {
-  worker_->ended(facts_.model);
+  context_.attemptEnded(*worker_, facts_);
   if (attempt_ != nullptr) {
     attempt_->cancel();
     context_.scheduler().destroySoon(std::move(attempt_));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -58,6 +58,11 @@
   virtual void waitBegan(const std::string& service, const RequestFacts& facts,
                          const catalog::Route& route) = 0;
   virtual void waitEnded(const std::string& service, const RequestFacts& facts) = 0;
+  /// @name A request is with a worker from now on, or no longer
+  /// @{
+  virtual void attemptBegan(Worker& worker, const RequestFacts& facts) = 0;
+  virtual void attemptEnded(Worker& worker, const RequestFacts& facts) = 0;
+  /// @}
   virtual void attemptFailed(Worker& worker) = 0;
   virtual std::uint64_t documentVersion() const = 0;
   /// The exchange is over; it is destroyed soon.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,12 @@
 constexpr int kUnavailable = 503;
 /// Share of the budget that is used: gateways are counted with a delay.
 constexpr double kBudgetShare = 0.7;
+/// @name Least time between reports that tell whether a model is in use: a leader takes some
+/// hundred a second from all gateways together
+/// @{
+constexpr base::Duration kUseSpacing = std::chrono::milliseconds(50);
+constexpr base::Duration kUseSpacingPerGateway = std::chrono::milliseconds(4);
+/// @}
 /// For the first document after a start: little more than an election takes.
 constexpr base::Duration kEarlyPatience = std::chrono::milliseconds(1500);
 constexpr std::size_t kMaxEarly = 256;
@@ -39,7 +45,10 @@
 
 Gateway::~Gateway() = default;
 
-void Gateway::start() { demandTimer_->enableAt(scheduler_.now() + options_.demandInterval); }
+void Gateway::start() {
+  demandDueAt_ = scheduler_.now() + options_.demandInterval;
+  demandTimer_->enableAt(demandDueAt_);
+}
 
 std::shared_ptr<const catalog::Document> Gateway::document() const { return document_; }
 
@@ -241,12 +250,40 @@
 
 void Gateway::reportDemand() {
   demandSoon_ = false;
-  demandTimer_->enableAt(scheduler_.now() + options_.demandInterval);
+  demandReportedAt_ = scheduler_.now();
+  demandDueAt_ = demandReportedAt_ + options_.demandInterval;
+  demandTimer_->enableAt(demandDueAt_);
   if (session_.following()) {
     session_.send(demand_.takeUpdate(directory_));
   }
 }
 
+void Gateway::attemptBegan(Worker& worker, const RequestFacts& facts) {
+  worker.began(facts.model);
+  reportUseSoon(worker, facts.model);
+}
+
+void Gateway::attemptEnded(Worker& worker, const RequestFacts& facts) {
+  worker.ended(facts.model);
+  reportUseSoon(worker, facts.model);
+}
+
+/// Whether a model is in use decides what makes room for others, and is told soon; how much it is
+/// used may wait. All gateways together tell no more often the more they are.
+void Gateway::reportUseSoon(const Worker& worker, const std::string& model) {
+  const auto running = worker.runningByModel.find(model);
+  const bool changed = running == worker.runningByModel.end() || running->second == 1;
+  if (model.empty() || !changed) {
+    return;
+  }
+  const base::Duration spacing = std::max(kUseSpacing, kUseSpacingPerGateway * gateways_);
+  const base::TimePoint due = std::max(scheduler_.now(), demandReportedAt_ + spacing);
+  if (due < demandDueAt_) {
+    demandDueAt_ = due;
+    demandTimer_->enableAt(due);
+  }
+}
+
 void Gateway::attemptFailed(Worker& worker) {
   const bool wasOpen = worker.breaker.state() == routing::BreakerState::open;
   worker.failures.observe(true, scheduler_.now());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -70,6 +70,8 @@
   void waitBegan(const std::string& service, const RequestFacts& facts,
                  const catalog::Route& route) override;
   void waitEnded(const std::string& service, const RequestFacts& facts) override;
+  void attemptBegan(Worker& worker, const RequestFacts& facts) override;
+  void attemptEnded(Worker& worker, const RequestFacts& facts) override;
   void attemptFailed(Worker& worker) override;
   std::uint64_t documentVersion() const override;
   void ended(Exchange& exchange, int status) override;
@@ -97,6 +99,7 @@
   void takeDocument(const catalog::Document& document);
   void reportDemand();
   void reportDemandSoon();
+  void reportUseSoon(const Worker& worker, const std::string& model);
   void wakeWaiting();
   /// Calls a method of all exchanges, which may end them.
   void forEachExchange(void (Exchange::*method)());
@@ -115,6 +118,8 @@
   DemandTracker demand_;
   event::TimerPtr demandTimer_;
   bool demandSoon_ = false;
+  base::TimePoint demandReportedAt_;
+  base::TimePoint demandDueAt_;
   std::uint32_t gateways_ = kUnknownGateways;
   std::map<std::string, routing::RetryBudget> budgets_;             ///< By service.
   std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -86,7 +86,7 @@
   const bool storeFull = choice.fromStore && !round.store().allows();
   const bool free =
       round.mayOrder(*choice.worker) && !choice.worker->arriving && !choice.worker->retiring;
-  if (free && !storeFull) {
+  if (free && !storeFull && !choice.room.waits) {
     carryOut(round, want.model, choice);
   }
   if (!storeFull) {
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -23,6 +23,9 @@
 struct Room {
   std::vector<std::string> unloads;  ///< The cheapest first.
   double cost = 0;                   ///< In seconds of a request's wait; infinite: no room.
+  /// Some model has requests that soon end by themselves: an unload that waited for them would keep
+  /// its worker from all other orders.
+  bool waits = false;
 };
 
 /// A change of what one worker holds.
--- a/src/registry/placement_round.cpp
+++ b/src/registry/placement_round.cpp
@@ -47,6 +47,9 @@
 constexpr double kLastCopyCost = 2.0;
 /// @}
 
+/// Arrivals a second from which a model is taken never to be idle: streams last some seconds.
+constexpr double kBusyRate = 0.6;
+
 /// Each level of priority counts as this much of the one before it.
 constexpr double kPriorityShare = 0.7;
 
@@ -222,6 +225,12 @@
   return cost + kLastCost + kLastRateCost * urgency * wanted.rate + (recent ? kRecentUseCost : 0);
 }
 
+/// @return true if the model has requests there, and few enough come that it will soon have none.
+bool PlacementRound::becomesIdle(const PlacementWorker& worker, const std::string& model) const {
+  return demand_.running(worker.id, model) > 0 && replicas(model).serving <= 1 &&
+         figures(model).rate < kBusyRate;
+}
+
 Room PlacementRound::roomFor(const PlacementWorker& worker, double megabytes) const {
   double free = freeMegabytes(worker);
   if (free >= megabytes) {
@@ -245,9 +254,10 @@
                       model->adapterMegabytes * static_cast<double>(held->adapters.size());
     room.cost += price;
     room.unloads.push_back(held->name);
+    room.waits = room.waits || becomesIdle(worker, held->name);
   }
   if (free < megabytes) {
-    return {{}, std::numeric_limits<double>::infinity()};
+    return {{}, std::numeric_limits<double>::infinity(), false};
   }
   return room;
 }
--- a/src/registry/placement_round.h
+++ b/src/registry/placement_round.h
@@ -62,6 +62,7 @@
  private:
   void summarise();
   double unloadCost(const PlacementWorker& worker, const HeldModel& held) const;
+  bool becomesIdle(const PlacementWorker& worker, const std::string& model) const;
   double lastReplicaCost(const PlacementWorker& worker, const std::string& model) const;
 
   const catalog::EngineSpec& engine_;
--- a/src/registry/store_scheduler.cpp
+++ b/src/registry/store_scheduler.cpp
@@ -12,13 +12,17 @@
 /// before it ends; again each time it is that much later.
 constexpr double kOverdueStep = 1.3;
 
+/// Between the end of a load and its being known here, at most if nothing is wrong: the heartbeat
+/// that tells it, and a busy leader. Short loads would seem late without it.
+constexpr base::Duration kNewsDelay = std::chrono::milliseconds(300);
+
 double seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 }  // namespace
 
 double StoreScheduler::Load::lateness(base::TimePoint now) const {
   const double declared = seconds(declaredTime);
-  return declared <= 0 ? 0 : seconds(now - begunAt) / declared;
+  return declared <= 0 ? 0 : seconds(now - begunAt - kNewsDelay) / declared;
 }
 
 base::TimePoint StoreScheduler::Load::expectedEnd(std::size_t limit) const {
--- a/test/registry/placement_test.cpp
+++ b/test/registry/placement_test.cpp
@@ -243,3 +243,19 @@
   chosen.busyFor = 100ms;
   CHECK_TRUE(plan(engine, {full, other}).empty());
 }
+
+TEST(PlacementTest, aModelThatIsInUseIsWaitedForAndKeepsItsWorkerFromNothing) {
+  const catalog::EngineSpec engine = engineOf({"new", "used1", "used2"});
+  DemandUpdate update;
+  update.demands.push_back({"svc", "new", "", 1, 1});
+  update.loads = {{{"w"}, "used1", 1}, {{"w"}, "used2", 1}};
+  demand.update({1}, update, now);
+  PlacementWorker worker = workerWith("w", {"used1", "used2"});
+  worker.holdings.onDisk = {"new", "used1", "used2"};
+  CHECK_TRUE(plan(engine, {worker}).empty());
+  update.loads.pop_back();
+  demand.update({1}, update, now);
+  const auto steps = plan(engine, {worker});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("used2", steps[0].model.c_str());
+}
