registry: orders to lost workers keep no place of the store; short loads count

Change: an order without a clear answer takes from the store's rate only; if its load did begin, the worker's next report tells. Whether a load came from the store goes by its time as it is.

--- a/src/registry/load_concurrency.cpp
+++ b/src/registry/load_concurrency.cpp
@@ -6,11 +6,8 @@
 
 namespace {
 
-/// Up to this multiple of its declared time a load counts as in time: heartbeats tell its end with
-/// a delay of some hundred ms, and loads take two seconds and more.
+/// Up to this multiple of its declared time a load counts as in time: workers differ a little.
 constexpr double kOnTime = 1.15;
-/// A load that is much shorter came from elsewhere than the store: it tells nothing.
-constexpr double kTooShort = 0.8;
 /// Loads at once that are tried, for each that the store was seen to take.
 constexpr double kTriedBeyondShown = 2.0;
 /// Growth for each load in time, once the store's number was met, divided by the limit: a load more
@@ -21,9 +18,6 @@
 
 void LoadConcurrency::observe(std::uint64_t load, std::size_t underWayAtStart, double lateness,
                               bool limitReached) {
-  if (lateness < kTooShort) {
-    return;
-  }
   if (lateness <= kOnTime) {
     lastLate_.reset();
     if (limitReached) {
--- a/src/registry/store_scheduler.cpp
+++ b/src/registry/store_scheduler.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// In this time an order without a clear answer is carried out, or never; the load comes after it.
-constexpr base::Duration kUnclearFor = std::chrono::seconds(12);
+/// A load that takes less than this share of its declared time came from a disk after all.
+constexpr double kLeastShare = 0.6;
 /// A load that is later than this, as a multiple of its declared time, tells of a crowded store
 /// before it ends; again each time it is that much later.
 constexpr double kOverdueStep = 1.3;
@@ -33,15 +33,13 @@
 
 void StoreScheduler::setLimit(double perSecond, const StoreWindow& window, base::TimePoint now) {
   rate_.setLimit(perSecond, window, now);
-  std::erase_if(loads_, [now](const auto& entry) { return entry.second.forgottenAt <= now; });
   noteOverdue(now);
 }
 
 void StoreScheduler::noteOverdue(base::TimePoint now) {
   for (auto& [worker, load] : loads_) {
     const double lateness = load.lateness(now);
-    const bool clear = load.forgottenAt == base::kNever;
-    if (clear && lateness >= load.notedLateness * kOverdueStep) {
+    if (lateness >= load.notedLateness * kOverdueStep) {
       load.notedLateness = lateness;
       observe(load, lateness);
     }
@@ -88,10 +86,7 @@
 
 void StoreScheduler::unclear(const WorkerId& worker, base::TimePoint now) {
   rate_.unclear(now);
-  const auto found = loads_.find(worker);
-  if (found != loads_.end()) {
-    found->second.forgottenAt = now + kUnclearFor;
-  }
+  loads_.erase(worker);
 }
 
 double StoreScheduler::ended(const WorkerId& worker, base::TimePoint now) {
@@ -102,8 +97,7 @@
   const Load load = found->second;
   loads_.erase(found);
   const double lateness = load.lateness(now);
-  // One without a clear answer may have begun at any time.
-  if (load.forgottenAt == base::kNever) {
+  if (now - load.begunAt >= kLeastShare * load.declaredTime) {
     observe(load, lateness);
   }
   return lateness;
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -30,7 +30,8 @@
   /// @param declaredTime that it takes if the store isn't crowded.
   void ordered(const WorkerId& worker, base::Duration declaredTime, base::TimePoint now);
   void accepted(const WorkerId& worker, base::TimePoint now);
-  /// Nobody knows whether it begins: it counts for some time.
+  /// Nobody knows whether it begins: it takes from the rate for some time, but no place, as its
+  /// worker may be lost. If it did begin, the worker's next report tells, see `setForeign`.
   void unclear(const WorkerId& worker, base::TimePoint now);
   /// @return its time as a multiple of the declared one; 0 if there is no such load.
   double ended(const WorkerId& worker, base::TimePoint now);
@@ -45,7 +46,6 @@
     base::Duration declaredTime{0};
     std::size_t underWayAtStart = 1;
     double notedLateness = 1;  ///< Up to which it was taken note of before its end.
-    base::TimePoint forgottenAt = base::kNever;
 
     double lateness(base::TimePoint now) const;
     base::TimePoint expectedEnd(std::size_t limit) const;
--- a/test/registry/load_concurrency_test.cpp
+++ b/test/registry/load_concurrency_test.cpp
@@ -81,9 +81,3 @@
   }
   CHECK_EQUAL(first, concurrency.limit());
 }
-
-TEST(LoadConcurrencyTest, aLoadThatCameFromElsewhereTellsNothing) {
-  const std::size_t first = concurrency.limit();
-  concurrency.observe(++loads, first, 0.14, true);
-  CHECK_EQUAL(first, concurrency.limit());
-}
--- a/test/registry/store_scheduler_test.cpp
+++ b/test/registry/store_scheduler_test.cpp
@@ -91,9 +91,23 @@
 TEST(StoreSchedulerTest, theDelayOfTheNewsDoesNotMakeShortLoadsLate) {
   modelled.capacity = 25;
   modelled.declared = 700ms;
-  modelled.newsDelay = 250ms;
-  play(20s);
-  CHECK_TRUE(store.limit() >= 20);
+  for (const base::Duration delay : {0ms, 100ms, 250ms}) {
+    store = {};
+    modelled.loads.clear();
+    modelled.newsDelay = delay;
+    play(20s);
+    CHECK_TRUE(store.limit() >= 20);
+  }
+}
+
+TEST(StoreSchedulerTest, aLoadThatCameFromElsewhereTellsNothing) {
+  for (int load = 0; load < 20; ++load) {
+    store.setLimit(50, {}, now += 1s);
+    const WorkerId worker = nextWorker();
+    begin(worker);
+    store.ended(worker, now + 800ms);
+  }
+  CHECK_EQUAL(static_cast<std::size_t>(LoadConcurrency::kInitialLimit), store.limit());
 }
 
 TEST(StoreSchedulerTest, aCrowdedStoreIsNoticedBeforeItsLoadsEnd) {
@@ -110,14 +124,16 @@
   CHECK_FALSE(store.allows());
 }
 
-TEST(StoreSchedulerTest, anOrderWithoutAClearAnswerKeepsItsPlaceForAWhile) {
-  store.setLimit(50, {}, now);
-  store.ordered({"w"}, modelled.declared, now);
-  store.unclear({"w"}, now);
-  store.setLimit(50, {}, now + 5s);
-  CHECK_EQUAL(1, store.underWay());
-  store.setLimit(50, {}, now + 13s);
+TEST(StoreSchedulerTest, ordersToLostWorkersDoNotKeepThePlaces) {
+  for (double load = 0; load < LoadConcurrency::kInitialLimit; ++load) {
+    store.setLimit(50, {}, now += 100ms);
+    const WorkerId worker = nextWorker();
+    store.ordered(worker, modelled.declared, now);
+    store.unclear(worker, now);
+  }
   CHECK_EQUAL(0, store.underWay());
+  store.setLimit(50, {}, now += 1s);
+  CHECK_TRUE(store.allows());
 }
 
 TEST(StoreSchedulerTest, loadsOfAFormerLeaderTakePlaces) {
