registry: the store's limit is not undone by lost workers; after a restart of all the former holder leads

Change: a late load that began with no more beside it than the store was seen to take is late for another reason, unless that goes on; overdue loads tell of a crowded store only where most of those under way are overdue.

Change: where fences are not checked the former holder of the turn asks for votes first after a restart, and need not wait for its own orders; once former orders are out of date a leader records all workers as its own.

Tests written with the change.

--- a/include/walnut/consensus/raft.h
+++ b/include/walnut/consensus/raft.h
@@ -20,6 +20,8 @@
   /// Drawn for each election from [electionTimeoutMin, electionTimeoutMax].
   base::Duration electionTimeoutMin = std::chrono::milliseconds(500);
   base::Duration electionTimeoutMax = std::chrono::milliseconds(1000);
+  /// Until the first election after a start, if no leader is heard; 0: drawn as any other.
+  base::Duration firstElectionTimeout{0};
   /// A leader that hears no majority for this long steps down (check-quorum). Must not be more
   /// than electionTimeoutMin, so that it has stepped down before another can be elected.
   base::Duration checkQuorumTimeout = std::chrono::milliseconds(500);
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -11,6 +11,9 @@
       timeoutMax_(std::max(options.electionTimeoutMin, options.electionTimeoutMax)),
       random_(seed) {
   leaderHeard(now);
+  if (options.firstElectionTimeout > base::Duration::zero()) {
+    deadline_ = now + options.firstElectionTimeout;
+  }
 }
 
 void ElectionTimer::leaderHeard(base::TimePoint now) {
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -148,6 +148,7 @@
       refreshReports(now);
       plan(now);
       askOverdueWorkers(now);
+      claimWorkers(now);
     }
   }
   publish(now, servers);
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -77,6 +77,7 @@
                                   base::TimePoint now) const;
   void carryOut(const std::vector<PlacementStep>& steps, base::TimePoint now);
   void record(const std::vector<PlacementStep>& steps, base::TimePoint now);
+  void claimWorkers(base::TimePoint now);
   void dropUnrecorded(base::TimePoint now);
   void cancel(const PlacementStep& step, base::TimePoint now);
   void send(const PlacementStep& step, base::TimePoint now);
@@ -115,6 +116,7 @@
   std::map<std::uint64_t, Batch> batches_;
   std::uint64_t lastBatch_ = 0;
   bool holderProposed_ = false;
+  bool workersClaimed_ = false;
   bool fenced_ = false;  ///< A worker has seen a higher token: this leadership is over.
   base::TimePoint nextPlan_;
   base::TimePoint lastPlanAt_;
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -147,6 +147,25 @@
   }
 }
 
+/// Once every order of former holders is out of date, all workers are recorded as this server's:
+/// should it lead again after a restart, it need not wait for any.
+void LeaderDuties::claimWorkers(base::TimePoint now) {
+  const base::TimePoint due = since_ + options_.orderLease + kTurnMargin + kRecordedOrderLifetime;
+  if (options_.ordersFenced || workersClaimed_ || now < due) {
+    return;
+  }
+  workersClaimed_ = true;
+  StoreOrderedWorkers command{self_, term_, ++lastBatch_, {}};
+  for (const auto& [id, record] : state_.workers()) {
+    if (state_.lastOrderedBy(id) != self_) {
+      command.workers.push_back(id);
+    }
+  }
+  if (!command.workers.empty()) {
+    commands_.emplace_back(std::move(command));
+  }
+}
+
 /// Proposals may be lost, and a slow disk may hold them up: their orders are not sent any more.
 void LeaderDuties::dropUnrecorded(base::TimePoint now) {
   while (!batches_.empty() && now > batches_.begin()->second.plannedAt + kRecordedOrderLifetime) {
--- a/src/registry/load_concurrency.cpp
+++ b/src/registry/load_concurrency.cpp
@@ -10,6 +10,9 @@
 constexpr double kOnTime = 1.15;
 /// Loads at once that are tried, for each that the store was seen to take.
 constexpr double kTriedBeyondShown = 2.0;
+/// Of what the store was seen to take, with each load that contradicts it: ten of them halve it
+/// twice over, which a store that has become slow brings about in the time of a load.
+constexpr double kShownKept = 0.87;
 /// Growth for each load in time, once the store's number was met, divided by the limit: a load more
 /// at once after four rounds, as each try makes loads late.
 constexpr double kSlowGrowth = 0.25;
@@ -20,11 +23,12 @@
                               bool limitReached) {
   if (lateness <= kOnTime) {
     lastLate_.reset();
+    shown_ = std::max(shown_, static_cast<double>(underWayAtStart));
     if (limitReached) {
       grow(underWayAtStart);
     }
   } else {
-    shrink(load, static_cast<double>(underWayAtStart) / lateness);
+    late(load, underWayAtStart, lateness);
   }
 }
 
@@ -37,14 +41,20 @@
   }
 }
 
-/// A single late load may be a late heartbeat, or a worker that is lost: two in a row count, and
-/// the more favourable of them.
-void LoadConcurrency::shrink(std::uint64_t load, double estimate) {
+/// Two late loads in a row count, and the more favourable of them: a single one may be a late
+/// heartbeat. One that began with no more beside it than the store takes in time is late for
+/// another reason, unless that goes on.
+void LoadConcurrency::late(std::uint64_t load, std::size_t underWayAtStart, double lateness) {
+  const auto underWay = static_cast<double>(underWayAtStart);
+  if (underWay <= shown_) {
+    shown_ *= kShownKept;
+    return;
+  }
   const std::optional<LateLoad> former = lastLate_;
-  lastLate_ = {load, estimate};
+  lastLate_ = {load, underWay / lateness};
   if (former && former->load != load) {
     probing_ = false;
-    limit_ = std::clamp(std::max(former->estimate, estimate), kLeastLimit, limit_);
+    limit_ = std::clamp(std::max(former->estimate, lastLate_->estimate), kLeastLimit, limit_);
   }
 }
 
--- a/src/registry/load_concurrency.h
+++ b/src/registry/load_concurrency.h
@@ -36,7 +36,7 @@
 
  private:
   void grow(std::size_t underWayAtStart);
-  void shrink(std::uint64_t load, double estimate);
+  void late(std::uint64_t load, std::size_t underWayAtStart, double lateness);
 
   struct LateLoad {
     std::uint64_t load = 0;
@@ -44,6 +44,7 @@
   };
 
   double limit_ = kInitialLimit;
+  double shown_ = 0;     ///< Loads at once that the store was seen to take in time.
   bool probing_ = true;  ///< No load was late yet.
   /// Of the late load before; none if the load before was in time.
   std::optional<LateLoad> lastLate_;
--- a/src/registry/order_turns.cpp
+++ b/src/registry/order_turns.cpp
@@ -2,8 +2,23 @@
 
 #include <algorithm>
 
+#include "registry/cell_state.h"
+
 namespace walnut::registry {
 
+namespace {
+
+/// Processes that are started together do so within some hundred ms, and grant no vote before the
+/// least election timeout has passed since their own start.
+constexpr base::Duration kHolderFirstElection = std::chrono::milliseconds(150);
+/// By how much later the others begin, so that the former holder has the time to be elected.
+constexpr base::Duration kOthersFirstElection = std::chrono::milliseconds(600);
+constexpr base::Duration kOthersSpread = std::chrono::milliseconds(50);
+/// The others begin apart from one another, by their identities.
+constexpr std::uint64_t kOthersSteps = 8;
+
+}  // namespace
+
 void OrderTurns::ordered(const std::vector<WorkerId>& workers, base::TimePoint now) {
   for (const WorkerId& worker : workers) {
     orderedAt_[worker] = now;
@@ -18,4 +33,38 @@
   return std::min(orderedAt + kRecordedOrderLifetime, electedAt) + lease + kTurnMargin;
 }
 
+base::ServerId recoveredOrderHolder(const consensus::RecoveredState& recovered) {
+  base::ServerId holder;
+  if (recovered.snapshot) {
+    CellState state;
+    if (state.restore(recovered.snapshot->data).has_value()) {
+      holder = state.orderHolder();
+    }
+  }
+  for (const consensus::LogEntry& entry : recovered.entries) {
+    if (entry.type != consensus::EntryType::command) {
+      continue;
+    }
+    const auto command = decodeCommand(entry.payload);
+    if (command.has_value()) {
+      if (const auto* taken = std::get_if<StoreOrderHolder>(&command.value())) {
+        holder = taken->server;
+      }
+    }
+  }
+  return holder;
+}
+
+base::Duration firstElectionTimeout(const consensus::RaftOptions& options, base::ServerId self,
+                                    base::ServerId holder) {
+  if (holder == base::ServerId{}) {
+    return base::Duration::zero();
+  }
+  if (holder == self) {
+    return options.electionTimeoutMin + kHolderFirstElection;
+  }
+  return options.electionTimeoutMin + kOthersFirstElection +
+         kOthersSpread * (self.value % kOthersSteps);
+}
+
 }  // namespace walnut::registry
--- a/src/registry/order_turns.h
+++ b/src/registry/order_turns.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "walnut/base/time.h"
+#include "walnut/consensus/raft.h"
 #include "walnut/registry/worker.h"
 
 namespace walnut::registry {
@@ -41,4 +42,13 @@
   base::TimePoint unknownAt_;  ///< Orders that this server did not see are no later.
 };
 
+/// @return the server that had the turn to order when the log was written; zero if there was none.
+base::ServerId recoveredOrderHolder(const consensus::RecoveredState& recovered);
+
+/// After a restart of the whole cell, the former holder of the turn to order had better lead again:
+/// it need not wait for its own orders, as any other would.
+/// @return time until the first election; zero if it makes no difference.
+base::Duration firstElectionTimeout(const consensus::RaftOptions& options, base::ServerId self,
+                                    base::ServerId holder);
+
 }  // namespace walnut::registry
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -39,12 +39,16 @@
     : options_([&options, &recovered] {
         RegistryOptions own = options;
         own.self.id = recovered.self;
+        if (!options.ordersFenced) {
+          own.raft.firstElectionTimeout =
+              firstElectionTimeout(options.raft, recovered.self, recoveredOrderHolder(recovered));
+        }
         return own;
       }()),
       reader_(reader),
       log_(log),
       now_(now),
-      raft_(consensus::makeRaft(options.raft, std::move(recovered), founders, seed, now)),
+      raft_(consensus::makeRaft(options_.raft, std::move(recovered), founders, seed, now)),
       orderTurns_(now),
       recoveredIndex_(raft_->status().lastIndex),
       startedAt_(now),
--- a/src/registry/store_scheduler.cpp
+++ b/src/registry/store_scheduler.cpp
@@ -10,7 +10,7 @@
 constexpr double kLeastShare = 0.6;
 /// A load that is later than this, as a multiple of its declared time, tells of a crowded store
 /// before it ends; again each time it is that much later.
-constexpr double kOverdueStep = 1.3;
+constexpr double kOverdue = 1.3;
 
 /// Between the end of a load and its being known here, at most if nothing is wrong: the heartbeat
 /// that tells it, and a busy leader. Short loads would seem late without it.
@@ -36,10 +36,16 @@
   noteOverdue(now);
 }
 
+/// Loads of lost workers are overdue as well: only where most loads are, the store is crowded.
 void StoreScheduler::noteOverdue(base::TimePoint now) {
+  const auto overdue = [now](const auto& entry) { return entry.second.lateness(now) >= kOverdue; };
+  const auto count = std::count_if(loads_.begin(), loads_.end(), overdue);
+  if (2 * static_cast<std::size_t>(count) <= loads_.size()) {
+    return;
+  }
   for (auto& [worker, load] : loads_) {
     const double lateness = load.lateness(now);
-    if (lateness >= load.notedLateness * kOverdueStep) {
+    if (lateness >= load.notedLateness * kOverdue) {
       load.notedLateness = lateness;
       observe(load, lateness);
     }
--- a/test/registry/leader_duties_test.cpp
+++ b/test/registry/leader_duties_test.cpp
@@ -241,3 +241,25 @@
   run(50ms);
   CHECK_EQUAL(1, count<SendOrder>());
 }
+
+TEST(LeaderDutiesTest, onceFormerOrdersAreOutOfDateAllWorkersAreRecordedAsItsOwn) {
+  options.ordersFenced = false;
+  state.apply(StoreOrderedWorkers{kFormer, 1, 1, {{"w1"}, {"w2"}}});
+  lead();
+  runAnswering(kLease);
+  CHECK_TRUE(state.lastOrderedBy({"w1"}) == kFormer);
+  runAnswering(1s);
+  CHECK_TRUE(state.lastOrderedBy({"w1"}) == kSelf);
+  CHECK_TRUE(state.lastOrderedBy({"w2"}) == kSelf);
+}
+
+TEST(LeaderDutiesTest, aServerThatLeadsAgainNeedNotWaitForItsOwnOrders) {
+  options.ordersFenced = false;
+  now += 10s;
+  state.apply(StoreOrderedWorkers{kSelf, 1, 1, {{"w1"}, {"w2"}}});
+  turns = OrderTurns(now);
+  lead();
+  demandModel("a");
+  runAnswering(300ms);
+  CHECK_EQUAL(1, count<SendOrder>());
+}
--- a/test/registry/load_concurrency_test.cpp
+++ b/test/registry/load_concurrency_test.cpp
@@ -81,3 +81,13 @@
   }
   CHECK_EQUAL(first, concurrency.limit());
 }
+
+TEST(LoadConcurrencyTest, loadsThatBeganWithFewBesideThemAndAreLateDoNotUndoWhatWasShown) {
+  play(60, 200);
+  const std::size_t shown = concurrency.limit();
+  CHECK_TRUE(shown >= 50);
+  for (int load = 0; load < 5; ++load) {
+    concurrency.observe(++loads, 2, 3.0, true);
+  }
+  CHECK_EQUAL(shown, concurrency.limit());
+}
--- a/test/registry/store_scheduler_test.cpp
+++ b/test/registry/store_scheduler_test.cpp
@@ -117,6 +117,18 @@
   CHECK_EQUAL(static_cast<std::size_t>(LoadConcurrency::kLeastLimit), store.limit());
 }
 
+TEST(StoreSchedulerTest, loadsOfLostWorkersAreNotTakenForACrowdedStore) {
+  modelled.capacity = 40;
+  modelled.declared = 2s;
+  play(30s);
+  const std::size_t limit = store.limit();
+  for (const char* lost : {"lost1", "lost2", "lost3"}) {
+    begin({lost});
+  }
+  play(20s);
+  CHECK_TRUE(store.limit() >= limit);
+}
+
 TEST(StoreSchedulerTest, theRateHoldsAsWell) {
   store.setLimit(1, {}, now);
   CHECK_TRUE(store.allows());
