--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -1,7 +1,6 @@
 #include "registry/placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <utility>
 
