--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -1,6 +1,6 @@
 /// @file
-/// The part of a leader's duties that orders workers: when it may, what it must know before, and
-/// what it learns from the answers.
+/// The part of a leader's duties that orders workers: what it must know before, what it sends, and
+/// what it learns from the answers and from reports.
 
 #include <algorithm>
 #include <utility>
