--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -48,6 +48,7 @@
       launcher_(dispatcher_, poolOptions()),
       session_(settings.session, dispatcher_, *this, log, runtime::randomSeed()),
       gateway_(settings.logic, dispatcher_, dialect, launcher_, session_, log, metrics_),
+      follower_(session_, gateway_),
       probe_(*this),
       stopTimer_(dispatcher_.createTimer([this] { checkStopped(); })) {
   dispatcher_.setEndOfTurn([this] { log_.flushIfDue(dispatcher_.now()); });
@@ -105,27 +106,14 @@
   } else if (const auto* closed = std::get_if<transport::Closed>(&event)) {
     session_.closed(closed->connection);
   } else if (const auto* received = std::get_if<transport::Received>(&event)) {
-    if (const auto* message = std::get_if<registry::RegistryMessage>(&received->message)) {
-      takeMessage(received->connection, *message);
+    const auto* message = std::get_if<registry::RegistryMessage>(&received->message);
+    if (message != nullptr && follower_.messageReceived(received->connection, *message)) {
+      afterView();
     }
   }
 }
 
-void GatewayHost::takeMessage(protocol::ConnectionId connection,
-                              const registry::RegistryMessage& message) {
-  if (const auto* view = std::get_if<registry::ViewUpdate>(&message.body)) {
-    const bool fromLeader = !view->provisional && session_.viewReceived(connection, *view);
-    const bool better = view->provisional && gateway_.documentVersion() == 0;
-    if (fromLeader || better) {
-      takeView(*view);
-    }
-  } else if (const auto* other = std::get_if<registry::NotLeading>(&message.body)) {
-    session_.notLeading(connection, *other);
-  }
-}
-
-void GatewayHost::takeView(const registry::ViewUpdate& update) {
-  gateway_.viewReceived(update);
+void GatewayHost::afterView() {
   for (const registry::WorkerId& gone : gateway_.takeGoneWorkers()) {
     launcher_.forget(gone);
   }
--- a/src/daemon/gateway_host.h
+++ b/src/daemon/gateway_host.h
@@ -9,6 +9,7 @@
 #include "event/dispatcher.h"
 #include "gateway/gateway.h"
 #include "gateway/pooled_launcher.h"
+#include "gateway/registry_follower.h"
 #include "net/http_server.h"
 #include "runtime/output_log.h"
 #include "runtime/prometheus_sink.h"
@@ -54,8 +55,7 @@
   };
 
   void takeEvent(transport::Event& event);
-  void takeMessage(protocol::ConnectionId connection, const registry::RegistryMessage& message);
-  void takeView(const registry::ViewUpdate& update);
+  void afterView();
   void checkStopped();
 
   const GatewaySettings settings_;
@@ -66,6 +66,7 @@
   gateway::PooledLauncher launcher_;
   gateway::RegistrySession session_;
   gateway::Gateway gateway_;
+  gateway::RegistryFollower follower_;
   ProbeHandler probe_;
   std::unique_ptr<net::HttpServer> front_;
   std::unique_ptr<net::HttpServer> readiness_;
--- /dev/null
+++ b/src/simulator/fleet_server.cpp
@@ -0,0 +1,125 @@
+#include "simulator/fleet_server.h"
+
+#include <utility>
+#include <variant>
+
+#include "walnut/protocol/codec.h"
+
+namespace walnut::simulator {
+
+namespace {
+
+constexpr std::size_t kKilobyte = 1000;
+/// As the loop of RegistryHost.
+constexpr int kMostRounds = 16;
+
+}  // namespace
+
+base::Duration messageTime(std::size_t bytes) {
+  return kTimePerMessage + kMessageTimePerKilobyte * bytes / kKilobyte;
+}
+
+FleetServer::FleetServer(std::size_t index, registry::RegistryOptions options, Scheduler& scheduler,
+                         FleetServerLinks& links, double share)
+    : index_(index),
+      options_(std::move(options)),
+      scheduler_(scheduler),
+      links_(links),
+      processor_(scheduler, share) {}
+
+void FleetServer::start(const consensus::Membership& founders) {
+  ++life_;
+  if (log_.state.self == base::ServerId{}) {
+    // Founders have the identity that the membership names; any other draws a fresh one.
+    const bool founder = index_ < founders.members.size();
+    log_.state.self = founder
+                          ? founders.members[index_].id
+                          : base::ServerId{scheduler_.random().uniform(1'000'000, 1'000'000'000)};
+  }
+  registry_ = registry::makeRegistry(options_, log_.state, founders, reader_, events_,
+                                     scheduler_.random().uniform(1, 1'000'000), scheduler_.now());
+  wakeupAt_ = base::kNever;
+  scheduleWakeup();
+}
+
+void FleetServer::kill() {
+  ++life_;
+  registry_.reset();
+  processor_.reset();
+}
+
+void FleetServer::post(registry::RegistryInput input, std::size_t bytes) {
+  if (!running()) {
+    return;
+  }
+  const auto shared = std::make_shared<registry::RegistryInput>(std::move(input));
+  processor_.post([this, shared, bytes] {
+    processor_.charge(messageTime(bytes));
+    registry_->step(scheduler_.now(), *shared);
+    settle();
+  });
+}
+
+void FleetServer::settle() {
+  for (int round = 0; round < kMostRounds; ++round) {
+    registry::RegistryOutputs outputs = registry_->takeOutputs();
+    const bool persisted = !outputs.persist.empty();
+    log_.persist(outputs.persist);
+    for (registry::RegistryAction& action : outputs.actions) {
+      perform(action);
+    }
+    if (persisted) {
+      registry_->step(scheduler_.now(), registry::Persisted{});
+    } else if (outputs.actions.empty()) {
+      break;
+    }
+  }
+  processor_.charge(kReadTimePerKilobyte * reader_.takeBytesRead() / kKilobyte);
+  scheduleWakeup();
+}
+
+void FleetServer::perform(registry::RegistryAction& action) {
+  if (auto* answered = std::get_if<registry::CallAnswered>(&action)) {
+    processor_.atEndOfTurn(
+        [this, done = std::move(*answered)] { links_.callAnswered(done.call, done.answer); });
+  } else if (auto* member = std::get_if<control::SendToServer>(&action)) {
+    send(std::move(member->message), [this, to = member->server](auto message, std::size_t bytes) {
+      links_.sendToMember(index_, to, std::move(message), bytes);
+    });
+  } else if (auto* other = std::get_if<registry::SendToEndpoint>(&action)) {
+    send(std::move(other->message), [this, to = other->endpoint](auto message, std::size_t bytes) {
+      links_.sendToEndpoint(index_, to, std::move(message), bytes);
+    });
+  } else if (auto* back = std::get_if<control::SendToConnection>(&action)) {
+    send(std::move(back->message), [this, to = back->connection](auto message, std::size_t bytes) {
+      links_.sendToConnection(index_, to, std::move(message), bytes);
+    });
+  }
+  // Orders and reports: a fleet's workers hold what they hold.
+}
+
+void FleetServer::send(protocol::Message message, const Sender& sender) {
+  const std::size_t bytes = protocol::encodeMessage(message).size();
+  processor_.charge(messageTime(bytes));
+  processor_.atEndOfTurn(
+      [sender, bytes, shared = std::make_shared<const protocol::Message>(std::move(message))] {
+        sender(shared, bytes);
+      });
+}
+
+void FleetServer::scheduleWakeup() {
+  const base::TimePoint next = registry_->nextWakeup();
+  if (next >= wakeupAt_) {
+    return;
+  }
+  wakeupAt_ = next;
+  scheduler_.at(next, [this, life = life_, next] {
+    if (life != life_ || wakeupAt_ != next) {
+      return;
+    }
+    wakeupAt_ = base::kNever;
+    post(registry::Tick{}, 0);
+  });
+}
+
+}  // namespace walnut::simulator
--- /dev/null
+++ b/src/simulator/processor.cpp
@@ -0,0 +1,56 @@
+#include "simulator/processor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace walnut::simulator {
+
+void Processor::post(std::function<void()> input) {
+  inputs_.push_back(std::move(input));
+  if (!busy_) {
+    runNext();
+  }
+}
+
+void Processor::runNext() {
+  busy_ = true;
+  charged_ = base::Duration::zero();
+  const std::function<void()> input = std::move(inputs_.front());
+  inputs_.pop_front();
+  const std::uint64_t life = life_;
+  input();
+  if (life != life_) {
+    return;
+  }
+  const auto taken =
+      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(charged_) / share_);
+  longestTurn_ = std::max(longestTurn_, taken);
+  scheduler_.after(taken, [this, life] {
+    if (life == life_) {
+      endTurn();
+    }
+  });
+}
+
+void Processor::endTurn() {
+  for (const std::function<void()>& output : std::exchange(outputs_, {})) {
+    output();
+  }
+  busy_ = false;
+  if (!inputs_.empty()) {
+    runNext();
+  }
+}
+
+void Processor::reset() {
+  ++life_;
+  busy_ = false;
+  inputs_.clear();
+  outputs_.clear();
+}
+
+base::Duration Processor::takeLongestTurn() {
+  return std::exchange(longestTurn_, base::Duration::zero());
+}
+
+}  // namespace walnut::simulator
--- /dev/null
+++ b/src/simulator/processor.h
@@ -0,0 +1,48 @@
+#pragma once
+/// @file
+/// The processor of one simulated process: a share of a core that takes one input at a time.
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <vector>
+
+#include "simulator/scheduler.h"
+#include "walnut/base/time.h"
+
+namespace walnut::simulator {
+
+/// Inputs wait in order while an earlier one is worked on. What an input puts out leaves when the
+/// processor time that it was charged is over, so that slow work is late work.
+class Processor {
+ public:
+  /// @param share of a core, over 0.
+  Processor(Scheduler& scheduler, double share) : scheduler_(scheduler), share_(share) {}
+
+  void post(std::function<void()> input);
+  /// Processor time of a whole core that the present input takes.
+  void charge(base::Duration time) { charged_ += time; }
+  /// Runs `output` when the present input's time is over.
+  void atEndOfTurn(std::function<void()> output) { outputs_.push_back(std::move(output)); }
+  void setShare(double share) { share_ = share; }
+  /// The process ended: what waits or is under way never happens.
+  void reset();
+
+  /// The longest time that one input took since the last call.
+  base::Duration takeLongestTurn();
+
+ private:
+  void runNext();
+  void endTurn();
+
+  Scheduler& scheduler_;
+  double share_;
+  bool busy_ = false;
+  std::uint64_t life_ = 0;
+  base::Duration charged_{0};
+  base::Duration longestTurn_{0};
+  std::deque<std::function<void()>> inputs_;
+  std::vector<std::function<void()>> outputs_;
+};
+
+}  // namespace walnut::simulator
--- /dev/null
+++ b/src/simulator/registry_fleet.cpp
@@ -0,0 +1,445 @@
+#include "simulator/registry_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace walnut::simulator {
+
+namespace {
+
+constexpr std::uint16_t kPeerPort = 7000;
+constexpr std::size_t kHandshakeBytes = 120;
+constexpr std::size_t kHeartbeatBytes = 400;
+/// Of the operator, as on the platform.
+constexpr base::Duration kDeclareAgain = std::chrono::seconds(1);
+constexpr base::Duration kCheckInterval = std::chrono::milliseconds(100);
+/// After which a server gives up a connection whose gateway is silent (TransportOptions).
+constexpr base::Duration kIdleClose = std::chrono::seconds(10);
+/// A machine's processes start within this of each other.
+constexpr base::Duration kStartSpread = std::chrono::milliseconds(100);
+
+std::string serverAddress(std::size_t server) { return "10.0.0." + std::to_string(server + 1); }
+
+std::size_t serverOf(const base::Endpoint& endpoint) {
+  return static_cast<std::size_t>(
+             std::stoul(endpoint.address.substr(endpoint.address.rfind('.') + 1))) -
+         1;
+}
+
+}  // namespace
+
+RegistryFleet::RegistryFleet(const RegistryFleetOptions& options)
+    : options_(options),
+      scheduler_(options.seed),
+      network_(scheduler_),
+      startedAt_(scheduler_.now()),
+      heartbeats_(options.workers),
+      cellRestsAt_(scheduler_.now()),
+      gatewayRestsAt_(options.gateways) {
+  FleetServerLinks& serverLinks = *this;
+  FleetGatewayLinks& gatewayLinks = *this;
+  for (std::size_t index = 0; index < options.servers; ++index) {
+    registry::RegistryOptions server;
+    server.name = "server-" + std::to_string(index);
+    server.self.peerEndpoint = {serverAddress(index), kPeerPort};
+    server.self.resourceEndpoint = server.self.peerEndpoint;
+    server.joinEndpoints = seeds();
+    server.ordersFenced = true;
+    servers_.push_back(
+        std::make_unique<FleetServer>(index, server, scheduler_, serverLinks, options.serverShare));
+    servers_.back()->host = network_.addHost(server.name, "zone-" + std::to_string(index),
+                                             options.serverBytesPerSecond);
+  }
+  for (std::size_t index = 0; index < options.gateways; ++index) {
+    gateways_.push_back(
+        std::make_unique<FleetGateway>(index, scheduler_, gatewayLinks, options.gatewayShare));
+    gateways_.back()->host = network_.addHost("gateway-" + std::to_string(index),
+                                              "zone-" + std::to_string(index % options.servers),
+                                              options.gatewayBytesPerSecond);
+  }
+}
+
+std::vector<base::Endpoint> RegistryFleet::seeds() const {
+  std::vector<base::Endpoint> endpoints;
+  for (std::size_t index = 0; index < options_.founders; ++index) {
+    endpoints.push_back({serverAddress(index), kPeerPort});
+  }
+  return endpoints;
+}
+
+consensus::Membership RegistryFleet::foundingMembership() const {
+  consensus::Membership membership;
+  for (std::size_t index = 0; index < options_.founders; ++index) {
+    const base::Endpoint endpoint = {serverAddress(index), kPeerPort};
+    membership.members.push_back(
+        {{index + 1}, consensus::MemberRole::voter, endpoint, endpoint, {}});
+  }
+  return membership;
+}
+
+void RegistryFleet::startAll() {
+  const consensus::Membership founders = foundingMembership();
+  for (std::size_t index = 0; index < servers_.size(); ++index) {
+    servers_[index]->start(index < options_.founders ? founders : consensus::Membership{});
+  }
+  founded_ = true;
+  for (const auto& gateway : gateways_) {
+    gateway->start(seeds());
+  }
+  for (std::size_t worker = 0; worker < options_.workers; ++worker) {
+    beat(worker);
+  }
+  noteDisturbance(options_.restAfterFault);
+  check();
+}
+
+void RegistryFleet::run(base::Duration duration) { scheduler_.runUntil(now() + duration); }
+
+// The operator and the workers
+
+std::size_t RegistryFleet::drawRunningServer() {
+  std::vector<std::size_t> running;
+  for (std::size_t index = 0; index < servers_.size(); ++index) {
+    if (servers_[index]->running()) {
+      running.push_back(index);
+    }
+  }
+  return running.empty() ? servers_.size() : running[random().uniform(0, running.size() - 1)];
+}
+
+void RegistryFleet::declare(std::size_t routes) {
+  ++declaredVersion_;
+  declaredRoutes_ = routes;
+  sendDeclaration();
+}
+
+void RegistryFleet::sendDeclaration() {
+  if (acknowledged()) {
+    return;
+  }
+  const std::size_t server = drawRunningServer();
+  if (server < servers_.size()) {
+    const std::string text = fleetDocumentText(declaredVersion_, declaredRoutes_);
+    declarations_[++lastCall_] = declaredVersion_;
+    servers_[server]->post(registry::CallReceived{lastCall_, registry::ReplaceDocument{text}},
+                           text.size());
+  }
+  scheduler_.after(kDeclareAgain, [this, version = declaredVersion_] {
+    if (version == declaredVersion_) {
+      sendDeclaration();
+    }
+  });
+}
+
+void RegistryFleet::callAnswered(std::uint64_t call, const registry::ControlAnswer& answer) {
+  const auto found = declarations_.find(call);
+  if (found == declarations_.end()) {
+    return;
+  }
+  const std::uint64_t version = found->second;
+  declarations_.erase(found);
+  if (answer.status == registry::ControlStatus::done && version > acknowledgedVersion_) {
+    acknowledgedVersion_ = version;
+    acknowledgedAt_ = now();
+  }
+}
+
+void RegistryFleet::beat(std::size_t worker) {
+  const std::size_t server = drawRunningServer();
+  if (server < servers_.size()) {
+    registry::Heartbeat heartbeat;
+    heartbeat.worker = {{"worker-" + std::to_string(worker)}, "service", {"10.1.0.1", 80}, {}, 16};
+    heartbeat.sequence = ++heartbeats_[worker];
+    servers_[server]->post(registry::CallReceived{++lastCall_, registry::ReportAlive{heartbeat}},
+                           kHeartbeatBytes);
+  }
+  const base::Duration interval = registry::RegistryOptions().heartbeatInterval;
+  scheduler_.after(random().between(interval * 9 / 10, interval), [this, worker] { beat(worker); });
+}
+
+// Links
+
+void RegistryFleet::sendToMember(std::size_t from, base::ServerId member,
+                                 std::shared_ptr<const protocol::Message> message,
+                                 std::size_t bytes) {
+  for (std::size_t index = 0; index < servers_.size(); ++index) {
+    if (servers_[index]->running() && servers_[index]->identity() == member) {
+      sendToServer(from, index, std::move(message), bytes);
+      return;
+    }
+  }
+}
+
+void RegistryFleet::sendToEndpoint(std::size_t from, const base::Endpoint& endpoint,
+                                   std::shared_ptr<const protocol::Message> message,
+                                   std::size_t bytes) {
+  sendToServer(from, serverOf(endpoint), std::move(message), bytes);
+}
+
+void RegistryFleet::sendToServer(std::size_t from, std::size_t to,
+                                 std::shared_ptr<const protocol::Message> message,
+                                 std::size_t bytes) {
+  // A server answers over a connection that is numbered by the server at its other end.
+  const protocol::ConnectionId connection{from + 1};
+  network_.transfer(servers_[from]->host, servers_[to]->host, bytes,
+                    [this, to, connection, message = std::move(message), bytes] {
+                      servers_[to]->post(registry::LinkReceived{connection, *message}, bytes);
+                    });
+}
+
+void RegistryFleet::sendToConnection(std::size_t from, protocol::ConnectionId connection,
+                                     std::shared_ptr<const protocol::Message> message,
+                                     std::size_t bytes) {
+  if (connection.value <= servers_.size()) {
+    sendToServer(from, connection.value - 1, std::move(message), bytes);
+    return;
+  }
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) {
+    return;
+  }
+  const std::size_t gateway = found->second.gateway;
+  network_.transfer(servers_[from]->host, gateways_[gateway]->host, bytes,
+                    [this, connection, message = std::move(message), bytes] {
+                      const auto target = connections_.find(connection);
+                      if (target != connections_.end()) {
+                        gateways_[target->second.gateway]->received(connection, message, bytes);
+                      }
+                    });
+}
+
+void RegistryFleet::open(std::size_t gateway, const base::Endpoint& endpoint) {
+  const std::size_t server = serverOf(endpoint);
+  network_.transfer(gateways_[gateway]->host, servers_[server]->host, kHandshakeBytes,
+                    [this, gateway, server, life = gateways_[gateway]->life()] {
+                      answerOpen(gateway, life, server);
+                    });
+}
+
+void RegistryFleet::answerOpen(std::size_t gateway, std::uint64_t life, std::size_t server) {
+  const bool accepted = servers_[server]->running();
+  const base::Endpoint endpoint = servers_[server]->options().self.peerEndpoint;
+  const protocol::ConnectionId connection{servers_.size() + ++lastConnection_};
+  if (accepted) {
+    connections_[connection] = {gateway, life, server, servers_[server]->life()};
+  }
+  network_.transfer(servers_[server]->host, gateways_[gateway]->host, kHandshakeBytes,
+                    [this, gateway, life, accepted, endpoint, connection] {
+                      if (gateways_[gateway]->life() != life) {
+                        endConnection(connection);
+                      } else if (accepted) {
+                        gateways_[gateway]->opened(connection, endpoint);
+                      } else {
+                        gateways_[gateway]->openFailed(endpoint);
+                      }
+                    });
+}
+
+void RegistryFleet::close(std::size_t gateway, protocol::ConnectionId connection) {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) {
+    return;
+  }
+  network_.transfer(gateways_[gateway]->host, servers_[found->second.server]->host, 0,
+                    [this, connection] { endConnection(connection); });
+  scheduler_.after(kIdleClose, [this, connection] { endConnection(connection); });
+}
+
+/// Tells the server that a connection has ended.
+void RegistryFleet::endConnection(protocol::ConnectionId connection) {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) {
+    return;
+  }
+  const Connection ended = found->second;
+  connections_.erase(found);
+  if (servers_[ended.server]->life() == ended.serverLife) {
+    servers_[ended.server]->post(registry::LinkClosed{connection}, 0);
+  }
+}
+
+void RegistryFleet::send(std::size_t gateway, protocol::ConnectionId connection,
+                         std::shared_ptr<const protocol::Message> message, std::size_t bytes) {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) {
+    return;
+  }
+  network_.transfer(gateways_[gateway]->host, servers_[found->second.server]->host, bytes,
+                    [this, connection, message = std::move(message), bytes] {
+                      const auto target = connections_.find(connection);
+                      if (target != connections_.end()) {
+                        servers_[target->second.server]->post(
+                            registry::LinkReceived{connection, *message}, bytes);
+                      }
+                    });
+}
+
+// Faults
+
+void RegistryFleet::noteDisturbance(base::Duration rest) {
+  cellRestsAt_ = std::max(cellRestsAt_, now() + rest);
+}
+
+void RegistryFleet::killServer(std::size_t server, bool loseDisk) {
+  noteDisturbance(options_.restAfterFault);
+  endConnectionsOf(server);
+  servers_[server]->kill();
+  if (loseDisk) {
+    servers_[server]->loseDisk();
+  }
+}
+
+/// A process that ends closes its connections.
+void RegistryFleet::endConnectionsOf(std::size_t server) {
+  std::vector<protocol::ConnectionId> ended;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.server == server) {
+      ended.push_back(id);
+    }
+  }
+  for (const protocol::ConnectionId id : ended) {
+    const Connection connection = connections_.at(id);
+    connections_.erase(id);
+    network_.transfer(servers_[server]->host, gateways_[connection.gateway]->host, 0,
+                      [this, id, connection] {
+                        if (gateways_[connection.gateway]->life() == connection.gatewayLife) {
+                          gateways_[connection.gateway]->closed(id);
+                        }
+                      });
+  }
+}
+
+void RegistryFleet::startServer(std::size_t server) {
+  noteDisturbance(options_.restAfterFault);
+  servers_[server]->start({});
+}
+
+void RegistryFleet::killGateway(std::size_t gateway) {
+  gatewayRestsAt_[gateway] = base::kNever;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.gateway == gateway) {
+      close(gateway, id);
+    }
+  }
+  gateways_[gateway]->kill();
+}
+
+void RegistryFleet::startGateway(std::size_t gateway) {
+  gatewayRestsAt_[gateway] = now() + options_.restAfterFault;
+  gateways_[gateway]->start(seeds());
+}
+
+void RegistryFleet::cutServer(std::size_t server, bool cut) {
+  noteDisturbance(options_.restAfterFault);
+  Network& network = network_.network();
+  const HostIndex host = servers_[server]->host;
+  for (HostIndex other = 0; other < network.hostCount(); ++other) {
+    if (cut) {
+      network.cut(host, other);
+      network.cut(other, host);
+    } else {
+      network.heal(host, other);
+      network.heal(other, host);
+    }
+  }
+}
+
+void RegistryFleet::cutGateway(std::size_t gateway, bool cut) {
+  gatewayRestsAt_[gateway] = cut ? base::kNever : now() + options_.restAfterFault;
+  Network& network = network_.network();
+  for (const auto& server : servers_) {
+    if (cut) {
+      network.cut(gateways_[gateway]->host, server->host);
+      network.cut(server->host, gateways_[gateway]->host);
+    } else {
+      network.heal(gateways_[gateway]->host, server->host);
+      network.heal(server->host, gateways_[gateway]->host);
+    }
+  }
+}
+
+void RegistryFleet::slowServer(std::size_t server, double part) {
+  noteDisturbance(options_.restAfterFault);
+  servers_[server]->processor().setShare(options_.serverShare * part);
+}
+
+void RegistryFleet::slowGateway(std::size_t gateway, double part) {
+  gatewayRestsAt_[gateway] = part < 1 ? base::kNever : now() + options_.restAfterFault;
+  gateways_[gateway]->processor().setShare(options_.gatewayShare * part);
+}
+
+void RegistryFleet::restartAll(base::Duration down, const std::vector<std::size_t>& diskLosses) {
+  for (std::size_t index = 0; index < servers_.size(); ++index) {
+    const bool lost = std::count(diskLosses.begin(), diskLosses.end(), index) != 0;
+    killServer(index, lost);
+  }
+  for (std::size_t index = 0; index < gateways_.size(); ++index) {
+    killGateway(index);
+  }
+  // Most of the cell was lost: it is given twice the time.
+  noteDisturbance(down + 2 * options_.restAfterFault);
+  for (std::size_t index = 0; index < servers_.size(); ++index) {
+    scheduler_.after(down + random().between(base::Duration::zero(), kStartSpread),
+                     [this, index] { startServer(index); });
+  }
+  for (std::size_t index = 0; index < gateways_.size(); ++index) {
+    scheduler_.after(down + random().between(base::Duration::zero(), kStartSpread),
+                     [this, index] { startGateway(index); });
+  }
+}
+
+// What is seen
+
+std::size_t RegistryFleet::leader() const {
+  const auto found = std::find_if(servers_.begin(), servers_.end(),
+                                  [](const auto& server) { return server->leading(); });
+  return static_cast<std::size_t>(found - servers_.begin());
+}
+
+std::size_t RegistryFleet::gatewaysUpToDate() const {
+  return static_cast<std::size_t>(
+      std::count_if(gateways_.begin(), gateways_.end(), [this](const auto& gateway) {
+        return gateway->running() && gateway->documentVersion() >= acknowledgedVersion_;
+      }));
+}
+
+/// A gateway at rest, beside a cell at rest, has the newest document some time after it was
+/// acknowledged. One that has none serves nothing, which is as late.
+void RegistryFleet::check() {
+  scheduler_.after(kCheckInterval, [this] { check(); });
+  if (acknowledgedVersion_ == 0 || now() < cellRestsAt_ ||
+      now() < acknowledgedAt_ + options_.applyWithin) {
+    return;
+  }
+  for (std::size_t index = 0; index < gateways_.size(); ++index) {
+    const std::uint64_t served = gateways_[index]->documentVersion();
+    if (gateways_[index]->running() && now() >= gatewayRestsAt_[index] &&
+        served < acknowledgedVersion_) {
+      violations_.push_back({now() - startedAt_, index, served, acknowledgedVersion_});
+    }
+  }
+}
+
+std::string RegistryFleet::describeViolations() const {
+  constexpr std::size_t kMostLines = 10;
+  std::string text = std::to_string(violations_.size()) + " violations";
+  for (std::size_t index = 0; index < std::min(kMostLines, violations_.size()); ++index) {
+    const FleetViolation& violation = violations_[index];
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(violation.at);
+    text += "\n  " + std::to_string(millis.count()) + " ms: gateway " +
+            std::to_string(violation.gateway) + " serves by version " +
+            std::to_string(violation.served) + ", acknowledged is " +
+            std::to_string(violation.acknowledged);
+  }
+  return text;
+}
+
+base::Duration RegistryFleet::takeLongestServerTurn() {
+  base::Duration longest{0};
+  for (const auto& server : servers_) {
+    longest = std::max(longest, server->processor().takeLongestTurn());
+  }
+  return longest;
+}
+
+}  // namespace walnut::simulator
--- /dev/null
+++ b/src/simulator/registry_fleet.h
@@ -0,0 +1,149 @@
+#pragma once
+/// @file
+/// A registry cell and its gateways in virtual time, with document sizes, link rates and shares of
+/// a core as machines have them, under faults; and the check that gateways serve by what was
+/// acknowledged.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "simulator/fleet_gateway.h"
+#include "simulator/fleet_server.h"
+#include "simulator/loaded_network.h"
+
+namespace walnut::simulator {
+
+/// Defaults are those of a deployment of 65 gateways (docs/PLATFORM.md).
+struct RegistryFleetOptions {
+  std::uint64_t seed = 1;
+  std::size_t servers = 5;
+  std::size_t founders = 3;
+  std::size_t gateways = 65;
+  std::size_t workers = 90;
+  double serverShare = 0.6;
+  double gatewayShare = 0.12;
+  double serverBytesPerSecond = 125e6;
+  double gatewayBytesPerSecond = 1.25e6;
+  /// An acknowledged document is in force everywhere within this, and what was disturbed has come
+  /// back to rest after `restAfterFault`.
+  base::Duration applyWithin = std::chrono::milliseconds(2500);
+  base::Duration restAfterFault = std::chrono::seconds(4);
+};
+
+/// A gateway that served by an older document than it should have, or by none.
+struct FleetViolation {
+  base::Duration at{0};  ///< Since the start of the run.
+  std::size_t gateway = 0;
+  std::uint64_t served = 0;  ///< 0: it knew no document.
+  std::uint64_t acknowledged = 0;
+};
+
+class RegistryFleet : private FleetServerLinks, private FleetGatewayLinks {
+ public:
+  explicit RegistryFleet(const RegistryFleetOptions& options);
+
+  /// Starts every process of a new cell.
+  void startAll();
+  void run(base::Duration duration);
+
+  /// Sends the next document, with so many routes, until it is acknowledged.
+  void declare(std::size_t routes);
+  /// @return true if the newest document is acknowledged.
+  bool acknowledged() const { return acknowledgedVersion_ == declaredVersion_; }
+  std::uint64_t declaredVersion() const { return declaredVersion_; }
+
+  /// @name Faults
+  /// @{
+  void killServer(std::size_t server, bool loseDisk);
+  void startServer(std::size_t server);
+  void killGateway(std::size_t gateway);
+  void startGateway(std::size_t gateway);
+  /// Cuts a server off from everything, or joins it again.
+  void cutServer(std::size_t server, bool cut);
+  /// Cuts a gateway off from all servers, or joins it again.
+  void cutGateway(std::size_t gateway, bool cut);
+  /// Gives a process a part of its share of a core; 1: the whole.
+  void slowServer(std::size_t server, double part);
+  void slowGateway(std::size_t gateway, double part);
+  /// Ends every process at once; all start again after `down`, the servers of `diskLosses` empty.
+  void restartAll(base::Duration down, const std::vector<std::size_t>& diskLosses);
+  /// @}
+
+  std::size_t serverCount() const { return servers_.size(); }
+  std::size_t gatewayCount() const { return gateways_.size(); }
+  /// @return a server that takes itself for the leader; none: the count of servers.
+  std::size_t leader() const;
+  /// @return how many gateways serve by the newest acknowledged document.
+  std::size_t gatewaysUpToDate() const;
+  const std::vector<FleetViolation>& violations() const { return violations_; }
+  std::string describeViolations() const;
+  /// The longest that one input held up a server's loop since the last call.
+  base::Duration takeLongestServerTurn();
+  base::TimePoint now() const { return scheduler_.now(); }
+  base::Random& random() { return scheduler_.random(); }
+  Scheduler& scheduler() { return scheduler_; }
+
+ private:
+  struct Connection {
+    std::size_t gateway = 0;
+    std::uint64_t gatewayLife = 0;
+    std::size_t server = 0;
+    std::uint64_t serverLife = 0;
+  };
+
+  // FleetServerLinks
+  void sendToMember(std::size_t from, base::ServerId member,
+                    std::shared_ptr<const protocol::Message> message, std::size_t bytes) override;
+  void sendToEndpoint(std::size_t from, const base::Endpoint& endpoint,
+                      std::shared_ptr<const protocol::Message> message, std::size_t bytes) override;
+  void sendToConnection(std::size_t from, protocol::ConnectionId connection,
+                        std::shared_ptr<const protocol::Message> message,
+                        std::size_t bytes) override;
+  void callAnswered(std::uint64_t call, const registry::ControlAnswer& answer) override;
+  // FleetGatewayLinks
+  void open(std::size_t gateway, const base::Endpoint& server) override;
+  void close(std::size_t gateway, protocol::ConnectionId connection) override;
+  void send(std::size_t gateway, protocol::ConnectionId connection,
+            std::shared_ptr<const protocol::Message> message, std::size_t bytes) override;
+
+  void sendToServer(std::size_t from, std::size_t to,
+                    std::shared_ptr<const protocol::Message> message, std::size_t bytes);
+  void answerOpen(std::size_t gateway, std::uint64_t life, std::size_t server);
+  void endConnection(protocol::ConnectionId connection);
+  void endConnectionsOf(std::size_t server);
+  void sendDeclaration();
+  void beat(std::size_t worker);
+  void check();
+  void noteDisturbance(base::Duration rest);
+  std::vector<base::Endpoint> seeds() const;
+  consensus::Membership foundingMembership() const;
+  /// @return a server that runs, drawn; the count of servers if none does.
+  std::size_t drawRunningServer();
+
+  const RegistryFleetOptions options_;
+  Scheduler scheduler_;
+  LoadedNetwork network_;
+  base::TimePoint startedAt_;
+  std::vector<std::unique_ptr<FleetServer>> servers_;
+  std::vector<std::unique_ptr<FleetGateway>> gateways_;
+  std::map<protocol::ConnectionId, Connection> connections_;
+  std::uint64_t lastConnection_ = 0;
+  std::uint64_t lastCall_ = 0;
+  bool founded_ = false;
+
+  std::uint64_t declaredVersion_ = 0;
+  std::size_t declaredRoutes_ = 0;
+  std::uint64_t acknowledgedVersion_ = 0;
+  base::TimePoint acknowledgedAt_;
+  std::map<std::uint64_t, std::uint64_t> declarations_;  ///< Version by call.
+  std::vector<std::uint64_t> heartbeats_;                ///< Sequence by worker.
+
+  base::TimePoint cellRestsAt_;
+  std::vector<base::TimePoint> gatewayRestsAt_;
+  std::vector<FleetViolation> violations_;
+};
+
+}  // namespace walnut::simulator
