--- a/src/simulator/registry_fleet.cpp
+++ b/src/simulator/registry_fleet.cpp
@@ -311,6 +311,9 @@
 }
 
 void RegistryFleet::startServer(std::size_t server) {
+  if (servers_[server]->running()) {
+    return;  // Overlapping faults may start it twice.
+  }
   noteDisturbance(options_.restAfterFault);
   servers_[server]->start({});
 }
@@ -326,6 +329,9 @@
 }
 
 void RegistryFleet::startGateway(std::size_t gateway) {
+  if (gateways_[gateway]->running()) {
+    return;
+  }
   gatewayRestsAt_[gateway] = now() + options_.restAfterFault;
   gateways_[gateway]->start(seeds());
 }
--- a/test/simulator/registry_fleet_test.cpp
+++ b/test/simulator/registry_fleet_test.cpp
@@ -94,3 +94,15 @@
   fleet->run(5s);
   CHECK_TRUE(fleet->takeLongestServerTurn() < consensus::RaftOptions().checkQuorumTimeout);
 }
+
+/// Overlapping restarts: each starts what it ended, whether or not another has already.
+TEST(RegistryFleetTest, whatRunsIsNotStartedAgain) {
+  begin({});
+  fleet->run(3s);
+  fleet->killGateway(1);
+  fleet->startGateway(1);
+  fleet->startGateway(1);
+  fleet->startServer(0);
+  fleet->run(6s);
+  checkUpToDate();
+}
