gateway: servers that name each other as leader are not asked without a pause

Cause: reading the change: during an election two servers may name each other, and a named leader was asked at once. Change: only a server that was not itself asked on another's word. Test written with the change.

--- a/src/gateway/registry_session.cpp
+++ b/src/gateway/registry_session.cpp
@@ -46,6 +46,7 @@
 }
 
 void RegistrySession::tryNext() {
+  asksHinted_ = hint_.has_value();
   if (hint_) {
     server_ = *std::exchange(hint_, std::nullopt);
   } else {
@@ -83,8 +84,10 @@
   if (connection_) {
     link_.close(*std::exchange(connection_, std::nullopt));
   }
-  // A server that named the leader was no waste of time: the leader is asked at once.
-  enter(State::searching, hint_ ? base::Duration::zero() : drawPause());
+  // A server that names the leader is no waste of time: that one is asked at once. Not so if it was
+  // itself asked on another's word: during an election two servers may name each other.
+  const bool atOnce = hint_ && !asksHinted_;
+  enter(State::searching, atOnce ? base::Duration::zero() : drawPause());
 }
 
 void RegistrySession::onTimer() {
--- a/src/gateway/registry_session.h
+++ b/src/gateway/registry_session.h
@@ -88,6 +88,7 @@
   std::vector<base::Endpoint> untried_;  ///< Of the present search, in a drawn order.
   std::optional<base::Endpoint> hint_;   ///< Where the leader is said to be.
   base::Endpoint server_;
+  bool asksHinted_ = false;  ///< `server_` is asked because another one named it.
   std::optional<protocol::ConnectionId> connection_;
   registry::Subscribe subscription_;
   std::uint32_t fruitlessRounds_ = 0;  ///< Over all servers, since one was followed.
--- a/test/gateway/registry_session_test.cpp
+++ b/test/gateway/registry_session_test.cpp
@@ -138,3 +138,16 @@
   accept(1);
   CHECK_FALSE(session->partReceived({1}));
 }
+
+TEST(RegistrySessionTest, serversThatNameEachOtherAreAskedWithPauses) {
+  std::uint64_t number = 0;
+  for (int step = 0; step < 1000; ++step) {
+    if (link.opens.size() > number) {
+      accept(++number);
+      const bool first = link.opens.back() == server(8);
+      session->notLeading({number}, {{}, first ? server(9) : server(8)});
+    }
+    scheduler.advance(1ms);
+  }
+  CHECK_TRUE(link.opens.size() <= 40);
+}
