registry: requests that queue at workers count like those that wait for a cold model

Cold models came first at the store without regard to how many requests each had, and the best worker for a further replica was waited for without end while models in use were there. A replica that was just loaded made room for a cold model after 85 ms, and was loaded again. Change: a model with more requests than slots is wanted by what queues beyond the replicas on their way, in one order with cold models; it takes a free worker. The cost of a replica grows with the load that the others would have without it. Tests: four, seen failing first.

--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -23,9 +23,12 @@
 constexpr double kCrowdedShare = 0.1;
 /// Seconds of cost that a further replica is worth, for each arrival a second.
 constexpr double kSecondReplicaWorth = 6.0;
-/// Seconds of cost that a first replica is worth at most: anything but one that is waited for
-/// itself makes room.
-constexpr double kFirstReplicaWorth = 1000.0;
+/// Seconds of cost that a replica is worth at most for which requests wait: anything but one that
+/// is waited for itself makes room.
+constexpr double kUrgentReplicaWorth = 1000.0;
+/// Requests that wait at the workers of a model from which they count as a queue: one alone may
+/// only be news that is late.
+constexpr double kLeastQueue = 2.0;
 /// Between the end of one order and the acceptance of the next: news and planning.
 constexpr double kOrderGapSeconds = 0.1;
 
@@ -58,34 +61,54 @@
 std::vector<PlacementPolicy::Want> PlacementPolicy::wants(const PlacementRound& round) {
   std::vector<Want> wanted;
   for (const ModelSpec& model : round.engine().models) {
-    const DemandFigures figures = round.figures(model.name);
-    const std::uint32_t replicas = round.replicas(model.name).present;
-    const bool cold = replicas == 0 && figures.waiting > 0;
-    const bool alone = replicas == 1 && figures.rate >= kSecondReplicaRate;
-    const bool crowded = replicas > 0 && round.loadWith(model.name, replicas) > kScaleOutShare;
-    if (cold || alone || crowded) {
-      // What waits now, and what would wait if the only replica were lost.
-      const double share = replicas >= 2 ? kCrowdedShare : 1.0;
-      wanted.push_back({share * figures.rate + (cold ? figures.waiting : 0), model.name, cold});
+    if (std::optional<Want> want = wantOf(round, model.name)) {
+      wanted.push_back(std::move(*want));
     }
   }
   std::sort(wanted.begin(), wanted.end(), [](const Want& left, const Want& right) {
-    return std::tie(left.cold, left.worth) > std::tie(right.cold, right.worth);
+    return std::make_tuple(left.urgent(), left.worth) >
+           std::make_tuple(right.urgent(), right.worth);
   });
   return wanted;
 }
 
+std::optional<PlacementPolicy::Want> PlacementPolicy::wantOf(const PlacementRound& round,
+                                                             const std::string& model) {
+  const DemandFigures figures = round.figures(model);
+  const PlacementRound::Replicas replicas = round.replicas(model);
+  if (replicas.present == 0) {
+    // What waits now, and what would wait if it were not there.
+    return figures.waiting == 0
+               ? std::nullopt
+               : std::optional<Want>({figures.rate + figures.waiting, model, WantReason::cold});
+  }
+  const double coming = static_cast<double>(replicas.present - replicas.serving);
+  const double unserved = replicas.queued - coming * static_cast<double>(round.engine().slots);
+  if (unserved >= kLeastQueue) {
+    return Want{figures.rate + unserved, model, WantReason::queueing};
+  }
+  const bool alone = replicas.present == 1 && figures.rate >= kSecondReplicaRate;
+  const bool crowded = round.loadWith(model, replicas.present) > kScaleOutShare;
+  if (!alone && !crowded) {
+    return std::nullopt;
+  }
+  const double share = replicas.present >= 2 ? kCrowdedShare : 1.0;
+  return Want{share * figures.rate, model, WantReason::spare};
+}
+
+bool PlacementPolicy::isFree(const PlacementRound& round, const PlacementWorker& worker) {
+  return round.mayOrder(worker) && !worker.arriving && !worker.retiring;
+}
+
 void PlacementPolicy::wake(PlacementRound& round, const Want& want) {
-  const Choice choice = choose(round, want.model);
+  const Choice choice = choose(round, want);
   const double worth =
-      want.cold ? kFirstReplicaWorth : kSecondReplicaWorth * round.figures(want.model).rate;
+      want.urgent() ? kUrgentReplicaWorth : kSecondReplicaWorth * round.figures(want.model).rate;
   if (choice.worker == nullptr || choice.cost >= worth) {
     return;
   }
   const bool storeFull = choice.fromStore && !round.store().allows();
-  const bool free =
-      round.mayOrder(*choice.worker) && !choice.worker->arriving && !choice.worker->retiring;
-  if (free && !storeFull && !choice.room.waits) {
+  if (isFree(round, *choice.worker) && !storeFull && !choice.room.waits) {
     carryOut(round, want.model, choice);
   }
   if (!storeFull) {
@@ -105,14 +128,16 @@
 }
 
 /// @return where the model would serve soonest at the least cost to others.
-PlacementPolicy::Choice PlacementPolicy::choose(PlacementRound& round,
-                                                const std::string& name) const {
+PlacementPolicy::Choice PlacementPolicy::choose(PlacementRound& round, const Want& want) const {
+  const std::string& name = want.model;
   const ModelSpec& model = *round.spec(name);
+  const bool atOnce = want.reason == WantReason::queueing;
   const double storeWait = seconds(round.store().expectedWait(round.now()));
   const auto begun = wakes_.find(name);
   Choice best;
   for (const PlacementWorker& worker : round.workers()) {
-    if (!worker.serving || worker.holdings.find(name) != nullptr) {
+    if (!worker.serving || worker.holdings.find(name) != nullptr ||
+        (atOnce && !isFree(round, worker))) {
       continue;
     }
     const auto queued = queued_.find(worker.id);
@@ -131,7 +156,7 @@
     }
     Room room = round.roomFor(worker, model.weightsMegabytes);
     cost += room.cost;
-    if (cost < best.cost) {
+    if (cost < best.cost && !(atOnce && room.waits)) {
       best = {&worker, cost, std::move(room), tier == WeightTier::store};
     }
   }
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -69,6 +69,10 @@
 /// least cost to others; it orders the first step if that worker can take it now. A worker that is
 /// busy, or a load that the store has no place for, is waited for without keeping anybody else from
 /// being ordered. What was begun (`Wake`) is preferred, so that room that was made is used.
+///
+/// Requests that queue at the workers of a model count like those that wait for a cold one: both
+/// are late until another replica serves. A model that has replicas already waits for no busy
+/// worker, since it needs capacity rather than a certain place.
 class PlacementPolicy {
  public:
   explicit PlacementPolicy(std::string service) : service_(std::move(service)) {}
@@ -85,11 +89,19 @@
     WorkerId worker;
     base::TimePoint since;
   };
+  /// Why a model should have another replica, the most urgent last.
+  enum class WantReason : std::uint8_t {
+    spare,     ///< Its replicas are busy, or the only one might be lost.
+    queueing,  ///< Requests wait at its workers, beyond what replicas on their way will take.
+    cold,      ///< Requests wait, and no worker serves it or is about to.
+  };
   /// A model that should have another replica.
   struct Want {
-    double worth = 0;  ///< By which they are ordered.
+    double worth = 0;  ///< By which wants are ordered among those for which requests wait or not.
     std::string model;
-    bool cold = false;  ///< Requests wait, and no worker serves it or is about to.
+    WantReason reason = WantReason::spare;
+
+    bool urgent() const { return reason != WantReason::spare; }
   };
   struct Choice {
     const PlacementWorker* worker = nullptr;
@@ -100,8 +112,10 @@
 
   void dropEndedWakes(const PlacementRound& round);
   static std::vector<Want> wants(const PlacementRound& round);
+  static std::optional<Want> wantOf(const PlacementRound& round, const std::string& model);
   void wake(PlacementRound& round, const Want& want);
-  Choice choose(PlacementRound& round, const std::string& model) const;
+  Choice choose(PlacementRound& round, const Want& want) const;
+  static bool isFree(const PlacementRound& round, const PlacementWorker& worker);
   double blockCost(const PlacementRound& round, base::Duration duration) const;
   void carryOut(PlacementRound& round, const std::string& model, const Choice& choice);
   void placeAdapters(PlacementRound& round) const;
--- a/src/registry/placement_round.cpp
+++ b/src/registry/placement_round.cpp
@@ -19,7 +19,7 @@
 /// For each arrival a second.
 constexpr double kSurplusRateCost = 0.05;
 constexpr double kSecondRateCost = 0.2;
-/// If the others would be loaded beyond kScaleOutShare without it.
+/// If the others would be loaded beyond kScaleOutShare without it, for each time that share.
 constexpr double kOverloadCost = 5.0;
 /// An unload waits for the requests that run: for each one, and at most.
 constexpr double kRunningCost = 1.0;
@@ -92,7 +92,9 @@
         continue;  // Named twice by its worker.
       }
       Replicas& replicas = replicas_[held.name];
-      replicas.running += demand_.running(worker.id, held.name);
+      const std::uint32_t running = demand_.running(worker.id, held.name);
+      replicas.running += running;
+      replicas.queued += running * queuedShare(worker);
       if (worker.serving && worker.retiring != held.name) {
         ++replicas.present;
         ++replicas.serving;
@@ -110,6 +112,13 @@
   }
 }
 
+double PlacementRound::queuedShare(const PlacementWorker& worker) const {
+  const double running = demand_.running(worker.id);
+  return engine_.slots == 0 || running <= engine_.slots
+             ? 0
+             : 1.0 - static_cast<double>(engine_.slots) / running;
+}
+
 const ModelSpec* PlacementRound::spec(const std::string& model) const {
   const auto found = specs_.find(model);
   return found == specs_.end() ? nullptr : found->second;
@@ -195,8 +204,9 @@
   }
   const double rate = figures(held.name).rate;
   double cost = wait + kHeldAdapterCost * static_cast<double>(held.adapters.size());
-  if (loadWith(held.name, count - 1) > kScaleOutShare) {
-    cost += kOverloadCost;
+  const double loadWithout = loadWith(held.name, count - 1);
+  if (loadWithout > kScaleOutShare) {
+    cost += kOverloadCost * loadWithout / kScaleOutShare;
   }
   return cost + (count == 2 ? kSecondCost + kSecondRateCost * rate
                             : kSurplusCost + kSurplusRateCost * rate);
--- a/src/registry/placement_round.h
+++ b/src/registry/placement_round.h
@@ -24,6 +24,7 @@
     std::uint32_t present = 0;         ///< Workers that serve it or are about to.
     std::uint32_t serving = 0;         ///< Workers that serve it.
     std::uint32_t running = 0;         ///< Requests.
+    double queued = 0;                 ///< Of these, those that wait for a slot of their worker.
     std::uint32_t takingAdapters = 0;  ///< Workers that hold it and take adapters now.
     std::uint32_t copies = 0;          ///< Workers that have it in any tier, or are loading it.
   };
@@ -63,6 +64,8 @@
   void summarise();
   double unloadCost(const PlacementWorker& worker, const HeldModel& held) const;
   bool becomesIdle(const PlacementWorker& worker, const std::string& model) const;
+  /// @return how much of what runs at a worker waits for a slot, 0 to 1.
+  double queuedShare(const PlacementWorker& worker) const;
   double lastReplicaCost(const PlacementWorker& worker, const std::string& model) const;
 
   const catalog::EngineSpec& engine_;
--- a/test/registry/placement_test.cpp
+++ b/test/registry/placement_test.cpp
@@ -57,6 +57,12 @@
     update.demands.push_back({"svc", model, adapter, waiting, arrivals});
     demand.update({gateway}, update, now);
   }
+  /// Requests that run or wait at workers, as some gateway reports them.
+  void load(std::initializer_list<WorkerLoad> loads, std::uint64_t gateway = 100) {
+    DemandUpdate update;
+    update.loads = loads;
+    demand.update({gateway}, update, now);
+  }
   std::vector<PlacementStep> plan(const catalog::EngineSpec& engine,
                                   const std::vector<PlacementWorker>& workers) {
     store.setLimit(engine.storeLoadsPerSecond, {}, now);
@@ -259,3 +265,70 @@
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("used2", steps[0].model.c_str());
 }
+
+TEST(PlacementTest, aModelWithMoreRequestsThanSlotsComesBeforeAColdOneAtTheStore) {
+  catalog::EngineSpec engine = engineOf({"hot", "rare"});
+  engine.slots = 4;
+  want("hot", "", 0, 50, 1);
+  want("rare", "", 1, 1, 2);
+  PlacementWorker full = workerWith("full", {"hot"});
+  full.running = 16;
+  load({{{"full"}, "hot", 16}});  // The store takes one load at present.
+  const auto steps = plan(engine, {full, workerWith("w1", {}), workerWith("w2", {})});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("hot", steps[0].model.c_str());
+}
+
+TEST(PlacementTest, aColdModelComesFirstOnceReplicasForTheQueueAreOnTheirWay) {
+  catalog::EngineSpec engine = engineOf({"hot", "rare"});
+  engine.slots = 4;
+  want("hot", "", 0, 50, 1);
+  want("rare", "", 1, 1, 2);
+  PlacementWorker full = workerWith("full", {"hot"});
+  full.running = 7;
+  load({{{"full"}, "hot", 7}});
+  PlacementWorker coming = workerWith("coming", {});
+  coming.arriving = "hot";
+  coming.mayBeOrdered = false;
+  coming.busyFor = 2s;
+  const auto steps = plan(engine, {full, coming, workerWith("w1", {}), workerWith("w2", {})});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("rare", steps[0].model.c_str());
+}
+
+TEST(PlacementTest, aModelWithMoreRequestsThanSlotsWaitsForNoBusyWorker) {
+  catalog::EngineSpec engine = engineOf({"hot", "x"});
+  engine.slots = 4;
+  want("hot", "", 0, 50);
+  PlacementWorker full = workerWith("full", {"hot"});
+  full.running = 16;
+  load({{{"full"}, "hot", 16}});
+  PlacementWorker busy = workerWith("busy", {});
+  busy.holdings.onDisk = {"hot"};
+  busy.mayBeOrdered = false;
+  busy.arriving = "x";
+  busy.busyFor = 500ms;
+  const auto steps = plan(engine, {full, busy, workerWith("idle", {})});
+  CHECK_EQUAL(1, steps.size());
+  STRCMP_EQUAL("idle", steps[0].worker.value.c_str());
+}
+
+TEST(PlacementTest, aReplicaWithoutWhichRequestsWouldQueueMakesNoRoomForAColdModel) {
+  catalog::EngineSpec engine = engineOf({"hot", "other", "idle1", "idle2", "new"});
+  engine.slots = 4;
+  engine.models.back().storeLoadTime = 20s;
+  want("new", "", 1, 1, 1);
+  want("hot", "", 0, 50, 2);
+  want("other", "", 0, 50, 3);
+  PlacementWorker first = workerWith("first", {"hot", "other"});
+  first.running = 8;
+  PlacementWorker second = workerWith("second", {"hot", "other"});
+  second.holdings.onDisk = {"new"};
+  PlacementWorker third = workerWith("third", {"hot", "other"});
+  PlacementWorker fourth = workerWith("fourth", {"idle1", "idle2"});
+  load({{{"first"}, "hot", 12}, {{"first"}, "other", 12}});
+  const auto steps = plan(engine, {first, second, third, fourth});
+  for (const PlacementStep& step : steps) {
+    STRCMP_EQUAL("fourth", step.worker.value.c_str());
+  }
+}
