--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -189,8 +189,8 @@
 };
 
 /// Leader to gateway. The first one on a connection is complete and replaces what the gateway knows
-/// of workers. Sent at least every view interval. It names the newest document, which comes in
-/// parts (DocumentPart) if the gateway's is older.
+/// of workers. Sent at least every view interval, as a PackedView. It names the newest document,
+/// which comes in parts (DocumentPart) if the gateway's is older.
 struct ViewUpdate {
   consensus::Term term = 0;
   bool complete = false;
@@ -208,6 +208,16 @@
   }
 };
 
+/// Leader to gateway: a ViewUpdate in the form of registry/view_codec.h. Refers to what was sent
+/// before on the same connection.
+struct PackedView {
+  std::string bytes;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(bytes);
+  }
+};
+
 /// Requests for one model, or one adapter of it, at one gateway.
 struct ModelDemand {
   std::string service;
@@ -237,7 +247,7 @@
 
 using MessageBody =
     std::variant<ForwardedCall, ForwardedAnswer, JoinRequest, JoinReply, Subscribe, NotLeading,
-                 ViewUpdate, DemandUpdate, DocumentPart, DocumentPartTaken>;
+                 ViewUpdate, DemandUpdate, DocumentPart, DocumentPartTaken, PackedView>;
 
 /// One alternative of protocol::Message for all of the registry's.
 struct RegistryMessage {
--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -30,6 +30,7 @@
   documentBehind,
   documentStuck,
   documentDelivered,
+  viewRefused,
   gatewaySubscribed,
   loopHeldUp,
   workerStored,
--- a/src/gateway/registry_follower.cpp
+++ b/src/gateway/registry_follower.cpp
@@ -21,6 +21,22 @@
                     message.body);
 }
 
+/// A view of another connection than the followed one is not decoded: it would spoil the names.
+bool RegistryFollower::receive(protocol::ConnectionId connection,
+                               const registry::PackedView& packed) {
+  if (!session_.asks(connection)) {
+    return false;
+  }
+  const auto view = viewDecoder_.decode(packed.bytes);
+  if (view.has_error()) {
+    log_.write(LogEvent::viewRefused,
+               {{"bytes", packed.bytes.size()}, {"detail", view.error().detail}});
+    session_.subscribeAgain();
+    return false;
+  }
+  return receive(connection, view.value());
+}
+
 bool RegistryFollower::receive(protocol::ConnectionId connection,
                                const registry::ViewUpdate& view) {
   if (!session_.viewReceived(connection, view)) {
--- a/src/gateway/registry_follower.h
+++ b/src/gateway/registry_follower.h
@@ -7,6 +7,7 @@
 #include "gateway/document_receiver.h"
 #include "gateway/gateway.h"
 #include "gateway/registry_session.h"
+#include "walnut/registry/view_codec.h"
 
 namespace walnut::gateway {
 
@@ -23,6 +24,7 @@
   bool messageReceived(protocol::ConnectionId connection, const registry::RegistryMessage& message);
 
  private:
+  bool receive(protocol::ConnectionId connection, const registry::PackedView& packed);
   bool receive(protocol::ConnectionId connection, const registry::ViewUpdate& view);
   bool receive(protocol::ConnectionId connection, const registry::DocumentPart& part);
   bool receive(protocol::ConnectionId connection, const registry::NotLeading& message);
@@ -39,6 +41,7 @@
   Gateway& gateway_;
   runtime::EventLog& log_;
   DocumentReceiver receiver_;
+  registry::ViewDecoder viewDecoder_;
   /// When a newer document was told of, or a part of it came.
   std::optional<base::TimePoint> documentMovedAt_;
 };
--- a/src/gateway/registry_session.cpp
+++ b/src/gateway/registry_session.cpp
@@ -167,7 +167,7 @@
 }
 
 void RegistrySession::subscribeAgain() {
-  if (state_ == State::following) {
+  if (connection_) {
     leaveServer();
   }
 }
--- a/src/gateway/registry_session.h
+++ b/src/gateway/registry_session.h
@@ -58,6 +58,8 @@
   void notLeading(protocol::ConnectionId connection, const registry::NotLeading& message);
   /// @return false if the update is not from the server that is followed.
   bool viewReceived(protocol::ConnectionId connection, const registry::ViewUpdate& update);
+  /// @return true if views on that connection are from the server that is asked or followed.
+  bool asks(protocol::ConnectionId connection) const { return connection_ == connection; }
   /// Bytes of a document came, which show as well as a view that the leader is there.
   /// @return false if they are not from the server that is followed.
   bool partReceived(protocol::ConnectionId connection);
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -225,7 +225,8 @@
       sender_.subscribe(update.gateway, request.documentVersion, request.cursor);
     }
     actions_.emplace_back(control::SendToConnection{
-        update.gateway, RegistryMessage{MessageBody(std::move(update.update))}});
+        update.gateway,
+        RegistryMessage{PackedView{viewEncoder_.encode(update.update, update.cursor)}}});
   }
 }
 
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -20,6 +20,7 @@
 #include "registry/view_publisher.h"
 #include "registry/worker_status.h"
 #include "walnut/registry/registry.h"
+#include "walnut/registry/view_codec.h"
 
 namespace walnut::registry {
 
@@ -117,6 +118,7 @@
   std::map<WorkerId, WorkerStatus> workers_;
   DemandBook demand_;
   ViewPublisher publisher_;
+  ViewEncoder viewEncoder_;
   DocumentSender sender_;
   /// Gateways that wait for their complete view. The document follows it: a gateway that has not
   /// heard the leader yet takes no parts.
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -64,6 +64,7 @@
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
   void receiveBody(protocol::ConnectionId, const NotLeading&) {}
   void receiveBody(protocol::ConnectionId, const ViewUpdate&) {}
+  void receiveBody(protocol::ConnectionId, const PackedView&) {}
 
   // Calls, at the leader
   void decide(std::uint64_t call, const ReplaceDocument& body);
--- a/src/registry/view_publisher.cpp
+++ b/src/registry/view_publisher.cpp
@@ -108,7 +108,7 @@
     gateway.documentVersion = documentVersion;
     gateway.gateways = count;
     gateway.lastSent = now;
-    updates.push_back({connection, std::move(update)});
+    updates.push_back({connection, std::move(update), gateway.cursor});
   }
   dropRemoved();
   return updates;
--- a/src/registry/view_publisher.h
+++ b/src/registry/view_publisher.h
@@ -10,6 +10,7 @@
 #include "registry/turn_limit.h"
 #include "walnut/protocol/messages.h"
 #include "walnut/registry/messages.h"
+#include "walnut/registry/view_codec.h"
 
 namespace walnut::registry {
 
@@ -35,6 +36,7 @@
   struct Update {
     protocol::ConnectionId gateway;
     ViewUpdate update;
+    ViewCursor& cursor;  ///< For the encoder; valid until the gateway unsubscribes.
   };
   /// @param documentVersion of the one in force; 0: there is none.
   /// @return what to send now; of complete updates only a few at a time.
@@ -58,6 +60,7 @@
     std::uint64_t loadRevision = 0;  ///< Up to which it was told loads.
     base::TimePoint loadsSentAt;
     std::vector<base::Endpoint> servers;  ///< As it was last told.
+    ViewCursor cursor;
   };
   /// A worker's requests of all gateways; kept at 0, as gateways have to be told of that too.
   struct Load {
--- a/test/gateway/registry_follower_test.cpp
+++ b/test/gateway/registry_follower_test.cpp
@@ -165,3 +165,27 @@
   }
   CHECK_EQUAL(0, link.closes);
 }
+
+TEST(RegistryFollowerTest, aPackedViewOfTheFollowedServerIsTaken) {
+  connect();
+  registry::ViewUpdate view;
+  view.complete = true;
+  view.documentVersion = 4;
+  registry::ViewCursor cursor;
+  const std::string packed = registry::ViewEncoder().encode(view, cursor);
+  receive(connection + 1, registry::PackedView{packed});
+  CHECK_FALSE(session.following());
+  receive(connection, registry::PackedView{packed});
+  CHECK_TRUE(session.following());
+  CHECK_TRUE(gateway.behind());
+}
+
+/// Names of a view refer to those before it: after one that can't be read none is believed.
+TEST(RegistryFollowerTest, aPackedViewThatCantBeReadIsAskedForAnew) {
+  connect();
+  receiveView(1);
+  const std::size_t closes = link.closes;
+  receive(connection, registry::PackedView{"\xff"});
+  CHECK_EQUAL(closes + 1, link.closes);
+  CHECK_FALSE(session.following());
+}
--- a/test/registry/leader_duties_test.cpp
+++ b/test/registry/leader_duties_test.cpp
@@ -286,7 +286,7 @@
   for (const RegistryAction& action : actions) {
     if (const auto* sent = std::get_if<control::SendToConnection>(&action)) {
       const auto& body = std::get<RegistryMessage>(sent->message).body;
-      views.push_back(std::holds_alternative<ViewUpdate>(body));
+      views.push_back(std::holds_alternative<PackedView>(body));
     }
   }
   CHECK_TRUE(views == std::vector<bool>({true, false}));
@@ -306,7 +306,7 @@
   for (const RegistryAction& action : actions) {
     if (const auto* sent = std::get_if<control::SendToConnection>(&action)) {
       const auto& body = std::get<RegistryMessage>(sent->message).body;
-      if (std::holds_alternative<ViewUpdate>(body)) {
+      if (std::holds_alternative<PackedView>(body)) {
         viewed.insert(sent->connection);
       } else if (std::holds_alternative<DocumentPart>(body)) {
         CHECK_EQUAL(1, viewed.count(sent->connection));
--- a/test/registry/registry_cluster_test.cpp
+++ b/test/registry/registry_cluster_test.cpp
@@ -182,7 +182,7 @@
   for (const std::uint16_t port : ports) {
     const auto answers = cluster.subscribe(port);
     const bool told = std::any_of(answers.begin(), answers.end(), [](const MessageBody& body) {
-      return std::holds_alternative<ViewUpdate>(body) || std::holds_alternative<DocumentPart>(body);
+      return std::holds_alternative<PackedView>(body) || std::holds_alternative<DocumentPart>(body);
     });
     CHECK_EQUAL(port == leader, told);
   }
