gateway: streams that would begin late are refused at once; a silent worker keeps its stream unless it begins at once elsewhere

The queues of the few overloaded workers were 36 deep, some 6 s, while callers leave after 3.2 s: nobody was served in time. Change: a stream is taken from a silent worker only if another one has a free slot and the budget a retry, which is taken first. A gateway learns how long a stream holds a slot; one that would be queued for longer than its target latency is refused with 503 at once, Retry-After the time in which what queues will have begun. Expected wait counts in the choice of a worker. A worker that says it is full is believed until loads are told again, in place of being passed over as lacking the model. Origin of the bound: work that is late already makes all behind it late; with it refused, the same number of requests is served, in time (docs/DESIGN.md).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -113,12 +113,24 @@
     return;
   }
   const Selection selection = context_.selector().select(service_, facts_, excluded_, now());
-  if (selection.worker != nullptr) {
-    endWait();
-    launch(selection.worker);
+  if (selection.worker == nullptr) {
+    wait(selection.reason);
     return;
   }
-  wait(selection.reason);
+  endWait();
+  if (wouldBeginLate(selection)) {
+    refuse(mayHaveRun_ ? kBadGateway : kUnavailable, "all replicas are full",
+           selection.expectedWait);
+    return;
+  }
+  launch(selection.worker);
+}
+
+/// A stream that is queued for longer than its target is late, and so is all that queues behind it;
+/// refused, it leaves the slots to those that can be in time. A stream that has begun goes on.
+bool Exchange::wouldBeginLate(const Selection& selection) const {
+  return isStreaming() && !headSent_ && route_.targetLatency > base::Duration::zero() &&
+         selection.expectedWait > route_.targetLatency;
 }
 
 void Exchange::wait(NoWorkerReason reason) {
@@ -168,13 +180,12 @@
   facts.resumeAfter = headSent_ ? events_.lastId() : std::string();
   context_.dialect().writeAttempt(request_, facts);
   context_.selector().affinity().sent(facts_, worker->view.record.id);
-  context_.log().write(LogEvent::attemptStarted,
-                       {{"request", facts_.requestId},
-                        {"route", route_.name},
-                        {"document", document_->version},
-                        {"worker", worker->view.record.id.value},
-                        {"running", worker->running + std::uint64_t{worker->runningElsewhere}},
-                        {"earlier", arrivals_}});
+  context_.log().write(LogEvent::attemptStarted, {{"request", facts_.requestId},
+                                                  {"route", route_.name},
+                                                  {"document", document_->version},
+                                                  {"worker", worker->view.record.id.value},
+                                                  {"running", worker->runningTogether()},
+                                                  {"earlier", arrivals_}});
   if (isStreaming()) {
     armStall(std::max(kStallFloor, route_.targetLatency));
   }
@@ -231,7 +242,8 @@
     failFinally(reason);
     return;
   }
-  if (arrivals_ > 0 && !context_.takeRetry(service_)) {
+  const bool taken = std::exchange(retryTaken_, false);
+  if (arrivals_ > 0 && !taken && !context_.takeRetry(service_)) {
     failFinally("retry budget used up");
     return;
   }
@@ -280,21 +292,29 @@
 
 void Exchange::armStall(base::Duration patience) {
   if (route_.repeatable() && runs_ + 1 < route_.maxAttempts) {
+    stallPatience_ = patience;
     stallTimer_->enableAt(now() + patience);
   }
 }
 
-/// The worker has been silent for long: a stream that may be resumed goes on elsewhere, if it can.
+bool Exchange::beginsSoonerElsewhere() const {
+  std::set<registry::WorkerId> excluded = excluded_;
+  excluded.insert(worker_->view.record.id);
+  const Selection other = context_.selector().select(service_, facts_, excluded, now());
+  return other.worker != nullptr && !other.worker->full();
+}
+
+/// The worker has been silent for long: a stream that may be resumed goes on elsewhere, if it
+/// begins there at once. Else it keeps its place: most silent workers are busy, not lost.
 void Exchange::onStall() {
   if (state_ != State::attempting) {
     return;
   }
-  std::set<registry::WorkerId> excluded = excluded_;
-  excluded.insert(worker_->view.record.id);
-  const Selection other = context_.selector().select(service_, facts_, excluded, now());
-  if (other.worker == nullptr) {
+  if (!beginsSoonerElsewhere() || !context_.takeRetry(service_)) {
+    armStall(stallPatience_);
     return;
   }
+  retryTaken_ = true;
   context_.attemptFailed(*worker_);
   dropAttempt();
   attemptEnded(Executed::unknown, "the worker is silent");
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -111,6 +111,7 @@
   void onResponseFailure(const base::Error& error, bool sent) override;
 
   void choose();
+  bool wouldBeginLate(const Selection& selection) const;
   void wait(NoWorkerReason reason);
   void endWait();
   void launch(const WorkerDirectory::WorkerPtr& worker);
@@ -132,6 +133,7 @@
   void failFinally(std::string_view reason);
   void onDeadline();
   void onStall();
+  bool beginsSoonerElsewhere() const;
   void armStall(base::Duration patience);
   void onCallerGone();
   void onCallerDrained();
@@ -159,11 +161,13 @@
   std::uint32_t arrivals_ = 0;  ///< Attempts that reached a worker.
   std::uint32_t runs_ = 0;      ///< Attempts that have run, or may have.
   std::uint32_t backoffs_ = 0;
+  bool retryTaken_ = false;  ///< From the budget, for the next attempt.
 
   // Of the present attempt.
   std::unique_ptr<Attempt> attempt_;
   WorkerDirectory::WorkerPtr worker_;
   base::TimePoint attemptAt_;
+  base::Duration stallPatience_{0};  ///< Without a word of the worker, as last armed.
   net::HttpResponseHead head_;
   AnswerFacts answer_;
   bool headSeen_ = false;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -117,8 +117,10 @@
 void Exchange::onResponseComplete() {
   stallTimer_->disable();
   if (answer_.notExecuted) {
-    if (!facts_.model.empty()) {
-      // It does not hold it, is about to drop it, or is full.
+    if (worker_->full()) {
+      worker_->saidFull();
+    } else if (!facts_.model.empty()) {
+      // It does not hold it, or is about to drop it.
       worker_->missed(facts_.model, facts_.adapter,
                       now() + (facts_.adapter.empty() ? kMissedFor : kMissedAdapterFor));
     }
@@ -159,6 +161,9 @@
     worker_->failures.observe(false, now());
   }
   releaseAttempt();
+  if (headSent_ && runs_ == 0) {
+    context_.selector().slotHeld(service_, now() - firstEventAt_);
+  }
   if (!headSent_) {
     sink_.beginChunked(head_);
   }
--- a/src/gateway/worker_directory.cpp
+++ b/src/gateway/worker_directory.cpp
@@ -10,6 +10,9 @@
 
 constexpr double kSampleWeight = 0.2;
 constexpr double kFadeSeconds = 4.0;
+/// Requests at a worker whose queue is full, as a multiple of its slots, at the least: queues are
+/// as long as the slots or longer on all deployments seen.
+constexpr std::uint32_t kFullQueueFactor = 2;
 
 }  // namespace
 
@@ -54,6 +57,11 @@
   }
 }
 
+void Worker::saidFull() {
+  const std::uint32_t least = kFullQueueFactor * view.record.slots;
+  runningElsewhere = std::max(runningElsewhere, least > running ? least - running : 0);
+}
+
 void Worker::missed(const std::string& model, const std::string& adapter, base::TimePoint until) {
   missedUntil_[{model, adapter}] = until;
 }
--- a/src/gateway/worker_directory.h
+++ b/src/gateway/worker_directory.h
@@ -48,6 +48,13 @@
   void ended(const std::string& model);
   /// @}
 
+  /// @return requests of all gateways that are there, as far as is known.
+  std::uint32_t runningTogether() const { return running + runningElsewhere; }
+  /// @return true if all its slots are taken, as far as is known; never if it did not tell of any.
+  bool full() const { return view.record.slots > 0 && runningTogether() >= view.record.slots; }
+  /// The worker said that its queue is full as well: believed until loads are told again.
+  void saidFull();
+
   /// The worker said that it does not hold it: not to be asked again for a while.
   void missed(const std::string& model, const std::string& adapter, base::TimePoint until);
 
--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -92,22 +92,38 @@
   const registry::WorkerId* preferred = affinity_.find(facts);
   double bestCost = std::numeric_limits<double>::infinity();
   for (const WorkerDirectory::WorkerPtr& worker : usable) {
-    const double price = cost(*worker, typical, preferred, now);
+    const double price =
+        cost(*worker, typical, preferred, now) + seconds(expectedWait(service, *worker));
     if (price < bestCost) {
       bestCost = price;
       selection.worker = worker;
     }
   }
+  if (selection.worker != nullptr) {
+    selection.expectedWait = expectedWait(service, *selection.worker);
+  }
   return selection;
 }
 
+/// What waits there begins as what runs ends: a slot is free each slot time / slots.
+base::Duration WorkerSelector::expectedWait(const std::string& service,
+                                            const Worker& worker) const {
+  const auto slotTime = slotTimes_.find(service);
+  if (!worker.full() || slotTime == slotTimes_.end()) {
+    return base::Duration::zero();
+  }
+  const std::uint32_t slots = worker.view.record.slots;
+  const std::uint32_t before = worker.runningTogether() - slots + 1;
+  return *slotTime->second.value() * before / slots;
+}
+
 double WorkerSelector::cost(const Worker& worker, double typicalLatency,
                             const registry::WorkerId* preferred, base::TimePoint now) const {
   const double own = worker.latency.value() ? seconds(*worker.latency.value()) : typicalLatency;
   double cost = kLatencyFloor * typicalLatency + (1 - kLatencyFloor) * own;
   const double slots =
       worker.view.record.slots == 0 ? kDefaultSlots : static_cast<double>(worker.view.record.slots);
-  const double running = static_cast<double>(worker.running) + worker.runningElsewhere;
+  const double running = worker.runningTogether();
   cost *= 1 + (kFullFactor - 1) * running / slots;
   cost *= 1 + kFailureFactor * worker.failures.value(now);
   if (worker.view.record.zone != zone_) {
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -4,11 +4,13 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
 
 #include "gateway/worker_directory.h"
+#include "routing/moving_average.h"
 #include "walnut/gateway/dialect.h"
 
 namespace walnut::gateway {
@@ -24,6 +26,8 @@
 struct Selection {
   WorkerDirectory::WorkerPtr worker;  ///< Null: see `reason`.
   NoWorkerReason reason = NoWorkerReason::noWorkers;
+  /// Until a slot of the worker is expected to be free; zero if one is, or if that is not known.
+  base::Duration expectedWait{0};
 };
 
 /// Remembers which worker read a prompt last, as its cache holds the prompt's shared parts. A
@@ -59,8 +63,13 @@
   Selection select(const std::string& service, const RequestFacts& facts,
                    const std::set<registry::WorkerId>& excluded, base::TimePoint now) const;
   PromptAffinity& affinity() { return affinity_; }
+  /// A stream of that service has ended, and held a slot of its worker for so long.
+  void slotHeld(const std::string& service, base::Duration held) {
+    slotTimes_[service].observe(held);
+  }
 
  private:
+  base::Duration expectedWait(const std::string& service, const Worker& worker) const;
   double cost(const Worker& worker, double typicalLatency, const registry::WorkerId* preferred,
               base::TimePoint now) const;
 
@@ -68,6 +77,7 @@
   const base::ZoneId zone_;
   const ConnectedTo connectedTo_;
   PromptAffinity affinity_;
+  std::map<std::string, routing::MovingAverage> slotTimes_;  ///< Of streams, by service.
 };
 
 }  // namespace walnut::gateway
--- a/test/gateway/exchange_test.cpp
+++ b/test/gateway/exchange_test.cpp
@@ -13,6 +13,32 @@
   GatewayHarness harness;
   const Sent& sent(std::size_t index) { return *harness.launcher.sent.at(index); }
   std::size_t sentCount() { return harness.launcher.sent.size(); }
+
+  /// The leader tells how many requests of all gateways are at each worker.
+  void load(std::initializer_list<std::uint32_t> running) {
+    registry::ViewUpdate update;
+    std::size_t number = 0;
+    for (const std::uint32_t count : running) {
+      update.loads.push_back({GatewayHarness::worker(++number).record.id, {}, count});
+    }
+    harness.gateway.viewReceived(update);
+  }
+  /// A stream runs for a second from its first event on, so that the gateway knows how long one
+  /// holds a slot.
+  void runAStream(const char* id) {
+    const auto caller = harness.request("stream", id);
+    const Sent& attempt = *harness.launcher.sent.back();
+    harness.scheduler.advance(50ms);
+    harness.head(attempt, 200, id, true);
+    attempt.callbacks->onResponseBody("id: 1\n\n");
+    for (int event = 0; event < 4; ++event) {
+      harness.scheduler.advance(250ms);
+      attempt.callbacks->onResponseBody("id: 2\n\n");
+    }
+    attempt.callbacks->onResponseComplete();
+    harness.scheduler.settle();
+    harness.launcher.sent.clear();
+  }
 };
 
 TEST(ExchangeTest, withoutADocumentNothingIsRefusedForGood) {
@@ -278,3 +304,77 @@
   CHECK_TRUE(sentCount() <= 500 + 70 + 70);
   CHECK_TRUE(sentCount() > 500 + 100);
 }
+
+/// Seen on muisti-prod-large: streams that waited in the queue of a full worker were given up there
+/// and ended as failures, as no retry was left.
+TEST(ExchangeTest, aSilentWorkerKeepsItsStreamIfNoRetryIsLeft) {
+  harness.declare(2);
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int number = 0; number < 200; ++number) {
+    callers.push_back(harness.request("safe", "s" + std::to_string(number)));
+    harness.answer(*harness.launcher.sent.back(), 500, "s" + std::to_string(number), "");
+  }
+  harness.launcher.sent.clear();
+  const auto caller = harness.request("stream", "r1");
+  harness.scheduler.advance(3s);
+  CHECK_EQUAL(1, sentCount());
+  CHECK_FALSE(sent(0).cancelled);
+  CHECK_EQUAL(0, caller->status);
+}
+
+TEST(ExchangeTest, aSilentWorkerKeepsItsStreamIfTheOthersAreFull) {
+  harness.declare(2);
+  const auto caller = harness.request("stream", "r1");
+  load({9, 9});
+  harness.scheduler.advance(3s);
+  CHECK_EQUAL(1, sentCount());
+  load({9, 0});
+  harness.scheduler.advance(2s);
+  CHECK_EQUAL(2, sentCount());
+  CHECK_TRUE(sent(0).cancelled);
+}
+
+TEST(ExchangeTest, aStreamThatWouldBeginLateIsRefusedAtOnce) {
+  harness.declare(2);
+  runAStream("r0");
+  load({9, 9});
+  const auto caller = harness.request("stream", "r1", "");
+  CHECK_EQUAL(0, sentCount());
+  CHECK_EQUAL(503, caller->status);
+  CHECK(caller->headers.find("Retry-After") != nullptr);
+}
+
+TEST(ExchangeTest, aStreamThatBeginsInTimeWaitsAtAFullWorker) {
+  harness.declare(2);
+  runAStream("r0");
+  load({9, 4});
+  const auto caller = harness.request("stream", "r1");
+  CHECK_EQUAL(1, sentCount());
+  STRCMP_EQUAL("w2", sent(0).worker.id.value.c_str());
+}
+
+TEST(ExchangeTest, aStreamThatHasBegunIsNotRefusedForItsQueue) {
+  harness.declare(2);
+  runAStream("r0");
+  const auto caller = harness.request("stream", "r1");
+  harness.head(sent(0), 200, "r1", true);
+  sent(0).callbacks->onResponseBody("id: 1\n\n");
+  load({9, 9});
+  harness.lose(sent(0));
+  CHECK_EQUAL(2, sentCount());
+  CHECK_FALSE(caller->aborted);
+}
+
+TEST(ExchangeTest, aWorkerThatSaysItIsFullIsBelieved) {
+  harness.declare(1);
+  runAStream("r0");
+  load({4});
+  const auto first = harness.request("stream", "r1");
+  harness.refuse(sent(0), 503, "r1");
+  harness.scheduler.advance(100ms);
+  CHECK_EQUAL(1, sentCount());
+  CHECK_EQUAL(503, first->status);
+  load({2});
+  const auto second = harness.request("stream", "r2");
+  CHECK_EQUAL(2, sentCount());
+}
