--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -38,6 +38,11 @@
   return server;
 }
 
+gateway::GatewayOptions withSeed(gateway::GatewayOptions options) {
+  options.selection.seed = runtime::randomSeed();
+  return options;
+}
+
 }  // namespace
 
 GatewayHost::GatewayHost(const GatewaySettings& settings, const gateway::RequestDialect& dialect,
@@ -47,7 +52,7 @@
       log_(log),
       launcher_(dispatcher_, poolOptions()),
       session_(settings.session, dispatcher_, *this, log, runtime::randomSeed()),
-      gateway_(settings.logic, dispatcher_, dialect, launcher_, session_, log, metrics_),
+      gateway_(withSeed(settings.logic), dispatcher_, dialect, launcher_, session_, log, metrics_),
       follower_(dispatcher_, session_, gateway_, log),
       probe_(*this),
       stopTimer_(dispatcher_.createTimer([this] { checkStopped(); })) {
@@ -61,7 +66,7 @@
   options.listen = false;
   options.hello.role = protocol::PeerRole::router;
   options.hello.id = runtime::randomSeed();
-  options.hello.zone = settings_.logic.zone;
+  options.hello.zone = settings_.logic.selection.zone;
   BOOST_OUTCOME_TRY(
       transport, transport::makeTransport(options, [this](transport::Event event) {
         dispatcher_.post([this, event = std::move(event)]() mutable { takeEvent(event); });
--- a/src/daemon/gateway_program.cpp
+++ b/src/daemon/gateway_program.cpp
@@ -45,7 +45,7 @@
             {{"version", WALNUT_VERSION},
              {"name", binder.settings().name},
              {"listen", runtime::formatEndpoint(host.frontEndpoint())},
-             {"zone", binder.settings().logic.zone.value},
+             {"zone", binder.settings().logic.selection.zone.value},
              {"servers", static_cast<std::uint64_t>(binder.settings().session.servers.size())}});
   log.flush();
   host.run();
--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -48,7 +48,7 @@
 }
 
 base::Result<void> GatewaySettingsBinder::resolve() {
-  settings_.logic.zone = {zone_};
+  settings_.logic.selection.zone = {zone_};
   settings_.session.servers = internalEndpoints(seeds_, peerPort_);
   settings_.stopTimeout = std::chrono::seconds(graceSeconds_) - kGraceMargin;
   return base::success();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,7 +38,7 @@
       session_(session),
       log_(log),
       metrics_(metrics),
-      selector_(directory_, options.zone,
+      selector_(directory_, options.selection,
                 [&launcher](const registry::WorkerId& id) { return launcher.connected(id); }),
       demandTimer_(scheduler.createTimer([this] { reportDemand(); })),
       earlyTimer_(scheduler.createTimer([this] { refuseLateEarly(); })) {}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,7 +18,7 @@
 namespace walnut::gateway {
 
 struct GatewayOptions {
-  base::ZoneId zone;
+  WorkerSelectorOptions selection;
   /// Arrivals at the workers of a service beyond the first of each request, over all gateways: this
   /// share of its requests, and so many more in a window.
   double retryRatio = 0.2;
--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -64,7 +64,7 @@
 
 Selection WorkerSelector::select(const std::string& service, const RequestFacts& facts,
                                  const std::set<registry::WorkerId>& excluded,
-                                 base::TimePoint now) const {
+                                 base::TimePoint now) {
   Selection selection;
   std::vector<WorkerDirectory::WorkerPtr> usable;
   double latencySum = 0;
@@ -118,7 +118,7 @@
 }
 
 double WorkerSelector::cost(const Worker& worker, double typicalLatency,
-                            const registry::WorkerId* preferred, base::TimePoint now) const {
+                            const registry::WorkerId* preferred, base::TimePoint now) {
   const double own = worker.latency.value() ? seconds(*worker.latency.value()) : typicalLatency;
   double cost = kLatencyFloor * typicalLatency + (1 - kLatencyFloor) * own;
   const double slots =
@@ -126,7 +126,7 @@
   const double running = worker.runningTogether();
   cost *= 1 + (kFullFactor - 1) * running / slots;
   cost *= 1 + kFailureFactor * worker.failures.value(now);
-  if (worker.view.record.zone != zone_) {
+  if (worker.view.record.zone != options_.zone) {
     cost *= kOtherZoneFactor;
   }
   if (!connectedTo_(worker.view.record.id)) {
@@ -135,6 +135,7 @@
   if (preferred != nullptr && *preferred == worker.view.record.id) {
     cost *= kKnownPromptFactor;
   }
+  cost *= 1 + options_.spread * random_.unit();
   return worker.view.silent ? cost * kSilentFactor : cost;
 }
 
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -11,6 +11,7 @@
 
 #include "gateway/worker_directory.h"
 #include "routing/moving_average.h"
+#include "walnut/base/random.h"
 #include "walnut/gateway/dialect.h"
 
 namespace walnut::gateway {
@@ -49,6 +50,14 @@
   std::list<std::string> byUse_;  ///< Most recently used first.
 };
 
+struct WorkerSelectorOptions {
+  base::ZoneId zone;
+  /// Expected times that differ by up to this share count as equal. All gateways have the same
+  /// loads of some hundred ms ago: without it each of them would choose the same worker meanwhile.
+  double spread = 0.3;
+  std::uint64_t seed = 0;
+};
+
 /// Picks the worker with the least expected time: its observed latency, grown by the requests that
 /// run there and by its failures; workers of the own zone and those that know the prompt are
 /// preferred when that makes no great difference.
@@ -57,11 +66,15 @@
   /// Whether a request to a worker would need no new connection.
   using ConnectedTo = std::function<bool(const registry::WorkerId&)>;
 
-  WorkerSelector(const WorkerDirectory& directory, base::ZoneId zone, ConnectedTo connectedTo)
-      : directory_(directory), zone_(std::move(zone)), connectedTo_(std::move(connectedTo)) {}
+  WorkerSelector(const WorkerDirectory& directory, const WorkerSelectorOptions& options,
+                 ConnectedTo connectedTo)
+      : directory_(directory),
+        options_(options),
+        random_(options.seed),
+        connectedTo_(std::move(connectedTo)) {}
 
   Selection select(const std::string& service, const RequestFacts& facts,
-                   const std::set<registry::WorkerId>& excluded, base::TimePoint now) const;
+                   const std::set<registry::WorkerId>& excluded, base::TimePoint now);
   PromptAffinity& affinity() { return affinity_; }
   /// A stream of that service has ended, and held a slot of its worker for so long.
   void slotHeld(const std::string& service, base::Duration held) {
@@ -71,10 +84,11 @@
  private:
   base::Duration expectedWait(const std::string& service, const Worker& worker) const;
   double cost(const Worker& worker, double typicalLatency, const registry::WorkerId* preferred,
-              base::TimePoint now) const;
+              base::TimePoint now);
 
   const WorkerDirectory& directory_;
-  const base::ZoneId zone_;
+  const WorkerSelectorOptions options_;
+  base::Random random_;
   const ConnectedTo connectedTo_;
   PromptAffinity affinity_;
   std::map<std::string, routing::MovingAverage> slotTimes_;  ///< Of streams, by service.
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -188,6 +188,7 @@
   static GatewayOptions options() {
     GatewayOptions made;
     made.retrySlack = 100;
+    made.selection.spread = 0;
     return made;
   }
 
--- a/test/gateway/worker_selector_test.cpp
+++ b/test/gateway/worker_selector_test.cpp
@@ -16,7 +16,7 @@
   const base::TimePoint now = base::TimePoint(100s);
   WorkerDirectory directory;
   std::set<std::string> unconnected;
-  WorkerSelector selector{directory, {"here"}, [this](const registry::WorkerId& id) {
+  WorkerSelector selector{directory, {{"here"}, 0, 0}, [this](const registry::WorkerId& id) {
                             return unconnected.count(id.value) == 0;
                           }};
 
@@ -112,3 +112,34 @@
   directory.apply(complete);
   CHECK_EQUAL(0, worker("w1").runningElsewhere);
 }
+
+/// Gateways learn of each other's requests some hundred ms late. Seen on muisti-prod-large: those
+/// that came in that time all went to one worker, and its streams paused while it read the prompts.
+TEST(WorkerSelectorTest, gatewaysThatKnowTheSameDontAllChooseTheSame) {
+  constexpr std::size_t kWorkers = 6;
+  constexpr int kGateways = 60;
+  know(kWorkers);
+  std::map<std::string, int> chosenBy;
+  for (int gateway = 1; gateway <= kGateways; ++gateway) {
+    WorkerSelectorOptions options;
+    options.zone = {"here"};
+    options.seed = static_cast<std::uint64_t>(gateway);
+    WorkerSelector other(directory, options, [](const registry::WorkerId&) { return true; });
+    ++chosenBy[other.select("svc", {}, {}, now).worker->view.record.id.value];
+  }
+  CHECK_EQUAL(kWorkers, chosenBy.size());
+  for (const auto& [worker, count] : chosenBy) {
+    CHECK_TRUE(count <= kGateways / 3);
+  }
+}
+
+TEST(WorkerSelectorTest, aMuchBusierWorkerIsNeverChosen) {
+  constexpr std::uint64_t kGateways = 60;
+  know(2);
+  worker("w1").runningElsewhere = 2;  // Of 4 slots.
+  for (std::uint64_t gateway = 1; gateway <= kGateways; ++gateway) {
+    WorkerSelector other(directory, {{"here"}, WorkerSelectorOptions().spread, gateway},
+                         [](const registry::WorkerId&) { return true; });
+    STRCMP_EQUAL("w2", other.select("svc", {}, {}, now).worker->view.record.id.value.c_str());
+  }
+}
