--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -39,6 +39,7 @@
   workerHeard,
   breakerOpened,
   orderTurn,
+  placementDecided,
   orderSent,
   orderCancelled,
   orderFinished,
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -137,6 +137,7 @@
   const bool first = !waiting_;
   if (first) {
     waiting_ = true;
+    waitBeganAt_ = now();
     context_.metrics().count("walnut_gateway_waits_total", std::string(reasonName(reason)));
     context_.waitBegan(service_, facts_, route_);
     context_.log().write(LogEvent::requestWaiting, {{"request", facts_.requestId},
@@ -159,6 +160,7 @@
 
 void Exchange::endWait() {
   if (std::exchange(waiting_, false)) {
+    waited_ += now() - waitBeganAt_;
     context_.waitEnded(service_, facts_);
   }
 }
@@ -366,10 +368,14 @@
        {"status", static_cast<std::uint64_t>(status)},
        {"outcome", outcome},
        {"model", facts_.model},
+       {"adapter", facts_.adapter},
        {"worker", worker_ == nullptr ? "" : worker_->view.record.id.value},
        {"attempts", runs_ + std::uint64_t{accepted_}},
        {"first", millisOf(headSent_ ? firstEventAt_ - arrivedAt_ : base::Duration::zero())},
        {"gap", millisOf(longestGap_)},
+       {"waited", millisOf(waited_)},
+       {"target", millisOf(route_.targetLatency)},
+       {"target-gap", millisOf(route_.targetGap)},
        {"millis", millisOf(now() - arrivedAt_)}});
   context_.ended(*this, status);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -157,6 +157,8 @@
 
   std::set<registry::WorkerId> excluded_;  ///< Not to be chosen again for now.
   bool waiting_ = false;
+  base::TimePoint waitBeganAt_;
+  base::Duration waited_{0};    ///< For a worker that could be had, in all.
   bool mayHaveRun_ = false;     ///< Some earlier attempt has run, or may have.
   std::uint32_t arrivals_ = 0;  ///< Attempts that reached a worker.
   std::uint32_t runs_ = 0;      ///< Attempts that have run, or may have.
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -19,6 +19,46 @@
 /// Of a worker that has an order under way: an order and its answer.
 constexpr base::Duration kLeastBusyTime = std::chrono::milliseconds(50);
 
+constexpr double kPercent = 100;
+constexpr double kMillis = 1000;
+
+std::uint64_t rounded(double value) {
+  constexpr double kMost = 1e12;
+  return static_cast<std::uint64_t>(std::clamp(value, 0.0, kMost));
+}
+
+std::string_view reasonName(WantReason reason) {
+  switch (reason) {
+    case WantReason::spare:
+      return "spare";
+    case WantReason::queueing:
+      return "queueing";
+    case WantReason::cold:
+      return "cold";
+  }
+  return "unknown";
+}
+
+std::string_view outcomeName(WantOutcome outcome) {
+  switch (outcome) {
+    case WantOutcome::loaded:
+      return "loaded";
+    case WantOutcome::roomMade:
+      return "room-made";
+    case WantOutcome::waitsForWorker:
+      return "waits-for-worker";
+    case WantOutcome::waitsForUse:
+      return "waits-for-use";
+    case WantOutcome::waitsForStore:
+      return "waits-for-store";
+    case WantOutcome::notWorth:
+      return "not-worth";
+    case WantOutcome::noWorker:
+      return "no-worker";
+  }
+  return "unknown";
+}
+
 void noteOrder(PlacementWorker& worker, OrderOperation operation, const std::string& model) {
   (operation == OrderOperation::load ? worker.arriving : worker.retiring) = model;
 }
@@ -296,7 +336,35 @@
   store.setLimit(service.engine->storeLoadsPerSecond,
                  {options_.storeWindow, options_.storeOvershoot}, now);
   countForeignLoads(service, store);
-  carryOut(policy.plan(*service.engine, workers, demand_, store, now), now);
+  const std::vector<PlacementStep> steps =
+      policy.plan(*service.engine, workers, demand_, store, now);
+  logDecisions(policy, store, now);
+  carryOut(steps, now);
+}
+
+/// One line for each change of what is decided about a model, with what decided it.
+void LeaderDuties::logDecisions(PlacementPolicy& policy, const StoreScheduler& store,
+                                base::TimePoint now) {
+  const auto storeWait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(store.expectedWait(now));
+  for (const PlacementDecision& decision : policy.takeDecisions()) {
+    log_.write(LogEvent::placementDecided,
+               {{"model", decision.model},
+                {"reason", reasonName(decision.reason)},
+                {"outcome", outcomeName(decision.outcome)},
+                {"waiting", decision.waiting},
+                {"queued", rounded(decision.queued)},
+                {"rate-percent", rounded(kPercent * decision.rate)},
+                {"replicas", decision.replicas},
+                {"worker", decision.worker.value},
+                {"victim", decision.victim},
+                {"cost-millis", rounded(kMillis * decision.cost)},
+                {"worth-millis", rounded(kMillis * decision.worth)},
+                {"tier", std::string_view(decision.fromStore ? "store" : "near")},
+                {"store-loads", std::uint64_t{store.underWay()}},
+                {"store-limit", std::uint64_t{store.limit()}},
+                {"store-wait", static_cast<std::uint64_t>(storeWait.count())}});
+  }
 }
 
 /// An order of a former leader that is under way may be a load from the store.
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -98,6 +98,7 @@
   void claimOrders(base::TimePoint now);
   base::Duration expectedTime(const PlacementStep& step, const WorkerRecord& record,
                               const WorkerStatus& status) const;
+  void logDecisions(PlacementPolicy& policy, const StoreScheduler& store, base::TimePoint now);
   void countForeignLoads(const catalog::Service& service, StoreScheduler& store);
   void forgetLoad(const WorkerRecord& record);
   void logEndedOrder(const WorkerId& id, WorkerStatus& status, base::TimePoint now);
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -1,6 +1,8 @@
 #include "registry/placement.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -45,7 +47,9 @@
   dropEndedWakes(round);
   // An adapter takes some ms, a model seconds in which its worker takes no adapter.
   placeAdapters(round);
-  for (const Want& want : wants(round)) {
+  const std::vector<Want> wanted = wants(round);
+  forgetNotes(wanted);
+  for (const Want& want : wanted) {
     wake(round, want);
   }
   return round.takeSteps();
@@ -100,22 +104,86 @@
   return round.mayOrder(worker) && !worker.arriving && !worker.retiring;
 }
 
+WantOutcome PlacementPolicy::outcomeOf(const PlacementRound& round, const Choice& choice,
+                                       double worth) {
+  if (choice.worker == nullptr) {
+    return WantOutcome::noWorker;
+  }
+  if (choice.cost >= worth) {
+    return WantOutcome::notWorth;
+  }
+  if (choice.fromStore && !round.store().allows()) {
+    return WantOutcome::waitsForStore;
+  }
+  if (!isFree(round, *choice.worker)) {
+    return WantOutcome::waitsForWorker;
+  }
+  if (choice.room.waits) {
+    return WantOutcome::waitsForUse;
+  }
+  return choice.room.unloads.empty() ? WantOutcome::loaded : WantOutcome::roomMade;
+}
+
 void PlacementPolicy::wake(PlacementRound& round, const Want& want) {
   const Choice choice = choose(round, want);
   const double worth =
       want.urgent() ? kUrgentReplicaWorth : kSecondReplicaWorth * round.figures(want.model).rate;
-  if (choice.worker == nullptr || choice.cost >= worth) {
+  const WantOutcome outcome = outcomeOf(round, choice, worth);
+  note(round, want, choice, worth, outcome);
+  switch (outcome) {
+    case WantOutcome::noWorker:
+    case WantOutcome::notWorth:
+    case WantOutcome::waitsForStore:
+      return;
+    case WantOutcome::loaded:
+    case WantOutcome::roomMade:
+      carryOut(round, want.model, choice);
+      break;
+    case WantOutcome::waitsForWorker:
+    case WantOutcome::waitsForUse:
+      break;
+  }
+  const ModelSpec& model = *round.spec(want.model);
+  const WeightTier tier = round.tier(*choice.worker, want.model);
+  queued_[choice.worker->id] += kOrderGapSeconds + seconds(PlacementRound::loadTime(tier, model));
+}
+
+void PlacementPolicy::note(const PlacementRound& round, const Want& want, const Choice& choice,
+                           double worth, WantOutcome outcome) {
+  const std::pair<WantReason, WantOutcome> present(want.reason, outcome);
+  const bool ordered = outcome == WantOutcome::loaded || outcome == WantOutcome::roomMade;
+  const auto [noted, added] = noted_.try_emplace(want.model, present);
+  if (!ordered && !added && noted->second == present) {
     return;
   }
-  const bool storeFull = choice.fromStore && !round.store().allows();
-  if (isFree(round, *choice.worker) && !storeFull && !choice.room.waits) {
-    carryOut(round, want.model, choice);
+  noted->second = present;
+  const DemandFigures figures = round.figures(want.model);
+  const PlacementRound::Replicas replicas = round.replicas(want.model);
+  PlacementDecision decision;
+  decision.model = want.model;
+  decision.reason = want.reason;
+  decision.outcome = outcome;
+  decision.waiting = figures.waiting;
+  decision.queued = replicas.queued;
+  decision.rate = figures.rate;
+  decision.replicas = replicas.present;
+  decision.worth = worth;
+  if (choice.worker != nullptr) {
+    decision.worker = choice.worker->id;
+    decision.victim = choice.room.unloads.empty() ? std::string() : choice.room.unloads.front();
+    decision.cost = choice.cost;
+    decision.fromStore = choice.fromStore;
   }
-  if (!storeFull) {
-    const ModelSpec& model = *round.spec(want.model);
-    const WeightTier tier = round.tier(*choice.worker, want.model);
-    queued_[choice.worker->id] += kOrderGapSeconds + seconds(PlacementRound::loadTime(tier, model));
+  decisions_.push_back(std::move(decision));
+}
+
+/// A model that is wanted again later is noted again.
+void PlacementPolicy::forgetNotes(const std::vector<Want>& wanted) {
+  std::set<std::string_view> models;
+  for (const Want& want : wanted) {
+    models.insert(want.model);
   }
+  std::erase_if(noted_, [&models](const auto& entry) { return models.count(entry.first) == 0; });
 }
 
 /// @return what it costs that a worker can take no other order for that long: of the loads that
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -55,6 +55,43 @@
   std::set<std::pair<std::string, std::string>> newAdapters;
 };
 
+/// Why a model should have another replica, the most urgent last.
+enum class WantReason : std::uint8_t {
+  spare,     ///< Its replicas are busy, or the only one might be lost.
+  queueing,  ///< Requests wait at its workers, beyond what replicas on their way will take.
+  cold,      ///< Requests wait, and no worker serves it or is about to.
+};
+
+/// What was decided about a model that should have another replica.
+enum class WantOutcome : std::uint8_t {
+  loaded,          ///< Its load was ordered.
+  roomMade,        ///< An unload was ordered for it.
+  waitsForWorker,  ///< The best worker takes no order now.
+  waitsForUse,     ///< What would make room has requests that soon end.
+  waitsForStore,   ///< The weight store has no place for another load.
+  notWorth,        ///< It would cost others more than it is worth.
+  noWorker,        ///< None could hold it.
+};
+
+/// A decision with what decided it, for the log.
+struct PlacementDecision {
+  std::string model;
+  WantReason reason = WantReason::spare;
+  WantOutcome outcome = WantOutcome::noWorker;
+  std::uint32_t waiting = 0;  ///< Requests at gateways.
+  double queued = 0;          ///< Requests that wait for a slot of its workers.
+  double rate = 0;            ///< Arrivals a second.
+  std::uint32_t replicas = 0;
+  WorkerId worker;     ///< The best one, if any.
+  std::string victim;  ///< What makes room there first; empty: nothing needs to.
+  /// @name In seconds of a request's wait
+  /// @{
+  double cost = 0;
+  double worth = 0;
+  /// @}
+  bool fromStore = false;
+};
+
 class PlacementRound;
 
 /// Running requests per replica, as a share of a worker's slots, from which another replica is
@@ -82,6 +119,8 @@
                                   const std::vector<PlacementWorker>& workers,
                                   const DemandBook& demand, StoreScheduler& store,
                                   base::TimePoint now);
+  /// @return what the last run decided; of a model that goes on waiting for the same only once.
+  std::vector<PlacementDecision> takeDecisions() { return std::exchange(decisions_, {}); }
 
  private:
   /// Room is being made for a model.
@@ -89,12 +128,6 @@
     WorkerId worker;
     base::TimePoint since;
   };
-  /// Why a model should have another replica, the most urgent last.
-  enum class WantReason : std::uint8_t {
-    spare,     ///< Its replicas are busy, or the only one might be lost.
-    queueing,  ///< Requests wait at its workers, beyond what replicas on their way will take.
-    cold,      ///< Requests wait, and no worker serves it or is about to.
-  };
   /// A model that should have another replica.
   struct Want {
     double worth = 0;  ///< By which wants are ordered among those for which requests wait or not.
@@ -114,6 +147,10 @@
   static std::vector<Want> wants(const PlacementRound& round);
   static std::optional<Want> wantOf(const PlacementRound& round, const std::string& model);
   void wake(PlacementRound& round, const Want& want);
+  static WantOutcome outcomeOf(const PlacementRound& round, const Choice& choice, double worth);
+  void note(const PlacementRound& round, const Want& want, const Choice& choice, double worth,
+            WantOutcome outcome);
+  void forgetNotes(const std::vector<Want>& wanted);
   Choice choose(PlacementRound& round, const Want& want) const;
   static bool isFree(const PlacementRound& round, const PlacementWorker& worker);
   double blockCost(const PlacementRound& round, base::Duration duration) const;
@@ -127,6 +164,9 @@
   DecayingRate loadRate_;              ///< Of loads of models, on all workers.
   /// Seconds that models decided on in this run keep their workers, beyond the present order.
   std::map<WorkerId, double> queued_;
+  std::vector<PlacementDecision> decisions_;
+  /// By model, what was last noted of those that should have another replica.
+  std::map<std::string, std::pair<WantReason, WantOutcome>> noted_;
 };
 
 }  // namespace walnut::registry
--- a/src/registry/placement_round.h
+++ b/src/registry/placement_round.h
@@ -37,6 +37,7 @@
   const std::vector<PlacementWorker>& workers() const { return workers_; }
   const DemandBook& demand() const { return demand_; }
   StoreScheduler& store() { return store_; }
+  const StoreScheduler& store() const { return store_; }
   base::TimePoint now() const { return now_; }
 
   /// @return the model's declaration, or nullptr.
--- a/src/runtime/event_log.cpp
+++ b/src/runtime/event_log.cpp
@@ -7,17 +7,17 @@
 namespace {
 
 /// In the order of LogEvent.
-constexpr std::array<std::string_view, 38> kNames = {
-    "process-started",    "process-stopping",    "process-stopped",  "settings-reloaded",
-    "dependency-lost",    "dependency-regained", "lines-dropped",    "role-changed",
-    "membership-changed", "member-proposed",     "document-stored",  "document-refused",
-    "document-taken",     "document-behind",     "document-stuck",   "document-delivered",
-    "view-refused",       "gateway-subscribed",  "loop-held-up",     "worker-stored",
-    "worker-forgotten",   "worker-silent",       "worker-heard",     "breaker-opened",
-    "order-turn",         "order-sent",          "order-cancelled",  "order-finished",
-    "model-order-ended",  "report-read",         "call-unavailable", "request-refused",
-    "request-waiting",    "attempt-started",     "attempt-failed",   "request-resumed",
-    "request-ended",      "request-left"};
+constexpr std::array<std::string_view, 39> kNames = {
+    "process-started",    "process-stopping",    "process-stopped", "settings-reloaded",
+    "dependency-lost",    "dependency-regained", "lines-dropped",   "role-changed",
+    "membership-changed", "member-proposed",     "document-stored", "document-refused",
+    "document-taken",     "document-behind",     "document-stuck",  "document-delivered",
+    "view-refused",       "gateway-subscribed",  "loop-held-up",    "worker-stored",
+    "worker-forgotten",   "worker-silent",       "worker-heard",    "breaker-opened",
+    "order-turn",         "placement-decided",   "order-sent",      "order-cancelled",
+    "order-finished",     "model-order-ended",   "report-read",     "call-unavailable",
+    "request-refused",    "request-waiting",     "attempt-started", "attempt-failed",
+    "request-resumed",    "request-ended",       "request-left"};
 static_assert(kNames.size() == static_cast<std::size_t>(LogEvent::requestLeft) + 1);
 
 }  // namespace
