--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::uint64_t kMaxMillis = 600'000;
 constexpr std::uint64_t kMaxAttempts = 1000;
+constexpr std::size_t kMaxFiles = 10'000;  ///< Of logs: a file for each process of a deployment.
 
 struct CommandEntry {
   const char* name;
@@ -36,6 +37,7 @@
     {"status", Command::status, 0, 0, "none"},
     {"drain", Command::drain, 1, 1, "ENGINE"},
     {"member", Command::member, 2, 2, "add ID@PEER@API@ZONE | remove ID"},
+    {"explain", Command::explain, 1, kMaxFiles, "FILE..."},
 };
 
 enum class Flag : std::uint8_t {
@@ -53,6 +55,8 @@
   requestId,
   reason,
   undo,
+  request,
+  losses,
 };
 
 /// A flag and the subcommands that take it; with none named, all of them do.
@@ -82,6 +86,8 @@
        {Command::apply, Command::remove, Command::drain, Command::member}},
       {"reason", Flag::reason, true, {Command::drain}},
       {"undo", Flag::undo, false, {Command::drain}},
+      {"request", Flag::request, true, {Command::explain}},
+      {"losses", Flag::losses, false, {Command::explain}},
   };
   return entries;
 }
@@ -230,6 +236,12 @@
     case Flag::undo:
       invocation.undo = true;
       return base::success();
+    case Flag::request:
+      invocation.request = given.value;
+      return base::success();
+    case Flag::losses:
+      invocation.losses = true;
+      return base::success();
   }
   return base::success();
 }
@@ -241,6 +253,16 @@
   return found == std::end(kCommands) ? nullptr : found;
 }
 
+Result<void> checkExplain(const Invocation& invocation) {
+  if (invocation.request && invocation.losses) {
+    return Error{ErrorCode::outOfRange, "--losses", "not together with --request"};
+  }
+  if (!invocation.request && !invocation.losses) {
+    return Error{ErrorCode::missingField, "--request", "or --losses"};
+  }
+  return base::success();
+}
+
 /// Checks that the subcommand takes these flags and this many arguments.
 Result<void> checkUse(const CommandEntry& command, const std::vector<GivenFlag>& flags,
                       const Invocation& invocation) {
@@ -265,6 +287,9 @@
   if (invocation.anyVersion && invocation.expectedVersion) {
     return Error{ErrorCode::outOfRange, "--any-version", "not together with --expected-version"};
   }
+  if (command.command == Command::explain) {
+    return checkExplain(invocation);
+  }
   if (invocation.controllers.empty()) {
     return Error{ErrorCode::missingField, "--controllers", "or set WALNUT_CONTROLLERS"};
   }
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -14,7 +14,7 @@
 
 namespace walnut::cli {
 
-enum class Command : std::uint8_t { apply, get, watch, remove, status, drain, member };
+enum class Command : std::uint8_t { apply, get, watch, remove, status, drain, member, explain };
 enum class OutputFormat : std::uint8_t { table, json };
 
 /// What the command line asks for.
@@ -30,6 +30,8 @@
   bool anyVersion = false;  ///< The versions that stand in the files don't count.
   std::optional<resource::Version> from;
   std::optional<std::string> requestId;
+  std::optional<std::string> request;  ///< Whose story is told.
+  bool losses = false;                 ///< The account of what was lost is told.
   std::string reason;
   bool undo = false;
   /// For the answer to one try: above the five seconds after which a controller gives one.
--- a/src/cli/help.cpp
+++ b/src/cli/help.cpp
@@ -14,7 +14,8 @@
     "  delete   delete a resource\n"
     "  status   show the cell: members, engines, replicas\n"
     "  drain    empty an engine, or lift its drain\n"
-    "  member   add a server to the cell, or remove one\n";
+    "  member   add a server to the cell, or remove one\n"
+    "  explain  tell from logs what became of a request, or what was lost and why\n";
 
 constexpr const char* kCommonHelp =
     "\nFlags of all commands:\n"
@@ -79,6 +80,18 @@
     "one. ID is what `walnut-controller --init` printed; PEER and API are ADDRESS:PORT.\n\n"
     "  --request-id ID    resend under this id after an unknown outcome\n";
 
+constexpr const char* kExplainHelp =
+    "Usage: walnutctl explain --request ID FILE...\n"
+    "       walnutctl explain --losses FILE...\n"
+    "Reads logs of gateways and of registry servers; asks no controller. The first form tells the\n"
+    "story of a request, with the loads and unloads of its model, the silence of its workers and "
+    "the\n"
+    "changes of the leader beside it, in the order of the machines' clocks. The second counts the\n"
+    "requests that were refused, failed or late, by cause, route and model, with the id of one.\n"
+    "Lines that are cut short are passed over and counted, as are those that processes dropped.\n\n"
+    "  --request ID    the request's id\n"
+    "  --losses        the account\n";
+
 const char* commandHelp(Command command) {
   switch (command) {
     case Command::apply:
@@ -95,6 +108,8 @@
       return kDrainHelp;
     case Command::member:
       return kMemberHelp;
+    case Command::explain:
+      return kExplainHelp;
   }
   return kProgramHelp;
 }
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -1,6 +1,7 @@
 #include "cli/program.h"
 
 #include "cli/commands.h"
+#include "cli/explain.h"
 #include "cli/help.h"
 
 namespace walnut::cli {
@@ -25,6 +26,8 @@
       return runDrain(invocation, client, console);
     case Command::member:
       return runMember(invocation, client, console);
+    case Command::explain:
+      return runExplain(invocation, console);
   }
   return ExitCode::internal;
 }
--- a/test/cli/program_test.cpp
+++ b/test/cli/program_test.cpp
@@ -320,3 +320,32 @@
   STRCMP_EQUAL("changed drain/e1 version 1 {\"reason\":\"fan\"}\n", out.c_str());
   STRCMP_CONTAINS("listing again", error.c_str());
 }
+
+TEST(ProgramTest, explainTellsARequestAndWhatWasLost) {
+  const TemporaryFile log(
+      "time=2026-01-01T00:00:01.000Z program=p event=request-waiting request=r1 model=m "
+      "reason=not-held adapter=\"\"\n"
+      "time=2026-01-01T00:00:03.000Z program=p event=request-ended request=r1 route=x model=m "
+      "status=200 outcome=complete first=2000 gap=0 waited=1900 target=800 target-gap=400\n"
+      "time=2026-01-01T00:00:04.000Z program=p event=request-en");
+  checkExit(ExitCode::ok, run({"explain", "--request", "r1", log.path()}));
+  CHECK_TRUE(out.find("event=request-waiting") < out.find("event=request-ended"));
+  CHECK_TRUE(error.find("1 lines passed over") != std::string::npos);
+  checkExit(ExitCode::ok, run({"explain", "--losses", log.path()}));
+  CHECK_TRUE(out.find("model-not-loaded") != std::string::npos);
+  checkExit(ExitCode::ok, run({"explain", "--losses", "-o", "json", log.path()}));
+  CHECK_TRUE(out.find("\"cause\":\"model-not-loaded\"") != std::string::npos);
+}
+
+TEST(ProgramTest, explainSaysWhatItCantTell) {
+  const TemporaryFile log(
+      "time=2026-01-01T00:00:01.000Z program=p event=request-left request=r1\n");
+  const TemporaryFile empty("");
+  checkExit(ExitCode::notFound, run({"explain", "--request", "r2", log.path()}));
+  checkExit(ExitCode::usage, run({"explain", "--losses", empty.path()}));
+  CHECK_TRUE(error.find(empty.path()) != std::string::npos);
+  checkExit(ExitCode::usage, run({"explain", "--losses", "/no/such.log"}));
+  checkExit(ExitCode::usage, run({"explain", log.path()}));
+  checkExit(ExitCode::usage, run({"explain", "--losses"}));
+  checkExit(ExitCode::usage, run({"explain", "--losses", "--request", "r1", log.path()}));
+}
