registry, gateway: a late heartbeat of a former incarnation ends nobody; idle connections beside a silent one are not used

After silence up to a deadline, or when a stream leaves a silent worker, idle connections to it are closed. Tests: four, seen failing first, and one that a silent worker is replaced at once.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -279,6 +279,7 @@
       worker_->breaker.undecided(now());
     } else {
       context_.attemptFailed(*worker_);
+      context_.launcher().forget(worker_->view.record.id);
     }
     dropAttempt();
   }
@@ -318,6 +319,7 @@
   }
   retryTaken_ = true;
   context_.attemptFailed(*worker_);
+  context_.launcher().forget(worker_->view.record.id);
   dropAttempt();
   attemptEnded(Executed::unknown, "the worker is silent");
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -39,6 +39,9 @@
                                          net::ResponseCallbacks& callbacks) = 0;
   /// @return true if a request to that worker would need no new connection.
   virtual bool connected(const registry::WorkerId& worker) const = 0;
+  /// Closes the idle connections to a worker: it is gone, or one of them went silent. Open ones may
+  /// go silent together, without a reset, while new ones work.
+  virtual void forget(const registry::WorkerId& worker) = 0;
 };
 
 class Exchange;
--- a/src/gateway/pooled_launcher.h
+++ b/src/gateway/pooled_launcher.h
@@ -18,8 +18,7 @@
   bool connected(const registry::WorkerId& worker) const override {
     return pool_.hasIdle(worker.value);
   }
-  /// Closes idle connections to a worker that is gone.
-  void forget(const registry::WorkerId& worker) { pool_.forget(worker.value); }
+  void forget(const registry::WorkerId& worker) override { pool_.forget(worker.value); }
 
  private:
   event::Dispatcher& dispatcher_;
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -16,6 +16,11 @@
 constexpr base::Duration kPlanSpacing = std::chrono::milliseconds(15);
 constexpr base::Duration kPlanSpacingPerWorker = std::chrono::microseconds(500);
 
+/// Heartbeats for which a worker counts as alive after its last one: it may be late by a half.
+constexpr double kAliveHeartbeats = 1.5;
+/// Bound for what nobody takes out: callers that were heard once.
+constexpr std::size_t kMostContests = 1024;
+
 /// Of a worker that has an order under way: an order and its answer.
 constexpr base::Duration kLeastBusyTime = std::chrono::milliseconds(50);
 
@@ -104,7 +109,7 @@
 
 bool LeaderDuties::heartbeat(const Heartbeat& heartbeat, base::TimePoint now) {
   const WorkerId& id = heartbeat.worker.id;
-  if (state_.wasForgotten(id)) {
+  if (state_.wasForgotten(id) || contestsALiveWorker(heartbeat, now)) {
     return false;
   }
   WorkerStatus& status = statusOf(id, now);
@@ -127,6 +132,33 @@
   return !(next == *held);
 }
 
+/// A heartbeat that a cut held up may arrive after its sender has crashed and another incarnation
+/// has registered at its endpoint; taken at its word it would end the present one for good. An
+/// unknown worker replaces one that is alive only once it has called again.
+bool LeaderDuties::contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now) {
+  const WorkerId& id = heartbeat.worker.id;
+  if (state_.findWorker(id) != nullptr) {
+    contests_.erase(id);
+    return false;
+  }
+  const std::chrono::duration<double> alive = kAliveHeartbeats * options_.heartbeatInterval;
+  const auto& workers = state_.workers();
+  const bool contested = std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
+    const auto status = workers_.find(entry.first);
+    return entry.second.endpoint == heartbeat.worker.endpoint && status != workers_.end() &&
+           now - status->second.lastHeard < alive;
+  });
+  if (!contested) {
+    contests_.erase(id);
+    return false;
+  }
+  if (contests_.size() >= kMostContests) {
+    contests_.clear();
+  }
+  const auto [former, first] = contests_.try_emplace(id, heartbeat.sequence);
+  return first || heartbeat.sequence <= former->second;
+}
+
 void LeaderDuties::subscribe(protocol::ConnectionId gateway, const Subscribe& request) {
   log_.write(LogEvent::gatewaySubscribed, {{"connection", gateway.value},
                                            {"document", request.documentVersion},
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -73,6 +73,7 @@
 
   void refreshDocument(base::TimePoint now);
   void noteSilence(base::TimePoint now);
+  bool contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now);
   bool isSilent(const WorkerId& id, const WorkerStatus& status, base::TimePoint now) const;
   void storeHoldings(base::TimePoint now);
   void publish(base::TimePoint now, const std::vector<base::Endpoint>& servers);
@@ -117,6 +118,8 @@
   std::shared_ptr<const catalog::Document> document_;
   base::TimePoint documentSince_;  ///< When this leader took it.
   std::map<WorkerId, WorkerStatus> workers_;
+  /// Unknown workers that called from the endpoint of one that is alive, with the sequence.
+  std::map<WorkerId, std::uint64_t> contests_;
   DemandBook demand_;
   ViewPublisher publisher_;
   ViewEncoder viewEncoder_;
--- a/test/gateway/exchange_test.cpp
+++ b/test/gateway/exchange_test.cpp
@@ -378,3 +378,22 @@
   const auto second = harness.request("stream", "r2");
   CHECK_EQUAL(2, sentCount());
 }
+
+/// Open connections may go silent for good, without a reset, while new ones work.
+TEST(ExchangeTest, afterASilentConnectionIdleOnesToThatWorkerAreNotUsed) {
+  harness.declare(1);
+  const auto caller = harness.request("once", "r1");
+  harness.scheduler.advance(5s);
+  CHECK_EQUAL(504, caller->status);
+  CHECK_EQUAL(1, harness.launcher.forgotten.size());
+  STRCMP_EQUAL("w1", harness.launcher.forgotten[0].value.c_str());
+}
+
+TEST(ExchangeTest, aStreamThatLeavesASilentWorkerLeavesItsIdleConnectionsToo) {
+  harness.declare(2);
+  const auto caller = harness.request("stream", "r1");
+  harness.scheduler.advance(2s);
+  CHECK_EQUAL(2, sentCount());
+  CHECK_EQUAL(1, harness.launcher.forgotten.size());
+  CHECK_TRUE(harness.launcher.forgotten[0] == sent(0).worker.id);
+}
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -125,6 +125,9 @@
   }
 
   bool connected(const registry::WorkerId&) const override { return true; }
+  void forget(const registry::WorkerId& worker) override { forgotten.push_back(worker); }
+
+  std::vector<registry::WorkerId> forgotten;
 
  private:
   struct Recorded : Attempt {
--- a/test/registry/leader_duties_test.cpp
+++ b/test/registry/leader_duties_test.cpp
@@ -316,3 +316,38 @@
   }
   CHECK_EQUAL(kGateways, parts);
 }
+
+/// A heartbeat that a cut delayed arrives after its sender has crashed and a new incarnation has
+/// registered at the same address.
+TEST(LeaderDutiesTest, aLateHeartbeatOfAFormerIncarnationDoesNotEndThePresentOne) {
+  lead();
+  Heartbeat present;
+  present.worker = *state.findWorker({"w1"});
+  present.sequence = 1;
+  Heartbeat former = present;
+  former.worker.id = {"former"};
+  former.sequence = 9;
+  CHECK_FALSE(duties->heartbeat(present, now));
+  CHECK_FALSE(duties->heartbeat(former, now + 100ms));
+  CHECK_FALSE(duties->heartbeat(former, now + 200ms));
+}
+
+TEST(LeaderDutiesTest, aNewIncarnationReplacesOneThatIsSilentAtOnce) {
+  lead();
+  Heartbeat next;
+  next.worker = *state.findWorker({"w1"});
+  next.worker.id = {"next"};
+  next.sequence = 1;
+  CHECK_TRUE(duties->heartbeat(next, now + 2 * options.heartbeatInterval));
+}
+
+TEST(LeaderDutiesTest, aNewIncarnationThatCallsAgainReplacesOneThatWasHeardLately) {
+  lead();
+  Heartbeat next;
+  next.worker = *state.findWorker({"w1"});
+  next.worker.id = {"next"};
+  next.sequence = 1;
+  CHECK_FALSE(duties->heartbeat(next, now));
+  next.sequence = 2;
+  CHECK_TRUE(duties->heartbeat(next, now + 1s));
+}
