gateway: a refusal's line tells its Retry-After

The log is to name what decided a refusal: of full replicas it is the expected wait for a slot. A comment said that a worker's word that it is full is believed until loads are told; it is until the next view.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -352,6 +352,7 @@
   context_.log().write(LogEvent::requestRefused, {{"request", facts_.requestId},
                                                   {"status", static_cast<std::uint64_t>(status)},
                                                   {"reason", reason},
+                                                  {"retry-after", millisOf(retryAfter)},
                                                   {"executed", mayHaveRun_ ? "unknown" : "no"}});
   sink_.respond(std::move(response));
   finish(status, reason);
--- a/src/gateway/worker_directory.h
+++ b/src/gateway/worker_directory.h
@@ -52,7 +52,7 @@
   std::uint32_t runningTogether() const { return running + runningElsewhere; }
   /// @return true if all its slots are taken, as far as is known; never if it did not tell of any.
   bool full() const { return view.record.slots > 0 && runningTogether() >= view.record.slots; }
-  /// The worker said that its queue is full as well: believed until loads are told again.
+  /// The worker said that its queue is full as well: believed until the next view.
   void saidFull();
 
   /// The worker said that it does not hold it: not to be asked again for a while.
