registry, gateway: outcomes of attempts are pooled and told: who fails, and which models get no answer

Change: gateways report, for each worker and each model, attempts that were answered and that failed; the leader judges workers by them (WorkerJudge) and logs worker-failing, worker-tried, model-unanswered, model-answered. An error that is passed on has its attempt-failed line. Nothing is decided by it yet. The wire changes: protocol version 4.

--- a/include/walnut/protocol/messages.h
+++ b/include/walnut/protocol/messages.h
@@ -24,7 +24,7 @@
 namespace walnut::protocol {
 
 /// 2: documents go to gateways in parts.
-inline constexpr std::uint32_t kProtocolVersion = 3;
+inline constexpr std::uint32_t kProtocolVersion = 4;
 
 enum class PeerRole : std::uint8_t { router = 0, controller = 1 };
 
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -229,9 +229,24 @@
   std::uint32_t priority = 0;
   /// The shortest target latency among them; 0 if there is none.
   base::Duration targetLatency{0};
+  /// @name Attempts since the last report
+  /// @{
+  std::uint32_t answered = 0;  ///< A worker has begun to answer, with success.
+  std::uint32_t failed = 0;    ///< A worker failed or went silent.
+  /// @}
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(service, model, adapter, waiting, arrivals, priority, targetLatency);
+    archive(service, model, adapter, waiting, arrivals, priority, targetLatency, answered, failed);
+  }
+};
+/// What became of the attempts of one gateway at one worker since the gateway's last report.
+struct WorkerOutcomes {
+  WorkerId worker;
+  std::uint32_t answered = 0;  ///< It has begun to answer, with success.
+  std::uint32_t failed = 0;    ///< It failed or went silent; not: refused while it was full.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker, answered, failed);
   }
 };
 /// Gateway to leader. Replaces the waiting counts and the loads that this gateway reported before.
@@ -239,9 +254,10 @@
   std::vector<ModelDemand> demands;
   std::vector<WorkerLoad> loads;
   std::vector<WorkerId> unreachable;  ///< Workers that the gateway can't reach at present.
+  std::vector<WorkerOutcomes> outcomes;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(demands, loads, unreachable);
+    archive(demands, loads, unreachable, outcomes);
   }
 };
 
--- a/src/gateway/demand_tracker.cpp
+++ b/src/gateway/demand_tracker.cpp
@@ -1,6 +1,7 @@
 #include "gateway/demand_tracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace walnut::gateway {
 
@@ -32,13 +33,28 @@
   }
 }
 
+void DemandTracker::attemptSettled(const registry::WorkerId& worker, const std::string& service,
+                                   const std::string& model, const std::string& adapter,
+                                   bool answered) {
+  registry::WorkerOutcomes& outcomes = outcomes_[worker];
+  outcomes.worker = worker;
+  ++(answered ? outcomes.answered : outcomes.failed);
+  if (!model.empty()) {
+    Figures& figures = figures_[{service, model, adapter}];
+    ++(answered ? figures.answered : figures.failed);
+  }
+}
+
 registry::DemandUpdate DemandTracker::takeUpdate(const WorkerDirectory& directory) {
   registry::DemandUpdate update;
   for (auto& [key, figures] : figures_) {
     const auto& [service, model, adapter] = key;
     update.demands.push_back({service, model, adapter, figures.waiting, figures.arrivals,
-                              figures.priority, figures.targetLatency});
+                              figures.priority, figures.targetLatency, figures.answered,
+                              figures.failed});
     figures.arrivals = 0;
+    figures.answered = 0;
+    figures.failed = 0;
   }
   std::erase_if(figures_, [](const auto& entry) { return entry.second.waiting == 0; });
   for (const auto& [id, worker] : directory.workers()) {
@@ -49,6 +65,9 @@
       update.unreachable.push_back(id);
     }
   }
+  for (auto& [id, outcomes] : std::exchange(outcomes_, {})) {
+    update.outcomes.push_back(std::move(outcomes));
+  }
   urgent_ = false;
   return update;
 }
--- a/src/gateway/demand_tracker.h
+++ b/src/gateway/demand_tracker.h
@@ -22,6 +22,10 @@
                  const catalog::Route& route);
   void waitEnded(const std::string& service, const std::string& model, const std::string& adapter);
 
+  /// An attempt at a worker was answered, or failed.
+  void attemptSettled(const registry::WorkerId& worker, const std::string& service,
+                      const std::string& model, const std::string& adapter, bool answered);
+
   /// @return true if something waits that the last update did not tell.
   bool urgent() const { return urgent_; }
   /// @return the present state; arrivals since the last call.
@@ -31,6 +35,8 @@
   struct Figures {
     std::uint32_t waiting = 0;
     std::uint32_t arrivals = 0;
+    std::uint32_t answered = 0;
+    std::uint32_t failed = 0;
     std::uint32_t priority = std::numeric_limits<std::uint32_t>::max();
     base::Duration targetLatency = base::Duration::max();
 
@@ -39,6 +45,7 @@
   using Key = std::tuple<std::string, std::string, std::string>;
 
   std::map<Key, Figures> figures_;
+  std::map<registry::WorkerId, registry::WorkerOutcomes> outcomes_;  ///< Since the last update.
   bool urgent_ = false;
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -171,6 +171,7 @@
   attemptAt_ = now();
   headSeen_ = false;
   accepted_ = false;
+  answerNoted_ = false;
   bodyUse_ = BodyUse::discard;
   body_.clear();
   context_.attemptBegan(*worker, facts_);
@@ -213,7 +214,22 @@
   return (executed == Executed::no || route_.repeatable()) && runs < route_.maxAttempts;
 }
 
-void Exchange::attemptEnded(Executed executed, std::string_view reason) {
+/// Once for each attempt.
+void Exchange::noteAnswered() {
+  if (!std::exchange(answerNoted_, true)) {
+    context_.attemptSettled(*worker_, facts_, true);
+  }
+}
+
+/// A worker with more requests than slots is slow to answer and resets connections though it is
+/// well.
+void Exchange::noteFailed() {
+  if (!worker_->full()) {
+    context_.attemptSettled(*worker_, facts_, false);
+  }
+}
+
+void Exchange::logAttemptFailed(Executed executed, std::string_view reason) {
   context_.log().write(
       LogEvent::attemptFailed,
       {{"request", facts_.requestId},
@@ -224,6 +240,10 @@
                                                 : "unknown"},
        {"reason", reason}});
   context_.metrics().count("walnut_gateway_attempt_failures_total", std::string(reason));
+}
+
+void Exchange::attemptEnded(Executed executed, std::string_view reason) {
+  logAttemptFailed(executed, reason);
   events_.restart();
   excluded_.insert(worker_->view.record.id);
   if (executed != Executed::no || headSeen_) {
@@ -279,6 +299,7 @@
       worker_->breaker.undecided(now());
     } else {
       context_.attemptFailed(*worker_);
+      noteFailed();
       context_.launcher().forget(worker_->view.record.id);
     }
     dropAttempt();
@@ -319,6 +340,7 @@
   }
   retryTaken_ = true;
   context_.attemptFailed(*worker_);
+  noteFailed();
   context_.launcher().forget(worker_->view.record.id);
   dropAttempt();
   attemptEnded(Executed::unknown, "the worker is silent");
@@ -330,6 +352,10 @@
   }
   if (state_ == State::attempting) {
     worker_->breaker.undecided(now());
+    const base::Duration patience = std::max(kStallFloor, route_.targetLatency);
+    if (!answerNoted_ && now() - attemptAt_ >= patience) {
+      noteFailed();
+    }
     dropAttempt();
   }
   context_.log().write(LogEvent::requestLeft, {{"request", facts_.requestId}});
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -66,7 +66,11 @@
   virtual void attemptBegan(Worker& worker, const RequestFacts& facts) = 0;
   virtual void attemptEnded(Worker& worker, const RequestFacts& facts) = 0;
   /// @}
+  /// The worker could not be reached, or went silent.
   virtual void attemptFailed(Worker& worker) = 0;
+  /// What became of an attempt, for the registry's judgement of the worker.
+  /// @param answered the worker has begun to answer with success; else it failed.
+  virtual void attemptSettled(const Worker& worker, const RequestFacts& facts, bool answered) = 0;
   virtual std::uint64_t documentVersion() const = 0;
   /// The exchange is over; it is destroyed soon.
   virtual void ended(Exchange& exchange, int status) = 0;
@@ -125,7 +129,10 @@
     return route_.targetGap > base::Duration::zero() ? route_.targetGap : base::Duration::max();
   }
   void completeStream();
+  void noteAnswered();
+  void noteFailed();
   void attemptEnded(Executed executed, std::string_view reason);
+  void logAttemptFailed(Executed executed, std::string_view reason);
   void retryOrFail(Executed executed, std::string_view reason);
   bool mayRunAgain(Executed executed) const;
   void releaseAttempt();
@@ -177,6 +184,7 @@
   AnswerFacts answer_;
   bool headSeen_ = false;
   bool accepted_ = false;  ///< The answer is the worker's own success.
+  bool answerNoted_ = false;
   BodyUse bodyUse_ = BodyUse::discard;
   std::string body_;
 
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -81,6 +81,7 @@
   if (whole.empty()) {
     return;
   }
+  noteAnswered();
   if (!headSent_) {
     headSent_ = true;
     firstEventAt_ = now();
@@ -132,19 +133,27 @@
     completeStream();
     return;
   }
+  const bool failed = !accepted_ && (head_.status >= kInternalError || !answer_.sealed);
   worker_->failures.observe(!accepted_ && head_.status >= kInternalError, now());
+  if (failed) {
+    noteFailed();
+  } else {
+    noteAnswered();
+  }
   if (accepted_) {
     releaseAttempt();
     respondWith(std::move(head_), std::move(body_));
     return;
   }
-  const bool retriable = head_.status >= kInternalError || !answer_.sealed;
   releaseAttempt();
-  if (retriable && !headSent_ && mayRunAgain(Executed::yes)) {
+  if (failed && !headSent_ && mayRunAgain(Executed::yes)) {
     attemptEnded(Executed::yes, "failure of the worker");
     return;
   }
   if (answer_.sealed && !headSent_) {
+    if (failed) {
+      logAttemptFailed(Executed::yes, "failure of the worker, passed on");
+    }
     respondWith(std::move(head_), std::move(body_));
     return;
   }
@@ -153,10 +162,12 @@
 
 void Exchange::completeStream() {
   if (events_.midEvent()) {
+    noteFailed();
     dropAttempt();
     attemptEnded(Executed::yes, "the stream ended within an event");
     return;
   }
+  noteAnswered();
   if (longestGap_ <= pauseLimit()) {
     worker_->failures.observe(false, now());
   }
@@ -174,8 +185,11 @@
 void Exchange::onResponseFailure(const base::Error& error, bool sent) {
   stallTimer_->disable();
   context_.attemptFailed(*worker_);
-  dropAttempt();
   const bool notRun = !sent || (headSeen_ && answer_.notExecuted);
+  if (!headSeen_ || !answer_.notExecuted) {
+    noteFailed();
+  }
+  dropAttempt();
   attemptEnded(notRun ? Executed::no : Executed::unknown, base::errorCodeName(error.code));
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -288,9 +288,12 @@
 void Gateway::reportUseSoon(const Worker& worker, const std::string& model) {
   const auto running = worker.runningByModel.find(model);
   const bool changed = running == worker.runningByModel.end() || running->second == 1;
-  if (model.empty() || !changed) {
-    return;
+  if (!model.empty() && changed) {
+    reportWithinSpacing();
   }
+}
+
+void Gateway::reportWithinSpacing() {
   const base::Duration spacing = std::max(kUseSpacing, kUseSpacingPerGateway * gateways_);
   const base::TimePoint due = std::max(scheduler_.now(), demandReportedAt_ + spacing);
   if (due < demandDueAt_) {
@@ -309,6 +312,16 @@
   }
 }
 
+/// The registry judges workers by the outcomes of all gateways together: none of them alone sees
+/// enough of one worker. Failures are told soon.
+void Gateway::attemptSettled(const Worker& worker, const RequestFacts& facts, bool answered) {
+  const registry::WorkerRecord& record = worker.view.record;
+  demand_.attemptSettled(record.id, record.service, facts.model, facts.adapter, answered);
+  if (!answered) {
+    reportWithinSpacing();
+  }
+}
+
 void Gateway::ended(Exchange& exchange, int status) {
   metrics_.count("walnut_gateway_requests_total", std::to_string(status));
   const auto found = exchanges_.find(&exchange);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -79,6 +79,7 @@
   void attemptBegan(Worker& worker, const RequestFacts& facts) override;
   void attemptEnded(Worker& worker, const RequestFacts& facts) override;
   void attemptFailed(Worker& worker) override;
+  void attemptSettled(const Worker& worker, const RequestFacts& facts, bool answered) override;
   std::uint64_t documentVersion() const override;
   void ended(Exchange& exchange, int status) override;
 
@@ -105,6 +106,7 @@
   void reportDemand();
   void reportDemandSoon();
   void reportUseSoon(const Worker& worker, const std::string& model);
+  void reportWithinSpacing();
   void noteNewest(std::uint64_t version);
   void wakeWaiting();
   /// Calls a method of all exchanges, which may end them.
--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -8,6 +8,8 @@
 
 /// For how long the most urgent route to a model is remembered: some time constants of the rate.
 constexpr base::Duration kUrgencyMemory = std::chrono::seconds(20);
+/// A model without an answer for this long is told of: most loads are over by then.
+constexpr base::Duration kToldWithoutAnswer = std::chrono::seconds(3);
 
 template <class Key>
 void takeAway(std::map<Key, std::uint32_t>& totals, const Key& key, std::uint32_t count) {
@@ -90,15 +92,43 @@
 }
 
 void DemandBook::count(const ModelKey& key, const ModelDemand& demand, base::TimePoint now) {
-  if (demand.arrivals == 0) {
+  if (demand.arrivals == 0 && demand.answered == 0 && demand.failed == 0) {
     return;
   }
   History& history = history_[key];
+  noteAnswers(key, history, demand, now);
+  if (demand.arrivals == 0) {
+    return;
+  }
   history.arrivals.count(now, demand.arrivals);
   history.lastArrival = now;
   noteUrgency(history, demand, now);
 }
 
+void DemandBook::noteAnswers(const ModelKey& key, History& history, const ModelDemand& demand,
+                             base::TimePoint now) {
+  const bool first = history.unansweredSince == base::TimePoint();
+  if (demand.answered > 0) {
+    if (history.told) {
+      answerChanges_.push_back(
+          {key, true, now - history.unansweredSince, history.requests, history.failed});
+    }
+    history.unansweredSince = base::TimePoint();
+    history.requests = 0;
+    history.failed = 0;
+    history.told = false;
+    return;
+  }
+  history.unansweredSince = first ? now : history.unansweredSince;
+  history.requests += demand.arrivals;
+  history.failed += demand.failed;
+  if (!history.told && now >= history.unansweredSince + kToldWithoutAnswer) {
+    history.told = true;
+    answerChanges_.push_back(
+        {key, false, now - history.unansweredSince, history.requests, history.failed});
+  }
+}
+
 /// The most urgent of several routes to a model counts, until none has asked for some time.
 void DemandBook::noteUrgency(History& history, const ModelDemand& demand, base::TimePoint now) {
   const bool outdated = now >= history.urgencyAt + kUrgencyMemory;
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "registry/decaying_rate.h"
@@ -34,6 +35,15 @@
   base::Duration targetLatency{0};
 };
 
+/// A model or an adapter that is asked for and gets no answer, or does so again.
+struct AnswerChange {
+  ModelKey key;
+  bool answered = false;
+  base::Duration lasted{0};    ///< Since the first request that got no answer.
+  std::uint32_t requests = 0;  ///< Since then.
+  std::uint32_t failed = 0;    ///< Attempts of these that a worker failed.
+};
+
 /// Kept by the leader; empty at the start of its leadership. Totals over the gateways are kept up
 /// to date with each report, so that reading them does not depend on the number of gateways.
 class DemandBook {
@@ -57,6 +67,8 @@
   std::vector<WorkerLoad> loads() const;
   /// @return all models and adapters for which requests wait.
   const std::map<ModelKey, std::uint32_t>& waiting() const { return waiting_; }
+  /// @return changes since the last call; of those without an answer only what has lasted.
+  std::vector<AnswerChange> takeAnswerChanges() { return std::exchange(answerChanges_, {}); }
 
  private:
   struct Gateway {
@@ -70,9 +82,18 @@
     std::uint32_t priority = 0;
     base::Duration targetLatency{0};
     base::TimePoint urgencyAt;  ///< When priority and target were last as urgent as this.
+    /// @name Since the last answer
+    /// @{
+    base::TimePoint unansweredSince;  ///< Of the first request; zero: none came.
+    std::uint32_t requests = 0;
+    std::uint32_t failed = 0;
+    bool told = false;  ///< That there is none.
+    /// @}
   };
 
   void count(const ModelKey& key, const ModelDemand& demand, base::TimePoint now);
+  void noteAnswers(const ModelKey& key, History& history, const ModelDemand& demand,
+                   base::TimePoint now);
   static void noteUrgency(History& history, const ModelDemand& demand, base::TimePoint now);
   void add(const Gateway& gateway);
   void subtract(const Gateway& gateway);
@@ -85,6 +106,7 @@
   std::map<ModelKey, std::uint32_t> modelWaiting_;  ///< With those for adapters.
   std::map<WorkerId, RunningByModel> running_;
   std::map<WorkerId, std::uint32_t> unreachable_;
+  std::vector<AnswerChange> answerChanges_;
 };
 
 }  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/leader_beliefs.cpp
@@ -0,0 +1,120 @@
+/// @file
+/// The part of a leader's duties that decides what it believes of workers: which are alive, and
+/// which fail what they are sent though they say that they are well.
+
+#include <algorithm>
+#include <cmath>
+
+#include "registry/leader_duties.h"
+
+namespace walnut::registry {
+
+namespace {
+
+using runtime::LogEvent;
+
+/// Heartbeats for which a worker counts as alive after its last one: it may be late by a half.
+constexpr double kAliveHeartbeats = 1.5;
+/// Bound for what nobody takes out: callers that were heard once.
+constexpr std::size_t kMostContests = 1024;
+
+std::uint64_t percent(double share) {
+  constexpr double kHundred = 100;
+  return static_cast<std::uint64_t>(std::lround(kHundred * share));
+}
+
+std::uint64_t millisOf(base::Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+/// A heartbeat that a cut held up may arrive after its sender has crashed and another incarnation
+/// has registered at its endpoint; taken at its word it would end the present one for good. An
+/// unknown worker replaces one that is alive only once it has called again.
+bool LeaderDuties::contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now) {
+  const WorkerId& id = heartbeat.worker.id;
+  if (state_.findWorker(id) != nullptr) {
+    contests_.erase(id);
+    return false;
+  }
+  const std::chrono::duration<double> alive = kAliveHeartbeats * options_.heartbeatInterval;
+  const auto& workers = state_.workers();
+  const bool contested = std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
+    const auto status = workers_.find(entry.first);
+    return entry.second.endpoint == heartbeat.worker.endpoint && status != workers_.end() &&
+           now - status->second.lastHeard < alive;
+  });
+  if (!contested) {
+    contests_.erase(id);
+    return false;
+  }
+  if (contests_.size() >= kMostContests) {
+    contests_.clear();
+  }
+  const auto [former, first] = contests_.try_emplace(id, heartbeat.sequence);
+  return first || heartbeat.sequence <= former->second;
+}
+
+void LeaderDuties::noteSilence(base::TimePoint now) {
+  for (auto& [id, status] : workers_) {
+    if (state_.findWorker(id) == nullptr) {
+      continue;
+    }
+    const base::Duration silence = now - status.lastHeard;
+    if (!status.silent && isSilent(id, status, now)) {
+      status.silent = true;
+      forgetLoad(*state_.findWorker(id));
+      changed_.insert(id);
+      log_.write(LogEvent::workerSilent, {{"worker", id.value}});
+    }
+    if (silence > options_.workerForgottenAfter) {
+      status.lastHeard = now;  // Proposed once; again only after another such time.
+      commands_.emplace_back(ForgetWorker{id});
+    }
+  }
+}
+
+void LeaderDuties::judgeWorkers(base::TimePoint now) {
+  if (!judge_.reviewDue(now)) {
+    return;
+  }
+  std::map<std::string_view, std::vector<WorkerId>> services;
+  for (const auto& [id, record] : state_.workers()) {
+    if (!record.leaving) {
+      services[record.service].push_back(id);
+    }
+  }
+  judge_.review(services, publisher_.gatewayCount(), now);
+  for (const WorkerVerdict& verdict : judge_.takeChanges()) {
+    log_.write(verdict.failing ? LogEvent::workerFailing : LogEvent::workerTried,
+               {{"worker", verdict.worker.value},
+                {"failed-percent", percent(verdict.share)},
+                {"rest-percent", percent(verdict.restShare)},
+                {"gateways", verdict.gateways},
+                {"former-millis", millisOf(verdict.heldFor)}});
+  }
+}
+
+void LeaderDuties::logAnswerChanges() {
+  for (const AnswerChange& change : demand_.takeAnswerChanges()) {
+    log_.write(change.answered ? LogEvent::modelAnswered : LogEvent::modelUnanswered,
+               {{"service", change.key.service},
+                {"model", change.key.model},
+                {"adapter", change.key.adapter},
+                {"millis", millisOf(change.lasted)},
+                {"requests", change.requests},
+                {"failed", change.failed}});
+  }
+}
+
+bool LeaderDuties::isSilent(const WorkerId& id, const WorkerStatus& status,
+                            base::TimePoint now) const {
+  const double heartbeats =
+      demand_.unreachable(id) ? options_.overdueHeartbeats : options_.silentHeartbeats;
+  const std::chrono::duration<double> limit = heartbeats * options_.heartbeatInterval;
+  return now - status.lastHeard > limit;
+}
+
+}  // namespace walnut::registry
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -16,11 +16,6 @@
 constexpr base::Duration kPlanSpacing = std::chrono::milliseconds(15);
 constexpr base::Duration kPlanSpacingPerWorker = std::chrono::microseconds(500);
 
-/// Heartbeats for which a worker counts as alive after its last one: it may be late by a half.
-constexpr double kAliveHeartbeats = 1.5;
-/// Bound for what nobody takes out: callers that were heard once.
-constexpr std::size_t kMostContests = 1024;
-
 /// Of a worker that has an order under way: an order and its answer.
 constexpr base::Duration kLeastBusyTime = std::chrono::milliseconds(50);
 
@@ -132,33 +127,6 @@
   return !(next == *held);
 }
 
-/// A heartbeat that a cut held up may arrive after its sender has crashed and another incarnation
-/// has registered at its endpoint; taken at its word it would end the present one for good. An
-/// unknown worker replaces one that is alive only once it has called again.
-bool LeaderDuties::contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now) {
-  const WorkerId& id = heartbeat.worker.id;
-  if (state_.findWorker(id) != nullptr) {
-    contests_.erase(id);
-    return false;
-  }
-  const std::chrono::duration<double> alive = kAliveHeartbeats * options_.heartbeatInterval;
-  const auto& workers = state_.workers();
-  const bool contested = std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
-    const auto status = workers_.find(entry.first);
-    return entry.second.endpoint == heartbeat.worker.endpoint && status != workers_.end() &&
-           now - status->second.lastHeard < alive;
-  });
-  if (!contested) {
-    contests_.erase(id);
-    return false;
-  }
-  if (contests_.size() >= kMostContests) {
-    contests_.clear();
-  }
-  const auto [former, first] = contests_.try_emplace(id, heartbeat.sequence);
-  return first || heartbeat.sequence <= former->second;
-}
-
 void LeaderDuties::subscribe(protocol::ConnectionId gateway, const Subscribe& request) {
   log_.write(LogEvent::gatewaySubscribed, {{"connection", gateway.value},
                                            {"document", request.documentVersion},
@@ -178,6 +146,12 @@
 void LeaderDuties::demand(protocol::ConnectionId gateway, const DemandUpdate& update,
                           base::TimePoint now) {
   demand_.update(gateway, update, now);
+  for (const WorkerOutcomes& outcomes : update.outcomes) {
+    if (state_.findWorker(outcomes.worker) != nullptr) {
+      judge_.report(gateway, outcomes, now);
+    }
+  }
+  logAnswerChanges();
   planSoon_ = planSoon_ || !demand_.waiting().empty();
 }
 
@@ -187,6 +161,7 @@
     statusOf(id, now);
   }
   std::erase_if(workers_, [this](const auto& entry) { return state_.wasForgotten(entry.first); });
+  judge_.forgetIf([this](const WorkerId& id) { return state_.findWorker(id) == nullptr; });
   listChanged_ = true;
   planSoon_ = true;
 }
@@ -212,6 +187,7 @@
   if (now >= nextCheck_) {
     nextCheck_ = now + kCheckInterval;
     noteSilence(now);
+    judgeWorkers(now);
     storeHoldings(now);
   }
   if (!leaseValid) {
@@ -240,33 +216,6 @@
   }
 }
 
-void LeaderDuties::noteSilence(base::TimePoint now) {
-  for (auto& [id, status] : workers_) {
-    if (state_.findWorker(id) == nullptr) {
-      continue;
-    }
-    const base::Duration silence = now - status.lastHeard;
-    if (!status.silent && isSilent(id, status, now)) {
-      status.silent = true;
-      forgetLoad(*state_.findWorker(id));
-      changed_.insert(id);
-      log_.write(LogEvent::workerSilent, {{"worker", id.value}});
-    }
-    if (silence > options_.workerForgottenAfter) {
-      status.lastHeard = now;  // Proposed once; again only after another such time.
-      commands_.emplace_back(ForgetWorker{id});
-    }
-  }
-}
-
-bool LeaderDuties::isSilent(const WorkerId& id, const WorkerStatus& status,
-                            base::TimePoint now) const {
-  const double heartbeats =
-      demand_.unreachable(id) ? options_.overdueHeartbeats : options_.silentHeartbeats;
-  const std::chrono::duration<double> limit = heartbeats * options_.heartbeatInterval;
-  return now - status.lastHeard > limit;
-}
-
 void LeaderDuties::storeHoldings(base::TimePoint now) {
   for (auto& [id, status] : workers_) {
     if (!status.holdingsKnown || now < status.holdingsStoredAt + kHoldingsInterval ||
--- a/src/runtime/event_log.cpp
+++ b/src/runtime/event_log.cpp
@@ -7,13 +7,14 @@
 namespace {
 
 /// In the order of LogEvent.
-constexpr std::array<std::string_view, 39> kNames = {
+constexpr std::array<std::string_view, 43> kNames = {
     "process-started",    "process-stopping",    "process-stopped", "settings-reloaded",
     "dependency-lost",    "dependency-regained", "lines-dropped",   "role-changed",
     "membership-changed", "member-proposed",     "document-stored", "document-refused",
     "document-taken",     "document-behind",     "document-stuck",  "document-delivered",
     "view-refused",       "gateway-subscribed",  "loop-held-up",    "worker-stored",
-    "worker-forgotten",   "worker-silent",       "worker-heard",    "breaker-opened",
+    "worker-forgotten",   "worker-silent",       "worker-heard",    "worker-failing",
+    "worker-tried",       "model-unanswered",    "model-answered",  "breaker-opened",
     "order-turn",         "placement-decided",   "order-sent",      "order-cancelled",
     "order-finished",     "model-order-ended",   "report-read",     "call-unavailable",
     "request-refused",    "request-waiting",     "attempt-started", "attempt-failed",
--- /dev/null
+++ b/test/registry/worker_judge_test.cpp
@@ -0,0 +1,154 @@
+/// Which workers are held to fail, by the outcomes that gateways report.
+
+#include "registry/worker_judge.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace std::chrono_literals;
+
+TEST_GROUP(WorkerJudgeTest) {
+  WorkerJudge judge;
+  base::TimePoint now = base::TimePoint(100s);
+  std::vector<WorkerId> workers = {{"w1"}, {"w2"}, {"w3"}, {"w4"}};
+  std::size_t gateways = 8;
+
+  void report(const char* worker, std::uint32_t answered, std::uint32_t failed,
+              std::uint64_t gateway = 1) {
+    judge.report({gateway}, {{worker}, answered, failed}, now);
+  }
+  /// Failures as several gateways see them, one each.
+  void fail(const char* worker, std::uint32_t times) {
+    for (std::uint64_t gateway = 1; gateway <= times; ++gateway) {
+      report(worker, 0, 1, gateway);
+    }
+  }
+  void allAnswer() {
+    for (const WorkerId& worker : workers) {
+      judge.report({1}, {worker, 20, 0}, now);
+    }
+  }
+  void review() { judge.review({{"service", workers}}, gateways, now); }
+  bool failing(const char* worker) {
+    review();
+    return judge.failing({worker});
+  }
+};
+
+TEST(WorkerJudgeTest, aWorkerThatFailsEverythingIsKnownAfterThreeAttempts) {
+  allAnswer();
+  fail("w1", 2);
+  CHECK_FALSE(failing("w1"));
+  report("w1", 0, 1, 3);
+  CHECK_TRUE(failing("w1"));
+  CHECK_FALSE(judge.failing({"w2"}));
+}
+
+TEST(WorkerJudgeTest, aWorkerThatNobodySawAnswerIsKnownAfterTwo) {
+  fail("w1", 2);
+  CHECK_TRUE(failing("w1"));
+}
+
+TEST(WorkerJudgeTest, howOftenItIsAskedDoesNotMatter) {
+  allAnswer();
+  for (std::uint64_t gateway = 1; gateway <= 3; ++gateway) {
+    now += 9s;
+    report("w1", 0, 1, gateway);
+  }
+  CHECK_TRUE(failing("w1"));
+}
+
+TEST(WorkerJudgeTest, strayErrorsCondemnNobody) {
+  for (std::uint64_t gateway = 1; gateway <= 50; ++gateway) {
+    report("w1", 9, 1, gateway);
+    CHECK_FALSE(failing("w1"));
+  }
+}
+
+TEST(WorkerJudgeTest, oneGatewayAloneCondemnsNobody) {
+  allAnswer();
+  for (int attempt = 0; attempt < 20; ++attempt) {
+    report("w1", 0, 1);
+  }
+  CHECK_FALSE(failing("w1"));
+  report("w1", 0, 1, 2);
+  CHECK_TRUE(failing("w1"));
+}
+
+TEST(WorkerJudgeTest, theOnlyGatewayIsBelieved) {
+  gateways = 1;
+  allAnswer();
+  report("w1", 0, 3);
+  CHECK_TRUE(failing("w1"));
+}
+
+TEST(WorkerJudgeTest, whereAllFailAlikeNoneIsAvoided) {
+  for (const char* worker : {"w1", "w2", "w3", "w4"}) {
+    fail(worker, 5);
+  }
+  CHECK_FALSE(failing("w1"));
+  CHECK_TRUE(judge.takeChanges().empty());
+}
+
+TEST(WorkerJudgeTest, atMostHalfOfAServiceIsAvoided) {
+  workers = {{"w1"}, {"w2"}, {"w3"}, {"w4"}, {"w5"}, {"w6"}};
+  allAnswer();
+  for (const char* worker : {"w1", "w2", "w3", "w4"}) {
+    fail(worker, 30);
+    review();
+  }
+  std::size_t count = 0;
+  for (const WorkerId& worker : workers) {
+    count += judge.failing(worker) ? 1 : 0;
+  }
+  CHECK_EQUAL(3, count);
+}
+
+TEST(WorkerJudgeTest, itIsTriedAgainAfterAWhileAndItsNextFailureCondemnsItAnew) {
+  allAnswer();
+  fail("w1", 3);
+  CHECK_TRUE(failing("w1"));
+  now += 3900ms;
+  CHECK_FALSE(judge.reviewDue(now));
+  now += 200ms;
+  CHECK_TRUE(judge.reviewDue(now));
+  CHECK_FALSE(failing("w1"));
+  report("w1", 0, 1, 4);
+  CHECK_TRUE(failing("w1"));
+  // Twice as long after the relapse.
+  now += 7900ms;
+  CHECK_TRUE(failing("w1"));
+  now += 200ms;
+  CHECK_FALSE(failing("w1"));
+}
+
+TEST(WorkerJudgeTest, attemptsThatSucceedAllTheSameEndTheVerdictAtOnce) {
+  allAnswer();
+  fail("w1", 3);
+  CHECK_TRUE(failing("w1"));
+  report("w1", 8, 0);
+  CHECK_FALSE(failing("w1"));
+}
+
+TEST(WorkerJudgeTest, changesAreToldOnceWithWhatDecidedThem) {
+  allAnswer();
+  fail("w1", 3);
+  review();
+  review();
+  const std::vector<WorkerVerdict> changes = judge.takeChanges();
+  CHECK_EQUAL(1, changes.size());
+  CHECK_TRUE(changes[0].failing);
+  CHECK_EQUAL(3, changes[0].gateways);
+  CHECK_TRUE(changes[0].share > 0.5);
+  CHECK_TRUE(changes[0].restShare < 0.1);
+}
+
+TEST(WorkerJudgeTest, outcomesBeforeALongSilenceCountForNothing) {
+  allAnswer();
+  fail("w1", 2);
+  now += 31s;
+  fail("w1", 1);
+  CHECK_FALSE(failing("w1"));
+}
