--- a/src/simulator/fleet_gateway.cpp
+++ b/src/simulator/fleet_gateway.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <variant>
 
+#include "simulator/virtual_loop.h"
 #include "walnut/protocol/codec.h"
 
 namespace walnut::simulator {
@@ -26,35 +27,6 @@
 
 }  // namespace
 
-/// The event loop, as its users see it.
-class FleetGateway::Loop : public event::Scheduler {
- public:
-  explicit Loop(const simulator::Scheduler& time) : time_(time) {}
-
-  base::TimePoint now() const override { return time_.now(); }
-  event::TimerPtr createTimer(std::function<void()> callback) override {
-    return timers_.create(std::move(callback));
-  }
-  void runSoon(std::function<void()> callback) override {
-    deferred_.push_back(std::move(callback));
-  }
-
-  void runDue() { timers_.runDue(time_.now()); }
-  void runDeferred() {
-    while (!deferred_.empty()) {
-      for (const auto& callback : std::exchange(deferred_, {})) {
-        callback();
-      }
-    }
-  }
-  base::TimePoint next() const { return timers_.next(); }
-
- private:
-  const simulator::Scheduler& time_;
-  event::TimerQueue timers_;
-  std::vector<std::function<void()>> deferred_;
-};
-
 /// One life of the process.
 struct FleetGateway::GatewayProcess : public gateway::RegistryLink {
   GatewayProcess(FleetGateway& owner, const gateway::RegistrySessionOptions& options)
@@ -88,7 +60,7 @@
   runtime::NullMetricsSink metrics_;
 
  public:
-  Loop loop;
+  VirtualLoop loop;
   gateway::RegistrySession session;
   gateway::Gateway gateway;
   gateway::RegistryFollower follower;
--- a/src/simulator/fleet_gateway.h
+++ b/src/simulator/fleet_gateway.h
@@ -7,7 +7,6 @@
 #include <memory>
 #include <vector>
 
-#include "event/timer_queue.h"
 #include "gateway/registry_follower.h"
 #include "simulator/fleet_server.h"
 
@@ -48,7 +47,6 @@
   HostIndex host = 0;
 
  private:
-  class Loop;
   struct GatewayProcess;
 
   void post(std::function<void()> input, std::size_t bytes);
--- /dev/null
+++ b/src/simulator/serving_fleet.cpp
@@ -0,0 +1,343 @@
+#include "simulator/serving_fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <variant>
+
+namespace walnut::simulator {
+
+namespace {
+
+constexpr base::ServerId kSelf{1};
+constexpr consensus::Term kTerm = 1;
+const char* const kService = "service";
+constexpr std::uint64_t kDocumentVersion = 1;
+
+constexpr double kModelMegabytes = 10;
+constexpr std::uint32_t kAdapterSlots = 4;
+constexpr base::Duration kLinkDelay = std::chrono::milliseconds(3);
+/// How often a leader looks for what is due.
+constexpr base::Duration kLeaderTurn = std::chrono::milliseconds(10);
+
+/// @name Callers, as on the users' platform
+/// @{
+constexpr base::Duration kTargetLatency = std::chrono::milliseconds(600);
+constexpr base::Duration kTimeout = std::chrono::seconds(15);
+/// After which a caller gives up a stream that does not begin.
+constexpr base::Duration kGivesUpAfter = std::chrono::milliseconds(2400);
+constexpr base::Duration kRetryPause = std::chrono::milliseconds(200);
+constexpr std::uint32_t kRetries = 1;
+constexpr std::uint64_t kLeastAsked = 4;
+/// @}
+
+std::string modelName(std::size_t number) { return "m" + std::to_string(number); }
+
+catalog::Route makeRoute(const char* name, bool repeatable) {
+  catalog::Route route;
+  route.name = name;
+  route.host = "host";
+  route.pathPrefix = std::string("/") + name + "/";
+  route.kind = catalog::RouteKind::streaming;
+  route.resumable = repeatable;
+  route.maxAttempts = repeatable ? 2 : 1;
+  route.timeout = kTimeout;
+  route.targetLatency = kTargetLatency;
+  route.services = {{kService, 1}};
+  return route;
+}
+
+}  // namespace
+
+/// The one document of the fleet.
+class ServingFleet::Reader : public registry::DocumentReader {
+ public:
+  explicit Reader(const ServingFleetOptions& options) : options_(options) {}
+
+  base::Result<catalog::Document> read(const std::string& /*text*/) const override {
+    catalog::Document document;
+    document.version = kDocumentVersion;
+    document.routes = {makeRoute("again", true), makeRoute("once", false)};
+    catalog::EngineSpec engine;
+    engine.slots = options_.worker.slots;
+    engine.weightsMegabytes = kModelMegabytes * static_cast<double>(options_.modelsPerWorker);
+    engine.adapterSlots = kAdapterSlots;
+    engine.storeLoadsPerSecond = options_.storeLoadsPerSecond;
+    for (std::size_t number = 0; number < options_.models; ++number) {
+      catalog::ModelSpec model;
+      model.name = modelName(number);
+      model.weightsMegabytes = kModelMegabytes;
+      model.storeLoadTime = options_.worker.loadTime;
+      model.diskLoadTime = options_.worker.loadTime;
+      model.memoryLoadTime = options_.worker.loadTime;
+      model.adapters = number == 0 ? static_cast<std::uint32_t>(options_.adapters) : 0;
+      engine.models.push_back(model);
+    }
+    document.services = {{kService, "/healthz", 0, engine}};
+    return document;
+  }
+
+ private:
+  const ServingFleetOptions options_;
+};
+
+/// One try of a caller.
+struct ServingFleet::Caller : net::ResponseSink {
+  Caller(ServingFleet& owner, std::string asked, bool mayRepeat, std::uint32_t left)
+      : fleet(owner), target(std::move(asked)), repeatable(mayRepeat), retries(left) {}
+
+  void respond(net::HttpResponse) override { end(false); }  // Streams are answered in pieces.
+  void beginChunked(net::HttpResponseHead) override { begun = true; }
+  void writeChunk(std::string_view) override {}
+  void endChunked() override { end(true); }
+  void abort() override { end(false); }
+  std::size_t bufferedBytes() const override { return 0; }
+  void setGoneCallback(std::function<void()> callback) override { gone = std::move(callback); }
+  void setDrainedCallback(std::function<void()>) override {}
+
+  void end(bool served) {
+    if (!std::exchange(over, true)) {
+      fleet.ended(*this, served);
+    }
+  }
+
+  ServingFleet& fleet;
+  const std::string target;
+  const bool repeatable;
+  const std::uint32_t retries;
+  std::function<void()> gone;
+  bool begun = false;
+  bool over = false;
+};
+
+ServingFleet::ServingFleet(const ServingFleetOptions& options)
+    : options_(options),
+      scheduler_(options.seed),
+      reader_(std::make_unique<Reader>(options)),
+      documents_(*reader_),
+      turns_(scheduler_.now()) {
+  registryOptions_.ordersFenced = true;
+  state_.apply(registry::StoreDocument{kDocumentVersion, "text"});
+  for (std::size_t index = 0; index < options.workers; ++index) {
+    const std::string name = "w" + std::to_string(index);
+    const registry::WorkerRecord record{{name},
+                                        kService,
+                                        {"10.1.0.1", static_cast<std::uint16_t>(index + 1)},
+                                        {},
+                                        options.worker.slots,
+                                        false};
+    state_.apply(registry::StoreWorker{record});
+    workers_.push_back(std::make_unique<ServingWorker>(record, options.worker, scheduler_));
+  }
+  leader_ = std::make_unique<registry::LeaderDuties>(registryOptions_, documents_, state_, kTerm,
+                                                     kSelf, log_, scheduler_.now(), turns_);
+  gateway::GatewayOptions gatewayOptions;
+  ServingGatewayLinks& links = *this;
+  for (std::size_t index = 0; index < options.gateways; ++index) {
+    gatewayOptions.selection.seed = scheduler_.random().uniform(1, 1'000'000);
+    gateways_.push_back(std::make_unique<ServingGateway>(index, scheduler_, links, gatewayOptions));
+    gateways_.back()->start();
+  }
+  for (std::size_t index = 0; index < workers_.size(); ++index) {
+    beat(index);
+  }
+  runLeader();
+  ask();
+}
+
+ServingFleet::~ServingFleet() = default;
+
+void ServingFleet::run(base::Duration duration) {
+  scheduler_.runUntil(scheduler_.now() + duration);
+}
+
+void ServingFleet::failWorkers(std::size_t count, WorkerFault fault) {
+  std::vector<ServingWorker*> sound;
+  for (const auto& worker : workers_) {
+    if (worker->fault() == WorkerFault::none) {
+      sound.push_back(worker.get());
+    }
+  }
+  for (std::size_t left = std::min(count, sound.size()); left > 0; --left) {
+    const std::size_t drawn = scheduler_.random().uniform(0, sound.size() - 1);
+    sound[drawn]->setFault(fault);
+    sound.erase(sound.begin() + static_cast<std::ptrdiff_t>(drawn));
+  }
+}
+
+void ServingFleet::healWorkers() {
+  for (const auto& worker : workers_) {
+    worker->setFault(WorkerFault::none);
+  }
+}
+
+// The leader and the workers
+
+void ServingFleet::runLeader() {
+  scheduler_.after(kLeaderTurn, [this] { runLeader(); });
+  leader_->run(scheduler_.now(), true, {});
+  for (const registry::Command& command : leader_->takeCommands()) {
+    state_.apply(command);
+    leader_->stateChanged(scheduler_.now());
+  }
+  for (const registry::RegistryAction& action : leader_->takeActions()) {
+    carryOut(action);
+  }
+}
+
+void ServingFleet::carryOut(const registry::RegistryAction& action) {
+  if (const auto* send = std::get_if<control::SendToConnection>(&action)) {
+    const std::size_t gateway = send->connection.value - 1;
+    const auto* message = std::get_if<registry::RegistryMessage>(&send->message);
+    scheduler_.after(kLinkDelay,
+                     [this, gateway, copy = *message] { gateways_[gateway]->received(copy); });
+  } else if (const auto* sent = std::get_if<registry::SendOrder>(&action)) {
+    order(*sent);
+  } else if (const auto* read = std::get_if<registry::ReadReport>(&action)) {
+    scheduler_.after(2 * kLinkDelay, [this, id = read->worker.id] {
+      leader_->reportFinished({id, find(id)->report()}, scheduler_.now());
+    });
+  }
+}
+
+void ServingFleet::order(const registry::SendOrder& order) {
+  scheduler_.after(kLinkDelay, [this, order] {
+    ServingWorker& worker = *find(order.worker.id);
+    const registry::OrderOutcome outcome = worker.order(order, [this, &worker] { heard(worker); });
+    const bool accepted = outcome == registry::OrderOutcome::accepted;
+    modelOrders_ += accepted && order.adapter.empty() ? 1 : 0;
+    scheduler_.after(kLinkDelay, [this, number = order.order, outcome] {
+      leader_->orderFinished({number, outcome}, scheduler_.now());
+    });
+  });
+}
+
+void ServingFleet::heard(ServingWorker& worker) {
+  leader_->heartbeat(worker.heartbeat(), scheduler_.now());
+}
+
+void ServingFleet::beat(std::size_t worker) {
+  heard(*workers_[worker]);
+  const base::Duration interval = registryOptions_.heartbeatInterval;
+  scheduler_.after(scheduler_.random().between(interval * 9 / 10, interval),
+                   [this, worker] { beat(worker); });
+}
+
+ServingWorker* ServingFleet::find(const registry::WorkerId& id) {
+  const auto found = std::find_if(workers_.begin(), workers_.end(),
+                                  [&id](const auto& worker) { return worker->record().id == id; });
+  return found == workers_.end() ? nullptr : found->get();
+}
+
+// Links of the gateways
+
+void ServingFleet::toLeader(std::size_t gateway, registry::MessageBody message) {
+  scheduler_.after(kLinkDelay, [this, gateway, message = std::move(message)] {
+    const protocol::ConnectionId connection{gateway + 1};
+    if (const auto* request = std::get_if<registry::Subscribe>(&message)) {
+      leader_->subscribe(connection, *request);
+    } else if (const auto* taken = std::get_if<registry::DocumentPartTaken>(&message)) {
+      leader_->documentPartTaken(connection, *taken);
+    } else if (const auto* demand = std::get_if<registry::DemandUpdate>(&message)) {
+      leader_->demand(connection, *demand, scheduler_.now());
+    }
+  });
+}
+
+void ServingFleet::toWorker(std::size_t gateway, const registry::WorkerRecord& record,
+                            std::shared_ptr<ServingCall> call) {
+  scheduler_.after(kLinkDelay, [this, gateway, id = record.id, call = std::move(call)] {
+    if (call->cancelled) {
+      return;
+    }
+    ServingWorker& worker = *find(id);
+    requestsToFailing_ += worker.fault() == WorkerFault::none ? 0 : 1;
+    const auto [model, adapter] = splitTarget(*call->request.headers.find("Model"));
+    worker.receive(call, model, adapter, [this, gateway](const std::function<void()>& input) {
+      gateways_[gateway]->run(input);
+    });
+  });
+}
+
+// Callers
+
+void ServingFleet::ask() {
+  const double pause = -std::log(1 - scheduler_.random().unit()) / options_.requestsPerSecond;
+  scheduler_.after(
+      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(pause)), [this] {
+        const bool repeatable = !scheduler_.random().chance(options_.unrepeatableShare);
+        const std::string target = drawTarget();
+        ServedCount& count = counts_[target];
+        count.firstAt = count.asked == 0 ? scheduler_.now() : count.firstAt;
+        count.lastAt = scheduler_.now();
+        ++count.asked;
+        send(target, repeatable, kRetries);
+        ask();
+      });
+}
+
+std::string ServingFleet::drawTarget() {
+  base::Random& random = scheduler_.random();
+  if (!random.chance(options_.popularShare)) {
+    return modelName(random.uniform(options_.popularModels, options_.models - 1));
+  }
+  const std::size_t model = random.uniform(0, options_.popularModels - 1);
+  const std::size_t adapter = random.uniform(0, options_.adapters);
+  return model != 0 || adapter == 0 ? modelName(model)
+                                    : modelName(model) + "/a" + std::to_string(adapter);
+}
+
+void ServingFleet::send(const std::string& target, bool repeatable, std::uint32_t retries) {
+  callers_.push_back(std::make_unique<Caller>(*this, target, repeatable, retries));
+  Caller& caller = *callers_.back();
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = repeatable ? "/again/x" : "/once/x";
+  request.headers.add("Host", "host");
+  request.headers.add("Id", "r" + std::to_string(++lastRequest_));
+  request.headers.add(
+      "Deadline-Ms",
+      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(kTimeout).count()));
+  request.headers.add("Model", target);
+  ServingGateway& gateway = *gateways_[scheduler_.random().uniform(0, gateways_.size() - 1)];
+  gateway.request(std::move(request), caller);
+  scheduler_.after(kGivesUpAfter, [&caller, &gateway] {
+    if (!caller.begun && !std::exchange(caller.over, true)) {
+      gateway.run(caller.gone);
+    }
+  });
+}
+
+void ServingFleet::ended(const Caller& caller, bool served) {
+  counts_[caller.target].served += served ? 1 : 0;
+  if (!served && caller.retries > 0) {
+    scheduler_.after(kRetryPause, [this, &caller] {
+      send(caller.target, caller.repeatable, caller.retries - 1);
+    });
+  }
+}
+
+// What is seen
+
+std::vector<std::string> ServingFleet::neverServed(base::Duration span) const {
+  std::vector<std::string> names;
+  for (const auto& [name, count] : counts_) {
+    const bool counts = count.asked >= kLeastAsked && count.lastAt - count.firstAt >= span;
+    if (counts && count.served == 0) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+double ServingFleet::servedShare() const {
+  std::uint64_t asked = 0;
+  std::uint64_t served = 0;
+  for (const auto& [name, count] : counts_) {
+    asked += count.asked;
+    served += count.served;
+  }
+  return asked == 0 ? 1 : static_cast<double>(served) / static_cast<double>(asked);
+}
+
+}  // namespace walnut::simulator
--- /dev/null
+++ b/src/simulator/serving_gateway.cpp
@@ -0,0 +1,152 @@
+#include "simulator/serving_gateway.h"
+
+#include <utility>
+
+namespace walnut::simulator {
+
+namespace {
+
+constexpr protocol::ConnectionId kLeader{1};
+const base::Endpoint kLeaderEndpoint{"10.0.0.1", 7000};
+
+std::string text(const net::HeaderList& headers, const char* name) {
+  const std::string* found = headers.find(name);
+  return found == nullptr ? std::string() : *found;
+}
+
+/// Fields: Id, Deadline-Ms, Model; of answers: Id, Sealed, Not-Run.
+class ServingDialect : public gateway::RequestDialect {
+ public:
+  gateway::RequestFacts readRequest(const net::HttpRequest& request) const override {
+    gateway::RequestFacts facts;
+    facts.requestId = text(request.headers, "Id");
+    if (const auto millis = request.headers.findNumber("Deadline-Ms")) {
+      facts.deadline = std::chrono::milliseconds(*millis);
+    }
+    std::tie(facts.model, facts.adapter) = splitTarget(text(request.headers, "Model"));
+    return facts;
+  }
+  void writeAttempt(net::HttpRequest&, const gateway::AttemptFacts&) const override {}
+  gateway::AnswerFacts readAnswer(int, const net::HeaderList& headers) const override {
+    return {text(headers, "Id"), headers.find("Sealed") != nullptr,
+            headers.find("Not-Run") != nullptr, false};
+  }
+  bool isReadinessCall(const net::HttpRequest&) const override { return false; }
+};
+
+class CallLauncher : public gateway::AttemptLauncher {
+ public:
+  CallLauncher(std::size_t index, ServingGatewayLinks& links) : index_(index), links_(links) {}
+
+  std::unique_ptr<gateway::Attempt> start(const registry::WorkerRecord& worker,
+                                          const net::HttpRequest& request,
+                                          net::ResponseCallbacks& callbacks) override {
+    auto call = std::make_shared<ServingCall>(ServingCall{request, &callbacks, false});
+    links_.toWorker(index_, worker, call);
+    return std::make_unique<CallAttempt>(std::move(call));
+  }
+  bool connected(const registry::WorkerId&) const override { return true; }
+  void forget(const registry::WorkerId&) override {}
+
+ private:
+  struct CallAttempt : gateway::Attempt {
+    explicit CallAttempt(std::shared_ptr<ServingCall> sent) : call(std::move(sent)) {}
+    void cancel() override { call->cancelled = true; }
+    void release() override { call->cancelled = true; }
+    void setReading(bool) override {}
+    std::shared_ptr<ServingCall> call;
+  };
+
+  const std::size_t index_;
+  ServingGatewayLinks& links_;
+};
+
+}  // namespace
+
+std::pair<std::string, std::string> splitTarget(const std::string& target) {
+  const std::size_t slash = target.find('/');
+  return slash == std::string::npos ? std::pair(target, std::string())
+                                    : std::pair(target.substr(0, slash), target.substr(slash + 1));
+}
+
+struct ServingGateway::Process : public gateway::RegistryLink {
+  Process(std::size_t number, Scheduler& time, ServingGatewayLinks& fleet,
+          const gateway::GatewayOptions& options)
+      : index(number),
+        links(fleet),
+        loop(time),
+        launcher(number, fleet),
+        session(sessionOptions(), loop, *this, log, number + 1),
+        gateway(options, loop, dialect, launcher, session, log, metrics),
+        follower(loop, session, gateway, log) {}
+
+  static gateway::RegistrySessionOptions sessionOptions() {
+    gateway::RegistrySessionOptions options;
+    options.servers = {kLeaderEndpoint};
+    return options;
+  }
+
+  void open(const base::Endpoint& server) override {
+    loop.runSoon([this, server] { session.opened(kLeader, server); });
+  }
+  void close(protocol::ConnectionId) override {}
+  void send(protocol::ConnectionId, registry::MessageBody message) override {
+    links.toLeader(index, std::move(message));
+  }
+
+  const std::size_t index;
+  ServingGatewayLinks& links;
+  VirtualLoop loop;
+  runtime::NullEventLog log;
+  runtime::NullMetricsSink metrics;
+  ServingDialect dialect;
+  CallLauncher launcher;
+  gateway::RegistrySession session;
+  gateway::Gateway gateway;
+  gateway::RegistryFollower follower;
+};
+
+ServingGateway::ServingGateway(std::size_t index, Scheduler& scheduler, ServingGatewayLinks& links,
+                               const gateway::GatewayOptions& options)
+    : scheduler_(scheduler),
+      process_(std::make_unique<Process>(index, scheduler, links, options)) {}
+
+ServingGateway::~ServingGateway() = default;
+
+void ServingGateway::start() {
+  run([this] {
+    process_->session.start();
+    process_->gateway.start();
+  });
+}
+
+void ServingGateway::received(const registry::RegistryMessage& message) {
+  run([this, &message] { process_->follower.messageReceived(kLeader, message); });
+}
+
+void ServingGateway::request(net::HttpRequest request, net::ResponseSink& sink) {
+  run([this, &request, &sink] { process_->gateway.onRequest(std::move(request), sink); });
+}
+
+void ServingGateway::run(const std::function<void()>& input) {
+  input();
+  process_->loop.runDeferred();
+  scheduleWakeup();
+}
+
+void ServingGateway::scheduleWakeup() {
+  const base::TimePoint next = process_->loop.next();
+  if (next >= wakeupAt_) {
+    return;
+  }
+  wakeupAt_ = next;
+  scheduler_.at(next, [this, next] {
+    if (wakeupAt_ != next) {
+      return;
+    }
+    wakeupAt_ = base::kNever;
+    run([this] { process_->loop.runDue(); });
+  });
+}
+
+}  // namespace walnut::simulator
--- /dev/null
+++ b/src/simulator/serving_worker.cpp
@@ -0,0 +1,155 @@
+#include "simulator/serving_worker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace walnut::simulator {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
+constexpr int kInternalError = 500;
+
+}  // namespace
+
+registry::Heartbeat ServingWorker::heartbeat() {
+  registry::Heartbeat heartbeat;
+  heartbeat.worker = record_;
+  heartbeat.sequence = ++sequence_;
+  heartbeat.holdingsKnown = true;
+  heartbeat.holdings = holdings_;
+  return heartbeat;
+}
+
+registry::WorkerReport ServingWorker::report() const {
+  return {holdings_, {}, orderUnderWay_, orderCount_};
+}
+
+registry::HeldModel* ServingWorker::find(const std::string& model) {
+  const auto found = std::find_if(holdings_.models.begin(), holdings_.models.end(),
+                                  [&model](const auto& held) { return held.name == model; });
+  return found == holdings_.models.end() ? nullptr : &*found;
+}
+
+registry::OrderOutcome ServingWorker::order(const registry::SendOrder& order,
+                                            std::function<void()> onChange) {
+  if (order.expectedOrderCount != orderCount_ || orderUnderWay_) {
+    return registry::OrderOutcome::busy;
+  }
+  return order.adapter.empty() ? orderModel(order, std::move(onChange)) : orderAdapter(order);
+}
+
+registry::OrderOutcome ServingWorker::orderModel(const registry::SendOrder& order,
+                                                 std::function<void()> onChange) {
+  if ((find(order.model) != nullptr) == order.load) {
+    return registry::OrderOutcome::alreadyDone;
+  }
+  ++orderCount_;
+  orderUnderWay_ = true;
+  scheduler_.after(order.load ? options_.loadTime : options_.unloadTime,
+                   [this, order, onChange = std::move(onChange)] {
+                     finishModelOrder(order);
+                     onChange();
+                   });
+  return registry::OrderOutcome::accepted;
+}
+
+void ServingWorker::finishModelOrder(const registry::SendOrder& order) {
+  orderUnderWay_ = false;
+  if (!order.load) {
+    std::erase_if(holdings_.models,
+                  [&order](const auto& held) { return held.name == order.model; });
+    return;
+  }
+  holdings_.models.push_back({order.model, 1, {}});
+  remember(holdings_.onDisk, order.model);
+}
+
+void ServingWorker::remember(std::vector<std::string>& copies, const std::string& model) {
+  if (std::find(copies.begin(), copies.end(), model) == copies.end()) {
+    copies.push_back(model);
+  }
+}
+
+registry::OrderOutcome ServingWorker::orderAdapter(const registry::SendOrder& order) {
+  registry::HeldModel* const held = find(order.model);
+  if (held == nullptr) {
+    return registry::OrderOutcome::refused;
+  }
+  ++orderCount_;
+  if (!order.load) {
+    std::erase(held->adapters, order.adapter);
+    return registry::OrderOutcome::accepted;
+  }
+  scheduler_.after(options_.adapterTime, [this, order] {
+    if (registry::HeldModel* const model = find(order.model)) {
+      remember(model->adapters, order.adapter);
+    }
+  });
+  return registry::OrderOutcome::accepted;
+}
+
+void ServingWorker::receive(std::shared_ptr<ServingCall> call, const std::string& model,
+                            const std::string& adapter, InLoop inLoop) {
+  switch (fault_) {
+    case WorkerFault::none:
+      break;
+    case WorkerFault::errors:
+      answer(options_.errorTime, call, inLoop, kInternalError, false);
+      return;
+    case WorkerFault::hang:
+      return;
+    case WorkerFault::reset:
+      later(options_.errorTime, call, inLoop, [](net::ResponseCallbacks& callbacks) {
+        callbacks.onResponseFailure({base::ErrorCode::connectionLost, "", ""}, true);
+      });
+      return;
+  }
+  const registry::HeldModel* const held = find(model);
+  const bool holds = held != nullptr && (adapter.empty() || holdings_.holds(model, adapter));
+  if (!holds) {
+    answer(options_.errorTime, call, inLoop, kMisdirected, true);
+  } else if (scheduler_.random().unit() < options_.strayErrors) {
+    answer(options_.errorTime, call, inLoop, kInternalError, false);
+  } else {
+    serve(call, inLoop);
+  }
+}
+
+void ServingWorker::answer(base::Duration delay, const std::shared_ptr<ServingCall>& call,
+                           const InLoop& inLoop, int status, bool notRun) {
+  later(delay, call, inLoop, [status, notRun, call](net::ResponseCallbacks& callbacks) {
+    net::MessageHead head;
+    head.status = status;
+    head.headers.add("Id", *call->request.headers.find("Id"));
+    head.headers.add(notRun ? "Not-Run" : "Sealed", "1");
+    callbacks.onResponseHead(std::move(head));
+    callbacks.onResponseComplete();
+  });
+}
+
+void ServingWorker::serve(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop) {
+  later(options_.firstEventTime, call, inLoop, [call](net::ResponseCallbacks& callbacks) {
+    net::MessageHead head;
+    head.status = kOk;
+    head.headers.add("Id", *call->request.headers.find("Id"));
+    head.headers.add("Sealed", "1");
+    callbacks.onResponseHead(std::move(head));
+    callbacks.onResponseBody("id: 1\n\n");
+  });
+  later(options_.serviceTime, call, inLoop,
+        [](net::ResponseCallbacks& callbacks) { callbacks.onResponseComplete(); });
+}
+
+void ServingWorker::later(base::Duration delay, const std::shared_ptr<ServingCall>& call,
+                          const InLoop& inLoop,
+                          std::function<void(net::ResponseCallbacks&)> callback) {
+  scheduler_.after(delay, [call, inLoop, callback = std::move(callback)] {
+    if (!call->cancelled) {
+      inLoop([call, callback] { callback(*call->callbacks); });
+    }
+  });
+}
+
+}  // namespace walnut::simulator
--- /dev/null
+++ b/src/simulator/serving_worker.h
@@ -0,0 +1,86 @@
+#pragma once
+/// @file
+/// A worker of a simulated serving fleet: it holds models, carries out orders and answers requests,
+/// and may fail requests while it says that it is well.
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "net/client_connection.h"
+#include "simulator/scheduler.h"
+#include "walnut/registry/registry.h"
+
+namespace walnut::simulator {
+
+/// What becomes of the requests that a worker is sent. Its heartbeats always say that it is well.
+enum class WorkerFault : std::uint8_t {
+  none,
+  errors,  ///< Answered with an error of the worker's own.
+  hang,    ///< Never answered.
+  reset,   ///< The connection is reset.
+};
+
+/// One request on its way to a worker and back. The caller of it sets `cancelled`.
+struct ServingCall {
+  net::HttpRequest request;
+  net::ResponseCallbacks* callbacks = nullptr;
+  bool cancelled = false;
+};
+
+struct ServingWorkerOptions {
+  std::uint32_t slots = 8;
+  base::Duration firstEventTime = std::chrono::milliseconds(150);
+  base::Duration serviceTime = std::chrono::milliseconds(400);
+  base::Duration errorTime = std::chrono::milliseconds(20);
+  base::Duration loadTime = std::chrono::milliseconds(900);
+  base::Duration unloadTime = std::chrono::milliseconds(50);
+  base::Duration adapterTime = std::chrono::milliseconds(10);
+  /// Share of the answers of a sound worker that are errors all the same.
+  double strayErrors = 0.01;
+};
+
+class ServingWorker {
+ public:
+  /// Calls back in the event loop of a gateway.
+  using InLoop = std::function<void(std::function<void()>)>;
+
+  ServingWorker(registry::WorkerRecord record, const ServingWorkerOptions& options,
+                Scheduler& scheduler)
+      : record_(std::move(record)), options_(options), scheduler_(scheduler) {}
+
+  const registry::WorkerRecord& record() const { return record_; }
+  void setFault(WorkerFault fault) { fault_ = fault; }
+  WorkerFault fault() const { return fault_; }
+
+  registry::Heartbeat heartbeat();
+  registry::WorkerReport report() const;
+  /// @param onChange called when a load or an unload of a model has ended.
+  registry::OrderOutcome order(const registry::SendOrder& order, std::function<void()> onChange);
+  void receive(std::shared_ptr<ServingCall> call, const std::string& model,
+               const std::string& adapter, InLoop inLoop);
+
+ private:
+  registry::OrderOutcome orderModel(const registry::SendOrder& order,
+                                    std::function<void()> onChange);
+  registry::OrderOutcome orderAdapter(const registry::SendOrder& order);
+  void finishModelOrder(const registry::SendOrder& order);
+  void serve(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop);
+  void answer(base::Duration delay, const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
+              int status, bool notRun);
+  void later(base::Duration delay, const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
+             std::function<void(net::ResponseCallbacks&)> callback);
+  void remember(std::vector<std::string>& copies, const std::string& model);
+  registry::HeldModel* find(const std::string& model);
+
+  const registry::WorkerRecord record_;
+  const ServingWorkerOptions options_;
+  Scheduler& scheduler_;
+  WorkerFault fault_ = WorkerFault::none;
+  registry::Holdings holdings_;
+  bool orderUnderWay_ = false;
+  std::uint64_t orderCount_ = 0;
+  std::uint64_t sequence_ = 0;
+};
+
+}  // namespace walnut::simulator
--- /dev/null
+++ b/test/simulator/serving_fleet_test.cpp
@@ -0,0 +1,58 @@
+/// Which models and adapters are served beside workers that say they are well and fail.
+
+#include "simulator/serving_fleet.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::simulator;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t kSeeds = 6;
+constexpr base::Duration kCalm = 8s;
+constexpr base::Duration kTrouble = 28s;
+/// Over which a model is asked for, to be counted.
+constexpr base::Duration kSpan = 8s;
+
+std::string describe(const ServingFleet& fleet) {
+  std::string text = "never served:";
+  for (const std::string& name : fleet.neverServed(kSpan)) {
+    text += " " + name;
+  }
+  return text;
+}
+
+}  // namespace
+
+TEST_GROUP(ServingFleetTest) {
+  ServingFleetOptions options;
+
+  /// Runs with a third of the workers failing, and checks that nobody is left without an answer.
+  void checkEachIsServed(WorkerFault fault) {
+    for (options.seed = 1; options.seed <= kSeeds; ++options.seed) {
+      ServingFleet fleet(options);
+      fleet.run(kCalm);
+      fleet.failWorkers(options.workers / 3, fault);
+      fleet.countAnew();
+      fleet.run(kTrouble);
+      STRCMP_EQUAL("never served:", describe(fleet).c_str());
+    }
+  }
+};
+
+TEST(ServingFleetTest, soundWorkersServeEverybody) { checkEachIsServed(WorkerFault::none); }
+
+TEST(ServingFleetTest, besideWorkersThatAnswerWithErrorsEachModelIsServed) {
+  checkEachIsServed(WorkerFault::errors);
+}
+
+TEST(ServingFleetTest, besideWorkersThatHangEachModelIsServed) {
+  checkEachIsServed(WorkerFault::hang);
+}
+
+TEST(ServingFleetTest, besideWorkersThatResetEachModelIsServed) {
+  checkEachIsServed(WorkerFault::reset);
+}
