registry, gateway: workers that fail what they are sent keep no replica, and are a last resort

Cause: a worker that heartbeats counted as serving what it holds, whatever became of its requests. Its failures are spread over all gateways, each of which sees a few; nobody put them together. So a model whose only replica was there was never loaded elsewhere, adapters were ordered there anew, since it looks idle, and retries for it went to the same worker until their budget was used up. Change: the leader's judgement of workers (WorkerJudge) is acted upon. For placement a failing worker serves nothing and gets nothing. Gateways are told; they go to it only if nothing else holds the model, and then only after 1.9 s in which another replica may come, or at once for plain services and without a leader. The verdict ends after 4 to 16 s, or once attempts succeed.

--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -178,13 +178,14 @@
 struct WorkerView {
   WorkerRecord record;
   bool silent = false;            ///< It has not been heard of for some time.
+  bool failing = false;           ///< It fails what it is sent, as gateways together have seen.
   bool holdingsKnown = false;     ///< Else a gateway keeps what it was told before.
   std::vector<HeldModel> models;  ///< Without what is about to be unloaded.
 
   bool operator==(const WorkerView&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(record, silent, holdingsKnown, models);
+    archive(record, silent, failing, holdingsKnown, models);
   }
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -22,6 +22,10 @@
 constexpr std::uint32_t kMaxArrivals = 8;
 /// When a refused caller is asked to come back.
 constexpr base::Duration kRetryAfterFull = std::chrono::milliseconds(300);
+/// A request for a model that only failing workers hold waits this long for another replica, then
+/// goes to one of them: a load from a disk takes 1 to 2 s, and callers give up a stream that does
+/// not begin after 2 s at the earliest.
+constexpr base::Duration kReplicaPatience = std::chrono::milliseconds(1900);
 constexpr base::Duration kRetryAfterTimeout = std::chrono::milliseconds(500);
 /// Without workers, a plain request waits this share of its target latency.
 constexpr int kPatienceDivisor = 4;
@@ -41,6 +45,8 @@
       return "excluded";
     case NoWorkerReason::broken:
       return "breaker-open";
+    case NoWorkerReason::failing:
+      return "failing";
   }
   return "unknown";
 }
@@ -113,6 +119,11 @@
     return;
   }
   const Selection selection = context_.selector().select(service_, facts_, excluded_, now());
+  if (selection.lastResort != nullptr && takesLastResort()) {
+    endWait();
+    launch(selection.lastResort);
+    return;
+  }
   if (selection.worker == nullptr) {
     wait(selection.reason);
     return;
@@ -133,6 +144,12 @@
          selection.expectedWait > route_.targetLatency;
 }
 
+/// Another replica may come of a model, if somebody hears that it is waited for; no other worker of
+/// a plain service does.
+bool Exchange::takesLastResort() const {
+  return facts_.model.empty() || !context_.leaderKnown() || now() >= arrivedAt_ + kReplicaPatience;
+}
+
 void Exchange::wait(NoWorkerReason reason) {
   const bool first = !waiting_;
   if (first) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -72,6 +72,8 @@
   /// @param answered the worker has begun to answer with success; else it failed.
   virtual void attemptSettled(const Worker& worker, const RequestFacts& facts, bool answered) = 0;
   virtual std::uint64_t documentVersion() const = 0;
+  /// @return true if the registry's leader hears what is waited for.
+  virtual bool leaderKnown() const = 0;
   /// The exchange is over; it is destroyed soon.
   virtual void ended(Exchange& exchange, int status) = 0;
 };
@@ -119,6 +121,7 @@
 
   void choose();
   bool wouldBeginLate(const Selection& selection) const;
+  bool takesLastResort() const;
   void wait(NoWorkerReason reason);
   void endWait();
   void launch(const WorkerDirectory::WorkerPtr& worker);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -81,6 +81,7 @@
   void attemptFailed(Worker& worker) override;
   void attemptSettled(const Worker& worker, const RequestFacts& facts, bool answered) override;
   std::uint64_t documentVersion() const override;
+  bool leaderKnown() const override { return session_.following(); }
   void ended(Exchange& exchange, int status) override;
 
  private:
--- a/src/gateway/worker_directory.cpp
+++ b/src/gateway/worker_directory.cpp
@@ -120,6 +120,7 @@
   }
   held.record = view.record;
   held.silent = view.silent;
+  held.failing = view.failing;
 }
 
 void WorkerDirectory::remove(const registry::WorkerId& id) {
--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -67,6 +67,7 @@
                                  base::TimePoint now) {
   Selection selection;
   std::vector<WorkerDirectory::WorkerPtr> usable;
+  std::vector<WorkerDirectory::WorkerPtr> failing;
   double latencySum = 0;
   std::size_t latencies = 0;
   const auto worse = [&selection](NoWorkerReason reason) {
@@ -79,6 +80,9 @@
       worse(NoWorkerReason::excluded);
     } else if (!worker->breaker.allows(now)) {
       worse(NoWorkerReason::broken);
+    } else if (worker->view.failing) {
+      worse(NoWorkerReason::failing);
+      failing.push_back(worker);
     } else {
       usable.push_back(worker);
     }
@@ -89,20 +93,30 @@
   }
   const double typical =
       latencies == 0 ? kDefaultLatency : latencySum / static_cast<double>(latencies);
+  selection.worker = cheapest(usable, typical, service, facts, now);
+  if (selection.worker != nullptr) {
+    selection.expectedWait = expectedWait(service, *selection.worker);
+  } else {
+    selection.lastResort = cheapest(failing, typical, service, facts, now);
+  }
+  return selection;
+}
+
+WorkerDirectory::WorkerPtr WorkerSelector::cheapest(
+    const std::vector<WorkerDirectory::WorkerPtr>& workers, double typicalLatency,
+    const std::string& service, const RequestFacts& facts, base::TimePoint now) {
   const registry::WorkerId* preferred = affinity_.find(facts);
+  WorkerDirectory::WorkerPtr best;
   double bestCost = std::numeric_limits<double>::infinity();
-  for (const WorkerDirectory::WorkerPtr& worker : usable) {
+  for (const WorkerDirectory::WorkerPtr& worker : workers) {
     const double price =
-        cost(*worker, typical, preferred, now) + seconds(expectedWait(service, *worker));
+        cost(*worker, typicalLatency, preferred, now) + seconds(expectedWait(service, *worker));
     if (price < bestCost) {
       bestCost = price;
-      selection.worker = worker;
+      best = worker;
     }
   }
-  if (selection.worker != nullptr) {
-    selection.expectedWait = expectedWait(service, *selection.worker);
-  }
-  return selection;
+  return best;
 }
 
 /// What waits there begins as what runs ends: a slot is free each slot time / slots.
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "gateway/worker_directory.h"
 #include "routing/moving_average.h"
@@ -22,10 +23,13 @@
   notHeld,    ///< None holds the model or the adapter.
   excluded,   ///< All that could have refused this request already.
   broken,     ///< All that could have an open circuit breaker.
+  failing,    ///< All that could fail what they are sent.
 };
 
 struct Selection {
   WorkerDirectory::WorkerPtr worker;  ///< Null: see `reason`.
+  /// The best of the failing workers if `worker` is null: better than none.
+  WorkerDirectory::WorkerPtr lastResort;
   NoWorkerReason reason = NoWorkerReason::noWorkers;
   /// Until a slot of the worker is expected to be free; zero if one is, or if that is not known.
   base::Duration expectedWait{0};
@@ -60,7 +64,7 @@
 
 /// Picks the worker with the least expected time: its observed latency, grown by the requests that
 /// run there and by its failures; workers of the own zone and those that know the prompt are
-/// preferred when that makes no great difference.
+/// preferred when that makes no great difference. One that fails what it is sent is a last resort.
 class WorkerSelector {
  public:
   /// Whether a request to a worker would need no new connection.
@@ -83,6 +87,9 @@
 
  private:
   base::Duration expectedWait(const std::string& service, const Worker& worker) const;
+  WorkerDirectory::WorkerPtr cheapest(const std::vector<WorkerDirectory::WorkerPtr>& workers,
+                                      double typicalLatency, const std::string& service,
+                                      const RequestFacts& facts, base::TimePoint now);
   double cost(const Worker& worker, double typicalLatency, const registry::WorkerId* preferred,
               base::TimePoint now);
 
--- a/src/registry/leader_beliefs.cpp
+++ b/src/registry/leader_beliefs.cpp
@@ -88,6 +88,8 @@
   }
   judge_.review(services, publisher_.gatewayCount(), now);
   for (const WorkerVerdict& verdict : judge_.takeChanges()) {
+    changed_.insert(verdict.worker);
+    planSoon_ = true;
     log_.write(verdict.failing ? LogEvent::workerFailing : LogEvent::workerTried,
                {{"worker", verdict.worker.value},
                 {"failed-percent", percent(verdict.share)},
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -283,7 +283,8 @@
   for (const WorkerId& id : std::exchange(changed_, {})) {
     if (const WorkerRecord* record = state_.findWorker(id)) {
       const WorkerStatus& status = statusOf(id, now);
-      publisher_.setWorker({*record, status.silent, status.holdingsKnown, status.serving(now)});
+      publisher_.setWorker(
+          {*record, status.silent, judge_.failing(id), status.holdingsKnown, status.serving(now)});
     }
   }
 }
@@ -366,7 +367,7 @@
   PlacementWorker worker;
   worker.id = record.id;
   worker.holdings = status.expected(now);
-  worker.serving = !record.leaving && !status.silent;
+  worker.serving = !record.leaving && !status.silent && !judge_.failing(record.id);
   worker.mayBeOrdered = status.reportFresh && !status.sentOrder && !status.reportUnderWay &&
                         now >= status.orderAgainAt && mayOrder(record.id, now);
   worker.mayTakeAdapters = !(status.adaptersBlocked && status.modelOrder);
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -45,7 +45,7 @@
   Holdings holdings;          ///< With adapters that are on their way.
   bool mayBeOrdered = false;  ///< It is ready, and no order to it is under way.
   bool mayTakeAdapters = true;
-  bool serving = true;                  ///< It is neither leaving nor silent.
+  bool serving = true;                  ///< It is neither leaving nor silent nor failing.
   std::optional<std::string> arriving;  ///< A model that it is loading.
   std::optional<std::string> retiring;  ///< A model that it is unloading.
   /// Until the order that is under way is expected to end; zero if there is none.
--- a/src/registry/view_codec.cpp
+++ b/src/registry/view_codec.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint64_t kWithRecord = 1;
 constexpr std::uint64_t kSilent = 2;
 constexpr std::uint64_t kHoldingsKnown = 4;
+constexpr std::uint64_t kFailing = 8;
 /// @}
 
 base::Error malformed(const char* detail) {
@@ -103,7 +104,7 @@
   const std::uint32_t worker = writer.name(view.record.id.value);
   const bool withRecord = recordIsNew(worker, view.record, cursor);
   writer.number((withRecord ? kWithRecord : 0) | (view.silent ? kSilent : 0) |
-                (view.holdingsKnown ? kHoldingsKnown : 0));
+                (view.failing ? kFailing : 0) | (view.holdingsKnown ? kHoldingsKnown : 0));
   if (withRecord) {
     writer.name(view.record.service);
     writer.text(view.record.endpoint.address);
@@ -232,6 +233,7 @@
   const std::uint32_t worker = reader.nameNumber();
   const std::uint64_t flags = reader.number();
   view.silent = (flags & kSilent) != 0;
+  view.failing = (flags & kFailing) != 0;
   view.holdingsKnown = (flags & kHoldingsKnown) != 0;
   if (!reader.failed() && (flags & kWithRecord) != 0) {
     WorkerRecord& record = records_[worker];
--- /dev/null
+++ b/test/gateway/failing_worker_test.cpp
@@ -0,0 +1,184 @@
+/// What a gateway tells of its attempts, and how it goes by the registry's word that a worker
+/// fails.
+
+#include "gateway/gateway_harness.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::gateway::testing;
+using namespace std::chrono_literals;
+
+TEST_GROUP(FailingWorkerTest) {
+  GatewayHarness harness;
+
+  std::size_t sentCount() { return harness.launcher.sent.size(); }
+  const Sent& lastSent() { return *harness.launcher.sent.back(); }
+  /// The leader tells that a worker holds model m, and whether it fails.
+  void tell(std::size_t number, bool failing, bool holds = true) {
+    registry::ViewUpdate update;
+    update.changed = {GatewayHarness::worker(number)};
+    update.changed[0].failing = failing;
+    update.changed[0].holdingsKnown = true;
+    if (holds) {
+      update.changed[0].models = {{"m", 1, {}}};
+    }
+    harness.gateway.viewReceived(update);
+    harness.scheduler.settle();
+  }
+  /// @return outcomes reported since the last call, all workers together.
+  registry::WorkerOutcomes outcomes() {
+    harness.advanceFollowing(600ms);
+    registry::WorkerOutcomes total;
+    for (const registry::DemandUpdate& update : std::exchange(harness.link.demand, {})) {
+      for (const registry::WorkerOutcomes& part : update.outcomes) {
+        total.answered += part.answered;
+        total.failed += part.failed;
+      }
+    }
+    return total;
+  }
+  void checkOutcomes(std::uint32_t answered, std::uint32_t failed) {
+    const registry::WorkerOutcomes total = outcomes();
+    CHECK_EQUAL(answered, total.answered);
+    CHECK_EQUAL(failed, total.failed);
+  }
+};
+
+TEST(FailingWorkerTest, whatBecomesOfAttemptsIsTold) {
+  harness.declare(1);
+  harness.follow();
+  const auto good = harness.request("once", "r1");
+  harness.answer(lastSent(), 200, "r1", "x");
+  checkOutcomes(1, 0);
+  const auto error = harness.request("once", "r2");
+  harness.answer(lastSent(), 500, "r2", "x");
+  checkOutcomes(0, 1);
+  const auto lost = harness.request("once", "r3");
+  harness.lose(lastSent());
+  checkOutcomes(0, 1);
+}
+
+TEST(FailingWorkerTest, anAnswerThatBlamesTheRequestSpeaksForTheWorker) {
+  harness.declare(1);
+  harness.follow();
+  const auto caller = harness.request("once", "r1");
+  harness.answer(lastSent(), 404, "r1", "x");
+  checkOutcomes(1, 0);
+}
+
+TEST(FailingWorkerTest, aRequestThatWasNotRunSaysNothingOfTheWorker) {
+  harness.declare(1);
+  harness.follow();
+  const auto caller = harness.request("once", "r1");
+  harness.refuse(lastSent(), 503, "r1");
+  checkOutcomes(0, 0);
+}
+
+TEST(FailingWorkerTest, aStreamCountsOnceItHasBegunAndAgainIfItIsCut) {
+  harness.declare(1);
+  harness.follow();
+  const auto caller = harness.request("bound", "r1");
+  const Sent& attempt = lastSent();
+  harness.head(attempt, 200, "r1", true);
+  checkOutcomes(0, 0);
+  attempt.callbacks->onResponseBody("id: 1\n\nid: 2\n\n");
+  checkOutcomes(1, 0);
+  harness.lose(attempt);
+  checkOutcomes(0, 1);
+}
+
+TEST(FailingWorkerTest, aWorkerThatIsSilentUntilItsCallerLeavesHasFailed) {
+  harness.declare(1);
+  harness.follow();
+  const auto patient = harness.request("bound", "r1");
+  harness.advanceFollowing(2s);
+  patient->gone();
+  checkOutcomes(0, 1);
+  const auto hasty = harness.request("bound", "r2");
+  harness.advanceFollowing(200ms);
+  hasty->gone();
+  checkOutcomes(0, 0);
+}
+
+TEST(FailingWorkerTest, aFullWorkerThatIsSlowToAnswerHasNotFailed) {
+  harness.declare(1);
+  harness.follow();
+  registry::ViewUpdate update;
+  update.loads.push_back({GatewayHarness::worker(1).record.id, {}, 9});
+  harness.gateway.viewReceived(update);
+  const auto caller = harness.request("bound", "r1");
+  harness.advanceFollowing(2s);
+  caller->gone();
+  checkOutcomes(0, 0);
+}
+
+TEST(FailingWorkerTest, aFailingWorkerIsAvoidedWhileAnotherOneHoldsTheModel) {
+  harness.declare(2);
+  harness.follow();
+  tell(1, true);
+  tell(2, false);
+  for (const char* id : {"r1", "r2", "r3", "r4"}) {
+    const auto caller = harness.request("safe", id, "m");
+    STRCMP_EQUAL("w2", lastSent().worker.id.value.c_str());
+    harness.answer(lastSent(), 200, id, "x");
+  }
+}
+
+TEST(FailingWorkerTest, aModelThatOnlyAFailingWorkerHoldsIsWaitedFor) {
+  harness.declare(2);
+  harness.follow();
+  tell(1, true);
+  harness.link.demand.clear();
+  const auto caller = harness.request("safe", "r1", "m");
+  CHECK_EQUAL(0, sentCount());
+  CHECK_EQUAL(1, harness.link.demand.back().demands.at(0).waiting);
+  harness.advanceFollowing(500ms);
+  tell(2, false);
+  CHECK_EQUAL(1, sentCount());
+  STRCMP_EQUAL("w2", lastSent().worker.id.value.c_str());
+}
+
+TEST(FailingWorkerTest, ifNoOtherReplicaComesTheFailingWorkerIsBetterThanNone) {
+  harness.declare(1);
+  harness.follow();
+  tell(1, true);
+  const auto caller = harness.request("safe", "r1", "m");
+  harness.advanceFollowing(1800ms);
+  CHECK_EQUAL(0, sentCount());
+  harness.advanceFollowing(600ms);
+  CHECK_EQUAL(1, sentCount());
+  harness.answer(lastSent(), 200, "r1", "x");
+  CHECK_EQUAL(200, caller->status);
+}
+
+TEST(FailingWorkerTest, withoutALeaderNobodyLoadsAnotherReplicaAndNothingIsWaitedFor) {
+  harness.declare(1);
+  tell(1, true);
+  const auto caller = harness.request("safe", "r1", "m");
+  CHECK_EQUAL(1, sentCount());
+}
+
+TEST(FailingWorkerTest, aPlainServiceHasNoOtherReplicaToWaitFor) {
+  harness.declare(2);
+  harness.follow();
+  tell(1, true);
+  tell(2, true);
+  const auto caller = harness.request("safe", "r1");
+  CHECK_EQUAL(1, sentCount());
+  tell(2, false);
+  const auto second = harness.request("safe", "r2");
+  STRCMP_EQUAL("w2", lastSent().worker.id.value.c_str());
+}
+
+TEST(FailingWorkerTest, anUpdateWithoutHoldingsTellsThatAWorkerFailsTheSame) {
+  harness.declare(2);
+  harness.follow();
+  registry::ViewUpdate update;
+  update.changed = {GatewayHarness::worker(1)};
+  update.changed[0].failing = true;
+  harness.gateway.viewReceived(update);
+  const auto caller = harness.request("safe", "r1");
+  STRCMP_EQUAL("w2", lastSent().worker.id.value.c_str());
+}
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -188,6 +188,15 @@
     gateway.start();
   }
 
+  /// Time passes, and the followed leader is heard all the while.
+  void advanceFollowing(base::Duration duration) {
+    constexpr base::Duration kStep = std::chrono::milliseconds(100);
+    for (base::Duration left = duration; left > base::Duration::zero(); left -= kStep) {
+      session_.viewReceived(protocol::ConnectionId{1}, {});
+      scheduler.advance(std::min(left, kStep));
+    }
+  }
+
   static GatewayOptions options() {
     GatewayOptions made;
     made.retrySlack = 100;
--- a/test/registry/leader_duties_test.cpp
+++ b/test/registry/leader_duties_test.cpp
@@ -28,12 +28,14 @@
     service.engine.emplace();
     service.engine->slots = 4;
     service.engine->weightsMegabytes = 100;
+    service.engine->adapterSlots = 2;
     service.engine->storeLoadsPerSecond = 1;
     for (const char* name : {"a", "b"}) {
       catalog::ModelSpec model;
       model.name = name;
       model.weightsMegabytes = 40;
       model.storeLoadTime = 2s;
+      model.adapters = 2;
       service.engine->models.push_back(model);
     }
     document.services.push_back(service);
@@ -55,6 +57,10 @@
   std::vector<RegistryAction> actions;
   bool leaseValid = true;
   bool recordsOrders = true;  ///< The log takes what is proposed.
+  std::uint64_t sequence = 0;
+  std::map<WorkerId, Holdings> holdings;  ///< That workers told of.
+  ViewDecoder decoder;
+  std::map<WorkerId, bool> failingTold;
 
   void setup() override {
     options.orderLease = kLease;
@@ -111,7 +117,9 @@
       std::vector<RegistryAction> kept;
       for (RegistryAction& action : std::exchange(actions, {})) {
         if (const auto* read = std::get_if<ReadReport>(&action)) {
-          duties->reportFinished({read->worker.id, WorkerReport{}}, now);
+          WorkerReport report;
+          report.holdings = holdings[read->worker.id];
+          duties->reportFinished({read->worker.id, report}, now);
         } else {
           kept.push_back(std::move(action));
         }
@@ -131,6 +139,32 @@
       }
     }
   }
+  /// The worker's heartbeat says that it holds the model.
+  void hold(const char* worker, const char* model, std::vector<std::string> adapters = {}) {
+    Heartbeat heartbeat;
+    heartbeat.worker = *state.findWorker({worker});
+    heartbeat.sequence = ++sequence;
+    heartbeat.holdingsKnown = true;
+    heartbeat.holdings.models = {{model, 1, std::move(adapters)}};
+    holdings[heartbeat.worker.id] = heartbeat.holdings;
+    duties->heartbeat(heartbeat, now);
+  }
+  /// @return whether the last view told of the worker says that it fails.
+  bool toldFailing(const WorkerId& worker) {
+    for (const RegistryAction& action : std::exchange(actions, {})) {
+      const auto* sent = std::get_if<control::SendToConnection>(&action);
+      const auto* packed =
+          sent == nullptr ? nullptr
+                          : std::get_if<PackedView>(&std::get<RegistryMessage>(sent->message).body);
+      if (packed != nullptr) {
+        const ViewUpdate update = decoder.decode(packed->bytes).value();
+        for (const WorkerView& view : update.changed) {
+          failingTold[view.record.id] = view.failing;
+        }
+      }
+    }
+    return failingTold[worker];
+  }
   template <class Action>
   std::size_t count() const {
     return static_cast<std::size_t>(std::count_if(
@@ -265,6 +299,71 @@
   CHECK_EQUAL(1, count<SendOrder>());
 }
 
+namespace {
+
+/// What three gateways saw of a worker: it failed all that they sent.
+void reportFailures(LeaderDuties& duties, const char* worker, base::TimePoint now) {
+  for (std::uint64_t gateway = 1; gateway <= 3; ++gateway) {
+    DemandUpdate update;
+    update.outcomes.push_back({{worker}, 0, 1});
+    duties.demand({gateway}, update, now);
+  }
+}
+
+}  // namespace
+
+/// Its heartbeats say that it is well and that it holds the model.
+TEST(LeaderDutiesTest, aModelThatOnlyAFailingWorkerHoldsIsLoadedElsewhereOnceItIsWaitedFor) {
+  lead();
+  hold("w1", "a");
+  runAnswering(1s);
+  reportFailures(*duties, "w1", now);
+  runAnswering(200ms);
+  CHECK_EQUAL(0, count<SendOrder>());
+  demandModel("a");
+  runAnswering(200ms);
+  CHECK_EQUAL(1, ordered().size());
+  STRCMP_EQUAL("w2", ordered()[0].c_str());
+}
+
+TEST(LeaderDutiesTest, anAdapterThatOnlyAFailingWorkerHoldsIsLoadedElsewhere) {
+  lead();
+  hold("w1", "a", {"a1"});
+  hold("w2", "a");
+  runAnswering(1s);
+  reportFailures(*duties, "w1", now);
+  runAnswering(100ms);
+  DemandUpdate update;
+  update.demands.push_back({"svc", "a", "a1", 1, 1});
+  duties->demand(kGateway, update, now);
+  runAnswering(200ms);
+  CHECK_EQUAL(1, ordered().size());
+  STRCMP_EQUAL("w2", ordered()[0].c_str());
+}
+
+TEST(LeaderDutiesTest, gatewaysAreToldOfAFailingWorkerAndThatItIsTriedAgain) {
+  lead();
+  hold("w1", "a");
+  duties->subscribe(kGateway, {});
+  runAnswering(1s);
+  CHECK_FALSE(toldFailing({"w1"}));
+  reportFailures(*duties, "w1", now);
+  run(100ms);
+  CHECK_TRUE(toldFailing({"w1"}));
+  run(5s);
+  CHECK_FALSE(toldFailing({"w1"}));
+}
+
+TEST(LeaderDutiesTest, aNewLeaderHoldsNobodyToFailUntilItHearsOfIt) {
+  lead();
+  reportFailures(*duties, "w1", now);
+  run(100ms);
+  lead();
+  duties->subscribe(kGateway, {});
+  run(300ms);
+  CHECK_FALSE(toldFailing({"w1"}));
+}
+
 /// A leader that is cut off does not know what another one has acknowledged since.
 TEST(LeaderDutiesTest, withoutAValidLeaseGatewaysAreToldNothing) {
   lead();
