control, routing: replicas of an engine that fails its requests don't count either

Cause: the same as in the registry, by reading: an engine that reports lately counts as serving its replicas, whatever routers see. Change: routers report outcomes of engines with their demand; the leader judges engines as it judges workers (FailureJudge, now a template in control). Replicas of a failing engine are made up for; at a model's limit the failing one is unloaded first. Routers are not told of the verdict and keep their breakers.

--- a/include/walnut/protocol/messages.h
+++ b/include/walnut/protocol/messages.h
@@ -173,6 +173,17 @@
   }
 };
 
+/// What became of the attempts of one router at one engine since the router's last report.
+struct EngineOutcomes {
+  base::EngineId engine;
+  std::uint32_t answered = 0;  ///< It has begun to answer.
+  std::uint32_t failed = 0;    ///< It failed, or did not answer in time.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(engine, answered, failed);
+  }
+};
+
 /// Router to leader, every report interval. `complete` replaces all that the leader holds of this
 /// router; else only the listed entries are replaced. An entry lapses when the router is silent
 /// for longer than the demand lifetime.
@@ -181,9 +192,10 @@
   std::uint64_t sequence = 0;  ///< Older reports than the last one are ignored.
   bool complete = false;
   std::vector<Demand> entries;
+  std::vector<EngineOutcomes> outcomes;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(router, sequence, complete, entries);
+    archive(router, sequence, complete, entries, outcomes);
   }
 };
 
--- a/src/control/controller_impl.cpp
+++ b/src/control/controller_impl.cpp
@@ -107,7 +107,10 @@
 
 void ControllerImpl::receive(protocol::ConnectionId, const protocol::DemandReport& report) {
   if (raft_->status().role == consensus::Role::leader) {
-    demand_.take(now_, report);
+    const bool taken = demand_.take(now_, report);
+    if (taken && leadership_) {
+      leadership_->outcomesReported(now_, report);
+    }
   }
 }
 
--- a/src/control/demand_table.cpp
+++ b/src/control/demand_table.cpp
@@ -32,10 +32,10 @@
   changedModels_.insert(target.model);
 }
 
-void DemandTable::take(base::TimePoint now, const protocol::DemandReport& report) {
+bool DemandTable::take(base::TimePoint now, const protocol::DemandReport& report) {
   RouterEntries& known = routers_[report.router];
   if (report.sequence <= known.sequence) {
-    return;
+    return false;
   }
   known.sequence = report.sequence;
   known.heardAt = now;
@@ -56,6 +56,7 @@
       remove(report.router, target);
     }
   }
+  return true;
 }
 
 void DemandTable::expire(base::TimePoint now) {
--- a/src/control/demand_table.h
+++ b/src/control/demand_table.h
@@ -42,7 +42,10 @@
   explicit DemandTable(base::Duration lifetime) : lifetime_(lifetime) {}
 
   /// Takes in a report unless a newer one of the router is known.
-  void take(base::TimePoint now, const protocol::DemandReport& report);
+  /// @return true if it was taken.
+  bool take(base::TimePoint now, const protocol::DemandReport& report);
+  /// @return routers that have reported and are not silent.
+  std::size_t routerCount() const { return routers_.size(); }
   /// Drops the entries of silent routers.
   void expire(base::TimePoint now);
   /// @return when `expire` has something to do.
--- a/src/control/engine_monitor.cpp
+++ b/src/control/engine_monitor.cpp
@@ -54,6 +54,7 @@
     calls_.erase(*found->second.call);
   }
   due_.erase({found->second.reportDueAt, engine});
+  failing_.erase(engine);
   channels_.erase(found);
 }
 
@@ -160,6 +161,14 @@
   return found->second.reportedAt;
 }
 
+void EngineMonitor::setFailing(const base::EngineId& engine, bool failing) {
+  if (failing) {
+    failing_.insert(engine);
+  } else {
+    failing_.erase(engine);
+  }
+}
+
 bool EngineMonitor::responsive(base::TimePoint now, const base::EngineId& engine) const {
   const auto at = reportedAt(engine);
   return at && now < *at + options_.reportInterval * kResponsiveIntervals;
--- a/src/control/engine_monitor.h
+++ b/src/control/engine_monitor.h
@@ -66,6 +66,14 @@
   const engine::Report* report(const base::EngineId& engine) const;
   /// @return true if the engine has reported lately.
   bool responsive(base::TimePoint now, const base::EngineId& engine) const;
+  /// Whether routers together have seen the engine fail what it is sent.
+  void setFailing(const base::EngineId& engine, bool failing);
+  bool failing(const base::EngineId& engine) const { return failing_.contains(engine); }
+  /// @return true if the engine's replicas serve, and it may be given new ones: it has reported
+  /// lately and does not fail what it is sent.
+  bool serves(base::TimePoint now, const base::EngineId& engine) const {
+    return responsive(now, engine) && !failing(engine);
+  }
   /// @return when the engine last reported; nothing if it has not in this term.
   std::optional<base::TimePoint> reportedAt(const base::EngineId& engine) const;
   /// @return where a checkpoint is cached at the engine, by its latest report.
@@ -100,6 +108,7 @@
   bool mayCall_ = false;
   std::map<base::EngineId, Channel> channels_;
   std::map<std::uint64_t, base::EngineId> calls_;  ///< Under way.
+  std::set<base::EngineId> failing_;
   /// Report requests to come, of engines without a call under way.
   std::set<std::pair<base::TimePoint, base::EngineId>> due_;
 };
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -265,8 +265,36 @@
   reconciler_.sendNextOrder(now, engine);
 }
 
+void Leadership::outcomesReported(base::TimePoint now, const protocol::DemandReport& report) {
+  for (const protocol::EngineOutcomes& outcomes : report.outcomes) {
+    if (context_.state.engines().contains(outcomes.engine)) {
+      judge_.report(report.router, {outcomes.engine, outcomes.answered, outcomes.failed}, now);
+    }
+  }
+}
+
+/// An engine reports that it is well whatever becomes of its requests. What routers see of it
+/// decides whether its replicas count.
+void Leadership::judgeEngines(base::TimePoint now) {
+  if (!judge_.reviewDue(now)) {
+    return;
+  }
+  const auto& known = context_.state.engines();
+  judge_.forgetIf([&known](const base::EngineId& engine) { return !known.contains(engine); });
+  std::vector<base::EngineId> engines;
+  for (const auto& [id, engine] : known) {
+    engines.push_back(id);
+  }
+  judge_.review({{"engines", engines}}, context_.demand.routerCount(), now);
+  for (const auto& verdict : judge_.takeChanges()) {
+    monitor_.setFailing(verdict.subject, verdict.failing);
+    markModelsOn(verdict.subject);
+  }
+}
+
 void Leadership::run(base::TimePoint now) {
   platform_.tick(now);
+  judgeEngines(now);
   monitor_.tick(now, context_.raft.leaseValid(now));
   stale_.merge(reconciler_.takeDue(now));
   for (const base::EngineId& engine : std::exchange(stale_, {})) {
--- a/src/control/leadership.h
+++ b/src/control/leadership.h
@@ -12,6 +12,7 @@
 #include "control/command_log.h"
 #include "control/demand_table.h"
 #include "control/engine_monitor.h"
+#include "control/failure_judge.h"
 #include "control/ledger_index.h"
 #include "control/member_change.h"
 #include "control/placement_policy.h"
@@ -52,6 +53,8 @@
   consensus::Term term() const { return term_; }
   void platformListRead(base::TimePoint now, const PlatformListRead& read);
   void engineCallFinished(base::TimePoint now, const EngineCallFinished& call);
+  /// A router tells, beside its demand, what became of its attempts.
+  void outcomesReported(base::TimePoint now, const protocol::DemandReport& report);
   /// An entry of this term was applied.
   void applied(const AppliedEntry& entry);
   /// Entries that changed the state were applied.
@@ -75,6 +78,7 @@
   void reviewEngine(base::TimePoint now, const base::EngineId& engine);
   void registerEngine(base::TimePoint now, const base::EngineId& engine);
   void removeGone(base::TimePoint now);
+  void judgeEngines(base::TimePoint now);
   void takeReport(base::TimePoint now, const engine::Report& report);
   void markChanged(const std::vector<protocol::Change>& changes);
   void markResource(const resource::Key& key, const resource::Spec* spec);
@@ -91,6 +95,7 @@
   UsageTracker usage_;
   PlacementPolicy policy_;
   LearnerPromotion promotion_;
+  FailureJudge<base::EngineId, base::RouterId> judge_;
 
   std::map<consensus::LogIndex, Proposal> proposals_;  ///< Under way.
   std::set<base::EngineId> changingEngines_;           ///< Named by one of proposals_.
--- a/src/control/space_finder.cpp
+++ b/src/control/space_finder.cpp
@@ -67,7 +67,7 @@
   const resource::EnginePoolSpec spec = input_.state.poolOf(need.model);
   for (const auto& [id, engine] : input_.state.engines()) {
     if (!inPool(engine, spec) || !input_.takesWork(engine) ||
-        !input_.monitor.responsive(input_.now, id)) {
+        !input_.monitor.serves(input_.now, id)) {
       continue;
     }
     for (std::uint32_t index = 0; index < engine.acceleratorBytes.size(); ++index) {
@@ -80,7 +80,7 @@
 bool SpaceFinder::servableMayGoTo(const ReplicaNeed& need, const AcceleratorPlace& place) const {
   return !input_.unledgered.contains(place) && !takenFor_.contains({place, need.servable}) &&
          !input_.ledger.holds(place, need.servable) &&
-         input_.monitor.responsive(input_.now, place.engine);
+         input_.monitor.serves(input_.now, place.engine);
 }
 
 PlaceReplica SpaceFinder::placementAt(const ReplicaNeed& need,
--- a/src/control/target_planner.cpp
+++ b/src/control/target_planner.cpp
@@ -120,14 +120,17 @@
   struct Serving {
     std::uint32_t all = 0;
     /// Those of silent engines left out: if the limit allows, they are made up for. Until all
-    /// engines have had time to report, none counts as silent.
+    /// engines have had time to report, none counts as silent. Those of engines that fail what they
+    /// are sent are left out too.
     std::uint32_t heard = 0;
   };
   Serving serving(const Servable& servable) const {
     Serving count;
     for (const base::ReplicaId id : input_.ledger.of(servable)) {
       const Replica& replica = *input_.ledger.find(id);
-      const bool heard = !input_.settled || input_.monitor.responsive(input_.now, replica.engine);
+      const bool heard =
+          (!input_.settled || input_.monitor.responsive(input_.now, replica.engine)) &&
+          !input_.monitor.failing(replica.engine);
       const bool serves = input_.serves(replica);
       count.all += serves ? 1U : 0U;
       count.heard += serves && heard ? 1U : 0U;
@@ -287,12 +290,26 @@
     }
     if (wanted > present.heard) {
       need.count = std::min(wanted - present.heard, room);
+      if (need.count == 0) {
+        unloadFailing(need.servable);
+      }
       if (need.count > 0) {
         plan_.needs.push_back(std::move(need));
       }
     }
   }
 
+  /// The limit leaves no room beside a replica whose engine fails what it is sent: it goes first.
+  void unloadFailing(const Servable& servable) {
+    for (const base::ReplicaId id : input_.ledger.of(servable)) {
+      const Replica& replica = *input_.ledger.find(id);
+      if (input_.serves(replica) && input_.monitor.failing(replica.engine)) {
+        unloadWithAdapters(replica);
+        return;
+      }
+    }
+  }
+
   /// Unloads serving replicas beyond `keep`, those with the fewest requests first.
   void unloadExtra(const Servable& servable, std::uint32_t keep) {
     std::vector<std::pair<std::uint32_t, base::ReplicaId>> serving;
--- a/src/registry/leader_beliefs.cpp
+++ b/src/registry/leader_beliefs.cpp
@@ -87,14 +87,14 @@
     }
   }
   judge_.review(services, publisher_.gatewayCount(), now);
-  for (const WorkerVerdict& verdict : judge_.takeChanges()) {
-    changed_.insert(verdict.worker);
+  for (const WorkerJudge::Verdict& verdict : judge_.takeChanges()) {
+    changed_.insert(verdict.subject);
     planSoon_ = true;
     log_.write(verdict.failing ? LogEvent::workerFailing : LogEvent::workerTried,
-               {{"worker", verdict.worker.value},
+               {{"worker", verdict.subject.value},
                 {"failed-percent", percent(verdict.share)},
                 {"rest-percent", percent(verdict.restShare)},
-                {"gateways", verdict.gateways},
+                {"gateways", verdict.reporters},
                 {"former-millis", millisOf(verdict.heldFor)}});
   }
 }
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -148,7 +148,7 @@
   demand_.update(gateway, update, now);
   for (const WorkerOutcomes& outcomes : update.outcomes) {
     if (state_.findWorker(outcomes.worker) != nullptr) {
-      judge_.report(gateway, outcomes, now);
+      judge_.report(gateway, {outcomes.worker, outcomes.answered, outcomes.failed}, now);
     }
   }
   logAnswerChanges();
--- a/src/routing/demand_reporter.cpp
+++ b/src/routing/demand_reporter.cpp
@@ -167,7 +167,8 @@
 
 void DemandReporter::tick(base::TimePoint now, const std::map<std::string, Target>& targets,
                           const RequestQueue& queue, const ClusterView& view,
-                          const RequestTable& requests, std::vector<RouterAction>& actions) {
+                          const RequestTable& requests, EngineSelector& selector,
+                          std::vector<RouterAction>& actions) {
   if (now < nextAt_) {
     return;
   }
@@ -181,13 +182,15 @@
   report.entries = report.complete ? allActive(now, targets, queue, view)
                                    : changedEntries(now, targets, queue, view);
   addFormerVersions(view, requests, report.complete, report.entries);
-  if (report.entries.empty() && !report.complete && now < sentAt_ + kAliveInterval) {
+  const bool news = !report.entries.empty() || report.complete || selector.sawFailures();
+  if (!news && now < sentAt_ + kAliveInterval) {
     return;
   }
   if (report.complete) {
     completeAt_ = now + kCompleteInterval;
   }
   sentAt_ = now;
+  report.outcomes = selector.takeOutcomes();
   report.sequence = ++sequence_;
   actions.emplace_back(SendToController{leader_->connection, std::move(report)});
 }
--- a/src/routing/demand_reporter.h
+++ b/src/routing/demand_reporter.h
@@ -10,6 +10,7 @@
 
 #include "routing/cluster_view.h"
 #include "routing/controller_sessions.h"
+#include "routing/engine_selector.h"
 #include "routing/request_queue.h"
 #include "routing/request_table.h"
 #include "routing/target_table.h"
@@ -37,9 +38,10 @@
   base::TimePoint nextWakeup() const { return nextAt_; }
 
   /// Sends what is due to the leader.
+  /// @param selector whose outcomes are taken once they are sent.
   void tick(base::TimePoint now, const std::map<std::string, Target>& targets,
             const RequestQueue& queue, const ClusterView& view, const RequestTable& requests,
-            std::vector<RouterAction>& actions);
+            EngineSelector& selector, std::vector<RouterAction>& actions);
 
  private:
   /// The entry that the leader holds of a target.
--- a/src/routing/engine_selector.cpp
+++ b/src/routing/engine_selector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace walnut::routing {
 
@@ -178,6 +179,17 @@
 
 void EngineSelector::succeeded(const base::EngineId& engine) {
   engines_[engine].breaker.succeeded();
+  ++outcomes_[engine].answered;
+}
+
+std::vector<protocol::EngineOutcomes> EngineSelector::takeOutcomes() {
+  sawFailures_ = false;
+  std::vector<protocol::EngineOutcomes> taken;
+  for (auto& [engine, outcomes] : std::exchange(outcomes_, {})) {
+    outcomes.engine = engine;
+    taken.push_back(std::move(outcomes));
+  }
+  return taken;
 }
 
 base::Duration EngineSelector::drawnAround(base::Duration mean) {
@@ -187,6 +199,8 @@
 void EngineSelector::failed(base::TimePoint now, const base::EngineId& engine) {
   engines_[engine].breaker.failed(now, options_.breakerFailures,
                                   drawnAround(options_.breakerOpenFor));
+  ++outcomes_[engine].failed;
+  sawFailures_ = true;
 }
 
 void EngineSelector::lacksReplica(base::TimePoint now, const base::EngineId& engine) {
--- a/src/routing/engine_selector.h
+++ b/src/routing/engine_selector.h
@@ -11,6 +11,7 @@
 #include "routing/cluster_view.h"
 #include "routing/prefix_index.h"
 #include "walnut/base/random.h"
+#include "walnut/protocol/messages.h"
 
 namespace walnut::routing {
 
@@ -45,8 +46,13 @@
   void placeFreed(const base::EngineId& engine, base::ReplicaId replica);
 
   void handedOver(const base::EngineId& engine, const std::vector<std::uint64_t>& hashes);
+  /// The engine has begun to answer an attempt.
   void succeeded(const base::EngineId& engine);
   void failed(base::TimePoint now, const base::EngineId& engine);
+  /// @return true if an engine has failed since the last `takeOutcomes`.
+  bool sawFailures() const { return sawFailures_; }
+  /// @return what became of attempts since the last call.
+  std::vector<protocol::EngineOutcomes> takeOutcomes();
   /// The engine answered that it does not have the replica. Opens its breaker at once: then one
   /// request at a time finds out whether the cell was right after all, not all that wait.
   void lacksReplica(base::TimePoint now, const base::EngineId& engine);
@@ -103,6 +109,8 @@
   std::map<base::EngineId, EngineState> engines_;
   std::map<base::ReplicaId, std::uint32_t> places_;  ///< Taken by this router; never zero.
   PrefixIndex prefixes_;
+  std::map<base::EngineId, protocol::EngineOutcomes> outcomes_;  ///< Not yet taken.
+  bool sawFailures_ = false;
 };
 
 }  // namespace walnut::routing
--- a/src/routing/router_impl.cpp
+++ b/src/routing/router_impl.cpp
@@ -37,7 +37,7 @@
   runTimers();
   dispatcher_.run();
   core_.demand.tick(core_.now, core_.targets, core_.queue, core_.view, core_.requests,
-                    core_.actions);
+                    core_.selector, core_.actions);
   if (core_.stopping && !stopped_ && core_.requests.size() == 0) {
     stopped_ = true;
     core_.actions.emplace_back(RouterStopped{});
--- a/test/control/controller_cell.h
+++ b/test/control/controller_cell.h
@@ -201,7 +201,7 @@
   /// Demand of a router for model `m`, to whoever leads.
   void demand(std::uint64_t router, std::uint32_t waiting) {
     const std::size_t server = awaitLeader();
-    protocol::DemandReport report{base::RouterId{router}, ++reports_, true, {}};
+    protocol::DemandReport report{base::RouterId{router}, ++reports_, true, {}, {}};
     protocol::Demand entry;
     entry.model = "m";
     entry.waitingInteractive = waiting;
@@ -210,6 +210,15 @@
     send(server, connectRouter(server, router), report);
   }
 
+  /// A router tells whoever leads what became of its attempts at an engine.
+  void outcomes(std::uint64_t router, const std::string& engine, std::uint32_t answered,
+                std::uint32_t failed) {
+    const std::size_t server = awaitLeader();
+    protocol::DemandReport report{base::RouterId{router}, ++reports_, false, {}, {}};
+    report.outcomes.push_back({base::EngineId{engine}, answered, failed});
+    send(server, connectRouter(server, router), report);
+  }
+
   FakeEngine& addEngine(const std::string& name) {
     engine::PlatformMachine machine;
     machine.engine.value = name;
--- a/test/control/controller_test.cpp
+++ b/test/control/controller_test.cpp
@@ -280,6 +280,56 @@
   STRCMP_EQUAL("e1", replicas.front().engine.value.c_str());
 }
 
+namespace {
+
+/// Three servers, engines `e1` and `e2`, model `m` loaded on one of them, which fails all requests
+/// of three routers from now on and reports that it is well.
+struct FailingEngine {
+  explicit FailingEngine(std::uint32_t maxReplicas) {
+    cell.addEngine("e1");
+    cell.addEngine("e2");
+    leader = cell.awaitLeader();
+    cell.declareModel(leader, maxReplicas);
+    cell.run(seconds(2));
+    cell.demand(1, 1);
+    cell.run(seconds(4));
+    failing = cell.cellStatus(leader).replicas.at(0).engine.value;
+    for (std::uint64_t router = 1; router <= 3; ++router) {
+      cell.outcomes(router, failing, 0, 1);
+    }
+  }
+  /// Runs on, with requests that wait, and @return the engines that hold the model then.
+  std::set<std::string> holders() {
+    for (int round = 0; round < 3; ++round) {
+      cell.demand(1, 1);
+      cell.run(seconds(1));
+    }
+    std::set<std::string> engines;
+    for (const auto& replica : cell.cellStatus(leader).replicas) {
+      engines.insert(replica.engine.value);
+    }
+    return engines;
+  }
+
+  ControllerCell cell{3};
+  std::size_t leader = 0;
+  std::string failing;
+};
+
+}  // namespace
+
+TEST(Controller, aModelOfAnEngineThatFailsItsRequestsIsLoadedElsewhere) {
+  FailingEngine failing(2);
+  CHECK_EQUAL(2, failing.holders().size());
+}
+
+TEST(Controller, atItsLimitAModelLeavesAnEngineThatFailsItsRequests) {
+  FailingEngine failing(1);
+  const std::set<std::string> holders = failing.holders();
+  CHECK_EQUAL(1, holders.size());
+  CHECK_FALSE(holders.contains(failing.failing));
+}
+
 TEST(Controller, anAddedServerBecomesAVoterAndARemovedOneLeaves) {
   ControllerCell cell(3, 1);
   const std::size_t leader = cell.awaitLeader();
--- a/test/registry/worker_judge_test.cpp
+++ b/test/control/failure_judge_test.cpp
@@ -1,16 +1,22 @@
-/// Which workers are held to fail, by the outcomes that gateways report.
+/// Who is held to fail, by the outcomes that are reported.
 
-#include "registry/worker_judge.h"
+#include "control/failure_judge.h"
+
+#include "walnut/base/ids.h"
 
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
 
 using namespace walnut;
-using namespace walnut::registry;
+using namespace walnut::control;
 using namespace std::chrono_literals;
 
-TEST_GROUP(WorkerJudgeTest) {
-  WorkerJudge judge;
+TEST_GROUP(FailureJudgeTest) {
+  using WorkerId = base::StrongId<struct TestWorkerTag, std::string>;
+  using GatewayId = base::StrongId<struct TestGatewayTag, std::uint64_t>;
+  using Judge = FailureJudge<WorkerId, GatewayId>;
+
+  Judge judge;
   base::TimePoint now = base::TimePoint(100s);
   std::vector<WorkerId> workers = {{"w1"}, {"w2"}, {"w3"}, {"w4"}};
   std::size_t gateways = 8;
@@ -37,7 +43,7 @@
   }
 };
 
-TEST(WorkerJudgeTest, aWorkerThatFailsEverythingIsKnownAfterThreeAttempts) {
+TEST(FailureJudgeTest, aWorkerThatFailsEverythingIsKnownAfterThreeAttempts) {
   allAnswer();
   fail("w1", 2);
   CHECK_FALSE(failing("w1"));
@@ -46,12 +52,12 @@
   CHECK_FALSE(judge.failing({"w2"}));
 }
 
-TEST(WorkerJudgeTest, aWorkerThatNobodySawAnswerIsKnownAfterTwo) {
+TEST(FailureJudgeTest, aWorkerThatNobodySawAnswerIsKnownAfterTwo) {
   fail("w1", 2);
   CHECK_TRUE(failing("w1"));
 }
 
-TEST(WorkerJudgeTest, howOftenItIsAskedDoesNotMatter) {
+TEST(FailureJudgeTest, howOftenItIsAskedDoesNotMatter) {
   allAnswer();
   for (std::uint64_t gateway = 1; gateway <= 3; ++gateway) {
     now += 9s;
@@ -60,14 +66,14 @@
   CHECK_TRUE(failing("w1"));
 }
 
-TEST(WorkerJudgeTest, strayErrorsCondemnNobody) {
+TEST(FailureJudgeTest, strayErrorsCondemnNobody) {
   for (std::uint64_t gateway = 1; gateway <= 50; ++gateway) {
     report("w1", 9, 1, gateway);
     CHECK_FALSE(failing("w1"));
   }
 }
 
-TEST(WorkerJudgeTest, oneGatewayAloneCondemnsNobody) {
+TEST(FailureJudgeTest, oneGatewayAloneCondemnsNobody) {
   allAnswer();
   for (int attempt = 0; attempt < 20; ++attempt) {
     report("w1", 0, 1);
@@ -77,14 +83,14 @@
   CHECK_TRUE(failing("w1"));
 }
 
-TEST(WorkerJudgeTest, theOnlyGatewayIsBelieved) {
+TEST(FailureJudgeTest, theOnlyGatewayIsBelieved) {
   gateways = 1;
   allAnswer();
   report("w1", 0, 3);
   CHECK_TRUE(failing("w1"));
 }
 
-TEST(WorkerJudgeTest, whereAllFailAlikeNoneIsAvoided) {
+TEST(FailureJudgeTest, whereAllFailAlikeNoneIsAvoided) {
   for (const char* worker : {"w1", "w2", "w3", "w4"}) {
     fail(worker, 5);
   }
@@ -92,7 +98,7 @@
   CHECK_TRUE(judge.takeChanges().empty());
 }
 
-TEST(WorkerJudgeTest, atMostHalfOfAServiceIsAvoided) {
+TEST(FailureJudgeTest, atMostHalfOfAServiceIsAvoided) {
   workers = {{"w1"}, {"w2"}, {"w3"}, {"w4"}, {"w5"}, {"w6"}};
   allAnswer();
   for (const char* worker : {"w1", "w2", "w3", "w4"}) {
@@ -106,7 +112,7 @@
   CHECK_EQUAL(3, count);
 }
 
-TEST(WorkerJudgeTest, itIsTriedAgainAfterAWhileAndItsNextFailureCondemnsItAnew) {
+TEST(FailureJudgeTest, itIsTriedAgainAfterAWhileAndItsNextFailureCondemnsItAnew) {
   allAnswer();
   fail("w1", 3);
   CHECK_TRUE(failing("w1"));
@@ -124,7 +130,7 @@
   CHECK_FALSE(failing("w1"));
 }
 
-TEST(WorkerJudgeTest, attemptsThatSucceedAllTheSameEndTheVerdictAtOnce) {
+TEST(FailureJudgeTest, attemptsThatSucceedAllTheSameEndTheVerdictAtOnce) {
   allAnswer();
   fail("w1", 3);
   CHECK_TRUE(failing("w1"));
@@ -132,20 +138,20 @@
   CHECK_FALSE(failing("w1"));
 }
 
-TEST(WorkerJudgeTest, changesAreToldOnceWithWhatDecidedThem) {
+TEST(FailureJudgeTest, changesAreToldOnceWithWhatDecidedThem) {
   allAnswer();
   fail("w1", 3);
   review();
   review();
-  const std::vector<WorkerVerdict> changes = judge.takeChanges();
+  const std::vector<Judge::Verdict> changes = judge.takeChanges();
   CHECK_EQUAL(1, changes.size());
   CHECK_TRUE(changes[0].failing);
-  CHECK_EQUAL(3, changes[0].gateways);
+  CHECK_EQUAL(3, changes[0].reporters);
   CHECK_TRUE(changes[0].share > 0.5);
   CHECK_TRUE(changes[0].restShare < 0.1);
 }
 
-TEST(WorkerJudgeTest, outcomesBeforeALongSilenceCountForNothing) {
+TEST(FailureJudgeTest, outcomesBeforeALongSilenceCountForNothing) {
   allAnswer();
   fail("w1", 2);
   now += 31s;
--- a/test/routing/demand_reporter_test.cpp
+++ b/test/routing/demand_reporter_test.cpp
@@ -30,7 +30,7 @@
   std::optional<protocol::DemandReport> run() {
     now_ += kStep;
     std::vector<RouterAction> actions;
-    reporter_.tick(now_, targets_, queue_, view_, requests_, actions);
+    reporter_.tick(now_, targets_, queue_, view_, requests_, selector_, actions);
     if (actions.empty()) {
       return std::nullopt;
     }
@@ -72,6 +72,7 @@
   RequestTable& requests() { return requests_; }
   base::TimePoint now() const { return now_; }
   DemandReporter& reporter() { return reporter_; }
+  EngineSelector& selector() { return selector_; }
   ClusterView& view() { return view_; }
 
  private:
@@ -81,6 +82,8 @@
   RequestQueue queue_;
   RequestTable requests_;
   std::map<std::string, Target> targets_;
+  base::Random random_{1};
+  EngineSelector selector_{options_, random_};
   base::TimePoint now_ = base::fromMicros(1'000'000'000);
 };
 
@@ -99,6 +102,19 @@
   CHECK_EQUAL(10, reports);
 }
 
+TEST(DemandReporter, whatBecameOfAttemptsIsToldOnceAndFailuresSoon) {
+  Fixture fixture;
+  fixture.entriesWithin(5);
+  fixture.selector().succeeded({"e1"});
+  fixture.selector().failed(fixture.now(), {"e2"});
+  const auto report = fixture.run();
+  CHECK_EQUAL(2U, report.value().outcomes.size());
+  CHECK_EQUAL(1U, report.value().outcomes[0].answered);
+  CHECK_EQUAL(1U, report.value().outcomes[1].failed);
+  fixture.selector().succeeded({"e1"});
+  CHECK_FALSE(fixture.run().has_value());
+}
+
 TEST(DemandReporter, waitingIsReportedInTheNextInterval) {
   Fixture fixture;
   fixture.setMoving(1);
