--- a/src/explain/loss_account.cpp
+++ b/src/explain/loss_account.cpp
@@ -120,6 +120,9 @@
   if (story.ranAndFailed || (kind == LossKind::failed && outcome == "answered")) {
     return LossCause::workerFailed;
   }
+  if (story.waitedFor == "failing") {
+    return LossCause::workerFailed;
+  }
   if (story.waitedFor == "no-workers" || story.waitedFor == "breaker-open") {
     return LossCause::noWorker;
   }
--- a/src/explain/loss_account.h
+++ b/src/explain/loss_account.h
@@ -18,7 +18,7 @@
 /// The first of these that fits is a request's cause.
 enum class LossCause : std::uint8_t {
   noDocument,      ///< The gateway knew no document, or was stopping.
-  workerFailed,    ///< An attempt failed that ran or may have run.
+  workerFailed,    ///< An attempt ran, or may have, and failed; or only failing ones had it.
   modelFromStore,  ///< It waited for a model that came from the weight store.
   modelFromDisk,   ///< It waited for a model that came from a worker's disk or memory.
   modelNotLoaded,  ///< It waited for a model, and no load of it was seen to end.
--- a/test/explain/loss_account_test.cpp
+++ b/test/explain/loss_account_test.cpp
@@ -83,6 +83,12 @@
   checkOnly(LossKind::failed, LossCause::workerFailed);
 }
 
+TEST(LossAccountTest, aWaitForAModelThatOnlyFailingWorkersHoldIsTheWorkers) {
+  line(10, "event=request-waiting request=r model=m reason=failing adapter=\"\"");
+  ended(14, "503", "deadline", "first=0 gap=0 waited=4000 millis=4000");
+  checkOnly(LossKind::refused, LossCause::workerFailed);
+}
+
 TEST(LossAccountTest, aRefusalAtFullReplicasIsTold) {
   line(1, "event=attempt-failed request=r worker=w executed=no reason=full");
   ended(2, "503", "all replicas are full");
