--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -282,6 +282,7 @@
   const auto& known = context_.state.engines();
   judge_.forgetIf([&known](const base::EngineId& engine) { return !known.contains(engine); });
   std::vector<base::EngineId> engines;
+  engines.reserve(known.size());
   for (const auto& [id, engine] : known) {
     engines.push_back(id);
   }
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -90,8 +90,8 @@
   return registry::OrderOutcome::accepted;
 }
 
-void ServingWorker::receive(std::shared_ptr<ServingCall> call, const std::string& model,
-                            const std::string& adapter, InLoop inLoop) {
+void ServingWorker::receive(const std::shared_ptr<ServingCall>& call, const std::string& model,
+                            const std::string& adapter, const InLoop& inLoop) {
   switch (fault_) {
     case WorkerFault::none:
       break;
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -57,8 +57,8 @@
   registry::WorkerReport report() const;
   /// @param onChange called when a load or an unload of a model has ended.
   registry::OrderOutcome order(const registry::SendOrder& order, std::function<void()> onChange);
-  void receive(std::shared_ptr<ServingCall> call, const std::string& model,
-               const std::string& adapter, InLoop inLoop);
+  void receive(const std::shared_ptr<ServingCall>& call, const std::string& model,
+               const std::string& adapter, const InLoop& inLoop);
 
  private:
   registry::OrderOutcome orderModel(const registry::SendOrder& order,
