--- a/src/gateway/demand_tracker.cpp
+++ b/src/gateway/demand_tracker.cpp
@@ -45,6 +45,14 @@
   }
 }
 
+void DemandTracker::dropOutcomes() {
+  outcomes_.clear();
+  for (auto& [key, figures] : figures_) {
+    figures.answered = 0;
+    figures.failed = 0;
+  }
+}
+
 registry::DemandUpdate DemandTracker::takeUpdate(const WorkerDirectory& directory) {
   registry::DemandUpdate update;
   for (auto& [key, figures] : figures_) {
--- a/src/gateway/demand_tracker.h
+++ b/src/gateway/demand_tracker.h
@@ -26,6 +26,10 @@
   void attemptSettled(const registry::WorkerId& worker, const std::string& service,
                       const std::string& model, const std::string& adapter, bool answered);
 
+  /// Outcomes that no leader hears say nothing of workers by the time one does: what cut the
+  /// gateway off from the leader may have cut it off from them.
+  void dropOutcomes();
+
   /// @return true if something waits that the last update did not tell.
   bool urgent() const { return urgent_; }
   /// @return the present state; arrivals since the last call.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -270,6 +270,8 @@
   demandTimer_->enableAt(demandDueAt_);
   if (session_.following()) {
     session_.send(demand_.takeUpdate(directory_));
+  } else {
+    demand_.dropOutcomes();
   }
 }
 
--- a/test/gateway/failing_worker_test.cpp
+++ b/test/gateway/failing_worker_test.cpp
@@ -114,6 +114,18 @@
   checkOutcomes(0, 0);
 }
 
+/// What cuts a gateway off from the leader may cut it off from sound workers too.
+TEST(FailingWorkerTest, outcomesThatNoLeaderHeardAreNotToldLater) {
+  harness.declare(1);
+  harness.follow();
+  harness.scheduler.advance(2s);  // Nothing is heard of the leader.
+  const auto lost = harness.request("once", "r1");
+  harness.lose(lastSent());
+  harness.scheduler.advance(600ms);
+  harness.followAgain();
+  checkOutcomes(0, 0);
+}
+
 TEST(FailingWorkerTest, aFailingWorkerIsAvoidedWhileAnotherOneHoldsTheModel) {
   harness.declare(2);
   harness.follow();
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -188,6 +188,12 @@
     gateway.start();
   }
 
+  /// The leader is found again after it was lost.
+  void followAgain() {
+    const protocol::ConnectionId connection{1};
+    session_.opened(connection, link.opened.back());
+    session_.viewReceived(connection, {});
+  }
   /// Time passes, and the followed leader is heard all the while.
   void advanceFollowing(base::Duration duration) {
     constexpr base::Duration kStep = std::chrono::milliseconds(100);
--- a/test/simulator/serving_fleet_test.cpp
+++ b/test/simulator/serving_fleet_test.cpp
@@ -59,6 +59,13 @@
   checkEachIsServed(WorkerFault::reset);
 }
 
+/// Requests that hang take all slots of their worker at once; a full worker is slow, not ill.
+TEST(ServingFleetTest, besideHangingWorkersOfFewSlotsEachModelIsServed) {
+  options.worker.slots = 2;
+  options.requestsPerSecond = 36;
+  checkEachIsServed(WorkerFault::hang);
+}
+
 TEST_GROUP(ServingCampaignTest){};
 
 TEST(ServingCampaignTest, besideWorkersThatFailInOverlappingEpisodesEachModelIsServed) {
