--- a/test/simulator/serving_fleet_test.cpp
+++ b/test/simulator/serving_fleet_test.cpp
@@ -66,6 +66,16 @@
   checkEachIsServed(WorkerFault::hang);
 }
 
+/// The store is slower than the demand for cold models: some requests come to nothing, but not all
+/// of one model's while others are served again and again.
+TEST(ServingFleetTest, aSlowStoreLeavesNoModelOut) {
+  options.models = 54;
+  options.storeLoadsPerSecond = 1.5;
+  options.requestsPerSecond = 16;
+  options.popularShare = 0.3;
+  checkEachIsServed(WorkerFault::none);
+}
+
 TEST_GROUP(ServingCampaignTest){};
 
 TEST(ServingCampaignTest, besideWorkersThatFailInOverlappingEpisodesEachModelIsServed) {
