gateway, registry: requests that hang in a full worker count once it answers nobody

Cause: a worker with requests for all its slots is slow though it is well, so what stalls there did not count; but a worker that hangs is full at once. Change: such attempts are told apart (stalled); the judge counts them if the worker has answered nobody for 3 s, by the reports of all gateways. Tried and not kept: starved models before all others in the order of wants (three requests and 4 s without an answer), and their last replica kept for 10 s.

--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -244,10 +244,11 @@
 struct WorkerOutcomes {
   WorkerId worker;
   std::uint32_t answered = 0;  ///< It has begun to answer, with success.
-  std::uint32_t failed = 0;    ///< It failed or went silent; not: refused while it was full.
+  std::uint32_t failed = 0;    ///< It failed or went silent.
+  std::uint32_t stalled = 0;   ///< The same, while it had requests for all its slots.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker, answered, failed);
+    archive(worker, answered, failed, stalled);
   }
 };
 /// Gateway to leader. Replaces the waiting counts and the loads that this gateway reported before.
--- a/src/control/failure_judge.h
+++ b/src/control/failure_judge.h
@@ -46,6 +46,10 @@
 /// Outcomes before a silence of this length say nothing of a worker any more.
 inline constexpr base::Duration kOutcomesLast = std::chrono::seconds(30);
 
+/// One that has all the work it takes begins another request within a fraction of a second, as
+/// others end: without any answer for this long it hangs.
+inline constexpr base::Duration kFullPatience = std::chrono::seconds(3);
+
 }  // namespace failure
 
 /// Kept by a leader; empty at the start of its leadership. Reporters tell the outcomes of their
@@ -66,6 +70,8 @@
     Subject subject;
     std::uint32_t answered = 0;
     std::uint32_t failed = 0;
+    /// Failed while the subject had all the work it takes: counts only if it answers nobody.
+    std::uint32_t stalled = 0;
   };
   /// A change of what is held of a subject, with what decided it.
   struct Verdict {
@@ -97,7 +103,8 @@
  private:
   struct Record {
     double share = 0;
-    base::TimePoint reportedAt;
+    base::TimePoint reportedAt;   ///< Of the latest outcomes; long ago: there were none.
+    base::TimePoint answeredAt;   ///< Of the latest success, or since it is known.
     std::set<Reporter> accusers;  ///< That have seen it fail.
     bool failing = false;
     base::TimePoint verdictAt;   ///< Of the present verdict, if it is not the first.
@@ -119,21 +126,26 @@
 template <class Subject, class Reporter>
 void FailureJudge<Subject, Reporter>::report(Reporter reporter, const Outcomes& outcomes,
                                              base::TimePoint now) {
-  const std::uint32_t attempts = outcomes.answered + outcomes.failed;
+  const auto [found, added] = records_.try_emplace(outcomes.subject);
+  Record& record = found->second;
+  if (added || outcomes.answered > 0) {
+    record.answeredAt = now;
+  }
+  const bool answersNobody = now > record.answeredAt + failure::kFullPatience;
+  const std::uint32_t failures = outcomes.failed + (answersNobody ? outcomes.stalled : 0);
+  const std::uint32_t attempts = outcomes.answered + failures;
   if (attempts == 0) {
     return;
   }
-  const auto [found, added] = records_.try_emplace(outcomes.subject);
-  Record& record = found->second;
-  if (added || now > record.reportedAt + failure::kOutcomesLast) {
+  if (now > record.reportedAt + failure::kOutcomesLast) {
     record.share = failure::kUnknownShare;
     record.accusers.clear();
   }
   record.reportedAt = now;
-  const double failed = static_cast<double>(outcomes.failed) / attempts;
+  const double failed = static_cast<double>(failures) / attempts;
   const double former = std::pow(1 - failure::kAttemptWeight, attempts);
   record.share = former * record.share + (1 - former) * failed;
-  if (outcomes.failed > 0) {
+  if (failures > 0) {
     record.accusers.insert(reporter);
   }
   if (record.share < failure::kSoundShare) {
--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -268,7 +268,7 @@
 void Leadership::outcomesReported(base::TimePoint now, const protocol::DemandReport& report) {
   for (const protocol::EngineOutcomes& outcomes : report.outcomes) {
     if (context_.state.engines().contains(outcomes.engine)) {
-      judge_.report(report.router, {outcomes.engine, outcomes.answered, outcomes.failed}, now);
+      judge_.report(report.router, {outcomes.engine, outcomes.answered, outcomes.failed, 0}, now);
     }
   }
 }
--- a/src/gateway/demand_tracker.cpp
+++ b/src/gateway/demand_tracker.cpp
@@ -35,13 +35,23 @@
 
 void DemandTracker::attemptSettled(const registry::WorkerId& worker, const std::string& service,
                                    const std::string& model, const std::string& adapter,
-                                   bool answered) {
+                                   AttemptOutcome outcome) {
   registry::WorkerOutcomes& outcomes = outcomes_[worker];
   outcomes.worker = worker;
-  ++(answered ? outcomes.answered : outcomes.failed);
+  switch (outcome) {
+    case AttemptOutcome::answered:
+      ++outcomes.answered;
+      break;
+    case AttemptOutcome::failed:
+      ++outcomes.failed;
+      break;
+    case AttemptOutcome::stalled:
+      ++outcomes.stalled;
+      break;
+  }
   if (!model.empty()) {
     Figures& figures = figures_[{service, model, adapter}];
-    ++(answered ? figures.answered : figures.failed);
+    ++(outcome == AttemptOutcome::answered ? figures.answered : figures.failed);
   }
 }
 
--- a/src/gateway/demand_tracker.h
+++ b/src/gateway/demand_tracker.h
@@ -13,6 +13,13 @@
 
 namespace walnut::gateway {
 
+/// What became of an attempt, for the registry's judgement of the worker.
+enum class AttemptOutcome : std::uint8_t {
+  answered,  ///< The worker has begun to answer, with success.
+  failed,    ///< It failed, was not reached or went silent.
+  stalled,   ///< The same, while it had requests for all its slots: it may only be slow.
+};
+
 class DemandTracker {
  public:
   /// @param route that the request came on: tells how urgent it is.
@@ -22,9 +29,8 @@
                  const catalog::Route& route);
   void waitEnded(const std::string& service, const std::string& model, const std::string& adapter);
 
-  /// An attempt at a worker was answered, or failed.
   void attemptSettled(const registry::WorkerId& worker, const std::string& service,
-                      const std::string& model, const std::string& adapter, bool answered);
+                      const std::string& model, const std::string& adapter, AttemptOutcome outcome);
 
   /// Outcomes that no leader hears say nothing of workers by the time one does: what cut the
   /// gateway off from the leader may have cut it off from them.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -234,16 +234,15 @@
 /// Once for each attempt.
 void Exchange::noteAnswered() {
   if (!std::exchange(answerNoted_, true)) {
-    context_.attemptSettled(*worker_, facts_, true);
+    context_.attemptSettled(*worker_, facts_, AttemptOutcome::answered);
   }
 }
 
-/// A worker with more requests than slots is slow to answer and resets connections though it is
-/// well.
+/// A worker with requests for all its slots is slow to answer and resets connections though it is
+/// well; or it is ill and hangs. The registry knows whether it answers anybody.
 void Exchange::noteFailed() {
-  if (!worker_->full()) {
-    context_.attemptSettled(*worker_, facts_, false);
-  }
+  context_.attemptSettled(*worker_, facts_,
+                          worker_->full() ? AttemptOutcome::stalled : AttemptOutcome::failed);
 }
 
 void Exchange::logAttemptFailed(Executed executed, std::string_view reason) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "gateway/demand_tracker.h"
 #include "gateway/event_stream.h"
 #include "gateway/worker_selector.h"
 #include "net/client_connection.h"
@@ -68,9 +69,8 @@
   /// @}
   /// The worker could not be reached, or went silent.
   virtual void attemptFailed(Worker& worker) = 0;
-  /// What became of an attempt, for the registry's judgement of the worker.
-  /// @param answered the worker has begun to answer with success; else it failed.
-  virtual void attemptSettled(const Worker& worker, const RequestFacts& facts, bool answered) = 0;
+  virtual void attemptSettled(const Worker& worker, const RequestFacts& facts,
+                              AttemptOutcome outcome) = 0;
   virtual std::uint64_t documentVersion() const = 0;
   /// @return true if the registry's leader hears what is waited for.
   virtual bool leaderKnown() const = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -316,10 +316,11 @@
 
 /// The registry judges workers by the outcomes of all gateways together: none of them alone sees
 /// enough of one worker. Failures are told soon.
-void Gateway::attemptSettled(const Worker& worker, const RequestFacts& facts, bool answered) {
+void Gateway::attemptSettled(const Worker& worker, const RequestFacts& facts,
+                             AttemptOutcome outcome) {
   const registry::WorkerRecord& record = worker.view.record;
-  demand_.attemptSettled(record.id, record.service, facts.model, facts.adapter, answered);
-  if (!answered) {
+  demand_.attemptSettled(record.id, record.service, facts.model, facts.adapter, outcome);
+  if (outcome != AttemptOutcome::answered) {
     reportWithinSpacing();
   }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -79,7 +79,8 @@
   void attemptBegan(Worker& worker, const RequestFacts& facts) override;
   void attemptEnded(Worker& worker, const RequestFacts& facts) override;
   void attemptFailed(Worker& worker) override;
-  void attemptSettled(const Worker& worker, const RequestFacts& facts, bool answered) override;
+  void attemptSettled(const Worker& worker, const RequestFacts& facts,
+                      AttemptOutcome outcome) override;
   std::uint64_t documentVersion() const override;
   bool leaderKnown() const override { return session_.following(); }
   void ended(Exchange& exchange, int status) override;
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -148,7 +148,8 @@
   demand_.update(gateway, update, now);
   for (const WorkerOutcomes& outcomes : update.outcomes) {
     if (state_.findWorker(outcomes.worker) != nullptr) {
-      judge_.report(gateway, {outcomes.worker, outcomes.answered, outcomes.failed}, now);
+      judge_.report(gateway,
+                    {outcomes.worker, outcomes.answered, outcomes.failed, outcomes.stalled}, now);
     }
   }
   logAnswerChanges();
--- a/test/control/failure_judge_test.cpp
+++ b/test/control/failure_judge_test.cpp
@@ -151,6 +151,27 @@
   CHECK_TRUE(changes[0].restShare < 0.1);
 }
 
+TEST(FailureJudgeTest, aFullWorkerThatAnswersOthersIsOnlySlow) {
+  allAnswer();
+  for (std::uint64_t gateway = 1; gateway <= 10; ++gateway) {
+    now += 1s;
+    judge.report({gateway}, {{"w1"}, 0, 0, 2}, now);
+    report("w1", 1, 0, gateway + 10);
+    CHECK_FALSE(failing("w1"));
+  }
+}
+
+TEST(FailureJudgeTest, aFullWorkerThatAnswersNobodyHangs) {
+  allAnswer();
+  now += 2s;
+  judge.report({1}, {{"w1"}, 0, 0, 3}, now);
+  CHECK_FALSE(failing("w1"));
+  now += 2s;
+  judge.report({1}, {{"w1"}, 0, 0, 2}, now);
+  judge.report({2}, {{"w1"}, 0, 0, 2}, now);
+  CHECK_TRUE(failing("w1"));
+}
+
 TEST(FailureJudgeTest, outcomesBeforeALongSilenceCountForNothing) {
   allAnswer();
   fail("w1", 2);
