--- a/test/simulator/serving_fleet_test.cpp
+++ b/test/simulator/serving_fleet_test.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::uint64_t kSeeds = 6;
+/// Seeds 8 and 13 leave adapters out if what stalls at a full worker never counts.
+constexpr std::uint64_t kFewSlotsSeeds = 13;
 constexpr base::Duration kCalm = 8s;
 constexpr base::Duration kTrouble = 28s;
 /// Over which a model is asked for, to be counted.
@@ -33,8 +35,8 @@
   ServingFleetOptions options;
 
   /// Runs with a third of the workers failing, and checks that nobody is left without an answer.
-  void checkEachIsServed(WorkerFault fault) {
-    for (options.seed = 1; options.seed <= kSeeds; ++options.seed) {
+  void checkEachIsServed(WorkerFault fault, std::uint64_t seeds = kSeeds) {
+    for (options.seed = 1; options.seed <= seeds; ++options.seed) {
       ServingFleet fleet(options);
       fleet.run(kCalm);
       fleet.failWorkers(options.workers / 3, fault);
@@ -63,7 +65,7 @@
 TEST(ServingFleetTest, besideHangingWorkersOfFewSlotsEachModelIsServed) {
   options.worker.slots = 2;
   options.requestsPerSecond = 36;
-  checkEachIsServed(WorkerFault::hang);
+  checkEachIsServed(WorkerFault::hang, kFewSlotsSeeds);
 }
 
 /// The store is slower than the demand for cold models: some requests come to nothing, but not all
