control: the detector of failing workers has the field's terms

Cause: FailureJudge, verdict, accusers and relapses are no standard names; Envoy calls this outlier detection, with ejection times. Change: names and comments only.

--- a/src/control/leadership.cpp
+++ b/src/control/leadership.cpp
@@ -268,34 +268,35 @@
 void Leadership::outcomesReported(base::TimePoint now, const protocol::DemandReport& report) {
   for (const protocol::EngineOutcomes& outcomes : report.outcomes) {
     if (context_.state.engines().contains(outcomes.engine)) {
-      judge_.report(report.router, {outcomes.engine, outcomes.answered, outcomes.failed, 0}, now);
+      outliers_.report(report.router, {outcomes.engine, outcomes.answered, outcomes.failed, 0},
+                       now);
     }
   }
 }
 
 /// An engine reports that it is well whatever becomes of its requests. What routers see of it
 /// decides whether its replicas count.
-void Leadership::judgeEngines(base::TimePoint now) {
-  if (!judge_.reviewDue(now)) {
+void Leadership::detectOutliers(base::TimePoint now) {
+  if (!outliers_.reviewDue(now)) {
     return;
   }
   const auto& known = context_.state.engines();
-  judge_.forgetIf([&known](const base::EngineId& engine) { return !known.contains(engine); });
+  outliers_.forgetIf([&known](const base::EngineId& engine) { return !known.contains(engine); });
   std::vector<base::EngineId> engines;
   engines.reserve(known.size());
   for (const auto& [id, engine] : known) {
     engines.push_back(id);
   }
-  judge_.review({{"engines", engines}}, context_.demand.routerCount(), now);
-  for (const auto& verdict : judge_.takeChanges()) {
-    monitor_.setFailing(verdict.subject, verdict.failing);
-    markModelsOn(verdict.subject);
+  outliers_.review({{"engines", engines}}, context_.demand.routerCount(), now);
+  for (const auto& change : outliers_.takeChanges()) {
+    monitor_.setFailing(change.subject, change.failing);
+    markModelsOn(change.subject);
   }
 }
 
 void Leadership::run(base::TimePoint now) {
   platform_.tick(now);
-  judgeEngines(now);
+  detectOutliers(now);
   monitor_.tick(now, context_.raft.leaseValid(now));
   stale_.merge(reconciler_.takeDue(now));
   for (const base::EngineId& engine : std::exchange(stale_, {})) {
--- a/src/control/leadership.h
+++ b/src/control/leadership.h
@@ -12,9 +12,9 @@
 #include "control/command_log.h"
 #include "control/demand_table.h"
 #include "control/engine_monitor.h"
-#include "control/failure_judge.h"
 #include "control/ledger_index.h"
 #include "control/member_change.h"
+#include "control/outlier_detector.h"
 #include "control/placement_policy.h"
 #include "control/planning_queue.h"
 #include "control/platform_watcher.h"
@@ -78,7 +78,7 @@
   void reviewEngine(base::TimePoint now, const base::EngineId& engine);
   void registerEngine(base::TimePoint now, const base::EngineId& engine);
   void removeGone(base::TimePoint now);
-  void judgeEngines(base::TimePoint now);
+  void detectOutliers(base::TimePoint now);
   void takeReport(base::TimePoint now, const engine::Report& report);
   void markChanged(const std::vector<protocol::Change>& changes);
   void markResource(const resource::Key& key, const resource::Spec* spec);
@@ -95,7 +95,7 @@
   UsageTracker usage_;
   PlacementPolicy policy_;
   LearnerPromotion promotion_;
-  FailureJudge<base::EngineId, base::RouterId> judge_;
+  OutlierDetector<base::EngineId, base::RouterId> outliers_;
 
   std::map<consensus::LogIndex, Proposal> proposals_;  ///< Under way.
   std::set<base::EngineId> changingEngines_;           ///< Named by one of proposals_.
--- a/src/gateway/demand_tracker.h
+++ b/src/gateway/demand_tracker.h
@@ -13,7 +13,7 @@
 
 namespace walnut::gateway {
 
-/// What became of an attempt, for the registry's judgement of the worker.
+/// What became of an attempt, for the registry's outlier detection.
 enum class AttemptOutcome : std::uint8_t {
   answered,  ///< The worker has begun to answer, with success.
   failed,    ///< It failed, was not reached or went silent.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -314,7 +314,7 @@
   }
 }
 
-/// The registry judges workers by the outcomes of all gateways together: none of them alone sees
+/// The registry detects outliers by the outcomes of all gateways together: none of them alone sees
 /// enough of one worker. Failures are told soon.
 void Gateway::attemptSettled(const Worker& worker, const RequestFacts& facts,
                              AttemptOutcome outcome) {
--- a/src/registry/leader_beliefs.cpp
+++ b/src/registry/leader_beliefs.cpp
@@ -76,8 +76,8 @@
   }
 }
 
-void LeaderDuties::judgeWorkers(base::TimePoint now) {
-  if (!judge_.reviewDue(now)) {
+void LeaderDuties::detectOutliers(base::TimePoint now) {
+  if (!outliers_.reviewDue(now)) {
     return;
   }
   std::map<std::string_view, std::vector<WorkerId>> services;
@@ -86,16 +86,16 @@
       services[record.service].push_back(id);
     }
   }
-  judge_.review(services, publisher_.gatewayCount(), now);
-  for (const WorkerJudge::Verdict& verdict : judge_.takeChanges()) {
-    changed_.insert(verdict.subject);
+  outliers_.review(services, publisher_.gatewayCount(), now);
+  for (const WorkerOutlierDetector::Change& change : outliers_.takeChanges()) {
+    changed_.insert(change.subject);
     planSoon_ = true;
-    log_.write(verdict.failing ? LogEvent::workerFailing : LogEvent::workerTried,
-               {{"worker", verdict.subject.value},
-                {"failed-percent", percent(verdict.share)},
-                {"rest-percent", percent(verdict.restShare)},
-                {"gateways", verdict.reporters},
-                {"former-millis", millisOf(verdict.heldFor)}});
+    log_.write(change.failing ? LogEvent::workerFailing : LogEvent::workerTried,
+               {{"worker", change.subject.value},
+                {"failed-percent", percent(change.share)},
+                {"rest-percent", percent(change.restShare)},
+                {"gateways", change.reporters},
+                {"former-millis", millisOf(change.heldFor)}});
   }
 }
 
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -148,8 +148,8 @@
   demand_.update(gateway, update, now);
   for (const WorkerOutcomes& outcomes : update.outcomes) {
     if (state_.findWorker(outcomes.worker) != nullptr) {
-      judge_.report(gateway,
-                    {outcomes.worker, outcomes.answered, outcomes.failed, outcomes.stalled}, now);
+      outliers_.report(
+          gateway, {outcomes.worker, outcomes.answered, outcomes.failed, outcomes.stalled}, now);
     }
   }
   logAnswerChanges();
@@ -162,7 +162,7 @@
     statusOf(id, now);
   }
   std::erase_if(workers_, [this](const auto& entry) { return state_.wasForgotten(entry.first); });
-  judge_.forgetIf([this](const WorkerId& id) { return state_.findWorker(id) == nullptr; });
+  outliers_.forgetIf([this](const WorkerId& id) { return state_.findWorker(id) == nullptr; });
   listChanged_ = true;
   planSoon_ = true;
 }
@@ -188,7 +188,7 @@
   if (now >= nextCheck_) {
     nextCheck_ = now + kCheckInterval;
     noteSilence(now);
-    judgeWorkers(now);
+    detectOutliers(now);
     storeHoldings(now);
   }
   if (!leaseValid) {
@@ -284,8 +284,8 @@
   for (const WorkerId& id : std::exchange(changed_, {})) {
     if (const WorkerRecord* record = state_.findWorker(id)) {
       const WorkerStatus& status = statusOf(id, now);
-      publisher_.setWorker(
-          {*record, status.silent, judge_.failing(id), status.holdingsKnown, status.serving(now)});
+      publisher_.setWorker({*record, status.silent, outliers_.failing(id), status.holdingsKnown,
+                            status.serving(now)});
     }
   }
 }
@@ -368,7 +368,7 @@
   PlacementWorker worker;
   worker.id = record.id;
   worker.holdings = status.expected(now);
-  worker.serving = !record.leaving && !status.silent && !judge_.failing(record.id);
+  worker.serving = !record.leaving && !status.silent && !outliers_.failing(record.id);
   worker.mayBeOrdered = status.reportFresh && !status.sentOrder && !status.reportUnderWay &&
                         now >= status.orderAgainAt && mayOrder(record.id, now);
   worker.mayTakeAdapters = !(status.adaptersBlocked && status.modelOrder);
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -18,7 +18,7 @@
 #include "registry/order_turns.h"
 #include "registry/placement.h"
 #include "registry/view_publisher.h"
-#include "registry/worker_judge.h"
+#include "registry/worker_outlier_detector.h"
 #include "registry/worker_status.h"
 #include "walnut/registry/registry.h"
 #include "walnut/registry/view_codec.h"
@@ -76,7 +76,7 @@
   void noteSilence(base::TimePoint now);
   bool contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now);
   bool isSilent(const WorkerId& id, const WorkerStatus& status, base::TimePoint now) const;
-  void judgeWorkers(base::TimePoint now);
+  void detectOutliers(base::TimePoint now);
   void logAnswerChanges();
   void storeHoldings(base::TimePoint now);
   void publish(base::TimePoint now, const std::vector<base::Endpoint>& servers);
@@ -124,7 +124,7 @@
   /// Unknown workers that called from the endpoint of one that is alive, with the sequence.
   std::map<WorkerId, std::uint64_t> contests_;
   DemandBook demand_;
-  WorkerJudge judge_;
+  WorkerOutlierDetector outliers_;
   ViewPublisher publisher_;
   ViewEncoder viewEncoder_;
   DocumentSender sender_;
--- a/src/registry/worker_judge.h
+++ b/src/registry/worker_outlier_detector.h
@@ -2,12 +2,12 @@
 /// @file
 /// Which workers fail what gateways send them.
 
-#include "control/failure_judge.h"
+#include "control/outlier_detector.h"
 #include "walnut/protocol/messages.h"
 #include "walnut/registry/worker.h"
 
 namespace walnut::registry {
 
-using WorkerJudge = control::FailureJudge<WorkerId, protocol::ConnectionId>;
+using WorkerOutlierDetector = control::OutlierDetector<WorkerId, protocol::ConnectionId>;
 
 }  // namespace walnut::registry
--- a/test/control/failure_judge_test.cpp
+++ b/test/control/outlier_detector_test.cpp
@@ -1,6 +1,6 @@
 /// Who is held to fail, by the outcomes that are reported.
 
-#include "control/failure_judge.h"
+#include "control/outlier_detector.h"
 
 #include "walnut/base/ids.h"
 
@@ -11,19 +11,19 @@
 using namespace walnut::control;
 using namespace std::chrono_literals;
 
-TEST_GROUP(FailureJudgeTest) {
+TEST_GROUP(OutlierDetectorTest) {
   using WorkerId = base::StrongId<struct TestWorkerTag, std::string>;
   using GatewayId = base::StrongId<struct TestGatewayTag, std::uint64_t>;
-  using Judge = FailureJudge<WorkerId, GatewayId>;
+  using Detector = OutlierDetector<WorkerId, GatewayId>;
 
-  Judge judge;
+  Detector detector;
   base::TimePoint now = base::TimePoint(100s);
   std::vector<WorkerId> workers = {{"w1"}, {"w2"}, {"w3"}, {"w4"}};
   std::size_t gateways = 8;
 
   void report(const char* worker, std::uint32_t answered, std::uint32_t failed,
               std::uint64_t gateway = 1) {
-    judge.report({gateway}, {{worker}, answered, failed}, now);
+    detector.report({gateway}, {{worker}, answered, failed}, now);
   }
   /// Failures as several gateways see them, one each.
   void fail(const char* worker, std::uint32_t times) {
@@ -33,31 +33,31 @@
   }
   void allAnswer() {
     for (const WorkerId& worker : workers) {
-      judge.report({1}, {worker, 20, 0}, now);
+      detector.report({1}, {worker, 20, 0}, now);
     }
   }
-  void review() { judge.review({{"service", workers}}, gateways, now); }
+  void review() { detector.review({{"service", workers}}, gateways, now); }
   bool failing(const char* worker) {
     review();
-    return judge.failing({worker});
+    return detector.failing({worker});
   }
 };
 
-TEST(FailureJudgeTest, aWorkerThatFailsEverythingIsKnownAfterThreeAttempts) {
+TEST(OutlierDetectorTest, aWorkerThatFailsEverythingIsKnownAfterThreeAttempts) {
   allAnswer();
   fail("w1", 2);
   CHECK_FALSE(failing("w1"));
   report("w1", 0, 1, 3);
   CHECK_TRUE(failing("w1"));
-  CHECK_FALSE(judge.failing({"w2"}));
+  CHECK_FALSE(detector.failing({"w2"}));
 }
 
-TEST(FailureJudgeTest, aWorkerThatNobodySawAnswerIsKnownAfterTwo) {
+TEST(OutlierDetectorTest, aWorkerThatNobodySawAnswerIsKnownAfterTwo) {
   fail("w1", 2);
   CHECK_TRUE(failing("w1"));
 }
 
-TEST(FailureJudgeTest, howOftenItIsAskedDoesNotMatter) {
+TEST(OutlierDetectorTest, howOftenItIsAskedDoesNotMatter) {
   allAnswer();
   for (std::uint64_t gateway = 1; gateway <= 3; ++gateway) {
     now += 9s;
@@ -66,14 +66,14 @@
   CHECK_TRUE(failing("w1"));
 }
 
-TEST(FailureJudgeTest, strayErrorsCondemnNobody) {
+TEST(OutlierDetectorTest, strayErrorsEjectNobody) {
   for (std::uint64_t gateway = 1; gateway <= 50; ++gateway) {
     report("w1", 9, 1, gateway);
     CHECK_FALSE(failing("w1"));
   }
 }
 
-TEST(FailureJudgeTest, oneGatewayAloneCondemnsNobody) {
+TEST(OutlierDetectorTest, oneGatewayAloneEjectsNobody) {
   allAnswer();
   for (int attempt = 0; attempt < 20; ++attempt) {
     report("w1", 0, 1);
@@ -83,22 +83,22 @@
   CHECK_TRUE(failing("w1"));
 }
 
-TEST(FailureJudgeTest, theOnlyGatewayIsBelieved) {
+TEST(OutlierDetectorTest, theOnlyGatewayIsBelieved) {
   gateways = 1;
   allAnswer();
   report("w1", 0, 3);
   CHECK_TRUE(failing("w1"));
 }
 
-TEST(FailureJudgeTest, whereAllFailAlikeNoneIsAvoided) {
+TEST(OutlierDetectorTest, whereAllFailAlikeNoneIsAvoided) {
   for (const char* worker : {"w1", "w2", "w3", "w4"}) {
     fail(worker, 5);
   }
   CHECK_FALSE(failing("w1"));
-  CHECK_TRUE(judge.takeChanges().empty());
+  CHECK_TRUE(detector.takeChanges().empty());
 }
 
-TEST(FailureJudgeTest, atMostHalfOfAServiceIsAvoided) {
+TEST(OutlierDetectorTest, atMostHalfOfAServiceIsAvoided) {
   workers = {{"w1"}, {"w2"}, {"w3"}, {"w4"}, {"w5"}, {"w6"}};
   allAnswer();
   for (const char* worker : {"w1", "w2", "w3", "w4"}) {
@@ -107,19 +107,19 @@
   }
   std::size_t count = 0;
   for (const WorkerId& worker : workers) {
-    count += judge.failing(worker) ? 1 : 0;
+    count += detector.failing(worker) ? 1 : 0;
   }
   CHECK_EQUAL(3, count);
 }
 
-TEST(FailureJudgeTest, itIsTriedAgainAfterAWhileAndItsNextFailureCondemnsItAnew) {
+TEST(OutlierDetectorTest, itIsTriedAgainAfterAWhileAndItsNextFailureEjectsItAnew) {
   allAnswer();
   fail("w1", 3);
   CHECK_TRUE(failing("w1"));
   now += 3900ms;
-  CHECK_FALSE(judge.reviewDue(now));
+  CHECK_FALSE(detector.reviewDue(now));
   now += 200ms;
-  CHECK_TRUE(judge.reviewDue(now));
+  CHECK_TRUE(detector.reviewDue(now));
   CHECK_FALSE(failing("w1"));
   report("w1", 0, 1, 4);
   CHECK_TRUE(failing("w1"));
@@ -130,7 +130,7 @@
   CHECK_FALSE(failing("w1"));
 }
 
-TEST(FailureJudgeTest, attemptsThatSucceedAllTheSameEndTheVerdictAtOnce) {
+TEST(OutlierDetectorTest, attemptsThatSucceedAllTheSameEndTheEjectionAtOnce) {
   allAnswer();
   fail("w1", 3);
   CHECK_TRUE(failing("w1"));
@@ -138,12 +138,12 @@
   CHECK_FALSE(failing("w1"));
 }
 
-TEST(FailureJudgeTest, changesAreToldOnceWithWhatDecidedThem) {
+TEST(OutlierDetectorTest, changesAreToldOnceWithWhatDecidedThem) {
   allAnswer();
   fail("w1", 3);
   review();
   review();
-  const std::vector<Judge::Verdict> changes = judge.takeChanges();
+  const std::vector<Detector::Change> changes = detector.takeChanges();
   CHECK_EQUAL(1, changes.size());
   CHECK_TRUE(changes[0].failing);
   CHECK_EQUAL(3, changes[0].reporters);
@@ -151,28 +151,28 @@
   CHECK_TRUE(changes[0].restShare < 0.1);
 }
 
-TEST(FailureJudgeTest, aFullWorkerThatAnswersOthersIsOnlySlow) {
+TEST(OutlierDetectorTest, aFullWorkerThatAnswersOthersIsOnlySlow) {
   allAnswer();
   for (std::uint64_t gateway = 1; gateway <= 10; ++gateway) {
     now += 1s;
-    judge.report({gateway}, {{"w1"}, 0, 0, 2}, now);
+    detector.report({gateway}, {{"w1"}, 0, 0, 2}, now);
     report("w1", 1, 0, gateway + 10);
     CHECK_FALSE(failing("w1"));
   }
 }
 
-TEST(FailureJudgeTest, aFullWorkerThatAnswersNobodyHangs) {
+TEST(OutlierDetectorTest, aFullWorkerThatAnswersNobodyHangs) {
   allAnswer();
   now += 2s;
-  judge.report({1}, {{"w1"}, 0, 0, 3}, now);
+  detector.report({1}, {{"w1"}, 0, 0, 3}, now);
   CHECK_FALSE(failing("w1"));
   now += 2s;
-  judge.report({1}, {{"w1"}, 0, 0, 2}, now);
-  judge.report({2}, {{"w1"}, 0, 0, 2}, now);
+  detector.report({1}, {{"w1"}, 0, 0, 2}, now);
+  detector.report({2}, {{"w1"}, 0, 0, 2}, now);
   CHECK_TRUE(failing("w1"));
 }
 
-TEST(FailureJudgeTest, outcomesBeforeALongSilenceCountForNothing) {
+TEST(OutlierDetectorTest, outcomesBeforeALongSilenceCountForNothing) {
   allAnswer();
   fail("w1", 2);
   now += 31s;
