--- a/src/simulator/serving_campaign.cpp
+++ b/src/simulator/serving_campaign.cpp
@@ -19,7 +19,8 @@
 constexpr base::Duration kSpan = std::chrono::seconds(8);
 /// Sound workers fail some requests too, and a cold model may come too late for its first caller.
 constexpr double kLeastServedAfter = 0.95;
-/// Workers of the first episode; of all at one time, more than half are not avoided (OutlierDetector).
+/// Workers of the first episode; of all at one time, more than half are not avoided
+/// (OutlierDetector).
 constexpr double kMostFailing = 0.35;
 
 constexpr std::array kFaults = {WorkerFault::errors, WorkerFault::hang, WorkerFault::reset};
