--- a/test/registry/view_codec_test.cpp
+++ b/test/registry/view_codec_test.cpp
@@ -49,6 +49,7 @@
     view.documentVersion = 65;
     view.gateways = 295;
     view.changed = {viewOf("w1", {"m1", "m2"}), viewOf("w2", {})};
+    view.changed[1].failing = true;
     view.loads = {{{"w1"}, {}, 9}, {{"w2"}, {}, 300}};
     view.servers = {{"10.0.0.1", 7000}, {"10.0.0.2", 7000}};
     return view;
