--- a/include/walnut/gateway/dialect.h
+++ b/include/walnut/gateway/dialect.h
@@ -45,6 +45,8 @@
  public:
   virtual ~RequestDialect() = default;
   virtual RequestFacts readRequest(const net::HttpRequest& request) const = 0;
+  /// @return what a caller is known by when it sends a request again, under another id.
+  virtual std::string callerOf(const net::HttpRequest& request) const = 0;
   virtual void writeAttempt(net::HttpRequest& request, const AttemptFacts& facts) const = 0;
   virtual AnswerFacts readAnswer(int status, const net::HeaderList& headers) const = 0;
   /// @return true if this is the question whether the gateway takes new connections.
--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -55,6 +55,7 @@
   requestWaiting,
   attemptStarted,
   attemptFailed,
+  requestCut,
   requestResumed,
   requestEnded,
   requestLeft,
--- a/src/explain/request_story.cpp
+++ b/src/explain/request_story.cpp
@@ -19,9 +19,11 @@
 constexpr std::array<std::string_view, 6> kOfModel = {"model-unanswered",  "model-answered",
                                                       "placement-decided", "order-sent",
                                                       "order-cancelled",   "model-order-ended"};
-constexpr std::array<std::string_view, 6> kOfWorker = {"worker-failing",   "worker-tried",
-                                                       "worker-silent",    "worker-heard",
-                                                       "worker-forgotten", "breaker-opened"};
+constexpr std::array<std::string_view, 10> kOfWorker = {
+    "worker-failing", "worker-tried", "worker-silent",   "worker-heard", "worker-forgotten",
+    "breaker-opened", "request-cut",  "crash-confirmed", "crash-denied", "crash-retracted"};
+constexpr std::array<std::string_view, 4> kOfDigest = {"request-cut", "request-suspected",
+                                                       "request-released", "request-quarantined"};
 
 template <class Names>
 bool contains(const Names& names, std::string_view name) {
@@ -44,6 +46,7 @@
   end_ = std::max(end_, line.time);
   addOnce(models_, line.field("model"));
   addOnce(workers_, line.field("worker"));
+  digest_ = line.field("digest").empty() ? digest_ : line.field("digest");
   own_.push_back(line);
 }
 
@@ -55,14 +58,22 @@
   return contains(kOfWorker, line.event) && contains(workers_, line.field("worker"));
 }
 
+bool RequestStory::isOfDigest(const LogLine& line) const {
+  const bool same = !digest_.empty() && line.field("digest") == digest_;
+  return same && contains(kOfDigest, line.event) && millisBetween(end_, line.time) <= kMillisAfter;
+}
+
 bool RequestStory::within(const LogLine& line) const {
   return millisBetween(line.time, begin_) <= kMillisBefore &&
          millisBetween(end_, line.time) <= kMillisAfter;
 }
 
 void RequestStory::takeBelief(const LogLine& line) {
+  if (!found() || line.field("request") == request_) {
+    return;
+  }
   const bool matters = contains(kOfAll, line.event) || isOfModel(line) || isOfWorker(line);
-  if (matters && found() && within(line)) {
+  if ((matters && within(line)) || isOfDigest(line)) {
     beliefs_.push_back(line);
   }
 }
--- a/src/explain/request_story.h
+++ b/src/explain/request_story.h
@@ -10,8 +10,10 @@
 namespace walnut::explain {
 
 /// Keeps the lines that name the request and, beside them, changes of belief that may matter to it:
-/// loads, unloads and decisions of its model, silence of its workers, leaders and documents. Needs
-/// two passes over the logs, as it is known only after the first which model and workers these are.
+/// loads, unloads and decisions of its model, silence of its workers, leaders and documents; if it
+/// was cut, what else was cut at its workers, and what the same request did under other ids, however
+/// long before. Needs two passes over the logs, as it is known only after the first which model,
+/// workers and digest these are.
 class RequestStory {
  public:
   explicit RequestStory(std::string request) : request_(std::move(request)) {}
@@ -29,6 +31,7 @@
  private:
   bool isOfModel(const LogLine& line) const;
   bool isOfWorker(const LogLine& line) const;
+  bool isOfDigest(const LogLine& line) const;
   bool within(const LogLine& line) const;
 
   const std::string request_;
@@ -36,6 +39,7 @@
   std::vector<LogLine> beliefs_;
   std::vector<std::string> models_;
   std::vector<std::string> workers_;
+  std::string digest_;  ///< What the request is known by under other ids; empty: was not needed.
   std::string begin_;
   std::string end_;
 };
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/request_digest.h"
+
 namespace walnut::gateway {
 
 namespace {
@@ -137,6 +139,13 @@
   launch(selection.worker);
 }
 
+const registry::RequestDigest& Exchange::digest() {
+  if (!digest_) {
+    digest_ = digestOf(context_.dialect(), request_);
+  }
+  return *digest_;
+}
+
 /// A stream that is queued for longer than its target is late, and so is all that queues behind it;
 /// refused, it leaves the slots to those that can be in time. A stream that has begun goes on.
 bool Exchange::wouldBeginLate(const Selection& selection) const {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "walnut/event/scheduler.h"
 #include "walnut/gateway/dialect.h"
 #include "walnut/net/server.h"
+#include "walnut/registry/request_digest.h"
 #include "walnut/runtime/event_log.h"
 #include "walnut/runtime/metrics_sink.h"
 
@@ -132,6 +133,8 @@
     return route_.targetGap > base::Duration::zero() ? route_.targetGap : base::Duration::max();
   }
   void completeStream();
+  const registry::RequestDigest& digest();
+  void noteCut();
   void noteAnswered();
   void noteFailed();
   void attemptEnded(Executed executed, std::string_view reason);
@@ -176,7 +179,8 @@
   std::uint32_t arrivals_ = 0;  ///< Attempts that reached a worker.
   std::uint32_t runs_ = 0;      ///< Attempts that have run, or may have.
   std::uint32_t backoffs_ = 0;
-  bool retryTaken_ = false;  ///< From the budget, for the next attempt.
+  bool retryTaken_ = false;                        ///< From the budget, for the next attempt.
+  std::optional<registry::RequestDigest> digest_;  ///< Once it was needed.
 
   // Of the present attempt.
   std::unique_ptr<Attempt> attempt_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+using runtime::LogEvent;
+
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 constexpr int kInternalError = 500;
@@ -162,6 +164,7 @@
 
 void Exchange::completeStream() {
   if (events_.midEvent()) {
+    noteCut();
     noteFailed();
     dropAttempt();
     attemptEnded(Executed::yes, "the stream ended within an event");
@@ -182,6 +185,23 @@
   finish(head_.status, "complete");
 }
 
+/// The worker may have ended, and this request may be why: one that had a part of its answer is
+/// none of those, as what crashes a worker does so before.
+void Exchange::noteCut() {
+  if (answerNoted_ || worker_->view.record.leaving) {
+    return;
+  }
+  context_.log().write(
+      LogEvent::requestCut,
+      {{"request", facts_.requestId},
+       {"digest", digest().text()},
+       {"worker", worker_->view.record.id.value},
+       {"running", std::uint64_t{worker_->runningTogether()}},
+       {"age-millis",
+        static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now() - attemptAt_).count())}});
+}
+
 void Exchange::onResponseFailure(const base::Error& error, bool sent) {
   stallTimer_->disable();
   context_.attemptFailed(*worker_);
@@ -189,6 +209,9 @@
   if (!headSeen_ || !answer_.notExecuted) {
     noteFailed();
   }
+  if (!notRun) {
+    noteCut();
+  }
   dropAttempt();
   attemptEnded(notRun ? Executed::no : Executed::unknown, base::errorCodeName(error.code));
 }
--- /dev/null
+++ b/src/gateway/request_digest.cpp
@@ -0,0 +1,34 @@
+#include "gateway/request_digest.h"
+
+#include <Poco/SHA2Engine.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <string_view>
+
+namespace walnut::gateway {
+
+namespace {
+
+/// The length goes first, so that no two requests have the same bytes together.
+void update(Poco::SHA2Engine& engine, std::string_view part) {
+  const auto length = static_cast<std::uint64_t>(part.size());
+  engine.update(&length, sizeof(length));
+  engine.update(part.data(), part.size());
+}
+
+}  // namespace
+
+registry::RequestDigest digestOf(const RequestDialect& dialect, const net::HttpRequest& request) {
+  Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
+  update(engine, dialect.callerOf(request));
+  update(engine, request.method);
+  update(engine, request.target);
+  update(engine, request.body);
+  const Poco::DigestEngine::Digest& digest = engine.digest();
+  registry::RequestDigest result;
+  std::copy_n(digest.begin(), std::min(digest.size(), result.bytes.size()), result.bytes.begin());
+  return result;
+}
+
+}  // namespace walnut::gateway
--- a/src/runtime/event_log.cpp
+++ b/src/runtime/event_log.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// In the order of LogEvent.
-constexpr std::array<std::string_view, 43> kNames = {
+constexpr std::array<std::string_view, 44> kNames = {
     "process-started",    "process-stopping",    "process-stopped", "settings-reloaded",
     "dependency-lost",    "dependency-regained", "lines-dropped",   "role-changed",
     "membership-changed", "member-proposed",     "document-stored", "document-refused",
@@ -18,7 +18,7 @@
     "order-turn",         "placement-decided",   "order-sent",      "order-cancelled",
     "order-finished",     "model-order-ended",   "report-read",     "call-unavailable",
     "request-refused",    "request-waiting",     "attempt-started", "attempt-failed",
-    "request-resumed",    "request-ended",       "request-left"};
+    "request-cut",        "request-resumed",     "request-ended",   "request-left"};
 static_assert(kNames.size() == static_cast<std::size_t>(LogEvent::requestLeft) + 1);
 
 }  // namespace
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -26,6 +26,9 @@
     std::tie(facts.model, facts.adapter) = splitTarget(text(request.headers, "Model"));
     return facts;
   }
+  std::string callerOf(const net::HttpRequest& request) const override {
+    return text(request.headers, "Caller");
+  }
   void writeAttempt(net::HttpRequest&, const gateway::AttemptFacts&) const override {}
   gateway::AnswerFacts readAnswer(int, const net::HeaderList& headers) const override {
     return {text(headers, "Id"), headers.find("Sealed") != nullptr,
--- a/test/explain/request_story_test.cpp
+++ b/test/explain/request_story_test.cpp
@@ -53,6 +53,18 @@
   CHECK_EQUAL(1, told().size());
 }
 
+TEST(RequestStoryTest, ofACutRequestItSaysWhatElseItsWorkerHadAndWhatItDidBefore) {
+  log("01", "event=request-cut request=r0 worker=w7 digest=d");
+  log("30", "event=attempt-started request=r1 worker=w1");
+  log("31", "event=request-cut request=r1 worker=w1 digest=d");
+  log("31", "event=request-cut request=r5 worker=w1 digest=e");
+  log("31", "event=request-cut request=r6 worker=w2 digest=e");
+  const std::vector<std::string> events = told();
+  CHECK_EQUAL(4, events.size());
+  STRCMP_EQUAL("r0", story.lines()[0].field("request").c_str());
+  STRCMP_EQUAL("r5", story.lines()[3].field("request").c_str());
+}
+
 TEST(RequestStoryTest, anUnknownRequestIsNotFound) {
   log("30", "event=request-ended request=r2 model=m");
   CHECK_TRUE(told().empty());
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -2,6 +2,8 @@
 /// @file
 /// A gateway in virtual time, with workers played by the test.
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -59,6 +61,9 @@
     facts.adapter = model.find('/') == std::string::npos ? "" : model.substr(model.find('/') + 1);
     return facts;
   }
+  std::string callerOf(const net::HttpRequest& request) const override {
+    return text(request.headers, "Caller");
+  }
   void writeAttempt(net::HttpRequest& request, const AttemptFacts& facts) const override {
     const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(facts.deadline);
     request.headers.set("Deadline-Ms", std::to_string(millis.count()));
@@ -153,21 +158,51 @@
   }
 };
 
+/// One line of the decision log.
+struct LoggedLine {
+  runtime::LogEvent event = runtime::LogEvent::processStarted;
+  std::map<std::string, std::string, std::less<>> fields;
+};
+
+class RecordingLog : public runtime::EventLog {
+ public:
+  std::vector<LoggedLine> lines;
+
+  void write(runtime::LogEvent event, std::initializer_list<runtime::EventField> fields) override {
+    LoggedLine line;
+    line.event = event;
+    for (const runtime::EventField& field : fields) {
+      line.fields.emplace(field.key, field.value);
+    }
+    lines.push_back(std::move(line));
+  }
+  /// @return the lines of that event.
+  std::vector<LoggedLine> of(runtime::LogEvent event) const {
+    std::vector<LoggedLine> found;
+    for (const LoggedLine& line : lines) {
+      if (line.event == event) {
+        found.push_back(line);
+      }
+    }
+    return found;
+  }
+};
+
 /// One gateway with a document of one service "svc" and routes /safe/, /once/, /stream/ (may be
 /// resumed) and /bound/ (may not).
 class GatewayHarness {
  public:
   GatewayHarness()
-      : session_(sessionOptions(), scheduler, link, log_, 1),
-        gateway(options(), scheduler, dialect_, launcher, session_, log_, metrics_) {}
+      : session_(sessionOptions(), scheduler, link, log, 1),
+        gateway(options(), scheduler, dialect_, launcher, session_, log, metrics_) {}
 
   ManualScheduler scheduler;
   RecordingLauncher launcher;
   DemandLink link;
+  RecordingLog log;
 
  private:
   PlainDialect dialect_;
-  runtime::NullEventLog log_;
   runtime::NullMetricsSink metrics_;
   RegistrySession session_;
 
@@ -254,7 +289,7 @@
 
   /// @return the caller of a request on that route.
   std::unique_ptr<Caller> request(const std::string& routeName, const std::string& id,
-                                  const std::string& model = "") {
+                                  const std::string& model = "", const std::string& body = "") {
     net::HttpRequest made;
     made.method = "POST";
     made.target = "/" + routeName + "/x";
@@ -264,7 +299,7 @@
     if (!model.empty()) {
       made.headers.add("Model", model);
     }
-    made.body = "body of " + id;
+    made.body = body.empty() ? "body of " + id : body;
     auto caller = std::make_unique<Caller>();
     gateway.onRequest(std::move(made), *caller);
     scheduler.settle();
