--- a/programs/walnut-rehearse/serving.cpp
+++ b/programs/walnut-rehearse/serving.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Subcommand serving: seeded runs of a leader, gateways and workers of a model service under
-/// virtual time, with workers that say they are well and fail what they are sent.
+/// virtual time, with workers that say they are well and fail what they are sent, and requests that
+/// crash their workers.
 
 #include <getopt.h>
 
@@ -9,6 +10,7 @@
 
 #include "commands.h"
 #include "seed_range.h"
+#include "simulator/crash_campaign.h"
 #include "simulator/serving_campaign.h"
 #include "walnut/runtime/settings.h"
 
@@ -21,10 +23,13 @@
 constexpr const char* kUsage =
     "Usage: walnut-rehearse serving --seeds A-B\n"
     "Runs a leader, gateways, workers and callers under virtual time. The seed draws the size of\n"
-    "the fleet and workers that fail what they are sent, in overlapping episodes.\n"
+    "the fleet and workers that fail what they are sent, in overlapping episodes; and in a second\n"
+    "run requests that crash the workers that run them, beside changes of the leader and gateways\n"
+    "that restart or stand still.\n"
     "  --seeds A-B     seeds to run, or one seed A\n"
-    "Exit code 1: a model or an adapter was asked for and never served, or too little was served\n"
-    "once all workers were well again.\n";
+    "Exit code 1: a model or an adapter was asked for and never served; too little was served\n"
+    "once all was well again; a request that had crashed three workers was sent to workers more\n"
+    "than three times later on; another request was refused as if it did such things.\n";
 
 enum Flag : int { seeds = 1, help };
 
@@ -54,7 +59,8 @@
   return optind == argc && (flags.seedsGiven || flags.help);
 }
 
-void print(std::uint64_t seed, const simulator::ServingCampaignResult& result) {
+template <class Result>
+void print(std::uint64_t seed, const Result& result) {
   std::cout << "seed " << seed << (result.passed() ? " passed" : " FAILED") << " "
             << result.description << "\n";
   if (!result.passed()) {
@@ -78,7 +84,9 @@
   for (std::uint64_t seed = flags.firstSeed; seed <= flags.lastSeed; ++seed) {
     const simulator::ServingCampaignResult result = simulator::runServingCampaign(seed);
     print(seed, result);
-    failed += result.passed() ? 0 : 1;
+    const simulator::CrashCampaignResult crashes = simulator::runCrashCampaign(seed);
+    print(seed, crashes);
+    failed += result.passed() && crashes.passed() ? 0 : 1;
   }
   std::cout << flags.lastSeed - flags.firstSeed + 1 << " seeds, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
--- /dev/null
+++ b/src/simulator/crash_campaign.h
@@ -0,0 +1,26 @@
+#pragma once
+/// @file
+/// Runs of a serving fleet in which requests crash the workers that run them. A seed draws the
+/// fleet, such requests, and what fails beside them: the leader changes, gateways restart or are
+/// suspended, a worker resets its connections.
+
+#include <cstdint>
+#include <string>
+
+#include "simulator/serving_fleet.h"
+
+namespace walnut::simulator {
+
+struct CrashCampaignResult {
+  CrashAccount account;
+  double servedInTrouble = 0;  ///< Share of the other requests.
+  double servedAfter = 0;      ///< The same, once such requests no longer come.
+  std::string description;
+
+  bool passed() const;
+};
+
+/// The same seed gives the same result.
+CrashCampaignResult runCrashCampaign(std::uint64_t seed);
+
+}  // namespace walnut::simulator
--- a/src/simulator/fleet_gateway.cpp
+++ b/src/simulator/fleet_gateway.cpp
@@ -14,6 +14,7 @@
 class NoRequests : public gateway::RequestDialect, public gateway::AttemptLauncher {
  public:
   gateway::RequestFacts readRequest(const net::HttpRequest&) const override { return {}; }
+  std::string callerOf(const net::HttpRequest&) const override { return {}; }
   void writeAttempt(net::HttpRequest&, const gateway::AttemptFacts&) const override {}
   gateway::AnswerFacts readAnswer(int, const net::HeaderList&) const override { return {}; }
   bool isReadinessCall(const net::HttpRequest&) const override { return false; }
--- /dev/null
+++ b/src/simulator/serving_caller.h
@@ -0,0 +1,48 @@
+#pragma once
+/// @file
+/// One try of a caller of a simulated serving fleet.
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "simulator/serving_fleet.h"
+
+namespace walnut::simulator {
+
+/// One try of a caller.
+struct ServingFleet::Caller : net::ResponseSink {
+  explicit Caller(ServingFleet& owner) : fleet(owner) {}
+
+  void respond(net::HttpResponse) override { end(false); }  // Streams are answered in pieces.
+  void beginChunked(net::HttpResponseHead) override { begun = true; }
+  void writeChunk(std::string_view) override {}
+  void endChunked() override { end(true); }
+  void abort() override { end(false); }
+  std::size_t bufferedBytes() const override { return 0; }
+  void setGoneCallback(std::function<void()> callback) override { gone = std::move(callback); }
+  void setDrainedCallback(std::function<void()>) override {}
+
+  void end(bool served) {
+    answered = true;
+    if (!std::exchange(over, true)) {
+      fleet.ended(*this, served);
+    }
+  }
+
+  ServingFleet& fleet;
+  std::string target;
+  std::string body;
+  bool repeatable = true;
+  std::uint32_t retries = 0;            ///< Left after this one.
+  std::uint64_t counting = 0;           ///< By which it is counted.
+  std::optional<std::size_t> crashing;  ///< Number of the request that crashes its workers.
+  ServingGateway* gateway = nullptr;
+  std::function<void()> gone;
+  bool begun = false;
+  bool over = false;
+  bool answered = false;  ///< Also after it gave up.
+};
+
+}  // namespace walnut::simulator
--- /dev/null
+++ b/src/simulator/serving_crashes.cpp
@@ -0,0 +1,169 @@
+/// @file
+/// The part of a serving fleet in which requests crash their workers, gateways restart or stand
+/// still, and the leader changes.
+
+#include <algorithm>
+#include <utility>
+
+#include "simulator/serving_caller.h"
+
+namespace walnut::simulator {
+
+namespace {
+
+/// @name Between an answer, or giving up, and the next try
+/// @{
+constexpr base::Duration kShortestPause = std::chrono::milliseconds(200);
+constexpr base::Duration kLongestPause = std::chrono::milliseconds(2000);
+/// @}
+/// @name Until a worker that ended is back
+/// @{
+constexpr base::Duration kShortestDown = std::chrono::milliseconds(500);
+constexpr base::Duration kLongestDown = std::chrono::milliseconds(4000);
+/// @}
+/// Until a gateway that ended is back.
+constexpr base::Duration kGatewayDown = std::chrono::milliseconds(300);
+constexpr std::uint64_t kCrashesAllowed = 3;
+
+}  // namespace
+
+void ServingFleet::addCrashingRequest(base::Duration begin, base::Duration lasts, bool repeatable) {
+  const std::size_t number = crashing_.size();
+  CrashingRequest request;
+  request.target = "m" + std::to_string(scheduler_.random().uniform(0, options_.popularModels - 1));
+  request.repeatable = repeatable;
+  request.until = scheduler_.now() + begin + lasts;
+  crashing_.push_back(std::move(request));
+  scheduler_.after(begin, [this, number] { sendCrashing(number); });
+}
+
+void ServingFleet::sendCrashing(std::size_t number) {
+  CrashingRequest& request = crashing_[number];
+  ++request.tries;
+  Caller caller(*this);
+  caller.target = request.target;
+  caller.repeatable = request.repeatable;
+  caller.body = "crashing " + std::to_string(number);
+  caller.crashing = number;
+  send(caller);
+}
+
+void ServingFleet::comeAgain(std::size_t number) {
+  const base::Duration pause = scheduler_.random().between(kShortestPause, kLongestPause);
+  if (scheduler_.now() + pause < crashing_[number].until) {
+    scheduler_.after(pause, [this, number] { sendCrashing(number); });
+  }
+}
+
+void ServingFleet::arrivedCrashing(std::size_t number, const std::shared_ptr<ServingCall>& call,
+                                   ServingWorker& worker, bool inTouch,
+                                   const ServingWorker::InLoop& inLoop) {
+  CrashingRequest& request = crashing_[number];
+  ++crashAccount_.sends;
+  if (inTouch && request.thirdCrashAt != base::kNever &&
+      call->sentAt > request.thirdCrashAt + kContact) {
+    ++request.lateSends;
+  }
+  worker.receiveCrashing(call, request.target, inLoop,
+                         [this, number, id = worker.record().id] { crash(number, id); });
+}
+
+void ServingFleet::crash(std::size_t number, const registry::WorkerId& id) {
+  const auto found = std::find_if(workers_.begin(), workers_.end(),
+                                  [&id](const auto& worker) { return worker->record().id == id; });
+  CrashingRequest& request = crashing_[number];
+  ++crashAccount_.crashes;
+  if (++request.crashes == kCrashesAllowed) {
+    request.thirdCrashAt = scheduler_.now();
+  }
+  const std::size_t cut = (*found)->crash();
+  crashAccount_.cutBeside += cut - std::min<std::size_t>(cut, 1);
+  const auto index = static_cast<std::size_t>(found - workers_.begin());
+  scheduler_.after(scheduler_.random().between(kShortestDown, kLongestDown),
+                   [this, index] { restartWorker(index); });
+}
+
+/// It comes back empty, under another id and at the same endpoint; its disk is kept.
+void ServingFleet::restartWorker(std::size_t index) {
+  registry::WorkerRecord record = workers_[index]->record();
+  record.id = {"w" + std::to_string(index) + "." + std::to_string(++lastIncarnation_)};
+  auto next = std::make_unique<ServingWorker>(record, options_.worker, scheduler_);
+  next->setOnDisk(workers_[index]->onDisk());
+  formerWorkers_.push_back(std::exchange(workers_[index], std::move(next)));
+  heard(*workers_[index]);
+}
+
+void ServingFleet::restartGateway(std::size_t gateway) {
+  if (gateways_[gateway]->hasEnded()) {
+    return;
+  }
+  gateways_[gateway]->end();
+  gatewayDisturbedAt_[gateway] = scheduler_.now();
+  if (leader_ != nullptr) {
+    leader_->unsubscribe(protocol::ConnectionId{gateway + 1});
+  }
+  for (std::size_t index = 0; index < callers_.size(); ++index) {
+    Caller& caller = *callers_[index];
+    if (caller.gateway == gateways_[gateway].get()) {
+      caller.end(false);
+    }
+  }
+  scheduler_.after(kGatewayDown, [this, gateway] {
+    formerGateways_.push_back(std::move(gateways_[gateway]));
+    startGateway(gateway);
+    gatewayDisturbedAt_[gateway] = scheduler_.now();
+  });
+}
+
+void ServingFleet::suspendGateway(std::size_t gateway, base::Duration duration) {
+  gateways_[gateway]->suspend(duration);
+  gatewayDisturbedAt_[gateway] = scheduler_.now() + duration;
+}
+
+void ServingFleet::changeLeader(base::Duration gap) {
+  if (leader_ == nullptr) {
+    return;
+  }
+  formerLeaders_.push_back(std::move(leader_));
+  ++term_;
+  leaderDisturbedAt_ = scheduler_.now() + gap;
+  for (const auto& gateway : gateways_) {
+    gateway->loseLeader();
+  }
+  scheduler_.after(gap, [this] { lead(); });
+}
+
+void ServingFleet::later(base::Duration delay, std::function<void(ServingFleet&)> fault) {
+  scheduler_.after(delay, [this, fault = std::move(fault)] { fault(*this); });
+}
+
+bool ServingFleet::inTouch(std::size_t gateway) const {
+  const base::TimePoint since =
+      std::max({gatewayDisturbedAt_[gateway], leaderDisturbedAt_, base::TimePoint()});
+  return scheduler_.now() > since + kContact;
+}
+
+void ServingFleet::logged(std::size_t /*gateway*/, runtime::LogEvent event,
+                          std::initializer_list<runtime::EventField> fields) {
+  if (event != runtime::LogEvent::requestRefused) {
+    return;
+  }
+  bool quarantined = false;
+  bool innocent = false;
+  for (const runtime::EventField& field : fields) {
+    quarantined = quarantined || (field.key == "reason" && field.value == "quarantined");
+    innocent = innocent || (field.key == "request" && field.value.starts_with('r'));
+  }
+  crashAccount_.innocentsRefused += quarantined && innocent ? 1 : 0;
+}
+
+CrashAccount ServingFleet::crashAccount() const {
+  CrashAccount account = crashAccount_;
+  account.requests = crashing_.size();
+  for (const CrashingRequest& request : crashing_) {
+    account.mostLateSends = std::max(account.mostLateSends, request.lateSends);
+  }
+  return account;
+}
+
+}  // namespace walnut::simulator
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -5,12 +5,13 @@
 #include <utility>
 #include <variant>
 
+#include "simulator/serving_caller.h"
+
 namespace walnut::simulator {
 
 namespace {
 
 constexpr base::ServerId kSelf{1};
-constexpr consensus::Term kTerm = 1;
 const char* const kService = "service";
 constexpr std::uint64_t kDocumentVersion = 1;
 
@@ -29,8 +30,12 @@
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(200);
 constexpr std::uint32_t kRetries = 1;
 constexpr std::uint64_t kLeastAsked = 4;
+/// Field of a request that crashes its workers: its number.
+constexpr const char* kCrashingField = "Crashing";
 /// @}
 
+const base::Error kConnectFailed{base::ErrorCode::connectFailed, "", ""};
+
 std::string modelName(std::size_t number) { return "m" + std::to_string(number); }
 
 catalog::Route makeRoute(const char* name, bool repeatable) {
@@ -81,35 +86,6 @@
   const ServingFleetOptions options_;
 };
 
-/// One try of a caller.
-struct ServingFleet::Caller : net::ResponseSink {
-  explicit Caller(ServingFleet& owner) : fleet(owner) {}
-
-  void respond(net::HttpResponse) override { end(false); }  // Streams are answered in pieces.
-  void beginChunked(net::HttpResponseHead) override { begun = true; }
-  void writeChunk(std::string_view) override {}
-  void endChunked() override { end(true); }
-  void abort() override { end(false); }
-  std::size_t bufferedBytes() const override { return 0; }
-  void setGoneCallback(std::function<void()> callback) override { gone = std::move(callback); }
-  void setDrainedCallback(std::function<void()>) override {}
-
-  void end(bool served) {
-    if (!std::exchange(over, true)) {
-      fleet.ended(*this, served);
-    }
-  }
-
-  ServingFleet& fleet;
-  std::string target;
-  bool repeatable = true;
-  std::uint32_t retries = 0;   ///< Left after this one.
-  std::uint64_t counting = 0;  ///< By which it is counted.
-  std::function<void()> gone;
-  bool begun = false;
-  bool over = false;
-};
-
 ServingFleet::ServingFleet(const ServingFleetOptions& options)
     : options_(options),
       scheduler_(options.seed),
@@ -129,14 +105,11 @@
     state_.apply(registry::StoreWorker{record});
     workers_.push_back(std::make_unique<ServingWorker>(record, options.worker, scheduler_));
   }
-  leader_ = std::make_unique<registry::LeaderDuties>(registryOptions_, documents_, state_, kTerm,
-                                                     kSelf, log_, scheduler_.now(), turns_);
-  gateway::GatewayOptions gatewayOptions;
-  ServingGatewayLinks& links = *this;
+  lead();
+  gateways_.resize(options.gateways);
+  gatewayDisturbedAt_.resize(options.gateways);
   for (std::size_t index = 0; index < options.gateways; ++index) {
-    gatewayOptions.selection.seed = scheduler_.random().uniform(1, 1'000'000);
-    gateways_.push_back(std::make_unique<ServingGateway>(index, scheduler_, links, gatewayOptions));
-    gateways_.back()->start();
+    startGateway(index);
   }
   for (std::size_t index = 0; index < workers_.size(); ++index) {
     beat(index);
@@ -147,6 +120,19 @@
 
 ServingFleet::~ServingFleet() = default;
 
+void ServingFleet::lead() {
+  leader_ = std::make_unique<registry::LeaderDuties>(registryOptions_, documents_, state_, ++term_,
+                                                     kSelf, log_, scheduler_.now(), turns_);
+}
+
+void ServingFleet::startGateway(std::size_t index) {
+  gateway::GatewayOptions options;
+  options.selection.seed = scheduler_.random().uniform(1, 1'000'000);
+  ServingGatewayLinks& links = *this;
+  gateways_[index] = std::make_unique<ServingGateway>(index, scheduler_, links, options);
+  gateways_[index]->start();
+}
+
 void ServingFleet::run(base::Duration duration) {
   scheduler_.runUntil(scheduler_.now() + duration);
 }
@@ -183,6 +169,9 @@
 
 void ServingFleet::runLeader() {
   scheduler_.after(kLeaderTurn, [this] { runLeader(); });
+  if (leader_ == nullptr) {
+    return;
+  }
   leader_->run(scheduler_.now(), true, {});
   for (const registry::Command& command : leader_->takeCommands()) {
     state_.apply(command);
@@ -197,31 +186,50 @@
   if (const auto* send = std::get_if<control::SendToConnection>(&action)) {
     const std::size_t gateway = send->connection.value - 1;
     const auto* message = std::get_if<registry::RegistryMessage>(&send->message);
-    scheduler_.after(kLinkDelay,
-                     [this, gateway, copy = *message] { gateways_[gateway]->received(copy); });
+    scheduler_.after(kLinkDelay, [this, gateway, term = term_, copy = *message] {
+      if (term == term_) {
+        gateways_[gateway]->received(copy);
+      }
+    });
   } else if (const auto* sent = std::get_if<registry::SendOrder>(&action)) {
     order(*sent);
   } else if (const auto* read = std::get_if<registry::ReadReport>(&action)) {
-    scheduler_.after(2 * kLinkDelay, [this, id = read->worker.id] {
-      leader_->reportFinished({id, find(id)->report()}, scheduler_.now());
+    scheduler_.after(2 * kLinkDelay, [this, term = term_, id = read->worker.id] {
+      if (term == term_ && leader_ != nullptr) {
+        const ServingWorker* worker = find(id);
+        leader_->reportFinished(
+            {id, worker == nullptr ? base::Result<registry::WorkerReport>(kConnectFailed)
+                                   : worker->report()},
+            scheduler_.now());
+      }
     });
   }
 }
 
 void ServingFleet::order(const registry::SendOrder& order) {
-  scheduler_.after(kLinkDelay, [this, order] {
-    ServingWorker& worker = *find(order.worker.id);
-    const registry::OrderOutcome outcome = worker.order(order, [this, &worker] { heard(worker); });
+  scheduler_.after(kLinkDelay, [this, order, term = term_] {
+    ServingWorker* const worker = find(order.worker.id);
+    const registry::OrderOutcome outcome =
+        worker == nullptr ? registry::OrderOutcome::unclear
+                          : worker->order(order, [this, worker] { heard(*worker); });
     const bool accepted = outcome == registry::OrderOutcome::accepted;
     modelOrders_ += accepted && order.adapter.empty() ? 1 : 0;
-    scheduler_.after(kLinkDelay, [this, number = order.order, outcome] {
-      leader_->orderFinished({number, outcome}, scheduler_.now());
+    scheduler_.after(kLinkDelay, [this, term, number = order.order, outcome] {
+      if (term == term_ && leader_ != nullptr) {
+        leader_->orderFinished({number, outcome}, scheduler_.now());
+      }
     });
   });
 }
 
 void ServingFleet::heard(ServingWorker& worker) {
-  leader_->heartbeat(worker.heartbeat(), scheduler_.now());
+  if (leader_ == nullptr || worker.crashed()) {
+    return;
+  }
+  if (leader_->heartbeat(worker.heartbeat(), scheduler_.now())) {
+    state_.apply(registry::StoreWorker{worker.record()});
+    leader_->stateChanged(scheduler_.now());
+  }
 }
 
 void ServingFleet::beat(std::size_t worker) {
@@ -232,8 +240,9 @@
 }
 
 ServingWorker* ServingFleet::find(const registry::WorkerId& id) {
-  const auto found = std::find_if(workers_.begin(), workers_.end(),
-                                  [&id](const auto& worker) { return worker->record().id == id; });
+  const auto found = std::find_if(workers_.begin(), workers_.end(), [&id](const auto& worker) {
+    return worker->record().id == id && !worker->crashed();
+  });
   return found == workers_.end() ? nullptr : found->get();
 }
 
@@ -241,6 +250,9 @@
 
 void ServingFleet::toLeader(std::size_t gateway, registry::MessageBody message) {
   scheduler_.after(kLinkDelay, [this, gateway, message = std::move(message)] {
+    if (leader_ == nullptr) {
+      return;
+    }
     const protocol::ConnectionId connection{gateway + 1};
     if (const auto* request = std::get_if<registry::Subscribe>(&message)) {
       leader_->subscribe(connection, *request);
@@ -254,19 +266,37 @@
 
 void ServingFleet::toWorker(std::size_t gateway, const registry::WorkerRecord& record,
                             std::shared_ptr<ServingCall> call) {
-  scheduler_.after(kLinkDelay, [this, gateway, id = record.id, call = std::move(call)] {
-    if (call->cancelled) {
-      return;
+  call->sentAt = scheduler_.now();
+  ServingGateway* const sender = gateways_[gateway].get();
+  scheduler_.after(kLinkDelay, [this, sender, inTouch = inTouch(gateway), id = record.id,
+                                call = std::move(call)] {
+    if (!call->cancelled) {
+      arrived(call, id, inTouch,
+              [sender](const std::function<void()>& input) { sender->run(input); });
     }
-    ServingWorker& worker = *find(id);
-    requestsToFailing_ += worker.fault() == WorkerFault::none ? 0 : 1;
-    const auto [model, adapter] = splitTarget(*call->request.headers.find("Model"));
-    worker.receive(call, model, adapter, [this, gateway](const std::function<void()>& input) {
-      gateways_[gateway]->run(input);
-    });
   });
 }
 
+void ServingFleet::arrived(const std::shared_ptr<ServingCall>& call, const registry::WorkerId& id,
+                           bool inTouch, const ServingWorker::InLoop& inLoop) {
+  ServingWorker* const worker = find(id);
+  if (worker == nullptr) {
+    inLoop([call] {
+      if (!call->cancelled) {
+        call->callbacks->onResponseFailure(kConnectFailed, false);
+      }
+    });
+    return;
+  }
+  if (const auto crashing = call->request.headers.findNumber(kCrashingField)) {
+    arrivedCrashing(*crashing, call, *worker, inTouch, inLoop);
+    return;
+  }
+  requestsToFailing_ += worker->fault() == WorkerFault::none ? 0 : 1;
+  const auto [model, adapter] = splitTarget(*call->request.headers.find("Model"));
+  worker->receive(call, model, adapter, inLoop);
+}
+
 // Callers
 
 void ServingFleet::ask() {
@@ -278,6 +308,7 @@
                      first.target = drawTarget();
                      first.retries = kRetries;
                      first.counting = counting_;
+                     first.body = "body " + std::to_string(++lastBody_);
                      ServedCount& count = counts_[first.target];
                      count.firstAt = count.asked == 0 ? scheduler_.now() : count.firstAt;
                      count.lastAt = scheduler_.now();
@@ -305,22 +336,43 @@
   request.method = "POST";
   request.target = caller.repeatable ? "/again/x" : "/once/x";
   request.headers.add("Host", "host");
-  request.headers.add("Id", "r" + std::to_string(++lastRequest_));
+  request.headers.add("Id", (caller.crashing ? "c" : "r") + std::to_string(++lastRequest_));
+  if (caller.crashing) {
+    request.headers.add(kCrashingField, std::to_string(*caller.crashing));
+  }
+  // Of each caller a body of its own, the same in all its tries.
+  request.body = caller.body;
   request.headers.add(
       "Deadline-Ms",
       std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(kTimeout).count()));
   request.headers.add("Model", caller.target);
-  ServingGateway& gateway = *gateways_[scheduler_.random().uniform(0, gateways_.size() - 1)];
+  std::size_t drawn = 0;
+  do {
+    drawn = scheduler_.random().uniform(0, gateways_.size() - 1);
+  } while (gateways_[drawn]->hasEnded());
+  ServingGateway& gateway = *gateways_[drawn];
+  caller.gateway = &gateway;
   gateway.request(std::move(request), caller);
   scheduler_.after(kGivesUpAfter, [this, &caller, &gateway] {
     if (!caller.begun && !std::exchange(caller.over, true)) {
+      if (caller.crashing) {
+        comeAgain(*caller.crashing);
+      }
       count(caller, false);
-      gateway.run(caller.gone);
+      gateway.run([&caller] {
+        if (caller.gone && !caller.answered) {
+          caller.gone();
+        }
+      });
     }
   });
 }
 
 void ServingFleet::ended(const Caller& caller, bool served) {
+  if (caller.crashing) {
+    comeAgain(*caller.crashing);
+    return;
+  }
   if (served || caller.retries == 0) {
     count(caller, served);
     return;
@@ -328,13 +380,14 @@
   Caller next(*this);
   next.target = caller.target;
   next.repeatable = caller.repeatable;
+  next.body = caller.body;
   next.retries = caller.retries - 1;
   next.counting = caller.counting;
   scheduler_.after(kRetryPause, [this, next = std::move(next)] { send(next); });
 }
 
 void ServingFleet::count(const Caller& caller, bool served) {
-  if (caller.counting == counting_) {
+  if (caller.counting == counting_ && !caller.crashing) {
     ServedCount& count = counts_[caller.target];
     ++(served ? count.served : count.lost);
   }
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -1,10 +1,11 @@
 #pragma once
 /// @file
 /// A leader, gateways, workers of a model service and their callers in virtual time, with workers
-/// that say they are well and fail what they are sent; and the account of which models and adapters
-/// were served.
+/// that say they are well and fail what they are sent, and requests that crash their workers; and
+/// the account of which models and adapters were served, and of what such requests did.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -42,6 +43,16 @@
   base::TimePoint lastAt;
 };
 
+/// What requests that crash their workers did, and what was done about them.
+struct CrashAccount {
+  std::uint64_t requests = 0;          ///< That crash their workers; each comes again and again.
+  std::uint64_t sends = 0;             ///< Of them to workers.
+  std::uint64_t crashes = 0;           ///< Of workers.
+  std::uint64_t cutBeside = 0;         ///< Other requests that ended with a worker.
+  std::uint64_t mostLateSends = 0;     ///< Of one request; see ServingFleet::crashAccount.
+  std::uint64_t innocentsRefused = 0;  ///< Other requests, refused as if they did such things.
+};
+
 class ServingFleet : private ServingGatewayLinks {
  public:
   explicit ServingFleet(const ServingFleetOptions& options);
@@ -58,6 +69,23 @@
   void failWorkers(base::Duration begin, base::Duration end, std::size_t count, WorkerFault fault);
   /// @}
 
+  /// @name Requests that crash each worker that runs them, and what goes on beside
+  /// @{
+  /// Such a request comes again, under a new id and at any gateway, some time after each answer.
+  void addCrashingRequest(base::Duration begin, base::Duration lasts, bool repeatable);
+  void restartGateway(std::size_t gateway);
+  void suspendGateway(std::size_t gateway, base::Duration duration);
+  /// Runs it some time from now.
+  void later(base::Duration delay, std::function<void(ServingFleet&)> fault);
+  /// Another server leads after that time; until then nobody does.
+  void changeLeader(base::Duration gap);
+  /// Late sends are those by a gateway in touch, later than `kContact` after the request crashed
+  /// its third worker. A gateway is in touch if within that time it was neither started nor
+  /// suspended and the leader did not change.
+  CrashAccount crashAccount() const;
+  static constexpr base::Duration kContact = std::chrono::seconds(3);
+  /// @}
+
   /// Only requests that are made from now on are counted.
   void countAnew() {
     counts_.clear();
@@ -76,12 +104,26 @@
  private:
   struct Caller;
   class Reader;
+  /// A request that crashes each worker that runs it.
+  struct CrashingRequest {
+    std::string target;
+    bool repeatable = false;
+    base::TimePoint until;  ///< It does not come again after.
+    std::uint64_t tries = 0;
+    std::uint64_t crashes = 0;
+    base::TimePoint thirdCrashAt = base::kNever;
+    std::uint64_t lateSends = 0;
+  };
 
   // ServingGatewayLinks
   void toLeader(std::size_t gateway, registry::MessageBody message) override;
   void toWorker(std::size_t gateway, const registry::WorkerRecord& worker,
                 std::shared_ptr<ServingCall> call) override;
+  void logged(std::size_t gateway, runtime::LogEvent event,
+              std::initializer_list<runtime::EventField> fields) override;
 
+  void lead();
+  void startGateway(std::size_t index);
   void runLeader();
   void carryOut(const registry::RegistryAction& action);
   void order(const registry::SendOrder& order);
@@ -93,6 +135,15 @@
   void ended(const Caller& caller, bool served);
   void count(const Caller& caller, bool served);
   ServingWorker* find(const registry::WorkerId& id);
+  void arrived(const std::shared_ptr<ServingCall>& call, const registry::WorkerId& worker,
+               bool inTouch, const ServingWorker::InLoop& inLoop);
+  void arrivedCrashing(std::size_t number, const std::shared_ptr<ServingCall>& call,
+                       ServingWorker& worker, bool inTouch, const ServingWorker::InLoop& inLoop);
+  void sendCrashing(std::size_t number);
+  void comeAgain(std::size_t number);
+  void crash(std::size_t number, const registry::WorkerId& worker);
+  void restartWorker(std::size_t index);
+  bool inTouch(std::size_t gateway) const;
 
   const ServingFleetOptions options_;
   Scheduler scheduler_;
@@ -102,15 +153,25 @@
   registry::DocumentCache documents_;
   registry::CellState state_;
   registry::OrderTurns turns_;
-  std::unique_ptr<registry::LeaderDuties> leader_;
+  consensus::Term term_ = 0;
+  std::unique_ptr<registry::LeaderDuties> leader_;  ///< Null while nobody leads.
+  std::vector<std::unique_ptr<registry::LeaderDuties>> formerLeaders_;
   std::vector<std::unique_ptr<ServingWorker>> workers_;
+  std::vector<std::unique_ptr<ServingWorker>> formerWorkers_;
   std::vector<std::unique_ptr<ServingGateway>> gateways_;
+  std::vector<std::unique_ptr<ServingGateway>> formerGateways_;
+  std::vector<base::TimePoint> gatewayDisturbedAt_;
+  base::TimePoint leaderDisturbedAt_;
   std::vector<std::unique_ptr<Caller>> callers_;
   std::uint64_t lastRequest_ = 0;
+  std::uint64_t lastBody_ = 0;
   std::map<std::string, ServedCount> counts_;  ///< By model, or model/adapter.
   std::uint64_t counting_ = 0;                 ///< How often counting began.
   std::uint64_t modelOrders_ = 0;
   std::uint64_t requestsToFailing_ = 0;
+  std::vector<CrashingRequest> crashing_;
+  CrashAccount crashAccount_;
+  std::uint64_t lastIncarnation_ = 0;
 };
 
 }  // namespace walnut::simulator
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -37,6 +37,19 @@
   bool isReadinessCall(const net::HttpRequest&) const override { return false; }
 };
 
+/// Hands the lines of the decision log to the fleet.
+class ForwardingLog : public runtime::EventLog {
+ public:
+  ForwardingLog(std::size_t index, ServingGatewayLinks& links) : index_(index), links_(links) {}
+  void write(runtime::LogEvent event, std::initializer_list<runtime::EventField> fields) override {
+    links_.logged(index_, event, fields);
+  }
+
+ private:
+  const std::size_t index_;
+  ServingGatewayLinks& links_;
+};
+
 class CallLauncher : public gateway::AttemptLauncher {
  public:
   CallLauncher(std::size_t index, ServingGatewayLinks& links) : index_(index), links_(links) {}
@@ -44,7 +57,7 @@
   std::unique_ptr<gateway::Attempt> start(const registry::WorkerRecord& worker,
                                           const net::HttpRequest& request,
                                           net::ResponseCallbacks& callbacks) override {
-    auto call = std::make_shared<ServingCall>(ServingCall{request, &callbacks, false});
+    auto call = std::make_shared<ServingCall>(ServingCall{request, &callbacks, false, {}});
     links_.toWorker(index_, worker, call);
     return std::make_unique<CallAttempt>(std::move(call));
   }
@@ -78,6 +91,7 @@
       : index(number),
         links(fleet),
         loop(time),
+        log(number, fleet),
         launcher(number, fleet),
         session(sessionOptions(), loop, *this, log, number + 1),
         gateway(options, loop, dialect, launcher, session, log, metrics),
@@ -100,7 +114,7 @@
   const std::size_t index;
   ServingGatewayLinks& links;
   VirtualLoop loop;
-  runtime::NullEventLog log;
+  ForwardingLog log;
   runtime::NullMetricsSink metrics;
   ServingDialect dialect;
   CallLauncher launcher;
@@ -124,14 +138,25 @@
 }
 
 void ServingGateway::received(const registry::RegistryMessage& message) {
-  run([this, &message] { process_->follower.messageReceived(kLeader, message); });
+  run([this, message] { process_->follower.messageReceived(kLeader, message); });
 }
 
 void ServingGateway::request(net::HttpRequest request, net::ResponseSink& sink) {
-  run([this, &request, &sink] { process_->gateway.onRequest(std::move(request), sink); });
+  run([this, request = std::move(request), &sink] { process_->gateway.onRequest(request, sink); });
+}
+
+void ServingGateway::loseLeader() {
+  run([this] { process_->session.closed(kLeader); });
 }
 
 void ServingGateway::run(const std::function<void()>& input) {
+  if (ended_) {
+    return;
+  }
+  if (scheduler_.now() < suspendedUntil_) {
+    scheduler_.at(suspendedUntil_, [this, input] { run(input); });
+    return;
+  }
   input();
   process_->loop.runDeferred();
   scheduleWakeup();
--- a/src/simulator/serving_gateway.h
+++ b/src/simulator/serving_gateway.h
@@ -19,6 +19,9 @@
   virtual void toLeader(std::size_t gateway, registry::MessageBody message) = 0;
   virtual void toWorker(std::size_t gateway, const registry::WorkerRecord& worker,
                         std::shared_ptr<ServingCall> call) = 0;
+  /// A line of the gateway's decision log.
+  virtual void logged(std::size_t gateway, runtime::LogEvent event,
+                      std::initializer_list<runtime::EventField> fields) = 0;
 };
 
 class ServingGateway {
@@ -30,9 +33,19 @@
   void start();
   void received(const registry::RegistryMessage& message);
   void request(net::HttpRequest request, net::ResponseSink& sink);
-  /// Calls back in the gateway's event loop.
+  /// Calls back in the gateway's event loop: once it runs again, if it is suspended; never, if it
+  /// has ended.
   void run(const std::function<void()>& input);
 
+  /// @name Faults
+  /// @{
+  void loseLeader();
+  /// The machine stands still: its clock goes on, and nothing runs.
+  void suspend(base::Duration duration) { suspendedUntil_ = scheduler_.now() + duration; }
+  void end() { ended_ = true; }
+  bool hasEnded() const { return ended_; }
+  /// @}
+
  private:
   struct Process;
 
@@ -40,6 +53,8 @@
 
   Scheduler& scheduler_;
   base::TimePoint wakeupAt_ = base::kNever;
+  base::TimePoint suspendedUntil_;
+  bool ended_ = false;
   std::unique_ptr<Process> process_;
 };
 
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -10,6 +10,16 @@
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kInternalError = 500;
+/// Ended requests are dropped from the list of running ones at this length.
+constexpr std::size_t kMostKept = 64;
+
+net::MessageHead answerHead(const ServingCall& call, int status, const char* field) {
+  net::MessageHead head;
+  head.status = status;
+  head.headers.add("Id", *call.request.headers.find("Id"));
+  head.headers.add(field, "1");
+  return head;
+}
 
 }  // namespace
 
@@ -49,8 +59,10 @@
   orderUnderWay_ = true;
   scheduler_.after(order.load ? options_.loadTime : options_.unloadTime,
                    [this, order, onChange = std::move(onChange)] {
-                     finishModelOrder(order);
-                     onChange();
+                     if (!crashed_) {
+                       finishModelOrder(order);
+                       onChange();
+                     }
                    });
   return registry::OrderOutcome::accepted;
 }
@@ -92,6 +104,7 @@
 
 void ServingWorker::receive(const std::shared_ptr<ServingCall>& call, const std::string& model,
                             const std::string& adapter, const InLoop& inLoop) {
+  keepRunning(call, inLoop);
   switch (fault_) {
     case WorkerFault::none:
       break;
@@ -120,22 +133,14 @@
 void ServingWorker::answer(base::Duration delay, const std::shared_ptr<ServingCall>& call,
                            const InLoop& inLoop, int status, bool notRun) {
   later(delay, call, inLoop, [status, notRun, call](net::ResponseCallbacks& callbacks) {
-    net::MessageHead head;
-    head.status = status;
-    head.headers.add("Id", *call->request.headers.find("Id"));
-    head.headers.add(notRun ? "Not-Run" : "Sealed", "1");
-    callbacks.onResponseHead(std::move(head));
+    callbacks.onResponseHead(answerHead(*call, status, notRun ? "Not-Run" : "Sealed"));
     callbacks.onResponseComplete();
   });
 }
 
 void ServingWorker::serve(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop) {
   later(options_.firstEventTime, call, inLoop, [call](net::ResponseCallbacks& callbacks) {
-    net::MessageHead head;
-    head.status = kOk;
-    head.headers.add("Id", *call->request.headers.find("Id"));
-    head.headers.add("Sealed", "1");
-    callbacks.onResponseHead(std::move(head));
+    callbacks.onResponseHead(answerHead(*call, kOk, "Sealed"));
     callbacks.onResponseBody("id: 1\n\n");
   });
   later(options_.serviceTime, call, inLoop,
@@ -145,11 +150,52 @@
 void ServingWorker::later(base::Duration delay, const std::shared_ptr<ServingCall>& call,
                           const InLoop& inLoop,
                           std::function<void(net::ResponseCallbacks&)> callback) {
-  scheduler_.after(delay, [call, inLoop, callback = std::move(callback)] {
-    if (!call->cancelled) {
+  scheduler_.after(delay, [this, call, inLoop, callback = std::move(callback)] {
+    if (!call->cancelled && !crashed_) {
       inLoop([call, callback] { callback(*call->callbacks); });
     }
   });
 }
 
+void ServingWorker::receiveCrashing(const std::shared_ptr<ServingCall>& call,
+                                    const std::string& model, const InLoop& inLoop,
+                                    std::function<void()> onCrash) {
+  if (find(model) == nullptr) {
+    answer(options_.errorTime, call, inLoop, kMisdirected, true);
+    return;
+  }
+  keepRunning(call, inLoop);
+  const base::Duration queued =
+      scheduler_.random().between(base::Duration::zero(), options_.crashQueueTime);
+  scheduler_.after(queued + options_.crashTime, [this, call, onCrash = std::move(onCrash)] {
+    if (!call->cancelled && !crashed_) {
+      onCrash();
+    }
+  });
+}
+
+void ServingWorker::keepRunning(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop) {
+  if (running_.size() >= kMostKept) {
+    std::erase_if(running_, [](const Running& running) { return running.call->cancelled; });
+  }
+  running_.push_back({call, inLoop});
+}
+
+std::size_t ServingWorker::crash() {
+  crashed_ = true;
+  std::size_t cut = 0;
+  for (const Running& running : std::exchange(running_, {})) {
+    if (running.call->cancelled) {
+      continue;
+    }
+    ++cut;
+    running.inLoop([call = running.call] {
+      if (!call->cancelled) {
+        call->callbacks->onResponseFailure({base::ErrorCode::connectionLost, "", ""}, true);
+      }
+    });
+  }
+  return cut;
+}
+
 }  // namespace walnut::simulator
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -4,8 +4,8 @@
 /// and may fail requests while it says that it is well.
 
 #include <memory>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "net/client_connection.h"
 #include "simulator/scheduler.h"
@@ -26,6 +26,7 @@
   net::HttpRequest request;
   net::ResponseCallbacks* callbacks = nullptr;
   bool cancelled = false;
+  base::TimePoint sentAt;
 };
 
 struct ServingWorkerOptions {
@@ -38,6 +39,10 @@
   base::Duration adapterTime = std::chrono::milliseconds(10);
   /// Share of the answers of a sound worker that are errors all the same.
   double strayErrors = 0.01;
+  /// From when a worker begins to run a request that crashes it.
+  base::Duration crashTime = std::chrono::milliseconds(80);
+  /// Longest time that such a request waits in its queue before.
+  base::Duration crashQueueTime = std::chrono::milliseconds(900);
 };
 
 class ServingWorker {
@@ -59,8 +64,25 @@
   registry::OrderOutcome order(const registry::SendOrder& order, std::function<void()> onChange);
   void receive(const std::shared_ptr<ServingCall>& call, const std::string& model,
                const std::string& adapter, const InLoop& inLoop);
+  /// The same of a request that crashes the worker once it runs.
+  /// @param onCrash called when it does.
+  void receiveCrashing(const std::shared_ptr<ServingCall>& call, const std::string& model,
+                       const InLoop& inLoop, std::function<void()> onCrash);
+
+  /// The process ends: all that it has is cut, and it does nothing any more.
+  /// @return how many requests were cut.
+  std::size_t crash();
+  bool crashed() const { return crashed_; }
+  /// What its machine's disk keeps for the next incarnation.
+  const std::vector<std::string>& onDisk() const { return holdings_.onDisk; }
+  void setOnDisk(std::vector<std::string> models) { holdings_.onDisk = std::move(models); }
 
  private:
+  struct Running {
+    std::shared_ptr<ServingCall> call;
+    InLoop inLoop;
+  };
+
   registry::OrderOutcome orderModel(const registry::SendOrder& order,
                                     std::function<void()> onChange);
   registry::OrderOutcome orderAdapter(const registry::SendOrder& order);
@@ -72,6 +94,7 @@
              std::function<void(net::ResponseCallbacks&)> callback);
   void remember(std::vector<std::string>& copies, const std::string& model);
   registry::HeldModel* find(const std::string& model);
+  void keepRunning(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop);
 
   const registry::WorkerRecord record_;
   const ServingWorkerOptions options_;
@@ -81,6 +104,8 @@
   bool orderUnderWay_ = false;
   std::uint64_t orderCount_ = 0;
   std::uint64_t sequence_ = 0;
+  std::vector<Running> running_;  ///< And some that have ended.
+  bool crashed_ = false;
 };
 
 }  // namespace walnut::simulator
