--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -16,6 +16,7 @@
 #include "walnut/base/error.h"
 #include "walnut/catalog/document.h"
 #include "walnut/consensus/messages.h"
+#include "walnut/registry/request_digest.h"
 #include "walnut/registry/worker.h"
 
 namespace walnut::registry {
@@ -263,9 +264,56 @@
   }
 };
 
-using MessageBody =
-    std::variant<ForwardedCall, ForwardedAnswer, JoinRequest, JoinReply, Subscribe, NotLeading,
-                 ViewUpdate, DemandUpdate, DocumentPart, DocumentPartTaken, PackedView>;
+/// A request that a worker had, and had not begun to answer, when its connection ended.
+struct RequestCut {
+  RequestDigest request;
+  WorkerId worker;
+  base::Duration age{0};  ///< Since the connection ended.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(request, worker, age);
+  }
+};
+/// Gateway to leader: which requests may have crashed their workers. Sent only if there are any;
+/// each is sent once, and again to a leader that is new to the gateway.
+struct CutReport {
+  std::vector<RequestCut> cuts;
+  std::vector<RequestDigest> answered;  ///< Suspects that were answered: they crash nobody.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(cuts, answered);
+  }
+};
+
+/// How a request that may crash its workers is treated.
+enum class RequestStanding : std::uint8_t {
+  suspected = 0,    ///< It goes on; that it is answered is worth telling.
+  held = 1,         ///< Not sent until it is known whether a worker has ended under it once more.
+  quarantined = 2,  ///< Not sent to a worker any more.
+};
+struct SuspectRequest {
+  RequestDigest request;
+  RequestStanding standing = RequestStanding::suspected;
+  std::uint32_t crashes = 0;    ///< Workers that ended with it.
+  base::Duration remaining{0};  ///< For which the standing lasts, if nothing new is learned.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(request, standing, crashes, remaining);
+  }
+};
+/// Leader to gateway: all requests that are not like others. Sent when it changes, and before the
+/// first view on a connection if there are any; without it there are none.
+struct SuspectList {
+  std::vector<SuspectRequest> requests;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(requests);
+  }
+};
+
+using MessageBody = std::variant<ForwardedCall, ForwardedAnswer, JoinRequest, JoinReply, Subscribe,
+                                 NotLeading, ViewUpdate, DemandUpdate, DocumentPart,
+                                 DocumentPartTaken, PackedView, CutReport, SuspectList>;
 
 /// One alternative of protocol::Message for all of the registry's.
 struct RegistryMessage {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -16,6 +16,7 @@
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr std::string_view kQuarantined = "quarantined";
 constexpr int kNoAnswer = 0;  ///< The caller had left, or the answer was broken off.
 
 constexpr base::Duration kDefaultDeadline = std::chrono::seconds(60);
@@ -120,6 +121,9 @@
     onDeadline();
     return;
   }
+  if (refuseIfQuarantined()) {
+    return;
+  }
   const Selection selection = context_.selector().select(service_, facts_, excluded_, now());
   if (selection.lastResort != nullptr && takesLastResort()) {
     endWait();
@@ -146,6 +150,53 @@
   return *digest_;
 }
 
+/// What ended under several workers would end the next one as well, with all that it has: it is
+/// refused at once, and its caller told for how long that holds.
+/// @return true if it was.
+bool Exchange::refuseIfQuarantined() {
+  if (!context_.watchesRequests()) {
+    return false;
+  }
+  const auto verdict = context_.verdictOn(digest());
+  if (!verdict || verdict->standing == registry::RequestStanding::suspected) {
+    return false;
+  }
+  context_.metrics().count(
+      "walnut_gateway_quarantined_total",
+      verdict->standing == registry::RequestStanding::held ? "held" : "quarantined");
+  context_.log().write(LogEvent::requestQuarantined,
+                       {{"request", facts_.requestId},
+                        {"digest", digest().text()},
+                        {"crashes", std::uint64_t{verdict->crashes}},
+                        {"until-millis", millisOf(verdict->until - now())}});
+  if (headSent_) {
+    failFinally(kQuarantined);
+  } else {
+    refuse(mayHaveRun_ ? kBadGateway : kUnavailable, kQuarantined, verdict->until - now());
+  }
+  return true;
+}
+
+/// One that is queued at a worker has not crashed it yet, and is taken back.
+void Exchange::suspectsChanged() {
+  if (state_ == State::choosing) {
+    (void)refuseIfQuarantined();
+    return;
+  }
+  if (state_ != State::attempting || answerNoted_ || !context_.watchesRequests()) {
+    return;
+  }
+  const auto verdict = context_.verdictOn(digest());
+  if (!verdict || verdict->standing == registry::RequestStanding::suspected) {
+    return;
+  }
+  worker_->breaker.undecided(now());
+  dropAttempt();
+  mayHaveRun_ = true;
+  state_ = State::choosing;
+  (void)refuseIfQuarantined();
+}
+
 /// A stream that is queued for longer than its target is late, and so is all that queues behind it;
 /// refused, it leaves the slots to those that can be in time. A stream that has begun goes on.
 bool Exchange::wouldBeginLate(const Selection& selection) const {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -9,13 +9,13 @@
 
 #include "gateway/demand_tracker.h"
 #include "gateway/event_stream.h"
+#include "gateway/request_quarantine.h"
 #include "gateway/worker_selector.h"
 #include "net/client_connection.h"
 #include "walnut/catalog/document.h"
 #include "walnut/event/scheduler.h"
 #include "walnut/gateway/dialect.h"
 #include "walnut/net/server.h"
-#include "walnut/registry/request_digest.h"
 #include "walnut/runtime/event_log.h"
 #include "walnut/runtime/metrics_sink.h"
 
@@ -72,6 +72,16 @@
   virtual void attemptFailed(Worker& worker) = 0;
   virtual void attemptSettled(const Worker& worker, const RequestFacts& facts,
                               AttemptOutcome outcome) = 0;
+  /// @name Requests that crash their workers
+  /// @{
+  /// @return true if there may be verdicts: else no request need be told from others.
+  virtual bool watchesRequests() const = 0;
+  virtual std::optional<RequestQuarantine::Verdict> verdictOn(
+      const registry::RequestDigest& request) const = 0;
+  /// The worker had the request, and had not begun to answer, when the connection ended.
+  virtual void requestCut(const Worker& worker, const registry::RequestDigest& request) = 0;
+  virtual void suspectAnswered(const registry::RequestDigest& request) = 0;
+  /// @}
   virtual std::uint64_t documentVersion() const = 0;
   /// @return true if the registry's leader hears what is waited for.
   virtual bool leaderKnown() const = 0;
@@ -99,6 +109,8 @@
   void start();
   /// Workers, or what they hold, have changed.
   void viewChanged();
+  /// Requests are suspected of crashing their workers, or no longer.
+  void suspectsChanged();
   /// The process is about to end: a request that waits for a worker is refused.
   void stopWaiting();
   /// The process ends: what runs is given up.
@@ -121,6 +133,10 @@
   void onResponseFailure(const base::Error& error, bool sent) override;
 
   void choose();
+  const registry::RequestDigest& digest();
+  bool refuseIfQuarantined();
+  void noteCut();
+  void noteSuspectAnswered();
   bool wouldBeginLate(const Selection& selection) const;
   bool takesLastResort() const;
   void wait(NoWorkerReason reason);
@@ -133,8 +149,6 @@
     return route_.targetGap > base::Duration::zero() ? route_.targetGap : base::Duration::max();
   }
   void completeStream();
-  const registry::RequestDigest& digest();
-  void noteCut();
   void noteAnswered();
   void noteFailed();
   void attemptEnded(Executed executed, std::string_view reason);
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -143,6 +143,7 @@
     noteAnswered();
   }
   if (accepted_) {
+    noteSuspectAnswered();
     releaseAttempt();
     respondWith(std::move(head_), std::move(body_));
     return;
@@ -171,6 +172,7 @@
     return;
   }
   noteAnswered();
+  noteSuspectAnswered();
   if (longestGap_ <= pauseLimit()) {
     worker_->failures.observe(false, now());
   }
@@ -200,6 +202,13 @@
        {"age-millis",
         static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(now() - attemptAt_).count())}});
+  context_.requestCut(*worker_, digest());
+}
+
+void Exchange::noteSuspectAnswered() {
+  if (context_.watchesRequests() && context_.verdictOn(digest())) {
+    context_.suspectAnswered(digest());
+  }
 }
 
 void Exchange::onResponseFailure(const base::Error& error, bool sent) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -71,6 +71,50 @@
   }
 }
 
+void Gateway::suspectsReceived(const registry::SuspectList& list) {
+  quarantine_.take(list, scheduler_.now());
+  log_.write(LogEvent::suspectsTaken, {{"requests", std::uint64_t{list.requests.size()}}});
+  forEachExchange(&Exchange::suspectsChanged);
+}
+
+void Gateway::leaderFollowed(bool told) {
+  quarantine_.leaderFollowed(told);
+  reportCutsSoon();
+}
+
+std::optional<RequestQuarantine::Verdict> Gateway::verdictOn(
+    const registry::RequestDigest& request) const {
+  return quarantine_.find(request, scheduler_.now());
+}
+
+void Gateway::requestCut(const Worker& worker, const registry::RequestDigest& request) {
+  quarantine_.cut(request, worker.view.record.id, scheduler_.now());
+  reportCutsSoon();
+}
+
+void Gateway::suspectAnswered(const registry::RequestDigest& request) {
+  quarantine_.answered(request);
+  reportCutsSoon();
+}
+
+/// One report for all that ended with a worker.
+void Gateway::reportCutsSoon() {
+  if (!std::exchange(cutsSoon_, true)) {
+    scheduler_.runSoon([this] { reportCuts(); });
+  }
+}
+
+/// What no leader hears now is told to the next one.
+void Gateway::reportCuts() {
+  cutsSoon_ = false;
+  if (!session_.following()) {
+    return;
+  }
+  if (auto report = quarantine_.takeReport(scheduler_.now())) {
+    session_.send(std::move(*report));
+  }
+}
+
 void Gateway::noteNewest(std::uint64_t version) {
   if (version <= newestVersion_) {
     return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/demand_tracker.h"
 #include "gateway/exchange.h"
 #include "gateway/registry_session.h"
+#include "gateway/request_quarantine.h"
 #include "routing/retry_budget.h"
 #include "walnut/catalog/route_table.h"
 #include "walnut/runtime/metrics_sink.h"
@@ -41,6 +42,10 @@
   /// @return the document in force; null while there is none.
   std::shared_ptr<const catalog::Document> document() const;
   void viewReceived(const registry::ViewUpdate& update);
+  void suspectsReceived(const registry::SuspectList& list);
+  /// The first view of a leader is there.
+  /// @param told whether it has told of suspects before: else there are none.
+  void leaderFollowed(bool told);
   /// Takes a document if it is newer than the one in force.
   /// @return true if it was taken.
   bool documentReceived(std::shared_ptr<const catalog::Document> document);
@@ -81,6 +86,11 @@
   void attemptFailed(Worker& worker) override;
   void attemptSettled(const Worker& worker, const RequestFacts& facts,
                       AttemptOutcome outcome) override;
+  bool watchesRequests() const override { return quarantine_.watching(); }
+  std::optional<RequestQuarantine::Verdict> verdictOn(
+      const registry::RequestDigest& request) const override;
+  void requestCut(const Worker& worker, const registry::RequestDigest& request) override;
+  void suspectAnswered(const registry::RequestDigest& request) override;
   std::uint64_t documentVersion() const override;
   bool leaderKnown() const override { return session_.following(); }
   void ended(Exchange& exchange, int status) override;
@@ -107,6 +117,8 @@
   routing::RetryBudget& budgetOf(const std::string& service);
   void reportDemand();
   void reportDemandSoon();
+  void reportCuts();
+  void reportCutsSoon();
   void reportUseSoon(const Worker& worker, const std::string& model);
   void reportWithinSpacing();
   void noteNewest(std::uint64_t version);
@@ -128,6 +140,8 @@
   WorkerDirectory directory_;
   WorkerSelector selector_;
   DemandTracker demand_;
+  RequestQuarantine quarantine_;
+  bool cutsSoon_ = false;
   event::TimerPtr demandTimer_;
   bool demandSoon_ = false;
   base::TimePoint demandReportedAt_;
--- a/src/gateway/registry_follower.cpp
+++ b/src/gateway/registry_follower.cpp
@@ -42,11 +42,27 @@
   if (!session_.viewReceived(connection, view)) {
     return false;
   }
+  if (view.complete) {
+    gateway_.leaderFollowed(suspectsFrom_ == connection);
+    suspectsFrom_.reset();
+  }
   gateway_.viewReceived(view);
   askAgainIfStuck();
   return true;
 }
 
+bool RegistryFollower::receive(protocol::ConnectionId connection,
+                               const registry::SuspectList& list) {
+  if (!session_.asks(connection)) {
+    return false;
+  }
+  if (!session_.following()) {
+    suspectsFrom_ = connection;
+  }
+  gateway_.suspectsReceived(list);
+  return true;
+}
+
 bool RegistryFollower::receive(protocol::ConnectionId connection,
                                const registry::NotLeading& message) {
   session_.notLeading(connection, message);
--- a/src/gateway/registry_follower.h
+++ b/src/gateway/registry_follower.h
@@ -27,6 +27,7 @@
   bool receive(protocol::ConnectionId connection, const registry::PackedView& packed);
   bool receive(protocol::ConnectionId connection, const registry::ViewUpdate& view);
   bool receive(protocol::ConnectionId connection, const registry::DocumentPart& part);
+  bool receive(protocol::ConnectionId connection, const registry::SuspectList& list);
   bool receive(protocol::ConnectionId connection, const registry::NotLeading& message);
   template <class Other>
   bool receive(protocol::ConnectionId, const Other&) {
@@ -44,6 +45,8 @@
   registry::ViewDecoder viewDecoder_;
   /// When a newer document was told of, or a part of it came.
   std::optional<base::TimePoint> documentMovedAt_;
+  /// Has told of suspects, and sent no view yet.
+  std::optional<protocol::ConnectionId> suspectsFrom_;
 };
 
 }  // namespace walnut::gateway
--- /dev/null
+++ b/src/gateway/request_quarantine.cpp
@@ -0,0 +1,60 @@
+#include "gateway/request_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace walnut::gateway {
+
+void RequestQuarantine::take(const registry::SuspectList& list, base::TimePoint now) {
+  verdicts_.clear();
+  for (const registry::SuspectRequest& suspect : list.requests) {
+    verdicts_[suspect.request] = {suspect.standing, suspect.crashes, now + suspect.remaining};
+  }
+}
+
+void RequestQuarantine::leaderFollowed(bool told) {
+  if (!told) {
+    verdicts_.clear();
+  }
+  for (Cut& cut : cuts_) {
+    cut.told = false;
+  }
+}
+
+std::optional<RequestQuarantine::Verdict> RequestQuarantine::find(
+    const registry::RequestDigest& request, base::TimePoint now) const {
+  const auto found = verdicts_.find(request);
+  if (found == verdicts_.end() || now >= found->second.until) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void RequestQuarantine::cut(const registry::RequestDigest& request,
+                            const registry::WorkerId& worker, base::TimePoint now) {
+  while (!cuts_.empty() && (cuts_.size() >= kMostCuts || now >= cuts_.front().at + kCutsLast)) {
+    cuts_.pop_front();
+  }
+  cuts_.push_back({request, worker, now, false});
+}
+
+void RequestQuarantine::answered(const registry::RequestDigest& request) {
+  std::erase_if(cuts_, [&request](const Cut& cut) { return cut.request == request; });
+  answered_.push_back(request);
+}
+
+std::optional<registry::CutReport> RequestQuarantine::takeReport(base::TimePoint now) {
+  registry::CutReport report;
+  for (Cut& cut : cuts_) {
+    if (!std::exchange(cut.told, true) && now < cut.at + kCutsLast) {
+      report.cuts.push_back({cut.request, cut.worker, now - cut.at});
+    }
+  }
+  report.answered = std::exchange(answered_, {});
+  if (report.cuts.empty() && report.answered.empty()) {
+    return std::nullopt;
+  }
+  return report;
+}
+
+}  // namespace walnut::gateway
--- a/src/registry/cell_state.h
+++ b/src/registry/cell_state.h
@@ -1,6 +1,7 @@
 #pragma once
 /// @file
-/// The replicated state of the registry: the declared document and the list of workers.
+/// The replicated state of the registry: the declared document, the list of workers and the
+/// evidence against requests that crash them.
 
 #include <cereal/types/map.hpp>
 #include <cereal/types/variant.hpp>
@@ -10,7 +11,9 @@
 #include <variant>
 #include <vector>
 
+#include "control/crash_ledger.h"
 #include "walnut/base/error.h"
+#include "walnut/registry/request_digest.h"
 #include "walnut/registry/worker.h"
 
 namespace walnut::registry {
@@ -72,10 +75,40 @@
     archive(server, term, batch, workers);
   }
 };
+/// A worker has ended with these requests, none of which it had begun to answer.
+struct StoreCrash {
+  WorkerId worker;
+  std::vector<RequestDigest> requests;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker, requests);
+  }
+};
+/// A worker that was taken for ended has been heard again.
+struct RetractCrash {
+  WorkerId worker;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker);
+  }
+};
+/// Requests that were answered, or (`aged`) whose crashes were long ago: see CrashLedger.
+struct ReleaseSuspects {
+  std::vector<RequestDigest> requests;
+  bool aged = false;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(requests, aged);
+  }
+};
 /// @}
 
-using Command = std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder,
-                             StoreHoldings, StoreOrderedWorkers>;
+using Command =
+    std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder, StoreHoldings,
+                 StoreOrderedWorkers, StoreCrash, RetractCrash, ReleaseSuspects>;
+
+/// Which requests crash their workers; replicated, so that no change of leader forgets it.
+using RequestCrashLedger = control::CrashLedger<RequestDigest, WorkerId>;
 
 std::string encodeCommand(const Command& command);
 base::Result<Command> decodeCommand(std::string_view bytes);
@@ -100,6 +133,7 @@
 
   /// @return the server that ordered the worker last; zero if none did.
   base::ServerId lastOrderedBy(const WorkerId& id) const;
+  const RequestCrashLedger& requestCrashes() const { return requestCrashes_; }
 
   /// @name Contents of a snapshot
   /// @{
@@ -111,9 +145,15 @@
   void serialize(Archive& archive) {
     archive(documentVersion_, documentText_, workers_, holdings_, forgotten_, orderHolder_,
             lastOrderedBy_);
+    serializeRest(archive);
   }
 
  private:
+  /// What only some states have stands at the end, if at all: so a state without it is read as
+  /// well, and costs no bytes.
+  template <class Archive>
+  void serializeRest(Archive& archive);
+
   void store(const WorkerRecord& worker);
   void forget(const WorkerId& id);
 
@@ -124,6 +164,18 @@
   std::vector<WorkerId> forgotten_;                      ///< Oldest first, bounded.
   base::ServerId orderHolder_;
   std::map<WorkerId, base::ServerId> lastOrderedBy_;  ///< Of workers that are there.
+  RequestCrashLedger requestCrashes_;
 };
 
+template <class Archive>
+void CellState::serializeRest(Archive& archive) {
+  if constexpr (Archive::is_saving::value) {
+    if (!requestCrashes_.empty()) {
+      archive(requestCrashes_);
+    }
+  } else if (archive.remaining() > 0) {
+    archive(requestCrashes_);
+  }
+}
+
 }  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/crash_monitor.cpp
@@ -0,0 +1,242 @@
+#include "registry/crash_monitor.h"
+
+#include <algorithm>
+#include <string>
+
+namespace walnut::registry {
+
+namespace {
+
+using runtime::LogEvent;
+
+/// A heartbeat that was under way when its worker ended comes no later than this after the cut is
+/// told of: a link takes some ms.
+constexpr base::Duration kUnderWay = std::chrono::milliseconds(100);
+/// An entry of the log is applied within some ms; it is proposed again if it was lost.
+constexpr base::Duration kProposeAgain = std::chrono::seconds(1);
+/// Longer than it takes until a worker's next heartbeat is overdue.
+constexpr base::Duration kHeldFor = std::chrono::seconds(2);
+/// @name Bounds, for what gateways tell
+/// @{
+constexpr std::size_t kMostPending = 256;
+constexpr std::size_t kMostRequestsOfOne = 256;
+/// @}
+
+std::string_view standingName(RequestStanding standing) {
+  switch (standing) {
+    case RequestStanding::suspected:
+      return "suspected";
+    case RequestStanding::held:
+      return "held";
+    case RequestStanding::quarantined:
+      return "quarantined";
+  }
+  return "unknown";
+}
+
+std::uint64_t millisOf(base::Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+void CrashMonitor::report(const CutReport& report, base::TimePoint now) {
+  for (const RequestCut& cut : report.cuts) {
+    if (state_.requestCrashes().has(cut.request, cut.worker) || pending_.size() >= kMostPending) {
+      continue;
+    }
+    const auto [found, added] = pending_.try_emplace(cut.worker);
+    PendingCrash& pending = found->second;
+    const base::TimePoint cutAt = now - std::max(cut.age, base::Duration::zero());
+    pending.cutAt = added ? cutAt : std::min(pending.cutAt, cutAt);
+    if (pending.requests.size() < kMostRequestsOfOne) {
+      pending.requests.insert(cut.request);
+      pending.proposedAt.reset();
+    }
+    dirty_ = true;
+  }
+  std::vector<RequestDigest> acquitted;
+  for (const RequestDigest& request : report.answered) {
+    for (auto& [worker, pending] : pending_) {
+      pending.requests.erase(request);
+    }
+    if (state_.requestCrashes().crashes().count(request) != 0) {
+      acquitted.push_back(request);
+    }
+  }
+  if (!acquitted.empty()) {
+    commands_.emplace_back(ReleaseSuspects{std::move(acquitted), false});
+  }
+}
+
+void CrashMonitor::heard(const WorkerId& worker) {
+  const RequestCrashLedger& ledger = state_.requestCrashes();
+  if (!ledger.empty() && ledger.knows(worker) && retracting_.insert(worker).second) {
+    log_.write(LogEvent::crashRetracted, {{"worker", worker.value}});
+    commands_.emplace_back(RetractCrash{worker});
+  }
+}
+
+void CrashMonitor::review(base::TimePoint now, base::Duration overdueAfter,
+                          const SignsOf& signsOf) {
+  const RequestCrashLedger& ledger = state_.requestCrashes();
+  if (pending_.empty() && ledger.empty() && suspects_.empty()) {
+    return;
+  }
+  for (auto& [worker, pending] : pending_) {
+    decide(worker, pending, now, overdueAfter, signsOf);
+  }
+  const auto settled =
+      std::erase_if(pending_, [](const auto& entry) { return entry.second.requests.empty(); });
+  std::erase_if(retracting_, [&ledger](const WorkerId& id) { return !ledger.knows(id); });
+  if (dirty_ || settled > 0) {
+    dirty_ = false;
+    judge(now);
+  }
+  ageEvidence(now);
+}
+
+void CrashMonitor::decide(const WorkerId& worker, PendingCrash& pending, base::TimePoint now,
+                          base::Duration overdueAfter, const SignsOf& signsOf) {
+  const RequestCrashLedger& ledger = state_.requestCrashes();
+  std::erase_if(pending.requests,
+                [&](const RequestDigest& request) { return ledger.has(request, worker); });
+  const bool proposed = pending.proposedAt && now < *pending.proposedAt + kProposeAgain;
+  if (pending.requests.empty() || proposed) {
+    return;
+  }
+  const WorkerRecord* record = state_.findWorker(worker);
+  if (record == nullptr) {
+    confirm(worker, pending, "replaced", now);
+    return;
+  }
+  const Signs signs = signsOf(worker);
+  const bool alive = signs.heardAt && *signs.heardAt > pending.cutAt + kUnderWay;
+  if (alive || record->leaving) {
+    log_.write(LogEvent::crashDenied, {{"worker", worker.value},
+                                       {"evidence", std::string_view(alive ? "heard" : "leaving")},
+                                       {"requests", std::uint64_t{pending.requests.size()}},
+                                       {"age-millis", millisOf(now - pending.cutAt)}});
+    pending.requests.clear();
+  } else if (now > signs.silentSince + overdueAfter) {
+    confirm(worker, pending, "silent", now);
+  }
+}
+
+void CrashMonitor::confirm(const WorkerId& worker, PendingCrash& pending, std::string_view evidence,
+                           base::TimePoint now) {
+  pending.proposedAt = now;
+  std::string requests;
+  for (const RequestDigest& request : pending.requests) {
+    requests += (requests.empty() ? "" : ",") + request.text();
+  }
+  log_.write(LogEvent::crashConfirmed, {{"worker", worker.value},
+                                        {"evidence", evidence},
+                                        {"digests", requests},
+                                        {"age-millis", millisOf(now - pending.cutAt)}});
+  commands_.emplace_back(StoreCrash{worker, {pending.requests.begin(), pending.requests.end()}});
+}
+
+void CrashMonitor::judge(base::TimePoint now) {
+  const RequestCrashLedger::Crashes& known = state_.requestCrashes().crashes();
+  const std::set<RequestDigest> guilty = RequestCrashLedger::judge(known);
+  RequestCrashLedger::Crashes expected = known;
+  for (const auto& [worker, pending] : pending_) {
+    for (const RequestDigest& request : pending.requests) {
+      expected[request].insert(worker);
+    }
+  }
+  const std::set<RequestDigest> likely = RequestCrashLedger::judge(std::move(expected));
+  for (const auto& [request, workers] : known) {
+    auto& [count, since] = evidenceAt_[request];
+    if (count != workers.size()) {
+      count = workers.size();
+      since = now;
+    }
+    if (const auto standing = standingOf(request, workers.size(), guilty, likely)) {
+      note(request, *standing, static_cast<std::uint32_t>(workers.size()), now);
+    }
+  }
+  release(now);
+}
+
+std::optional<RequestStanding> CrashMonitor::standingOf(
+    const RequestDigest& request, std::size_t crashes, const std::set<RequestDigest>& guilty,
+    const std::set<RequestDigest>& likely) const {
+  if (guilty.count(request) != 0) {
+    return RequestStanding::quarantined;
+  }
+  if (crashes + 1 < control::crash::kLimit) {
+    return std::nullopt;
+  }
+  return likely.count(request) != 0 ? RequestStanding::held : RequestStanding::suspected;
+}
+
+void CrashMonitor::note(const RequestDigest& request, RequestStanding standing,
+                        std::uint32_t crashes, base::TimePoint now) {
+  const auto [found, added] = suspects_.try_emplace(request);
+  Suspect& suspect = found->second;
+  if (!added && suspect.standing == standing && suspect.crashes == crashes) {
+    return;
+  }
+  const base::Duration former = added ? base::Duration::zero() : now - suspect.since;
+  suspect = {standing, crashes, now};
+  changed_ = true;
+  std::string workers;
+  for (const WorkerId& worker : state_.requestCrashes().crashes().at(request)) {
+    workers += (workers.empty() ? "" : ",") + worker.value;
+  }
+  log_.write(LogEvent::requestSuspected, {{"digest", request.text()},
+                                          {"standing", standingName(standing)},
+                                          {"crashes", std::uint64_t{crashes}},
+                                          {"workers", workers},
+                                          {"former-millis", millisOf(former)}});
+}
+
+void CrashMonitor::release(base::TimePoint now) {
+  const RequestCrashLedger::Crashes& known = state_.requestCrashes().crashes();
+  for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
+    const auto found = known.find(suspect->first);
+    if (found != known.end() && found->second.size() + 1 >= control::crash::kLimit) {
+      ++suspect;
+      continue;
+    }
+    log_.write(LogEvent::requestReleased,
+               {{"digest", suspect->first.text()},
+                {"standing", standingName(suspect->second.standing)},
+                {"former-millis", millisOf(now - suspect->second.since)}});
+    suspect = suspects_.erase(suspect);
+    changed_ = true;
+  }
+  std::erase_if(evidenceAt_, [&known](const auto& entry) { return known.count(entry.first) == 0; });
+}
+
+void CrashMonitor::ageEvidence(base::TimePoint now) {
+  std::vector<RequestDigest> old;
+  for (auto& [request, evidence] : evidenceAt_) {
+    if (now >= evidence.second + kEvidenceLasts) {
+      evidence.second = now;  // Proposed once; again only after another such time.
+      old.push_back(request);
+    }
+  }
+  if (!old.empty()) {
+    commands_.emplace_back(ReleaseSuspects{std::move(old), true});
+  }
+}
+
+SuspectList CrashMonitor::list(base::TimePoint now) const {
+  SuspectList list;
+  for (const auto& [request, suspect] : suspects_) {
+    const auto evidence = evidenceAt_.find(request);
+    const base::TimePoint until =
+        suspect.standing == RequestStanding::held || evidence == evidenceAt_.end()
+            ? now + kHeldFor
+            : evidence->second.second + kEvidenceLasts;
+    list.requests.push_back({request, suspect.standing, suspect.crashes,
+                             std::max(until - now, base::Duration::zero())});
+  }
+  return list;
+}
+
+}  // namespace walnut::registry
--- a/src/registry/leader_beliefs.cpp
+++ b/src/registry/leader_beliefs.cpp
@@ -1,9 +1,10 @@
 /// @file
-/// The part of a leader's duties that decides what it believes of workers: which are alive, and
-/// which fail what they are sent though they say that they are well.
+/// The part of a leader's duties that decides what it believes of workers: which are alive, which
+/// fail what they are sent though they say that they are well, and which ended under what.
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "registry/leader_duties.h"
 
@@ -15,6 +16,8 @@
 
 /// Heartbeats for which a worker counts as alive after its last one: it may be late by a half.
 constexpr double kAliveHeartbeats = 1.5;
+/// Several checks late: the process stood still, or its machine was suspended.
+constexpr base::Duration kHeldUp = std::chrono::milliseconds(300);
 /// Bound for what nobody takes out: callers that were heard once.
 constexpr std::size_t kMostContests = 1024;
 
@@ -57,12 +60,57 @@
   return first || heartbeat.sequence <= former->second;
 }
 
+/// What workers said while this process stood still waits to be read, or is lost: their silence
+/// counts from the end of that.
+void LeaderDuties::noteHeldUp(base::TimePoint now) {
+  if (now - std::exchange(lastCheck_, now) > kHeldUp) {
+    hearingSince_ = now;
+  }
+}
+
+base::TimePoint LeaderDuties::lastHeard(const WorkerStatus& status) const {
+  return std::max(status.lastHeard, hearingSince_);
+}
+
+void LeaderDuties::reviewCrashes(base::TimePoint now) {
+  const std::chrono::duration<double> overdue =
+      options_.overdueHeartbeats * options_.heartbeatInterval;
+  crashes_.review(
+      now, std::chrono::duration_cast<base::Duration>(overdue),
+      [this, now](const WorkerId& id) -> CrashMonitor::Signs {
+        const WorkerStatus& status = statusOf(id, now);
+        return {status.heard ? std::optional(status.lastHeard) : std::nullopt, lastHeard(status)};
+      });
+  for (Command& command : crashes_.takeCommands()) {
+    commands_.push_back(std::move(command));
+  }
+}
+
+void LeaderDuties::sendSuspects(base::TimePoint now) {
+  if (!crashes_.takeChanged()) {
+    return;
+  }
+  const SuspectList list = crashes_.list(now);
+  for (const protocol::ConnectionId gateway : publisher_.gateways()) {
+    actions_.emplace_back(control::SendToConnection{gateway, RegistryMessage{MessageBody(list)}});
+  }
+}
+
+/// Without a list before its first view a gateway takes it that there are no suspects.
+void LeaderDuties::sendSuspectsTo(protocol::ConnectionId gateway, base::TimePoint now) {
+  SuspectList list = crashes_.list(now);
+  if (!list.requests.empty()) {
+    actions_.emplace_back(
+        control::SendToConnection{gateway, RegistryMessage{MessageBody(std::move(list))}});
+  }
+}
+
 void LeaderDuties::noteSilence(base::TimePoint now) {
   for (auto& [id, status] : workers_) {
     if (state_.findWorker(id) == nullptr) {
       continue;
     }
-    const base::Duration silence = now - status.lastHeard;
+    const base::Duration silence = now - lastHeard(status);
     if (!status.silent && isSilent(id, status, now)) {
       status.silent = true;
       forgetLoad(*state_.findWorker(id));
@@ -116,7 +164,7 @@
   const double heartbeats =
       demand_.unreachable(id) ? options_.overdueHeartbeats : options_.silentHeartbeats;
   const std::chrono::duration<double> limit = heartbeats * options_.heartbeatInterval;
-  return now - status.lastHeard > limit;
+  return now - lastHeard(status) > limit;
 }
 
 }  // namespace walnut::registry
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -88,7 +88,10 @@
       since_(now),
       turns_(turns),
       turnAllowedAt_(turnAllowedAt(lastTurnAt)),
-      publisher_(options.viewInterval) {
+      crashes_(state, log),
+      publisher_(options.viewInterval),
+      lastCheck_(now),
+      hearingSince_(now) {
   stateChanged(now);
 }
 
@@ -113,6 +116,7 @@
     return false;
   }
   changed_.insert(id);
+  crashes_.heard(id);
   logEndedOrder(id, status, now);
   if (wasSilent) {
     log_.write(LogEvent::workerHeard, {{"worker", id.value}});
@@ -162,6 +166,7 @@
     statusOf(id, now);
   }
   std::erase_if(workers_, [this](const auto& entry) { return state_.wasForgotten(entry.first); });
+  crashes_.stateChanged();
   outliers_.forgetIf([this](const WorkerId& id) { return state_.findWorker(id) == nullptr; });
   listChanged_ = true;
   planSoon_ = true;
@@ -187,8 +192,10 @@
                        const std::vector<base::Endpoint>& servers) {
   if (now >= nextCheck_) {
     nextCheck_ = now + kCheckInterval;
+    noteHeldUp(now);
     noteSilence(now);
     detectOutliers(now);
+    reviewCrashes(now);
     storeHoldings(now);
   }
   if (!leaseValid) {
@@ -210,6 +217,7 @@
     }
   }
   if (leaseValid) {
+    sendSuspects(now);
     publish(now, servers);
     sendDocument(now);
   } else {
@@ -241,6 +249,9 @@
   for (ViewPublisher::Update& update :
        publisher_.takeUpdates(now, term_, version, demand_.loads(), servers)) {
     const auto subscribed = subscriptions_.find(update.gateway);
+    if (update.update.complete) {
+      sendSuspectsTo(update.gateway, now);
+    }
     if (update.update.complete && subscribed != subscriptions_.end()) {
       const Subscribe request = subscribed->second;
       subscriptions_.erase(subscribed);
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "registry/cell_state.h"
+#include "registry/crash_monitor.h"
 #include "registry/demand_book.h"
 #include "registry/document_cache.h"
 #include "registry/document_sender.h"
@@ -44,6 +45,7 @@
     sender_.partTaken(gateway, taken.cursor);
   }
   void demand(protocol::ConnectionId gateway, const DemandUpdate& update, base::TimePoint now);
+  void cutsReported(const CutReport& report, base::TimePoint now) { crashes_.report(report, now); }
   void orderFinished(const OrderFinished& finished, base::TimePoint now);
   void reportFinished(const ReportFinished& finished, base::TimePoint now);
   /// The orders of a batch are in the log: they are sent, unless it took too long.
@@ -73,7 +75,12 @@
   };
 
   void refreshDocument(base::TimePoint now);
+  void noteHeldUp(base::TimePoint now);
   void noteSilence(base::TimePoint now);
+  base::TimePoint lastHeard(const WorkerStatus& status) const;
+  void reviewCrashes(base::TimePoint now);
+  void sendSuspects(base::TimePoint now);
+  void sendSuspectsTo(protocol::ConnectionId gateway, base::TimePoint now);
   bool contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now);
   bool isSilent(const WorkerId& id, const WorkerStatus& status, base::TimePoint now) const;
   void detectOutliers(base::TimePoint now);
@@ -125,6 +132,7 @@
   std::map<WorkerId, std::uint64_t> contests_;
   DemandBook demand_;
   WorkerOutlierDetector outliers_;
+  CrashMonitor crashes_;
   ViewPublisher publisher_;
   ViewEncoder viewEncoder_;
   DocumentSender sender_;
@@ -144,6 +152,9 @@
   base::TimePoint nextPlan_;
   base::TimePoint lastPlanAt_;
   base::TimePoint nextCheck_;  ///< Of silence and of holdings to store.
+  base::TimePoint lastCheck_;
+  /// Since when this leader has been able to hear workers without a pause.
+  base::TimePoint hearingSince_;
   /// @name Workers whose view may have changed
   /// @{
   std::set<WorkerId> changed_;
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -197,6 +197,12 @@
   }
 }
 
+void RegistryImpl::receiveBody(protocol::ConnectionId /*from*/, const CutReport& message) {
+  if (leadingActively()) {
+    leading_->cutsReported(message, now_);
+  }
+}
+
 // Duties
 
 bool RegistryImpl::durableBeyondLosses() const {
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -60,11 +60,13 @@
   void receiveBody(protocol::ConnectionId from, const JoinReply& message);
   void receiveBody(protocol::ConnectionId from, const Subscribe& message);
   void receiveBody(protocol::ConnectionId from, const DemandUpdate& message);
+  void receiveBody(protocol::ConnectionId from, const CutReport& message);
   void receiveBody(protocol::ConnectionId from, const DocumentPartTaken& message);
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
   void receiveBody(protocol::ConnectionId, const NotLeading&) {}
   void receiveBody(protocol::ConnectionId, const ViewUpdate&) {}
   void receiveBody(protocol::ConnectionId, const PackedView&) {}
+  void receiveBody(protocol::ConnectionId, const SuspectList&) {}
 
   // Calls, at the leader
   void decide(std::uint64_t call, const ReplaceDocument& body);
--- a/src/registry/worker_status.cpp
+++ b/src/registry/worker_status.cpp
@@ -26,6 +26,7 @@
   }
   lastSequence = heartbeat.sequence;
   lastHeard = now;
+  heard = true;
   silent = false;
   if (!heartbeat.holdingsKnown) {
     return true;
@@ -65,6 +66,7 @@
   }
   orderCount = report.orderCount;
   lastHeard = now;
+  heard = true;
   silent = false;
   std::vector<std::string> inMemory = std::move(reported_.inMemory);
   std::vector<std::string> onDisk = std::move(reported_.onDisk);
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -32,7 +32,8 @@
  public:
   explicit WorkerStatus(base::TimePoint now) : lastHeard(now) {}
 
-  base::TimePoint lastHeard;
+  base::TimePoint lastHeard;         ///< Or since when it is known.
+  bool heard = false;                ///< By this leader.
   base::TimePoint holdingsStoredAt;  ///< When its holdings were last proposed for the log.
   std::uint64_t lastSequence = 0;
   bool silent = false;
--- a/src/runtime/event_log.cpp
+++ b/src/runtime/event_log.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// In the order of LogEvent.
-constexpr std::array<std::string_view, 44> kNames = {
+constexpr std::array<std::string_view, 51> kNames = {
     "process-started",    "process-stopping",    "process-stopped", "settings-reloaded",
     "dependency-lost",    "dependency-regained", "lines-dropped",   "role-changed",
     "membership-changed", "member-proposed",     "document-stored", "document-refused",
@@ -15,10 +15,12 @@
     "view-refused",       "gateway-subscribed",  "loop-held-up",    "worker-stored",
     "worker-forgotten",   "worker-silent",       "worker-heard",    "worker-failing",
     "worker-tried",       "model-unanswered",    "model-answered",  "breaker-opened",
-    "order-turn",         "placement-decided",   "order-sent",      "order-cancelled",
-    "order-finished",     "model-order-ended",   "report-read",     "call-unavailable",
-    "request-refused",    "request-waiting",     "attempt-started", "attempt-failed",
-    "request-cut",        "request-resumed",     "request-ended",   "request-left"};
+    "crash-confirmed",    "crash-denied",        "crash-retracted", "request-suspected",
+    "request-released",   "suspects-taken",      "order-turn",      "placement-decided",
+    "order-sent",         "order-cancelled",     "order-finished",  "model-order-ended",
+    "report-read",        "call-unavailable",    "request-refused", "request-waiting",
+    "attempt-started",    "attempt-failed",      "request-cut",     "request-quarantined",
+    "request-resumed",    "request-ended",       "request-left"};
 static_assert(kNames.size() == static_cast<std::size_t>(LogEvent::requestLeft) + 1);
 
 }  // namespace
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -260,6 +260,8 @@
       leader_->documentPartTaken(connection, *taken);
     } else if (const auto* demand = std::get_if<registry::DemandUpdate>(&message)) {
       leader_->demand(connection, *demand, scheduler_.now());
+    } else if (const auto* cuts = std::get_if<registry::CutReport>(&message)) {
+      leader_->cutsReported(*cuts, scheduler_.now());
     }
   });
 }
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -62,6 +62,7 @@
     return facts;
   }
   std::string callerOf(const net::HttpRequest& request) const override {
+    ++callersAsked;
     return text(request.headers, "Caller");
   }
   void writeAttempt(net::HttpRequest& request, const AttemptFacts& facts) const override {
@@ -76,6 +77,8 @@
   }
   bool isReadinessCall(const net::HttpRequest&) const override { return false; }
 
+  mutable std::size_t callersAsked = 0;
+
  private:
   static std::string text(const net::HeaderList& headers, const char* name) {
     const std::string* found = headers.find(name);
@@ -148,12 +151,15 @@
  public:
   std::vector<base::Endpoint> opened;
   std::vector<registry::DemandUpdate> demand;
+  std::vector<registry::CutReport> cuts;
 
   void open(const base::Endpoint& server) override { opened.push_back(server); }
   void close(protocol::ConnectionId) override {}
   void send(protocol::ConnectionId, registry::MessageBody message) override {
     if (auto* update = std::get_if<registry::DemandUpdate>(&message)) {
       demand.push_back(std::move(*update));
+    } else if (auto* report = std::get_if<registry::CutReport>(&message)) {
+      cuts.push_back(std::move(*report));
     }
   }
 };
@@ -194,15 +200,15 @@
  public:
   GatewayHarness()
       : session_(sessionOptions(), scheduler, link, log, 1),
-        gateway(options(), scheduler, dialect_, launcher, session_, log, metrics_) {}
+        gateway(options(), scheduler, dialect, launcher, session_, log, metrics_) {}
 
   ManualScheduler scheduler;
   RecordingLauncher launcher;
   DemandLink link;
   RecordingLog log;
+  PlainDialect dialect;
 
  private:
-  PlainDialect dialect_;
   runtime::NullMetricsSink metrics_;
   RegistrySession session_;
 
--- /dev/null
+++ b/test/gateway/request_quarantine_test.cpp
@@ -0,0 +1,173 @@
+/// How a gateway treats requests that are known, or suspected, to crash their workers.
+
+#include "gateway/request_quarantine.h"
+
+#include "gateway/gateway_harness.h"
+#include "gateway/request_digest.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::gateway;
+using namespace walnut::gateway::testing;
+using namespace std::chrono_literals;
+using registry::RequestStanding;
+
+TEST_GROUP(RequestQuarantineTest) {
+  GatewayHarness harness;
+
+  void setup() override {
+    harness.declare(2);
+    harness.follow();
+  }
+  std::size_t sentCount() { return harness.launcher.sent.size(); }
+  const Sent& lastSent() { return *harness.launcher.sent.back(); }
+  /// @return the digest of the request that `harness.request` makes.
+  registry::RequestDigest digestFor(const std::string& route, const std::string& body) {
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/" + route + "/x";
+    request.body = body;
+    return digestOf(harness.dialect, request);
+  }
+  void tell(RequestStanding standing, const std::string& route, const std::string& body,
+            base::Duration lasts = 60s) {
+    registry::SuspectList list;
+    list.requests.push_back({digestFor(route, body), standing, 3, lasts});
+    harness.gateway.suspectsReceived(list);
+    harness.scheduler.settle();
+  }
+  std::unique_ptr<Caller> request(const std::string& route, const std::string& id,
+                                  const std::string& body = "same") {
+    return harness.request(route, id, "", body);
+  }
+};
+
+TEST(RequestQuarantineTest, aCalmGatewayComputesAndSendsNothing) {
+  const auto first = request("once", "r1");
+  harness.answer(lastSent(), 200, "r1", "x");
+  const auto second = request("stream", "r2");
+  harness.refuse(lastSent(), 503, "r2");
+  harness.advanceFollowing(1s);
+  CHECK_EQUAL(0, harness.dialect.callersAsked);
+  CHECK(harness.link.cuts.empty());
+}
+
+TEST(RequestQuarantineTest, aCutRequestIsToldOnceToEachLeader) {
+  const auto caller = request("once", "r1");
+  harness.lose(lastSent());
+  harness.advanceFollowing(1s);
+  CHECK_EQUAL(1, harness.link.cuts.size());
+  CHECK(harness.link.cuts[0].cuts[0].request == digestFor("once", "same"));
+  harness.advanceFollowing(1s);
+  harness.gateway.leaderFollowed(false);
+  harness.scheduler.settle();
+  CHECK_EQUAL(2, harness.link.cuts.size());
+  CHECK(harness.link.cuts[1].cuts[0].age >= 1900ms);
+}
+
+TEST(RequestQuarantineTest, whatIsCutTogetherIsToldTogether) {
+  const auto first = request("once", "r1", "one");
+  const Sent sent = lastSent();
+  const auto second = request("once", "r2", "two");
+  sent.callbacks->onResponseFailure({base::ErrorCode::connectionLost, "", ""}, true);
+  lastSent().callbacks->onResponseFailure({base::ErrorCode::connectionLost, "", ""}, true);
+  harness.scheduler.settle();
+  CHECK_EQUAL(1, harness.link.cuts.size());
+  CHECK_EQUAL(2, harness.link.cuts[0].cuts.size());
+}
+
+TEST(RequestQuarantineTest, aStreamThatHadAnEventIsNoSuspect) {
+  const auto caller = request("bound", "r1");
+  harness.head(lastSent(), 200, "r1", true);
+  lastSent().callbacks->onResponseBody("id: 1\n\n");
+  harness.lose(lastSent());
+  CHECK(harness.link.cuts.empty());
+}
+
+TEST(RequestQuarantineTest, aHeadWithoutAnEventIsNoAnswer) {
+  const auto caller = request("bound", "r1");
+  harness.head(lastSent(), 200, "r1", true);
+  harness.lose(lastSent());
+  CHECK_EQUAL(1, harness.link.cuts.size());
+}
+
+TEST(RequestQuarantineTest, aQuarantinedRequestIsRefusedAsNotRunForAsLongAsThatLasts) {
+  tell(RequestStanding::quarantined, "once", "same", 60s);
+  const auto caller = request("once", "r1");
+  CHECK_EQUAL(0, sentCount());
+  CHECK_EQUAL(503, caller->status);
+  STRCMP_EQUAL("60.00", caller->headers.find("Retry-After")->c_str());
+  const auto other = request("once", "r2", "other");
+  CHECK_EQUAL(1, sentCount());
+}
+
+TEST(RequestQuarantineTest, aHeldRequestIsNotSent) {
+  tell(RequestStanding::held, "once", "same", 2s);
+  const auto caller = request("once", "r1");
+  CHECK_EQUAL(503, caller->status);
+  harness.advanceFollowing(2s);
+  const auto again = request("once", "r2");
+  CHECK_EQUAL(1, sentCount());
+}
+
+TEST(RequestQuarantineTest, aSuspectGoesOnAndIsToldOfOnceItIsAnswered) {
+  tell(RequestStanding::suspected, "once", "same");
+  const auto caller = request("once", "r1");
+  harness.answer(lastSent(), 200, "r1", "x");
+  CHECK_EQUAL(200, caller->status);
+  CHECK_EQUAL(1, harness.link.cuts.size());
+  CHECK(harness.link.cuts[0].answered[0] == digestFor("once", "same"));
+}
+
+TEST(RequestQuarantineTest, whatIsQueuedAtAWorkerIsTakenBack) {
+  const auto caller = request("once", "r1");
+  tell(RequestStanding::quarantined, "once", "same");
+  CHECK(lastSent().cancelled);
+  CHECK_EQUAL(502, caller->status);
+}
+
+TEST(RequestQuarantineTest, whatIsBeingAnsweredGoesOn) {
+  const auto caller = request("bound", "r1");
+  harness.head(lastSent(), 200, "r1", true);
+  lastSent().callbacks->onResponseBody("id: 1\n\n");
+  tell(RequestStanding::quarantined, "bound", "same");
+  CHECK_FALSE(lastSent().cancelled);
+}
+
+TEST(RequestQuarantineTest, whatWaitsForAWorkerIsRefusedAtOnce) {
+  const auto caller = harness.request("bound", "r1", "m", "same");
+  CHECK_EQUAL(0, sentCount());
+  tell(RequestStanding::quarantined, "bound", "same");
+  CHECK_EQUAL(503, caller->status);
+}
+
+TEST(RequestQuarantineTest, aCutRequestIsNotRepeatedOnceItIsHeld) {
+  const auto caller = request("safe", "r1");
+  tell(RequestStanding::suspected, "safe", "same");
+  registry::SuspectList list;
+  list.requests.push_back({digestFor("safe", "same"), RequestStanding::held, 2, 2s});
+  harness.gateway.suspectsReceived(list);
+  harness.scheduler.settle();
+  CHECK_EQUAL(1, sentCount());
+  CHECK_EQUAL(502, caller->status);
+}
+
+TEST(RequestQuarantineTest, verdictsAreKeptWhileThereIsNoLeader) {
+  tell(RequestStanding::quarantined, "once", "same");
+  harness.scheduler.advance(5s);
+  const auto caller = request("once", "r1");
+  CHECK_EQUAL(503, caller->status);
+  CHECK_EQUAL(0, sentCount());
+}
+
+TEST(RequestQuarantineTest, aNewLeadersWordReplacesThem) {
+  tell(RequestStanding::quarantined, "once", "same");
+  harness.gateway.leaderFollowed(true);
+  const auto refused = request("once", "r1");
+  CHECK_EQUAL(503, refused->status);
+  harness.gateway.leaderFollowed(false);
+  const auto sent = request("once", "r2");
+  CHECK_EQUAL(1, sentCount());
+}
--- /dev/null
+++ b/test/registry/crash_monitor_test.cpp
@@ -0,0 +1,231 @@
+/// What counts as the crash of a worker, and which requests gateways are told of.
+
+#include "registry/crash_monitor.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::Duration kOverdue = 1560ms;
+constexpr base::Duration kStep = 50ms;
+
+RequestDigest digest(std::uint8_t number) {
+  RequestDigest made;
+  made.bytes[0] = number;
+  return made;
+}
+
+const RequestDigest kRequest = digest(1);
+const RequestDigest kOther = digest(2);
+
+}  // namespace
+
+TEST_GROUP(CrashMonitorTest) {
+  CellState state;
+  runtime::NullEventLog log;
+  std::unique_ptr<CrashMonitor> monitor = std::make_unique<CrashMonitor>(state, log);
+  base::TimePoint now = base::TimePoint(100s);
+  std::map<WorkerId, base::TimePoint> heardAt;
+  base::TimePoint hearingSince = now;
+  bool logTakesCommands = true;
+
+  void setup() override {
+    for (const char* id : {"w1", "w2", "w3", "w4"}) {
+      add(id);
+    }
+  }
+  void add(const char* id, std::uint16_t port = 0, bool leaving = false) {
+    const auto own = static_cast<std::uint16_t>(port == 0 ? id[1] : port);
+    state.apply(StoreWorker{{{id}, "svc", {"10.0.1.1", own}, {}, 4, leaving}});
+    heard(id);
+  }
+  void heard(const char* id) {
+    heardAt[{id}] = now;
+    monitor->heard({id});
+    commit();
+  }
+  void cut(const char* worker, std::vector<RequestDigest> requests, base::Duration age = 0s) {
+    CutReport report;
+    for (const RequestDigest& request : requests) {
+      report.cuts.push_back({request, {worker}, age});
+    }
+    monitor->report(report, now);
+  }
+  void commit() {
+    for (const Command& command : monitor->takeCommands()) {
+      if (logTakesCommands) {
+        state.apply(command);
+        monitor->stateChanged();
+      }
+    }
+  }
+  void run(base::Duration duration) {
+    for (const base::TimePoint end = now + duration; now < end; now += kStep) {
+      monitor->review(now, kOverdue, [this](const WorkerId& id) -> CrashMonitor::Signs {
+        const auto found = heardAt.find(id);
+        if (found == heardAt.end()) {
+          return {std::nullopt, hearingSince};
+        }
+        return {found->second, std::max(found->second, hearingSince)};
+      });
+      commit();
+    }
+  }
+  /// The worker is heard, has the requests, and is not heard again.
+  void crash(const char* worker, const std::vector<RequestDigest>& requests) {
+    heard(worker);
+    cut(worker, requests);
+    run(kOverdue + 2 * kStep);
+  }
+  std::size_t crashesOf(const RequestDigest& request) const {
+    const auto found = state.requestCrashes().crashes().find(request);
+    return found == state.requestCrashes().crashes().end() ? 0 : found->second.size();
+  }
+  void checkStanding(const RequestDigest& request, std::optional<RequestStanding> expected) {
+    std::optional<RequestStanding> standing;
+    for (const SuspectRequest& suspect : monitor->list(now).requests) {
+      if (suspect.request == request) {
+        standing = suspect.standing;
+      }
+    }
+    CHECK(standing == expected);
+  }
+};
+
+TEST(CrashMonitorTest, aWorkerThatIsHeardAfterTheCutHasNotEnded) {
+  cut("w1", {kRequest});
+  run(500ms);
+  heard("w1");
+  run(5s);
+  CHECK_EQUAL(0, crashesOf(kRequest));
+}
+
+TEST(CrashMonitorTest, aHeartbeatThatWasUnderWayAtTheCutProvesNothing) {
+  cut("w1", {kRequest});
+  now += 20ms;
+  heard("w1");
+  run(kOverdue + 2 * kStep);
+  CHECK_EQUAL(1, crashesOf(kRequest));
+}
+
+TEST(CrashMonitorTest, aWorkerWhoseNextHeartbeatIsOverdueHasEnded) {
+  cut("w1", {kRequest, kOther});
+  run(kOverdue);
+  CHECK_EQUAL(0, crashesOf(kRequest));
+  run(2 * kStep);
+  CHECK_EQUAL(1, crashesOf(kRequest));
+  CHECK_EQUAL(1, crashesOf(kOther));
+}
+
+TEST(CrashMonitorTest, aWorkerThatAnotherIncarnationReplacesHasEndedAtOnce) {
+  cut("w1", {kRequest});
+  add("w9", '1');
+  run(2 * kStep);
+  CHECK_EQUAL(1, crashesOf(kRequest));
+}
+
+TEST(CrashMonitorTest, aLeavingWorkerEndsByItself) {
+  add("w1", '1', true);
+  cut("w1", {kRequest});
+  run(5s);
+  CHECK_EQUAL(0, crashesOf(kRequest));
+}
+
+TEST(CrashMonitorTest, whatIsTakenForACrashIsTakenBackIfTheWorkerIsHeard) {
+  crash("w1", {kRequest});
+  CHECK_EQUAL(1, crashesOf(kRequest));
+  heard("w1");
+  run(kStep);
+  CHECK_EQUAL(0, crashesOf(kRequest));
+}
+
+TEST(CrashMonitorTest, standingsFollowTheCrashes) {
+  crash("w1", {kRequest, kOther});
+  checkStanding(kRequest, std::nullopt);
+  crash("w2", {kRequest});
+  checkStanding(kRequest, RequestStanding::suspected);
+  heard("w3");
+  cut("w3", {kRequest});
+  run(kStep);
+  checkStanding(kRequest, RequestStanding::held);
+  run(kOverdue + 2 * kStep);
+  checkStanding(kRequest, RequestStanding::quarantined);
+  checkStanding(kOther, std::nullopt);
+}
+
+TEST(CrashMonitorTest, aHeldRequestGoesOnIfTheWorkerHadNotEnded) {
+  crash("w1", {kRequest});
+  crash("w2", {kRequest});
+  heard("w3");
+  cut("w3", {kRequest});
+  run(200ms);
+  checkStanding(kRequest, RequestStanding::held);
+  heard("w3");
+  run(2 * kStep);
+  checkStanding(kRequest, RequestStanding::suspected);
+}
+
+TEST(CrashMonitorTest, aNewLeaderKnowsWhatTheLogHas) {
+  crash("w1", {kRequest});
+  crash("w2", {kRequest});
+  monitor = std::make_unique<CrashMonitor>(state, log);
+  crash("w3", {kRequest});
+  monitor = std::make_unique<CrashMonitor>(state, log);
+  run(kStep);
+  checkStanding(kRequest, RequestStanding::quarantined);
+}
+
+TEST(CrashMonitorTest, aNewLeaderTakesReportsOfCutsFromBeforeIt) {
+  now += 10s;
+  hearingSince = now;
+  heardAt.clear();
+  cut("w1", {kRequest}, 2s);
+  run(kOverdue);
+  CHECK_EQUAL(0, crashesOf(kRequest));
+  run(2 * kStep);
+  CHECK_EQUAL(1, crashesOf(kRequest));
+}
+
+TEST(CrashMonitorTest, evidenceThatTheLogLostIsProposedAgain) {
+  logTakesCommands = false;
+  crash("w1", {kRequest});
+  logTakesCommands = true;
+  run(1100ms);
+  CHECK_EQUAL(1, crashesOf(kRequest));
+}
+
+TEST(CrashMonitorTest, aRequestThatWasAnsweredIsNoSuspectAnyMore) {
+  crash("w1", {kRequest});
+  crash("w2", {kRequest});
+  CutReport report;
+  report.answered.push_back(kRequest);
+  monitor->report(report, now);
+  run(2 * kStep);
+  CHECK_EQUAL(0, crashesOf(kRequest));
+  checkStanding(kRequest, std::nullopt);
+}
+
+TEST(CrashMonitorTest, aQuarantineEndsOnceTheEvidenceIsOldAndIsBackWithOneCrash) {
+  crash("w1", {kRequest});
+  crash("w2", {kRequest});
+  crash("w3", {kRequest});
+  now += CrashMonitor::kEvidenceLasts;
+  for (const char* id : {"w4"}) {
+    heardAt[{id}] = now;
+  }
+  run(2 * kStep);
+  checkStanding(kRequest, RequestStanding::suspected);
+  crash("w4", {kRequest});
+  checkStanding(kRequest, RequestStanding::quarantined);
+}
+
+TEST(CrashMonitorTest, withoutCutsThereIsNothingToTell) {
+  run(5s);
+  CHECK_FALSE(monitor->takeChanged());
+  CHECK(monitor->list(now).requests.empty());
+}
--- a/test/simulator/crashing_request_test.cpp
+++ b/test/simulator/crashing_request_test.cpp
@@ -49,6 +49,12 @@
   checkIsStopped(1, false);
 }
 
+TEST(CrashingRequestTest, severalRequestsThatCrashTheirWorkersAreStopped) {
+  checkIsStopped(3, false);
+}
+
+TEST(CrashingRequestTest, requestsThatMayBeRepeatedAreStopped) { checkIsStopped(2, true); }
+
 TEST(CrashingRequestTest, besideChangesOfLeaderAndGatewaysThatRestartTheyAreStopped) {
   constexpr std::uint64_t kCampaignSeeds = 12;
   for (std::uint64_t seed = 1; seed <= kCampaignSeeds; ++seed) {
