registry, gateway: what had begun explains a crash; who may be guilty waits

Change: gateways tell whether a cut request had begun; what was queued beside one that had is weak evidence. A request with the limit of crashes is guilty if one of them is explained by no other. A request that is held waits instead of being refused.

--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -264,14 +264,15 @@
   }
 };
 
-/// A request that a worker had, and had not begun to answer, when its connection ended.
+/// A request that a worker had, and had not answered a part of, when its connection ended.
 struct RequestCut {
   RequestDigest request;
   WorkerId worker;
+  bool begun = false;     ///< The head of its answer had come: it was no longer queued.
   base::Duration age{0};  ///< Since the connection ended.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(request, worker, age);
+    archive(request, worker, begun, age);
   }
 };
 /// Gateway to leader: which requests may have crashed their workers. Sent only if there are any;
--- a/src/control/crash_ledger.h
+++ b/src/control/crash_ledger.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -20,6 +21,10 @@
 /// answer, at three workers in a row, by crashes that nothing else explains. The users' pages allow
 /// three.
 inline constexpr std::size_t kLimit = 3;
+/// The same of a request that was only queued, as far as is known, while another had begun: on the
+/// users' platform it was the latter in 20 of 20 crashes. The pages allow as many sends after the
+/// third crash as before it.
+inline constexpr std::size_t kQueuedLimit = 2 * kLimit;
 /// Requests that are kept in mind. A crash names some tens; each needs some 100 bytes.
 inline constexpr std::size_t kMostSuspects = 512;
 
@@ -34,123 +39,188 @@
 template <class Subject, class Worker>
 class CrashLedger {
  public:
-  using Crashes = std::map<Subject, std::set<Worker>>;
-
-  /// The worker has ended, with these requests, none of which it had begun to answer.
-  void add(const Worker& worker, const std::vector<Subject>& requests) {
-    for (const Subject& request : requests) {
-      crashes_[request].insert(worker);
-      lastCrash_[request] = ++count_;
+  /// What speaks against one request.
+  struct Evidence {
+    std::set<Worker> crashes;     ///< That it may have caused.
+    std::set<Worker> queuedAt;    ///< Crashes that another request had begun before.
+    std::uint64_t lastCrash = 0;  ///< Number of the latest one.
+
+    bool empty() const { return crashes.empty() && queuedAt.empty(); }
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(crashes, queuedAt, lastCrash);
+    }
+  };
+
+  /// The worker has ended. @param begun requests that it had begun to work on, without a part of
+  /// their answers. @param queued those of which not even that is known.
+  void add(const Worker& worker, const std::vector<Subject>& begun,
+           const std::vector<Subject>& queued) {
+    if (!begun.empty() && begunAt_.insert(worker).second) {
+      demote(worker);
+    }
+    for (const Subject& request : begun) {
+      note(request).crashes.insert(worker);
+    }
+    const bool explained = begunAt_.count(worker) != 0;
+    for (const Subject& request : queued) {
+      Evidence& evidence = note(request);
+      (explained ? evidence.queuedAt : evidence.crashes).insert(worker);
     }
-    while (crashes_.size() > crash::kMostSuspects) {
+    while (evidence_.size() > crash::kMostSuspects) {
       dropLeast();
     }
   }
 
   /// The worker had not ended after all.
   void retract(const Worker& worker) {
-    for (auto& [request, workers] : crashes_) {
-      workers.erase(worker);
+    for (auto& [request, evidence] : evidence_) {
+      evidence.crashes.erase(worker);
+      evidence.queuedAt.erase(worker);
     }
-    dropEmpty();
+    begunAt_.erase(worker);
+    std::erase_if(evidence_, [](const auto& entry) { return entry.second.empty(); });
   }
 
   /// The request was answered, so that it crashes nobody.
   void acquit(const Subject& request) {
-    crashes_.erase(request);
-    lastCrash_.erase(request);
+    evidence_.erase(request);
+    forgetUnused();
   }
 
   /// The evidence is old. What was refused may be tried once more: what crashed its workers may be
   /// mended by now, and one crash shows if it is not. The rest is forgotten.
   void age(const Subject& request) {
-    const auto found = crashes_.find(request);
-    if (found == crashes_.end()) {
+    const auto found = evidence_.find(request);
+    if (found == evidence_.end()) {
       return;
     }
-    if (found->second.size() < crash::kLimit) {
-      acquit(request);
-      return;
+    std::set<Worker>& crashes = found->second.crashes;
+    found->second.queuedAt.clear();
+    if (crashes.size() < crash::kLimit) {
+      evidence_.erase(found);
     }
-    while (found->second.size() >= crash::kLimit) {
-      found->second.erase(found->second.begin());
+    while (crashes.size() >= crash::kLimit) {
+      crashes.erase(crashes.begin());
     }
+    forgetUnused();
   }
 
   bool has(const Subject& request, const Worker& worker) const {
-    const auto found = crashes_.find(request);
-    return found != crashes_.end() && found->second.count(worker) != 0;
+    const auto found = evidence_.find(request);
+    return found != evidence_.end() &&
+           (found->second.crashes.count(worker) != 0 || found->second.queuedAt.count(worker) != 0);
   }
   bool knows(const Worker& worker) const {
-    return std::any_of(crashes_.begin(), crashes_.end(),
-                       [&worker](const auto& entry) { return entry.second.count(worker) != 0; });
+    return std::any_of(evidence_.begin(), evidence_.end(), [&worker](const auto& entry) {
+      return entry.second.crashes.count(worker) != 0 || entry.second.queuedAt.count(worker) != 0;
+    });
   }
-  const Crashes& crashes() const { return crashes_; }
-  bool empty() const { return crashes_.empty(); }
-
-  /// @return the requests that are to be refused.
-  std::set<Subject> guilty() const { return judge(crashes_); }
-
-  /// A crash has one cause. The request with the most crashes is taken to have caused all of its
-  /// own, which then speak against nobody else; and so on, down to the limit. Requests with the
-  /// same crashes can't be told apart: at the limit they are let go on, since the next crash has
-  /// mostly only one of them.
-  static std::set<Subject> judge(Crashes open) {
+  const std::map<Subject, Evidence>& evidence() const { return evidence_; }
+  bool empty() const { return evidence_.empty(); }
+
+  /// @return the requests that are to be refused. A crash has one cause: of the requests that have
+  /// the limit of crashes, those are guilty that have one which no other such request explains.
+  /// Requests with just the same crashes can't be told apart: at the limit they are let go on,
+  /// since the next crash has mostly only one of them; beyond it they are treated as one.
+  std::set<Subject> guilty() const {
     std::set<Subject> guilty;
-    while (true) {
-      const auto most =
-          std::max_element(open.begin(), open.end(), [](const auto& left, const auto& right) {
-            return left.second.size() < right.second.size();
-          });
-      if (most == open.end() || most->second.size() < crash::kLimit) {
-        return guilty;
+    std::map<std::set<Worker>, std::vector<Subject>> groups;
+    for (const auto& [request, evidence] : evidence_) {
+      if (evidence.crashes.size() >= crash::kLimit) {
+        groups[evidence.crashes].push_back(request);
       }
-      const std::set<Worker> explained = most->second;
-      std::vector<Subject> alike;
-      for (const auto& [request, workers] : open) {
-        if (workers == explained) {
-          alike.push_back(request);
-        }
-      }
-      for (const Subject& request : alike) {
-        open.erase(request);
-      }
-      if (alike.size() > 1 && explained.size() == crash::kLimit) {
-        continue;
-      }
-      guilty.insert(alike.begin(), alike.end());
-      for (auto& [request, workers] : open) {
-        for (const Worker& worker : explained) {
-          workers.erase(worker);
-        }
+      if (evidence.crashes.size() + evidence.queuedAt.size() >= crash::kQueuedLimit) {
+        guilty.insert(request);
       }
     }
+    std::erase_if(groups, [](const auto& group) {
+      return group.first.size() == crash::kLimit && group.second.size() > 1;
+    });
+    for (const std::set<Worker>& workers : explanation(groups)) {
+      const std::vector<Subject>& requests = groups.at(workers);
+      guilty.insert(requests.begin(), requests.end());
+    }
+    return guilty;
+  }
+
+  /// One crash from being refused, or more.
+  static bool close(const Evidence& evidence) {
+    return evidence.crashes.size() + 1 >= crash::kLimit ||
+           evidence.crashes.size() + evidence.queuedAt.size() + 1 >= crash::kQueuedLimit;
   }
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(crashes_, lastCrash_, count_);
+    archive(evidence_, begunAt_, count_);
   }
 
  private:
+  /// @return sets that have all crashes together, each with one that is in no other of them; the
+  /// largest first.
+  static std::vector<std::set<Worker>> explanation(
+      const std::map<std::set<Worker>, std::vector<Subject>>& groups) {
+    std::vector<std::set<Worker>> chosen;
+    for (const auto& [workers, requests] : groups) {
+      chosen.push_back(workers);
+    }
+    std::stable_sort(chosen.begin(), chosen.end(), [](const auto& left, const auto& right) {
+      return left.size() > right.size();
+    });
+    std::map<Worker, std::size_t> counts;  // In how many of the chosen sets each is.
+    for (const std::set<Worker>& workers : chosen) {
+      for (const Worker& worker : workers) {
+        ++counts[worker];
+      }
+    }
+    for (auto set = chosen.rbegin(); set != chosen.rend(); ++set) {
+      const bool explained = std::all_of(
+          set->begin(), set->end(), [&counts](const Worker& worker) { return counts[worker] > 1; });
+      if (explained) {
+        for (const Worker& worker : *set) {
+          --counts[worker];
+        }
+        set->clear();
+      }
+    }
+    std::erase_if(chosen, [](const std::set<Worker>& workers) { return workers.empty(); });
+    return chosen;
+  }
+
+  Evidence& note(const Subject& request) {
+    Evidence& evidence = evidence_[request];
+    evidence.lastCrash = ++count_;
+    return evidence;
+  }
+
+  /// A request is now known to have begun there: the others may only have been queued.
+  void demote(const Worker& worker) {
+    for (auto& [request, evidence] : evidence_) {
+      if (evidence.crashes.erase(worker) != 0) {
+        evidence.queuedAt.insert(worker);
+      }
+    }
+  }
+
   /// The one with the fewest crashes, and of those the one whose latest is the oldest.
   void dropLeast() {
-    const auto least = std::min_element(
-        crashes_.begin(), crashes_.end(), [this](const auto& left, const auto& right) {
-          return std::pair(left.second.size(), lastCrash_.at(left.first)) <
-                 std::pair(right.second.size(), lastCrash_.at(right.first));
-        });
-    acquit(Subject(least->first));
+    const auto weight = [](const Evidence& evidence) {
+      return std::tuple(evidence.crashes.size(), evidence.queuedAt.size(), evidence.lastCrash);
+    };
+    const auto least = std::min_element(evidence_.begin(), evidence_.end(),
+                                        [&weight](const auto& left, const auto& right) {
+                                          return weight(left.second) < weight(right.second);
+                                        });
+    evidence_.erase(least);
+    forgetUnused();
   }
 
-  void dropEmpty() {
-    std::erase_if(crashes_, [](const auto& entry) { return entry.second.empty(); });
-    std::erase_if(lastCrash_,
-                  [this](const auto& entry) { return crashes_.count(entry.first) == 0; });
+  void forgetUnused() {
+    std::erase_if(begunAt_, [this](const Worker& worker) { return !knows(worker); });
   }
 
-  Crashes crashes_;
-  std::map<Subject, std::uint64_t> lastCrash_;  ///< Number of the latest crash of each.
+  std::map<Subject, Evidence> evidence_;
+  std::set<Worker> begunAt_;  ///< Workers that had begun one of the requests that they ended with.
   std::uint64_t count_ = 0;
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -121,7 +121,7 @@
     onDeadline();
     return;
   }
-  if (refuseIfQuarantined()) {
+  if (stopIfSuspect()) {
     return;
   }
   const Selection selection = context_.selector().select(service_, facts_, excluded_, now());
@@ -151,24 +151,22 @@
 }
 
 /// What ended under several workers would end the next one as well, with all that it has: it is
-/// refused at once, and its caller told for how long that holds.
-/// @return true if it was.
-bool Exchange::refuseIfQuarantined() {
-  if (!context_.watchesRequests()) {
-    return false;
-  }
-  const auto verdict = context_.verdictOn(digest());
+/// refused at once, and its caller told for how long that holds. While that is not sure it waits,
+/// if it has the time: most of what was merely beside such a request is cleared within 2 s.
+/// @return false if it may be sent.
+bool Exchange::stopIfSuspect() {
+  const auto verdict = verdictOnThis();
   if (!verdict || verdict->standing == registry::RequestStanding::suspected) {
     return false;
   }
-  context_.metrics().count(
-      "walnut_gateway_quarantined_total",
-      verdict->standing == registry::RequestStanding::held ? "held" : "quarantined");
-  context_.log().write(LogEvent::requestQuarantined,
-                       {{"request", facts_.requestId},
-                        {"digest", digest().text()},
-                        {"crashes", std::uint64_t{verdict->crashes}},
-                        {"until-millis", millisOf(verdict->until - now())}});
+  if (verdict->standing == registry::RequestStanding::held && verdict->until < deadline_) {
+    if (!std::exchange(held_, true)) {
+      noteStopped(*verdict, "held");
+    }
+    retryTimer_->enableAt(verdict->until);
+    return true;
+  }
+  noteStopped(*verdict, "refused");
   if (headSent_) {
     failFinally(kQuarantined);
   } else {
@@ -177,24 +175,38 @@
   return true;
 }
 
+std::optional<RequestQuarantine::Verdict> Exchange::verdictOnThis() {
+  return context_.watchesRequests() ? context_.verdictOn(digest()) : std::nullopt;
+}
+
+void Exchange::noteStopped(const RequestQuarantine::Verdict& verdict, std::string_view outcome) {
+  context_.metrics().count("walnut_gateway_quarantined_total", std::string(outcome));
+  context_.log().write(LogEvent::requestQuarantined,
+                       {{"request", facts_.requestId},
+                        {"digest", digest().text()},
+                        {"outcome", outcome},
+                        {"crashes", std::uint64_t{verdict.crashes}},
+                        {"until-millis", millisOf(verdict.until - now())}});
+}
+
 /// One that is queued at a worker has not crashed it yet, and is taken back.
 void Exchange::suspectsChanged() {
   if (state_ == State::choosing) {
-    (void)refuseIfQuarantined();
+    choose();
     return;
   }
-  if (state_ != State::attempting || answerNoted_ || !context_.watchesRequests()) {
+  if (state_ != State::attempting || answerNoted_) {
     return;
   }
-  const auto verdict = context_.verdictOn(digest());
-  if (!verdict || verdict->standing == registry::RequestStanding::suspected) {
+  const auto verdict = verdictOnThis();
+  if (!verdict || verdict->standing != registry::RequestStanding::quarantined) {
     return;
   }
   worker_->breaker.undecided(now());
   dropAttempt();
   mayHaveRun_ = true;
   state_ = State::choosing;
-  (void)refuseIfQuarantined();
+  (void)stopIfSuspect();
 }
 
 /// A stream that is queued for longer than its target is late, and so is all that queues behind it;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,8 +78,10 @@
   virtual bool watchesRequests() const = 0;
   virtual std::optional<RequestQuarantine::Verdict> verdictOn(
       const registry::RequestDigest& request) const = 0;
-  /// The worker had the request, and had not begun to answer, when the connection ended.
-  virtual void requestCut(const Worker& worker, const registry::RequestDigest& request) = 0;
+  /// The worker had the request, and had not answered a part of it, when the connection ended.
+  /// @param begun the head of its answer had come.
+  virtual void requestCut(const Worker& worker, const registry::RequestDigest& request,
+                          bool begun) = 0;
   virtual void suspectAnswered(const registry::RequestDigest& request) = 0;
   /// @}
   virtual std::uint64_t documentVersion() const = 0;
@@ -134,7 +136,9 @@
 
   void choose();
   const registry::RequestDigest& digest();
-  bool refuseIfQuarantined();
+  bool stopIfSuspect();
+  std::optional<RequestQuarantine::Verdict> verdictOnThis();
+  void noteStopped(const RequestQuarantine::Verdict& verdict, std::string_view outcome);
   void noteCut();
   void noteSuspectAnswered();
   bool wouldBeginLate(const Selection& selection) const;
@@ -195,6 +199,7 @@
   std::uint32_t backoffs_ = 0;
   bool retryTaken_ = false;                        ///< From the budget, for the next attempt.
   std::optional<registry::RequestDigest> digest_;  ///< Once it was needed.
+  bool held_ = false;                              ///< Was, at some time, while it was suspected.
 
   // Of the present attempt.
   std::unique_ptr<Attempt> attempt_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -202,11 +202,11 @@
        {"age-millis",
         static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(now() - attemptAt_).count())}});
-  context_.requestCut(*worker_, digest());
+  context_.requestCut(*worker_, digest(), headSeen_);
 }
 
 void Exchange::noteSuspectAnswered() {
-  if (context_.watchesRequests() && context_.verdictOn(digest())) {
+  if (verdictOnThis()) {
     context_.suspectAnswered(digest());
   }
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -87,8 +87,8 @@
   return quarantine_.find(request, scheduler_.now());
 }
 
-void Gateway::requestCut(const Worker& worker, const registry::RequestDigest& request) {
-  quarantine_.cut(request, worker.view.record.id, scheduler_.now());
+void Gateway::requestCut(const Worker& worker, const registry::RequestDigest& request, bool begun) {
+  quarantine_.cut(request, worker.view.record.id, begun, scheduler_.now());
   reportCutsSoon();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -89,7 +89,8 @@
   bool watchesRequests() const override { return quarantine_.watching(); }
   std::optional<RequestQuarantine::Verdict> verdictOn(
       const registry::RequestDigest& request) const override;
-  void requestCut(const Worker& worker, const registry::RequestDigest& request) override;
+  void requestCut(const Worker& worker, const registry::RequestDigest& request,
+                  bool begun) override;
   void suspectAnswered(const registry::RequestDigest& request) override;
   std::uint64_t documentVersion() const override;
   bool leaderKnown() const override { return session_.following(); }
--- a/src/gateway/request_quarantine.cpp
+++ b/src/gateway/request_quarantine.cpp
@@ -31,11 +31,11 @@
 }
 
 void RequestQuarantine::cut(const registry::RequestDigest& request,
-                            const registry::WorkerId& worker, base::TimePoint now) {
+                            const registry::WorkerId& worker, bool begun, base::TimePoint now) {
   while (!cuts_.empty() && (cuts_.size() >= kMostCuts || now >= cuts_.front().at + kCutsLast)) {
     cuts_.pop_front();
   }
-  cuts_.push_back({request, worker, now, false});
+  cuts_.push_back({request, worker, begun, now, false});
 }
 
 void RequestQuarantine::answered(const registry::RequestDigest& request) {
@@ -47,7 +47,7 @@
   registry::CutReport report;
   for (Cut& cut : cuts_) {
     if (!std::exchange(cut.told, true) && now < cut.at + kCutsLast) {
-      report.cuts.push_back({cut.request, cut.worker, now - cut.at});
+      report.cuts.push_back({cut.request, cut.worker, cut.begun, now - cut.at});
     }
   }
   report.answered = std::exchange(answered_, {});
--- a/src/gateway/request_quarantine.h
+++ b/src/gateway/request_quarantine.h
@@ -37,7 +37,8 @@
 
   /// @name To be reported
   /// @{
-  void cut(const registry::RequestDigest& request, const registry::WorkerId& worker,
+  /// @param begun the head of its answer had come.
+  void cut(const registry::RequestDigest& request, const registry::WorkerId& worker, bool begun,
            base::TimePoint now);
   void answered(const registry::RequestDigest& request);
   /// @return what the leader was not told of yet; nothing if there is none.
@@ -48,6 +49,7 @@
   struct Cut {
     registry::RequestDigest request;
     registry::WorkerId worker;
+    bool begun = false;
     base::TimePoint at;
     bool told = false;
   };
--- a/src/registry/cell_state.cpp
+++ b/src/registry/cell_state.cpp
@@ -27,38 +27,39 @@
 }
 
 void CellState::apply(const Command& command) {
-  std::visit(
-      Overloaded{
-          [this](const StoreDocument& body) {
-            if (body.version > documentVersion_) {
-              documentVersion_ = body.version;
-              documentText_ = body.text;
-            }
-          },
-          [this](const StoreWorker& body) { store(body.worker); },
-          [this](const ForgetWorker& body) { forget(body.worker); },
-          [this](const StoreOrderHolder& body) { orderHolder_ = body.server; },
-          [this](const StoreOrderedWorkers& body) {
-            for (const WorkerId& id : body.workers) {
-              if (workers_.count(id) != 0) {
-                lastOrderedBy_[id] = body.server;
-              }
-            }
-          },
-          [this](const StoreHoldings& body) {
-            if (workers_.count(body.worker) != 0) {
-              holdings_[body.worker] = body.models;
-            }
-          },
-          [this](const StoreCrash& body) { requestCrashes_.add(body.worker, body.requests); },
-          [this](const RetractCrash& body) { requestCrashes_.retract(body.worker); },
-          [this](const ReleaseSuspects& body) {
-            for (const RequestDigest& request : body.requests) {
-              body.aged ? requestCrashes_.age(request) : requestCrashes_.acquit(request);
-            }
-          },
-      },
-      command);
+  std::visit(Overloaded{
+                 [this](const StoreDocument& body) {
+                   if (body.version > documentVersion_) {
+                     documentVersion_ = body.version;
+                     documentText_ = body.text;
+                   }
+                 },
+                 [this](const StoreWorker& body) { store(body.worker); },
+                 [this](const ForgetWorker& body) { forget(body.worker); },
+                 [this](const StoreOrderHolder& body) { orderHolder_ = body.server; },
+                 [this](const StoreOrderedWorkers& body) {
+                   for (const WorkerId& id : body.workers) {
+                     if (workers_.count(id) != 0) {
+                       lastOrderedBy_[id] = body.server;
+                     }
+                   }
+                 },
+                 [this](const StoreHoldings& body) {
+                   if (workers_.count(body.worker) != 0) {
+                     holdings_[body.worker] = body.models;
+                   }
+                 },
+                 [this](const StoreCrash& body) {
+                   requestCrashes_.add(body.worker, body.begun, body.queued);
+                 },
+                 [this](const RetractCrash& body) { requestCrashes_.retract(body.worker); },
+                 [this](const ReleaseSuspects& body) {
+                   for (const RequestDigest& request : body.requests) {
+                     body.aged ? requestCrashes_.age(request) : requestCrashes_.acquit(request);
+                   }
+                 },
+             },
+             command);
 }
 
 void CellState::store(const WorkerRecord& worker) {
--- a/src/registry/cell_state.h
+++ b/src/registry/cell_state.h
@@ -75,13 +75,15 @@
     archive(server, term, batch, workers);
   }
 };
-/// A worker has ended with these requests, none of which it had begun to answer.
+/// A worker has ended with these requests, none of which it had answered a part of: see
+/// CrashLedger::add.
 struct StoreCrash {
   WorkerId worker;
-  std::vector<RequestDigest> requests;
+  std::vector<RequestDigest> begun;
+  std::vector<RequestDigest> queued;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker, requests);
+    archive(worker, begun, queued);
   }
 };
 /// A worker that was taken for ended has been heard again.
--- a/src/registry/crash_monitor.cpp
+++ b/src/registry/crash_monitor.cpp
@@ -39,6 +39,21 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+void append(std::string& list, const std::string& entry) {
+  if (!list.empty()) {
+    list += ',';
+  }
+  list += entry;
+}
+
+std::string textOf(const std::vector<RequestDigest>& requests) {
+  std::string text;
+  for (const RequestDigest& request : requests) {
+    append(text, request.text());
+  }
+  return text;
+}
+
 }  // namespace
 
 void CrashMonitor::report(const CutReport& report, base::TimePoint now) {
@@ -51,7 +66,8 @@
     const base::TimePoint cutAt = now - std::max(cut.age, base::Duration::zero());
     pending.cutAt = added ? cutAt : std::min(pending.cutAt, cutAt);
     if (pending.requests.size() < kMostRequestsOfOne) {
-      pending.requests.insert(cut.request);
+      bool& begun = pending.requests[cut.request];
+      begun = begun || cut.begun;
       pending.proposedAt.reset();
     }
     dirty_ = true;
@@ -61,7 +77,7 @@
     for (auto& [worker, pending] : pending_) {
       pending.requests.erase(request);
     }
-    if (state_.requestCrashes().crashes().count(request) != 0) {
+    if (state_.requestCrashes().evidence().count(request) != 0) {
       acquitted.push_back(request);
     }
   }
@@ -100,8 +116,10 @@
 void CrashMonitor::decide(const WorkerId& worker, PendingCrash& pending, base::TimePoint now,
                           base::Duration overdueAfter, const SignsOf& signsOf) {
   const RequestCrashLedger& ledger = state_.requestCrashes();
-  std::erase_if(pending.requests,
-                [&](const RequestDigest& request) { return ledger.has(request, worker); });
+  if (!ledger.empty()) {
+    std::erase_if(pending.requests,
+                  [&](const auto& entry) { return ledger.has(entry.first, worker); });
+  }
   const bool proposed = pending.proposedAt && now < *pending.proposedAt + kProposeAgain;
   if (pending.requests.empty() || proposed) {
     return;
@@ -124,57 +142,78 @@
   }
 }
 
+StoreCrash CrashMonitor::crashOf(const WorkerId& worker, const PendingCrash& pending) {
+  StoreCrash crash{worker, {}, {}};
+  for (const auto& [request, begun] : pending.requests) {
+    (begun ? crash.begun : crash.queued).push_back(request);
+  }
+  return crash;
+}
+
 void CrashMonitor::confirm(const WorkerId& worker, PendingCrash& pending, std::string_view evidence,
                            base::TimePoint now) {
   pending.proposedAt = now;
-  std::string requests;
-  for (const RequestDigest& request : pending.requests) {
-    requests += (requests.empty() ? "" : ",") + request.text();
-  }
+  StoreCrash crash = crashOf(worker, pending);
+  const std::string begun = textOf(crash.begun);
+  const std::string queued = textOf(crash.queued);
   log_.write(LogEvent::crashConfirmed, {{"worker", worker.value},
                                         {"evidence", evidence},
-                                        {"digests", requests},
+                                        {"begun", begun},
+                                        {"queued", queued},
                                         {"age-millis", millisOf(now - pending.cutAt)}});
-  commands_.emplace_back(StoreCrash{worker, {pending.requests.begin(), pending.requests.end()}});
+  commands_.emplace_back(std::move(crash));
 }
 
-void CrashMonitor::judge(base::TimePoint now) {
-  const RequestCrashLedger::Crashes& known = state_.requestCrashes().crashes();
-  const std::set<RequestDigest> guilty = RequestCrashLedger::judge(known);
-  RequestCrashLedger::Crashes expected = known;
+/// @return who would be guilty if all that is pending were crashes.
+std::set<RequestDigest> CrashMonitor::expectedGuilty() const {
+  const RequestCrashLedger& known = state_.requestCrashes();
+  const bool close =
+      std::any_of(known.evidence().begin(), known.evidence().end(),
+                  [](const auto& entry) { return RequestCrashLedger::close(entry.second); });
+  if (!close || pending_.empty()) {
+    return {};
+  }
+  RequestCrashLedger expected = known;
   for (const auto& [worker, pending] : pending_) {
-    for (const RequestDigest& request : pending.requests) {
-      expected[request].insert(worker);
-    }
+    const StoreCrash crash = crashOf(worker, pending);
+    expected.add(worker, crash.begun, crash.queued);
   }
-  const std::set<RequestDigest> likely = RequestCrashLedger::judge(std::move(expected));
-  for (const auto& [request, workers] : known) {
-    auto& [count, since] = evidenceAt_[request];
-    if (count != workers.size()) {
-      count = workers.size();
+  return expected.guilty();
+}
+
+void CrashMonitor::judge(base::TimePoint now) {
+  const RequestCrashLedger& ledger = state_.requestCrashes();
+  const std::set<RequestDigest> guilty = ledger.guilty();
+  const std::set<RequestDigest> likely = expectedGuilty();
+  for (const auto& [request, evidence] : ledger.evidence()) {
+    auto& [latest, since] = evidenceAt_[request];
+    if (latest != evidence.lastCrash) {
+      latest = evidence.lastCrash;
       since = now;
     }
-    if (const auto standing = standingOf(request, workers.size(), guilty, likely)) {
-      note(request, *standing, static_cast<std::uint32_t>(workers.size()), now);
+    if (const auto standing = standingOf(request, evidence, guilty, likely)) {
+      note(request, *standing, evidence, now);
     }
   }
   release(now);
 }
 
 std::optional<RequestStanding> CrashMonitor::standingOf(
-    const RequestDigest& request, std::size_t crashes, const std::set<RequestDigest>& guilty,
-    const std::set<RequestDigest>& likely) const {
+    const RequestDigest& request, const RequestCrashLedger::Evidence& evidence,
+    const std::set<RequestDigest>& guilty, const std::set<RequestDigest>& likely) const {
   if (guilty.count(request) != 0) {
     return RequestStanding::quarantined;
   }
-  if (crashes + 1 < control::crash::kLimit) {
+  if (!RequestCrashLedger::close(evidence)) {
     return std::nullopt;
   }
   return likely.count(request) != 0 ? RequestStanding::held : RequestStanding::suspected;
 }
 
 void CrashMonitor::note(const RequestDigest& request, RequestStanding standing,
-                        std::uint32_t crashes, base::TimePoint now) {
+                        const RequestCrashLedger::Evidence& evidence, base::TimePoint now) {
+  const auto crashes =
+      static_cast<std::uint32_t>(evidence.crashes.size() + evidence.queuedAt.size());
   const auto [found, added] = suspects_.try_emplace(request);
   Suspect& suspect = found->second;
   if (!added && suspect.standing == standing && suspect.crashes == crashes) {
@@ -184,21 +223,22 @@
   suspect = {standing, crashes, now};
   changed_ = true;
   std::string workers;
-  for (const WorkerId& worker : state_.requestCrashes().crashes().at(request)) {
-    workers += (workers.empty() ? "" : ",") + worker.value;
+  for (const WorkerId& worker : evidence.crashes) {
+    append(workers, worker.value);
   }
   log_.write(LogEvent::requestSuspected, {{"digest", request.text()},
                                           {"standing", standingName(standing)},
                                           {"crashes", std::uint64_t{crashes}},
                                           {"workers", workers},
+                                          {"queued-at", std::uint64_t{evidence.queuedAt.size()}},
                                           {"former-millis", millisOf(former)}});
 }
 
 void CrashMonitor::release(base::TimePoint now) {
-  const RequestCrashLedger::Crashes& known = state_.requestCrashes().crashes();
+  const auto& known = state_.requestCrashes().evidence();
   for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
     const auto found = known.find(suspect->first);
-    if (found != known.end() && found->second.size() + 1 >= control::crash::kLimit) {
+    if (found != known.end() && RequestCrashLedger::close(found->second)) {
       ++suspect;
       continue;
     }
--- a/src/registry/crash_monitor.h
+++ b/src/registry/crash_monitor.h
@@ -56,8 +56,8 @@
 
  private:
   struct PendingCrash {
-    base::TimePoint cutAt;  ///< The first of its requests.
-    std::set<RequestDigest> requests;
+    base::TimePoint cutAt;                   ///< The first of its requests.
+    std::map<RequestDigest, bool> requests;  ///< Whether each had begun.
     std::optional<base::TimePoint> proposedAt;
   };
   struct Suspect {
@@ -68,14 +68,17 @@
 
   void decide(const WorkerId& worker, PendingCrash& pending, base::TimePoint now,
               base::Duration overdueAfter, const SignsOf& signsOf);
+  static StoreCrash crashOf(const WorkerId& worker, const PendingCrash& pending);
   void confirm(const WorkerId& worker, PendingCrash& pending, std::string_view evidence,
                base::TimePoint now);
   void judge(base::TimePoint now);
-  std::optional<RequestStanding> standingOf(const RequestDigest& request, std::size_t crashes,
+  std::set<RequestDigest> expectedGuilty() const;
+  std::optional<RequestStanding> standingOf(const RequestDigest& request,
+                                            const RequestCrashLedger::Evidence& evidence,
                                             const std::set<RequestDigest>& guilty,
                                             const std::set<RequestDigest>& likely) const;
-  void note(const RequestDigest& request, RequestStanding standing, std::uint32_t crashes,
-            base::TimePoint now);
+  void note(const RequestDigest& request, RequestStanding standing,
+            const RequestCrashLedger::Evidence& evidence, base::TimePoint now);
   void release(base::TimePoint now);
   void ageEvidence(base::TimePoint now);
 
@@ -84,7 +87,7 @@
   std::map<WorkerId, PendingCrash> pending_;
   std::map<RequestDigest, Suspect> suspects_;
   /// When each request's evidence was last added to, as seen by this leader.
-  std::map<RequestDigest, std::pair<std::size_t, base::TimePoint>> evidenceAt_;
+  std::map<RequestDigest, std::pair<std::uint64_t, base::TimePoint>> evidenceAt_;
   std::set<WorkerId> retracting_;
   bool dirty_ = true;
   bool changed_ = false;
--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -64,7 +64,7 @@
       call->sentAt > request.thirdCrashAt + kContact) {
     ++request.lateSends;
   }
-  worker.receiveCrashing(call, request.target, inLoop,
+  worker.receiveCrashing(call, request.target, options_.crashingShowsHead, inLoop,
                          [this, number, id = worker.record().id] { crash(number, id); });
 }
 
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -31,6 +31,9 @@
   double storeLoadsPerSecond = 12;
   /// Share of the requests whose route may not be repeated.
   double unrepeatableShare = 0.2;
+  std::uint32_t retries = 1;  ///< Of a caller.
+  /// A worker sends the head of its answer to a request that is about to crash it.
+  bool crashingShowsHead = false;
   ServingWorkerOptions worker;
 };
 
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -139,10 +139,21 @@
 }
 
 void ServingWorker::serve(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop) {
-  later(options_.firstEventTime, call, inLoop, [call](net::ResponseCallbacks& callbacks) {
+  const auto head = [call](net::ResponseCallbacks& callbacks) {
     callbacks.onResponseHead(answerHead(*call, kOk, "Sealed"));
+  };
+  const auto event = [](net::ResponseCallbacks& callbacks) {
     callbacks.onResponseBody("id: 1\n\n");
-  });
+  };
+  if (options_.headTime > base::Duration::zero()) {
+    later(options_.firstEventTime - options_.headTime, call, inLoop, head);
+    later(options_.firstEventTime, call, inLoop, event);
+  } else {
+    later(options_.firstEventTime, call, inLoop, [head, event](net::ResponseCallbacks& callbacks) {
+      head(callbacks);
+      event(callbacks);
+    });
+  }
   later(options_.serviceTime, call, inLoop,
         [](net::ResponseCallbacks& callbacks) { callbacks.onResponseComplete(); });
 }
@@ -152,13 +163,17 @@
                           std::function<void(net::ResponseCallbacks&)> callback) {
   scheduler_.after(delay, [this, call, inLoop, callback = std::move(callback)] {
     if (!call->cancelled && !crashed_) {
-      inLoop([call, callback] { callback(*call->callbacks); });
+      inLoop([call, callback] {
+        if (!call->cancelled) {
+          callback(*call->callbacks);
+        }
+      });
     }
   });
 }
 
 void ServingWorker::receiveCrashing(const std::shared_ptr<ServingCall>& call,
-                                    const std::string& model, const InLoop& inLoop,
+                                    const std::string& model, bool showsHead, const InLoop& inLoop,
                                     std::function<void()> onCrash) {
   if (find(model) == nullptr) {
     answer(options_.errorTime, call, inLoop, kMisdirected, true);
@@ -167,6 +182,11 @@
   keepRunning(call, inLoop);
   const base::Duration queued =
       scheduler_.random().between(base::Duration::zero(), options_.crashQueueTime);
+  if (showsHead) {
+    later(queued, call, inLoop, [call](net::ResponseCallbacks& callbacks) {
+      callbacks.onResponseHead(answerHead(*call, kOk, "Sealed"));
+    });
+  }
   scheduler_.after(queued + options_.crashTime, [this, call, onCrash = std::move(onCrash)] {
     if (!call->cancelled && !crashed_) {
       onCrash();
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -32,6 +32,7 @@
 struct ServingWorkerOptions {
   std::uint32_t slots = 8;
   base::Duration firstEventTime = std::chrono::milliseconds(150);
+  base::Duration headTime{0};  ///< From the head of an answer to its first event.
   base::Duration serviceTime = std::chrono::milliseconds(400);
   base::Duration errorTime = std::chrono::milliseconds(20);
   base::Duration loadTime = std::chrono::milliseconds(900);
@@ -65,9 +66,10 @@
   void receive(const std::shared_ptr<ServingCall>& call, const std::string& model,
                const std::string& adapter, const InLoop& inLoop);
   /// The same of a request that crashes the worker once it runs.
+  /// @param showsHead the head of its answer is sent once it runs.
   /// @param onCrash called when it does.
   void receiveCrashing(const std::shared_ptr<ServingCall>& call, const std::string& model,
-                       const InLoop& inLoop, std::function<void()> onCrash);
+                       bool showsHead, const InLoop& inLoop, std::function<void()> onCrash);
 
   /// The process ends: all that it has is cut, and it does nothing any more.
   /// @return how many requests were cut.
--- a/test/registry/cell_state_test.cpp
+++ b/test/registry/cell_state_test.cpp
@@ -60,6 +60,31 @@
   CHECK_TRUE(restored.orderHolder() == base::ServerId{7});
 }
 
+TEST(CellStateTest, evidenceAgainstRequestsIsInTheSnapshot) {
+  state.apply(StoreDocument{5, "five"});
+  state.apply(StoreCrash{{"w1"}, {}, {RequestDigest{}}});
+  state.apply(StoreCrash{{"w2"}, {}, {RequestDigest{}}});
+  state.apply(RetractCrash{{"w2"}});
+  CellState restored;
+  CHECK_TRUE(restored.restore(state.encode()).has_value());
+  CHECK_TRUE(restored.requestCrashes().has(RequestDigest{}, {"w1"}));
+  CHECK_FALSE(restored.requestCrashes().has(RequestDigest{}, {"w2"}));
+}
+
+/// A snapshot of before there was any such evidence is read as well.
+TEST(CellStateTest, withoutEvidenceTheSnapshotHasNoBytesOfIt) {
+  state.apply(StoreDocument{5, "five"});
+  const std::string without = state.encode();
+  state.apply(StoreCrash{{"w1"}, {}, {RequestDigest{}}});
+  CHECK(state.encode().size() > without.size());
+  state.apply(ReleaseSuspects{{RequestDigest{}}, false});
+  STRCMP_EQUAL(without.c_str(), state.encode().c_str());
+  CHECK_EQUAL(without.size(), state.encode().size());
+  CellState restored;
+  CHECK_TRUE(restored.restore(without).has_value());
+  CHECK_TRUE(restored.requestCrashes().empty());
+}
+
 TEST(CellStateTest, malformedBytesAreRefused) {
   CHECK_TRUE(state.restore("nonsense").has_error());
   CHECK_TRUE(decodeCommand(std::string_view("\xff\xff\xff", 3)).has_error());
--- a/test/registry/registry_cluster_test.cpp
+++ b/test/registry/registry_cluster_test.cpp
@@ -201,3 +201,58 @@
     CHECK_TRUE(std::holds_alternative<NotLeading>(answer));
   }
 }
+
+TEST_GROUP_BASE(QuarantineClusterTest, TEST_GROUP_CppUTestGroupRegistryClusterTest){
+    /// A gateway tells of a request that was cut at three workers which are gone.
+    void quarantine(){CutReport report;
+for (const char* id : {"w1", "w2", "w3"}) {
+  report.cuts.push_back({RequestDigest{}, {id}, false, 0s});
+}
+(void)cluster.say(*cluster.leader(), report);
+}
+/// Checks that the leader tells a new gateway of it before anything else.
+void checkToldFirst() {
+  const std::vector<MessageBody> told = cluster.subscribe(*cluster.leader());
+  CHECK_FALSE(told.empty());
+  const auto* list = std::get_if<SuspectList>(&told.front());
+  CHECK(list != nullptr);
+  CHECK_EQUAL(1, list->requests.size());
+  CHECK(list->requests[0].standing == RequestStanding::quarantined);
+}
+}
+;
+
+TEST(QuarantineClusterTest, aQuarantineOutlivesItsLeader) {
+  startFive();
+  cluster.run(5s);
+  declare(1, "1 one");
+  quarantine();
+  checkToldFirst();
+  cluster.stop(*cluster.leader());
+  cluster.run(5s);
+  checkToldFirst();
+}
+
+TEST(QuarantineClusterTest, aQuarantineOutlivesALossOfPowerOfAll) {
+  startFive();
+  cluster.run(5s);
+  declare(1, "1 one");
+  quarantine();
+  for (const std::uint16_t port : {1, 2, 3, 4, 5}) {
+    cluster.stop(port);
+  }
+  for (const std::uint16_t port : {1, 2, 3, 4, 5}) {
+    cluster.start(port, port, {}, kSeeds);
+  }
+  cluster.run(5s);
+  checkToldFirst();
+}
+
+TEST(QuarantineClusterTest, withoutSuspectsNothingIsToldOfThem) {
+  startFive();
+  cluster.run(5s);
+  declare(1, "1 one");
+  for (const MessageBody& body : cluster.subscribe(*cluster.leader())) {
+    CHECK_FALSE(std::holds_alternative<SuspectList>(body));
+  }
+}
