registry, gateway, event: judged right after a suspension

Cause: timed waits count on a clock that stands still while a machine is suspended, and a leader that stood still took workers that it could not hear for silent.

--- a/src/event/dispatcher.cpp
+++ b/src/event/dispatcher.cpp
@@ -14,7 +14,10 @@
 
 using Poco::Net::PollSet;
 
-constexpr base::Duration kLongestWait = std::chrono::seconds(1);
+/// The poll set's wait stands still while the machine is suspended, and the timers' clock does not:
+/// after waking, what is due runs late by this at most. Below the least election timeout. Views,
+/// heartbeats and checks wake the processes more often than that in any case.
+constexpr base::Duration kLongestWait = std::chrono::milliseconds(250);
 
 }  // namespace
 
--- a/src/runtime/inbox.h
+++ b/src/runtime/inbox.h
@@ -42,7 +42,8 @@
       if (time >= deadline) {
         break;
       }
-      // Bounded, as the condition variable adds the wait to its own clock and would overflow.
+      // Bounded, as the condition variable adds the wait to its own clock, which would overflow and
+      // stands still while the machine is suspended.
       ready_.wait_for(lock, std::min<base::Duration>(deadline - time, kLongestWait));
     }
     const std::size_t count = std::min(items_.size(), maxBatch_);
@@ -59,7 +60,9 @@
   }
 
  private:
-  static constexpr base::Duration kLongestWait = std::chrono::minutes(1);
+  /// How late a deadline may be seen after a suspension. A controller's or router's loop has
+  /// timers more often than that.
+  static constexpr base::Duration kLongestWait = std::chrono::milliseconds(500);
 
   const std::size_t maxBatch_;
   mutable std::mutex mutex_;
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -40,6 +40,13 @@
     }
     now_ = end;
   }
+  /// The machine was suspended: time has passed, and no timer has run yet.
+  void wakeAfter(base::Duration duration) { now_ += duration; }
+  /// Runs what is due by now.
+  void runDue() {
+    timers_.runDue(now_);
+    settle();
+  }
 
  private:
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(1000));
--- a/test/registry/cluster.h
+++ b/test/registry/cluster.h
@@ -63,6 +63,9 @@
   void stop(std::uint16_t port) { nodes_.at(port).registry.reset(); }
   void loseDisk(std::uint16_t port) { nodes_.at(port).disk = {}; }
   void cut(std::uint16_t port) { cut_.insert(port); }
+  /// Its machine stands still; what it is sent waits.
+  void suspend(std::uint16_t port) { suspended_.insert(port); }
+  void wake(std::uint16_t port) { suspended_.erase(port); }
   void heal(std::uint16_t port) { cut_.erase(port); }
 
   /// Makes a call at a server and runs until it is answered.
@@ -117,17 +120,21 @@
     return fences_;
   }
 
-  /// A gateway tells a server something. @return the messages that came back within a second.
-  std::vector<MessageBody> say(std::uint16_t port, MessageBody body) {
+  /// A gateway tells a server something. @return the messages that came back within that time.
+  std::vector<MessageBody> say(std::uint16_t port, MessageBody body,
+                               base::Duration patience = std::chrono::seconds(1)) {
     toGateway_.clear();
     nodes_.at(port).registry->step(
         now_, LinkReceived{connection(port, kGatewayPort),
                            protocol::Message(RegistryMessage{std::move(body)})});
     settle(port);
-    run(std::chrono::seconds(1));
+    run(patience);
     return toGateway_;
   }
-  std::vector<MessageBody> subscribe(std::uint16_t port) { return say(port, Subscribe{}); }
+  std::vector<MessageBody> subscribe(std::uint16_t port,
+                                     base::Duration patience = std::chrono::seconds(1)) {
+    return say(port, Subscribe{}, patience);
+  }
   /// A worker's heartbeat; it holds `models`.
   static ReportAlive alive(const char* id, std::uint64_t sequence, bool leaving,
                            std::initializer_list<const char*> models) {
@@ -170,6 +177,10 @@
     for (InFlight& message : due) {
       const bool lost = cut_.count(message.from) != 0 || cut_.count(message.to) != 0;
       const auto found = nodes_.find(message.to);
+      if (suspended_.count(message.to) != 0) {
+        network_.push_back(std::move(message));
+        continue;
+      }
       if (lost || found == nodes_.end() || !found->second.registry) {
         continue;
       }
@@ -179,7 +190,7 @@
       settle(message.to);
     }
     for (auto& [port, node] : nodes_) {
-      if (node.registry && node.registry->nextWakeup() <= now_) {
+      if (node.registry && suspended_.count(port) == 0 && node.registry->nextWakeup() <= now_) {
         node.registry->step(now_, Tick{});
         settle(port);
       }
@@ -239,6 +250,7 @@
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(1000));
   std::map<std::uint16_t, Node> nodes_;
   std::set<std::uint16_t> cut_;
+  std::set<std::uint16_t> suspended_;
   std::vector<InFlight> network_;
   std::uint64_t lastCall_ = 0;
   std::map<std::uint64_t, ControlAnswer> answers_;
--- a/test/registry/leader_duties_test.cpp
+++ b/test/registry/leader_duties_test.cpp
@@ -43,12 +43,19 @@
   }
 };
 
+struct EventNames : runtime::EventLog {
+  std::vector<runtime::LogEvent> lines;
+  void write(runtime::LogEvent event, std::initializer_list<runtime::EventField>) override {
+    lines.push_back(event);
+  }
+};
+
 }  // namespace
 
 TEST_GROUP(LeaderDutiesTest) {
   EngineReader reader;
   DocumentCache documents{reader};
-  runtime::NullEventLog log;
+  EventNames log;
   RegistryOptions options;
   CellState state;
   base::TimePoint now = base::TimePoint(100s);
@@ -450,3 +457,59 @@
   next.sequence = 2;
   CHECK_TRUE(duties->heartbeat(next, now + 1s));
 }
+
+TEST_GROUP_BASE(SuspendedLeaderTest, TEST_GROUP_CppUTestGroupLeaderDutiesTest){
+    void setup() override{TEST_GROUP_CppUTestGroupLeaderDutiesTest::setup();
+lead();
+hold("w1", "a");
+hold("w2", "b");
+runAnswering(1s);
+}
+/// Time passes in which nothing runs.
+void sleep(base::Duration duration) { now += duration; }
+bool toldSilent() const {
+  return std::any_of(log.lines.begin(), log.lines.end(), [](runtime::LogEvent event) {
+    return event == runtime::LogEvent::workerSilent;
+  });
+}
+}
+;
+
+TEST(SuspendedLeaderTest, workersThatCouldNotBeHeardAreNotSilent) {
+  sleep(5s);
+  run(1s);
+  CHECK_FALSE(toldSilent());
+  run(5s);
+  CHECK_TRUE(toldSilent());
+}
+
+TEST(SuspendedLeaderTest, workersThatCouldNotBeHeardAreNotForgotten) {
+  sleep(60s);
+  run(1s);
+  CHECK(state.findWorker({"w1"}) != nullptr);
+}
+
+TEST(SuspendedLeaderTest, aCutBeforeTheSuspensionIsNoCrashUntilTheWorkerCouldBeHeard) {
+  CutReport report;
+  report.cuts.push_back({RequestDigest{}, {"w1"}, false, 0s});
+  duties->cutsReported(report, now);
+  sleep(5s);
+  run(1s);
+  CHECK_TRUE(state.requestCrashes().empty());
+  hold("w1", "a");
+  run(5s);
+  CHECK_TRUE(state.requestCrashes().empty());
+}
+
+TEST(SuspendedLeaderTest, withoutTheLeaseItTellsAndOrdersNothing) {
+  duties->subscribe(kGateway, {});
+  demandModel("b");
+  sleep(5s);
+  actions.clear();
+  duties->run(now, false, {});
+  for (RegistryAction& action : duties->takeActions()) {
+    actions.push_back(std::move(action));
+  }
+  CHECK_EQUAL(0, count<SendOrder>());
+  CHECK_EQUAL(0, count<control::SendToConnection>());
+}
--- a/test/registry/registry_cluster_test.cpp
+++ b/test/registry/registry_cluster_test.cpp
@@ -256,3 +256,34 @@
     CHECK_FALSE(std::holds_alternative<SuspectList>(body));
   }
 }
+
+/// What a leader is asked first after it was suspended, it answers by a lease that has ended.
+TEST(RegistryClusterTest, aLeaderThatWasSuspendedTellsGatewaysNothing) {
+  startFive();
+  cluster.run(5s);
+  declare(1, "1 one");
+  const std::uint16_t former = *cluster.leader();
+  cluster.suspend(former);
+  cluster.run(5s);
+  const std::vector<MessageBody> told = cluster.subscribe(former, 0s);
+  for (const MessageBody& body : told) {
+    CHECK_FALSE(std::holds_alternative<PackedView>(body));
+  }
+  cluster.wake(former);
+  cluster.run(2s);
+  CHECK(cluster.leader() != former);
+}
+
+TEST(RegistryClusterTest, aLeaderThatWasSuspendedReadsNothingOlderThanWhatWasAcknowledged) {
+  startFive();
+  cluster.run(5s);
+  declare(1, "1 one");
+  const std::uint16_t former = *cluster.leader();
+  cluster.suspend(former);
+  cluster.run(3s);
+  const std::uint16_t other = former == 1 ? 2 : 1;
+  declare(other, "2 two");
+  cluster.wake(former);
+  const ControlAnswer answer = cluster.call(former, ReadDocument{});
+  CHECK(answer.status != ControlStatus::done || answer.text == "2 two");
+}
