--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -54,6 +54,7 @@
   orderCancelled,
   orderFinished,
   modelOrderEnded,
+  loadCutShort,
   reportRead,
   callUnavailable,
   // Requests.
--- a/src/control/crash_ledger.h
+++ b/src/control/crash_ledger.h
@@ -161,6 +161,7 @@
   static std::vector<std::set<Worker>> explanation(
       const std::map<std::set<Worker>, std::vector<Subject>>& groups) {
     std::vector<std::set<Worker>> chosen;
+    chosen.reserve(groups.size());
     for (const auto& [workers, requests] : groups) {
       chosen.push_back(workers);
     }
--- a/src/explain/loss_account.cpp
+++ b/src/explain/loss_account.cpp
@@ -69,6 +69,8 @@
       return "queue";
     case LossCause::pause:
       return "pause";
+    case LossCause::quarantined:
+      return "quarantined";
   }
   return "unknown";
 }
@@ -117,6 +119,9 @@
   if (outcome == "stopping" || outcome == "no document is known") {
     return LossCause::noDocument;
   }
+  if (outcome == "quarantined") {
+    return LossCause::quarantined;
+  }
   if (story.ranAndFailed || (kind == LossKind::failed && outcome == "answered")) {
     return LossCause::workerFailed;
   }
--- a/src/explain/loss_account.h
+++ b/src/explain/loss_account.h
@@ -28,6 +28,7 @@
   callerLeft,      ///< Its caller left, or its time ran out, at a worker that had not begun.
   queue,           ///< The first event came late, from the one worker that it was sent to.
   pause,           ///< A pause between events was too long.
+  quarantined,     ///< Refused, as workers had ended under it.
 };
 
 std::string_view lossKindName(LossKind kind);
--- a/src/explain/request_story.cpp
+++ b/src/explain/request_story.cpp
@@ -16,9 +16,9 @@
 
 constexpr std::array<std::string_view, 3> kOfAll = {"role-changed", "dependency-lost",
                                                     "dependency-regained"};
-constexpr std::array<std::string_view, 6> kOfModel = {"model-unanswered",  "model-answered",
-                                                      "placement-decided", "order-sent",
-                                                      "order-cancelled",   "model-order-ended"};
+constexpr std::array<std::string_view, 7> kOfModel = {
+    "load-cut-short", "model-unanswered", "model-answered",   "placement-decided",
+    "order-sent",     "order-cancelled",  "model-order-ended"};
 constexpr std::array<std::string_view, 10> kOfWorker = {
     "worker-failing", "worker-tried", "worker-silent",   "worker-heard", "worker-forgotten",
     "breaker-opened", "request-cut",  "crash-confirmed", "crash-denied", "crash-retracted"};
--- a/src/explain/request_story.h
+++ b/src/explain/request_story.h
@@ -11,9 +11,9 @@
 
 /// Keeps the lines that name the request and, beside them, changes of belief that may matter to it:
 /// loads, unloads and decisions of its model, silence of its workers, leaders and documents; if it
-/// was cut, what else was cut at its workers, and what the same request did under other ids, however
-/// long before. Needs two passes over the logs, as it is known only after the first which model,
-/// workers and digest these are.
+/// was cut, what else was cut at its workers, and what the same request did under other ids,
+/// however long before. Needs two passes over the logs, as it is known only after the first which
+/// model, workers and digest these are.
 class RequestStory {
  public:
   explicit RequestStory(std::string request) : request_(std::move(request)) {}
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -165,7 +165,13 @@
   for (const auto& [id, record] : state_.workers()) {
     statusOf(id, now);
   }
-  std::erase_if(workers_, [this](const auto& entry) { return state_.wasForgotten(entry.first); });
+  std::erase_if(workers_, [this, now](const auto& entry) {
+    const bool ended = state_.wasForgotten(entry.first);
+    if (ended) {
+      noteEnded(entry.first, entry.second, now);
+    }
+    return ended;
+  });
   crashes_.stateChanged();
   outliers_.forgetIf([this](const WorkerId& id) { return state_.findWorker(id) == nullptr; });
   listChanged_ = true;
@@ -330,8 +336,8 @@
   store.setLimit(service.engine->storeLoadsPerSecond,
                  {options_.storeWindow, options_.storeOvershoot}, now);
   countForeignLoads(service, store);
-  const std::vector<PlacementStep> steps =
-      policy.plan(*service.engine, workers, demand_, store, now);
+  const std::vector<PlacementStep> steps = policy.plan(*service.engine, workers, demand_, store,
+                                                       now, backoffs_[service.name].postponed(now));
   logDecisions(policy, store, now);
   carryOut(steps, now);
 }
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -16,6 +16,7 @@
 #include "registry/demand_book.h"
 #include "registry/document_cache.h"
 #include "registry/document_sender.h"
+#include "registry/load_backoff.h"
 #include "registry/order_turns.h"
 #include "registry/placement.h"
 #include "registry/view_publisher.h"
@@ -112,6 +113,7 @@
   void logDecisions(PlacementPolicy& policy, const StoreScheduler& store, base::TimePoint now);
   void countForeignLoads(const catalog::Service& service, StoreScheduler& store);
   void forgetLoad(const WorkerRecord& record);
+  void noteEnded(const WorkerId& id, const WorkerStatus& status, base::TimePoint now);
   void logEndedOrder(const WorkerId& id, WorkerStatus& status, base::TimePoint now);
   WorkerStatus& statusOf(const WorkerId& id, base::TimePoint now);
 
@@ -142,6 +144,7 @@
   base::TimePoint publishAgainAt_;                   ///< Not before, while the lease is not valid.
   std::map<std::string, PlacementPolicy> policies_;  ///< By service.
   std::map<std::string, StoreScheduler> stores_;     ///< By service.
+  std::map<std::string, LoadBackoff> backoffs_;      ///< By service.
   std::map<std::uint64_t, SentOrder> orders_;
   std::uint64_t lastOrder_ = 0;
   std::map<std::uint64_t, Batch> batches_;
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -93,6 +93,9 @@
   WorkerStatus& status = statusOf(step.worker, now);
   const std::uint64_t order = ++lastOrder_;
   status.sentOrder = step;
+  if (step.operation == OrderOperation::load && step.adapter.empty()) {
+    status.unfinishedLoad = {record.service, step.model, now};
+  }
   orders_[order] = {step, now};
   SendOrder send;
   send.order = order;
@@ -172,6 +175,25 @@
   }
 }
 
+/// A worker that ended before its load did may have ended by it. The load takes no place of the
+/// store any more: kept, it would look later and later, and the store crowded.
+void LeaderDuties::noteEnded(const WorkerId& id, const WorkerStatus& status, base::TimePoint now) {
+  if (!status.unfinishedLoad) {
+    return;
+  }
+  const UnfinishedLoad& load = *status.unfinishedLoad;
+  stores_[load.service].abandoned(id);
+  const base::Duration pause = backoffs_[load.service].workerEnded(load.model, load.orderedAt, now);
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - load.orderedAt).count();
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(pause).count();
+  log_.write(LogEvent::loadCutShort, {{"worker", id.value},
+                                      {"service", load.service},
+                                      {"model", load.model},
+                                      {"age-millis", static_cast<std::uint64_t>(age)},
+                                      {"pause-millis", static_cast<std::uint64_t>(millis)}});
+}
+
 void LeaderDuties::orderFinished(const OrderFinished& finished, base::TimePoint now) {
   const auto found = orders_.find(finished.order);
   if (found == orders_.end()) {
@@ -198,6 +220,9 @@
   if (step.fromStore && !taken) {
     forgetLoad(*record);
   }
+  if (!taken && ofModel) {
+    status.unfinishedLoad.reset();
+  }
   switch (finished.outcome) {
     case OrderOutcome::accepted:
       ++status.orderCount;
@@ -285,6 +310,10 @@
   if (!ended) {
     return;
   }
+  if (ended->operation == OrderOperation::load && status.unfinishedLoad) {
+    backoffs_[status.unfinishedLoad->service].loaded(ended->model);
+    status.unfinishedLoad.reset();
+  }
   const auto millis =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - ended->acceptedAt).count();
   const WorkerRecord* record = state_.findWorker(id);
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -41,13 +41,16 @@
 std::vector<PlacementStep> PlacementPolicy::plan(const catalog::EngineSpec& engine,
                                                  const std::vector<PlacementWorker>& workers,
                                                  const DemandBook& demand, StoreScheduler& store,
-                                                 base::TimePoint now) {
+                                                 base::TimePoint now,
+                                                 const std::set<std::string>& postponed) {
   PlacementRound round(engine, workers, demand, store, service_, now);
   queued_.clear();
   dropEndedWakes(round);
   // An adapter takes some ms, a model seconds in which its worker takes no adapter.
   placeAdapters(round);
-  const std::vector<Want> wanted = wants(round);
+  std::vector<Want> wanted = wants(round);
+  std::erase_if(wanted,
+                [&postponed](const Want& want) { return postponed.count(want.model) != 0; });
   forgetNotes(wanted);
   for (const Want& want : wanted) {
     wake(round, want);
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -115,10 +115,11 @@
   explicit PlacementPolicy(std::string service) : service_(std::move(service)) {}
 
   /// @return what to order now, one step a worker at most.
+  /// @param postponed models that are not to be loaded now.
   std::vector<PlacementStep> plan(const catalog::EngineSpec& engine,
                                   const std::vector<PlacementWorker>& workers,
                                   const DemandBook& demand, StoreScheduler& store,
-                                  base::TimePoint now);
+                                  base::TimePoint now, const std::set<std::string>& postponed = {});
   /// @return what the last run decided; of a model that goes on waiting for the same only once.
   std::vector<PlacementDecision> takeDecisions() { return std::exchange(decisions_, {}); }
 
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -22,6 +22,13 @@
   base::TimePoint dueAt;  ///< When the worker is asked, if it has not told by then.
 };
 
+/// A load of a model that was ordered, and of which no end is known.
+struct UnfinishedLoad {
+  std::string service;
+  std::string model;
+  base::TimePoint orderedAt;
+};
+
 /// What the worker holds is known from its heartbeats and reports, overlaid by the adapters that it
 /// was ordered to load or unload since, as those orders are not followed by a heartbeat.
 ///
@@ -46,6 +53,7 @@
   std::optional<PlacementStep> sentOrder;  ///< Sent, not answered.
   base::TimePoint orderAgainAt;            ///< Not ordered before this time, after a refusal.
   std::optional<ModelOrder> modelOrder;
+  std::optional<UnfinishedLoad> unfinishedLoad;
   bool foreignOrder = false;  ///< It last said that it carries out an order of a former leader.
   /// An adapter was refused while an order for a model was under way: none is sent before its end.
   bool adaptersBlocked = false;
--- a/test/explain/loss_account_test.cpp
+++ b/test/explain/loss_account_test.cpp
@@ -89,6 +89,13 @@
   checkOnly(LossKind::refused, LossCause::workerFailed);
 }
 
+TEST(LossAccountTest, aRefusalOfWhatWorkersHaveEndedUnderIsTold) {
+  line(1, "event=request-cut request=r worker=w digest=d");
+  line(1, "event=attempt-failed request=r worker=w executed=unknown reason=connection_lost");
+  ended(2, "502", "quarantined");
+  checkOnly(LossKind::failed, LossCause::quarantined);
+}
+
 TEST(LossAccountTest, aRefusalAtFullReplicasIsTold) {
   line(1, "event=attempt-failed request=r worker=w executed=no reason=full");
   ended(2, "503", "all replicas are full");
--- a/test/registry/leader_duties_test.cpp
+++ b/test/registry/leader_duties_test.cpp
@@ -513,3 +513,32 @@
   CHECK_EQUAL(0, count<SendOrder>());
   CHECK_EQUAL(0, count<control::SendToConnection>());
 }
+
+/// A model that ends each worker that loads it, as somebody asks for it all the time.
+TEST(LeaderDutiesTest, aModelWhoseLoadsEndTheirWorkersIsLoadedEverMoreSeldom) {
+  lead();
+  hold("w1", "b");
+  hold("w2", "b");
+  runAnswering(1s);
+  std::size_t loads = 0;
+  for (const base::TimePoint end = now + 60s; now < end;) {
+    demandModel("a");
+    runAnswering(50ms);
+    for (const RegistryAction& action : std::exchange(actions, {})) {
+      const auto* order = std::get_if<SendOrder>(&action);
+      if (order == nullptr || order->model != "a") {
+        continue;
+      }
+      ++loads;
+      duties->orderFinished({order->order, OrderOutcome::accepted}, now);
+      // It ends, and is back at once under another id.
+      WorkerRecord next = order->worker;
+      next.id = {"next" + std::to_string(loads)};
+      state.apply(StoreWorker{next});
+      duties->stateChanged(now);
+      hold(next.id.value.c_str(), "b");
+    }
+  }
+  CHECK_TEXT(loads >= 4, std::to_string(loads).c_str());
+  CHECK(loads <= 8);
+}
--- /dev/null
+++ b/test/registry/load_backoff_test.cpp
@@ -0,0 +1,52 @@
+/// When a model whose loads end their workers is loaded again.
+
+#include "registry/load_backoff.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace std::chrono_literals;
+
+TEST_GROUP(LoadBackoffTest) {
+  LoadBackoff backoff;
+  base::TimePoint now = base::TimePoint(100s);
+
+  /// A load is ordered, and its worker ends a second later.
+  base::Duration end() {
+    const base::TimePoint orderedAt = now;
+    now += 1s;
+    return backoff.workerEnded("m", orderedAt, now);
+  }
+};
+
+TEST(LoadBackoffTest, oneEndCostsNothing) {
+  CHECK(end() == 0s);
+  CHECK(backoff.postponed(now).empty());
+}
+
+TEST(LoadBackoffTest, eachFurtherOneDoublesThePauseUpToTheLongest) {
+  (void)end();
+  for (const base::Duration expected : {2s, 4s, 8s, 16s, 32s, 32s}) {
+    CHECK(end() == expected);
+    CHECK_EQUAL(1, backoff.postponed(now).count("m"));
+    now += expected;
+    CHECK(backoff.postponed(now).empty());
+  }
+}
+
+TEST(LoadBackoffTest, workersThatEndTogetherCountOnce) {
+  for (int worker = 0; worker < 10; ++worker) {
+    CHECK(backoff.workerEnded("m", now, now + 1s) == 0s);
+  }
+  CHECK(backoff.postponed(now + 1s).empty());
+}
+
+TEST(LoadBackoffTest, aLoadThatEndsWellTakesThePauseAway) {
+  (void)end();
+  (void)end();
+  backoff.loaded("m");
+  CHECK(backoff.postponed(now).empty());
+  CHECK(end() == 0s);
+}
