gateway, registry: an error of the worker's own is an answer too; smaller test files

Change: any answer that the worker vouches for acquits; the field; the bound is for workers; the group of leader duties has its kit in a header, suspension and ending loads a file.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -192,7 +192,7 @@
 /// One that is queued at a worker has not crashed it yet, and is taken back.
 void Exchange::suspectsChanged() {
   if (state_ == State::choosing) {
-    choose();
+    held_ ? choose() : static_cast<void>(stopIfSuspect());
     return;
   }
   if (state_ != State::attempting || answerNoted_) {
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -135,6 +135,9 @@
     completeStream();
     return;
   }
+  if (answer_.sealed) {
+    noteSuspectAnswered();
+  }
   const bool failed = !accepted_ && (head_.status >= kInternalError || !answer_.sealed);
   worker_->failures.observe(!accepted_ && head_.status >= kInternalError, now());
   if (failed) {
@@ -143,7 +146,6 @@
     noteAnswered();
   }
   if (accepted_) {
-    noteSuspectAnswered();
     releaseAttempt();
     respondWith(std::move(head_), std::move(body_));
     return;
@@ -198,6 +200,7 @@
       {{"request", facts_.requestId},
        {"digest", digest().text()},
        {"worker", worker_->view.record.id.value},
+       {"begun", std::string_view(headSeen_ ? "yes" : "no")},
        {"running", std::uint64_t{worker_->runningTogether()}},
        {"age-millis",
         static_cast<std::uint64_t>(
@@ -205,6 +208,7 @@
   context_.requestCut(*worker_, digest(), headSeen_);
 }
 
+/// Also with an error of the worker's own: it is still there.
 void Exchange::noteSuspectAnswered() {
   if (verdictOnThis()) {
     context_.suspectAnswered(digest());
--- a/src/registry/crash_monitor.cpp
+++ b/src/registry/crash_monitor.cpp
@@ -58,7 +58,8 @@
 
 void CrashMonitor::report(const CutReport& report, base::TimePoint now) {
   for (const RequestCut& cut : report.cuts) {
-    if (state_.requestCrashes().has(cut.request, cut.worker) || pending_.size() >= kMostPending) {
+    const bool full = pending_.size() >= kMostPending && pending_.count(cut.worker) == 0;
+    if (full || state_.requestCrashes().has(cut.request, cut.worker)) {
       continue;
     }
     const auto [found, added] = pending_.try_emplace(cut.worker);
--- a/test/gateway/request_quarantine_test.cpp
+++ b/test/gateway/request_quarantine_test.cpp
@@ -153,6 +153,28 @@
   CHECK(harness.link.cuts[0].answered[0] == digestFor("once", "same"));
 }
 
+TEST(RequestQuarantineTest, anErrorOfTheWorkersOwnIsAnAnswerToo) {
+  tell(RequestStanding::suspected, "once", "same");
+  const auto caller = request("once", "r1");
+  harness.answer(lastSent(), 500, "r1", "x");
+  CHECK_EQUAL(500, caller->status);
+  CHECK_EQUAL(1, harness.link.cuts.size());
+  CHECK_EQUAL(1, harness.link.cuts[0].answered.size());
+}
+
+TEST(RequestQuarantineTest, whetherItHadBegunIsToldAndLogged) {
+  const auto queued = request("bound", "r1");
+  harness.lose(lastSent());
+  const auto begun = request("bound", "r2", "other");
+  harness.head(lastSent(), 200, "r2", true);
+  harness.lose(lastSent());
+  CHECK_FALSE(harness.link.cuts[0].cuts[0].begun);
+  CHECK(harness.link.cuts[1].cuts[0].begun);
+  const std::vector<LoggedLine> lines = harness.log.of(runtime::LogEvent::requestCut);
+  STRCMP_EQUAL("no", lines[0].fields.at("begun").c_str());
+  STRCMP_EQUAL("yes", lines[1].fields.at("begun").c_str());
+}
+
 TEST(RequestQuarantineTest, whatIsQueuedAtAWorkerIsTakenBack) {
   const auto caller = request("once", "r1");
   tell(RequestStanding::quarantined, "once", "same");
--- /dev/null
+++ b/test/registry/leader_troubles_test.cpp
@@ -0,0 +1,94 @@
+/// A leader that was suspended, and models whose loads end their workers.
+
+#include "registry/leader_duties_kit.h"
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace walnut::registry::testing;
+
+TEST_GROUP_BASE(SuspendedLeaderTest,
+                LeaderDutiesKit){void setup() override{LeaderDutiesKit::setup();
+lead();
+hold("w1", "a");
+hold("w2", "b");
+runAnswering(1s);
+}
+/// Time passes in which nothing runs.
+void sleep(base::Duration duration) { now += duration; }
+bool toldSilent() const {
+  return std::any_of(log.lines.begin(), log.lines.end(), [](runtime::LogEvent event) {
+    return event == runtime::LogEvent::workerSilent;
+  });
+}
+}
+;
+
+TEST(SuspendedLeaderTest, workersThatCouldNotBeHeardAreNotSilent) {
+  sleep(5s);
+  run(1s);
+  CHECK_FALSE(toldSilent());
+  run(5s);
+  CHECK_TRUE(toldSilent());
+}
+
+TEST(SuspendedLeaderTest, workersThatCouldNotBeHeardAreNotForgotten) {
+  sleep(60s);
+  run(1s);
+  CHECK(state.findWorker({"w1"}) != nullptr);
+}
+
+TEST(SuspendedLeaderTest, aCutBeforeTheSuspensionIsNoCrashUntilTheWorkerCouldBeHeard) {
+  CutReport report;
+  report.cuts.push_back({RequestDigest{}, {"w1"}, false, 0s});
+  duties->cutsReported(report, now);
+  sleep(5s);
+  run(1s);
+  CHECK_TRUE(state.requestCrashes().empty());
+  hold("w1", "a");
+  run(5s);
+  CHECK_TRUE(state.requestCrashes().empty());
+}
+
+TEST(SuspendedLeaderTest, withoutTheLeaseItTellsAndOrdersNothing) {
+  duties->subscribe(kGateway, {});
+  demandModel("b");
+  sleep(5s);
+  actions.clear();
+  duties->run(now, false, {});
+  for (RegistryAction& action : duties->takeActions()) {
+    actions.push_back(std::move(action));
+  }
+  CHECK_EQUAL(0, count<SendOrder>());
+  CHECK_EQUAL(0, count<control::SendToConnection>());
+}
+
+TEST_GROUP_BASE(EndingLoadTest, LeaderDutiesKit){};
+
+/// A model that ends each worker that loads it, as somebody asks for it all the time.
+TEST(EndingLoadTest, aModelWhoseLoadsEndTheirWorkersIsLoadedEverMoreSeldom) {
+  lead();
+  hold("w1", "b");
+  hold("w2", "b");
+  runAnswering(1s);
+  std::size_t loads = 0;
+  for (const base::TimePoint end = now + 60s; now < end;) {
+    demandModel("a");
+    runAnswering(50ms);
+    for (const RegistryAction& action : std::exchange(actions, {})) {
+      const auto* order = std::get_if<SendOrder>(&action);
+      if (order == nullptr || order->model != "a") {
+        continue;
+      }
+      ++loads;
+      duties->orderFinished({order->order, OrderOutcome::accepted}, now);
+      // It ends, and is back at once under another id.
+      WorkerRecord next = order->worker;
+      next.id = {"next" + std::to_string(loads)};
+      state.apply(StoreWorker{next});
+      duties->stateChanged(now);
+      hold(next.id.value.c_str(), "b");
+    }
+  }
+  CHECK_TEXT(loads >= 4, std::to_string(loads).c_str());
+  CHECK(loads <= 8);
+}
