--- a/include/walnut/catalog/document.h
+++ b/include/walnut/catalog/document.h
@@ -41,6 +41,7 @@
   std::uint32_t maxAttempts = 1;    ///< Workers that one request may run on.
   bool resumable = false;           ///< A stream may go on at another worker.
   bool sticky = false;
+  bool open = false;  ///< Its requests need no key, whatever tenants there are.
   std::vector<WeightedService> services;
 
   /// @return true if a request may be run again after it may have run.
@@ -52,7 +53,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(name, host, pathPrefix, kind, timeout, targetLatency, targetGap, priority, maxAttempts,
-            resumable, sticky, services);
+            resumable, sticky, open, services);
   }
 };
 
@@ -117,18 +118,45 @@
   }
 };
 
+/// Who may send requests, and how many. Its keys are secrets: no log, metric or error has them, and
+/// no worker is shown one.
+struct Tenant {
+  std::string name;
+  std::vector<std::string> keys;
+  std::optional<std::uint32_t> priority;  ///< Goes before that of a route; 0 is the most urgent.
+  /// @name Its quota, over all gateways together
+  /// @{
+  double ratePerSecond = 0;   ///< 0: there is no limit.
+  double burst = 0;           ///< Beyond the rate.
+  bool countsTokens = false;  ///< Else each request counts as one.
+  double plainTokens = 0;     ///< Of a request that tells no count of tokens.
+  /// @}
+
+  bool limited() const { return ratePerSecond > 0; }
+
+  bool operator==(const Tenant&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, keys, priority, ratePerSecond, burst, countsTokens, plainTokens);
+  }
+};
+
 struct Document {
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::vector<Service> services;
   RequestLimits limits;
+  std::vector<Tenant> tenants;
+  /// Requests need the key of a tenant, but for those of open routes. Also if there is no tenant:
+  /// it is then that nobody has one.
+  bool keyed = false;
 
   const Service* findService(const std::string& name) const;
 
   bool operator==(const Document&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(version, routes, services, limits);
+    archive(version, routes, services, limits, tenants, keyed);
   }
 };
 
--- a/include/walnut/catalog/document_delta.h
+++ b/include/walnut/catalog/document_delta.h
@@ -25,20 +25,23 @@
   std::vector<RoutePlace> removedRoutes;
   std::vector<Service> changedServices;  ///< Added ones too; each as a whole.
   std::vector<std::string> removedServices;
+  std::vector<Tenant> changedTenants;  ///< Added ones too; each as a whole.
+  std::vector<std::string> removedTenants;
+  bool keyed = false;
   RequestLimits limits;
 
   bool operator==(const DocumentDelta&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(baseVersion, version, changedRoutes, removedRoutes, changedServices, removedServices,
-            limits);
+            changedTenants, removedTenants, keyed, limits);
   }
 };
 
 DocumentDelta makeDelta(const Document& from, const Document& to);
 
-/// @return `base` with the changes of `delta`; routes and services may stand in another order than
-/// in the document that the delta was made for. `outOfRange` if the delta is for another base.
+/// @return `base` with the changes of `delta`; its parts may stand in another order than in the
+/// document that the delta was made for. `outOfRange` if the delta is for another base.
 base::Result<Document> applyDelta(const Document& base, const DocumentDelta& delta);
 
 }  // namespace walnut::catalog
--- a/include/walnut/event/scheduler.h
+++ b/include/walnut/event/scheduler.h
@@ -27,6 +27,9 @@
   virtual ~Scheduler() = default;
   /// @return the time at which the present turn of the loop began.
   virtual base::TimePoint now() const = 0;
+  /// @return the time by the clock itself: later than `now` if the process stood still within the
+  /// present turn, as what it read from a socket may be from after that.
+  virtual base::TimePoint readClock() const { return now(); }
   virtual TimerPtr createTimer(std::function<void()> callback) = 0;
   /// Runs `callback` after the present one has returned. Used to destroy objects that are still on
   /// the call stack.
--- a/include/walnut/gateway/dialect.h
+++ b/include/walnut/gateway/dialect.h
@@ -21,16 +21,26 @@
   std::string model;                       ///< Empty: for a plain service.
   std::string adapter;                     ///< Empty: the model itself.
   std::uint64_t promptTokens = 0;
+  std::uint64_t mostTokens = 0;  ///< That it may produce.
+  bool tellsTokens = false;
+  std::string key;  ///< A secret; empty: none was given. Kept until the tenant is found.
+  /// @name Found by the gateway from the key
+  /// @{
+  std::string tenant;  ///< Empty: the request needs no key.
+  std::optional<std::uint32_t> tenantPriority;
+  double quotaCost = 0;  ///< Taken from the tenant's quota.
+  /// @}
   std::vector<std::string> promptParts;  ///< Ids of the parts of the prompt, in their order.
   std::string resumeAfter;               ///< Id of the last event that the caller has; or empty.
 };
 
 /// What the gateway says to a worker.
 struct AttemptFacts {
-  registry::WorkerId target;
+  std::string target;  ///< Name of the worker.
   base::Duration deadline{0};
   std::uint32_t priority = 0;
   std::string resumeAfter;  ///< Id of the last event that was passed on; empty: as in the request.
+  std::string tenant;       ///< Whose key the request bore; empty: nobody's.
 };
 
 /// What a worker's answer says.
@@ -45,7 +55,10 @@
  public:
   virtual ~RequestDialect() = default;
   virtual RequestFacts readRequest(const net::HttpRequest& request) const = 0;
-  /// @return what a caller is known by when it sends a request again, under another id.
+  /// Takes out what only the system may say to a worker, the caller's key among it.
+  virtual void removeSystemFields(net::HttpRequest& request) const = 0;
+  /// @return what a caller without a key is known by when it sends a request again, under another
+  /// id.
   virtual std::string callerOf(const net::HttpRequest& request) const = 0;
   virtual void writeAttempt(net::HttpRequest& request, const AttemptFacts& facts) const = 0;
   virtual AnswerFacts readAnswer(int status, const net::HeaderList& headers) const = 0;
--- a/include/walnut/protocol/messages.h
+++ b/include/walnut/protocol/messages.h
@@ -23,8 +23,8 @@
 
 namespace walnut::protocol {
 
-/// 2: documents go to gateways in parts.
-inline constexpr std::uint32_t kProtocolVersion = 4;
+/// 5: documents have tenants, workers have lives.
+inline constexpr std::uint32_t kProtocolVersion = 5;
 
 enum class PeerRole : std::uint8_t { router = 0, controller = 1 };
 
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -44,10 +44,11 @@
 };
 /// The worker gets no new work and is forgotten.
 struct ReportGone {
-  WorkerId worker;
+  std::string name;
+  std::uint64_t bornMillis = 0;  ///< Of the life that ends; 0: the present one.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker);
+    archive(name, bornMillis);
   }
 };
 /// @}
@@ -312,9 +313,77 @@
   }
 };
 
-using MessageBody = std::variant<ForwardedCall, ForwardedAnswer, JoinRequest, JoinReply, Subscribe,
-                                 NotLeading, ViewUpdate, DemandUpdate, DocumentPart,
-                                 DocumentPartTaken, PackedView, CutReport, SuspectList>;
+/// Gateway to leader: which document is the newest one? What the gateway knows of keys counts only
+/// for some time from this question.
+struct ConfirmDocument {
+  std::uint64_t sequence = 0;  ///< Of the gateway; echoed.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence);
+  }
+};
+/// Leader to gateway: at some time after the question, confirmed by a majority of the cell, no
+/// document above this version was acknowledged.
+struct DocumentConfirmed {
+  std::uint64_t sequence = 0;
+  std::uint64_t documentVersion = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, documentVersion);
+  }
+};
+
+/// What a gateway asks of one tenant's quota, in the units that it counts in.
+struct QuotaClaim {
+  std::string tenant;
+  double held = 0;      ///< Granted before, and neither spent nor given back.
+  double needed = 0;    ///< Beyond `held`, for requests that wait for it.
+  double first = 0;     ///< Of that, for the one that waits longest.
+  double ahead = 0;     ///< Beyond that, for requests to come.
+  double returned = 0;  ///< Given back; no longer in `held`.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(tenant, held, needed, first, ahead, returned);
+  }
+};
+/// Gateway to leader. A gateway has one such question open at a time, so that `held` includes all
+/// that it was granted before.
+struct QuotaRequest {
+  std::uint64_t sequence = 0;  ///< Of the gateway; echoed.
+  std::vector<QuotaClaim> claims;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, claims);
+  }
+};
+struct QuotaShare {
+  std::string tenant;
+  double granted = 0;
+  /// Until what was needed beyond it can be had; 0: all was granted.
+  base::Duration retryAfter{0};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(tenant, granted, retryAfter);
+  }
+};
+/// Leader to gateway. What is granted, and what was held, counts for `kQuotaLease` from the
+/// question.
+struct QuotaGrant {
+  std::uint64_t sequence = 0;
+  std::vector<QuotaShare> shares;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, shares);
+  }
+};
+/// Several times the interval at which gateways ask (gateway/quota_account.h), and more than a
+/// change of leader takes.
+inline constexpr base::Duration kQuotaLease = std::chrono::milliseconds(2500);
+
+using MessageBody =
+    std::variant<ForwardedCall, ForwardedAnswer, JoinRequest, JoinReply, Subscribe, NotLeading,
+                 ViewUpdate, DemandUpdate, DocumentPart, DocumentPartTaken, PackedView, CutReport,
+                 SuspectList, ConfirmDocument, DocumentConfirmed, QuotaRequest, QuotaGrant>;
 
 /// One alternative of protocol::Message for all of the registry's.
 struct RegistryMessage {
--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -27,6 +27,14 @@
   virtual base::Result<catalog::Document> read(const std::string& text) const = 0;
 };
 
+/// How exactly the quotas of tenants have to be kept over all gateways. In each window a tenant may
+/// use (rate x window + burst) x (1 + overshoot) + slack.
+struct QuotaOptions {
+  base::Duration window = std::chrono::seconds(8);
+  double overshoot = 0;
+  double slack = 0;  ///< In the units that the tenant's quota counts in.
+};
+
 /// Settings of the registry's logic. Sources of the defaults: docs/DESIGN.md, "Timing".
 struct RegistryOptions {
   consensus::RaftOptions raft;
@@ -54,6 +62,7 @@
   base::Duration storeWindow = std::chrono::seconds(5);
   double storeOvershoot = 1.1;  ///< Of the rate, allowed within a window.
   /// @}
+  QuotaOptions quota;
   base::Duration orderTimeout = std::chrono::seconds(1);
   base::Duration adapterSettleTime = std::chrono::milliseconds(40);
   std::size_t snapshotEveryBytes = 512U << 10U;  ///< Of commands since the last snapshot.
--- a/include/walnut/registry/worker.h
+++ b/include/walnut/registry/worker.h
@@ -13,9 +13,14 @@
 
 namespace walnut::registry {
 
-/// One life of a worker process; a restarted worker has another id.
+/// One life of a worker process: whatever is kept by it ends with that life. A worker may start
+/// again under the name that it had; see `workerIdOf`.
 using WorkerId = base::StrongId<struct WorkerTag, std::string>;
 
+/// @param bornMillis when that life began, by the worker's own time of day; 0: it does not tell.
+/// @return the id of that life: the name itself if nothing tells lives apart.
+WorkerId workerIdOf(const std::string& name, std::uint64_t bornMillis);
+
 /// What is replicated of a worker.
 struct WorkerRecord {
   WorkerId id;
@@ -24,11 +29,22 @@
   base::ZoneId zone;
   std::uint32_t slots = 0;  ///< Requests that it works on at once.
   bool leaving = false;     ///< It gets no new work. Final.
+  /// @name Which life of which worker it is
+  /// @{
+  std::string name;              ///< What it is called when spoken to; empty: as its id.
+  std::uint64_t bornMillis = 0;  ///< By its own time of day; 0: not told.
+  /// @}
+
+  const std::string& calledName() const { return name.empty() ? id.value : name; }
+  /// @return true if both are lives of one worker, and this one began later.
+  bool succeeds(const WorkerRecord& other) const {
+    return calledName() == other.calledName() && bornMillis > other.bornMillis;
+  }
 
   bool operator==(const WorkerRecord&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, service, endpoint, zone, slots, leaving);
+    archive(id, service, endpoint, zone, slots, leaving, name, bornMillis);
   }
 };
 
@@ -80,6 +96,7 @@
   std::vector<std::string> pendingAdapters;  ///< On their way, as MODEL/ADAPTER.
   bool orderUnderWay = false;
   std::uint64_t orderCount = 0;  ///< Orders that it has taken in this life.
+  std::uint64_t bornMillis = 0;  ///< Of the life that answered; 0: not told.
 };
 
 }  // namespace walnut::registry
--- a/src/catalog/document_delta.cpp
+++ b/src/catalog/document_delta.cpp
@@ -13,6 +13,8 @@
 
 const std::string& nameOf(const Service& service) { return service.name; }
 
+const std::string& nameOfTenant(const Tenant& tenant) { return tenant.name; }
+
 /// Sorts the items of two lists into changed ones and the keys of removed ones.
 template <class Key, class Item, class KeyOf>
 void compare(const std::vector<Item>& from, const std::vector<Item>& to, KeyOf keyOf,
@@ -61,6 +63,8 @@
   delta.version = to.version;
   compare(from.routes, to.routes, placeOf, delta.changedRoutes, delta.removedRoutes);
   compare(from.services, to.services, nameOf, delta.changedServices, delta.removedServices);
+  compare(from.tenants, to.tenants, nameOfTenant, delta.changedTenants, delta.removedTenants);
+  delta.keyed = to.keyed;
   delta.limits = to.limits;
   return delta;
 }
@@ -75,6 +79,8 @@
   next.version = delta.version;
   next.routes = merge(base.routes, placeOf, delta.changedRoutes, delta.removedRoutes);
   next.services = merge(base.services, nameOf, delta.changedServices, delta.removedServices);
+  next.tenants = merge(base.tenants, nameOfTenant, delta.changedTenants, delta.removedTenants);
+  next.keyed = delta.keyed;
   next.limits = delta.limits;
   return next;
 }
--- a/src/catalog/validation.cpp
+++ b/src/catalog/validation.cpp
@@ -1,7 +1,9 @@
 #include "walnut/catalog/validation.h"
 
 #include <cmath>
+#include <map>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace walnut::catalog {
@@ -48,6 +50,49 @@
   return checkServices(route, declared);
 }
 
+Error invalidTenant(ErrorCode code, const Tenant& tenant, const std::string& field,
+                    const std::string& detail) {
+  return {code, "tenants[" + tenant.name + "]." + field, detail};
+}
+
+bool isAmount(double value) { return std::isfinite(value) && value >= 0; }
+
+Result<void> checkTenant(const Tenant& tenant) {
+  if (tenant.name.empty()) {
+    return invalidTenant(ErrorCode::missingField, tenant, "name", "a tenant needs a name");
+  }
+  if (!isAmount(tenant.ratePerSecond) || !isAmount(tenant.burst) || !isAmount(tenant.plainTokens)) {
+    return invalidTenant(ErrorCode::outOfRange, tenant, "quota", "a figure is below 0");
+  }
+  for (const std::string& key : tenant.keys) {
+    if (key.empty()) {
+      return invalidTenant(ErrorCode::outOfRange, tenant, "keys", "a key is empty");
+    }
+  }
+  return base::success();
+}
+
+/// The tenant of a request follows from its key alone.
+Result<void> checkTenants(const Document& document) {
+  std::set<std::string> names;
+  std::map<std::string_view, std::string_view> owners;
+  for (const Tenant& tenant : document.tenants) {
+    BOOST_OUTCOME_TRYV(checkTenant(tenant));
+    if (!names.insert(tenant.name).second) {
+      return invalidTenant(ErrorCode::alreadyExists, tenant, "name",
+                           "the tenant is declared twice");
+    }
+    for (const std::string& key : tenant.keys) {
+      const auto [owner, added] = owners.try_emplace(key, tenant.name);
+      if (!added && owner->second != tenant.name) {
+        return invalidTenant(ErrorCode::alreadyExists, tenant, "keys",
+                             "shares a key with tenant '" + std::string(owner->second) + "'");
+      }
+    }
+  }
+  return base::success();
+}
+
 }  // namespace
 
 const Service* Document::findService(const std::string& name) const {
@@ -75,7 +120,7 @@
                      "another route has this host and prefix");
     }
   }
-  return base::success();
+  return checkTenants(document);
 }
 
 }  // namespace walnut::catalog
--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -9,6 +9,8 @@
 constexpr std::int64_t kMaxPort = 65535;
 constexpr std::int64_t kMaxGraceSeconds = 3600;
 constexpr double kMaxSlack = 1e6;
+constexpr std::int64_t kMinRevocationMillis = 1000;
+constexpr std::int64_t kMaxMillis = 3'600'000;
 /// Before the end of the grace: what is left then would be cut by the kill anyway.
 constexpr base::Duration kGraceMargin = std::chrono::milliseconds(400);
 
@@ -38,6 +40,8 @@
                 "Repeated arrivals at workers for each request, over all gateways");
   keys_.addReal("retry-slack", settings_.logic.retrySlack, 0, kMaxSlack,
                 "Repeated arrivals beyond the ratio in 10 s, over all gateways");
+  keys_.addMillis("revocation-ms", settings_.logic.revocation, kMinRevocationMillis, kMaxMillis,
+                  "From a key being taken away until no gateway lets it through");
   keys_.addInteger("grace-seconds", graceSeconds_, 1, kMaxGraceSeconds,
                    "Time from SIGTERM to the end of the process");
 }
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -22,6 +22,8 @@
 /// leader, a fifth of its lease.
 constexpr base::Duration kLongTurn = std::chrono::milliseconds(100);
 constexpr base::Duration kLongTurnLogInterval = std::chrono::seconds(1);
+constexpr base::Duration kRefusedCallLogInterval = std::chrono::seconds(1);
+constexpr std::size_t kLoggedPathBytes = 64;
 
 net::ServerLimits controlLimits() {
   net::ServerLimits limits;
@@ -255,6 +257,7 @@
   }
   auto call = dialects_.control.readCall(request);
   if (call.has_error()) {
+    noteRefusedCall(request, call.error());
     sink.respond(dialects_.control.writeError(call.error()));
     return;
   }
@@ -264,6 +267,22 @@
   step(registry::CallReceived{number, std::move(call.value())});
 }
 
+/// What other writers send is told of, and no more often than once a second.
+void RegistryHost::noteRefusedCall(const net::HttpRequest& request, const base::Error& error) {
+  ++refusedCalls_;
+  const base::TimePoint now = dispatcher_.now();
+  if (now < refusedCallLoggedAt_ + kRefusedCallLogInterval) {
+    return;
+  }
+  refusedCallLoggedAt_ = now;
+  log_.write(LogEvent::callRefused, {{"method", request.method},
+                                     {"path", request.path().substr(0, kLoggedPathBytes)},
+                                     {"error", base::errorCodeName(error.code)},
+                                     {"field", error.field},
+                                     {"detail", error.detail},
+                                     {"calls", std::exchange(refusedCalls_, 0)}});
+}
+
 void RegistryHost::beginStop() {
   log_.write(LogEvent::processStopping, {{"reason", "signal"}});
   control_->announceClose();
--- a/src/daemon/registry_host.h
+++ b/src/daemon/registry_host.h
@@ -73,6 +73,7 @@
   /// @return true if there may be more at once.
   bool settleOnce();
   void noteLongTurn();
+  void noteRefusedCall(const net::HttpRequest& request, const base::Error& error);
   void perform(control::SendToServer& send);
   void perform(control::SendToConnection& send);
   void perform(registry::SendToEndpoint& send);
@@ -98,6 +99,8 @@
   std::uint64_t lastCall_ = 0;
   bool storageFailed_ = false;
   base::TimePoint longTurnLoggedAt_;
+  base::TimePoint refusedCallLoggedAt_;
+  std::uint64_t refusedCalls_ = 0;  ///< Since the last line of them.
   std::map<std::uint64_t, OutsideCall> calls_;
   std::map<base::Endpoint, EndpointLink> endpointLinks_;
   std::optional<PeerLinks> links_;
--- a/src/daemon/registry_settings.cpp
+++ b/src/daemon/registry_settings.cpp
@@ -15,6 +15,7 @@
 constexpr std::int64_t kMaxLosses = 6;
 constexpr double kMaxOvershoot = 10;
 constexpr double kMinWindowSeconds = 0.1;
+constexpr double kMaxQuotaSlack = 1e12;
 constexpr double kMaxWindowSeconds = 3600;
 constexpr std::int64_t kMaxMillis = 3'600'000;
 
@@ -42,6 +43,12 @@
                 "In which loads from the weight store are counted");
   keys_.addReal("store-overshoot", settings_.logic.storeOvershoot, 1, kMaxOvershoot,
                 "Of the weight store's rate, allowed within a window");
+  keys_.addReal("quota-window-seconds", quotaWindowSeconds_, kMinWindowSeconds, kMaxWindowSeconds,
+                "In which the use of a tenant is counted");
+  keys_.addReal("quota-overshoot", settings_.logic.quota.overshoot, 0, kMaxOvershoot,
+                "Share of a tenant's quota that may be used beyond it in a window");
+  keys_.addReal("quota-slack", settings_.logic.quota.slack, 0, kMaxQuotaSlack,
+                "Units that a tenant may use beyond that in a window");
   keys_.addMillis("heartbeat-ms", settings_.logic.heartbeatInterval, 1, kMaxMillis,
                   "Between two heartbeats of a worker");
   keys_.addMillis("worker-forgotten-ms", settings_.logic.workerForgottenAfter, 1, kMaxMillis,
@@ -60,6 +67,8 @@
   settings_.peer = {settings_.listen.address, static_cast<std::uint16_t>(peerPort_)};
   settings_.logic.storeWindow = std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double>(storeWindowSeconds_));
+  settings_.logic.quota.window = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(quotaWindowSeconds_));
   settings_.logic.tolerableLosses = static_cast<std::uint32_t>(tolerableLosses_);
   settings_.logic.joinEndpoints = internalEndpoints(settings_.seeds, peerPort_);
   settings_.logic.self.peerEndpoint = settings_.peer;
--- a/src/daemon/registry_settings.h
+++ b/src/daemon/registry_settings.h
@@ -39,6 +39,7 @@
   std::int64_t peerPort_ = 0;
   std::int64_t tolerableLosses_ = 2;
   double storeWindowSeconds_ = 5;
+  double quotaWindowSeconds_ = 8;
   runtime::Settings keys_;
 };
 
--- a/src/event/dispatcher.cpp
+++ b/src/event/dispatcher.cpp
@@ -25,6 +25,8 @@
   pollSet_.add(waker_.socket(), PollSet::POLL_READ);
 }
 
+base::TimePoint Dispatcher::readClock() const { return runtime::now(); }
+
 TimerPtr Dispatcher::createTimer(std::function<void()> callback) {
   return timers_.create(std::move(callback));
 }
--- a/src/event/dispatcher.h
+++ b/src/event/dispatcher.h
@@ -32,6 +32,7 @@
   Dispatcher();
 
   base::TimePoint now() const override { return now_; }
+  base::TimePoint readClock() const override;
   TimerPtr createTimer(std::function<void()> callback) override;
   void runSoon(std::function<void()> callback) override;
 
--- a/src/gateway/demand_tracker.cpp
+++ b/src/gateway/demand_tracker.cpp
@@ -5,23 +5,23 @@
 
 namespace walnut::gateway {
 
-void DemandTracker::Figures::note(const catalog::Route& route) {
-  priority = std::min(priority, route.priority);
-  targetLatency = std::min(targetLatency, route.targetLatency);
+void DemandTracker::Figures::note(const Urgency& urgency) {
+  priority = std::min(priority, urgency.priority);
+  targetLatency = std::min(targetLatency, urgency.targetLatency);
 }
 
 void DemandTracker::arrived(const std::string& service, const std::string& model,
-                            const std::string& adapter, const catalog::Route& route) {
+                            const std::string& adapter, const Urgency& urgency) {
   Figures& figures = figures_[{service, model, adapter}];
   ++figures.arrivals;
-  figures.note(route);
+  figures.note(urgency);
 }
 
 void DemandTracker::waitBegan(const std::string& service, const std::string& model,
-                              const std::string& adapter, const catalog::Route& route) {
+                              const std::string& adapter, const Urgency& urgency) {
   Figures& figures = figures_[{service, model, adapter}];
   ++figures.waiting;
-  figures.note(route);
+  figures.note(urgency);
   urgent_ = true;
 }
 
--- a/src/gateway/demand_tracker.h
+++ b/src/gateway/demand_tracker.h
@@ -8,7 +8,6 @@
 #include <tuple>
 
 #include "gateway/worker_directory.h"
-#include "walnut/catalog/document.h"
 #include "walnut/registry/messages.h"
 
 namespace walnut::gateway {
@@ -20,13 +19,18 @@
   stalled,   ///< The same, while it had requests for all its slots: it may only be slow.
 };
 
+/// How urgent a request is.
+struct Urgency {
+  std::uint32_t priority = 0;  ///< 0 is the highest.
+  base::Duration targetLatency{0};
+};
+
 class DemandTracker {
  public:
-  /// @param route that the request came on: tells how urgent it is.
   void arrived(const std::string& service, const std::string& model, const std::string& adapter,
-               const catalog::Route& route);
+               const Urgency& urgency);
   void waitBegan(const std::string& service, const std::string& model, const std::string& adapter,
-                 const catalog::Route& route);
+                 const Urgency& urgency);
   void waitEnded(const std::string& service, const std::string& model, const std::string& adapter);
 
   void attemptSettled(const registry::WorkerId& worker, const std::string& service,
@@ -50,7 +54,7 @@
     std::uint32_t priority = std::numeric_limits<std::uint32_t>::max();
     base::Duration targetLatency = base::Duration::max();
 
-    void note(const catalog::Route& route);
+    void note(const Urgency& urgency);
   };
   using Key = std::tuple<std::string, std::string, std::string>;
 
--- /dev/null
+++ b/src/gateway/document_lease.h
@@ -0,0 +1,87 @@
+#pragma once
+/// @file
+/// For how long a gateway may go by the keys that it knows.
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "walnut/base/time.h"
+#include "walnut/registry/messages.h"
+
+namespace walnut::gateway {
+
+/// A lease on the document: the gateway asks the leader which document is the newest, and the
+/// answer counts from the moment of the question, by the gateway's own boot clock. Whatever was
+/// acknowledged before the question is known by the answer, however late it comes.
+///
+/// Invariant: while the lease is valid at a time that was read after a request's bytes were taken,
+/// no key of the held document was taken away longer before the request than the lease lasts.
+class DocumentLease {
+ public:
+  explicit DocumentLease(base::Duration lasts) : lasts_(lasts) {}
+
+  /// @param now by the clock itself.
+  /// @return what to send to the leader.
+  registry::ConfirmDocument ask(base::TimePoint now) {
+    questions_.push_back({++lastSequence_, now});
+    if (questions_.size() > kMostQuestions) {
+      questions_.pop_front();
+    }
+    return {lastSequence_};
+  }
+
+  /// @return true if the lease was extended.
+  bool confirmed(const registry::DocumentConfirmed& answer, std::uint64_t heldVersion) {
+    const auto found = std::find_if(
+        questions_.begin(), questions_.end(),
+        [&answer](const Question& question) { return question.sequence == answer.sequence; });
+    if (found == questions_.end()) {
+      return false;
+    }
+    pending_ = Pending{answer.documentVersion, found->askedAt};
+    questions_.erase(questions_.begin(), found + 1);
+    return documentTaken(heldVersion);
+  }
+
+  /// An answer about a newer document counts once that one is held.
+  bool documentTaken(std::uint64_t heldVersion) {
+    if (!pending_ || heldVersion < pending_->version) {
+      return false;
+    }
+    confirmedAt_ = std::max(confirmedAt_.value_or(pending_->askedAt), pending_->askedAt);
+    pending_.reset();
+    return true;
+  }
+
+  /// @param now by the clock itself, read after what is decided by it has come.
+  bool valid(base::TimePoint now) const { return confirmedAt_ && now - *confirmedAt_ < lasts_; }
+  /// @return since when the document may have been outdated; nothing if it was never confirmed.
+  std::optional<base::Duration> age(base::TimePoint now) const {
+    return confirmedAt_ ? std::optional(now - *confirmedAt_) : std::nullopt;
+  }
+  base::Duration lasts() const { return lasts_; }
+
+ private:
+  /// Of those that are not answered. A leader answers within some ms or never.
+  static constexpr std::size_t kMostQuestions = 16;
+
+  struct Question {
+    std::uint64_t sequence = 0;
+    base::TimePoint askedAt;
+  };
+  /// The newest document at a time, if the gateway does not hold it yet.
+  struct Pending {
+    std::uint64_t version = 0;
+    base::TimePoint askedAt;
+  };
+
+  const base::Duration lasts_;
+  std::uint64_t lastSequence_ = 0;
+  std::deque<Question> questions_;
+  std::optional<Pending> pending_;
+  std::optional<base::TimePoint> confirmedAt_;
+};
+
+}  // namespace walnut::gateway
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,11 +1,10 @@
 #include "gateway/exchange.h"
 
-#include <Poco/NumberFormatter.h>
-
 #include <algorithm>
 #include <utility>
 
 #include "gateway/request_digest.h"
+#include "gateway/retry_after.h"
 
 namespace walnut::gateway {
 
@@ -33,11 +32,6 @@
 /// Without workers, a plain request waits this share of its target latency.
 constexpr int kPatienceDivisor = 4;
 
-std::string retryAfterText(base::Duration duration) {
-  constexpr int kDecimals = 2;
-  return Poco::NumberFormatter::format(std::chrono::duration<double>(duration).count(), kDecimals);
-}
-
 std::string_view reasonName(NoWorkerReason reason) {
   switch (reason) {
     case NoWorkerReason::noWorkers:
@@ -77,6 +71,7 @@
       retryTimer_(context.scheduler().createTimer([this] { choose(); })),
       stallTimer_(context.scheduler().createTimer([this] { onStall(); })) {
   net::removeConnectionHeaders(request_.headers);
+  context.dialect().removeSystemFields(request_);
   if (!request_.body.empty() || request_.method == "POST" || request_.method == "PUT") {
     request_.headers.set("Content-Length", std::to_string(request_.body.size()));
   }
@@ -145,7 +140,8 @@
 
 const registry::RequestDigest& Exchange::digest() {
   if (!digest_) {
-    digest_ = digestOf(context_.dialect(), request_);
+    digest_ = facts_.tenant.empty() ? digestOf(context_.dialect().callerOf(request_), request_)
+                                    : digestOf(facts_.tenant, request_);
   }
   return *digest_;
 }
@@ -257,6 +253,7 @@
 void Exchange::launch(const WorkerDirectory::WorkerPtr& worker) {
   state_ = State::attempting;
   worker_ = worker;
+  ++launches_;
   attemptAt_ = now();
   headSeen_ = false;
   accepted_ = false;
@@ -266,9 +263,10 @@
   context_.attemptBegan(*worker, facts_);
   worker->breaker.attempted();
   AttemptFacts facts;
-  facts.target = worker->view.record.id;
+  facts.target = worker->view.record.calledName();
+  facts.tenant = facts_.tenant;
   facts.deadline = deadline_ - now();
-  facts.priority = route_.priority;
+  facts.priority = facts_.tenantPriority.value_or(route_.priority);
   facts.resumeAfter = headSent_ ? events_.lastId() : std::string();
   context_.dialect().writeAttempt(request_, facts);
   context_.selector().affinity().sent(facts_, worker->view.record.id);
@@ -340,6 +338,8 @@
   if (executed != Executed::no) {
     ++runs_;
     mayHaveRun_ = true;
+  } else {
+    ++launchesNotRun_;
   }
   state_ = State::choosing;
   retryOrFail(executed, reason);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -118,6 +118,10 @@
   /// The process ends: what runs is given up.
   void giveUp();
 
+  const RequestFacts& facts() const { return facts_; }
+  /// @return true if a worker may have worked on it.
+  bool mayHaveRun() const { return launches_ > launchesNotRun_; }
+
  private:
   /// Least time to the first event, and between events, after which a stream is tried elsewhere.
   static constexpr base::Duration kStallFloor = std::chrono::milliseconds(900);
@@ -195,7 +199,9 @@
   base::Duration waited_{0};    ///< For a worker that could be had, in all.
   bool mayHaveRun_ = false;     ///< Some earlier attempt has run, or may have.
   std::uint32_t arrivals_ = 0;  ///< Attempts that reached a worker.
-  std::uint32_t runs_ = 0;      ///< Attempts that have run, or may have.
+  std::uint32_t launches_ = 0;
+  std::uint32_t launchesNotRun_ = 0;
+  std::uint32_t runs_ = 0;  ///< Attempts that have run, or may have.
   std::uint32_t backoffs_ = 0;
   bool retryTaken_ = false;                        ///< From the budget, for the next attempt.
   std::optional<registry::RequestDigest> digest_;  ///< Once it was needed.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "gateway/retry_after.h"
+
 namespace walnut::gateway {
 
 namespace {
@@ -12,6 +14,7 @@
 using runtime::LogEvent;
 
 constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 /// Share of the budget that is used: gateways are counted with a delay.
 constexpr double kBudgetShare = 0.7;
@@ -24,7 +27,17 @@
 /// For the first document after a start: little more than an election takes.
 constexpr base::Duration kEarlyPatience = std::chrono::milliseconds(1500);
 constexpr std::size_t kMaxEarly = 256;
-constexpr const char* kRetryAfterRefusal = "0.2";
+
+/// A lease counts from its question, so that no share of it need be left for messages; a tenth is
+/// for clocks that run apart.
+base::Duration leaseOf(base::Duration revocation) {
+  constexpr int kTenths = 9;
+  return revocation * kTenths / 10;
+}
+
+Urgency urgencyOf(const RequestFacts& facts, const catalog::Route& route) {
+  return {facts.tenantPriority.value_or(route.priority), route.targetLatency};
+}
 
 }  // namespace
 
@@ -38,6 +51,9 @@
       session_(session),
       log_(log),
       metrics_(metrics),
+      lease_(leaseOf(options.revocation)),
+      leaseTimer_(scheduler.createTimer([this] { askForDocument(); })),
+      quotaTimer_(scheduler.createTimer([this] { reviewQuota(); })),
       selector_(directory_, options.selection,
                 [&launcher](const registry::WorkerId& id) { return launcher.connected(id); }),
       demandTimer_(scheduler.createTimer([this] { reportDemand(); })),
@@ -80,6 +96,9 @@
 void Gateway::leaderFollowed(bool told) {
   quarantine_.leaderFollowed(told);
   reportCutsSoon();
+  quota_.leaderLost();
+  askForDocument();
+  askForQuota(true);
 }
 
 std::optional<RequestQuarantine::Verdict> Gateway::verdictOn(
@@ -139,13 +158,25 @@
                                        {"millis", static_cast<std::uint64_t>(behind.count())}});
   document_ = std::move(document);
   routes_ = std::make_unique<catalog::RouteTable>(document_);
-  if (!early_.empty()) {
+  keys_ = std::make_unique<KeyTable>(document_);
+  if (!lease_.documentTaken(document_->version)) {
+    askForDocument();
+  }
+  if (!early_.empty() && prepared()) {
     scheduler_.runSoon([this] { routeEarly(); });
   }
   wakeWaiting();
   return true;
 }
 
+bool Gateway::prepared() const {
+  return routes_ != nullptr && (!document_->keyed || lease_.age(scheduler_.now()).has_value());
+}
+
+bool Gateway::ready() const {
+  return prepared() && !stopping_ && (!document_->keyed || lease_.valid(scheduler_.readClock()));
+}
+
 void Gateway::refuseAll() {
   if (!std::exchange(refusingAll_, true)) {
     forEachExchange(&Exchange::stopWaiting);
@@ -170,7 +201,7 @@
 }
 
 void Gateway::onRequest(net::HttpRequest request, net::ResponseSink& sink) {
-  if (routes_ == nullptr) {
+  if (!prepared()) {
     keepEarly(std::move(request), sink);
   } else {
     routeRequest(std::move(request), sink, base::Duration::zero());
@@ -225,30 +256,54 @@
     refuse(sink, facts.requestId, kUnavailable, "stopping");
     return;
   }
-  const std::string service = pickService(*route);
+  const catalog::Tenant* tenant = nullptr;
+  if (document_->keyed && !route->open) {
+    tenant = authenticate(facts, sink);
+    if (tenant == nullptr) {
+      return;
+    }
+  }
+  facts.key.clear();
+  UnpaidRequest unpaid{std::move(request), &sink, std::move(facts),
+                       document_,          route, scheduler_.now()};
+  if (tenant != nullptr && tenant->limited() &&
+      !quota_.take(tenant->name, unpaid.facts.quotaCost, scheduler_.now())) {
+    waitForQuota(std::move(unpaid));
+    return;
+  }
+  admit(std::move(unpaid));
+}
+
+void Gateway::admit(UnpaidRequest admitted) {
+  const catalog::Route& route = *admitted.route;
+  RequestFacts& facts = admitted.facts;
+  const std::string service = pickService(route);
   budgetOf(service).firstAttempt(scheduler_.now());
   if (!facts.model.empty()) {
-    demand_.arrived(service, facts.model, facts.adapter, *route);
+    demand_.arrived(service, facts.model, facts.adapter, urgencyOf(facts, route));
   }
-  auto exchange = std::make_unique<Exchange>(*this, document_, *route, service, std::move(facts),
-                                             std::move(request), sink);
+  auto exchange =
+      std::make_unique<Exchange>(*this, std::move(admitted.document), route, service,
+                                 std::move(facts), std::move(admitted.request), *admitted.sink);
   Exchange* const started = exchange.get();
   exchanges_.emplace(started, std::move(exchange));
   started->start();
 }
 
 void Gateway::refuse(net::ResponseSink& sink, const std::string& requestId, int status,
-                     std::string_view reason) {
+                     std::string_view reason, base::Duration retryAfter,
+                     const std::string& tenant) {
   log_.write(LogEvent::requestRefused, {{"request", requestId},
                                         {"status", static_cast<std::uint64_t>(status)},
                                         {"reason", reason},
+                                        {"tenant", tenant},
                                         {"document", documentVersion()},
                                         {"executed", "no"}});
   metrics_.count("walnut_gateway_requests_total", std::to_string(status));
   net::HttpResponse response;
   response.head.status = status;
-  if (status == kUnavailable) {
-    response.head.headers.add("Retry-After", kRetryAfterRefusal);
+  if (status == kUnavailable || status == kTooManyRequests) {
+    response.head.headers.add("Retry-After", retryAfterText(retryAfter));
   }
   sink.respond(std::move(response));
 }
@@ -291,7 +346,7 @@
   if (facts.model.empty()) {
     return;
   }
-  demand_.waitBegan(service, facts.model, facts.adapter, route);
+  demand_.waitBegan(service, facts.model, facts.adapter, urgencyOf(facts, route));
   reportDemandSoon();
 }
 
@@ -373,6 +428,10 @@
   metrics_.count("walnut_gateway_requests_total", std::to_string(status));
   const auto found = exchanges_.find(&exchange);
   if (found != exchanges_.end()) {
+    const RequestFacts& facts = exchange.facts();
+    if (facts.quotaCost > 0 && !exchange.mayHaveRun()) {
+      quota_.giveBack(facts.tenant, facts.quotaCost, scheduler_.now());
+    }
     scheduler_.destroySoon(std::move(found->second));
     exchanges_.erase(found);
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,7 +9,10 @@
 #include <unordered_map>
 
 #include "gateway/demand_tracker.h"
+#include "gateway/document_lease.h"
 #include "gateway/exchange.h"
+#include "gateway/key_table.h"
+#include "gateway/quota_account.h"
 #include "gateway/registry_session.h"
 #include "gateway/request_quarantine.h"
 #include "routing/retry_budget.h"
@@ -27,10 +30,14 @@
   std::uint32_t breakerFailures = 3;
   base::Duration breakerOpenFor = std::chrono::milliseconds(800);
   base::Duration demandInterval = std::chrono::milliseconds(500);
+  /// From the acknowledgement of a document without a key until no gateway lets it through.
+  base::Duration revocation = std::chrono::seconds(5);
 };
 
 /// Owns the exchanges in progress. Its view of workers and its document come from the registry's
-/// leader; without one it goes on with what it knows, but never back to an older document.
+/// leader; without one it goes on with what it knows, but never back to an older document. What it
+/// knows of keys counts only while it is confirmed (DocumentLease): else requests that need one are
+/// refused as not run.
 class Gateway : public net::RequestHandler, public ExchangeContext {
  public:
   Gateway(const GatewayOptions& options, event::Scheduler& scheduler, const RequestDialect& dialect,
@@ -49,12 +56,16 @@
   /// Takes a document if it is newer than the one in force.
   /// @return true if it was taken.
   bool documentReceived(std::shared_ptr<const catalog::Document> document);
+  void documentConfirmed(const registry::DocumentConfirmed& answer);
+  void quotaGranted(const registry::QuotaGrant& grant);
+  /// @return the version by whose keys a request would be let through now; 0: none would be.
+  std::uint64_t keysInForce() const;
 
   /// @return true if the leader has told of a newer document than the one in force.
   bool behind() const { return newestVersion_ > documentVersion(); }
 
-  /// @return true if the gateway knows a document and is not stopping.
-  bool ready() const { return routes_ != nullptr && !stopping_; }
+  /// @return true if requests can be let through and the gateway is not stopping.
+  bool ready() const;
   void beginStop() { stopping_ = true; }
   /// From now on streams are refused: the process may end before they would.
   void refuseStreams() { refusingStreams_ = true; }
@@ -99,6 +110,7 @@
  private:
   /// Assumed until the registry tells: rather too many.
   static constexpr std::uint32_t kUnknownGateways = 16;
+  static constexpr base::Duration kRetryAfterRefusal = std::chrono::milliseconds(200);
 
   /// A request that came before any document was known.
   struct EarlyRequest {
@@ -107,13 +119,38 @@
     base::TimePoint arrivedAt;
   };
 
+  /// A request that has been let in, and waits for its tenant's quota.
+  struct UnpaidRequest {
+    net::HttpRequest request;
+    net::ResponseSink* sink = nullptr;
+    RequestFacts facts;
+    std::shared_ptr<const catalog::Document> document;  ///< Keeps the route alive.
+    const catalog::Route* route = nullptr;
+    base::TimePoint arrivedAt;
+    base::TimePoint until;       ///< When it is refused.
+    std::uint64_t question = 0;  ///< The first one that asks for it; 0: none yet.
+  };
+  using UnpaidRequests = std::list<UnpaidRequest>;
+
+  /// @return true once a request can be judged at all.
+  bool prepared() const;
+  const catalog::Tenant* authenticate(RequestFacts& facts, net::ResponseSink& sink);
+  void noteLease(base::TimePoint now);
+  void askForDocument();
+  void askForQuota(bool all);
+  void askForQuotaSoon();
+  void reviewQuota();
+  void waitForQuota(UnpaidRequest unpaid);
+  void settleUnpaid(const std::string& tenant, std::uint64_t question, base::Duration retryAfter);
+  void admit(UnpaidRequest admitted);
   /// @param waited time that the request has spent here.
   void routeRequest(net::HttpRequest request, net::ResponseSink& sink, base::Duration waited);
   void keepEarly(net::HttpRequest request, net::ResponseSink& sink);
   void routeEarly();
   void refuseLateEarly();
   void refuse(net::ResponseSink& sink, const std::string& requestId, int status,
-              std::string_view reason);
+              std::string_view reason, base::Duration retryAfter = kRetryAfterRefusal,
+              const std::string& tenant = {});
   const std::string& pickService(const catalog::Route& route);
   routing::RetryBudget& budgetOf(const std::string& service);
   void reportDemand();
@@ -136,6 +173,15 @@
   runtime::MetricsSink& metrics_;
   std::shared_ptr<const catalog::Document> document_;
   std::unique_ptr<catalog::RouteTable> routes_;
+  std::unique_ptr<KeyTable> keys_;
+  DocumentLease lease_;
+  bool leaseNoted_ = false;  ///< Whether it was valid, as last logged.
+  event::TimerPtr leaseTimer_;
+  QuotaAccount quota_;
+  std::map<std::string, UnpaidRequests> unpaid_;  ///< By tenant; no list is empty.
+  std::size_t unpaidCount_ = 0;
+  event::TimerPtr quotaTimer_;
+  bool quotaSoon_ = false;
   std::uint64_t newestVersion_ = 0;  ///< That the leader has told of.
   base::TimePoint newestSince_;      ///< When it told of that first.
   WorkerDirectory directory_;
--- a/src/gateway/registry_follower.cpp
+++ b/src/gateway/registry_follower.cpp
@@ -69,6 +69,22 @@
   return false;
 }
 
+bool RegistryFollower::receive(protocol::ConnectionId connection,
+                               const registry::DocumentConfirmed& answer) {
+  if (session_.asks(connection)) {
+    gateway_.documentConfirmed(answer);
+  }
+  return false;
+}
+
+bool RegistryFollower::receive(protocol::ConnectionId connection,
+                               const registry::QuotaGrant& grant) {
+  if (session_.asks(connection)) {
+    gateway_.quotaGranted(grant);
+  }
+  return false;
+}
+
 bool RegistryFollower::receive(protocol::ConnectionId connection,
                                const registry::DocumentPart& part) {
   if (!session_.partReceived(connection)) {
--- a/src/gateway/registry_follower.h
+++ b/src/gateway/registry_follower.h
@@ -29,6 +29,8 @@
   bool receive(protocol::ConnectionId connection, const registry::DocumentPart& part);
   bool receive(protocol::ConnectionId connection, const registry::SuspectList& list);
   bool receive(protocol::ConnectionId connection, const registry::NotLeading& message);
+  bool receive(protocol::ConnectionId connection, const registry::DocumentConfirmed& answer);
+  bool receive(protocol::ConnectionId connection, const registry::QuotaGrant& grant);
   template <class Other>
   bool receive(protocol::ConnectionId, const Other&) {
     return false;  // For servers only.
--- a/src/gateway/request_digest.cpp
+++ b/src/gateway/request_digest.cpp
@@ -19,9 +19,9 @@
 
 }  // namespace
 
-registry::RequestDigest digestOf(const RequestDialect& dialect, const net::HttpRequest& request) {
+registry::RequestDigest digestOf(std::string_view caller, const net::HttpRequest& request) {
   Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
-  update(engine, dialect.callerOf(request));
+  update(engine, caller);
   update(engine, request.method);
   update(engine, request.target);
   update(engine, request.body);
--- a/src/registry/cell_state.cpp
+++ b/src/registry/cell_state.cpp
@@ -67,14 +67,25 @@
     return;
   }
   std::vector<WorkerId> replaced;
+  base::ServerId lastOrderedBy;
   for (const auto& [id, other] : workers_) {
-    if (id != worker.id && other.endpoint == worker.endpoint) {
+    if (other.succeeds(worker)) {
+      return;
+    }
+    const bool formerLife = worker.succeeds(other);
+    if (id != worker.id && (formerLife || other.endpoint == worker.endpoint)) {
       replaced.push_back(id);
     }
+    if (formerLife) {
+      lastOrderedBy = this->lastOrderedBy(id);
+    }
   }
   for (const WorkerId& id : replaced) {
     forget(id);
   }
+  if (lastOrderedBy != base::ServerId{}) {
+    lastOrderedBy_[worker.id] = lastOrderedBy;
+  }
   WorkerRecord& held = workers_[worker.id];
   const bool leaving = held.leaving || worker.leaving;
   held = worker;
@@ -99,6 +110,13 @@
   return found == workers_.end() ? nullptr : &found->second;
 }
 
+const WorkerRecord* CellState::findLife(const std::string& name) const {
+  const auto found = std::find_if(workers_.begin(), workers_.end(), [&name](const auto& entry) {
+    return entry.second.calledName() == name;
+  });
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
 const std::vector<HeldModel>* CellState::findHoldings(const WorkerId& id) const {
   const auto found = holdings_.find(id);
   return found == holdings_.end() ? nullptr : &found->second;
--- a/src/registry/cell_state.h
+++ b/src/registry/cell_state.h
@@ -30,7 +30,8 @@
   }
 };
 /// Adds a worker or replaces what is known of it. A worker that leaves stays leaving, and one that
-/// was forgotten is not added again. Any other worker at its endpoint is forgotten.
+/// was forgotten is not added again. Any other worker at its endpoint, and any earlier life of it,
+/// is forgotten; an earlier life than the one held is not added.
 struct StoreWorker {
   WorkerRecord worker;
   template <class Archive>
@@ -127,6 +128,8 @@
   const std::string& documentText() const { return documentText_; }
   const Workers& workers() const { return workers_; }
   const WorkerRecord* findWorker(const WorkerId& id) const;
+  /// @return the life of the worker of that name that is there, or nullptr.
+  const WorkerRecord* findLife(const std::string& name) const;
   /// @return true if the worker was there once and has been forgotten.
   bool wasForgotten(const WorkerId& id) const;
   base::ServerId orderHolder() const { return orderHolder_; }
--- a/src/registry/leader_beliefs.cpp
+++ b/src/registry/leader_beliefs.cpp
@@ -33,9 +33,44 @@
 
 }  // namespace
 
+/// What another writer sends must not move a worker out of its service. One whose service has been
+/// dropped from the document stays what it is.
+bool LeaderDuties::namesUnknownService(const Heartbeat& heartbeat) const {
+  if (document_ == nullptr || document_->findService(heartbeat.worker.service) != nullptr) {
+    return false;
+  }
+  const WorkerRecord* held = state_.findWorker(heartbeat.worker.id);
+  if (held != nullptr && held->service == heartbeat.worker.service) {
+    return false;
+  }
+  log_.write(LogEvent::heartbeatRefused,
+             {{"worker", heartbeat.worker.id.value}, {"reason", "unknown-service"}});
+  return true;
+}
+
+/// A heartbeat of a life that has ended changes nothing. Clocks of workers may be set back: if the
+/// life that is held has gone silent all the same, it is forgotten, and the next heartbeat counts.
+bool LeaderDuties::isOfFormerLife(const Heartbeat& heartbeat, base::TimePoint now) {
+  const WorkerRecord* present = state_.findLife(heartbeat.worker.calledName());
+  if (present == nullptr || !present->succeeds(heartbeat.worker)) {
+    return false;
+  }
+  const WorkerStatus& status = statusOf(present->id, now);
+  if (status.silent) {
+    commands_.emplace_back(ForgetWorker{present->id});
+  }
+  log_.write(LogEvent::heartbeatRefused,
+             {{"worker", heartbeat.worker.id.value},
+              {"reason", "former-life"},
+              {"present", present->id.value},
+              {"present-silent", std::string_view(status.silent ? "yes" : "no")}});
+  return true;
+}
+
 /// A heartbeat that a cut held up may arrive after its sender has crashed and another incarnation
 /// has registered at its endpoint; taken at its word it would end the present one for good. An
-/// unknown worker replaces one that is alive only once it has called again.
+/// unknown worker replaces one that is alive only once it has called again, or if it is known to be
+/// a later life of it.
 bool LeaderDuties::contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now) {
   const WorkerId& id = heartbeat.worker.id;
   if (state_.findWorker(id) != nullptr) {
@@ -46,7 +81,8 @@
   const auto& workers = state_.workers();
   const bool contested = std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
     const auto status = workers_.find(entry.first);
-    return entry.second.endpoint == heartbeat.worker.endpoint && status != workers_.end() &&
+    return entry.second.endpoint == heartbeat.worker.endpoint &&
+           !heartbeat.worker.succeeds(entry.second) && status != workers_.end() &&
            now - status->second.lastHeard < alive;
   });
   if (!contested) {
@@ -159,6 +195,16 @@
   }
 }
 
+void LeaderDuties::logQuotaChanges() {
+  for (const QuotaLedger::Change& change : quotas_.takeChanges()) {
+    log_.write(change.exhausted ? LogEvent::quotaExhausted : LogEvent::quotaRegained,
+               {{"tenant", change.tenant},
+                {"rate", static_cast<std::uint64_t>(change.ratePerSecond)},
+                {"held", static_cast<std::uint64_t>(change.held)},
+                {"former-millis", millisOf(change.formerFor)}});
+  }
+}
+
 bool LeaderDuties::isSilent(const WorkerId& id, const WorkerStatus& status,
                             base::TimePoint now) const {
   const double heartbeats =
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -88,6 +88,7 @@
       since_(now),
       turns_(turns),
       turnAllowedAt_(turnAllowedAt(lastTurnAt)),
+      quotas_(options.quota),
       crashes_(state, log),
       publisher_(options.viewInterval),
       lastCheck_(now),
@@ -107,7 +108,8 @@
 
 bool LeaderDuties::heartbeat(const Heartbeat& heartbeat, base::TimePoint now) {
   const WorkerId& id = heartbeat.worker.id;
-  if (state_.wasForgotten(id) || contestsALiveWorker(heartbeat, now)) {
+  if (state_.wasForgotten(id) || namesUnknownService(heartbeat) || isOfFormerLife(heartbeat, now) ||
+      contestsALiveWorker(heartbeat, now)) {
     return false;
   }
   WorkerStatus& status = statusOf(id, now);
@@ -160,6 +162,13 @@
   planSoon_ = planSoon_ || !demand_.waiting().empty();
 }
 
+void LeaderDuties::quotaAsked(protocol::ConnectionId gateway, const QuotaRequest& request,
+                              base::TimePoint now) {
+  actions_.emplace_back(control::SendToConnection{
+      gateway, RegistryMessage{MessageBody(quotas_.grant(gateway, request, now))}});
+  logQuotaChanges();
+}
+
 void LeaderDuties::stateChanged(base::TimePoint now) {
   refreshDocument(now);
   for (const auto& [id, record] : state_.workers()) {
@@ -191,6 +200,7 @@
   }
   document_ = std::move(read.value());
   documentSince_ = now;
+  quotas_.setTenants(document_->tenants, now);
   sender_.setDocument(document_);
 }
 
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -19,6 +19,7 @@
 #include "registry/load_backoff.h"
 #include "registry/order_turns.h"
 #include "registry/placement.h"
+#include "registry/quota_ledger.h"
 #include "registry/view_publisher.h"
 #include "registry/worker_outlier_detector.h"
 #include "registry/worker_status.h"
@@ -47,6 +48,8 @@
   }
   void demand(protocol::ConnectionId gateway, const DemandUpdate& update, base::TimePoint now);
   void cutsReported(const CutReport& report, base::TimePoint now) { crashes_.report(report, now); }
+  /// Only while this server is sure to lead: another leader grants from the same quotas.
+  void quotaAsked(protocol::ConnectionId gateway, const QuotaRequest& request, base::TimePoint now);
   void orderFinished(const OrderFinished& finished, base::TimePoint now);
   void reportFinished(const ReportFinished& finished, base::TimePoint now);
   /// The orders of a batch are in the log: they are sent, unless it took too long.
@@ -82,10 +85,13 @@
   void reviewCrashes(base::TimePoint now);
   void sendSuspects(base::TimePoint now);
   void sendSuspectsTo(protocol::ConnectionId gateway, base::TimePoint now);
+  bool namesUnknownService(const Heartbeat& heartbeat) const;
+  bool isOfFormerLife(const Heartbeat& heartbeat, base::TimePoint now);
   bool contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now);
   bool isSilent(const WorkerId& id, const WorkerStatus& status, base::TimePoint now) const;
   void detectOutliers(base::TimePoint now);
   void logAnswerChanges();
+  void logQuotaChanges();
   void storeHoldings(base::TimePoint now);
   void publish(base::TimePoint now, const std::vector<base::Endpoint>& servers);
   void sendDocument(base::TimePoint now);
@@ -133,6 +139,7 @@
   /// Unknown workers that called from the endpoint of one that is alive, with the sequence.
   std::map<WorkerId, std::uint64_t> contests_;
   DemandBook demand_;
+  QuotaLedger quotas_;
   WorkerOutlierDetector outliers_;
   CrashMonitor crashes_;
   ViewPublisher publisher_;
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -282,6 +282,14 @@
     return;
   }
   const WorkerReport& report = finished.report.value();
+  const std::uint64_t born = state_.findWorker(finished.worker)->bornMillis;
+  if (report.bornMillis != 0 && born != 0 && report.bornMillis != born) {
+    log_.write(LogEvent::heartbeatRefused, {{"worker", finished.worker.value},
+                                            {"reason", "report-of-another-life"},
+                                            {"born", report.bornMillis}});
+    status.orderAgainAt = now + kRefusedPause;
+    return;
+  }
   log_.write(LogEvent::reportRead,
              {{"worker", finished.worker.value},
               {"orders", report.orderCount},
--- a/src/registry/order_turns.cpp
+++ b/src/registry/order_turns.cpp
@@ -25,6 +25,14 @@
   }
 }
 
+void OrderTurns::succeeded(const WorkerId& former, const WorkerId& present) {
+  const auto found = orderedAt_.find(former);
+  if (found != orderedAt_.end()) {
+    orderedAt_[present] = found->second;
+    orderedAt_.erase(former);
+  }
+}
+
 base::TimePoint OrderTurns::allowedAt(const WorkerId& worker, base::TimePoint electedAt,
                                       base::Duration lease) const {
   const auto found = orderedAt_.find(worker);
--- a/src/registry/order_turns.h
+++ b/src/registry/order_turns.h
@@ -31,6 +31,8 @@
   /// The state was replaced by another server's: what it skipped may have happened just now.
   void restored(base::TimePoint now) { unknownAt_ = now; }
   void forget(const WorkerId& worker) { orderedAt_.erase(worker); }
+  /// A worker has started again under its name: who ordered it is bound as before.
+  void succeeded(const WorkerId& former, const WorkerId& present);
 
   /// @return when a worker that another server ordered last may be ordered by the present leader.
   /// @param electedAt when that leader was elected.
--- a/src/registry/registry_calls.cpp
+++ b/src/registry/registry_calls.cpp
@@ -57,10 +57,12 @@
 }
 
 void RegistryImpl::decide(std::uint64_t call, const ReportGone& body) {
-  if (state_.wasForgotten(body.worker)) {
+  const WorkerRecord* present = body.bornMillis == 0 ? state_.findLife(body.name) : nullptr;
+  const WorkerId worker = present == nullptr ? workerIdOf(body.name, body.bornMillis) : present->id;
+  if (state_.wasForgotten(worker)) {
     answerDone(call);
   } else {
-    propose(call, ForgetWorker{body.worker});
+    propose(call, ForgetWorker{worker});
   }
 }
 
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -85,7 +85,7 @@
 base::TimePoint RegistryImpl::nextWakeup() const {
   base::TimePoint next = std::min(raft_->nextWakeup(), calls_.nextDeadline());
   if (leading_ != nullptr) {
-    next = std::min(next, leading_->nextWakeup());
+    next = std::min({next, leading_->nextWakeup(), confirmer_.nextRound()});
   } else {
     next = std::min(next, std::max(nextJoinAt_, leaderHeardAt_ + options_.joinAfterSilence));
   }
@@ -191,6 +191,18 @@
   }
 }
 
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const ConfirmDocument& message) {
+  if (leadingActively()) {
+    confirmer_.asked(from, message);
+  }
+}
+
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const QuotaRequest& message) {
+  if (leadingActively() && raft_->leaseValid(now_)) {
+    leading_->quotaAsked(from, message, now_);
+  }
+}
+
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const DemandUpdate& message) {
   if (leadingActively()) {
     leading_->demand(from, message, now_);
@@ -258,6 +270,7 @@
   }
   leading_.reset();
   keeper_.reset();
+  confirmer_ = {};
   callsByEntry_.clear();
   reads_.clear();
   leaderHeardAt_ = now_;
@@ -267,6 +280,7 @@
   expireCalls();
   handOverCalls();
   answerReads();
+  confirmDocuments();
   if (leading_ != nullptr) {
     keepCell();
     if (leadingActively()) {
@@ -284,6 +298,34 @@
   takeSnapshotIfDue();
 }
 
+/// Gateways go by the answer on their own clocks: it is given only once a majority has confirmed,
+/// after the question, that no other server leads.
+void RegistryImpl::confirmDocuments() {
+  if (!leadingActively()) {
+    return;
+  }
+  if (confirmer_.confirming()) {
+    const auto ready = raft_->readReady(confirmer_.token());
+    if (ready.has_error()) {
+      confirmer_ = {};
+      return;
+    }
+    if (ready.value() && appliedIndex_ >= *ready.value()) {
+      for (const DocumentConfirmer::Question& question : confirmer_.takeConfirmed()) {
+        actions_.emplace_back(control::SendToConnection{
+            question.gateway,
+            wrap(DocumentConfirmed{question.sequence, state_.documentVersion()})});
+      }
+    }
+  }
+  if (confirmer_.roundDue(now_)) {
+    const auto token = raft_->beginRead(now_);
+    if (token) {
+      confirmer_.begin(token.value(), now_);
+    }
+  }
+}
+
 void RegistryImpl::applyEntries(const std::vector<consensus::LogEntry>& entries) {
   for (const consensus::LogEntry& entry : entries) {
     applyEntry(entry);
@@ -299,6 +341,7 @@
     bytesSinceSnapshot_ += entry.payload.size();
     const auto command = decodeCommand(entry.payload);
     if (command) {
+      noteSuccession(command.value());
       state_.apply(command.value());
       if (const auto* document = std::get_if<StoreDocument>(&command.value())) {
         log_.write(LogEvent::documentStored,
@@ -329,6 +372,20 @@
   }
 }
 
+/// Before a command is applied.
+void RegistryImpl::noteSuccession(const Command& command) {
+  const auto* stored = std::get_if<StoreWorker>(&command);
+  if (stored == nullptr) {
+    return;
+  }
+  const WorkerRecord* former = state_.findLife(stored->worker.calledName());
+  if (former != nullptr && stored->worker.succeeds(*former)) {
+    orderTurns_.succeeded(former->id, stored->worker.id);
+    log_.write(LogEvent::workerReborn,
+               {{"worker", stored->worker.id.value}, {"former", former->id.value}});
+  }
+}
+
 void RegistryImpl::noteOrdered(const StoreOrderedWorkers& ordered, consensus::LogIndex index) {
   if (index > recoveredIndex_) {
     orderTurns_.ordered(ordered.workers, now_);
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -11,6 +11,7 @@
 #include "registry/cell_keeper.h"
 #include "registry/cell_state.h"
 #include "registry/document_cache.h"
+#include "registry/document_confirmer.h"
 #include "registry/leader_duties.h"
 #include "registry/order_turns.h"
 #include "walnut/registry/registry.h"
@@ -62,6 +63,10 @@
   void receiveBody(protocol::ConnectionId from, const DemandUpdate& message);
   void receiveBody(protocol::ConnectionId from, const CutReport& message);
   void receiveBody(protocol::ConnectionId from, const DocumentPartTaken& message);
+  void receiveBody(protocol::ConnectionId from, const ConfirmDocument& message);
+  void receiveBody(protocol::ConnectionId from, const QuotaRequest& message);
+  void receiveBody(protocol::ConnectionId, const DocumentConfirmed&) {}
+  void receiveBody(protocol::ConnectionId, const QuotaGrant&) {}
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
   void receiveBody(protocol::ConnectionId, const NotLeading&) {}
   void receiveBody(protocol::ConnectionId, const ViewUpdate&) {}
@@ -85,8 +90,10 @@
   void handOverCalls();
   void expireCalls();
   void answerReads();
+  void confirmDocuments();
   void applyEntries(const std::vector<consensus::LogEntry>& entries);
   void applyEntry(const consensus::LogEntry& entry);
+  void noteSuccession(const Command& command);
   void noteOrdered(const StoreOrderedWorkers& ordered, consensus::LogIndex index);
   void takeSnapshotIfDue();
   void keepCell();
@@ -116,6 +123,7 @@
   std::unique_ptr<LeaderDuties> leading_;
   consensus::LogIndex activeIndex_ = 0;  ///< The leader's first own entry.
   std::optional<CellKeeper> keeper_;
+  DocumentConfirmer confirmer_;
   std::uint64_t pendingDocumentVersion_ = 0;
   consensus::LogIndex pendingDocumentIndex_ = 0;
 
--- a/src/registry/view_codec.cpp
+++ b/src/registry/view_codec.cpp
@@ -112,6 +112,8 @@
     writer.name(view.record.zone.value);
     writer.number(view.record.slots);
     writer.number(view.record.leaving ? 1 : 0);
+    writer.text(view.record.name);
+    writer.number(view.record.bornMillis);
   }
   writer.number(view.models.size());
   for (const HeldModel& model : view.models) {
@@ -244,6 +246,8 @@
     record.zone = {reader.name()};
     record.slots = reader.number<std::uint32_t>();
     record.leaving = reader.number() != 0;
+    record.name = reader.text();
+    record.bornMillis = reader.number();
   }
   const auto known = records_.find(worker);
   if (known == records_.end()) {
--- a/src/registry/worker.cpp
+++ b/src/registry/worker.cpp
@@ -4,6 +4,10 @@
 
 namespace walnut::registry {
 
+WorkerId workerIdOf(const std::string& name, std::uint64_t bornMillis) {
+  return {bornMillis == 0 ? name : name + "#" + std::to_string(bornMillis)};
+}
+
 const HeldModel* Holdings::find(const std::string& model) const {
   for (const HeldModel& held : models) {
     if (held.name == model) {
--- a/src/simulator/fleet_document.cpp
+++ b/src/simulator/fleet_document.cpp
@@ -43,6 +43,8 @@
   for (std::size_t number = 0; number < routes; ++number) {
     document.routes.push_back(makeRoute(number));
   }
+  document.keyed = true;
+  document.tenants.push_back({"tenant", {"key-" + std::to_string(document.version)}, std::nullopt});
   document.services.push_back({"service", "/healthz", 0, std::nullopt});
   return document;
 }
--- a/src/simulator/fleet_gateway.cpp
+++ b/src/simulator/fleet_gateway.cpp
@@ -15,6 +15,7 @@
  public:
   gateway::RequestFacts readRequest(const net::HttpRequest&) const override { return {}; }
   std::string callerOf(const net::HttpRequest&) const override { return {}; }
+  void removeSystemFields(net::HttpRequest&) const override {}
   void writeAttempt(net::HttpRequest&, const gateway::AttemptFacts&) const override {}
   gateway::AnswerFacts readAnswer(int, const net::HeaderList&) const override { return {}; }
   bool isReadinessCall(const net::HttpRequest&) const override { return false; }
@@ -97,6 +98,10 @@
   return process_ == nullptr ? 0 : process_->gateway.documentVersion();
 }
 
+std::uint64_t FleetGateway::keysInForce() const {
+  return process_ == nullptr ? 0 : process_->gateway.keysInForce();
+}
+
 void FleetGateway::opened(protocol::ConnectionId connection, const base::Endpoint& server) {
   post([this, connection, server] { process_->session.opened(connection, server); }, 0);
 }
--- a/src/simulator/registry_fleet.cpp
+++ b/src/simulator/registry_fleet.cpp
@@ -421,10 +421,10 @@
 }
 
 /// @return the newest version that was acknowledged long enough ago to be in force.
-std::uint64_t RegistryFleet::dueVersion() const {
+std::uint64_t RegistryFleet::dueVersion(base::Duration within) const {
   std::uint64_t due = 0;
   for (const auto& [version, at] : acknowledgedAt_) {
-    if (now() >= at + options_.applyWithin) {
+    if (now() >= at + within) {
       due = version;
     }
   }
@@ -445,16 +445,30 @@
   scheduler_.after(kCheckInterval, [this] { check(); });
   for (std::size_t index = 0; index < gateways_.size(); ++index) {
     checkRegression(index);
+    checkKeys(index);
   }
   if (acknowledgedVersion_ == 0 || !cellAtRest()) {
     return;
   }
-  const std::uint64_t due = dueVersion();
+  const std::uint64_t due = dueVersion(options_.applyWithin);
   for (std::size_t index = 0; index < gateways_.size(); ++index) {
     const std::uint64_t served = gateways_[index]->documentVersion();
     if (gateways_[index]->running() && now() >= gatewayRestsAt_[index] && served < due) {
       violations_.push_back({now() - startedAt_, index, served, due});
     }
+    if (gateways_[index]->running() && now() >= gatewayRestsAt_[index] && due > 0 &&
+        gateways_[index]->keysInForce() == 0) {
+      violations_.push_back({now() - startedAt_, index, 0, due, true});
+    }
+  }
+}
+
+/// Holds at all times, disturbed or not: a key that was taken away opens nothing any more.
+void RegistryFleet::checkKeys(std::size_t gateway) {
+  const std::uint64_t keys = gateways_[gateway]->keysInForce();
+  const std::uint64_t due = dueVersion(options_.revokedWithin);
+  if (keys != 0 && keys < due) {
+    violations_.push_back({now() - startedAt_, gateway, keys, due, true});
   }
 }
 
@@ -474,7 +488,8 @@
     const FleetViolation& violation = violations_[index];
     const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(violation.at);
     text += "\n  " + std::to_string(millis.count()) + " ms: gateway " +
-            std::to_string(violation.gateway) + " serves by version " +
+            std::to_string(violation.gateway) +
+            (violation.byKeys ? " goes by keys of version " : " serves by version ") +
             std::to_string(violation.served) + ", acknowledged is " +
             std::to_string(violation.acknowledged);
   }
--- a/src/simulator/registry_fleet.h
+++ b/src/simulator/registry_fleet.h
@@ -32,14 +32,18 @@
   /// back to rest after `restAfterFault`.
   base::Duration applyWithin = std::chrono::milliseconds(2500);
   base::Duration restAfterFault = std::chrono::seconds(4);
+  /// Each document takes away the key of the one before: no gateway lets that through later.
+  base::Duration revokedWithin = std::chrono::seconds(5);
 };
 
-/// A gateway that served by an older document than it should have, or than before, or by none.
+/// A gateway that served by an older document than it should have, or than before, or by none; or
+/// that would let a request through by its keys, or by none.
 struct FleetViolation {
   base::Duration at{0};  ///< Since the start of the run.
   std::size_t gateway = 0;
   std::uint64_t served = 0;  ///< 0: it knew no document.
   std::uint64_t acknowledged = 0;
+  bool byKeys = false;
 };
 
 class RegistryFleet : private FleetServerLinks, private FleetGatewayLinks {
@@ -119,11 +123,12 @@
   void beat(std::size_t worker);
   void check();
   void checkRegression(std::size_t gateway);
+  void checkKeys(std::size_t gateway);
   void noteDisturbance(base::Duration rest);
   /// @return true if nothing has disturbed the servers lately, none is slow, and most of them run
   /// and reach each other.
   bool cellAtRest() const;
-  std::uint64_t dueVersion() const;
+  std::uint64_t dueVersion(base::Duration within) const;
   std::vector<base::Endpoint> seeds() const;
   consensus::Membership foundingMembership() const;
   /// @return a server that runs, drawn; the count of servers if none does.
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -29,6 +29,7 @@
   std::string callerOf(const net::HttpRequest& request) const override {
     return text(request.headers, "Caller");
   }
+  void removeSystemFields(net::HttpRequest&) const override {}
   void writeAttempt(net::HttpRequest&, const gateway::AttemptFacts&) const override {}
   gateway::AnswerFacts readAnswer(int, const net::HeaderList& headers) const override {
     return {text(headers, "Id"), headers.find("Sealed") != nullptr,
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -17,6 +17,7 @@
 class ManualScheduler : public event::Scheduler {
  public:
   base::TimePoint now() const override { return now_; }
+  base::TimePoint readClock() const override { return now_ + sleptInTurn_; }
   event::TimerPtr createTimer(std::function<void()> callback) override {
     return timers_.create(std::move(callback));
   }
@@ -40,6 +41,8 @@
     }
     now_ = end;
   }
+  /// The machine is suspended within a turn of the loop: only the clock itself tells.
+  void sleepInTurn(base::Duration duration) { sleptInTurn_ = duration; }
   /// The machine was suspended: time has passed, and no timer has run yet.
   void wakeAfter(base::Duration duration) { now_ += duration; }
   /// Runs what is due by now.
@@ -50,11 +53,13 @@
 
  private:
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(1000));
+  base::Duration sleptInTurn_{0};
   event::TimerQueue timers_;
   std::vector<std::function<void()>> deferred_;
 };
 
-/// Fields: Id, Deadline-Ms, Model ("m" or "m/a"), Resume; of answers: Id, Sealed, Not-Run.
+/// Fields: Id, Deadline-Ms, Model ("m" or "m/a"), Resume, Key, Tokens (of the prompt), Tenant (the
+/// gateway's own); of answers: Id, Sealed, Not-Run.
 class PlainDialect : public RequestDialect {
  public:
   RequestFacts readRequest(const net::HttpRequest& request) const override {
@@ -66,8 +71,17 @@
     const std::string model = text(request.headers, "Model");
     facts.model = model.substr(0, model.find('/'));
     facts.adapter = model.find('/') == std::string::npos ? "" : model.substr(model.find('/') + 1);
+    facts.key = text(request.headers, "Key");
+    if (const auto tokens = request.headers.findNumber("Tokens")) {
+      facts.promptTokens = *tokens;
+      facts.tellsTokens = true;
+    }
     return facts;
   }
+  void removeSystemFields(net::HttpRequest& request) const override {
+    request.headers.remove("Key");
+    request.headers.remove("Tenant");
+  }
   std::string callerOf(const net::HttpRequest& request) const override {
     ++callersAsked;
     return text(request.headers, "Caller");
@@ -75,7 +89,10 @@
   void writeAttempt(net::HttpRequest& request, const AttemptFacts& facts) const override {
     const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(facts.deadline);
     request.headers.set("Deadline-Ms", std::to_string(millis.count()));
-    request.headers.set("Target", facts.target.value);
+    request.headers.set("Target", facts.target);
+    if (!facts.tenant.empty()) {
+      request.headers.set("Tenant", facts.tenant);
+    }
     request.headers.set("Resume", facts.resumeAfter);
   }
   AnswerFacts readAnswer(int /*status*/, const net::HeaderList& headers) const override {
@@ -159,6 +176,8 @@
   std::vector<base::Endpoint> opened;
   std::vector<registry::DemandUpdate> demand;
   std::vector<registry::CutReport> cuts;
+  std::vector<registry::ConfirmDocument> questions;
+  std::vector<registry::QuotaRequest> quotas;
 
   void open(const base::Endpoint& server) override { opened.push_back(server); }
   void close(protocol::ConnectionId) override {}
@@ -167,6 +186,10 @@
       demand.push_back(std::move(*update));
     } else if (auto* report = std::get_if<registry::CutReport>(&message)) {
       cuts.push_back(std::move(*report));
+    } else if (auto* question = std::get_if<registry::ConfirmDocument>(&message)) {
+      questions.push_back(*question);
+    } else if (auto* quota = std::get_if<registry::QuotaRequest>(&message)) {
+      quotas.push_back(std::move(*quota));
     }
   }
 };
--- /dev/null
+++ b/test/gateway/key_admission_test.cpp
@@ -0,0 +1,316 @@
+/// Whose requests a gateway lets through: keys, the lease on them, and tenants' quotas.
+
+#include "gateway/gateway_harness.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::gateway;
+using namespace walnut::gateway::testing;
+using namespace std::chrono_literals;
+
+TEST_GROUP(KeyAdmissionTest) {
+  GatewayHarness harness;
+
+  static catalog::Tenant tenant(const char* name, std::vector<std::string> keys) {
+    catalog::Tenant made;
+    made.name = name;
+    made.keys = std::move(keys);
+    return made;
+  }
+  /// A document with tenants one (key k1, priority 3) and two (key k2), and the route /free/ that
+  /// needs no key.
+  void declare(std::uint64_t version, std::vector<catalog::Tenant> tenants) {
+    registry::ViewUpdate update;
+    update.complete = true;
+    update.documentVersion = version;
+    update.changed = {GatewayHarness::worker(1)};
+    auto document = std::make_shared<catalog::Document>();
+    document->version = version;
+    document->services = {{"svc", "", 0, std::nullopt}};
+    document->routes = {GatewayHarness::route("safe", catalog::RouteKind::idempotent, false, 2),
+                        GatewayHarness::route("free", catalog::RouteKind::idempotent, false, 2)};
+    document->routes[1].open = true;
+    document->tenants = std::move(tenants);
+    document->keyed = true;
+    harness.gateway.viewReceived(update);
+    harness.gateway.documentReceived(std::move(document));
+    harness.scheduler.settle();
+  }
+  void declareBoth(std::uint64_t version = 1) {
+    catalog::Tenant first = tenant("one", {"k1"});
+    first.priority = 3;
+    declare(version, {first, tenant("two", {"k2"})});
+  }
+  /// The leader answers the last question.
+  void confirm(std::uint64_t version) {
+    harness.gateway.documentConfirmed({harness.link.questions.back().sequence, version});
+    harness.scheduler.settle();
+  }
+  void begin() {
+    harness.follow();
+    declareBoth();
+    confirm(1);
+  }
+  std::unique_ptr<Caller> request(const std::string& route, const std::string& id,
+                                  const std::string& key, const std::string& tokens = "") {
+    net::HttpRequest made;
+    made.method = "GET";
+    made.target = "/" + route + "/x";
+    made.headers.add("Host", "h");
+    made.headers.add("Id", id);
+    made.headers.add("Deadline-Ms", "5000");
+    made.headers.add("Tenant", "somebody");
+    if (!key.empty()) {
+      made.headers.add("Key", key);
+    }
+    if (!tokens.empty()) {
+      made.headers.add("Tokens", tokens);
+    }
+    auto caller = std::make_unique<Caller>();
+    harness.gateway.onRequest(std::move(made), *caller);
+    harness.scheduler.settle();
+    return caller;
+  }
+  std::size_t sentCount() { return harness.launcher.sent.size(); }
+  const net::HttpRequest& lastSent() { return harness.launcher.sent.back()->request; }
+};
+
+TEST(KeyAdmissionTest, aWorkerIsToldTheTenantAndNeverTheKey) {
+  begin();
+  const auto caller = request("safe", "r1", "k1");
+  CHECK_EQUAL(1, sentCount());
+  STRCMP_EQUAL("one", lastSent().headers.find("Tenant")->c_str());
+  POINTERS_EQUAL(nullptr, lastSent().headers.find("Key"));
+}
+
+TEST(KeyAdmissionTest, anOpenRouteNeedsNoKeyAndTellsNoTenant) {
+  begin();
+  const auto caller = request("free", "r1", "k1");
+  CHECK_EQUAL(1, sentCount());
+  POINTERS_EQUAL(nullptr, lastSent().headers.find("Key"));
+  POINTERS_EQUAL(nullptr, lastSent().headers.find("Tenant"));
+}
+
+TEST(KeyAdmissionTest, aKeyThatIsNobodysIsRefused) {
+  begin();
+  CHECK_EQUAL(401, request("safe", "r1", "k3")->status);
+  CHECK_EQUAL(401, request("safe", "r2", "")->status);
+  CHECK_EQUAL(404, request("other", "r3", "k1")->status);
+  CHECK_EQUAL(0, sentCount());
+}
+
+TEST(KeyAdmissionTest, noLineOfTheLogHasAKey) {
+  begin();
+  const auto known = request("safe", "r1", "k1");
+  const auto unknown = request("safe", "r2", "k3");
+  harness.lose(*harness.launcher.sent.back());
+  for (const LoggedLine& line : harness.log.lines) {
+    for (const auto& [name, value] : line.fields) {
+      CHECK(value.find("k1") == std::string::npos);
+      CHECK(value.find("k3") == std::string::npos);
+    }
+  }
+}
+
+TEST(KeyAdmissionTest, withoutAConfirmedDocumentNothingIsLetThrough) {
+  harness.follow();
+  declareBoth();
+  const auto waits = request("safe", "r1", "k1");
+  CHECK_EQUAL(0, sentCount());
+  CHECK_EQUAL(0, waits->status);
+  CHECK_FALSE(harness.gateway.ready());
+  confirm(1);
+  CHECK_EQUAL(1, sentCount());
+  CHECK_TRUE(harness.gateway.ready());
+}
+
+/// 503 and never 401: the gateway can't know.
+TEST(KeyAdmissionTest, aLeaseThatHasEndedRefusesAllThatNeedAKey) {
+  begin();
+  harness.scheduler.advance(4499ms);
+  CHECK_EQUAL(503, request("safe", "r1", "k3")->status);
+  const auto known = request("safe", "r2", "k1");
+  CHECK_EQUAL(1, sentCount());
+  harness.scheduler.advance(2ms);
+  CHECK_EQUAL(503, request("safe", "r3", "k1")->status);
+  CHECK_EQUAL(503, request("safe", "r4", "k3")->status);
+  CHECK_EQUAL(1, sentCount());
+  CHECK_FALSE(harness.gateway.ready());
+  const auto open = request("free", "r5", "");
+  CHECK_EQUAL(2, sentCount());
+}
+
+/// The answer may be seconds late: it is as old as its question.
+TEST(KeyAdmissionTest, theLeaseCountsFromTheQuestion) {
+  harness.follow();
+  declareBoth();
+  const std::uint64_t question = harness.link.questions.front().sequence;
+  harness.scheduler.wakeAfter(4s);
+  harness.gateway.documentConfirmed({question, 1});
+  harness.scheduler.wakeAfter(600ms);
+  CHECK_EQUAL(503, request("safe", "r1", "k1")->status);
+}
+
+TEST(KeyAdmissionTest, afterASuspensionTheLeaseIsJudgedByTheTimeThatWasSlept) {
+  begin();
+  harness.scheduler.wakeAfter(5s);
+  CHECK_EQUAL(503, request("safe", "r1", "k1")->status);
+}
+
+/// The loop has read its clock, and then the machine sleeps; the request was sent meanwhile.
+TEST(KeyAdmissionTest, theClockIsReadAfterTheRequestHasCome) {
+  begin();
+  harness.scheduler.sleepInTurn(5s);
+  CHECK_EQUAL(503, request("safe", "r1", "k1")->status);
+  CHECK_EQUAL(0, sentCount());
+}
+
+TEST(KeyAdmissionTest, aConfirmationOfANewerDocumentCountsOnceThatIsHeld) {
+  begin();
+  harness.scheduler.wakeAfter(4s);
+  harness.gateway.leaderFollowed(false);
+  confirm(2);
+  harness.scheduler.wakeAfter(600ms);
+  CHECK_EQUAL(503, request("safe", "r1", "k1")->status);
+  declare(2, {tenant("two", {"k1"})});
+  const auto caller = request("safe", "r2", "k1");
+  CHECK_EQUAL(1, sentCount());
+  STRCMP_EQUAL("two", lastSent().headers.find("Tenant")->c_str());
+}
+
+/// A newer document may have the key.
+TEST(KeyAdmissionTest, aGatewayThatIsBehindRefusesNoKeyAsUnknown) {
+  begin();
+  registry::ViewUpdate update;
+  update.documentVersion = 2;
+  harness.gateway.viewReceived(update);
+  CHECK_EQUAL(503, request("safe", "r1", "k3")->status);
+  const auto known = request("safe", "r2", "k1");
+  CHECK_EQUAL(1, sentCount());
+}
+
+TEST(KeyAdmissionTest, aDocumentThatNeedsNoKeysAsksNobody) {
+  harness.follow();
+  harness.declare(1);
+  harness.advanceFollowing(3s);
+  CHECK(harness.link.questions.empty());
+  CHECK(harness.link.quotas.empty());
+}
+
+TEST(KeyAdmissionTest, theTenantsPriorityGoesBeforeTheRoutes) {
+  harness.follow();
+  declareBoth();
+  confirm(1);
+  const auto first = request("safe", "r1", "k1");
+  const auto second = request("safe", "r2", "k2");
+  harness.advanceFollowing(600ms);
+  CHECK_EQUAL(2, sentCount());
+}
+
+TEST_GROUP_BASE(QuotaAdmissionTest, TEST_GROUP_CppUTestGroupKeyAdmissionTest){
+    void beginLimited(){catalog::Tenant limited = tenant("one", {"k1"});
+limited.ratePerSecond = 100;
+limited.countsTokens = true;
+limited.plainTokens = 20;
+harness.follow();
+declare(1, {limited});
+confirm(1);
+}
+void grant(double amount, base::Duration retryAfter = 0ms) {
+  harness.gateway.quotaGranted(
+      {harness.link.quotas.back().sequence, {{"one", amount, retryAfter}}});
+  harness.scheduler.settle();
+}
+}
+;
+
+TEST(QuotaAdmissionTest, aRequestWaitsForItsGrantAndIsSentWithIt) {
+  beginLimited();
+  const auto caller = request("safe", "r1", "k1", "50");
+  CHECK_EQUAL(0, sentCount());
+  DOUBLES_EQUAL(50, harness.link.quotas.back().claims.at(0).needed, 0.1);
+  grant(50);
+  CHECK_EQUAL(1, sentCount());
+}
+
+TEST(QuotaAdmissionTest, whatIsHeldPaysWithoutAsking) {
+  beginLimited();
+  const auto first = request("safe", "r1", "k1", "50");
+  grant(100);
+  const std::size_t asked = harness.link.quotas.size();
+  const auto second = request("safe", "r2", "k1", "50");
+  CHECK_EQUAL(2, sentCount());
+  CHECK_EQUAL(asked, harness.link.quotas.size());
+}
+
+TEST(QuotaAdmissionTest, aRequestWithoutACountOfTokensCountsAsAPlainOne) {
+  beginLimited();
+  const auto caller = request("safe", "r1", "k1");
+  DOUBLES_EQUAL(20, harness.link.quotas.back().claims.at(0).needed, 0.1);
+}
+
+TEST(QuotaAdmissionTest, whatIsOverTheQuotaIsRefusedAtOnceWithWhenToComeBack) {
+  beginLimited();
+  const auto first = request("safe", "r1", "k1", "50");
+  grant(50);
+  const auto second = request("safe", "r2", "k1", "50");
+  grant(0, 500ms);
+  CHECK_EQUAL(1, sentCount());
+  CHECK_EQUAL(429, second->status);
+  STRCMP_EQUAL("0.50", second->headers.find("Retry-After")->c_str());
+}
+
+/// The leader did not know of it when it answered.
+TEST(QuotaAdmissionTest, aRequestThatCameAfterTheQuestionWaitsForTheNextAnswer) {
+  beginLimited();
+  const auto first = request("safe", "r1", "k1", "50");
+  const std::uint64_t sequence = harness.link.quotas.back().sequence;
+  const auto second = request("safe", "r2", "k1", "50");
+  harness.gateway.quotaGranted({sequence, {{"one", 0, 500ms}}});
+  harness.scheduler.settle();
+  CHECK_EQUAL(429, first->status);
+  CHECK_EQUAL(0, second->status);
+  grant(50);
+  CHECK_EQUAL(1, sentCount());
+}
+
+TEST(QuotaAdmissionTest, withoutAnAnswerItIsNotSaidToBeOver) {
+  beginLimited();
+  const auto caller = request("safe", "r1", "k1", "50");
+  harness.advanceFollowing(600ms);
+  CHECK_EQUAL(503, caller->status);
+  CHECK_EQUAL(0, sentCount());
+}
+
+TEST(QuotaAdmissionTest, whatIsHeldEndsWithItsLease) {
+  beginLimited();
+  const auto first = request("safe", "r1", "k1", "50");
+  grant(100);
+  harness.scheduler.wakeAfter(registry::kQuotaLease);
+  const auto second = request("safe", "r2", "k1", "50");
+  CHECK_EQUAL(1, sentCount());
+}
+
+TEST(QuotaAdmissionTest, aRequestThatDidNotRunIsGivenBack) {
+  beginLimited();
+  const auto first = request("safe", "r1", "k1", "50");
+  grant(50);
+  for (std::size_t index = 0; index < 9 && first->status == 0; ++index) {
+    harness.refuse(*harness.launcher.sent.back(), 503, "r1");
+    harness.scheduler.advance(200ms);
+  }
+  CHECK_EQUAL(503, first->status);
+  const std::size_t sent = sentCount();
+  const auto second = request("safe", "r2", "k1", "50");
+  CHECK_EQUAL(sent + 1, sentCount());
+}
+
+TEST(QuotaAdmissionTest, aCallerThatLeavesIsNotWaitedFor) {
+  beginLimited();
+  const auto caller = request("safe", "r1", "k1", "50");
+  caller->gone();
+  grant(50);
+  CHECK_EQUAL(0, sentCount());
+}
--- a/test/gateway/request_digest_test.cpp
+++ b/test/gateway/request_digest_test.cpp
@@ -24,7 +24,7 @@
     request.body = "body";
   }
   void checkDiffers(const net::HttpRequest& other) {
-    CHECK(digestOf(dialect, request) != digestOf(dialect, other));
+    CHECK(digestOf(dialect.callerOf(request), request) != digestOf(dialect.callerOf(other), other));
   }
 };
 
@@ -32,7 +32,7 @@
   net::HttpRequest again = request;
   again.headers.set("Id", "r2");
   again.headers.set("Deadline-Ms", "3100");
-  CHECK(digestOf(dialect, request) == digestOf(dialect, again));
+  CHECK(digestOf(dialect.callerOf(request), request) == digestOf(dialect.callerOf(again), again));
 }
 
 TEST(RequestDigestTest, callerMethodPathAndBodyArePartOfIt) {
--- a/test/gateway/request_quarantine_test.cpp
+++ b/test/gateway/request_quarantine_test.cpp
@@ -29,7 +29,7 @@
     request.method = "POST";
     request.target = "/" + route + "/x";
     request.body = body;
-    return digestOf(harness.dialect, request);
+    return digestOf(harness.dialect.callerOf(request), request);
   }
   void tell(RequestStanding standing, const std::string& route, const std::string& body,
             base::Duration lasts = 60s) {
