test: lives of workers, tenants, fields of the system, heartbeats of other writers

Cause: the tables that are kept by a worker's id, and the readers at the boundary, had no test of a worker that starts again or of what another writer sends.

--- a/test/catalog/document_delta_test.cpp
+++ b/test/catalog/document_delta_test.cpp
@@ -71,3 +71,20 @@
   CHECK_TRUE(made.has_error());
   CHECK_TRUE(made.error().code == base::ErrorCode::outOfRange);
 }
+
+TEST(DocumentDeltaTest, tenantsAreTakenOver) {
+  Document earlier;
+  earlier.version = 1;
+  earlier.keyed = true;
+  earlier.tenants = {{"one", {"a"}}, {"two", {"b"}}, {"three", {"c"}}};
+  Document later = earlier;
+  later.version = 2;
+  later.tenants = {{"one", {"a"}}, {"two", {"d"}}};
+  const DocumentDelta delta = makeDelta(earlier, later);
+  CHECK_EQUAL(1, delta.changedTenants.size());
+  CHECK_EQUAL(1, delta.removedTenants.size());
+  const Document next = applyDelta(earlier, delta).value();
+  CHECK_TRUE(next.keyed);
+  CHECK_EQUAL(2, next.tenants.size());
+  CHECK_TRUE(next.tenants.at(1).keys == std::vector<std::string>{"d"});
+}
--- a/test/catalog/validation_test.cpp
+++ b/test/catalog/validation_test.cpp
@@ -77,3 +77,34 @@
     STRCMP_EQUAL_TEXT(fault.field, outcome.error().field.c_str(), fault.name);
   }
 }
+
+TEST(ValidationTest, invalidTenantsNameTheFieldAndNoKey) {
+  const FaultCase cases[] = {
+      {"no name", [](Document& document) { document.tenants[0].name.clear(); },
+       base::ErrorCode::missingField, "tenants[].name"},
+      {"a name twice", [](Document& document) { document.tenants[1].name = "one"; },
+       base::ErrorCode::alreadyExists, "tenants[one].name"},
+      {"a shared key",
+       [](Document& document) {
+         document.tenants[1].keys = {"x", "secret"};
+       },
+       base::ErrorCode::alreadyExists, "tenants[two].keys"},
+      {"an empty key", [](Document& document) { document.tenants[1].keys = {""}; },
+       base::ErrorCode::outOfRange, "tenants[two].keys"},
+      {"a rate below 0", [](Document& document) { document.tenants[0].ratePerSecond = -1; },
+       base::ErrorCode::outOfRange, "tenants[one].quota"},
+  };
+  Document valid = validDocument();
+  valid.keyed = true;
+  valid.tenants = {{"one", {"secret", "secret"}}, {"two", {}}};
+  CHECK_TRUE(validate(valid).has_value());
+  for (const FaultCase& fault : cases) {
+    Document document = valid;
+    fault.plant(document);
+    const auto outcome = validate(document);
+    CHECK_TRUE_TEXT(outcome.has_error(), fault.name);
+    CHECK_TRUE_TEXT(outcome.error().code == fault.code, fault.name);
+    STRCMP_EQUAL(fault.field, outcome.error().field.c_str());
+    CHECK_TRUE(outcome.error().detail.find("secret") == std::string::npos);
+  }
+}
--- a/test/platform/dialect_test.cpp
+++ b/test/platform/dialect_test.cpp
@@ -177,7 +177,7 @@
   CHECK_EQUAL(1460, facts.promptTokens);
   CHECK_EQUAL(2, facts.promptParts.size());
   CHECK_TRUE(facts.deadline == 15s);
-  requests.writeAttempt(request, {{"i-7"}, 900ms, 12, "5"});
+  requests.writeAttempt(request, {"i-7", 900ms, 12, "5", ""});
   STRCMP_EQUAL("900", request.headers.find("X-Walnutlead-Deadline-Ms")->c_str());
   STRCMP_EQUAL("9", request.headers.find("X-Walnutlead-Request-Urgency")->c_str());
   STRCMP_EQUAL("5", request.headers.find("Last-Event-Id")->c_str());
@@ -190,3 +190,159 @@
   headers.add("X-Walnutlead-Not-Executed", "1");
   CHECK_TRUE(requests.readAnswer(503, headers).notExecuted);
 }
+
+namespace {
+
+constexpr const char* kHeartbeat = R"({"service":"s1","address":"10.0.0.9:8080","zone":"z",
+  "version":"v1","slots":64,"state":"ready","coldLeftMs":0,"seq":4,"born":1700000000123,
+  "models":[{"name":"m1","version":1,"adapters":[]}]})";
+constexpr const char* kTenants = R"("tenants":[{"name":"t1","apiKeys":["key-1","key-2"],
+  "priority":1,"unit":"token_stream","plainTokens":200,"ratePerS":176241,"burst":7}],"services":)";
+
+std::string withTenants(const std::string& tenants) {
+  return replaced(kDocument, "\"services\":", tenants);
+}
+
+}  // namespace
+
+TEST(DialectTest, tenantsAreRead) {
+  const catalog::Document document = documents.read(withTenants(kTenants)).value();
+  CHECK_TRUE(document.keyed);
+  const catalog::Tenant& tenant = document.tenants.at(0);
+  STRCMP_EQUAL("t1", tenant.name.c_str());
+  CHECK_EQUAL(2, tenant.keys.size());
+  CHECK_EQUAL(1, *tenant.priority);
+  CHECK_TRUE(tenant.countsTokens);
+  DOUBLES_EQUAL(176241, tenant.ratePerSecond, 0.1);
+  DOUBLES_EQUAL(7, tenant.burst, 0.1);
+  DOUBLES_EQUAL(200, tenant.plainTokens, 0.1);
+  CHECK_FALSE(documents.read(kDocument).value().keyed);
+  CHECK_TRUE(documents.read(withTenants("\"tenants\":[],\"services\":")).value().keyed);
+  const std::string open = replaced(kDocument, "\"sticky\":true", "\"public\":true");
+  CHECK_TRUE(documents.read(open).value().routes.at(0).open);
+}
+
+TEST(DialectTest, malformedTenantsNameTheFieldAndNoKey) {
+  const std::pair<std::string, const char*> cases[] = {
+      {replaced(kTenants, "\"name\":\"t1\",", ""), "tenants[0].name"},
+      {replaced(kTenants, "\"key-2\"", "5"), "tenants[0].apiKeys[1]"},
+      {replaced(kTenants, "token_stream", "bytes"), "tenants[0].unit"},
+      {replaced(kTenants, "176241", "-1"), "tenants[0].ratePerS"},
+      {replaced(kTenants, "\"priority\":1", "\"priority\":\"x\""), "tenants[0].priority"},
+  };
+  for (const auto& [tenants, field] : cases) {
+    const auto outcome = documents.read(withTenants(tenants));
+    CHECK_TRUE_TEXT(outcome.has_error(), field);
+    STRCMP_EQUAL(field, outcome.error().field.c_str());
+    CHECK_TRUE(outcome.error().detail.find("key-") == std::string::npos);
+  }
+}
+
+/// The fields that the users' pages leave to the system, by their names there.
+TEST(DialectTest, noFieldOfTheSystemComesFromACaller) {
+  net::HttpRequest request;
+  for (const char* name :
+       {"X-Walnutlead-Hold", "X-Walnutlead-Pin-Ms", "X-Walnutlead-Kv-Backup", "Kv-From", "Kv-Fetch",
+        "X-Walnutlead-Tenant", "X-Walnutlead-Credential", "X-Walnutlead-Target-Instance",
+        "X-Walnutlead-Request-Urgency", "X-Walnutlead-Expect-Version", "x-walnutlead-credential"}) {
+    request.headers.add(name, "v");
+  }
+  request.headers.add("X-Walnutlead-Length-Hint", "80");
+  request.headers.add("X-Other", "v");
+  requests.removeSystemFields(request);
+  CHECK_EQUAL(2, request.headers.all().size());
+}
+
+TEST(DialectTest, aKeyAndBothCountsOfTokensAreRead) {
+  net::HttpRequest request;
+  request.headers.add("X-Walnutlead-Credential", "key-1");
+  request.headers.add("X-Walnutlead-Token-Count", "1460,80");
+  const gateway::RequestFacts facts = requests.readRequest(request);
+  STRCMP_EQUAL("key-1", facts.key.c_str());
+  CHECK_TRUE(facts.tellsTokens);
+  CHECK_EQUAL(80, facts.mostTokens);
+  gateway::AttemptFacts attempt;
+  attempt.tenant = "t1";
+  requests.writeAttempt(request, attempt);
+  STRCMP_EQUAL("t1", request.headers.find("X-Walnutlead-Tenant")->c_str());
+}
+
+TEST(DialectTest, aLifeOfAWorkerIsRead) {
+  const auto call = control.readCall(post("/v1/Instances.Heartbeat/i-7", kHeartbeat));
+  const registry::WorkerRecord& record =
+      std::get<registry::ReportAlive>(call.value()).heartbeat.worker;
+  STRCMP_EQUAL("i-7", record.calledName().c_str());
+  CHECK_TRUE(record.bornMillis == 1700000000123);
+  CHECK_TRUE(record.id == registry::workerIdOf("i-7", 1700000000123));
+  registry::SendOrder order;
+  order.worker = record;
+  STRCMP_EQUAL("i-7",
+               workers.writeOrder(order).headers.find("X-Walnutlead-Target-Instance")->c_str());
+}
+
+TEST(DialectTest, aHeartbeatOfAnotherWriterNamesTheField) {
+  const std::pair<std::string, const char*> cases[] = {
+      {replaced(kHeartbeat, "\"ready\"", "\"resting\""), "state"},
+      {replaced(kHeartbeat, "\"slots\":64,", ""), "slots"},
+      {replaced(kHeartbeat, "\"slots\":64", "\"slots\":\"many\""), "slots"},
+      {replaced(kHeartbeat, "\"seq\":4,", ""), "seq"},
+      {replaced(kHeartbeat, "1700000000123", "1.5"), "born"},
+      {replaced(kHeartbeat, "1700000000123", "\"x\""), "born"},
+      {replaced(kHeartbeat, "\"10.0.0.9:8080\"", "7"), "address"},
+      {replaced(kHeartbeat, "\"zone\":\"z\",", ""), "zone"},
+      {replaced(kHeartbeat, "\"name\":\"m1\"", "\"name\":1"), "models[0].name"},
+      {std::string(kHeartbeat).substr(0, 40), "body"},
+      {"\xff\xfe", "body"},
+  };
+  for (const auto& [body, field] : cases) {
+    const auto call = control.readCall(post("/v1/Instances.Heartbeat/i-7", body));
+    CHECK_TRUE_TEXT(call.has_error(), field);
+    STRCMP_EQUAL(field, call.error().field.c_str());
+  }
+  for (const char* id : {"", "i#7", "i 7"}) {
+    CHECK_TRUE(control.readCall(post(std::string("/v1/Instances.Heartbeat/") + id, kHeartbeat))
+                   .has_error());
+  }
+}
+
+/// Bytes changed, taken out and put in at random places: no reader ends the process, and what is
+/// taken names a worker that can be used.
+TEST(DialectTest, spoiledBytesAreReadOrRefused) {
+  std::uint64_t random = 1;
+  const auto draw = [&random](std::size_t below) {
+    constexpr std::uint64_t kMultiplier = 6364136223846793005U;
+    random = random * kMultiplier + 1442695040888963407U;
+    return static_cast<std::size_t>((random >> 33U) % below);
+  };
+  const std::string texts[] = {kHeartbeat, withTenants(kTenants),
+                               R"({"models":[],"inFlight":false,"seq":2,"born":5})"};
+  constexpr int kRounds = 3000;
+  for (int round = 0; round < kRounds; ++round) {
+    std::string text = texts[draw(3)];
+    for (std::size_t change = 0; change <= draw(4); ++change) {
+      const std::size_t place = draw(text.size());
+      switch (draw(3)) {
+        case 0:
+          text[place] = static_cast<char>(draw(256));
+          break;
+        case 1:
+          text.erase(place, 1 + draw(8));
+          break;
+        default:
+          text.insert(place, 1, static_cast<char>(draw(256)));
+          break;
+      }
+    }
+    const auto call = control.readCall(post("/v1/Instances.Heartbeat/i-7", text));
+    if (call) {
+      const auto& alive = std::get<registry::ReportAlive>(call.value());
+      CHECK_FALSE(alive.heartbeat.worker.id.value.empty());
+      CHECK_TRUE(alive.heartbeat.worker.endpoint.port != 0);
+    }
+    (void)documents.read(text);
+    net::HttpResponse response;
+    response.head.status = 200;
+    response.body = text;
+    (void)workers.readReport(response);
+  }
+}
