registry: a store of unknown speed is begun with one load where loads are long

Refused callers of a tenant above its quota were all told to come back as soon as one of them could.

Change: where two loads at once, at a store that takes one, would both end after all callers have left (twice the longest load above the longest time-out), the limit begins with one and grows by a half with each load in time. Elsewhere it begins with eight, as before. Retry-After of a quota counts what was refused before.

--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -63,6 +63,26 @@
   (operation == OrderOperation::load ? worker.arriving : worker.retiring) = model;
 }
 
+base::Duration longestLoad(const catalog::EngineSpec& engine) {
+  base::Duration longest{0};
+  for (const catalog::ModelSpec& model : engine.models) {
+    longest = std::max(longest, model.storeLoadTime);
+  }
+  return longest;
+}
+
+/// @return for how long a caller of that service waits at most.
+base::Duration longestTimeout(const catalog::Document& document, const std::string& service) {
+  base::Duration longest{0};
+  for (const catalog::Route& route : document.routes) {
+    const bool served = std::any_of(
+        route.services.begin(), route.services.end(),
+        [&service](const catalog::WeightedService& part) { return part.service == service; });
+    longest = served ? std::max(longest, route.timeout) : longest;
+  }
+  return longest;
+}
+
 /// @return until the order under way is expected to end. One that is overdue is taken to need as
 /// long again as it is late.
 base::Duration busyTime(const WorkerStatus& status, base::TimePoint now) {
@@ -343,6 +363,7 @@
   }
   PlacementPolicy& policy = policies_.try_emplace(service.name, service.name).first->second;
   StoreScheduler& store = stores_[service.name];
+  store.setPatience(longestLoad(*service.engine), longestTimeout(*document_, service.name));
   store.setLimit(service.engine->storeLoadsPerSecond,
                  {options_.storeWindow, options_.storeOvershoot}, now);
   countForeignLoads(service, store);
--- a/src/registry/load_concurrency.cpp
+++ b/src/registry/load_concurrency.cpp
@@ -1,6 +1,7 @@
 #include "registry/load_concurrency.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace walnut::registry {
 
@@ -17,10 +18,20 @@
 /// at once after four rounds, as each try makes loads late.
 constexpr double kSlowGrowth = 0.25;
 
+/// Growth for each load in time before a load was late, where a wrong guess costs every load.
+constexpr double kCautiousGrowth = 0.5;
+
 }  // namespace
 
+void LoadConcurrency::setCautious(bool cautious) {
+  if (std::exchange(cautious_, cautious) != cautious && !observed_) {
+    limit_ = cautious ? kCautiousLimit : kInitialLimit;
+  }
+}
+
 void LoadConcurrency::observe(std::uint64_t load, std::size_t underWayAtStart, double lateness,
                               bool limitReached) {
+  observed_ = true;
   if (lateness <= kOnTime) {
     lastLate_.reset();
     shown_ = std::max(shown_, static_cast<double>(underWayAtStart));
@@ -37,7 +48,8 @@
 void LoadConcurrency::grow(std::size_t underWayAtStart) {
   const double tried = kTriedBeyondShown * static_cast<double>(underWayAtStart);
   if (limit_ < tried) {
-    limit_ = std::min(tried, limit_ + (probing_ ? 1.0 : kSlowGrowth / limit_));
+    const double probed = cautious_ ? kCautiousGrowth : 1.0;
+    limit_ = std::min(tried, limit_ + (probing_ ? probed : kSlowGrowth / limit_));
   }
 }
 
@@ -54,7 +66,7 @@
   lastLate_ = {load, underWay / lateness};
   if (former && former->load != load) {
     probing_ = false;
-    limit_ = std::clamp(std::max(former->estimate, lastLate_->estimate), kLeastLimit, limit_);
+    limit_ = std::clamp(std::max(former->estimate, lastLate_->estimate), least(), limit_);
   }
 }
 
--- a/src/registry/load_concurrency.h
+++ b/src/registry/load_concurrency.h
@@ -17,6 +17,11 @@
 /// Begins low and grows by one with each load that ends in time while the limit is in use, to no
 /// more than twice the loads that it began with (it doubles in the time of a load), until a load is
 /// late; from then on it grows slowly, to notice a store that has become faster.
+///
+/// What it begins with depends on what a wrong guess costs. Where loads are short against what
+/// callers wait, too many at once are late and still of use. Where two at once at a store that
+/// takes one both end after all callers have left, the first guess would cost every load of it: it
+/// begins with one.
 class LoadConcurrency {
  public:
   /// Loads at once to begin with, and the least that the limit falls to. Of the stores seen the
@@ -24,6 +29,11 @@
   /// in the same time in all; too few leave it idle, and a round of doubling costs a load's time.
   static constexpr double kInitialLimit = 8;
   static constexpr double kLeastLimit = 2;
+  /// The same where a wrong guess costs every load.
+  static constexpr double kCautiousLimit = 1;
+
+  /// @param cautious whether loads are so long that a wrong guess costs every one of them.
+  void setCautious(bool cautious);
 
   /// @return loads that may be under way.
   std::size_t limit() const { return static_cast<std::size_t>(limit_); }
@@ -44,6 +54,10 @@
     double estimate = 0;  ///< Of the store's number.
   };
 
+  double least() const { return cautious_ ? kCautiousLimit : kLeastLimit; }
+
+  bool cautious_ = false;
+  bool observed_ = false;  ///< Some load has told of the store.
   double limit_ = kInitialLimit;
   double shown_ = 0;     ///< Loads at once that the store was seen to take in time.
   bool probing_ = true;  ///< No load was late yet.
--- a/src/registry/quota_ledger.cpp
+++ b/src/registry/quota_ledger.cpp
@@ -74,6 +74,7 @@
   });
   const double brought = bucket.ratePerSecond * seconds(now - bucket.refilledAt);
   bucket.refilledAt = now;
+  bucket.backlog = std::max(0.0, bucket.backlog - brought);
   const double most = std::max(0.0, bucket.capacity - bucket.outside);
   bucket.level = std::min(bucket.level + brought, std::max(most, 0.0));
 }
@@ -120,7 +121,9 @@
   hold(bucket, gateway, held + granted, now + kQuotaLease);
   QuotaShare share{claim.tenant, granted, base::Duration::zero()};
   if (granted < needed) {
-    share.retryAfter = timeFor(needed - granted, bucket.ratePerSecond);
+    // Callers are sent away in turn: each is told when what was refused before it will have passed.
+    bucket.backlog += needed - granted;
+    share.retryAfter = timeFor(bucket.backlog, bucket.ratePerSecond);
   }
   if (needed > 0) {
     noteExhausted(bucket, claim.tenant, granted < needed, now);
--- a/src/registry/quota_ledger.h
+++ b/src/registry/quota_ledger.h
@@ -50,6 +50,7 @@
     double capacity = 0;
     double level = 0;
     double outside = 0;  ///< Sum of the holdings.
+    double backlog = 0;  ///< Refused, and told to come back when the rate will have brought it.
     base::TimePoint refilledAt;
     std::map<protocol::ConnectionId, Holding> holdings;
     bool exhausted = false;
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -13,6 +13,10 @@
 /// Kept by the leader for one service. A worker has one load under way at most.
 class StoreScheduler {
  public:
+  /// @param longestLoad that a model declares. @param patience the longest that a caller waits.
+  void setPatience(base::Duration longestLoad, base::Duration patience) {
+    concurrency_.setCautious(patience > base::Duration::zero() && 2 * longestLoad > patience);
+  }
   /// To be called before the rest, with the present time.
   void setLimit(double perSecond, const StoreWindow& window, base::TimePoint now);
   /// Loads under way that a former leader ordered, by workers that are busy with an unknown order.
--- a/test/registry/store_scheduler_test.cpp
+++ b/test/registry/store_scheduler_test.cpp
@@ -88,6 +88,33 @@
   CHECK_TRUE(store.limit() >= 40);
 }
 
+/// Pattern: loads of 13 to 20 s, callers that wait for 35 s at most, and a store that takes one
+/// load at full speed. Of eight begun at once none ends before all callers have left.
+TEST(StoreSchedulerTest, whereLoadsAreLongAStoreThatTakesOneServesItsFirstCallers) {
+  modelled.capacity = 1;
+  modelled.declared = 18s;
+  store.setPatience(modelled.declared, 35s);
+  play(35s);
+  CHECK_EQUAL(1, mostUnderWay);
+  CHECK_EQUAL(1, done);
+  play(300s);
+  CHECK_TRUE(mostUnderWay <= 2);
+  CHECK_TRUE(done >= 12);
+}
+
+TEST(StoreSchedulerTest, whereLoadsAreLongAStoreThatTakesManyIsUsedAllTheSame) {
+  modelled.capacity = 40;
+  modelled.declared = 18s;
+  store.setPatience(modelled.declared, 35s);
+  play(180s);
+  CHECK_TRUE(store.limit() >= 40);
+}
+
+TEST(StoreSchedulerTest, whereLoadsAreShortItBeginsWithMany) {
+  store.setPatience(4300ms, 25s);
+  CHECK_EQUAL(static_cast<std::size_t>(LoadConcurrency::kInitialLimit), store.limit());
+}
+
 TEST(StoreSchedulerTest, theDelayOfTheNewsDoesNotMakeShortLoadsLate) {
   modelled.capacity = 25;
   modelled.declared = 700ms;
--- a/test/simulator/quota_fleet_test.cpp
+++ b/test/simulator/quota_fleet_test.cpp
@@ -372,3 +372,20 @@
       7, ledger.grant({1}, {1, {{"t", 0, 7, 7, 0, 0}}}, base::TimePoint(1s)).shares.at(0).granted,
       0.1);
 }
+
+/// Callers that were refused together are not sent back together.
+TEST(QuotaLedgerTest, refusedCallersAreToldToComeBackInTurn) {
+  QuotaLedger ledger({kWindow, 0, 0});
+  catalog::Tenant tenant;
+  tenant.name = "t";
+  tenant.ratePerSecond = 1000;
+  tenant.burst = 1000;
+  const base::TimePoint now(100s);
+  ledger.setTenants({tenant}, now);
+  base::Duration former{0};
+  for (std::uint64_t gateway = 1; gateway <= 5; ++gateway) {
+    const QuotaGrant grant = ledger.grant({gateway}, {1, {{"t", 0, 500, 500, 0, 0}}}, now);
+    CHECK(grant.shares.at(0).retryAfter >= former + 400ms);
+    former = grant.shares.at(0).retryAfter;
+  }
+}
