--- a/test/gateway/suspension_test.cpp
+++ b/test/gateway/suspension_test.cpp
@@ -61,8 +61,8 @@
   request.target = "/once/x";
   request.body = "same";
   registry::SuspectList list;
-  list.requests.push_back(
-      {digestOf(harness.dialect.callerOf(request), request), registry::RequestStanding::quarantined, 3, 5s});
+  list.requests.push_back({digestOf(harness.dialect.callerOf(request), request),
+                           registry::RequestStanding::quarantined, 3, 5s});
   harness.gateway.suspectsReceived(list);
   harness.scheduler.wakeAfter(6s);
   const auto caller = harness.request("once", "r1", "", "same");
