--- a/include/walnut/catalog/validation.h
+++ b/include/walnut/catalog/validation.h
@@ -10,7 +10,8 @@
 /// @return an error that names the field, with the name of its route, service or tenant, if the
 /// document must not be taken: a route without services or with one that is not declared, two
 /// routes with one host and prefix, weights that add up to nothing, no time-out; a tenant without a
-/// name or with that of another, an empty key or one that two tenants share. Names no key.
+/// name, with that of another or with control characters in it, an empty key or one that two
+/// tenants share. Names no key.
 base::Result<void> validate(const Document& document);
 
 }  // namespace walnut::catalog
--- a/src/catalog/validation.cpp
+++ b/src/catalog/validation.cpp
@@ -1,5 +1,7 @@
 #include "walnut/catalog/validation.h"
 
+#include <algorithm>
+#include <cctype>
 #include <cmath>
 #include <map>
 #include <set>
@@ -57,10 +59,19 @@
 
 bool isAmount(double value) { return std::isfinite(value) && value >= 0; }
 
+/// Workers are told the name in a header field: it must not end that, nor begin another.
+bool hasControlCharacter(const std::string& name) {
+  return std::any_of(name.begin(), name.end(),
+                     [](char sign) { return std::iscntrl(static_cast<unsigned char>(sign)) != 0; });
+}
+
 Result<void> checkTenant(const Tenant& tenant) {
   if (tenant.name.empty()) {
     return invalidTenant(ErrorCode::missingField, tenant, "name", "a tenant needs a name");
   }
+  if (hasControlCharacter(tenant.name)) {
+    return Error{ErrorCode::outOfRange, "tenants[].name", "a name has a control character"};
+  }
   if (!isAmount(tenant.ratePerSecond) || !isAmount(tenant.burst) || !isAmount(tenant.plainTokens)) {
     return invalidTenant(ErrorCode::outOfRange, tenant, "quota", "a figure is below 0");
   }
--- a/test/catalog/validation_test.cpp
+++ b/test/catalog/validation_test.cpp
@@ -82,6 +82,9 @@
   const FaultCase cases[] = {
       {"no name", [](Document& document) { document.tenants[0].name.clear(); },
        base::ErrorCode::missingField, "tenants[].name"},
+      {"a name that ends a header field",
+       [](Document& document) { document.tenants[0].name = "one\r\nOther: x"; },
+       base::ErrorCode::outOfRange, "tenants[].name"},
       {"a name twice", [](Document& document) { document.tenants[1].name = "one"; },
        base::ErrorCode::alreadyExists, "tenants[one].name"},
       {"a shared key",
