registry, simulator: late models are announced by a module of its own; a fleet that stands still

Gateways that ask nobody break the quota's check. A leader that was suspended confirms nothing older.

--- a/include/walnut/catalog/document.h
+++ b/include/walnut/catalog/document.h
@@ -126,18 +126,18 @@
   std::optional<std::uint32_t> priority;  ///< Goes before that of a route; 0 is the most urgent.
   /// @name Its quota, over all gateways together
   /// @{
-  double ratePerSecond = 0;   ///< 0: there is no limit.
+  double unitsPerSecond = 0;  ///< Rate; 0: there is no limit.
   double burst = 0;           ///< Beyond the rate.
   bool countsTokens = false;  ///< Else each request counts as one.
-  double plainTokens = 0;     ///< Of a request that tells no count of tokens.
+  double defaultTokens = 0;   ///< Of a request that tells no count of tokens.
   /// @}
 
-  bool limited() const { return ratePerSecond > 0; }
+  bool limited() const { return unitsPerSecond > 0; }
 
   bool operator==(const Tenant&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(name, keys, priority, ratePerSecond, burst, countsTokens, plainTokens);
+    archive(name, keys, priority, unitsPerSecond, burst, countsTokens, defaultTokens);
   }
 };
 
--- a/src/catalog/validation.cpp
+++ b/src/catalog/validation.cpp
@@ -72,7 +72,8 @@
   if (hasControlCharacter(tenant.name)) {
     return Error{ErrorCode::outOfRange, "tenants[].name", "a name has a control character"};
   }
-  if (!isAmount(tenant.ratePerSecond) || !isAmount(tenant.burst) || !isAmount(tenant.plainTokens)) {
+  if (!isAmount(tenant.unitsPerSecond) || !isAmount(tenant.burst) ||
+      !isAmount(tenant.defaultTokens)) {
     return invalidTenant(ErrorCode::outOfRange, tenant, "quota", "a figure is below 0");
   }
   for (const std::string& key : tenant.keys) {
--- a/src/gateway/gateway_admission.cpp
+++ b/src/gateway/gateway_admission.cpp
@@ -44,7 +44,7 @@
     return 1;
   }
   return facts.tellsTokens ? static_cast<double>(facts.promptTokens + facts.mostTokens)
-                           : tenant.plainTokens;
+                           : tenant.defaultTokens;
 }
 
 std::uint64_t millisOf(base::Duration duration) {
--- a/src/registry/leader_beliefs.cpp
+++ b/src/registry/leader_beliefs.cpp
@@ -19,12 +19,6 @@
 constexpr double kAliveHeartbeats = 1.5;
 /// Several checks late: the process stood still, or its machine was suspended.
 constexpr base::Duration kHeldUp = std::chrono::milliseconds(300);
-/// @name Models that come late: a change of their expected time that is told, and how often at most
-/// @{
-constexpr base::Duration kLateModelsMoved = std::chrono::seconds(2);
-constexpr base::Duration kLateModelsSpacing = std::chrono::milliseconds(250);
-/// @}
-
 /// Bound for what nobody takes out: callers that were heard once.
 constexpr std::size_t kMostContests = 1024;
 
@@ -206,7 +200,7 @@
   for (const QuotaLedger::Change& change : quotas_.takeChanges()) {
     log_.write(change.exhausted ? LogEvent::quotaExhausted : LogEvent::quotaRegained,
                {{"tenant", change.tenant},
-                {"rate", static_cast<std::uint64_t>(change.ratePerSecond)},
+                {"rate", static_cast<std::uint64_t>(change.unitsPerSecond)},
                 {"held", static_cast<std::uint64_t>(change.held)},
                 {"former-millis", millisOf(change.formerFor)}});
   }
@@ -231,26 +225,11 @@
   }
 }
 
-/// Told when it changes by more than callers would notice, and again while there is something to
-/// tell, as gateways forget it.
 void LeaderDuties::sendLateModels(base::TimePoint now) {
-  LateModels late = lateModels();
-  std::vector<std::pair<std::string, base::TimePoint>> told;
-  for (const LateModel& model : late.models) {
-    told.emplace_back(model.model, now + model.availableIn);
-  }
-  const bool same =
-      std::equal(told.begin(), told.end(), lateTold_.begin(), lateTold_.end(),
-                 [](const auto& left, const auto& right) {
-                   return left.first == right.first &&
-                          std::chrono::abs(left.second - right.second) < kLateModelsMoved;
-                 });
-  const bool due = !told.empty() && now >= lateToldAt_ + kLateModelsLast / 2;
-  if ((same && !due) || now < lateToldAt_ + kLateModelsSpacing) {
+  const LateModels late = lateModels();
+  if (!lateModelAnnouncer_.due(late, now)) {
     return;
   }
-  lateTold_ = std::move(told);
-  lateToldAt_ = now;
   for (const protocol::ConnectionId gateway : publisher_.gateways()) {
     actions_.emplace_back(control::SendToConnection{gateway, RegistryMessage{MessageBody(late)}});
   }
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -16,6 +16,7 @@
 #include "registry/demand_book.h"
 #include "registry/document_cache.h"
 #include "registry/document_sender.h"
+#include "registry/late_model_announcer.h"
 #include "registry/load_backoff.h"
 #include "registry/order_turns.h"
 #include "registry/placement.h"
@@ -155,8 +156,7 @@
   std::map<std::string, PlacementPolicy> policies_;  ///< By service.
   std::map<std::string, StoreScheduler> stores_;     ///< By service.
   std::map<std::string, LoadBackoff> backoffs_;      ///< By service.
-  std::vector<std::pair<std::string, base::TimePoint>> lateTold_;  ///< Model, when it is expected.
-  base::TimePoint lateToldAt_;
+  LateModelAnnouncer lateModelAnnouncer_;
   std::map<std::uint64_t, SentOrder> orders_;
   std::uint64_t lastOrder_ = 0;
   std::map<std::uint64_t, Batch> batches_;
--- a/src/registry/quota_ledger.cpp
+++ b/src/registry/quota_ledger.cpp
@@ -37,7 +37,7 @@
 
 /// What a window may hold beyond the rate and the burst.
 double QuotaLedger::allowance(const catalog::Tenant& tenant) const {
-  return options_.overshoot * (tenant.ratePerSecond * seconds(options_.window) + tenant.burst) +
+  return options_.overshoot * (tenant.unitsPerSecond * seconds(options_.window) + tenant.burst) +
          options_.slack;
 }
 
@@ -57,9 +57,9 @@
     } else {
       refill(bucket, now);
     }
-    bucket.ratePerSecond = tenant.ratePerSecond;
+    bucket.unitsPerSecond = tenant.unitsPerSecond;
     bucket.capacity = std::max(tenant.burst + kToleranceUsed * allowance(tenant),
-                               kLeastCapacitySeconds * tenant.ratePerSecond);
+                               kLeastCapacitySeconds * tenant.unitsPerSecond);
     bucket.level = std::min(bucket.level, bucket.capacity);
   }
   std::erase_if(buckets_,
@@ -72,7 +72,7 @@
     bucket.outside -= ended ? entry.second.amount : 0;
     return ended;
   });
-  const double brought = bucket.ratePerSecond * seconds(now - bucket.refilledAt);
+  const double brought = bucket.unitsPerSecond * seconds(now - bucket.refilledAt);
   bucket.refilledAt = now;
   bucket.backlog = std::max(0.0, bucket.backlog - brought);
   const double most = std::max(0.0, bucket.capacity - bucket.outside);
@@ -123,7 +123,7 @@
   if (granted < needed) {
     // Callers are sent away in turn: each is told when what was refused before it will have passed.
     bucket.backlog += needed - granted;
-    share.retryAfter = timeFor(bucket.backlog, bucket.ratePerSecond);
+    share.retryAfter = timeFor(bucket.backlog, bucket.unitsPerSecond);
   }
   if (needed > 0) {
     noteExhausted(bucket, claim.tenant, granted < needed, now);
@@ -140,7 +140,7 @@
   }
   bucket.exhausted = exhausted;
   changes_.push_back(
-      {tenant, exhausted, bucket.ratePerSecond, bucket.outside, now - bucket.changedAt});
+      {tenant, exhausted, bucket.unitsPerSecond, bucket.outside, now - bucket.changedAt});
   bucket.changedAt = now;
 }
 
--- a/src/registry/quota_ledger.h
+++ b/src/registry/quota_ledger.h
@@ -34,7 +34,7 @@
   struct Change {
     std::string tenant;
     bool exhausted = false;
-    double ratePerSecond = 0;
+    double unitsPerSecond = 0;
     double held = 0;  ///< Out at gateways.
     base::Duration formerFor{0};
   };
@@ -46,7 +46,7 @@
     base::TimePoint until;
   };
   struct Bucket {
-    double ratePerSecond = 0;
+    double unitsPerSecond = 0;
     double capacity = 0;
     double level = 0;
     double outside = 0;  ///< Sum of the holdings.
--- a/src/simulator/fleet_gateway.cpp
+++ b/src/simulator/fleet_gateway.cpp
@@ -35,9 +35,15 @@
       : owner_(owner),
         loop(owner.scheduler_),
         session(options, loop, *this, log_, owner.scheduler_.random().uniform(1, 1'000'000)),
-        gateway({}, loop, none_, none_, session, log_, metrics_),
+        gateway(gatewayOptions(owner.revocation_), loop, none_, none_, session, log_, metrics_),
         follower(loop, session, gateway, log_) {}
 
+  static gateway::GatewayOptions gatewayOptions(base::Duration revocation) {
+    gateway::GatewayOptions options;
+    options.revocation = revocation;
+    return options;
+  }
+
   void open(const base::Endpoint& server) override {
     owner_.processor_.atEndOfTurn([this, server] { owner_.links_.open(owner_.index_, server); });
   }
@@ -69,8 +75,12 @@
 };
 
 FleetGateway::FleetGateway(std::size_t index, Scheduler& scheduler, FleetGatewayLinks& links,
-                           double share)
-    : index_(index), scheduler_(scheduler), links_(links), processor_(scheduler, share) {}
+                           double share, base::Duration revocation)
+    : index_(index),
+      scheduler_(scheduler),
+      links_(links),
+      revocation_(revocation),
+      processor_(scheduler, share) {}
 
 FleetGateway::~FleetGateway() = default;
 
--- a/src/simulator/fleet_gateway.h
+++ b/src/simulator/fleet_gateway.h
@@ -24,7 +24,8 @@
 
 class FleetGateway {
  public:
-  FleetGateway(std::size_t index, Scheduler& scheduler, FleetGatewayLinks& links, double share);
+  FleetGateway(std::size_t index, Scheduler& scheduler, FleetGatewayLinks& links, double share,
+               base::Duration revocation);
   ~FleetGateway();
 
   void start(const std::vector<base::Endpoint>& servers);
@@ -58,6 +59,7 @@
   const std::size_t index_;
   Scheduler& scheduler_;
   FleetGatewayLinks& links_;
+  const base::Duration revocation_;
   Processor processor_;
   std::unique_ptr<GatewayProcess> process_;
   std::uint64_t life_ = 0;
--- a/src/simulator/processor.cpp
+++ b/src/simulator/processor.cpp
@@ -12,8 +12,23 @@
   }
 }
 
+bool Processor::postponed(void (Processor::*step)()) {
+  if (scheduler_.now() >= suspendedUntil_) {
+    return false;
+  }
+  scheduler_.at(suspendedUntil_, [this, step, life = life_] {
+    if (life == life_) {
+      (this->*step)();
+    }
+  });
+  return true;
+}
+
 void Processor::runNext() {
   busy_ = true;
+  if (postponed(&Processor::runNext)) {
+    return;
+  }
   charged_ = base::Duration::zero();
   const std::function<void()> input = std::move(inputs_.front());
   inputs_.pop_front();
@@ -33,6 +48,9 @@
 }
 
 void Processor::endTurn() {
+  if (postponed(&Processor::endTurn)) {
+    return;
+  }
   for (const std::function<void()>& output : std::exchange(outputs_, {})) {
     output();
   }
--- a/src/simulator/processor.h
+++ b/src/simulator/processor.h
@@ -25,6 +25,8 @@
   /// Runs `output` when the present input's time is over.
   void atEndOfTurn(std::function<void()> output) { outputs_.push_back(std::move(output)); }
   void setShare(double share) { share_ = share; }
+  /// The machine stands still: time goes on, and neither inputs nor outputs do.
+  void suspend(base::Duration duration) { suspendedUntil_ = scheduler_.now() + duration; }
   /// The process ended: what waits or is under way never happens.
   void reset();
 
@@ -34,9 +36,12 @@
  private:
   void runNext();
   void endTurn();
+  /// @return true if `step` runs later, as the machine stands still.
+  bool postponed(void (Processor::*step)());
 
   Scheduler& scheduler_;
   double share_;
+  base::TimePoint suspendedUntil_;
   bool busy_ = false;
   std::uint64_t life_ = 0;
   base::Duration charged_{0};
--- a/src/simulator/registry_fleet.h
+++ b/src/simulator/registry_fleet.h
@@ -34,6 +34,8 @@
   base::Duration restAfterFault = std::chrono::seconds(4);
   /// Each document takes away the key of the one before: no gateway lets that through later.
   base::Duration revokedWithin = std::chrono::seconds(5);
+  /// What gateways go by; other than `revokedWithin` only to show that the check sees it.
+  base::Duration gatewayRevocation = std::chrono::seconds(5);
 };
 
 /// A gateway that served by an older document than it should have, or than before, or by none; or
@@ -73,6 +75,9 @@
   /// Gives a process a part of its share of a core; 1: the whole.
   void slowServer(std::size_t server, double part);
   void slowGateway(std::size_t gateway, double part);
+  /// Their machines stand still for that long.
+  void suspendServer(std::size_t server, base::Duration duration);
+  void suspendGateway(std::size_t gateway, base::Duration duration);
   /// Ends every process at once; all start again after `down`, the servers of `diskLosses` empty.
   void restartAll(base::Duration down, const std::vector<std::size_t>& diskLosses);
   /// @}
@@ -84,6 +89,8 @@
   /// @return how many gateways serve by the newest acknowledged document.
   std::size_t gatewaysUpToDate() const;
   const std::vector<FleetViolation>& violations() const { return violations_; }
+  /// @return how often a gateway would have let a key through that had been taken away.
+  std::size_t revokedKeysInForce() const;
   std::string describeViolations() const;
   /// The longest that one input held up a server's loop since the last call.
   base::Duration takeLongestServerTurn();
--- a/test/catalog/validation_test.cpp
+++ b/test/catalog/validation_test.cpp
@@ -94,7 +94,7 @@
        base::ErrorCode::alreadyExists, "tenants[two].keys"},
       {"an empty key", [](Document& document) { document.tenants[1].keys = {""}; },
        base::ErrorCode::outOfRange, "tenants[two].keys"},
-      {"a rate below 0", [](Document& document) { document.tenants[0].ratePerSecond = -1; },
+      {"a rate below 0", [](Document& document) { document.tenants[0].unitsPerSecond = -1; },
        base::ErrorCode::outOfRange, "tenants[one].quota"},
   };
   Document valid = validDocument();
--- a/test/gateway/key_admission_test.cpp
+++ b/test/gateway/key_admission_test.cpp
@@ -211,13 +211,20 @@
 
 TEST_GROUP_BASE(QuotaAdmissionTest, TEST_GROUP_CppUTestGroupKeyAdmissionTest){
     void beginLimited(){catalog::Tenant limited = tenant("one", {"k1"});
-limited.ratePerSecond = 100;
+limited.unitsPerSecond = 100;
 limited.countsTokens = true;
-limited.plainTokens = 20;
+limited.defaultTokens = 20;
 harness.follow();
 declare(1, {limited});
 confirm(1);
 }
+/// A request is paid, and as much is held as the next one costs.
+std::unique_ptr<Caller> payAndHold() {
+  beginLimited();
+  auto caller = request("safe", "r1", "k1", "50");
+  grant(100);
+  return caller;
+}
 void grant(double amount, base::Duration retryAfter = 0ms) {
   harness.gateway.quotaGranted(
       {harness.link.quotas.back().sequence, {{"one", amount, retryAfter}}});
@@ -236,9 +243,7 @@
 }
 
 TEST(QuotaAdmissionTest, whatIsHeldPaysWithoutAsking) {
-  beginLimited();
-  const auto first = request("safe", "r1", "k1", "50");
-  grant(100);
+  const auto first = payAndHold();
   const std::size_t asked = harness.link.quotas.size();
   const auto second = request("safe", "r2", "k1", "50");
   CHECK_EQUAL(2, sentCount());
@@ -285,9 +290,7 @@
 }
 
 TEST(QuotaAdmissionTest, whatIsHeldEndsWithItsLease) {
-  beginLimited();
-  const auto first = request("safe", "r1", "k1", "50");
-  grant(100);
+  const auto first = payAndHold();
   harness.scheduler.wakeAfter(registry::kQuotaLease);
   const auto second = request("safe", "r2", "k1", "50");
   CHECK_EQUAL(1, sentCount());
@@ -295,9 +298,7 @@
 
 /// The lease on keys outlasts that on what is held.
 TEST(QuotaAdmissionTest, whatIsHeldIsJudgedByTheClockReadAfterTheRequestHasCome) {
-  beginLimited();
-  const auto first = request("safe", "r1", "k1", "50");
-  grant(100);
+  const auto first = payAndHold();
   harness.scheduler.sleepInTurn(registry::kQuotaLease);
   const auto second = request("safe", "r2", "k1", "50");
   CHECK_EQUAL(1, sentCount());
--- a/test/platform/dialect_test.cpp
+++ b/test/platform/dialect_test.cpp
@@ -213,9 +213,9 @@
   CHECK_EQUAL(2, tenant.keys.size());
   CHECK_EQUAL(1, *tenant.priority);
   CHECK_TRUE(tenant.countsTokens);
-  DOUBLES_EQUAL(176241, tenant.ratePerSecond, 0.1);
+  DOUBLES_EQUAL(176241, tenant.unitsPerSecond, 0.1);
   DOUBLES_EQUAL(7, tenant.burst, 0.1);
-  DOUBLES_EQUAL(200, tenant.plainTokens, 0.1);
+  DOUBLES_EQUAL(200, tenant.defaultTokens, 0.1);
   CHECK_FALSE(documents.read(kDocument).value().keyed);
   CHECK_TRUE(documents.read(withTenants("\"tenants\":[],\"services\":")).value().keyed);
   const std::string open = replaced(kDocument, "\"sticky\":true", "\"public\":true");
--- a/test/registry/registry_cluster_test.cpp
+++ b/test/registry/registry_cluster_test.cpp
@@ -287,3 +287,42 @@
   const ControlAnswer answer = cluster.call(former, ReadDocument{});
   CHECK(answer.status != ControlStatus::done || answer.text == "2 two");
 }
+
+namespace {
+
+/// @return the version that was confirmed; nothing if none was.
+std::optional<std::uint64_t> confirmedVersion(const std::vector<MessageBody>& messages) {
+  for (const MessageBody& body : messages) {
+    if (const auto* confirmed = std::get_if<DocumentConfirmed>(&body)) {
+      return confirmed->documentVersion;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+TEST(RegistryClusterTest, onlyTheLeaderConfirmsADocument) {
+  startFive();
+  cluster.run(5s);
+  declare(1, "4 four");
+  const std::uint16_t leader = *cluster.leader();
+  CHECK(confirmedVersion(cluster.say(leader, ConfirmDocument{1})) == 4U);
+  const std::uint16_t other = leader == 1 ? 2 : 1;
+  CHECK(!confirmedVersion(cluster.say(other, ConfirmDocument{2})));
+  cluster.cut(leader);
+  CHECK(!confirmedVersion(cluster.say(leader, ConfirmDocument{3}, 200ms)));
+}
+
+/// The question comes before it has heard that another server leads.
+TEST(RegistryClusterTest, aLeaderThatWasSuspendedConfirmsNothingOlderThanWhatWasAcknowledged) {
+  startFive();
+  cluster.run(5s);
+  declare(1, "1 one");
+  const std::uint16_t former = *cluster.leader();
+  cluster.suspend(former);
+  cluster.run(3s);
+  declare(former == 1 ? 2 : 1, "2 two");
+  cluster.wake(former);
+  CHECK(confirmedVersion(cluster.say(former, ConfirmDocument{1})).value_or(2) == 2);
+}
--- a/test/simulator/quota_fleet_test.cpp
+++ b/test/simulator/quota_fleet_test.cpp
@@ -38,6 +38,7 @@
   std::size_t restarted = 0;     ///< Gateways that restart at five seconds.
   std::size_t cut = 0;           ///< Gateways that are cut off from five seconds on.
   bool fixedShares = false;      ///< The other way: each gateway has its share of the rate.
+  bool unlimited = false;        ///< Nobody asks, to show that the check sees it.
 };
 
 /// What was sent, and what was let through, in the order of time.
@@ -53,7 +54,7 @@
  public:
   explicit QuotaFleet(const FleetOptions& options) : options_(options), scheduler_(options.seed) {
     tenant_.name = "t";
-    tenant_.ratePerSecond = options.rate;
+    tenant_.unitsPerSecond = options.rate;
     tenant_.burst = options.rate;
     tenant_.countsTokens = true;
     begin_ = scheduler_.now();
@@ -159,7 +160,8 @@
       sent_.push_back(sent);
       return;
     }
-    sent.passed = gateways_[gateway].account.take("t", cost, scheduler_.now());
+    sent.passed =
+        options_.unlimited || gateways_[gateway].account.take("t", cost, scheduler_.now());
     sent_.push_back(sent);
     if (!sent.passed) {
       gateways_[gateway].account.waitBegan("t", cost);
@@ -328,18 +330,26 @@
   CHECK(fleet.wronglyRefused() > 0.2);
 }
 
+TEST(QuotaLedgerTest, gatewaysThatAskNobodyAreSeenToBreakTheQuota) {
+  options.hot = 7.5;
+  options.unlimited = true;
+  QuotaFleet fleet(options);
+  fleet.run(kRun);
+  CHECK(fleet.mostOfAllowed() > 1);
+}
+
 TEST(QuotaLedgerTest, aLowerQuotaBindsAtOnce) {
   QuotaLedger ledger({kWindow, kOvershoot, kSlack});
   catalog::Tenant tenant;
   tenant.name = "t";
-  tenant.ratePerSecond = 100000;
+  tenant.unitsPerSecond = 100000;
   tenant.burst = 100000;
   base::TimePoint now(100s);
   ledger.setTenants({tenant}, now);
   now += 10s;
   const QuotaGrant first = ledger.grant({1}, {1, {{"t", 0, 50000, 50000, 0, 0}}}, now);
   DOUBLES_EQUAL(50000, first.shares.at(0).granted, 1);
-  tenant.ratePerSecond = 1000;
+  tenant.unitsPerSecond = 1000;
   tenant.burst = 1000;
   ledger.setTenants({tenant}, now);
   const QuotaGrant second = ledger.grant({2}, {1, {{"t", 0, 50000, 50000, 0, 0}}}, now);
@@ -351,7 +361,7 @@
   QuotaLedger ledger({kWindow, 0, 0});
   catalog::Tenant tenant;
   tenant.name = "t";
-  tenant.ratePerSecond = 1000;
+  tenant.unitsPerSecond = 1000;
   tenant.burst = 1000;
   base::TimePoint now(100s);
   ledger.setTenants({tenant}, now);
@@ -378,7 +388,7 @@
   QuotaLedger ledger({kWindow, 0, 0});
   catalog::Tenant tenant;
   tenant.name = "t";
-  tenant.ratePerSecond = 1000;
+  tenant.unitsPerSecond = 1000;
   tenant.burst = 1000;
   const base::TimePoint now(100s);
   ledger.setTenants({tenant}, now);
--- a/test/simulator/registry_fleet_test.cpp
+++ b/test/simulator/registry_fleet_test.cpp
@@ -95,6 +95,56 @@
   CHECK_TRUE(fleet->takeLongestServerTurn() < consensus::RaftOptions().checkQuorumTimeout);
 }
 
+/// A key is taken away with each document, while leaders stand still, are cut off or end, and
+/// gateways are cut off or stand still for longer than their lease.
+/// @return how often a gateway would have let a former key through.
+std::size_t revokeBesideFaults(std::uint64_t seed, base::Duration gatewayRevocation) {
+  RegistryFleetOptions options;
+  options.seed = seed;
+  options.gatewayRevocation = gatewayRevocation;
+  RegistryFleet fleet(options);
+  fleet.startAll();
+  fleet.run(5s);
+  constexpr int kRounds = 16;
+  for (int round = 0; round < kRounds; ++round) {
+    fleet.declare(kFewRoutes);
+    const std::size_t leader = fleet.leader() % fleet.serverCount();
+    const std::size_t gateway = fleet.random().uniform(0, fleet.gatewayCount() - 1);
+    switch (fleet.random().uniform(0, 4)) {
+      case 0:
+        fleet.suspendServer(leader, fleet.random().between(500ms, 4s));
+        break;
+      case 1:
+        fleet.cutServer(leader, true);
+        fleet.scheduler().after(3s, [&fleet, leader] { fleet.cutServer(leader, false); });
+        break;
+      case 2:
+        fleet.killServer(leader, false);
+        fleet.scheduler().after(1s, [&fleet, leader] { fleet.startServer(leader); });
+        break;
+      case 3:
+        fleet.cutGateway(gateway, true);
+        fleet.scheduler().after(12s, [&fleet, gateway] { fleet.cutGateway(gateway, false); });
+        break;
+      default:
+        fleet.suspendGateway(gateway, fleet.random().between(1s, 12s));
+        break;
+    }
+    fleet.run(fleet.random().between(1s, 3s));
+  }
+  fleet.run(14s);
+  return fleet.revokedKeysInForce();
+}
+
+TEST(RegistryFleetTest, aKeyThatWasTakenAwayOpensNothingWhateverFails) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CHECK_EQUAL(0, revokeBesideFaults(seed, 5s));
+  }
+}
+
+/// The check of the test before sees gateways that hold on to their keys for longer.
+TEST(RegistryFleetTest, aLeaseThatIsTooLongIsSeen) { CHECK(revokeBesideFaults(1, 60s) > 0); }
+
 /// Overlapping restarts: each starts what it ended, whether or not another has already.
 TEST(RegistryFleetTest, whatRunsIsNotStartedAgain) {
   begin({});
