gateway: requests that wait are woken in the order of their arrival

Cause: the gateway kept its exchanges in a hash table by address and woke all that wait in that table's order, so what earlier runs left on the heap decided who took the first place at a worker; for callers: the latest to come could be served before the first. Change: exchanges have numbers that rise in the order of arrival, and are kept and woken by them.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -30,10 +30,12 @@
 
 }  // namespace
 
-Exchange::Exchange(ExchangeContext& context, std::shared_ptr<const catalog::Document> document,
-                   const catalog::Route& route, std::string service, RequestFacts facts,
-                   net::HttpRequest request, net::ResponseSink& sink)
+Exchange::Exchange(ExchangeContext& context, std::uint64_t number,
+                   std::shared_ptr<const catalog::Document> document, const catalog::Route& route,
+                   std::string service, RequestFacts facts, net::HttpRequest request,
+                   net::ResponseSink& sink)
     : context_(context),
+      number_(number),
       document_(std::move(document)),
       route_(route),
       service_(std::move(service)),
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -2,6 +2,7 @@
 /// @file
 /// One request of a caller, from its arrival to its one answer.
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -103,10 +104,12 @@
 /// events leave whole, in order and once.
 class Exchange : public net::ResponseCallbacks {
  public:
+  /// @param number of its own at its gateway, rising in the order of arrival.
   /// @param document keeps the route alive.
-  Exchange(ExchangeContext& context, std::shared_ptr<const catalog::Document> document,
-           const catalog::Route& route, std::string service, RequestFacts facts,
-           net::HttpRequest request, net::ResponseSink& sink);
+  Exchange(ExchangeContext& context, std::uint64_t number,
+           std::shared_ptr<const catalog::Document> document, const catalog::Route& route,
+           std::string service, RequestFacts facts, net::HttpRequest request,
+           net::ResponseSink& sink);
   ~Exchange() override;
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -121,6 +124,7 @@
   /// The process ends: what runs is given up.
   void giveUp();
 
+  std::uint64_t number() const { return number_; }
   const RequestFacts& facts() const { return facts_; }
   /// @return true if a worker may have worked on it.
   bool mayHaveRun() const { return launches_ > launchesNotRun_; }
@@ -185,6 +189,7 @@
   bool isStreaming() const { return route_.kind == catalog::RouteKind::streaming; }
 
   ExchangeContext& context_;
+  const std::uint64_t number_;
   const std::shared_ptr<const catalog::Document> document_;
   const catalog::Route& route_;
   const std::string service_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -209,14 +209,15 @@
 void Gateway::wakeWaiting() { forEachExchange(&Exchange::viewChanged); }
 
 void Gateway::forEachExchange(void (Exchange::*method)()) {
-  std::vector<Exchange*> all;
+  std::vector<std::uint64_t> all;
   all.reserve(exchanges_.size());
-  for (const auto& [key, exchange] : exchanges_) {
-    all.push_back(key);
+  for (const auto& [number, exchange] : exchanges_) {
+    all.push_back(number);
   }
-  for (Exchange* const exchange : all) {
-    if (exchanges_.count(exchange) != 0) {
-      (exchange->*method)();
+  for (const std::uint64_t number : all) {
+    const auto found = exchanges_.find(number);
+    if (found != exchanges_.end()) {
+      (*found->second.*method)();
     }
   }
 }
@@ -303,11 +304,12 @@
   if (!facts.model.empty()) {
     demand_.arrived(service, facts.model, facts.adapter, urgencyOf(facts, route));
   }
-  auto exchange =
-      std::make_unique<Exchange>(*this, std::move(admitted.document), route, service,
-                                 std::move(facts), std::move(admitted.request), *admitted.sink);
+  const std::uint64_t number = ++lastExchange_;
+  auto exchange = std::make_unique<Exchange>(*this, number, std::move(admitted.document), route,
+                                             service, std::move(facts), std::move(admitted.request),
+                                             *admitted.sink);
   Exchange* const started = exchange.get();
-  exchanges_.emplace(started, std::move(exchange));
+  exchanges_.emplace(number, std::move(exchange));
   started->start();
 }
 
@@ -448,7 +450,7 @@
 
 void Gateway::ended(Exchange& exchange, int status) {
   metrics_.count("walnut_gateway_requests_total", std::to_string(status));
-  const auto found = exchanges_.find(&exchange);
+  const auto found = exchanges_.find(exchange.number());
   if (found != exchanges_.end()) {
     const RequestFacts& facts = exchange.facts();
     countTenant(facts.tenant, status);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,7 +7,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 
 #include "gateway/demand_tracker.h"
 #include "gateway/document_lease.h"
@@ -166,7 +165,7 @@
   void reportWithinSpacing();
   void noteNewest(std::uint64_t version);
   void wakeWaiting();
-  /// Calls a method of all exchanges, which may end them.
+  /// Calls a method of all exchanges in the order of their arrival; it may end them.
   void forEachExchange(void (Exchange::*method)());
 
   const GatewayOptions options_;
@@ -205,7 +204,11 @@
   std::uint32_t gateways_ = kUnknownGateways;
   std::map<std::string, routing::RetryBudget> budgets_;             ///< By service.
   std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
-  std::unordered_map<Exchange*, std::unique_ptr<Exchange>> exchanges_;
+  /// By their numbers, so that those that wait are woken in the order of their arrival: in the order
+  /// of addresses the latest could take the place that the first one waits for, and no run of the
+  /// simulator could be repeated.
+  std::map<std::uint64_t, std::unique_ptr<Exchange>> exchanges_;
+  std::uint64_t lastExchange_ = 0;
   std::list<EarlyRequest> early_;
   event::TimerPtr earlyTimer_;
   bool stopping_ = false;
