--- a/programs/walnut-rehearse/serving.cpp
+++ b/programs/walnut-rehearse/serving.cpp
@@ -12,6 +12,7 @@
 #include "seed_range.h"
 #include "simulator/crash_campaign.h"
 #include "simulator/serving_campaign.h"
+#include "simulator/store_campaign.h"
 #include "walnut/runtime/settings.h"
 
 namespace walnut::rehearsal {
@@ -21,30 +22,47 @@
 using runtime::ExitCode;
 
 constexpr const char* kUsage =
-    "Usage: walnut-rehearse serving --seeds A-B\n"
+    "Usage: walnut-rehearse serving --seeds A-B [--only failing|crashing|busy|slow-store]\n"
     "Runs a leader, gateways, workers and callers under virtual time. The seed draws the size of\n"
     "the fleet and workers that fail what they are sent, in overlapping episodes; and in two more\n"
     "runs requests that crash the workers that run them, beside changes of the leader and "
     "gateways\n"
     "that restart or stand still.\n"
     "  --seeds A-B     seeds to run, or one seed A\n"
+    "  --only KIND     just the runs with failing workers, with crashing requests, with such\n"
+    "                  requests beside others that queue, or those with a weight store that is\n"
+    "                  slower than the demand, which are not among the others\n"
     "Exit code 1: a model or an adapter was asked for and never served; too little was served\n"
     "once all was well again; a request that had crashed three workers was sent to workers more\n"
     "than three times later on; another request was refused as if it did such things.\n";
 
-enum Flag : int { seeds = 1, help };
+enum Flag : int { seeds = 1, only, help };
 
 constexpr option kOptions[] = {{"seeds", required_argument, nullptr, Flag::seeds},
+                               {"only", required_argument, nullptr, Flag::only},
                                {"help", no_argument, nullptr, Flag::help},
                                {nullptr, 0, nullptr, 0}};
 
+/// @name Kinds of runs
+/// @{
+constexpr const char* kFailing = "failing";
+constexpr const char* kCrashing = "crashing";
+constexpr const char* kBusy = "busy";
+constexpr const char* kSlowStore = "slow-store";
+/// @}
+
 struct Flags {
   std::uint64_t firstSeed = 0;
   std::uint64_t lastSeed = 0;
   bool seedsGiven = false;
+  std::string only;  ///< Empty: all kinds but those with a slow store.
   bool help = false;
 };
 
+bool isKind(const std::string& text) {
+  return text == kFailing || text == kCrashing || text == kBusy || text == kSlowStore;
+}
+
 bool parseFlags(int argc, char** argv, Flags& flags) {
   optind = 1;
   int flag = 0;
@@ -53,6 +71,8 @@
       flags.help = true;
     } else if (flag == Flag::seeds && parseSeeds(optarg, flags.firstSeed, flags.lastSeed)) {
       flags.seedsGiven = true;
+    } else if (flag == Flag::only && isKind(optarg)) {
+      flags.only = optarg;
     } else {
       return false;
     }
@@ -60,13 +80,34 @@
   return optind == argc && (flags.seedsGiven || flags.help);
 }
 
+/// @return true if it passed.
 template <class Result>
-void print(std::uint64_t seed, const Result& result) {
+bool print(std::uint64_t seed, const Result& result) {
   std::cout << "seed " << seed << (result.passed() ? " passed" : " FAILED") << " "
             << result.description << "\n";
   if (!result.passed()) {
     std::cout << "replay: walnut-rehearse serving --seeds " << seed << "\n";
   }
+  return result.passed();
+}
+
+/// @return true if all runs of the seed passed.
+bool runSeed(std::uint64_t seed, const std::string& only) {
+  const auto runs = [&only](const char* kind) { return only.empty() || only == kind; };
+  bool passed = true;
+  if (runs(kFailing)) {
+    passed = print(seed, simulator::runServingCampaign(seed)) && passed;
+  }
+  if (runs(kCrashing)) {
+    passed = print(seed, simulator::runCrashCampaign(seed, simulator::CrashLoad::light)) && passed;
+  }
+  if (runs(kBusy)) {
+    passed = print(seed, simulator::runCrashCampaign(seed, simulator::CrashLoad::busy)) && passed;
+  }
+  if (only == kSlowStore) {
+    passed = print(seed, simulator::runStoreCampaign(seed)) && passed;
+  }
+  return passed;
 }
 
 }  // namespace
@@ -83,13 +124,7 @@
   }
   std::uint64_t failed = 0;
   for (std::uint64_t seed = flags.firstSeed; seed <= flags.lastSeed; ++seed) {
-    const simulator::ServingCampaignResult result = simulator::runServingCampaign(seed);
-    print(seed, result);
-    const auto crashes = simulator::runCrashCampaign(seed, simulator::CrashLoad::light);
-    print(seed, crashes);
-    const auto busy = simulator::runCrashCampaign(seed, simulator::CrashLoad::busy);
-    print(seed, busy);
-    failed += result.passed() && crashes.passed() && busy.passed() ? 0 : 1;
+    failed += runSeed(seed, flags.only) ? 0 : 1;
   }
   std::cout << flags.lastSeed - flags.firstSeed + 1 << " seeds, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
 #include <utility>
 #include <variant>
 
@@ -88,6 +89,7 @@
 ServingFleet::ServingFleet(const ServingFleetOptions& options)
     : options_(options),
       scheduler_(options.seed),
+      startedAt_(scheduler_.now()),
       reader_(std::make_unique<Reader>(options)),
       documents_(*reader_),
       turns_(scheduler_.now()) {
@@ -211,8 +213,9 @@
     const registry::OrderOutcome outcome =
         worker == nullptr ? registry::OrderOutcome::unclear
                           : worker->order(order, [this, worker] { heard(*worker); });
-    const bool accepted = outcome == registry::OrderOutcome::accepted;
-    modelOrders_ += accepted && order.adapter.empty() ? 1 : 0;
+    if (outcome == registry::OrderOutcome::accepted && order.adapter.empty()) {
+      noteModelOrder(order, *worker);
+    }
     scheduler_.after(kLinkDelay, [this, term, number = order.order, outcome] {
       if (term == term_ && leader_ != nullptr) {
         leader_->orderFinished({number, outcome}, scheduler_.now());
@@ -221,6 +224,45 @@
   });
 }
 
+double ServingFleet::sinceStart(base::TimePoint time) const {
+  return std::chrono::duration<double>(time - startedAt_).count();
+}
+
+void ServingFleet::noteModelOrder(const registry::SendOrder& order, const ServingWorker& worker) {
+  ++modelOrders_;
+  const bool fromStore = order.load && !worker.hasCopy(order.model);
+  std::ostringstream text;
+  text << " " << sinceStart(scheduler_.now()) << "s "
+       << (fromStore ? "store " : order.load ? "disk " : "unload ") << worker.record().id.value;
+  loads_[order.model] += text.str();
+  if (!fromStore) {
+    return;
+  }
+  const auto elsewhere = [this](auto has) {
+    return std::any_of(workers_.begin(), workers_.end(), [&has](const auto& other) {
+      return !other->crashed() && has(*other);
+    });
+  };
+  ++storeAccount_.loads;
+  storeAccount_.onDiskElsewhere +=
+      elsewhere([&order](const ServingWorker& other) { return other.hasCopy(order.model); });
+  storeAccount_.servedElsewhere +=
+      elsewhere([&order](const ServingWorker& other) { return other.holds(order.model); });
+}
+
+std::string ServingFleet::describeLoads(const std::string& model) const {
+  const auto counted = counts_.find(model);
+  const auto loaded = loads_.find(model);
+  std::ostringstream text;
+  if (counted != counts_.end()) {
+    text << "asked=" << counted->second.asked
+         << " first=" << sinceStart(counted->second.firstAt)
+         << "s last=" << sinceStart(counted->second.lastAt) << "s";
+  }
+  text << (loaded == loads_.end() ? std::string(" never loaded") : loaded->second);
+  return text.str();
+}
+
 void ServingFleet::heard(ServingWorker& worker) {
   if (leader_ == nullptr || worker.crashed()) {
     return;
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -56,6 +56,13 @@
   std::uint64_t innocentsRefused = 0;  ///< Other requests, refused as if they did such things.
 };
 
+/// Loads from the weight store that workers took.
+struct StoreAccount {
+  std::uint64_t loads = 0;
+  std::uint64_t onDiskElsewhere = 0;  ///< Of models that another live worker's disk had.
+  std::uint64_t servedElsewhere = 0;  ///< Of models that another live worker served.
+};
+
 class ServingFleet : private ServingGatewayLinks {
  public:
   explicit ServingFleet(const ServingFleetOptions& options);
@@ -101,6 +108,9 @@
   double servedShare() const;
   /// @return orders for models that were accepted.
   std::uint64_t modelOrders() const { return modelOrders_; }
+  const StoreAccount& storeAccount() const { return storeAccount_; }
+  /// @return how often a model was asked for, and when its loads and unloads were taken.
+  std::string describeLoads(const std::string& model) const;
   /// @return requests that reached workers with a fault.
   std::uint64_t requestsToFailing() const { return requestsToFailing_; }
 
@@ -130,6 +140,9 @@
   void runLeader();
   void carryOut(const registry::RegistryAction& action);
   void order(const registry::SendOrder& order);
+  /// @return seconds.
+  double sinceStart(base::TimePoint time) const;
+  void noteModelOrder(const registry::SendOrder& order, const ServingWorker& worker);
   void heard(ServingWorker& worker);
   void beat(std::size_t worker);
   void ask();
@@ -150,6 +163,7 @@
 
   const ServingFleetOptions options_;
   Scheduler scheduler_;
+  const base::TimePoint startedAt_;
   runtime::NullEventLog log_;
   registry::RegistryOptions registryOptions_;
   std::unique_ptr<Reader> reader_;
@@ -172,6 +186,8 @@
   std::uint64_t counting_ = 0;                 ///< How often counting began.
   std::uint64_t modelOrders_ = 0;
   std::uint64_t requestsToFailing_ = 0;
+  StoreAccount storeAccount_;
+  std::map<std::string, std::string> loads_;  ///< By model, in words.
   std::vector<CrashingRequest> crashing_;
   CrashAccount crashAccount_;
   std::uint64_t lastIncarnation_ = 0;
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -36,6 +36,16 @@
   return {holdings_, {}, orderUnderWay_, orderCount_};
 }
 
+bool ServingWorker::holds(const std::string& model) const {
+  return std::any_of(holdings_.models.begin(), holdings_.models.end(),
+                     [&model](const auto& held) { return held.name == model; });
+}
+
+bool ServingWorker::hasCopy(const std::string& model) const {
+  return std::find(holdings_.onDisk.begin(), holdings_.onDisk.end(), model) !=
+         holdings_.onDisk.end();
+}
+
 registry::HeldModel* ServingWorker::find(const std::string& model) {
   const auto found = std::find_if(holdings_.models.begin(), holdings_.models.end(),
                                   [&model](const auto& held) { return held.name == model; });
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -75,6 +75,9 @@
   /// @return how many requests were cut.
   std::size_t crash();
   bool crashed() const { return crashed_; }
+  bool holds(const std::string& model) const;
+  /// @return true if its machine's disk has the model.
+  bool hasCopy(const std::string& model) const;
   /// What its machine's disk keeps for the next incarnation.
   const std::vector<std::string>& onDisk() const { return holdings_.onDisk; }
   void setOnDisk(std::vector<std::string> models) { holdings_.onDisk = std::move(models); }
