simulator: at which crashes a refused innocent was, and who else

Cause: a run told that requests were refused beside ones that crash workers, not at which crashes they were cut, beside what, and how often each of those had been cut by then and in the end. Change: the fleet records what each crash cuts; a run that refuses an innocent prints that table.

--- a/src/simulator/crash_campaign.cpp
+++ b/src/simulator/crash_campaign.cpp
@@ -131,7 +131,8 @@
        << " cut-beside=" << result.account.cutBeside
        << " most-late-sends=" << result.account.mostLateSends
        << " innocents-refused=" << result.account.innocentsRefused
-       << " served=" << result.servedInTrouble << " after=" << result.servedAfter;
+       << " served=" << result.servedInTrouble << " after=" << result.servedAfter
+       << fleet.describeRefused();
   result.description = text.str();
   return result;
 }
--- a/src/simulator/serving_caller.h
+++ b/src/simulator/serving_caller.h
@@ -11,6 +11,9 @@
 
 namespace walnut::simulator {
 
+/// Field of a request that crashes its workers: its number.
+inline constexpr const char* kCrashingField = "Crashing";
+
 /// One try of a caller.
 struct ServingFleet::Caller : net::ResponseSink {
   explicit Caller(ServingFleet& owner) : fleet(owner) {}
--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -3,6 +3,7 @@
 /// still, and the leader changes.
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "simulator/serving_caller.h"
@@ -76,6 +77,7 @@
   if (++request.crashes == kCrashesAllowed) {
     request.thirdCrashAt = scheduler_.now();
   }
+  noteCrash(**found);
   const std::size_t cut = (*found)->crash();
   crashAccount_.cutBeside += cut - std::min<std::size_t>(cut, 1);
   const auto index = static_cast<std::size_t>(found - workers_.begin());
@@ -83,6 +85,15 @@
                    [this, index] { restartWorker(index); });
 }
 
+void ServingFleet::noteCrash(const ServingWorker& worker) {
+  CrashRecord record{scheduler_.now(), worker.record().id, {}};
+  for (const auto& call : worker.running()) {
+    record.cut.push_back({call->request.body, scheduler_.now() - call->sentAt,
+                          call->request.headers.find(kCrashingField) != nullptr});
+  }
+  crashes_.push_back(std::move(record));
+}
+
 /// It comes back empty, under another id and at the same endpoint; its disk is kept.
 void ServingFleet::restartWorker(std::size_t index) {
   registry::WorkerRecord record = workers_[index]->record();
@@ -149,12 +160,55 @@
     return;
   }
   bool quarantined = false;
-  bool innocent = false;
+  std::string request;
   for (const runtime::EventField& field : fields) {
     quarantined = quarantined || (field.key == "reason" && field.value == "quarantined");
-    innocent = innocent || (field.key == "request" && field.value.starts_with('r'));
+    request = field.key == "request" ? std::string(field.value) : request;
+  }
+  if (quarantined && request.starts_with('r')) {
+    ++crashAccount_.innocentsRefused;
+    refused_.emplace_back(scheduler_.now(), bodies_[request]);
+  }
+}
+
+std::size_t ServingFleet::crashesOf(const std::string& body, base::TimePoint until) const {
+  const auto isBody = [&body](const CrashRecord::Cut& cut) { return cut.body == body; };
+  return static_cast<std::size_t>(
+      std::count_if(crashes_.begin(), crashes_.end(), [&](const CrashRecord& crash) {
+        return crash.at <= until && std::any_of(crash.cut.begin(), crash.cut.end(), isBody);
+      }));
+}
+
+std::string ServingFleet::describeCrash(const CrashRecord& crash, const std::string& body,
+                                        base::TimePoint refusedAt) const {
+  std::ostringstream text;
+  for (const CrashRecord::Cut& cut : crash.cut) {
+    const std::size_t then = crashesOf(cut.body, crash.at);
+    if (cut.body == body) {
+      text << " after " << std::chrono::duration_cast<std::chrono::milliseconds>(cut.age).count()
+           << "ms";
+    } else if (cut.causes || then > 1) {
+      text << " [" << cut.body << " " << then << " then, " << crashesOf(cut.body, refusedAt)
+           << " at the refusal, " << crashesOf(cut.body, base::kNever) << " in the end]";
+    }
+  }
+  return text.str();
+}
+
+std::string ServingFleet::describeRefused() const {
+  std::ostringstream text;
+  for (const auto& [at, body] : refused_) {
+    text << "\n  " << sinceStart(at) << "s refused " << body;
+    for (const CrashRecord& crash : crashes_) {
+      const bool cut = std::any_of(crash.cut.begin(), crash.cut.end(),
+                                   [&body](const auto& entry) { return entry.body == body; });
+      if (cut && crash.at <= at) {
+        text << "\n    " << sinceStart(crash.at) << "s at " << crash.worker.value
+             << describeCrash(crash, body, at);
+      }
+    }
   }
-  crashAccount_.innocentsRefused += quarantined && innocent ? 1 : 0;
+  return text.str();
 }
 
 CrashAccount ServingFleet::crashAccount() const {
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -30,8 +30,6 @@
 constexpr base::Duration kGivesUpAfter = std::chrono::milliseconds(2400);
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(200);
 constexpr std::uint64_t kLeastAsked = 4;
-/// Field of a request that crashes its workers: its number.
-constexpr const char* kCrashingField = "Crashing";
 /// @}
 
 const base::Error kConnectFailed{base::ErrorCode::connectFailed, "", ""};
@@ -231,9 +229,10 @@
 void ServingFleet::noteModelOrder(const registry::SendOrder& order, const ServingWorker& worker) {
   ++modelOrders_;
   const bool fromStore = order.load && !worker.hasCopy(order.model);
+  const char* const source = fromStore ? " store " : " disk ";
   std::ostringstream text;
-  text << " " << sinceStart(scheduler_.now()) << "s "
-       << (fromStore ? "store " : order.load ? "disk " : "unload ") << worker.record().id.value;
+  text << " " << sinceStart(scheduler_.now()) << "s" << (order.load ? source : " unload ")
+       << worker.record().id.value;
   loads_[order.model] += text.str();
   if (!fromStore) {
     return;
@@ -385,6 +384,7 @@
   }
   // Of each caller a body of its own, the same in all its tries.
   request.body = caller.body;
+  bodies_[*request.headers.find("Id")] = caller.body;
   request.headers.add(
       "Deadline-Ms",
       std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(kTimeout).count()));
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -56,6 +56,18 @@
   std::uint64_t innocentsRefused = 0;  ///< Other requests, refused as if they did such things.
 };
 
+/// A worker that a request has crashed.
+struct CrashRecord {
+  struct Cut {
+    std::string body;  ///< By which a request is known in all its tries.
+    base::Duration age{0};
+    bool causes = false;  ///< It crashes its workers.
+  };
+  base::TimePoint at;
+  registry::WorkerId worker;
+  std::vector<Cut> cut;
+};
+
 /// Loads from the weight store that workers took.
 struct StoreAccount {
   std::uint64_t loads = 0;
@@ -93,6 +105,9 @@
   /// its third worker. A gateway is in touch if within that time it was neither started nor
   /// suspended and the leader did not change.
   CrashAccount crashAccount() const;
+  /// @return for each other request that was refused as if it crashed workers: at which crashes it
+  /// was cut, and how often what was cut beside it had been by then, and is in the end.
+  std::string describeRefused() const;
   static constexpr base::Duration kContact = std::chrono::seconds(3);
   /// @}
 
@@ -158,6 +173,11 @@
   void sendCrashing(std::size_t number);
   void comeAgain(std::size_t number);
   void crash(std::size_t number, const registry::WorkerId& worker);
+  void noteCrash(const ServingWorker& worker);
+  /// @return at how many crashes it was cut.
+  std::size_t crashesOf(const std::string& body, base::TimePoint until) const;
+  std::string describeCrash(const CrashRecord& crash, const std::string& body,
+                            base::TimePoint refusedAt) const;
   void restartWorker(std::size_t index);
   bool inTouch(std::size_t gateway) const;
 
@@ -190,6 +210,9 @@
   std::map<std::string, std::string> loads_;  ///< By model, in words.
   std::vector<CrashingRequest> crashing_;
   CrashAccount crashAccount_;
+  std::vector<CrashRecord> crashes_;
+  std::vector<std::pair<base::TimePoint, std::string>> refused_;  ///< Bodies.
+  std::map<std::string, std::string> bodies_;                     ///< By the id of a try.
   std::uint64_t lastIncarnation_ = 0;
 };
 
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -211,6 +211,16 @@
   running_.push_back({call, inLoop});
 }
 
+std::vector<std::shared_ptr<ServingCall>> ServingWorker::running() const {
+  std::vector<std::shared_ptr<ServingCall>> calls;
+  for (const Running& running : running_) {
+    if (!running.call->cancelled) {
+      calls.push_back(running.call);
+    }
+  }
+  return calls;
+}
+
 std::size_t ServingWorker::crash() {
   crashed_ = true;
   std::size_t cut = 0;
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -78,6 +78,8 @@
   bool holds(const std::string& model) const;
   /// @return true if its machine's disk has the model.
   bool hasCopy(const std::string& model) const;
+  /// @return what it has and has not ended.
+  std::vector<std::shared_ptr<ServingCall>> running() const;
   /// What its machine's disk keeps for the next incarnation.
   const std::vector<std::string>& onDisk() const { return holdings_.onDisk; }
   void setOnDisk(std::vector<std::string> models) { holdings_.onDisk = std::move(models); }
