--- a/src/control/crash_ledger.h
+++ b/src/control/crash_ledger.h
@@ -12,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "control/crash_cover.h"
+
 namespace walnut::control {
 
 namespace crash {
@@ -25,6 +27,9 @@
 /// users' platform it was the latter in 20 of 20 crashes. The pages allow as many sends after the
 /// third crash as before it.
 inline constexpr std::size_t kQueuedLimit = 2 * kLimit;
+/// Crashes at which a request is refused unless others that are refused explain them all: the users'
+/// pages allow three sends after the third crash.
+inline constexpr std::size_t kLastLimit = kLimit + 3;
 /// Requests that are kept in mind. A crash names some tens; each needs some 100 bytes.
 inline constexpr std::size_t kMostSuspects = 512;
 
@@ -119,31 +124,40 @@
   const std::map<Subject, Evidence>& evidence() const { return evidence_; }
   bool empty() const { return evidence_.empty(); }
 
-  /// @return the requests that are to be refused. A crash has one cause: of the requests that have
-  /// the limit of crashes, those are guilty that have one which no other such request explains.
-  /// Requests with just the same crashes can't be told apart: at the limit they are let go on,
-  /// since the next crash has mostly only one of them; beyond it they are treated as one.
+  /// @return the requests that are to be refused: of those that have the limit of crashes the ones
+  /// without which more requests would have to crash workers (CrashCover), among all that have one
+  /// crash less or more. One that was beside several causes has at times more crashes than each of
+  /// them. Requests with just the same crashes can't be told apart: at the limit they are let go on,
+  /// since the next crash has mostly only one of them; beyond it two are treated as one. At
+  /// `kLastLimit` all are refused whose crashes those that are needed do not explain.
   std::set<Subject> guilty() const {
     std::set<Subject> guilty;
     std::map<std::set<Worker>, std::vector<Subject>> groups;
     for (const auto& [request, evidence] : evidence_) {
-      if (evidence.crashes.size() >= crash::kLimit) {
+      if (evidence.crashes.size() + 1 >= crash::kLimit) {
         groups[evidence.crashes].push_back(request);
       }
       if (evidence.crashes.size() + evidence.queuedAt.size() >= crash::kQueuedLimit) {
         guilty.insert(request);
       }
     }
-    std::erase_if(groups, [](const auto& group) {
-      return group.first.size() == crash::kLimit && group.second.size() > 1;
-    });
-    for (const std::set<Worker>& workers : explanation(groups)) {
-      const std::vector<Subject>& requests = groups.at(workers);
-      guilty.insert(requests.begin(), requests.end());
+    for (const std::vector<Subject>* requests : needed(groups)) {
+      guilty.insert(requests->begin(), requests->end());
     }
     return guilty;
   }
 
+  /// @return true if other requests were at each crash that this one may have caused: else it did
+  /// cause one.
+  bool contested(const Subject& request) const {
+    const std::set<Worker>& crashes = evidence_.at(request).crashes;
+    return std::all_of(crashes.begin(), crashes.end(), [&](const Worker& worker) {
+      return std::any_of(evidence_.begin(), evidence_.end(), [&](const auto& entry) {
+        return entry.first != request && entry.second.crashes.count(worker) != 0;
+      });
+    });
+  }
+
   /// One crash from being refused, or more.
   static bool close(const Evidence& evidence) {
     return evidence.crashes.size() + 1 >= crash::kLimit ||
@@ -156,36 +170,52 @@
   }
 
  private:
-  /// @return sets that have all crashes together, each with one that is in no other of them; the
-  /// largest first.
-  static std::vector<std::set<Worker>> explanation(
-      const std::map<std::set<Worker>, std::vector<Subject>>& groups) {
-    std::vector<std::set<Worker>> chosen;
-    chosen.reserve(groups.size());
+  using Groups = std::map<std::set<Worker>, std::vector<Subject>>;
+
+  /// @param groups requests by their crashes.
+  /// @return those at the limit or beyond that no explanation does without.
+  static std::vector<const std::vector<Subject>*> needed(const Groups& groups) {
+    const CrashCover::Candidates masks = masksOf(groups);
+    CrashCover cover(masks);
+    std::vector<const std::vector<Subject>*> found;
+    std::set<Worker> explained;
+    std::size_t index = 0;
     for (const auto& [workers, requests] : groups) {
-      chosen.push_back(workers);
+      if (toldApart(workers.size(), requests.size()) && cover.needs(masks[index])) {
+        found.push_back(&requests);
+        explained.insert(workers.begin(), workers.end());
+      }
+      ++index;
     }
-    std::stable_sort(chosen.begin(), chosen.end(), [](const auto& left, const auto& right) {
-      return left.size() > right.size();
-    });
-    std::map<Worker, std::size_t> counts;  // In how many of the chosen sets each is.
-    for (const std::set<Worker>& workers : chosen) {
-      for (const Worker& worker : workers) {
-        ++counts[worker];
+    for (const auto& [workers, requests] : groups) {
+      if (workers.size() >= crash::kLastLimit &&
+          !std::includes(explained.begin(), explained.end(), workers.begin(), workers.end())) {
+        found.push_back(&requests);
       }
     }
-    for (auto set = chosen.rbegin(); set != chosen.rend(); ++set) {
-      const bool explained = std::all_of(
-          set->begin(), set->end(), [&counts](const Worker& worker) { return counts[worker] > 1; });
-      if (explained) {
-        for (const Worker& worker : *set) {
-          --counts[worker];
-        }
-        set->clear();
+    return found;
+  }
+
+  /// @return true if what is needed of requests with the same crashes may be refused: one is the
+  /// cause, or two of which either may be; more of them only at the last limit.
+  static bool toldApart(std::size_t crashes, std::size_t requests) {
+    if (requests > 2) {
+      return crashes >= crash::kLastLimit;
+    }
+    return crashes >= (requests == 1 ? crash::kLimit : crash::kLimit + 1);
+  }
+
+  static CrashCover::Candidates masksOf(const Groups& groups) {
+    std::map<Worker, std::size_t> numbers;
+    CrashCover::Candidates masks;
+    for (const auto& [workers, requests] : groups) {
+      CrashCover::Crashes& mask = masks.emplace_back();
+      for (const Worker& worker : workers) {
+        const std::size_t number = numbers.try_emplace(worker, numbers.size()).first->second;
+        mask.set(number % CrashCover::kMostCrashes);
       }
     }
-    std::erase_if(chosen, [](const std::set<Worker>& workers) { return workers.empty(); });
-    return chosen;
+    return masks;
   }
 
   Evidence& note(const Subject& request) {
--- a/test/control/crash_ledger_test.cpp
+++ b/test/control/crash_ledger_test.cpp
@@ -103,6 +103,38 @@
   checkGuilty({"guilty"});
 }
 
+/// Its caller comes again sooner than those of the three that crash workers, and meets each of them.
+TEST(CrashLedgerTest, whoWasBesideSeveralCausesIsNotGuiltyThoughItHasMoreCrashes) {
+  add("w1", {"beside", "one"});
+  add("w2", {"beside", "two"});
+  add("w3", {"beside", "three"});
+  add("w4", {"beside", "three"});
+  add("w5", {"one"});
+  add("w6", {"two"});
+  checkGuilty({});
+  add("w7", {"three"});
+  checkGuilty({"three"});
+}
+
+/// At most few of them are causes: the next crashes tell.
+TEST(CrashLedgerTest, aCrowdWithTheSameCrashesGoesOnUntilTheLastLimit) {
+  for (std::size_t crash = 1; crash < control::crash::kLastLimit; ++crash) {
+    add("w" + std::to_string(crash), {"one", "two", "three"});
+    checkGuilty({});
+  }
+  add("last", {"one", "two", "three"});
+  checkGuilty({"one", "two", "three"});
+}
+
+TEST(CrashLedgerTest, whoWasAloneAtACrashIsNotContested) {
+  add("w1", {"r", "beside"});
+  add("w2", {"r", "beside"});
+  CHECK_TRUE(ledger.contested("r"));
+  add("w3", {"r"});
+  CHECK_FALSE(ledger.contested("r"));
+  CHECK_TRUE(ledger.contested("beside"));
+}
+
 TEST(CrashLedgerTest, whatHadBegunExplainsTheCrashForWhatWasQueued) {
   for (const char* worker : {"w1", "w2", "w3"}) {
     ledger.add(worker, {"begun"}, {"queued"});
