--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -167,7 +167,7 @@
   }
   if (quarantined && request.starts_with('r')) {
     ++crashAccount_.innocentsRefused;
-    refused_.emplace_back(scheduler_.now(), bodies_[request]);
+    refused_.push_back({scheduler_.now(), bodies_[request]});
   }
 }
 
@@ -197,14 +197,15 @@
 
 std::string ServingFleet::describeRefused() const {
   std::ostringstream text;
-  for (const auto& [at, body] : refused_) {
-    text << "\n  " << sinceStart(at) << "s refused " << body;
+  for (const RefusedInnocent& refused : refused_) {
+    text << "\n  " << sinceStart(refused.at) << "s refused " << refused.body;
+    const auto isBody = [&refused](const CrashRecord::Cut& cut) {
+      return cut.body == refused.body;
+    };
     for (const CrashRecord& crash : crashes_) {
-      const bool cut = std::any_of(crash.cut.begin(), crash.cut.end(),
-                                   [&body](const auto& entry) { return entry.body == body; });
-      if (cut && crash.at <= at) {
+      if (crash.at <= refused.at && std::any_of(crash.cut.begin(), crash.cut.end(), isBody)) {
         text << "\n    " << sinceStart(crash.at) << "s at " << crash.worker.value
-             << describeCrash(crash, body, at);
+             << describeCrash(crash, refused.body, refused.at);
       }
     }
   }
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -238,9 +238,8 @@
     return;
   }
   const auto elsewhere = [this](auto has) {
-    return std::any_of(workers_.begin(), workers_.end(), [&has](const auto& other) {
-      return !other->crashed() && has(*other);
-    });
+    return std::any_of(workers_.begin(), workers_.end(),
+                       [&has](const auto& other) { return !other->crashed() && has(*other); });
   };
   ++storeAccount_.loads;
   storeAccount_.onDiskElsewhere +=
@@ -254,8 +253,7 @@
   const auto loaded = loads_.find(model);
   std::ostringstream text;
   if (counted != counts_.end()) {
-    text << "asked=" << counted->second.asked
-         << " first=" << sinceStart(counted->second.firstAt)
+    text << "asked=" << counted->second.asked << " first=" << sinceStart(counted->second.firstAt)
          << "s last=" << sinceStart(counted->second.lastAt) << "s";
   }
   text << (loaded == loads_.end() ? std::string(" never loaded") : loaded->second);
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -132,6 +132,11 @@
  private:
   struct Caller;
   class Reader;
+  /// Another request that was refused as if it did.
+  struct RefusedInnocent {
+    base::TimePoint at;
+    std::string body;
+  };
   /// A request that crashes each worker that runs it.
   struct CrashingRequest {
     std::string target;
@@ -211,8 +216,8 @@
   std::vector<CrashingRequest> crashing_;
   CrashAccount crashAccount_;
   std::vector<CrashRecord> crashes_;
-  std::vector<std::pair<base::TimePoint, std::string>> refused_;  ///< Bodies.
-  std::map<std::string, std::string> bodies_;                     ///< By the id of a try.
+  std::vector<RefusedInnocent> refused_;
+  std::map<std::string, std::string> bodies_;  ///< By the id of a try.
   std::uint64_t lastIncarnation_ = 0;
 };
 
