--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -305,9 +305,9 @@
     demand_.arrived(service, facts.model, facts.adapter, urgencyOf(facts, route));
   }
   const std::uint64_t number = ++lastExchange_;
-  auto exchange = std::make_unique<Exchange>(*this, number, std::move(admitted.document), route,
-                                             service, std::move(facts), std::move(admitted.request),
-                                             *admitted.sink);
+  auto exchange =
+      std::make_unique<Exchange>(*this, number, std::move(admitted.document), route, service,
+                                 std::move(facts), std::move(admitted.request), *admitted.sink);
   Exchange* const started = exchange.get();
   exchanges_.emplace(number, std::move(exchange));
   started->start();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -204,9 +204,9 @@
   std::uint32_t gateways_ = kUnknownGateways;
   std::map<std::string, routing::RetryBudget> budgets_;             ///< By service.
   std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
-  /// By their numbers, so that those that wait are woken in the order of their arrival: in the order
-  /// of addresses the latest could take the place that the first one waits for, and no run of the
-  /// simulator could be repeated.
+  /// By their numbers, so that those that wait are woken in the order of their arrival: in the
+  /// order of addresses the latest could take the place that the first one waits for, and no run of
+  /// the simulator could be repeated.
   std::map<std::uint64_t, std::unique_ptr<Exchange>> exchanges_;
   std::uint64_t lastExchange_ = 0;
   std::list<EarlyRequest> early_;
--- a/src/registry/crash_monitor.h
+++ b/src/registry/crash_monitor.h
@@ -23,9 +23,9 @@
 /// whose next heartbeat is overdue, has. Evidence goes into the replicated state (CrashLedger), and
 /// is taken back if the worker is heard all the same.
 ///
-/// Standings: none -> suspected (one crash below the limit, and its turn to run) <-> held (another's
-/// turn; or the next crash is pending, or new) -> quarantined (at the limit) -> suspected, after
-/// `kEvidenceLasts`; or none, once it is answered.
+/// Standings: none -> suspected (one crash below the limit, and its turn to run) <-> held
+/// (another's turn; or the next crash is pending, or new) -> quarantined (at the limit) ->
+/// suspected, after `kEvidenceLasts`; or none, once it is answered.
 class CrashMonitor {
  public:
   /// What this leader heard of a worker.
--- a/test/registry/slow_store_test.cpp
+++ b/test/registry/slow_store_test.cpp
@@ -1,12 +1,12 @@
 /// A weight store that is slower than the demand for models that no worker holds.
 /// What happened: of 54 models in 36 places, each asked for once in some 4 s, with a store of 1.5
-/// loads a second, two or three in each run of 28 s were asked for again and again and never served.
-/// Why: the store is the scarce thing, and its loads were not spent by what they bring. The trace of
-/// one run: a model asked for nine times between 8 and 25 s was first loaded at 27 s, after its last
-/// caller had left, since the order of wants forgot how many had come in vain; it was unloaded 2 s
-/// later, before anybody was answered; and 143 of 6,360 loads were of models that another live
-/// worker had on its disk.
-/// Figures of the pattern: as above, in SlowStore of the serving simulation; here its single steps.
+/// loads a second, two or three in each run of 28 s were asked for again and again and never
+/// served. Why: the store is the scarce thing, and its loads were not spent by what they bring. The
+/// trace of one run: a model asked for nine times between 8 and 25 s was first loaded at 27 s,
+/// after its last caller had left, since the order of wants forgot how many had come in vain; it
+/// was unloaded 2 s later, before anybody was answered; and 143 of 6,360 loads were of models that
+/// another live worker had on its disk. Figures of the pattern: as above, in SlowStore of the
+/// serving simulation; here its single steps.
 
 #include "registry/placement.h"
 
@@ -138,7 +138,8 @@
   STRCMP_EQUAL("left", steps[0].model.c_str());
 }
 
-/// Others wait for the store: what a disk has is waited for, as long as that is less than they lose.
+/// Others wait for the store: what a disk has is waited for, as long as that is less than they
+/// lose.
 TEST(SlowStoreTest, whatADiskHasIsNotTakenFromTheStoreWhileOthersWaitForIt) {
   const catalog::EngineSpec engine = engineOf({"copied", "cold1", "cold2", "cold3", "cold4", "x"});
   PlacementWorker busy = workerWith("busy", {});
--- a/test/simulator/repeatability_test.cpp
+++ b/test/simulator/repeatability_test.cpp
@@ -79,19 +79,20 @@
 
 }  // namespace
 
-TEST_GROUP(RepeatabilityTest) {
-  /// Plays each seed first, then all of them again in the opposite order.
-  static void checkRepeats(Play play, const std::vector<std::uint64_t>& seeds) {
-    std::vector<std::string> first;
-    for (const std::uint64_t seed : seeds) {
-      first.push_back(play(seed));
-    }
-    const DisturbedHeap heap;
-    for (std::size_t index = seeds.size(); index-- > 0;) {
-      STRCMP_EQUAL(first[index].c_str(), play(seeds[index]).c_str());
-    }
-  }
-};
+TEST_GROUP(RepeatabilityTest){
+    /// Plays each seed first, then all of them again in the opposite order.
+    static void checkRepeats(Play play, const std::vector<std::uint64_t>& seeds){
+        std::vector<std::string> first;
+for (const std::uint64_t seed : seeds) {
+  first.push_back(play(seed));
+}
+const DisturbedHeap heap;
+for (std::size_t index = seeds.size(); index-- > 0;) {
+  STRCMP_EQUAL(first[index].c_str(), play(seeds[index]).c_str());
+}
+}
+}
+;
 
 TEST(RepeatabilityTest, runsWithRequestsThatCrashWorkersAreTheSameAfterOthers) {
   checkRepeats(playCrashes, {28, 27, 11, 153});
