registry: a placement decision is logged with what was asked for in vain

Cause: the order of cold models goes by requests without an answer, which the line of the decision lacked. Change: field 'unanswered' of placement-decided.

--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -386,6 +386,7 @@
                 {"reason", reasonName(decision.reason)},
                 {"outcome", outcomeName(decision.outcome)},
                 {"waiting", decision.waiting},
+                {"unanswered", decision.unanswered},
                 {"queued", rounded(decision.queued)},
                 {"rate-percent", rounded(kPercent * decision.rate)},
                 {"replicas", decision.replicas},
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -249,6 +249,7 @@
   decision.reason = want.reason;
   decision.outcome = outcome;
   decision.waiting = figures.waiting;
+  decision.unanswered = figures.unanswered;
   decision.queued = replicas.queued;
   decision.rate = figures.rate;
   decision.replicas = replicas.present;
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -78,9 +78,10 @@
   std::string model;
   WantReason reason = WantReason::spare;
   WantOutcome outcome = WantOutcome::noWorker;
-  std::uint32_t waiting = 0;  ///< Requests at gateways.
-  double queued = 0;          ///< Requests that wait for a slot of its workers.
-  double rate = 0;            ///< Arrivals a second.
+  std::uint32_t waiting = 0;     ///< Requests at gateways.
+  std::uint32_t unanswered = 0;  ///< Requests since the last answer.
+  double queued = 0;             ///< Requests that wait for a slot of its workers.
+  double rate = 0;               ///< Arrivals a second.
   std::uint32_t replicas = 0;
   WorkerId worker;     ///< The best one, if any.
   std::string victim;  ///< What makes room there first; empty: nothing needs to.
