--- /dev/null
+++ b/test/registry/placement_kit.h
@@ -0,0 +1,32 @@
+#pragma once
+/// @file
+/// Services and workers for tests of placement.
+
+#include <initializer_list>
+
+#include "registry/placement.h"
+
+namespace walnut::registry::testing {
+
+/// @return that service with models of these names, each otherwise like `model`.
+inline catalog::EngineSpec withModels(catalog::EngineSpec engine, catalog::ModelSpec model,
+                                      std::initializer_list<const char*> names) {
+  for (const char* name : names) {
+    model.name = name;
+    engine.models.push_back(model);
+  }
+  return engine;
+}
+
+/// @return a worker that holds these models and takes orders.
+inline PlacementWorker workerWith(const char* id, std::initializer_list<const char*> models) {
+  PlacementWorker worker;
+  worker.id = {id};
+  worker.mayBeOrdered = true;
+  for (const char* model : models) {
+    worker.holdings.models.push_back({model, 1, {}});
+  }
+  return worker;
+}
+
+}  // namespace walnut::registry::testing
--- a/test/registry/placement_test.cpp
+++ b/test/registry/placement_test.cpp
@@ -2,11 +2,14 @@
 
 #include "registry/placement.h"
 
+#include "registry/placement_kit.h"
+
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
 
 using namespace walnut;
 using namespace walnut::registry;
+using namespace walnut::registry::testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -19,28 +22,14 @@
   engine.weightsMegabytes = kRoom;
   engine.adapterSlots = 2;
   engine.storeLoadsPerSecond = 2;
-  for (const char* name : models) {
-    catalog::ModelSpec model;
-    model.name = name;
-    model.weightsMegabytes = 50;
-    model.storeLoadTime = 4s;
-    model.diskLoadTime = 2s;
-    model.memoryLoadTime = 1s;
-    model.adapters = 9;
-    model.adapterMegabytes = 0;
-    engine.models.push_back(model);
-  }
-  return engine;
-}
-
-PlacementWorker workerWith(const char* id, std::initializer_list<const char*> models) {
-  PlacementWorker worker;
-  worker.id = {id};
-  worker.mayBeOrdered = true;
-  for (const char* model : models) {
-    worker.holdings.models.push_back({model, 1, {}});
-  }
-  return worker;
+  catalog::ModelSpec model;
+  model.weightsMegabytes = 50;
+  model.storeLoadTime = 4s;
+  model.diskLoadTime = 2s;
+  model.memoryLoadTime = 1s;
+  model.adapters = 9;
+  model.adapterMegabytes = 0;
+  return withModels(engine, model, models);
 }
 
 }  // namespace
--- a/test/registry/slow_store_test.cpp
+++ b/test/registry/slow_store_test.cpp
@@ -9,12 +9,14 @@
 /// serving simulation; here its single steps.
 
 #include "registry/placement.h"
+#include "registry/placement_kit.h"
 
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
 
 using namespace walnut;
 using namespace walnut::registry;
+using namespace walnut::registry::testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -25,26 +27,18 @@
   engine.weightsMegabytes = 30;
   engine.adapterSlots = 4;
   engine.storeLoadsPerSecond = 1.5;
-  for (const char* name : models) {
-    catalog::ModelSpec model;
-    model.name = name;
-    model.weightsMegabytes = 10;
-    model.storeLoadTime = 900ms;
-    model.diskLoadTime = 900ms;
-    model.memoryLoadTime = 900ms;
-    engine.models.push_back(model);
-  }
-  return engine;
+  catalog::ModelSpec model;
+  model.weightsMegabytes = 10;
+  model.storeLoadTime = 900ms;
+  model.diskLoadTime = 900ms;
+  model.memoryLoadTime = 900ms;
+  return withModels(engine, model, models);
 }
 
-PlacementWorker workerWith(const char* id, std::initializer_list<const char*> models) {
-  PlacementWorker worker;
-  worker.id = {id};
-  worker.mayBeOrdered = true;
-  for (const char* model : models) {
-    worker.holdings.models.push_back({model, 1, {}});
-    worker.holdings.onDisk.emplace_back(model);
-  }
+/// Its disk has them too.
+PlacementWorker workerWithCopies(const char* id, std::initializer_list<const char*> models) {
+  PlacementWorker worker = workerWith(id, models);
+  worker.holdings.onDisk.assign(models.begin(), models.end());
   return worker;
 }
 
@@ -78,7 +72,7 @@
   }
   report("often", 1, 1);
   report("busier-now", 2, 2);
-  const auto steps = plan(engineOf({"busier-now", "often"}), {workerWith("w", {})});
+  const auto steps = plan(engineOf({"busier-now", "often"}), {workerWithCopies("w", {})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("often", steps[0].model.c_str());
 }
@@ -89,7 +83,7 @@
   now += 60min;
   report("long-ago", 1, 1);
   report("now", 2, 2);
-  const auto steps = plan(engineOf({"long-ago", "now"}), {workerWith("w", {})});
+  const auto steps = plan(engineOf({"long-ago", "now"}), {workerWithCopies("w", {})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("now", steps[0].model.c_str());
 }
@@ -98,7 +92,7 @@
 TEST(SlowStoreTest, aNewLeaderLoadsTheModelThatMoreWaitFor) {
   report("few", 1, 0);
   report("many", 3, 0);
-  const auto steps = plan(engineOf({"few", "many"}), {workerWith("w", {})});
+  const auto steps = plan(engineOf({"few", "many"}), {workerWithCopies("w", {})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("many", steps[0].model.c_str());
 }
@@ -108,7 +102,7 @@
   report("answered", 0, 0, 1);
   report("answered", 1, 1);
   report("other", 2, 2);
-  const auto steps = plan(engineOf({"answered", "other"}), {workerWith("w", {})});
+  const auto steps = plan(engineOf({"answered", "other"}), {workerWithCopies("w", {})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("other", steps[0].model.c_str());
 }
@@ -118,8 +112,8 @@
   report("used", 0, 3);
   report("used", 0, 0, 1);
   report("new", 1, 1);
-  const auto steps =
-      plan(engineOf({"fresh", "used", "new", "x"}), {workerWith("w", {"fresh", "used", "x"})});
+  const auto steps = plan(engineOf({"fresh", "used", "new", "x"}),
+                          {workerWithCopies("w", {"fresh", "used", "x"})});
   CHECK_EQUAL(1, steps.size());
   CHECK(steps[0].operation == OrderOperation::unload);
   CHECK(steps[0].model != "fresh");
@@ -133,7 +127,7 @@
   }
   report("new", 1, 1);
   const auto steps = plan(engineOf({"left", "used1", "used2", "new"}),
-                          {workerWith("w", {"left", "used1", "used2"})});
+                          {workerWithCopies("w", {"left", "used1", "used2"})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("left", steps[0].model.c_str());
 }
@@ -142,7 +136,7 @@
 /// lose.
 TEST(SlowStoreTest, whatADiskHasIsNotTakenFromTheStoreWhileOthersWaitForIt) {
   const catalog::EngineSpec engine = engineOf({"copied", "cold1", "cold2", "cold3", "cold4", "x"});
-  PlacementWorker busy = workerWith("busy", {});
+  PlacementWorker busy = workerWithCopies("busy", {});
   busy.holdings.onDisk = {"copied"};
   busy.mayBeOrdered = false;
   busy.arriving = "x";
@@ -150,7 +144,7 @@
   for (const char* model : {"cold1", "cold2", "cold3", "cold4"}) {
     report(model, 1, 1);
   }
-  const std::vector<PlacementWorker> workers = {busy, workerWith("idle", {})};
+  const std::vector<PlacementWorker> workers = {busy, workerWithCopies("idle", {})};
   store.setLimit(engine.storeLoadsPerSecond, {}, now);
   store.ordered({"elsewhere"}, 900ms, now);
   CHECK_TRUE(plan(engine, workers).empty());
@@ -164,13 +158,13 @@
 /// Nobody waits for the store.
 TEST(SlowStoreTest, whatADiskHasIsTakenFromAnIdleStoreIfThatIsSooner) {
   const catalog::EngineSpec engine = engineOf({"copied", "x"});
-  PlacementWorker busy = workerWith("busy", {});
+  PlacementWorker busy = workerWithCopies("busy", {});
   busy.holdings.onDisk = {"copied"};
   busy.mayBeOrdered = false;
   busy.arriving = "x";
   busy.busyFor = 2s;
   report("copied", 1, 1);
-  const auto steps = plan(engine, {busy, workerWith("idle", {})});
+  const auto steps = plan(engine, {busy, workerWithCopies("idle", {})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("copied", steps[0].model.c_str());
   CHECK_TRUE(steps[0].fromStore);
