registry: zones are evacuated, as replicated state that gateways hear as workers that leave

Change: a change of a zone is an entry of the log, decided by the leader and acknowledged once it is applied. It names how many changes of the zone the server that took the call had applied: a repeated order is acknowledged again, one that comes late, after later ones were acknowledged, changes nothing and is answered 503. To gateways a worker of an evacuated zone is one that leaves, so that nothing new is on the wire to them and gateways of earlier builds obey too; at the end it is told as ready again. Placement counts such workers as not serving and orders nothing of them.

An entry that can't be read is told of (entry-refused).

--- a/include/walnut/protocol/messages.h
+++ b/include/walnut/protocol/messages.h
@@ -35,10 +35,26 @@
   base::CellId cell;
   std::uint64_t id = 0;  ///< RouterId or ServerId.
   base::ZoneId zone;
+  /// What the sender knows beyond the protocol version (registry/feature_level.h); 0: nothing.
+  std::uint32_t featureLevel = 0;
+
+  /// Builds that know no levels take exactly the first five fields: the level stands behind the
+  /// zone, which registries and gateways of such builds don't read.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(protocolVersion, role, cell, id, zone);
+    if constexpr (Archive::is_saving::value) {
+      const base::ZoneId zoneAndLevel = zoneWithLevel(zone, featureLevel);
+      archive(protocolVersion, role, cell, id, zoneAndLevel);
+    } else {
+      archive(protocolVersion, role, cell, id, zone);
+      featureLevel = takeLevel(zone);
+    }
   }
+
+ private:
+  static base::ZoneId zoneWithLevel(const base::ZoneId& zone, std::uint32_t level);
+  /// Leaves the zone alone. @return the level that stood behind it; 0: none, or unreadable.
+  static std::uint32_t takeLevel(base::ZoneId& zone);
 };
 
 /// Asks a controller how far its log reaches. A router is up to date as of the time it sent the
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -51,9 +51,22 @@
     archive(name, bornMillis);
   }
 };
+/// Nothing new is to be sent to the workers of a zone, or no longer so.
+struct EvacuateZone {
+  base::ZoneId zone;
+  bool evacuated = true;  ///< False: the evacuation ends.
+  /// Changes of that zone which the server that took the call had applied by then: a call that comes
+  /// late, after later ones were acknowledged, changes nothing.
+  std::uint64_t basedOn = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(zone, evacuated, basedOn);
+  }
+};
 /// @}
 
-using ControlCall = std::variant<ReplaceDocument, ReadDocument, ReportAlive, ReportGone>;
+using ControlCall =
+    std::variant<ReplaceDocument, ReadDocument, ReportAlive, ReportGone, EvacuateZone>;
 
 enum class ControlStatus : std::uint8_t {
   done = 0,         ///< Durable beyond the losses that the cell is to survive.
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <variant>
 
+#include "walnut/registry/feature_level.h"
 #include "walnut/runtime/clock.h"
 
 namespace walnut::daemon {
@@ -67,6 +68,7 @@
   options.hello.role = protocol::PeerRole::router;
   options.hello.id = runtime::randomSeed();
   options.hello.zone = settings_.logic.selection.zone;
+  options.hello.featureLevel = registry::kFeatureLevel;
   BOOST_OUTCOME_TRY(
       transport, transport::makeTransport(options, [this](transport::Event event) {
         dispatcher_.post([this, event = std::move(event)]() mutable { takeEvent(event); });
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "walnut/registry/feature_level.h"
 #include "walnut/runtime/clock.h"
 
 namespace walnut::daemon {
@@ -61,6 +62,7 @@
   options.hello.role = protocol::PeerRole::controller;
   options.hello.id = self_.value;
   options.hello.zone = settings_.logic.self.zone;
+  options.hello.featureLevel = registry::kFeatureLevel;
   options.listenAddress = settings_.peer.address;
   options.listenPort = settings_.peer.port;
   BOOST_OUTCOME_TRY(
--- a/src/daemon/registry_settings.cpp
+++ b/src/daemon/registry_settings.cpp
@@ -26,6 +26,7 @@
             "One server of the cell that holds the document and the list of workers.") {
   keys_.addString("name", settings_.logic.name, "Name of this server, also as giver of orders");
   keys_.addString("zone", zone_, "Availability zone of this server");
+  keys_.addStringList("zones", zones_, "Availability zones of workers; none: any");
   keys_.addEndpoint("listen", settings_.listen, "Address for operators and workers");
   keys_.addInteger("peer-port", peerPort_, 1, kMaxPort,
                    "Port of the internal protocol, on all servers");
@@ -74,6 +75,9 @@
   settings_.logic.self.peerEndpoint = settings_.peer;
   settings_.logic.self.resourceEndpoint = settings_.listen;
   settings_.logic.self.zone = {zone_};
+  for (const std::string& zone : zones_) {
+    settings_.logic.zones.push_back({zone});
+  }
   return base::success();
 }
 
--- a/src/daemon/registry_settings.h
+++ b/src/daemon/registry_settings.h
@@ -36,6 +36,7 @@
 
   RegistrySettings settings_;
   std::string zone_;
+  std::vector<std::string> zones_;
   std::int64_t peerPort_ = 0;
   std::int64_t tolerableLosses_ = 2;
   double storeWindowSeconds_ = 5;
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -2,8 +2,34 @@
 
 #include "base/archive.h"
 
+#include <charconv>
+
 namespace walnut::protocol {
 
+namespace {
+
+/// No zone's name has it.
+constexpr char kLevelMark = '\n';
+
+}  // namespace
+
+base::ZoneId Hello::zoneWithLevel(const base::ZoneId& zone, std::uint32_t level) {
+  return level == 0 ? zone : base::ZoneId{zone.value + kLevelMark + std::to_string(level)};
+}
+
+std::uint32_t Hello::takeLevel(base::ZoneId& zone) {
+  const std::size_t mark = zone.value.find(kLevelMark);
+  if (mark == std::string::npos) {
+    return 0;
+  }
+  const std::string digits = zone.value.substr(mark + 1);
+  zone.value.resize(mark);
+  std::uint32_t level = 0;
+  const char* const end = digits.data() + digits.size();
+  const auto read = std::from_chars(digits.data(), end, level);
+  return read.ec == std::errc() && read.ptr == end ? level : 0;
+}
+
 std::string encodeMessage(const Message& message) { return base::encode(message); }
 
 base::Result<Message> decodeMessage(std::string_view bytes) {
--- a/src/registry/cell_state.cpp
+++ b/src/registry/cell_state.cpp
@@ -58,6 +58,10 @@
                      body.aged ? requestCrashes_.age(request) : requestCrashes_.acquit(request);
                    }
                  },
+                 [this](const RaiseFeatureLevel& body) {
+                   featureLevel_ = std::max(featureLevel_, body.level);
+                 },
+                 [this](const StoreZoneEvacuation& body) { store(body); },
              },
              command);
 }
@@ -92,6 +96,26 @@
   held.leaving = leaving;
 }
 
+void CellState::store(const StoreZoneEvacuation& change) {
+  if (change.evacuated == evacuated(change.zone) || change.basedOn < zoneRevision(change.zone)) {
+    return;
+  }
+  ZoneState& zone = zones_[change.zone];
+  zone.evacuated = change.evacuated;
+  ++zone.revision;
+  ++zoneChanges_;
+}
+
+bool CellState::evacuated(const base::ZoneId& zone) const {
+  const auto found = zones_.find(zone);
+  return found != zones_.end() && found->second.evacuated;
+}
+
+std::uint64_t CellState::zoneRevision(const base::ZoneId& zone) const {
+  const auto found = zones_.find(zone);
+  return found == zones_.end() ? 0 : found->second.revision;
+}
+
 void CellState::forget(const WorkerId& id) {
   workers_.erase(id);
   holdings_.erase(id);
--- a/src/registry/cell_state.h
+++ b/src/registry/cell_state.h
@@ -104,11 +104,29 @@
     archive(requests, aged);
   }
 };
+/// Every server of the cell knows what this level brings: see feature_level.h.
+struct RaiseFeatureLevel {
+  std::uint32_t level = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(level);
+  }
+};
+/// Takes effect only if the zone has not been changed since `basedOn` changes of it.
+struct StoreZoneEvacuation {
+  base::ZoneId zone;
+  bool evacuated = true;
+  std::uint64_t basedOn = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(zone, evacuated, basedOn);
+  }
+};
 /// @}
 
-using Command =
-    std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder, StoreHoldings,
-                 StoreOrderedWorkers, StoreCrash, RetractCrash, ReleaseSuspects>;
+using Command = std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder,
+                             StoreHoldings, StoreOrderedWorkers, StoreCrash, RetractCrash,
+                             ReleaseSuspects, RaiseFeatureLevel, StoreZoneEvacuation>;
 
 /// Which requests crash their workers; replicated, so that no change of leader forgets it.
 using RequestCrashLedger = control::CrashLedger<RequestDigest, WorkerId>;
@@ -139,6 +157,13 @@
   /// @return the server that ordered the worker last; zero if none did.
   base::ServerId lastOrderedBy(const WorkerId& id) const;
   const RequestCrashLedger& requestCrashes() const { return requestCrashes_; }
+  std::uint32_t featureLevel() const { return featureLevel_; }
+  /// @return true if nothing new is to be sent to the workers of that zone.
+  bool evacuated(const base::ZoneId& zone) const;
+  /// @return how often the zone's evacuation has begun or ended.
+  std::uint64_t zoneRevision(const base::ZoneId& zone) const;
+  /// @return the sum of that over all zones.
+  std::uint64_t zoneChanges() const { return zoneChanges_; }
 
   /// @name Contents of a snapshot
   /// @{
@@ -154,12 +179,22 @@
   }
 
  private:
+  struct ZoneState {
+    bool evacuated = false;
+    std::uint64_t revision = 0;  ///< Changes of it so far.
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(evacuated, revision);
+    }
+  };
+
   /// What only some states have stands at the end, if at all: so a state without it is read as
   /// well, and costs no bytes.
   template <class Archive>
   void serializeRest(Archive& archive);
 
   void store(const WorkerRecord& worker);
+  void store(const StoreZoneEvacuation& change);
   void forget(const WorkerId& id);
 
   std::uint64_t documentVersion_ = 0;
@@ -170,16 +205,27 @@
   base::ServerId orderHolder_;
   std::map<WorkerId, base::ServerId> lastOrderedBy_;  ///< Of workers that are there.
   RequestCrashLedger requestCrashes_;
+  std::uint32_t featureLevel_ = 0;
+  std::map<base::ZoneId, ZoneState> zones_;  ///< That were evacuated once.
+  std::uint64_t zoneChanges_ = 0;
 };
 
 template <class Archive>
 void CellState::serializeRest(Archive& archive) {
   if constexpr (Archive::is_saving::value) {
-    if (!requestCrashes_.empty()) {
+    if (!requestCrashes_.empty() || featureLevel_ > 0) {
       archive(requestCrashes_);
     }
-  } else if (archive.remaining() > 0) {
-    archive(requestCrashes_);
+    if (featureLevel_ > 0) {
+      archive(featureLevel_, zones_, zoneChanges_);
+    }
+  } else {
+    if (archive.remaining() > 0) {
+      archive(requestCrashes_);
+    }
+    if (archive.remaining() > 0) {
+      archive(featureLevel_, zones_, zoneChanges_);
+    }
   }
 }
 
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -333,12 +333,19 @@
   for (const WorkerId& id : std::exchange(changed_, {})) {
     if (const WorkerRecord* record = state_.findWorker(id)) {
       const WorkerStatus& status = statusOf(id, now);
-      publisher_.setWorker({*record, status.silent, outliers_.failing(id), status.holdingsKnown,
-                            status.serving(now)});
+      WorkerView view{*record, status.silent, outliers_.failing(id), status.holdingsKnown,
+                      status.serving(now)};
+      view.record.leaving = outOfService(*record);
+      publisher_.setWorker(view);
     }
   }
 }
 
+/// To gateways a worker of an evacuated zone is one that leaves: none sends it anything new.
+bool LeaderDuties::outOfService(const WorkerRecord& record) const {
+  return record.leaving || state_.evacuated(record.zone);
+}
+
 /// Planning takes time in proportion to the workers; the spacing keeps its share of a core bounded.
 base::Duration LeaderDuties::planSpacing() const {
   return kPlanSpacing + kPlanSpacingPerWorker * workers_.size();
@@ -419,7 +426,7 @@
   PlacementWorker worker;
   worker.id = record.id;
   worker.holdings = status.expected(now);
-  worker.serving = !record.leaving && !status.silent && !outliers_.failing(record.id);
+  worker.serving = !outOfService(record) && !status.silent && !outliers_.failing(record.id);
   worker.mayBeOrdered = status.reportFresh && !status.sentOrder && !status.reportUnderWay &&
                         now >= status.orderAgainAt && mayOrder(record.id, now);
   worker.mayTakeAdapters = !(status.adaptersBlocked && status.modelOrder);
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -86,6 +86,8 @@
   void reviewCrashes(base::TimePoint now);
   void sendSuspects(base::TimePoint now);
   void sendSuspectsTo(protocol::ConnectionId gateway, base::TimePoint now);
+  /// @return true if nothing new is to be sent to the worker.
+  bool outOfService(const WorkerRecord& record) const;
   bool namesUnknownService(const Heartbeat& heartbeat) const;
   bool isOfFormerLife(const Heartbeat& heartbeat, base::TimePoint now);
   bool contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now);
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -129,7 +129,7 @@
     const catalog::Service* service =
         document_ == nullptr ? nullptr : document_->findService(record.service);
     WorkerStatus& status = statusOf(id, now);
-    const bool wanted = service != nullptr && service->engine && !record.leaving &&
+    const bool wanted = service != nullptr && service->engine && !outOfService(record) &&
                         !status.silent && !status.reportFresh && !status.sentOrder;
     if (wanted && now >= status.orderAgainAt && mayOrder(id, now)) {
       requestReport(record, status);
--- a/src/registry/registry_calls.cpp
+++ b/src/registry/registry_calls.cpp
@@ -1,10 +1,12 @@
 /// @file
 /// Calls from outside: handed to the leader, decided there, answered.
 
+#include <algorithm>
 #include <utility>
 
 #include "registry/registry_impl.h"
 #include "walnut/catalog/validation.h"
+#include "walnut/registry/feature_level.h"
 
 namespace walnut::registry {
 
@@ -66,6 +68,25 @@
   }
 }
 
+/// Idempotent: a zone that is as asked is acknowledged again.
+void RegistryImpl::decide(std::uint64_t call, const EvacuateZone& body) {
+  if (!knowsZone(body.zone)) {
+    ControlAnswer refusal;
+    refusal.status = ControlStatus::refused;
+    refusal.error = {ErrorCode::outOfRange, "zone", "'" + body.zone.value + "' is not known"};
+    answer(call, std::move(refusal));
+  } else if (state_.featureLevel() < feature::kZoneEvacuation) {
+    answerUnavailable(call, "not all servers know evacuations");
+  } else {
+    propose(call, StoreZoneEvacuation{body.zone, body.evacuated, body.basedOn});
+  }
+}
+
+bool RegistryImpl::knowsZone(const base::ZoneId& zone) const {
+  return options_.zones.empty() || state_.zoneRevision(zone) > 0 ||
+         std::count(options_.zones.begin(), options_.zones.end(), zone) != 0;
+}
+
 void RegistryImpl::propose(std::uint64_t call, const Command& command) {
   const auto index = raft_->propose(now_, encodeCommand(command));
   if (index) {
@@ -96,6 +117,18 @@
   answer(call, std::move(done));
 }
 
+/// The entry that a call waited for is applied. A change of a zone may have come too late for it.
+void RegistryImpl::answerApplied(std::uint64_t call) {
+  const WaitingCall* waiting = calls_.find(call);
+  const auto* evacuation =
+      waiting == nullptr ? nullptr : std::get_if<EvacuateZone>(&waiting->call);
+  if (evacuation != nullptr && state_.evacuated(evacuation->zone) != evacuation->evacuated) {
+    answerUnavailable(call, "the zone was changed since");
+  } else {
+    answerDone(call);
+  }
+}
+
 void RegistryImpl::answerUnavailable(std::uint64_t call, std::string_view reason) {
   log_.write(LogEvent::callUnavailable, {{"reason", reason}});
   ControlAnswer unavailable;
@@ -122,6 +155,9 @@
     if (own) {
       const ControlCall body = call.call;
       std::visit([this, number](const auto& alternative) { decide(number, alternative); }, body);
+    } else if (std::holds_alternative<EvacuateZone>(call.call) &&
+               levelOf(status.leader) < feature::kZoneEvacuation) {
+      answerUnavailable(number, "the leader knows no evacuations");
     } else if (const auto leader = peerEndpointOf(status.leader)) {
       actions_.emplace_back(control::SendToServer{
           status.leader, *leader, RegistryMessage{MessageBody(ForwardedCall{number, call.call})}});
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "walnut/factories.h"
+#include "walnut/registry/feature_level.h"
 
 namespace walnut::registry {
 
@@ -94,6 +95,12 @@
 
 // Inputs
 
+void RegistryImpl::handle(const LinkOpened& input) {
+  if (input.hello.role == protocol::PeerRole::controller) {
+    peerLevels_[{input.hello.id}] = input.hello.featureLevel;
+  }
+}
+
 void RegistryImpl::handle(const LinkClosed& input) {
   if (leading_ != nullptr) {
     leading_->unsubscribe(input.connection);
@@ -108,7 +115,11 @@
   const bool document = std::holds_alternative<ReplaceDocument>(input.body) ||
                         std::holds_alternative<ReadDocument>(input.body);
   const base::Duration timeout = document ? options_.documentTimeout : options_.callTimeout;
-  calls_.add({{std::nullopt, input.call}, input.body, now_ + timeout, {}});
+  ControlCall body = input.body;
+  if (auto* evacuation = std::get_if<EvacuateZone>(&body)) {
+    evacuation->basedOn = state_.zoneRevision(evacuation->zone);
+  }
+  calls_.add({{std::nullopt, input.call}, std::move(body), now_ + timeout, {}});
 }
 
 void RegistryImpl::handle(const OrderFinished& input) {
@@ -156,7 +167,16 @@
 
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const JoinRequest& message) {
   const consensus::RaftStatus status = raft_->status();
-  if (leading_ != nullptr) {
+  if (levelOf(message.member.id) < state_.featureLevel()) {
+    log_.write(LogEvent::callRefused,
+               {{"method", "join"},
+                {"path", message.member.peerEndpoint.address},
+                {"error", base::errorCodeName(base::ErrorCode::unsupportedVersion)},
+                {"field", "feature-level"},
+                {"detail", std::to_string(levelOf(message.member.id)) + "; the cell is of level " +
+                               std::to_string(state_.featureLevel())},
+                {"calls", std::uint64_t{1}}});
+  } else if (leading_ != nullptr) {
     keeper_->requested(message.member, status.membership, now_);
   } else if (const auto leader = peerEndpointOf(status.leader)) {
     actions_.emplace_back(control::SendToServer{status.leader, *leader, wrap(message)});
@@ -260,6 +280,7 @@
   leading_ = std::make_unique<LeaderDuties>(options_, documents_, state_, status.term, status.self,
                                             log_, now_, orderTurns_, lastTurnAt_);
   pendingDocumentVersion_ = 0;
+  proposedLevel_ = 0;
 }
 
 void RegistryImpl::endLeading() {
@@ -283,6 +304,7 @@
   confirmDocuments();
   if (leading_ != nullptr) {
     keepCell();
+    raiseFeatureLevel();
     if (leadingActively()) {
       leading_->run(now_, raft_->leaseValid(now_), serverEndpoints());
       for (const Command& command : leading_->takeCommands()) {
@@ -343,23 +365,10 @@
     if (command) {
       noteSuccession(command.value());
       state_.apply(command.value());
-      if (const auto* document = std::get_if<StoreDocument>(&command.value())) {
-        log_.write(LogEvent::documentStored,
-                   {{"version", document->version}, {"index", entry.index}});
-      } else if (const auto* worker = std::get_if<StoreWorker>(&command.value())) {
-        log_.write(LogEvent::workerStored,
-                   {{"worker", worker->worker.id.value},
-                    {"service", worker->worker.service},
-                    {"state", std::string_view(worker->worker.leaving ? "leaving" : "ready")}});
-      } else if (const auto* gone = std::get_if<ForgetWorker>(&command.value())) {
-        log_.write(LogEvent::workerForgotten, {{"worker", gone->worker.value}});
-        orderTurns_.forget(gone->worker);
-      } else if (std::holds_alternative<StoreOrderHolder>(command.value()) &&
-                 entry.index > recoveredIndex_) {
-        lastTurnAt_ = now_;
-      } else if (const auto* ordered = std::get_if<StoreOrderedWorkers>(&command.value())) {
-        noteOrdered(*ordered, entry.index);
-      }
+      noteApplied(command.value(), entry.index);
+    } else {
+      log_.write(LogEvent::entryRefused,
+                 {{"index", entry.index}, {"detail", command.error().detail}});
     }
   }
   const auto waiting = callsByEntry_.find(entry.index);
@@ -367,11 +376,39 @@
     const std::vector<std::uint64_t> calls = std::move(waiting->second);
     callsByEntry_.erase(waiting);
     for (const std::uint64_t call : calls) {
-      answerDone(call);
+      answerApplied(call);
     }
   }
 }
 
+void RegistryImpl::noteApplied(const Command& command, consensus::LogIndex index) {
+  if (const auto* document = std::get_if<StoreDocument>(&command)) {
+    log_.write(LogEvent::documentStored, {{"version", document->version}, {"index", index}});
+  } else if (const auto* worker = std::get_if<StoreWorker>(&command)) {
+    log_.write(LogEvent::workerStored,
+               {{"worker", worker->worker.id.value},
+                {"service", worker->worker.service},
+                {"state", std::string_view(worker->worker.leaving ? "leaving" : "ready")}});
+  } else if (const auto* gone = std::get_if<ForgetWorker>(&command)) {
+    log_.write(LogEvent::workerForgotten, {{"worker", gone->worker.value}});
+    orderTurns_.forget(gone->worker);
+  } else if (std::holds_alternative<StoreOrderHolder>(command) && index > recoveredIndex_) {
+    lastTurnAt_ = now_;
+  } else if (const auto* ordered = std::get_if<StoreOrderedWorkers>(&command)) {
+    noteOrdered(*ordered, index);
+  } else if (const auto* raised = std::get_if<RaiseFeatureLevel>(&command)) {
+    log_.write(LogEvent::featureLevelRaised,
+               {{"level", std::uint64_t{raised->level}}, {"index", index}});
+  } else if (const auto* zone = std::get_if<StoreZoneEvacuation>(&command)) {
+    log_.write(state_.evacuated(zone->zone) ? LogEvent::zoneEvacuated : LogEvent::zoneReturned,
+               {{"zone", zone->zone.value},
+                {"asked", std::string_view(zone->evacuated ? "evacuated" : "in service")},
+                {"based-on", zone->basedOn},
+                {"revision", state_.zoneRevision(zone->zone)},
+                {"index", index}});
+  }
+}
+
 /// Before a command is applied.
 void RegistryImpl::noteSuccession(const Command& command) {
   const auto* stored = std::get_if<StoreWorker>(&command);
@@ -417,6 +454,29 @@
   }
 }
 
+std::uint32_t RegistryImpl::levelOf(base::ServerId server) const {
+  if (server == options_.self.id) {
+    return kFeatureLevel;
+  }
+  const auto found = peerLevels_.find(server);
+  return found == peerLevels_.end() ? 0 : found->second;
+}
+
+/// The level of the cell is the least that its servers have said that they know.
+void RegistryImpl::raiseFeatureLevel() {
+  const std::uint32_t held = std::max(state_.featureLevel(), proposedLevel_);
+  if (held >= kFeatureLevel || !leadingActively()) {
+    return;
+  }
+  std::uint32_t level = kFeatureLevel;
+  for (const consensus::Member& member : raft_->status().membership.members) {
+    level = std::min(level, levelOf(member.id));
+  }
+  if (level > held && raft_->propose(now_, encodeCommand(RaiseFeatureLevel{level}))) {
+    proposedLevel_ = level;
+  }
+}
+
 /// A server that hears no leader asks all that it knows of to be admitted; those that are in the
 /// membership are told nothing new by it.
 void RegistryImpl::askToJoin() {
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -40,7 +40,7 @@
   };
 
   // Inputs
-  void handle(const LinkOpened&) {}
+  void handle(const LinkOpened& input);
   void handle(const LinkClosed& input);
   void handle(const LinkReceived& input);
   void handle(const CallReceived& input);
@@ -79,9 +79,12 @@
   void decide(std::uint64_t call, const ReadDocument& body);
   void decide(std::uint64_t call, const ReportAlive& body);
   void decide(std::uint64_t call, const ReportGone& body);
+  void decide(std::uint64_t call, const EvacuateZone& body);
   void propose(std::uint64_t call, const Command& command);
   void answer(std::uint64_t call, ControlAnswer answer);
   void answerDone(std::uint64_t call);
+  void answerApplied(std::uint64_t call);
+  bool knowsZone(const base::ZoneId& zone) const;
   void answerUnavailable(std::uint64_t call, std::string_view reason);
 
   // Duties
@@ -95,9 +98,13 @@
   void applyEntries(const std::vector<consensus::LogEntry>& entries);
   void applyEntry(const consensus::LogEntry& entry);
   void noteSuccession(const Command& command);
+  void noteApplied(const Command& command, consensus::LogIndex index);
   void noteOrdered(const StoreOrderedWorkers& ordered, consensus::LogIndex index);
   void takeSnapshotIfDue();
   void keepCell();
+  void raiseFeatureLevel();
+  /// @return the level that a server has said it knows; 0: it has said none to this process.
+  std::uint32_t levelOf(base::ServerId server) const;
   void askToJoin();
   void runDuties();
   bool durableBeyondLosses() const;
@@ -120,6 +127,9 @@
   std::map<consensus::LogIndex, std::vector<std::uint64_t>> callsByEntry_;  ///< At the leader.
   std::vector<PendingRead> reads_;                                          ///< At the leader.
 
+  /// What other servers have said that they know, by their latest connection to this process.
+  std::map<base::ServerId, std::uint32_t> peerLevels_;
+
   // Of the present leadership of this server.
   std::unique_ptr<LeaderDuties> leading_;
   consensus::LogIndex activeIndex_ = 0;  ///< The leader's first own entry.
@@ -127,6 +137,7 @@
   DocumentConfirmer confirmer_;
   std::uint64_t pendingDocumentVersion_ = 0;
   consensus::LogIndex pendingDocumentIndex_ = 0;
+  std::uint32_t proposedLevel_ = 0;
 
   // What this server believes, as last logged.
   consensus::Role lastRole_ = consensus::Role::follower;
--- a/src/runtime/event_log.cpp
+++ b/src/runtime/event_log.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// In the order of LogEvent.
-constexpr std::array<std::string_view, 59> kNames = {
+constexpr std::array<std::string_view, 63> kNames = {
     "process-started",    "process-stopping",    "process-stopped",  "settings-reloaded",
     "dependency-lost",    "dependency-regained", "lines-dropped",    "role-changed",
     "membership-changed", "member-proposed",     "document-stored",  "document-refused",
@@ -18,6 +18,7 @@
     "model-answered",     "breaker-opened",      "keys-confirmed",   "keys-unconfirmed",
     "quota-exhausted",    "quota-regained",      "crash-confirmed",  "crash-denied",
     "crash-retracted",    "request-suspected",   "request-released", "suspects-taken",
+    "zone-evacuated",     "zone-returned",       "feature-level-raised", "entry-refused",
     "order-turn",         "placement-decided",   "order-sent",       "order-cancelled",
     "order-finished",     "model-order-ended",   "load-cut-short",   "report-read",
     "call-unavailable",   "call-refused",        "request-refused",  "request-waiting",
--- a/test/platform/dialect_test.cpp
+++ b/test/platform/dialect_test.cpp
@@ -107,6 +107,16 @@
   CHECK_TRUE(control.readCall(post("/v1/Instances.Heartbeat/i-7", "{}")).has_error());
 }
 
+TEST(DialectTest, evacuationsOfZonesAreRead) {
+  const auto begin = control.readCall(post("/v1/Evacuations.Begin/hel-a", "")).value();
+  STRCMP_EQUAL("hel-a", std::get<registry::EvacuateZone>(begin).zone.value.c_str());
+  CHECK_TRUE(std::get<registry::EvacuateZone>(begin).evacuated);
+  const auto end = control.readCall(post("/v1/Evacuations.End/hel-a", "")).value();
+  CHECK_FALSE(std::get<registry::EvacuateZone>(end).evacuated);
+  STRCMP_EQUAL("zone",
+               control.readCall(post("/v1/Evacuations.Begin/", "")).error().field.c_str());
+}
+
 TEST(DialectTest, answersHaveTheStatusThatCallersActOn) {
   registry::ControlAnswer answer;
   answer.status = registry::ControlStatus::done;
--- a/test/protocol/codec_test.cpp
+++ b/test/protocol/codec_test.cpp
@@ -70,3 +70,36 @@
   const auto decoded = consensus::decodeMembership(bytes);
   CHECK_TRUE(decoded.has_error());
 }
+
+/// Builds that know no levels read exactly these bytes, and nothing behind them.
+TEST(Codec, aHelloWithoutALevelIsAsItWas) {
+  protocol::Hello hello;
+  hello.id = 7;
+  hello.zone = {"zone"};
+  const std::string bytes = protocol::encodeMessage(hello);
+  hello.featureLevel = 3;
+  const std::string levelled = protocol::encodeMessage(hello);
+  CHECK_EQUAL(bytes.size() + 2, levelled.size());
+  const auto read = std::get<protocol::Hello>(protocol::decodeMessage(bytes).value());
+  CHECK_EQUAL(0, read.featureLevel);
+  STRCMP_EQUAL("zone", read.zone.value.c_str());
+}
+
+TEST(Codec, aHelloTellsItsLevel) {
+  protocol::Hello hello;
+  hello.zone = {"zone"};
+  hello.featureLevel = 12;
+  const auto read =
+      std::get<protocol::Hello>(protocol::decodeMessage(protocol::encodeMessage(hello)).value());
+  CHECK_EQUAL(12, read.featureLevel);
+  STRCMP_EQUAL("zone", read.zone.value.c_str());
+}
+
+TEST(Codec, anUnreadableLevelIsNone) {
+  protocol::Hello hello;
+  hello.zone = {"zone\n12x"};
+  const auto read =
+      std::get<protocol::Hello>(protocol::decodeMessage(protocol::encodeMessage(hello)).value());
+  CHECK_EQUAL(0, read.featureLevel);
+  STRCMP_EQUAL("zone", read.zone.value.c_str());
+}
--- a/test/registry/cell_state_test.cpp
+++ b/test/registry/cell_state_test.cpp
@@ -89,3 +89,44 @@
   CHECK_TRUE(state.restore("nonsense").has_error());
   CHECK_TRUE(decodeCommand(std::string_view("\xff\xff\xff", 3)).has_error());
 }
+
+TEST(CellStateTest, aZoneIsEvacuatedAndComesBack) {
+  state.apply(StoreZoneEvacuation{{"zone"}, true, 0});
+  CHECK_TRUE(state.evacuated({"zone"}));
+  CHECK_FALSE(state.evacuated({"other"}));
+  state.apply(StoreZoneEvacuation{{"zone"}, false, 1});
+  CHECK_FALSE(state.evacuated({"zone"}));
+  CHECK_EQUAL(2, state.zoneRevision({"zone"}));
+}
+
+TEST(CellStateTest, aRepeatedEvacuationChangesNothing) {
+  state.apply(StoreZoneEvacuation{{"zone"}, true, 0});
+  state.apply(StoreZoneEvacuation{{"zone"}, true, 0});
+  CHECK_EQUAL(1, state.zoneRevision({"zone"}));
+}
+
+TEST(CellStateTest, anEvacuationThatComesAfterItsEndChangesNothing) {
+  state.apply(StoreZoneEvacuation{{"zone"}, true, 0});
+  state.apply(StoreZoneEvacuation{{"zone"}, false, 1});
+  state.apply(StoreZoneEvacuation{{"zone"}, true, 0});
+  CHECK_FALSE(state.evacuated({"zone"}));
+}
+
+TEST(CellStateTest, aSnapshotHoldsEvacuations) {
+  state.apply(RaiseFeatureLevel{1});
+  state.apply(StoreZoneEvacuation{{"zone"}, true, 0});
+  CellState restored;
+  CHECK_TRUE(restored.restore(state.encode()).has_value());
+  CHECK_TRUE(restored.evacuated({"zone"}));
+  CHECK_EQUAL(1, restored.featureLevel());
+  CHECK_EQUAL(1, restored.zoneChanges());
+}
+
+/// A server of an earlier build takes the snapshot of a cell whose level has not risen.
+TEST(CellStateTest, aSnapshotBeforeTheFirstLevelHasNothingNew) {
+  state.apply(StoreDocument{5, "five"});
+  const std::string bytes = state.encode();
+  state.apply(RaiseFeatureLevel{1});
+  CHECK_TRUE(state.encode().size() > bytes.size());
+  STRCMP_EQUAL(bytes.c_str(), state.encode().substr(0, bytes.size()).c_str());
+}
--- a/test/registry/cluster.h
+++ b/test/registry/cluster.h
@@ -12,6 +12,7 @@
 
 #include "simulator/stored_log.h"
 #include "walnut/factories.h"
+#include "walnut/registry/feature_level.h"
 #include "walnut/registry/registry.h"
 
 namespace walnut::registry::testing {
@@ -58,8 +59,17 @@
       membership.members.push_back(
           {{founder}, consensus::MemberRole::voter, endpoint(founder), endpoint(founder), {}});
     }
+    options.zones = {{"zone-a"}, {"zone-b"}};
     node.registry = makeRegistry(options, node.disk.state, membership, reader_, log_, port, now_);
+    for (const auto& [other, otherNode] : nodes_) {
+      if (other != port && otherNode.registry) {
+        greet(port, other);
+        greet(other, port);
+      }
+    }
   }
+  /// What the server's build knows, from its next start on.
+  void setFeatureLevel(std::uint16_t port, std::uint32_t level) { levels_[port] = level; }
   void stop(std::uint16_t port) { nodes_.at(port).registry.reset(); }
   void loseDisk(std::uint16_t port) { nodes_.at(port).disk = {}; }
   void cut(std::uint16_t port) { cut_.insert(port); }
@@ -162,6 +172,16 @@
     protocol::Message message;
   };
 
+  /// `to` hears the Hello of `from`.
+  void greet(std::uint16_t from, std::uint16_t to) {
+    protocol::Hello hello;
+    hello.role = protocol::PeerRole::controller;
+    hello.id = nodes_.at(from).registry->raftStatus().self.value;
+    const auto level = levels_.find(from);
+    hello.featureLevel = level == levels_.end() ? kFeatureLevel : level->second;
+    nodes_.at(to).registry->step(now_, LinkOpened{connection(to, from), hello});
+  }
+
   static protocol::ConnectionId connection(std::uint16_t from, std::uint16_t to) {
     return {(std::uint64_t{from} << 16U) | to};
   }
@@ -249,6 +269,7 @@
   runtime::NullEventLog log_;
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(1000));
   std::map<std::uint16_t, Node> nodes_;
+  std::map<std::uint16_t, std::uint32_t> levels_;  ///< Of builds of another level than this one.
   std::set<std::uint16_t> cut_;
   std::set<std::uint16_t> suspended_;
   std::vector<InFlight> network_;
