registry: a worker's registration costs the same however many workers there are

Each registration looked at every worker three times in CellState::store and in the check for contested endpoints, each batch of entries walked all workers and the forgotten ones, marked every worker as changed and stored and checked all of them every 50 ms; and a worker that called again after a second was written to the log once more. 10,000 registrations took some 10^8 comparisons of strings beside the lease.

Change: CellState keeps indexes by name and by endpoint and tells which workers changed since a given time; a leader takes just these. Silence is looked at when a heartbeat is overdue, holdings are stored when they may have changed, some of them at each check. A worker that calls again waits for the entry that it has in the log. Calls are handed over in turns of 64 and bounded in number; the call table finds what is due without a walk. The number of workers remembered as forgotten grows with the workers (from the first feature level on, as all servers must do alike).

--- a/src/registry/call_table.h
+++ b/src/registry/call_table.h
@@ -5,7 +5,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <variant>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "walnut/protocol/messages.h"
@@ -25,55 +26,36 @@
   CallOrigin origin;
   ControlCall call;
   base::TimePoint deadline;
-  base::ServerId handedTo;  ///< The leader that it was given to; zero: none yet.
 };
 
-/// Numbered by arrival.
+/// Numbered by arrival. What is asked for takes time in proportion to the calls that it concerns.
 class CallTable {
  public:
-  std::uint64_t add(WaitingCall call) {
-    calls_.emplace(++last_, std::move(call));
-    return last_;
-  }
-  WaitingCall* find(std::uint64_t number) {
-    const auto found = calls_.find(number);
-    return found == calls_.end() ? nullptr : &found->second;
-  }
-  void erase(std::uint64_t number) { calls_.erase(number); }
-
-  /// @return calls that were not given to that leader, oldest first.
-  std::vector<std::uint64_t> notHandedTo(base::ServerId leader) const {
-    std::vector<std::uint64_t> numbers;
-    for (const auto& [number, call] : calls_) {
-      if (call.handedTo != leader) {
-        numbers.push_back(number);
-      }
-    }
-    return numbers;
+  std::uint64_t add(WaitingCall call);
+  WaitingCall* find(std::uint64_t number);
+  void erase(std::uint64_t number);
+  std::size_t size() const { return calls_.size(); }
+
+  /// Calls that were not given to that leader are given to it.
+  /// @return the oldest of them, so many at most.
+  std::vector<std::uint64_t> handTo(base::ServerId leader, std::size_t most);
+  /// @return true if `handTo` that leader would give it more.
+  bool hasCallsFor(base::ServerId leader) const {
+    return leader == leader_ ? !unhanded_.empty() : !calls_.empty();
   }
 
   /// @return calls whose time is up.
-  std::vector<std::uint64_t> expired(base::TimePoint now) const {
-    std::vector<std::uint64_t> numbers;
-    for (const auto& [number, call] : calls_) {
-      if (call.deadline <= now) {
-        numbers.push_back(number);
-      }
-    }
-    return numbers;
-  }
-
+  std::vector<std::uint64_t> expired(base::TimePoint now) const;
   base::TimePoint nextDeadline() const {
-    base::TimePoint next = base::kNever;
-    for (const auto& [number, call] : calls_) {
-      next = std::min(next, call.deadline);
-    }
-    return next;
+    return deadlines_.empty() ? base::kNever : deadlines_.begin()->first;
   }
 
  private:
   std::uint64_t last_ = 0;
   std::map<std::uint64_t, WaitingCall> calls_;
+  std::set<std::pair<base::TimePoint, std::uint64_t>> deadlines_;
+  base::ServerId leader_;             ///< That calls are given to; zero: none yet.
+  std::set<std::uint64_t> unhanded_;  ///< Not given to `leader_`.
 };
 
 }  // namespace walnut::registry
--- a/src/registry/cell_state.cpp
+++ b/src/registry/cell_state.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-/// A worker's call may be seconds late; far fewer workers than this end in that time.
-constexpr std::size_t kMaxForgotten = 1024;
+/// A worker's call may be seconds late; fewer workers than this, or than there are, end in that time.
+constexpr std::size_t kLeastForgotten = 1024;
+/// A leader reads them after each batch of entries.
+constexpr std::size_t kMostChanges = 8192;
 
 template <class... Handlers>
 struct Overloaded : Handlers... {
@@ -70,30 +72,38 @@
   if (wasForgotten(worker.id)) {
     return;
   }
-  std::vector<WorkerId> replaced;
+  std::set<WorkerId> replaced = workersAt(worker.endpoint);
   base::ServerId lastOrderedBy;
-  for (const auto& [id, other] : workers_) {
-    if (other.succeeds(worker)) {
-      return;
-    }
-    const bool formerLife = worker.succeeds(other);
-    if (id != worker.id && (formerLife || other.endpoint == worker.endpoint)) {
-      replaced.push_back(id);
-    }
-    if (formerLife) {
-      lastOrderedBy = this->lastOrderedBy(id);
+  const auto lives = idsByName_.find(worker.calledName());
+  if (lives != idsByName_.end()) {
+    for (const WorkerId& id : lives->second) {
+      const WorkerRecord& other = workers_.at(id);
+      if (other.succeeds(worker)) {
+        return;
+      }
+      if (worker.succeeds(other)) {
+        replaced.insert(id);
+        lastOrderedBy = this->lastOrderedBy(id);
+      }
     }
   }
+  replaced.erase(worker.id);
   for (const WorkerId& id : replaced) {
     forget(id);
   }
   if (lastOrderedBy != base::ServerId{}) {
     lastOrderedBy_[worker.id] = lastOrderedBy;
   }
-  WorkerRecord& held = workers_[worker.id];
+  const auto [found, added] = workers_.try_emplace(worker.id);
+  WorkerRecord& held = found->second;
+  if (!added) {
+    removeFromIndex(held);
+  }
   const bool leaving = held.leaving || worker.leaving;
   held = worker;
   held.leaving = leaving;
+  addToIndex(held);
+  noteChange(held.id);
 }
 
 void CellState::store(const StoreZoneEvacuation& change) {
@@ -117,28 +127,83 @@
 }
 
 void CellState::forget(const WorkerId& id) {
-  workers_.erase(id);
+  const auto found = workers_.find(id);
+  if (found != workers_.end()) {
+    removeFromIndex(found->second);
+    workers_.erase(found);
+  }
   holdings_.erase(id);
   lastOrderedBy_.erase(id);
-  if (wasForgotten(id)) {
+  noteChange(id);
+  if (!forgottenIds_.insert(id).second) {
     return;
   }
   forgotten_.push_back(id);
-  if (forgotten_.size() > kMaxForgotten) {
-    forgotten_.erase(forgotten_.begin());
+  while (forgotten_.size() > mostForgotten()) {
+    forgottenIds_.erase(forgotten_.front());
+    forgotten_.pop_front();
   }
 }
 
+/// Servers of the first builds forget all but the least number: all must do alike.
+std::size_t CellState::mostForgotten() const {
+  return featureLevel_ == 0 ? kLeastForgotten : std::max(kLeastForgotten, workers_.size());
+}
+
+void CellState::addToIndex(const WorkerRecord& worker) {
+  idsByName_[worker.calledName()].insert(worker.id);
+  idsByEndpoint_[worker.endpoint].insert(worker.id);
+}
+
+void CellState::removeFromIndex(const WorkerRecord& worker) {
+  const auto remove = [&worker](auto& index, const auto& key) {
+    const auto found = index.find(key);
+    found->second.erase(worker.id);
+    if (found->second.empty()) {
+      index.erase(found);
+    }
+  };
+  remove(idsByName_, worker.calledName());
+  remove(idsByEndpoint_, worker.endpoint);
+}
+
+void CellState::buildIndex() {
+  for (const auto& [id, worker] : workers_) {
+    addToIndex(worker);
+  }
+  forgottenIds_ = {forgotten_.begin(), forgotten_.end()};
+}
+
+void CellState::noteChange(const WorkerId& id) {
+  changes_.push_back(id);
+  if (changes_.size() > kMostChanges) {
+    changes_.pop_front();
+    ++firstChange_;
+  }
+}
+
+std::optional<std::vector<WorkerId>> CellState::changedSince(std::uint64_t count) const {
+  if (count < firstChange_) {
+    return std::nullopt;
+  }
+  const auto skipped = static_cast<std::ptrdiff_t>(count - firstChange_);
+  return std::vector<WorkerId>(changes_.begin() + skipped, changes_.end());
+}
+
+const std::set<WorkerId>& CellState::workersAt(const base::Endpoint& endpoint) const {
+  static const std::set<WorkerId> kNone;
+  const auto found = idsByEndpoint_.find(endpoint);
+  return found == idsByEndpoint_.end() ? kNone : found->second;
+}
+
 const WorkerRecord* CellState::findWorker(const WorkerId& id) const {
   const auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : &found->second;
 }
 
 const WorkerRecord* CellState::findLife(const std::string& name) const {
-  const auto found = std::find_if(workers_.begin(), workers_.end(), [&name](const auto& entry) {
-    return entry.second.calledName() == name;
-  });
-  return found == workers_.end() ? nullptr : &found->second;
+  const auto found = idsByName_.find(name);
+  return found == idsByName_.end() ? nullptr : findWorker(*found->second.begin());
 }
 
 const std::vector<HeldModel>* CellState::findHoldings(const WorkerId& id) const {
@@ -151,15 +216,16 @@
   return found == lastOrderedBy_.end() ? base::ServerId{} : found->second;
 }
 
-bool CellState::wasForgotten(const WorkerId& id) const {
-  return std::find(forgotten_.begin(), forgotten_.end(), id) != forgotten_.end();
-}
+bool CellState::wasForgotten(const WorkerId& id) const { return forgottenIds_.count(id) != 0; }
 
 std::string CellState::encode() const { return base::encode(*this); }
 
 base::Result<void> CellState::restore(std::string_view bytes) {
   BOOST_OUTCOME_TRY(state, base::decode<CellState>(bytes, "snapshot"));
+  const std::uint64_t next = workerChanges() + 1;
   *this = std::move(state);
+  firstChange_ = next;
+  buildIndex();
   return base::success();
 }
 
--- a/src/registry/cell_state.h
+++ b/src/registry/cell_state.h
@@ -3,9 +3,13 @@
 /// The replicated state of the registry: the declared document, the list of workers and the
 /// evidence against requests that crash them.
 
+#include <cereal/types/deque.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/variant.hpp>
+#include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -134,7 +138,8 @@
 std::string encodeCommand(const Command& command);
 base::Result<Command> decodeCommand(std::string_view bytes);
 
-/// Applies commands in the order of the log; equal on all servers.
+/// Applies commands in the order of the log; equal on all servers. Each command takes time in
+/// proportion to what it changes, not to what is held.
 class CellState {
  public:
   using Workers = std::map<WorkerId, WorkerRecord>;
@@ -150,6 +155,14 @@
   const WorkerRecord* findLife(const std::string& name) const;
   /// @return true if the worker was there once and has been forgotten.
   bool wasForgotten(const WorkerId& id) const;
+  /// @return the workers at that endpoint.
+  const std::set<WorkerId>& workersAt(const base::Endpoint& endpoint) const;
+  /// @return how often a worker was added, changed or forgotten; grows.
+  std::uint64_t workerChanges() const { return firstChange_ + changes_.size(); }
+  /// @param count as `workerChanges` told it then.
+  /// @return the workers that were added, changed or forgotten since, some more than once; nothing
+  /// if it was too long ago to tell.
+  std::optional<std::vector<WorkerId>> changedSince(std::uint64_t count) const;
   base::ServerId orderHolder() const { return orderHolder_; }
   /// @return what the worker held when it was last stored; nullptr if it never was.
   const std::vector<HeldModel>* findHoldings(const WorkerId& id) const;
@@ -196,18 +209,30 @@
   void store(const WorkerRecord& worker);
   void store(const StoreZoneEvacuation& change);
   void forget(const WorkerId& id);
+  void addToIndex(const WorkerRecord& worker);
+  void removeFromIndex(const WorkerRecord& worker);
+  void buildIndex();
+  void noteChange(const WorkerId& id);
+  std::size_t mostForgotten() const;
 
   std::uint64_t documentVersion_ = 0;
   std::string documentText_;
   Workers workers_;
   std::map<WorkerId, std::vector<HeldModel>> holdings_;  ///< Of workers that are there.
-  std::vector<WorkerId> forgotten_;                      ///< Oldest first, bounded.
+  std::deque<WorkerId> forgotten_;                       ///< Oldest first, bounded.
   base::ServerId orderHolder_;
   std::map<WorkerId, base::ServerId> lastOrderedBy_;  ///< Of workers that are there.
   RequestCrashLedger requestCrashes_;
   std::uint32_t featureLevel_ = 0;
   std::map<base::ZoneId, ZoneState> zones_;  ///< That were evacuated once.
   std::uint64_t zoneChanges_ = 0;
+
+  // Not in a snapshot: follows from the above.
+  std::map<std::string, std::set<WorkerId>> idsByName_;  ///< Of workers that are there.
+  std::map<base::Endpoint, std::set<WorkerId>> idsByEndpoint_;
+  std::set<WorkerId> forgottenIds_;
+  std::deque<WorkerId> changes_;  ///< Oldest first, bounded.
+  std::uint64_t firstChange_ = 0;
 };
 
 template <class Archive>
--- a/src/registry/leader_beliefs.cpp
+++ b/src/registry/leader_beliefs.cpp
@@ -79,11 +79,10 @@
     return false;
   }
   const std::chrono::duration<double> alive = kAliveHeartbeats * options_.heartbeatInterval;
-  const auto& workers = state_.workers();
-  const bool contested = std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
-    const auto status = workers_.find(entry.first);
-    return entry.second.endpoint == heartbeat.worker.endpoint &&
-           !heartbeat.worker.succeeds(entry.second) && status != workers_.end() &&
+  const std::set<WorkerId>& there = state_.workersAt(heartbeat.worker.endpoint);
+  const bool contested = std::any_of(there.begin(), there.end(), [&](const WorkerId& other) {
+    const auto status = workers_.find(other);
+    return !heartbeat.worker.succeeds(*state_.findWorker(other)) && status != workers_.end() &&
            now - status->second.lastHeard < alive;
   });
   if (!contested) {
@@ -142,25 +141,50 @@
   }
 }
 
+base::Duration LeaderDuties::heartbeats(double count) const {
+  const std::chrono::duration<double> time = count * options_.heartbeatInterval;
+  return std::chrono::duration_cast<base::Duration>(time);
+}
+
+void LeaderDuties::checkSilenceAt(const WorkerId& id, WorkerStatus& status, base::TimePoint at) {
+  status.silenceCheckAt = at;
+  silenceChecks_.emplace(at, id);
+}
+
+/// Only workers whose heartbeat is overdue are looked at.
 void LeaderDuties::noteSilence(base::TimePoint now) {
-  for (auto& [id, status] : workers_) {
-    if (state_.findWorker(id) == nullptr) {
-      continue;
-    }
-    const base::Duration silence = now - lastHeard(status);
-    if (!status.silent && isSilent(id, status, now)) {
-      status.silent = true;
-      forgetLoad(*state_.findWorker(id));
-      changed_.insert(id);
-      log_.write(LogEvent::workerSilent, {{"worker", id.value}});
-    }
-    if (silence > options_.workerForgottenAfter) {
-      status.lastHeard = now;  // Proposed once; again only after another such time.
-      commands_.emplace_back(ForgetWorker{id});
+  while (!silenceChecks_.empty() && silenceChecks_.begin()->first <= now) {
+    const auto [due, id] = *silenceChecks_.begin();
+    silenceChecks_.erase(silenceChecks_.begin());
+    const auto found = workers_.find(id);
+    if (found != workers_.end() && found->second.silenceCheckAt == due) {
+      reviewSilence(id, found->second, now);
     }
   }
 }
 
+void LeaderDuties::reviewSilence(const WorkerId& id, WorkerStatus& status, base::TimePoint now) {
+  const base::TimePoint overdueAt = lastHeard(status) + heartbeats(options_.overdueHeartbeats);
+  const base::TimePoint soon = now + base::Duration(1);
+  if (state_.findWorker(id) == nullptr) {
+    checkSilenceAt(id, status, std::max(overdueAt, soon));
+    return;
+  }
+  const base::Duration silence = now - lastHeard(status);
+  if (!status.silent && isSilent(id, status, now)) {
+    status.silent = true;
+    forgetLoad(*state_.findWorker(id));
+    noteChanged(id);
+    log_.write(LogEvent::workerSilent, {{"worker", id.value}});
+  }
+  if (silence > options_.workerForgottenAfter) {
+    status.lastHeard = now;  // Proposed once; again only after another such time.
+    commands_.emplace_back(ForgetWorker{id});
+  }
+  const base::TimePoint forgottenAt = lastHeard(status) + options_.workerForgottenAfter;
+  checkSilenceAt(id, status, std::max(soon, status.silent ? forgottenAt : overdueAt));
+}
+
 void LeaderDuties::detectOutliers(base::TimePoint now) {
   if (!outliers_.reviewDue(now)) {
     return;
@@ -173,7 +197,7 @@
   }
   outliers_.review(services, publisher_.gatewayCount(), now);
   for (const WorkerOutlierDetector::Change& change : outliers_.takeChanges()) {
-    changed_.insert(change.subject);
+    noteChanged(change.subject);
     planSoon_ = true;
     log_.write(change.failing ? LogEvent::workerFailing : LogEvent::workerTried,
                {{"worker", change.subject.value},
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -12,6 +12,8 @@
 
 /// Least time between two stored states of one worker's holdings.
 constexpr base::Duration kHoldingsInterval = std::chrono::milliseconds(500);
+/// At each check, so that all workers of a cell that starts don't make one turn.
+constexpr std::size_t kMostHoldingsStored = 256;
 constexpr base::Duration kCheckInterval = std::chrono::milliseconds(50);
 constexpr base::Duration kPlanSpacing = std::chrono::milliseconds(15);
 constexpr base::Duration kPlanSpacingPerWorker = std::chrono::microseconds(500);
@@ -113,7 +115,8 @@
       publisher_(options.viewInterval),
       lastCheck_(now),
       hearingSince_(now) {
-  stateChanged(now);
+  refreshDocument(now);
+  takeEveryWorker(now);
 }
 
 WorkerStatus& LeaderDuties::statusOf(const WorkerId& id, base::TimePoint now) {
@@ -122,6 +125,7 @@
     if (const std::vector<HeldModel>* held = state_.findHoldings(id)) {
       found->second.begin(*held);
     }
+    checkSilenceAt(id, found->second, now + heartbeats(options_.overdueHeartbeats));
   }
   return found->second;
 }
@@ -137,10 +141,11 @@
   if (!status.takeHeartbeat(heartbeat, now)) {
     return false;
   }
-  changed_.insert(id);
+  noteChanged(id);
   crashes_.heard(id);
   logEndedOrder(id, status, now);
   if (wasSilent) {
+    checkSilenceAt(id, status, now + heartbeats(options_.overdueHeartbeats));
     log_.write(LogEvent::workerHeard, {{"worker", id.value}});
   }
   planSoon_ = true;
@@ -191,20 +196,73 @@
 
 void LeaderDuties::stateChanged(base::TimePoint now) {
   refreshDocument(now);
+  if (state_.zoneChanges() == zoneChanges_) {
+    takeWorkerChanges(now);
+  } else {
+    takeEveryWorker(now);
+  }
+  crashes_.stateChanged();
+  planSoon_ = true;
+}
+
+void LeaderDuties::noteChanged(const WorkerId& id) {
+  changed_.insert(id);
+  unstored_.insert(id);
+}
+
+void LeaderDuties::takeWorkerChanges(base::TimePoint now) {
+  const auto touched = state_.changedSince(workerChanges_);
+  if (!touched) {
+    takeEveryWorker(now);
+    return;
+  }
+  workerChanges_ = state_.workerChanges();
+  std::set<WorkerId> gone;
+  for (const WorkerId& id : *touched) {
+    if (state_.findWorker(id) == nullptr) {
+      gone.insert(id);
+    } else {
+      statusOf(id, now);
+      noteChanged(id);
+    }
+  }
+  forgetWorkers(gone, now);
+}
+
+void LeaderDuties::takeEveryWorker(base::TimePoint now) {
+  workerChanges_ = state_.workerChanges();
+  zoneChanges_ = state_.zoneChanges();
   for (const auto& [id, record] : state_.workers()) {
     statusOf(id, now);
+    noteChanged(id);
   }
-  std::erase_if(workers_, [this, now](const auto& entry) {
-    const bool ended = state_.wasForgotten(entry.first);
-    if (ended) {
-      noteEnded(entry.first, entry.second, now);
+  std::set<WorkerId> gone;
+  for (const auto& [id, status] : workers_) {
+    if (state_.wasForgotten(id)) {
+      gone.insert(id);
     }
-    return ended;
-  });
-  crashes_.stateChanged();
-  outliers_.forgetIf([this](const WorkerId& id) { return state_.findWorker(id) == nullptr; });
-  listChanged_ = true;
-  planSoon_ = true;
+  }
+  for (const WorkerId& id : publisher_.workers()) {
+    if (state_.findWorker(id) == nullptr) {
+      gone.insert(id);
+    }
+  }
+  forgetWorkers(gone, now);
+}
+
+void LeaderDuties::forgetWorkers(const std::set<WorkerId>& gone, base::TimePoint now) {
+  if (gone.empty()) {
+    return;
+  }
+  for (const WorkerId& id : gone) {
+    const auto found = workers_.find(id);
+    if (found != workers_.end()) {
+      noteEnded(id, found->second, now);
+      workers_.erase(found);
+    }
+    publisher_.removeWorker(id);
+  }
+  outliers_.forgetIf([&gone](const WorkerId& id) { return gone.count(id) != 0; });
 }
 
 void LeaderDuties::refreshDocument(base::TimePoint now) {
@@ -263,16 +321,27 @@
 }
 
 void LeaderDuties::storeHoldings(base::TimePoint now) {
-  for (auto& [id, status] : workers_) {
-    if (!status.holdingsKnown || now < status.holdingsStoredAt + kHoldingsInterval ||
+  std::size_t stored = 0;
+  for (auto next = unstored_.begin(); next != unstored_.end() && stored < kMostHoldingsStored;) {
+    const WorkerId id = *next;
+    const auto found = workers_.find(id);
+    if (found == workers_.end() || !found->second.holdingsKnown ||
         state_.findWorker(id) == nullptr) {
+      next = unstored_.erase(next);
+      continue;
+    }
+    WorkerStatus& status = found->second;
+    if (now < status.holdingsStoredAt + kHoldingsInterval) {
+      ++next;
       continue;
     }
+    next = unstored_.erase(next);
     std::vector<HeldModel> models = status.serving(now);
-    const std::vector<HeldModel>* stored = state_.findHoldings(id);
-    if (stored == nullptr || *stored != models) {
+    const std::vector<HeldModel>* held = state_.findHoldings(id);
+    if (held == nullptr || *held != models) {
       status.holdingsStoredAt = now;
       commands_.emplace_back(StoreHoldings{id, std::move(models)});
+      ++stored;
     }
   }
 }
@@ -316,18 +385,8 @@
 }
 
 void LeaderDuties::refreshViews(base::TimePoint now) {
-  if (std::exchange(listChanged_, false)) {
-    for (const auto& [id, record] : state_.workers()) {
-      changed_.insert(id);
-    }
-    for (const WorkerId& id : publisher_.workers()) {
-      if (state_.findWorker(id) == nullptr) {
-        publisher_.removeWorker(id);
-      }
-    }
-  }
   while (!changesAt_.empty() && changesAt_.begin()->first <= now) {
-    changed_.insert(changesAt_.begin()->second);
+    noteChanged(changesAt_.begin()->second);
     changesAt_.erase(changesAt_.begin());
   }
   for (const WorkerId& id : std::exchange(changed_, {})) {
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -80,8 +80,15 @@
   };
 
   void refreshDocument(base::TimePoint now);
+  void takeWorkerChanges(base::TimePoint now);
+  void takeEveryWorker(base::TimePoint now);
+  void forgetWorkers(const std::set<WorkerId>& gone, base::TimePoint now);
+  void noteChanged(const WorkerId& id);
   void noteHeldUp(base::TimePoint now);
   void noteSilence(base::TimePoint now);
+  void reviewSilence(const WorkerId& id, WorkerStatus& status, base::TimePoint now);
+  void checkSilenceAt(const WorkerId& id, WorkerStatus& status, base::TimePoint at);
+  base::Duration heartbeats(double count) const;
   base::TimePoint lastHeard(const WorkerStatus& status) const;
   void reviewCrashes(base::TimePoint now);
   void sendSuspects(base::TimePoint now);
@@ -175,9 +182,13 @@
   /// @name Workers whose view may have changed
   /// @{
   std::set<WorkerId> changed_;
+  std::set<WorkerId> unstored_;                         ///< Their holdings may differ from the log.
   std::multimap<base::TimePoint, WorkerId> changesAt_;  ///< By the passing of time.
-  bool listChanged_ = true;                             ///< Some may have been added or removed.
+  std::uint64_t workerChanges_ = 0;                     ///< Of the state, as taken.
+  std::uint64_t zoneChanges_ = 0;                       ///< Of the state, as taken.
   /// @}
+  /// When each worker's silence is looked at again; an entry counts if its status names that time.
+  std::multimap<base::TimePoint, WorkerId> silenceChecks_;
   bool planSoon_ = true;
   std::vector<RegistryAction> actions_;
   std::vector<Command> commands_;
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -211,7 +211,7 @@
   WorkerStatus& status = statusOf(step.worker, now);
   status.sentOrder.reset();
   status.orderFinishedAt = now;
-  changed_.insert(step.worker);
+  noteChanged(step.worker);
   changesAt_.emplace(now + options_.adapterSettleTime, step.worker);
   planSoon_ = true;
   const bool ofModel = step.adapter.empty();
@@ -301,7 +301,7 @@
               {"busy", std::string_view(report.orderUnderWay ? "yes" : "no")}});
   status.takeReport(report, now);
   logEndedOrder(finished.worker, status, now);
-  changed_.insert(finished.worker);
+  noteChanged(finished.worker);
   if (!status.reportFresh) {
     status.orderAgainAt = now + kRefusedPause;
   }
--- a/src/registry/registry_calls.cpp
+++ b/src/registry/registry_calls.cpp
@@ -14,6 +14,15 @@
 using consensus::Role;
 using runtime::LogEvent;
 
+namespace {
+
+/// Calls that one turn of the loop decides or forwards, at most: some ms of a small core.
+constexpr std::size_t kMostCallsInTurn = 64;
+/// Calls that wait at one server, at most: more than can be answered before their callers give up.
+constexpr std::size_t kMostWaitingCalls = 4096;
+
+}  // namespace
+
 void RegistryImpl::decide(std::uint64_t call, const ReplaceDocument& body) {
   const auto read = documents_.read(body.text);
   base::Result<void> valid = base::success();
@@ -50,11 +59,20 @@
   }
 }
 
+/// A worker that calls again before its entry is applied waits for that entry.
 void RegistryImpl::decide(std::uint64_t call, const ReportAlive& body) {
-  if (leading_->heartbeat(body.heartbeat, now_)) {
-    propose(call, StoreWorker{body.heartbeat.worker});
-  } else {
+  const WorkerRecord& record = body.heartbeat.worker;
+  if (!leading_->heartbeat(body.heartbeat, now_)) {
     answerDone(call);
+    return;
+  }
+  const auto pending = pendingWorkers_.find(record.id);
+  if (pending != pendingWorkers_.end() && pending->second.record == record) {
+    callsByEntry_[pending->second.index].push_back(call);
+    return;
+  }
+  if (const auto index = propose(call, StoreWorker{record})) {
+    pendingWorkers_[record.id] = {record, *index};
   }
 }
 
@@ -87,11 +105,14 @@
          std::count(options_.zones.begin(), options_.zones.end(), zone) != 0;
 }
 
-void RegistryImpl::propose(std::uint64_t call, const Command& command) {
+std::optional<consensus::LogIndex> RegistryImpl::propose(std::uint64_t call,
+                                                         const Command& command) {
   const auto index = raft_->propose(now_, encodeCommand(command));
-  if (index) {
-    callsByEntry_[index.value()].push_back(call);
+  if (!index) {
+    return std::nullopt;
   }
+  callsByEntry_[index.value()].push_back(call);
+  return index.value();
 }
 
 void RegistryImpl::answer(std::uint64_t number, ControlAnswer answer) {
@@ -137,8 +158,20 @@
   answer(call, std::move(unavailable));
 }
 
+/// Heartbeats are called again, by workers that wait longer and longer; what changes the document or
+/// a zone is taken in any case.
+void RegistryImpl::take(WaitingCall call) {
+  const bool heartbeat = std::holds_alternative<ReportAlive>(call.call);
+  const std::uint64_t number = calls_.add(std::move(call));
+  if (heartbeat && calls_.size() > kMostWaitingCalls) {
+    answerUnavailable(number, "too many calls wait");
+  }
+}
+
+/// In turns, so that consensus is never kept waiting by calls, however many come.
 void RegistryImpl::handOverCalls() {
   const consensus::RaftStatus status = raft_->status();
+  callsLeft_ = false;
   if (status.leader == base::ServerId{}) {
     return;
   }
@@ -146,12 +179,11 @@
   if (own && (!leadingActively() || !durableBeyondLosses())) {
     return;
   }
-  for (const std::uint64_t number : calls_.notHandedTo(status.leader)) {
+  for (const std::uint64_t number : calls_.handTo(status.leader, kMostCallsInTurn)) {
     WaitingCall& call = *calls_.find(number);
     if (!own && call.origin.connection) {
       continue;  // Forwarded to this server, which doesn't lead any more: its sender sees that too.
     }
-    call.handedTo = status.leader;
     if (own) {
       const ControlCall body = call.call;
       std::visit([this, number](const auto& alternative) { decide(number, alternative); }, body);
@@ -163,6 +195,7 @@
           status.leader, *leader, RegistryMessage{MessageBody(ForwardedCall{number, call.call})}});
     }
   }
+  callsLeft_ = calls_.hasCallsFor(status.leader);
 }
 
 void RegistryImpl::expireCalls() {
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -84,6 +84,9 @@
 }
 
 base::TimePoint RegistryImpl::nextWakeup() const {
+  if (callsLeft_) {
+    return now_;
+  }
   base::TimePoint next = std::min(raft_->nextWakeup(), calls_.nextDeadline());
   if (leading_ != nullptr) {
     next = std::min({next, leading_->nextWakeup(), confirmer_.nextRound()});
@@ -119,7 +122,7 @@
   if (auto* evacuation = std::get_if<EvacuateZone>(&body)) {
     evacuation->basedOn = state_.zoneRevision(evacuation->zone);
   }
-  calls_.add({{std::nullopt, input.call}, std::move(body), now_ + timeout, {}});
+  take({{std::nullopt, input.call}, std::move(body), now_ + timeout});
 }
 
 void RegistryImpl::handle(const OrderFinished& input) {
@@ -156,7 +159,7 @@
 }
 
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const ForwardedCall& message) {
-  calls_.add({{from, message.sequence}, message.call, now_ + options_.callTimeout, {}});
+  take({{from, message.sequence}, message.call, now_ + options_.callTimeout});
 }
 
 void RegistryImpl::receiveBody(protocol::ConnectionId /*from*/, const ForwardedAnswer& message) {
@@ -293,6 +296,7 @@
   keeper_.reset();
   confirmer_ = {};
   callsByEntry_.clear();
+  pendingWorkers_.clear();
   reads_.clear();
   leaderHeardAt_ = now_;
 }
@@ -389,6 +393,10 @@
                {{"worker", worker->worker.id.value},
                 {"service", worker->worker.service},
                 {"state", std::string_view(worker->worker.leaving ? "leaving" : "ready")}});
+    const auto pending = pendingWorkers_.find(worker->worker.id);
+    if (pending != pendingWorkers_.end() && pending->second.index <= index) {
+      pendingWorkers_.erase(pending);
+    }
   } else if (const auto* gone = std::get_if<ForgetWorker>(&command)) {
     log_.write(LogEvent::workerForgotten, {{"worker", gone->worker.value}});
     orderTurns_.forget(gone->worker);
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -74,13 +74,17 @@
   void receiveBody(protocol::ConnectionId, const PackedView&) {}
   void receiveBody(protocol::ConnectionId, const SuspectList&) {}
 
+  /// A call that came, if there is room for it.
+  void take(WaitingCall call);
+
   // Calls, at the leader
   void decide(std::uint64_t call, const ReplaceDocument& body);
   void decide(std::uint64_t call, const ReadDocument& body);
   void decide(std::uint64_t call, const ReportAlive& body);
   void decide(std::uint64_t call, const ReportGone& body);
   void decide(std::uint64_t call, const EvacuateZone& body);
-  void propose(std::uint64_t call, const Command& command);
+  /// @return the entry that the call waits for; nothing if this server doesn't lead any more.
+  std::optional<consensus::LogIndex> propose(std::uint64_t call, const Command& command);
   void answer(std::uint64_t call, ControlAnswer answer);
   void answerDone(std::uint64_t call);
   void answerApplied(std::uint64_t call);
@@ -124,6 +128,7 @@
   std::vector<RegistryAction> actions_;
 
   CallTable calls_;
+  bool callsLeft_ = false;  ///< Some wait for this server's next turn.
   std::map<consensus::LogIndex, std::vector<std::uint64_t>> callsByEntry_;  ///< At the leader.
   std::vector<PendingRead> reads_;                                          ///< At the leader.
 
@@ -138,6 +143,12 @@
   std::uint64_t pendingDocumentVersion_ = 0;
   consensus::LogIndex pendingDocumentIndex_ = 0;
   std::uint32_t proposedLevel_ = 0;
+  /// A worker's record that is in the log and not applied yet.
+  struct PendingWorker {
+    WorkerRecord record;
+    consensus::LogIndex index = 0;
+  };
+  std::map<WorkerId, PendingWorker> pendingWorkers_;
 
   // What this server believes, as last logged.
   consensus::Role lastRole_ = consensus::Role::follower;
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -41,6 +41,7 @@
 
   base::TimePoint lastHeard;         ///< Or since when it is known.
   bool heard = false;                ///< By this leader.
+  base::TimePoint silenceCheckAt;    ///< When its silence is looked at next.
   base::TimePoint holdingsStoredAt;  ///< When its holdings were last proposed for the log.
   std::uint64_t lastSequence = 0;
   bool silent = false;
