--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -301,6 +301,10 @@
   std::vector<WorkerLoad> loads;
   std::vector<WorkerId> unreachable;  ///< Workers that the gateway can't reach at present.
   std::vector<WorkerOutcomes> outcomes;
+
+  bool empty() const {
+    return demands.empty() && loads.empty() && unreachable.empty() && outcomes.empty();
+  }
   template <class Archive>
   void serialize(Archive& archive) {
     archive(demands, loads, unreachable, outcomes);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -117,6 +117,7 @@
 void Gateway::leaderFollowed(bool told) {
   quarantine_.leaderFollowed(told);
   reportCutsSoon();
+  toldNothing_ = false;
   quota_.leaderLost();
   askForDocument();
   askForQuota(true);
@@ -391,10 +392,14 @@
   demandReportedAt_ = scheduler_.now();
   demandDueAt_ = demandReportedAt_ + options_.demandInterval;
   demandTimer_->enableAt(demandDueAt_);
-  if (session_.following()) {
-    session_.send(demand_.takeUpdate(directory_));
-  } else {
+  if (!session_.following()) {
     demand_.dropOutcomes();
+    return;
+  }
+  registry::DemandUpdate update = demand_.takeUpdate(directory_);
+  const bool toldNothing = std::exchange(toldNothing_, update.empty());
+  if (!toldNothing || !update.empty()) {
+    session_.send(std::move(update));
   }
 }
 
--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -199,6 +199,18 @@
   return count == found->second.end() ? 0 : count->second;
 }
 
+std::vector<ModelKey> DemandBook::askedSince(const std::string& service,
+                                             base::TimePoint since) const {
+  std::vector<ModelKey> keys;
+  for (auto entry = history_.lower_bound({service, {}, {}});
+       entry != history_.end() && entry->first.service == service; ++entry) {
+    if (entry->second.lastArrival >= since) {
+      keys.push_back(entry->first);
+    }
+  }
+  return keys;
+}
+
 std::vector<WorkerLoad> DemandBook::loads() const {
   std::vector<WorkerLoad> loads;
   for (const auto& [worker, models] : running_) {
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -69,6 +69,8 @@
   bool unreachable(const WorkerId& worker) const { return unreachable_.count(worker) != 0; }
   /// @return the running requests of all workers that have any.
   std::vector<WorkerLoad> loads() const;
+  /// @return models and adapters of the service that requests came for since then.
+  std::vector<ModelKey> askedSince(const std::string& service, base::TimePoint since) const;
   /// @return all models and adapters for which requests wait.
   const std::map<ModelKey, std::uint32_t>& waiting() const { return waiting_; }
   /// @return changes since the last call; of those without an answer only what has lasted.
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -15,6 +15,8 @@
 /// At each check, so that all workers of a cell that starts don't make one turn.
 constexpr std::size_t kMostHoldingsStored = 256;
 constexpr base::Duration kCheckInterval = std::chrono::milliseconds(50);
+/// Of a large fleet, whose gateways hear of loads four times a second.
+constexpr base::Duration kLoadsInterval = std::chrono::milliseconds(50);
 constexpr base::Duration kPlanSpacing = std::chrono::milliseconds(15);
 constexpr base::Duration kPlanSpacingPerWorker = std::chrono::microseconds(500);
 
@@ -110,6 +112,7 @@
       since_(now),
       turns_(turns),
       turnAllowedAt_(turnAllowedAt(lastTurnAt)),
+      poolStart_{std::to_string(self.value)},
       quotas_(options.quota),
       crashes_(state, log),
       publisher_(options.viewInterval),
@@ -185,12 +188,13 @@
   }
 }
 
-void LeaderDuties::subscribe(protocol::ConnectionId gateway, const Subscribe& request) {
+void LeaderDuties::subscribe(protocol::ConnectionId gateway, const Subscribe& request,
+                             const base::ZoneId& zone) {
   log_.write(LogEvent::gatewaySubscribed, {{"connection", gateway.value},
                                            {"document", request.documentVersion},
                                            {"partial", request.cursor.version},
                                            {"bytes", request.cursor.received}});
-  publisher_.subscribe(gateway);
+  publisher_.subscribe(gateway, zone);
   subscriptions_[gateway] = request;
 }
 
@@ -204,6 +208,10 @@
 void LeaderDuties::demand(protocol::ConnectionId gateway, const DemandUpdate& update,
                           base::TimePoint now) {
   demand_.update(gateway, update, now);
+  for (const ModelDemand& demand : update.demands) {
+    publisher_.asked(gateway, {demand.service, demand.model, demand.adapter}, demand.waiting > 0,
+                     now);
+  }
   for (const WorkerOutcomes& outcomes : update.outcomes) {
     if (state_.findWorker(outcomes.worker) != nullptr) {
       outliers_.report(
@@ -288,6 +296,8 @@
       workers_.erase(found);
     }
     publisher_.removeWorker(id);
+    index_.remove(id);
+    busyWorkers_.erase(id);
   }
   outliers_.forgetIf([&gone](const WorkerId& id) { return gone.count(id) != 0; });
 }
@@ -305,6 +315,18 @@
   }
   document_ = std::move(read.value());
   documentSince_ = now;
+  std::set<std::string> plainServices;
+  for (const catalog::Service& service : document_->services) {
+    if (!service.engine) {
+      plainServices.insert(service.name);
+    }
+  }
+  if (plainServices != plainServices_) {
+    plainServices_ = std::move(plainServices);
+    for (const auto& [id, record] : state_.workers()) {
+      changed_.insert(id);
+    }
+  }
   quotas_.setTenants(document_->tenants, now);
   sender_.setDocument(document_);
 }
@@ -380,7 +402,7 @@
     return;
   }
   for (ViewPublisher::Update& update :
-       publisher_.takeUpdates(now, term_, version, demand_.loads(), servers)) {
+       publisher_.takeUpdates(now, term_, version, recentLoads(now), servers)) {
     const auto subscribed = subscriptions_.find(update.gateway);
     if (update.update.complete) {
       sendSuspectsTo(update.gateway, now);
@@ -397,6 +419,15 @@
   }
 }
 
+/// Collecting them takes time in proportion to the busy workers, at each of many updates.
+const std::vector<WorkerLoad>& LeaderDuties::recentLoads(base::TimePoint now) {
+  if (publisher_.tellsAll() || now >= loadsTakenAt_ + kLoadsInterval) {
+    loads_ = demand_.loads();
+    loadsTakenAt_ = now;
+  }
+  return loads_;
+}
+
 void LeaderDuties::sendDocument(base::TimePoint now) {
   for (DocumentSender::Part& part : sender_.takeParts(now)) {
     actions_.emplace_back(control::SendToConnection{
@@ -422,7 +453,12 @@
       WorkerView view{*record, status.silent, outliers_.failing(id), status.holdingsKnown,
                       status.serving(now)};
       view.record.leaving = outOfService(*record);
-      publisher_.setWorker(view);
+      if (view.record.leaving || view.silent || view.failing) {
+        index_.remove(id);
+      } else {
+        index_.set(id, record->service, view.models);
+      }
+      publisher_.setWorker(view, isPlain(record->service));
     }
   }
 }
@@ -432,9 +468,18 @@
   return record.leaving || state_.evacuated(record.zone);
 }
 
+bool LeaderDuties::isPlain(const std::string& service) const {
+  return plainServices_.count(service) != 0;
+}
+
 /// Planning takes time in proportion to the workers; the spacing keeps its share of a core bounded.
 base::Duration LeaderDuties::planSpacing() const {
-  return kPlanSpacing + kPlanSpacingPerWorker * workers_.size();
+  return kPlanSpacing + kPlanSpacingPerWorker * plannedWorkers();
+}
+
+/// @return workers that plans look at, at most.
+std::size_t LeaderDuties::plannedWorkers() const {
+  return std::min(workers_.size(), kMostPlanned);
 }
 
 void LeaderDuties::plan(base::TimePoint now) {
@@ -448,7 +493,15 @@
   }
 }
 
+bool LeaderDuties::isLarge(const std::string& service) const {
+  return index_.of(service).size() > kMostPlanned;
+}
+
 void LeaderDuties::planService(const catalog::Service& service, base::TimePoint now) {
+  if (isLarge(service.name)) {
+    planLargeService(service, now);
+    return;
+  }
   std::vector<PlacementWorker> workers;
   for (const auto& [id, record] : state_.workers()) {
     const WorkerStatus& status = statusOf(id, now);
@@ -456,14 +509,42 @@
       workers.push_back(placementWorker(record, status, now));
     }
   }
+  decide(service, workers, {}, now);
+}
+
+void LeaderDuties::planLargeService(const catalog::Service& service, base::TimePoint now) {
+  const PlanningPool pool =
+      choosePlanningPool(service.name, index_, demand_, poolStart_, now);
+  std::vector<PlacementWorker> workers;
+  for (const WorkerId& id : pool.workers) {
+    const WorkerRecord* record = state_.findWorker(id);
+    if (record == nullptr) {
+      continue;
+    }
+    WorkerStatus& status = statusOf(id, now);
+    const bool target = pool.targets.count(id) != 0;
+    if ((target || pool.adapterHolders.count(id) != 0) && needsReport(*record, status, now)) {
+      requestReport(*record, status);
+    }
+    workers.push_back(placementWorker(*record, status, now));
+    workers.back().mayLoad = target;
+  }
+  decide(service, workers, pool.outside, now);
+}
+
+void LeaderDuties::decide(const catalog::Service& service,
+                          const std::vector<PlacementWorker>& workers,
+                          const std::map<std::string, std::uint32_t>& outside,
+                          base::TimePoint now) {
   PlacementPolicy& policy = policies_.try_emplace(service.name, service.name).first->second;
   StoreScheduler& store = stores_[service.name];
   store.setPatience(longestLoad(*service.engine), longestTimeout(*document_, service.name));
   store.setLimit(service.engine->storeLoadsPerSecond,
                  {options_.storeWindow, options_.storeOvershoot}, now);
   countForeignLoads(service, store);
-  const std::vector<PlacementStep> steps = policy.plan(*service.engine, workers, demand_, store,
-                                                       now, backoffs_[service.name].postponed(now));
+  const std::vector<PlacementStep> steps =
+      policy.plan(*service.engine, workers, demand_, store, now,
+                  backoffs_[service.name].postponed(now), outside);
   logDecisions(policy, store, now);
   carryOut(steps, now);
 }
@@ -497,10 +578,12 @@
 /// An order of a former leader that is under way may be a load from the store.
 void LeaderDuties::countForeignLoads(const catalog::Service& service, StoreScheduler& store) {
   std::size_t foreign = 0;
-  for (const auto& [id, record] : state_.workers()) {
+  for (const WorkerId& id : busyWorkers_) {
+    const WorkerRecord* record = state_.findWorker(id);
     const auto status = workers_.find(id);
-    const bool counts = record.service == service.name && status != workers_.end() &&
-                        status->second.foreignOrder && !status->second.silent;
+    const bool counts = record != nullptr && record->service == service.name &&
+                        status != workers_.end() && status->second.foreignOrder &&
+                        !status->second.silent;
     foreign += counts ? 1 : 0;
   }
   store.setForeign(foreign);
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -20,8 +20,10 @@
 #include "registry/load_backoff.h"
 #include "registry/order_turns.h"
 #include "registry/placement.h"
+#include "registry/planning_pool.h"
 #include "registry/quota_ledger.h"
 #include "registry/view_publisher.h"
+#include "registry/worker_index.h"
 #include "registry/worker_outlier_detector.h"
 #include "registry/worker_status.h"
 #include "walnut/registry/registry.h"
@@ -45,7 +47,9 @@
   /// Heartbeats that another server has taken.
   /// @return those of which this leader doesn't know enough.
   HeartbeatsWanted heartbeats(const HeartbeatBatch& batch, base::TimePoint now);
-  void subscribe(protocol::ConnectionId gateway, const Subscribe& request);
+  /// @param zone of the gateway.
+  void subscribe(protocol::ConnectionId gateway, const Subscribe& request,
+                 const base::ZoneId& zone = {});
   void unsubscribe(protocol::ConnectionId gateway);
   void documentPartTaken(protocol::ConnectionId gateway, const DocumentPartTaken& taken) {
     sender_.partTaken(gateway, taken.cursor);
@@ -99,6 +103,7 @@
   void sendSuspectsTo(protocol::ConnectionId gateway, base::TimePoint now);
   /// @return true if nothing new is to be sent to the worker.
   bool outOfService(const WorkerRecord& record) const;
+  bool isPlain(const std::string& service) const;
   bool namesUnknownService(const Heartbeat& heartbeat) const;
   bool isOfFormerLife(const Heartbeat& heartbeat, base::TimePoint now);
   bool contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now);
@@ -111,11 +116,20 @@
   void sendLateModelsTo(protocol::ConnectionId gateway);
   void storeHoldings(base::TimePoint now);
   void publish(base::TimePoint now, const std::vector<base::Endpoint>& servers);
+  const std::vector<WorkerLoad>& recentLoads(base::TimePoint now);
   void sendDocument(base::TimePoint now);
   void refreshViews(base::TimePoint now);
   base::Duration planSpacing() const;
   void plan(base::TimePoint now);
   void planService(const catalog::Service& service, base::TimePoint now);
+  void planLargeService(const catalog::Service& service, base::TimePoint now);
+  void decide(const catalog::Service& service, const std::vector<PlacementWorker>& workers,
+              const std::map<std::string, std::uint32_t>& outside, base::TimePoint now);
+  bool isLarge(const std::string& service) const;
+  /// @return true if a report would let the worker be ordered.
+  bool needsReport(const WorkerRecord& record, const WorkerStatus& status,
+                   base::TimePoint now) const;
+  std::size_t plannedWorkers() const;
   PlacementWorker placementWorker(const WorkerRecord& record, const WorkerStatus& status,
                                   base::TimePoint now) const;
   void carryOut(const std::vector<PlacementStep>& steps, base::TimePoint now);
@@ -152,15 +166,20 @@
 
   std::shared_ptr<const catalog::Document> document_;
   base::TimePoint documentSince_;  ///< When this leader took it.
+  std::set<std::string> plainServices_;  ///< Of the document: those without engines.
   std::map<WorkerId, WorkerStatus> workers_;
   /// Unknown workers that called from the endpoint of one that is alive, with the sequence.
   std::map<WorkerId, std::uint64_t> contests_;
+  WorkerIndex index_;
+  WorkerId poolStart_;  ///< See choosePlanningPool.
   DemandBook demand_;
   QuotaLedger quotas_;
   WorkerOutlierDetector outliers_;
   CrashMonitor crashes_;
   ViewPublisher publisher_;
   ViewEncoder viewEncoder_;
+  std::vector<WorkerLoad> loads_;  ///< As last collected.
+  base::TimePoint loadsTakenAt_;
   DocumentSender sender_;
   /// Gateways that wait for their complete view. The document follows it: a gateway that has not
   /// heard the leader yet takes no parts.
@@ -170,6 +189,8 @@
   std::map<std::string, StoreScheduler> stores_;     ///< By service.
   std::map<std::string, LoadBackoff> backoffs_;      ///< By service.
   LateModelAnnouncer lateModelAnnouncer_;
+  /// Workers that took an order for a model, or said that they carry one out; some have ended it.
+  std::set<WorkerId> busyWorkers_;
   std::map<std::uint64_t, SentOrder> orders_;
   std::uint64_t lastOrder_ = 0;
   std::map<std::uint64_t, Batch> batches_;
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -124,26 +124,47 @@
 }
 
 /// Only a worker whose count of orders is known can be ordered.
+bool LeaderDuties::needsReport(const WorkerRecord& record, const WorkerStatus& status,
+                               base::TimePoint now) const {
+  return !outOfService(record) && !status.silent && !status.reportFresh && !status.sentOrder &&
+         now >= status.orderAgainAt && mayOrder(record.id, now);
+}
+
+/// Of a large service, plans ask those that they may order.
 void LeaderDuties::refreshReports(base::TimePoint now) {
+  if (document_ == nullptr) {
+    return;
+  }
+  std::set<std::string_view> small;
+  for (const catalog::Service& service : document_->services) {
+    if (service.engine && !isLarge(service.name)) {
+      small.insert(service.name);
+    }
+  }
+  if (small.empty()) {
+    return;
+  }
   for (const auto& [id, record] : state_.workers()) {
-    const catalog::Service* service =
-        document_ == nullptr ? nullptr : document_->findService(record.service);
     WorkerStatus& status = statusOf(id, now);
-    const bool wanted = service != nullptr && service->engine && !outOfService(record) &&
-                        !status.silent && !status.reportFresh && !status.sentOrder;
-    if (wanted && now >= status.orderAgainAt && mayOrder(id, now)) {
+    if (small.count(record.service) != 0 && needsReport(record, status, now)) {
       requestReport(record, status);
     }
   }
 }
 
 void LeaderDuties::askOverdueWorkers(base::TimePoint now) {
-  for (const auto& [id, record] : state_.workers()) {
-    WorkerStatus& status = statusOf(id, now);
+  for (auto next = busyWorkers_.begin(); next != busyWorkers_.end();) {
+    const WorkerRecord* record = state_.findWorker(*next);
+    WorkerStatus& status = statusOf(*next, now);
+    if (record == nullptr || (!status.modelOrder && !status.foreignOrder)) {
+      next = busyWorkers_.erase(next);
+      continue;
+    }
     if (status.modelOrder && now >= status.modelOrder->dueAt && !status.silent) {
       status.modelOrder->dueAt = now + kOrderMargin;
-      requestReport(record, status);
+      requestReport(*record, status);
     }
+    ++next;
   }
 }
 
@@ -231,6 +252,7 @@
         const base::Duration expected = expectedTime(step, *record, status);
         const base::Duration patience = load ? expected + kOrderMargin : kUnloadPatience;
         status.modelOrdered(step, now, now + expected, now + patience);
+        busyWorkers_.insert(step.worker);
         stores_[record->service].accepted(step.worker, now);
       } else {
         status.adapterOrdered(step, now, options_.adapterSettleTime);
@@ -311,6 +333,9 @@
     status.orderAgainAt = now + kRefusedPause;
   }
   status.foreignOrder = report.orderUnderWay && !status.modelOrder;
+  if (status.foreignOrder) {
+    busyWorkers_.insert(finished.worker);
+  }
 }
 
 void LeaderDuties::logEndedOrder(const WorkerId& id, WorkerStatus& status, base::TimePoint now) {
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -69,8 +69,10 @@
                                                  const std::vector<PlacementWorker>& workers,
                                                  const DemandBook& demand, StoreScheduler& store,
                                                  base::TimePoint now,
-                                                 const std::set<std::string>& postponed) {
+                                                 const std::set<std::string>& postponed,
+                                                 const std::map<std::string, std::uint32_t>& outside) {
   PlacementRound round(engine, workers, demand, store, service_, now);
+  round.addOutside(outside);
   queued_.clear();
   outlook_.clear();
   storeQueueBefore_ = std::exchange(storeQueue_, 0);
@@ -306,7 +308,7 @@
   const auto begun = wakes_.find(name);
   Choice best;
   for (const PlacementWorker& worker : round.workers()) {
-    if (!worker.serving || worker.holdings.find(name) != nullptr ||
+    if (!worker.serving || !worker.mayLoad || worker.holdings.find(name) != nullptr ||
         (atOnce && !isFree(round, worker))) {
       continue;
     }
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -43,6 +43,7 @@
 struct PlacementWorker {
   WorkerId id;
   Holdings holdings;          ///< With adapters that are on their way.
+  bool mayLoad = true;        ///< Models are loaded there at all.
   bool mayBeOrdered = false;  ///< It is ready, and no order to it is under way.
   bool mayTakeAdapters = true;
   bool serving = true;                  ///< It is neither leaving nor silent nor failing.
@@ -123,10 +124,12 @@
 
   /// @return what to order now, one step a worker at most.
   /// @param postponed models that are not to be loaded now.
+  /// @param outside by model, how many workers beside these serve it.
   std::vector<PlacementStep> plan(const catalog::EngineSpec& engine,
                                   const std::vector<PlacementWorker>& workers,
                                   const DemandBook& demand, StoreScheduler& store,
-                                  base::TimePoint now, const std::set<std::string>& postponed = {});
+                                  base::TimePoint now, const std::set<std::string>& postponed = {},
+                                  const std::map<std::string, std::uint32_t>& outside = {});
   /// @return what the last run decided; of a model that goes on waiting for the same only once.
   std::vector<PlacementDecision> takeDecisions() { return std::exchange(decisions_, {}); }
   /// @return as of the last run.
--- a/src/registry/placement_round.cpp
+++ b/src/registry/placement_round.cpp
@@ -117,6 +117,18 @@
   }
 }
 
+void PlacementRound::addOutside(const std::map<std::string, std::uint32_t>& workers) {
+  for (const auto& [model, count] : workers) {
+    if (count > 0) {
+      Replicas& replicas = replicas_[model];
+      replicas.present += count;
+      replicas.serving += count;
+      replicas.takingAdapters += count;
+      replicas.copies += count;
+    }
+  }
+}
+
 double PlacementRound::queuedShare(const PlacementWorker& worker) const {
   const double running = demand_.running(worker.id);
   return engine_.slots == 0 || running <= engine_.slots
--- a/src/registry/placement_round.h
+++ b/src/registry/placement_round.h
@@ -33,6 +33,9 @@
                  const DemandBook& demand, StoreScheduler& store, const std::string& service,
                  base::TimePoint now);
 
+  /// Workers that are not looked at, and hold these models: none of them has requests.
+  void addOutside(const std::map<std::string, std::uint32_t>& workers);
+
   const catalog::EngineSpec& engine() const { return engine_; }
   const std::vector<PlacementWorker>& workers() const { return workers_; }
   const DemandBook& demand() const { return demand_; }
--- /dev/null
+++ b/src/registry/planning_pool.cpp
@@ -0,0 +1,58 @@
+#include "registry/planning_pool.h"
+
+#include <algorithm>
+
+namespace walnut::registry {
+
+namespace {
+
+/// Adds so many workers, in a circle from `start`.
+void addFrom(const WorkerIndex::Workers& workers, const WorkerId& start, std::size_t most,
+             std::set<WorkerId>& chosen) {
+  auto next = workers.lower_bound(start);
+  const std::size_t count = std::min(most, workers.size());
+  for (std::size_t added = 0; added < count; ++added) {
+    next = next == workers.end() ? workers.begin() : next;
+    chosen.insert(*next);
+    ++next;
+  }
+}
+
+}  // namespace
+
+PlanningPool choosePlanningPool(const std::string& service, const WorkerIndex& index,
+                                const DemandBook& demand, const WorkerId& start,
+                                base::TimePoint now) {
+  PlanningPool pool;
+  const WorkerIndex::Workers& all = index.of(service);
+  addFrom(all, start, kPlannedTargets, pool.targets);
+  pool.workers = pool.targets;
+  for (const WorkerLoad& load : demand.loads()) {
+    if (all.count(load.worker) != 0) {
+      pool.workers.insert(load.worker);
+    }
+  }
+  for (const ModelKey& key : demand.askedSince(service, now - kPlannedSince)) {
+    const WorkerIndex::Workers& holders = index.holding(service, key.model);
+    addFrom(holders, start, kPlannedHolders, pool.workers);
+    if (key.adapter.empty()) {
+      continue;
+    }
+    const std::string adapter = WorkerIndex::adapterName(key.model, key.adapter);
+    addFrom(index.holding(service, adapter), start, 1, pool.workers);
+    if (demand.waiting().count(key) != 0) {
+      addFrom(holders, start, kPlannedHolders, pool.adapterHolders);
+    }
+  }
+  for (const auto& [model, holders] : index.models(service)) {
+    pool.outside[model] = static_cast<std::uint32_t>(holders.size());
+  }
+  for (const WorkerId& worker : pool.workers) {
+    for (const std::string& model : index.heldBy(worker)) {
+      --pool.outside[model];
+    }
+  }
+  return pool;
+}
+
+}  // namespace walnut::registry
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -102,10 +102,13 @@
 void RegistryImpl::handle(const LinkOpened& input) {
   if (input.hello.role == protocol::PeerRole::controller) {
     peers_[{input.hello.id}] = {input.hello.featureLevel, input.hello.zone};
+  } else {
+    gatewayZones_[input.connection] = input.hello.zone;
   }
 }
 
 void RegistryImpl::handle(const LinkClosed& input) {
+  gatewayZones_.erase(input.connection);
   if (leading_ != nullptr) {
     leading_->unsubscribe(input.connection);
   }
@@ -206,7 +209,8 @@
 /// was acknowledged, and after a restart it is.
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const Subscribe& message) {
   if (leadingActively()) {
-    leading_->subscribe(from, message);
+    const auto zone = gatewayZones_.find(from);
+    leading_->subscribe(from, message, zone == gatewayZones_.end() ? base::ZoneId{} : zone->second);
     return;
   }
   actions_.emplace_back(control::SendToConnection{
@@ -462,11 +466,15 @@
   }
 }
 
+/// As much is written in snapshots as in the log, however large the state is.
 void RegistryImpl::takeSnapshotIfDue() {
-  if (bytesSinceSnapshot_ >= options_.snapshotEveryBytes) {
-    bytesSinceSnapshot_ = 0;
-    raft_->compact(appliedIndex_, state_.encode(), options_.snapshotKeepEntries);
+  if (bytesSinceSnapshot_ < std::max(options_.snapshotEveryBytes, snapshotBytes_)) {
+    return;
   }
+  std::string snapshot = state_.encode();
+  bytesSinceSnapshot_ = 0;
+  snapshotBytes_ = snapshot.size();
+  raft_->compact(appliedIndex_, std::move(snapshot), options_.snapshotKeepEntries);
 }
 
 void RegistryImpl::keepCell() {
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -134,6 +134,7 @@
   CellState state_;
   consensus::LogIndex appliedIndex_ = 0;
   std::size_t bytesSinceSnapshot_ = 0;
+  std::size_t snapshotBytes_ = 0;  ///< Of the last one that this server took.
   std::vector<RegistryAction> actions_;
 
   CallTable calls_;
@@ -148,6 +149,7 @@
     base::ZoneId zone;
   };
   std::map<base::ServerId, Peer> peers_;
+  std::map<protocol::ConnectionId, base::ZoneId> gatewayZones_;  ///< Of gateways that are linked.
 
   // Of the present leadership of this server.
   std::unique_ptr<LeaderDuties> leading_;
--- a/src/registry/view_publisher.cpp
+++ b/src/registry/view_publisher.cpp
@@ -33,21 +33,61 @@
 ViewPublisher::ViewPublisher(base::Duration interval)
     : interval_(interval), completeUpdates_(kMostCompleteUpdates, kCompleteSpacing) {}
 
-void ViewPublisher::setWorker(const WorkerView& view) {
+void ViewPublisher::subscribe(protocol::ConnectionId id, const base::ZoneId& zone) {
+  unsubscribe(id);
+  gateways_[id].zone = zone;
+  if (interest_) {
+    incomplete_.insert(id);
+    interest_->addGateway(id, zone);
+    takeInterestChanges();
+  }
+  followIfLarge();
+}
+
+void ViewPublisher::unsubscribe(protocol::ConnectionId id) {
+  const auto found = gateways_.find(id);
+  if (found == gateways_.end()) {
+    return;
+  }
+  dueAt_.erase({found->second.dueAt, id});
+  incomplete_.erase(id);
+  withNews_.erase(id);
+  gateways_.erase(found);
+  if (interest_) {
+    interest_->removeGateway(id);
+  }
+}
+
+void ViewPublisher::setWorker(const WorkerView& view, bool plain) {
   const auto [found, added] = workers_.try_emplace(view.record.id);
   Worker& worker = found->second;
-  if (added || worker.removed || !(worker.view == view)) {
-    worker.revision = ++revision_;
+  const bool changed = added || worker.removed || !(worker.view == view) || worker.plain != plain;
+  if (!changed) {
+    return;
   }
+  worker.revision = ++revision_;
   worker.view = view;
+  worker.plain = plain;
   worker.removed = false;
+  if (interest_) {
+    noteWorkerChanged(view.record.id);
+    interest_->setWorker(view, plain);
+    takeInterestChanges();
+  }
+  followIfLarge();
 }
 
 void ViewPublisher::removeWorker(const WorkerId& id) {
   const auto found = workers_.find(id);
-  if (found != workers_.end() && !found->second.removed) {
-    found->second.removed = true;
-    found->second.revision = ++revision_;
+  if (found == workers_.end() || found->second.removed) {
+    return;
+  }
+  found->second.removed = true;
+  found->second.revision = ++revision_;
+  if (interest_) {
+    interest_->removeWorker(id);
+    takeInterestChanges();
+    workers_.erase(found);
   }
 }
 
@@ -77,6 +117,9 @@
 }
 
 bool ViewPublisher::due(base::TimePoint now, std::uint64_t documentVersion) const {
+  if (interest_) {
+    return followedDue(now, documentVersion);
+  }
   return std::any_of(gateways_.begin(), gateways_.end(),
                      [&](const auto& entry) { return isDue(entry.second, now, documentVersion); });
 }
@@ -87,18 +130,19 @@
   std::vector<Update> updates;
   setLoads(loads);
   const auto count = static_cast<std::uint32_t>(gateways_.size());
-  for (auto& [connection, gateway] : gateways_) {
-    if (!isDue(gateway, now, documentVersion)) {
-      continue;
-    }
+  for (const protocol::ConnectionId connection : dueGateways(now, documentVersion)) {
+    Gateway& gateway = gateways_.at(connection);
     if (!gateway.complete && !completeUpdates_.take(now)) {
       continue;
     }
-    ViewUpdate update = makeUpdate(gateway);
+    ViewUpdate update =
+        interest_ ? makeFollowedUpdate(connection, gateway) : makeUpdate(gateway);
     update.term = term;
     update.documentVersion = documentVersion;
     update.gateways = count;
-    addLoads(gateway, now, update);
+    if (!interest_) {
+      addLoads(gateway, now, update);
+    }
     if (gateway.servers != servers) {
       update.servers = servers;
       gateway.servers = servers;
@@ -108,8 +152,12 @@
     gateway.documentVersion = documentVersion;
     gateway.gateways = count;
     gateway.lastSent = now;
+    if (interest_) {
+      scheduleAt(connection, gateway, now + interval_);
+    }
     updates.push_back({connection, std::move(update), gateway.cursor});
   }
+  toldVersion_ = documentVersion;
   dropRemoved();
   return updates;
 }
@@ -125,10 +173,11 @@
     const std::uint32_t running = found == present.end() ? 0 : found->second;
     if (running != load.running || load.revision == 0) {
       load = {running, ++loadRevision_};
+      noteLoadChanged(id, running);
     }
   }
   std::erase_if(loads_, [this](const auto& entry) {
-    return entry.second.running == 0 && workers_.count(entry.first) == 0;
+    return entry.second.running == 0 && (interest_ || workers_.count(entry.first) == 0);
   });
 }
 
@@ -167,6 +216,9 @@
 }
 
 void ViewPublisher::dropRemoved() {
+  if (interest_) {
+    return;
+  }
   std::uint64_t oldest = revision_;
   for (const auto& [connection, gateway] : gateways_) {
     oldest = std::min(oldest, gateway.complete ? gateway.revision : revision_);
@@ -178,6 +230,10 @@
 
 base::TimePoint ViewPublisher::nextUpdate() const {
   base::TimePoint next = base::kNever;
+  if (interest_) {
+    next = dueAt_.empty() ? next : dueAt_.begin()->first;
+    return incomplete_.empty() ? next : std::min(next, completeUpdates_.next());
+  }
   for (const auto& [connection, gateway] : gateways_) {
     next =
         std::min(next, gateway.complete ? gateway.lastSent + interval_ : completeUpdates_.next());
--- a/src/registry/view_publisher.h
+++ b/src/registry/view_publisher.h
@@ -5,9 +5,13 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "registry/turn_limit.h"
+#include "registry/view_interest.h"
 #include "walnut/protocol/messages.h"
 #include "walnut/registry/messages.h"
 #include "walnut/registry/view_codec.h"
@@ -16,16 +20,30 @@
 
 /// Kept by the leader. A connection delivers in order or ends, so what was sent to it needs no
 /// acknowledgement.
+///
+/// While workers x gateways are few, each gateway is told of every worker. From `kMostPairs` on, and
+/// until the end of the leadership, it is told of those that it follows (ViewInterest), and of what
+/// it was told before.
 class ViewPublisher {
  public:
   explicit ViewPublisher(base::Duration interval);
 
-  void subscribe(protocol::ConnectionId gateway) { gateways_[gateway] = {}; }
-  void unsubscribe(protocol::ConnectionId gateway) { gateways_.erase(gateway); }
+  /// Pairs of a gateway and a worker from which on gateways follow only some: telling each of the
+  /// pairs takes some 10 MB at the leader, and a second of a small core.
+  static constexpr std::size_t kMostPairs = 100'000;
+
+  void subscribe(protocol::ConnectionId gateway, const base::ZoneId& zone = {});
+  void unsubscribe(protocol::ConnectionId gateway);
   std::size_t gatewayCount() const { return gateways_.size(); }
+  /// @return true while each gateway is told of every worker.
+  bool tellsAll() const { return !interest_; }
   std::vector<protocol::ConnectionId> gateways() const;
+  /// A gateway was asked for a model or adapter: see ViewInterest::asked.
+  void asked(protocol::ConnectionId gateway, const ModelKey& key, bool waiting,
+             base::TimePoint now);
 
-  void setWorker(const WorkerView& view);
+  /// @param plain it serves a plain service: all its workers serve the same.
+  void setWorker(const WorkerView& view, bool plain = false);
   void removeWorker(const WorkerId& worker);
   /// @return the workers that were set and not removed.
   std::vector<WorkerId> workers() const;
@@ -52,6 +70,7 @@
   bool isDue(const Gateway& gateway, base::TimePoint now, std::uint64_t documentVersion) const;
 
   struct Gateway {
+    base::ZoneId zone;
     bool complete = false;              ///< It has got the whole view.
     std::uint64_t documentVersion = 0;  ///< As it was last told.
     std::uint64_t revision = 0;
@@ -61,6 +80,13 @@
     base::TimePoint loadsSentAt;
     std::vector<base::Endpoint> servers;  ///< As it was last told.
     ViewCursor cursor;
+    /// @name While it follows only some workers: what it is to be told of next
+    /// @{
+    std::set<WorkerId> changed;
+    std::set<WorkerId> removed;
+    std::set<WorkerId> loads;
+    /// @}
+    base::TimePoint dueAt;  ///< As in `dueAt_`.
   };
   /// A worker's requests of all gateways; kept at 0, as gateways have to be told of that too.
   struct Load {
@@ -69,6 +95,7 @@
   };
   struct Worker {
     WorkerView view;
+    bool plain = false;
     std::uint64_t revision = 0;
     bool removed = false;
   };
@@ -80,6 +107,17 @@
   ViewUpdate makeUpdate(const Gateway& gateway) const;
   void dropRemoved();
 
+  // While gateways follow only some workers (view_publisher_interest.cpp).
+  void followIfLarge();
+  void takeInterestChanges();
+  void noteWorkerChanged(const WorkerId& worker);
+  void noteLoadChanged(const WorkerId& worker, std::uint32_t running);
+  void scheduleAt(protocol::ConnectionId id, Gateway& gateway, base::TimePoint at);
+  std::vector<protocol::ConnectionId> dueGateways(base::TimePoint now,
+                                                  std::uint64_t documentVersion);
+  ViewUpdate makeFollowedUpdate(protocol::ConnectionId id, Gateway& gateway);
+  bool followedDue(base::TimePoint now, std::uint64_t documentVersion) const;
+
   const base::Duration interval_;
   TurnLimit completeUpdates_;
   std::uint64_t revision_ = 0;
@@ -87,6 +125,14 @@
   std::map<WorkerId, Worker> workers_;
   std::uint64_t loadRevision_ = 0;
   std::map<WorkerId, Load> loads_;
+  std::optional<ViewInterest> interest_;  ///< Absent: each gateway follows all workers.
+  /// @name With an interest, by time and gateway
+  /// @{
+  std::set<std::pair<base::TimePoint, protocol::ConnectionId>> dueAt_;
+  std::set<protocol::ConnectionId> incomplete_;
+  std::set<protocol::ConnectionId> withNews_;
+  /// @}
+  std::uint64_t toldVersion_ = 0;  ///< Of the document, in the last updates.
 };
 
 }  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/view_publisher_interest.cpp
@@ -0,0 +1,154 @@
+/// @file
+/// The part of the publisher for fleets of which a gateway follows only some workers: what it does
+/// takes time in proportion to what changed and who follows it.
+
+#include <algorithm>
+#include <utility>
+
+#include "registry/view_publisher.h"
+
+namespace walnut::registry {
+
+/// Gateways have been told of all workers so far, and go on following them.
+void ViewPublisher::followIfLarge() {
+  if (interest_ || gateways_.size() * workers_.size() <= kMostPairs) {
+    return;
+  }
+  interest_.emplace();
+  for (const auto& [id, worker] : workers_) {
+    if (!worker.removed) {
+      interest_->setWorker(worker.view, worker.plain);
+    }
+  }
+  for (auto& [id, gateway] : gateways_) {
+    interest_->addGateway(id, gateway.zone);
+    if (!gateway.complete) {
+      incomplete_.insert(id);
+      continue;
+    }
+    for (const auto& [workerId, worker] : workers_) {
+      if (worker.removed) {
+        gateway.removed.insert(workerId);
+        continue;
+      }
+      interest_->followed(id, workerId);
+      gateway.loads.insert(workerId);
+      if (worker.revision > gateway.revision) {
+        gateway.changed.insert(workerId);
+      }
+    }
+    withNews_.insert(id);
+  }
+  std::erase_if(workers_, [](const auto& entry) { return entry.second.removed; });
+  for (const auto& [id, load] : loads_) {
+    interest_->setRunning(id, load.running);
+  }
+  takeInterestChanges();
+}
+
+void ViewPublisher::asked(protocol::ConnectionId gateway, const ModelKey& key, bool waiting,
+                          base::TimePoint now) {
+  if (interest_) {
+    interest_->asked(gateway, key, waiting, now);
+    takeInterestChanges();
+  }
+}
+
+void ViewPublisher::takeInterestChanges() {
+  for (const ViewInterest::Change& change : interest_->takeChanges()) {
+    Gateway& gateway = gateways_.at(change.gateway);
+    if (!gateway.complete) {
+      continue;  // Its complete view has what it follows by then.
+    }
+    if (change.follows) {
+      gateway.changed.insert(change.worker);
+      gateway.loads.insert(change.worker);
+      gateway.removed.erase(change.worker);
+    } else {
+      gateway.changed.erase(change.worker);
+      gateway.loads.erase(change.worker);
+      gateway.removed.insert(change.worker);
+    }
+    withNews_.insert(change.gateway);
+  }
+}
+
+void ViewPublisher::noteWorkerChanged(const WorkerId& worker) {
+  for (const protocol::ConnectionId id : interest_->followersOf(worker)) {
+    gateways_.at(id).changed.insert(worker);
+    withNews_.insert(id);
+  }
+}
+
+/// Loads change all the time: they go with the next update that is due anyway.
+void ViewPublisher::noteLoadChanged(const WorkerId& worker, std::uint32_t running) {
+  if (!interest_) {
+    return;
+  }
+  interest_->setRunning(worker, running);
+  for (const protocol::ConnectionId id : interest_->followersOf(worker)) {
+    gateways_.at(id).loads.insert(worker);
+  }
+}
+
+void ViewPublisher::scheduleAt(protocol::ConnectionId id, Gateway& gateway, base::TimePoint at) {
+  dueAt_.erase({gateway.dueAt, id});
+  gateway.dueAt = at;
+  dueAt_.emplace(at, id);
+  incomplete_.erase(id);
+  withNews_.erase(id);
+}
+
+bool ViewPublisher::followedDue(base::TimePoint now, std::uint64_t documentVersion) const {
+  const bool intervalOver = !dueAt_.empty() && dueAt_.begin()->first <= now;
+  const bool completeDue = !incomplete_.empty() && now >= completeUpdates_.next();
+  return intervalOver || completeDue || !withNews_.empty() || documentVersion != toldVersion_;
+}
+
+/// @return gateways to be told something, in the order of their connections.
+std::vector<protocol::ConnectionId> ViewPublisher::dueGateways(base::TimePoint now,
+                                                               std::uint64_t documentVersion) {
+  if (!interest_ || documentVersion != toldVersion_) {
+    std::vector<protocol::ConnectionId> due;
+    for (const auto& [id, gateway] : gateways_) {
+      if (interest_ || isDue(gateway, now, documentVersion)) {
+        due.push_back(id);
+      }
+    }
+    return due;
+  }
+  std::set<protocol::ConnectionId> due = incomplete_;
+  for (const protocol::ConnectionId id : withNews_) {
+    due.insert(id);
+  }
+  for (auto next = dueAt_.begin(); next != dueAt_.end() && next->first <= now; ++next) {
+    due.insert(next->second);
+  }
+  return {due.begin(), due.end()};
+}
+
+ViewUpdate ViewPublisher::makeFollowedUpdate(protocol::ConnectionId id, Gateway& gateway) {
+  ViewUpdate update;
+  update.complete = !gateway.complete;
+  if (update.complete) {
+    gateway.changed = interest_->followedBy(id);
+    gateway.loads = gateway.changed;
+    gateway.removed.clear();
+  }
+  for (const WorkerId& worker : std::exchange(gateway.changed, {})) {
+    update.changed.push_back(workers_.at(worker).view);
+  }
+  for (const WorkerId& worker : std::exchange(gateway.removed, {})) {
+    update.removed.push_back(worker);
+  }
+  for (const WorkerId& worker : std::exchange(gateway.loads, {})) {
+    const auto load = loads_.find(worker);
+    const std::uint32_t running = load == loads_.end() ? 0 : load->second.running;
+    if (running > 0 || !update.complete) {
+      update.loads.push_back({worker, {}, running});
+    }
+  }
+  return update;
+}
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/test/registry/planning_pool_test.cpp
@@ -0,0 +1,115 @@
+/// A plan for thousands of workers looks at few of them, and decides as if it saw all.
+
+#include "registry/planning_pool.h"
+
+#include "registry/placement.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace std::chrono_literals;
+
+TEST_GROUP(PlanningPoolTest) {
+  WorkerIndex index;
+  DemandBook demand;
+  base::TimePoint now = base::TimePoint(100s);
+  static constexpr std::size_t kWorkers = 5000;
+
+  static WorkerId id(std::size_t number) { return {"w" + std::to_string(number)}; }
+  void setup() override {
+    for (std::size_t number = 0; number < kWorkers; ++number) {
+      const std::string model = number < 10 ? "rare" : "common";
+      index.set(id(number), "svc", {{model, 1, {}}});
+    }
+  }
+  PlanningPool pool() const { return choosePlanningPool("svc", index, demand, {"w2"}, now); }
+  void ask(const char* model, const char* adapter, std::uint32_t waiting) {
+    DemandUpdate update;
+    update.demands.push_back({"svc", model, adapter, waiting, 1});
+    demand.update({1}, update, now);
+  }
+};
+
+TEST(PlanningPoolTest, itIsSmallWhateverTheFleet) {
+  CHECK_EQUAL(kPlannedTargets, pool().workers.size());
+}
+
+TEST(PlanningPoolTest, itIsTheSameFromPlanToPlan) { CHECK_TRUE(pool().targets == pool().targets); }
+
+TEST(PlanningPoolTest, busyWorkersAreInIt) {
+  DemandUpdate update;
+  update.loads.push_back({id(4321), "common", 2});
+  demand.update({1}, update, now);
+  CHECK_EQUAL(1, pool().workers.count(id(4321)));
+  CHECK_EQUAL(0, pool().targets.count(id(4321)));
+}
+
+TEST(PlanningPoolTest, holdersOfWhatIsAskedForAreInItAndTheRestIsCounted) {
+  ask("rare", "", 0);
+  const PlanningPool chosen = pool();
+  std::size_t holders = 0;
+  for (std::size_t number = 0; number < 10; ++number) {
+    holders += chosen.workers.count(id(number));
+  }
+  CHECK_TRUE(holders >= kPlannedHolders);
+  CHECK_EQUAL(10, holders + chosen.outside.at("rare"));
+}
+
+TEST(PlanningPoolTest, holdersThatMayLoadAnAdapterAreNamed) {
+  ask("rare", "a1", 1);
+  CHECK_EQUAL(kPlannedHolders, pool().adapterHolders.size());
+}
+
+/// Else the adapter would be loaded once more.
+TEST(PlanningPoolTest, whoHasTheAdapterIsInIt) {
+  index.set(id(3999), "svc", {{"common", 1, {"a1"}}});
+  ask("common", "a1", 1);
+  CHECK_EQUAL(1, pool().workers.count(id(3999)));
+}
+
+TEST(PlanningPoolTest, whatNobodyHasAskedForLatelyIsLeftOut) {
+  ask("rare", "", 0);
+  now += kPlannedSince + 1s;
+  CHECK_EQUAL(kPlannedTargets, pool().workers.size());
+}
+
+/// Thousands that a plan doesn't see serve the model: nothing is loaded for one that waits.
+TEST(PlanningPoolTest, aModelThatIsServedOutsideIsNotCold) {
+  catalog::EngineSpec engine;
+  engine.slots = 4;
+  engine.weightsMegabytes = 100;
+  catalog::ModelSpec model;
+  model.name = "common";
+  model.weightsMegabytes = 40;
+  engine.models.push_back(model);
+  ask("common", "", 1);
+  PlacementWorker target;
+  target.id = {"target"};
+  target.mayBeOrdered = true;
+  PlacementPolicy policy("svc");
+  StoreScheduler store;
+  store.setLimit(0, {}, now);
+  CHECK_TRUE(policy.plan(engine, {target}, demand, store, now, {}, {{"common", 3000}}).empty());
+  CHECK_EQUAL(1, policy.plan(engine, {target}, demand, store, now).size());
+}
+
+TEST(PlanningPoolTest, aWorkerThatIsNoTargetIsNotOrderedToLoad) {
+  catalog::EngineSpec engine;
+  engine.slots = 4;
+  engine.weightsMegabytes = 100;
+  catalog::ModelSpec model;
+  model.name = "cold";
+  model.weightsMegabytes = 40;
+  engine.models.push_back(model);
+  ask("cold", "", 1);
+  PlacementWorker other;
+  other.id = {"other"};
+  other.mayBeOrdered = true;
+  other.mayLoad = false;
+  PlacementPolicy policy("svc");
+  StoreScheduler store;
+  store.setLimit(0, {}, now);
+  CHECK_TRUE(policy.plan(engine, {other}, demand, store, now).empty());
+}
--- /dev/null
+++ b/test/registry/view_interest_test.cpp
@@ -0,0 +1,308 @@
+/// A fleet of thousands of workers and gateways, of which each gateway sees few requests: it hears
+/// of the workers that it has a use for, not of all.
+
+#include "registry/view_interest.h"
+
+#include "registry/view_publisher.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr protocol::ConnectionId kGateway{8};
+constexpr protocol::ConnectionId kOther{16};  ///< Of the same group.
+
+std::string name(const char* prefix, std::size_t number) {
+  return prefix + std::to_string(number);
+}
+
+WorkerView worker(const std::string& id, const char* zone, std::vector<HeldModel> models) {
+  WorkerView view;
+  view.record.id = {id};
+  view.record.service = "svc";
+  view.record.zone = {zone};
+  view.record.slots = 4;
+  view.holdingsKnown = true;
+  view.models = std::move(models);
+  return view;
+}
+
+const ModelKey kModel{"svc", "m", ""};
+
+}  // namespace
+
+TEST_GROUP(ViewInterestTest) {
+  ViewInterest interest;
+  base::TimePoint now = base::TimePoint(100s);
+
+  void addWorkers(std::size_t count, const char* zone, const char* prefix) {
+    for (std::size_t index = 0; index < count; ++index) {
+      interest.setWorker(worker(name(prefix, index), zone, {{"m", 1, {}}}), false);
+    }
+  }
+  std::size_t followedIn(protocol::ConnectionId gateway, const char* prefix) const {
+    const auto& all = interest.followedBy(gateway);
+    return static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(), [prefix](const WorkerId& id) { return id.value.starts_with(prefix); }));
+  }
+};
+
+TEST(ViewInterestTest, nobodyIsFollowedForAModelBeforeItIsAskedFor) {
+  addWorkers(100, "a", "a");
+  interest.addGateway(kGateway, {"a"});
+  CHECK_EQUAL(0, interest.followedBy(kGateway).size());
+  interest.asked(kGateway, kModel, true, now);
+  CHECK_EQUAL(ViewInterest::kModelWorkers, interest.followedBy(kGateway).size());
+}
+
+TEST(ViewInterestTest, workersOfTheOwnZoneComeFirst) {
+  addWorkers(3, "a", "a");
+  addWorkers(100, "b", "b");
+  interest.addGateway(kGateway, {"a"});
+  interest.asked(kGateway, kModel, true, now);
+  CHECK_EQUAL(3, followedIn(kGateway, "a"));
+  CHECK_EQUAL(1, followedIn(kGateway, "b"));
+}
+
+TEST(ViewInterestTest, gatewaysOfOneGroupFollowTheSameAndOthersOthers) {
+  addWorkers(100, "a", "a");
+  std::set<WorkerId> all;
+  for (std::uint64_t gateway = 1; gateway <= 2 * ViewInterest::kGroups; ++gateway) {
+    interest.addGateway({gateway}, {"a"});
+    interest.asked({gateway}, kModel, true, now);
+    const auto& followed = interest.followedBy({gateway});
+    all.insert(followed.begin(), followed.end());
+  }
+  CHECK_TRUE(interest.followedBy({1}) == interest.followedBy({1 + ViewInterest::kGroups}));
+  CHECK_EQUAL(ViewInterest::kGroups * ViewInterest::kModelWorkers, all.size());
+}
+
+TEST(ViewInterestTest, whoseRequestsWaitIsToldOfMore) {
+  addWorkers(100, "a", "a");
+  interest.addGateway(kGateway, {"a"});
+  interest.asked(kGateway, kModel, true, now);
+  interest.asked(kGateway, kModel, false, now);
+  CHECK_EQUAL(ViewInterest::kModelWorkers, interest.followedBy(kGateway).size());
+  interest.asked(kGateway, kModel, true, now);
+  CHECK_EQUAL(2 * ViewInterest::kModelWorkers, interest.followedBy(kGateway).size());
+}
+
+TEST(ViewInterestTest, moreAreFollowedWhileTheyAreBusy) {
+  addWorkers(100, "a", "a");
+  interest.addGateway(kGateway, {"a"});
+  interest.asked(kGateway, kModel, false, now);
+  for (const WorkerId& id : interest.followedBy(kGateway)) {
+    interest.setRunning(id, 2);
+  }
+  interest.asked(kGateway, kModel, false, now);
+  CHECK_EQUAL(2 * ViewInterest::kModelWorkers, interest.followedBy(kGateway).size());
+}
+
+TEST(ViewInterestTest, whoTurnsSilentOrLosesTheModelIsReplaced) {
+  addWorkers(100, "a", "a");
+  interest.addGateway(kGateway, {"a"});
+  interest.asked(kGateway, kModel, false, now);
+  const std::set<WorkerId> first = interest.followedBy(kGateway);
+  WorkerView silent = worker(first.begin()->value, "a", {{"m", 1, {}}});
+  silent.silent = true;
+  interest.setWorker(silent, false);
+  interest.setWorker(worker(first.rbegin()->value, "a", {{"other", 1, {}}}), false);
+  CHECK_EQUAL(ViewInterest::kModelWorkers + 2, interest.followedBy(kGateway).size());
+}
+
+TEST(ViewInterestTest, aWorkerThatEndsIsReplacedAndTold) {
+  addWorkers(100, "a", "a");
+  interest.addGateway(kGateway, {"a"});
+  interest.asked(kGateway, kModel, false, now);
+  (void)interest.takeChanges();
+  const WorkerId ended = *interest.followedBy(kGateway).begin();
+  interest.removeWorker(ended);
+  const auto changes = interest.takeChanges();
+  CHECK_EQUAL(2, changes.size());
+  CHECK_FALSE(changes.at(0).follows);
+  CHECK_TRUE(changes.at(0).worker == ended);
+  CHECK_TRUE(changes.at(1).follows);
+}
+
+TEST(ViewInterestTest, whoWaitsForAnAdapterIsToldOnceAWorkerHasIt) {
+  addWorkers(10, "a", "a");
+  interest.addGateway(kGateway, {"a"});
+  interest.asked(kGateway, {"svc", "m", "a1"}, true, now);
+  CHECK_EQUAL(0, interest.followedBy(kGateway).size());
+  interest.setWorker(worker("a7", "a", {{"m", 1, {"a1"}}}), false);
+  CHECK_EQUAL(1, interest.followedBy(kGateway).count({"a7"}));
+}
+
+TEST(ViewInterestTest, workersOfAPlainServiceAreFollowedUnasked) {
+  interest.addGateway(kGateway, {"a"});
+  for (std::size_t index = 0; index < 100; ++index) {
+    interest.setWorker(worker(name("p", index), "a", {}), true);
+  }
+  interest.addGateway(kOther, {"a"});
+  CHECK_EQUAL(ViewInterest::kPlainWorkers, interest.followedBy(kGateway).size());
+  CHECK_EQUAL(ViewInterest::kPlainWorkers, interest.followedBy(kOther).size());
+}
+
+TEST(ViewInterestTest, anEvacuatedZoneIsReplacedByAnother) {
+  addWorkers(10, "a", "a");
+  addWorkers(10, "b", "b");
+  interest.addGateway(kGateway, {"a"});
+  interest.asked(kGateway, kModel, false, now);
+  for (std::size_t index = 0; index < 10; ++index) {
+    WorkerView leaving = worker(name("a", index), "a", {{"m", 1, {}}});
+    leaving.record.leaving = true;
+    interest.setWorker(leaving, false);
+  }
+  CHECK_EQUAL(ViewInterest::kModelWorkers, followedIn(kGateway, "b"));
+}
+
+TEST(ViewInterestTest, whatIsOfNoUseAnyMoreIsDropped) {
+  interest.addGateway(kGateway, {"a"});
+  constexpr std::size_t kModels = 200;
+  for (std::size_t model = 0; model < kModels; ++model) {
+    for (std::size_t index = 0; index < 4; ++index) {
+      interest.setWorker(worker(name("w", 4 * model + index), "a", {{name("m", model), 1, {}}}),
+                         false);
+    }
+  }
+  for (std::size_t model = 0; model < kModels; ++model) {
+    interest.asked(kGateway, {"svc", name("m", model), ""}, false, now);
+    now += 1s;
+  }
+  CHECK_TRUE(interest.followedBy(kGateway).size() <= ViewInterest::kMostFollowed + 4);
+  CHECK_EQUAL(1, interest.followedBy(kGateway).count({"w799"}));
+}
+
+TEST_GROUP(LargeViewPublisherTest) {
+  const base::TimePoint start = base::TimePoint(100s);
+  ViewPublisher publisher{250ms};
+  std::vector<WorkerLoad> loads;
+  static constexpr std::size_t kWorkers = 2000;
+  static constexpr std::size_t kGateways = 100;
+
+  void setup() override {
+    for (std::uint64_t gateway = 1; gateway <= kGateways; ++gateway) {
+      publisher.subscribe({gateway}, {"a"});
+    }
+    for (std::size_t index = 0; index < kWorkers; ++index) {
+      publisher.setWorker(worker(name("w", index), "a", {{"m", 1, {}}}));
+    }
+  }
+  std::vector<ViewPublisher::Update> updates(base::TimePoint now) {
+    return publisher.takeUpdates(now, 1, 1, loads, {});
+  }
+  /// A gateway asks for the model. @return one of the workers that it is told of.
+  WorkerId askFor(std::uint64_t gateway, base::TimePoint now) {
+    publisher.asked({gateway}, kModel, true, now);
+    for (const auto& sent : updates(now)) {
+      if (sent.gateway.value == gateway) {
+        return sent.update.changed.front().record.id;
+      }
+    }
+    return {};
+  }
+  /// All gateways get their first view. @return when that is done, and nothing else is due.
+  base::TimePoint tellAll() {
+    base::TimePoint now = start;
+    for (std::size_t round = 0; round < kGateways; ++round) {
+      (void)updates(now);
+      now += 10ms;
+    }
+    (void)updates(now);
+    return now;
+  }
+};
+
+TEST(LargeViewPublisherTest, aFirstViewIsSmall) {
+  CHECK_FALSE(publisher.tellsAll());
+  const auto sent = updates(start);
+  CHECK_EQUAL(8, sent.size());
+  CHECK_TRUE(sent.front().update.complete);
+  CHECK_TRUE(sent.front().update.changed.empty());
+}
+
+TEST(LargeViewPublisherTest, whoAsksIsToldAtOnceAndNobodyElse) {
+  const base::TimePoint now = tellAll();
+  publisher.asked({5}, kModel, true, now);
+  const auto sent = updates(now + 1ms);
+  CHECK_EQUAL(1, sent.size());
+  CHECK_EQUAL(5, sent.front().gateway.value);
+  CHECK_EQUAL(ViewInterest::kModelWorkers, sent.front().update.changed.size());
+}
+
+TEST(LargeViewPublisherTest, aChangeIsToldToThoseWhoFollowTheWorker) {
+  const base::TimePoint now = tellAll();
+  const WorkerId followed = askFor(5, now);
+  WorkerView changed = worker(followed.value, "a", {{"m", 1, {}}});
+  changed.silent = true;
+  publisher.setWorker(changed);
+  publisher.setWorker(worker("w-new", "a", {{"other", 1, {}}}));
+  const auto sent = updates(now + 1ms);
+  CHECK_EQUAL(1, sent.size());
+  CHECK_EQUAL(2, sent.front().update.changed.size());  // And the one that replaces it.
+}
+
+TEST(LargeViewPublisherTest, aWorkerThatEndedIsToldToThoseWhoFollowedIt) {
+  const base::TimePoint now = tellAll();
+  const WorkerId followed = askFor(5, now);
+  publisher.removeWorker(followed);
+  const auto sent = updates(now + 1ms);
+  CHECK_EQUAL(1, sent.size());
+  CHECK_EQUAL(1, sent.front().update.removed.size());
+}
+
+TEST(LargeViewPublisherTest, loadsOfFollowedWorkersGoWithTheNextUpdate) {
+  const base::TimePoint now = tellAll();
+  const WorkerId followed = askFor(5, now);
+  loads = {{followed, "", 3}, {{"w-unknown"}, "", 1}};
+  (void)updates(now + 1ms);
+  base::TimePoint later = now + 2ms;
+  std::size_t told = 0;
+  for (; later < now + 300ms; later += 1ms) {
+    for (const auto& sent : updates(later)) {
+      for (const WorkerLoad& load : sent.update.loads) {
+        CHECK_EQUAL(5, sent.gateway.value);
+        told += load.running;
+      }
+    }
+  }
+  CHECK_EQUAL(3, told);
+}
+
+TEST(LargeViewPublisherTest, eachGatewayHearsSomethingEachInterval) {
+  const base::TimePoint now = tellAll();
+  std::set<std::uint64_t> heard;
+  for (base::TimePoint later = now; later <= now + 250ms; later += 5ms) {
+    for (const auto& sent : updates(later)) {
+      heard.insert(sent.gateway.value);
+    }
+  }
+  CHECK_EQUAL(kGateways, heard.size());
+}
+
+TEST(LargeViewPublisherTest, aNewDocumentIsToldToAll) {
+  const base::TimePoint now = tellAll();
+  CHECK_EQUAL(kGateways, publisher.takeUpdates(now + 1ms, 1, 2, loads, {}).size());
+}
+
+/// It has been told of all workers while there were few.
+TEST(LargeViewPublisherTest, whatAGatewayKnowsFromBeforeIsKeptUpToDate) {
+  ViewPublisher growing{250ms};
+  growing.subscribe({1}, {"a"});
+  growing.setWorker(worker("first", "a", {{"m", 1, {}}}));
+  (void)growing.takeUpdates(start, 1, 1, loads, {});
+  for (std::size_t index = 0; index <= ViewPublisher::kMostPairs; ++index) {
+    growing.setWorker(worker(name("w", index), "a", {}));
+  }
+  CHECK_FALSE(growing.tellsAll());
+  (void)growing.takeUpdates(start + 1ms, 1, 1, loads, {});
+  growing.removeWorker({"first"});
+  const auto sent = growing.takeUpdates(start + 2ms, 1, 1, loads, {});
+  CHECK_EQUAL(1, sent.size());
+  CHECK_EQUAL(1, sent.front().update.removed.size());
+}
