--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -200,8 +200,13 @@
 }
 
 void Gateway::refuseAll() {
-  if (!std::exchange(refusingAll_, true)) {
-    forEachExchange(&Exchange::stopWaiting);
+  if (std::exchange(refusingAll_, true)) {
+    return;
+  }
+  forEachExchange(&Exchange::stopWaiting);
+  for (EarlyRequest& early : std::exchange(early_, {})) {
+    early.sink->setGoneCallback(nullptr);
+    refuse(*early.sink, dialect_.readRequest(early.request).requestId, kUnavailable, "stopping");
   }
 }
 
@@ -233,8 +238,9 @@
 
 /// The document comes within moments of the start of a gateway; what can't wait is refused.
 void Gateway::keepEarly(net::HttpRequest request, net::ResponseSink& sink) {
-  if (early_.size() >= kMaxEarly) {
-    refuse(sink, dialect_.readRequest(request).requestId, kUnavailable, "no document is known");
+  if (refusingAll_ || early_.size() >= kMaxEarly) {
+    refuse(sink, dialect_.readRequest(request).requestId, kUnavailable,
+           refusingAll_ ? "stopping" : "no document is known");
     return;
   }
   early_.push_back({std::move(request), &sink, scheduler_.now()});
--- a/test/gateway/exchange_test.cpp
+++ b/test/gateway/exchange_test.cpp
@@ -278,6 +278,15 @@
   CHECK_TRUE(sent(0).cancelled);
 }
 
+/// The process would end before its document came, and cut the connection without an answer.
+TEST(ExchangeTest, aRequestThatWaitsForTheFirstDocumentIsRefusedWhenTheProcessIsAboutToEnd) {
+  const auto waiting = harness.request("once", "r1");
+  harness.gateway.refuseAll();
+  CHECK_EQUAL(503, waiting->status);
+  CHECK(waiting->headers.find("Retry-After") != nullptr);
+  CHECK_EQUAL(503, harness.request("once", "r2")->status);
+}
+
 TEST(ExchangeTest, aWorkerWhoseStreamsPauseIsPassedOver) {
   harness.declare(2);
   const auto paused = harness.request("stream", "r1");
