--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,6 +24,9 @@
 constexpr base::Duration kUseSpacing = std::chrono::milliseconds(50);
 constexpr base::Duration kUseSpacingPerGateway = std::chrono::milliseconds(4);
 /// @}
+/// Between two reports that have nothing: well below the time after which a server takes a silent
+/// connection for lost.
+constexpr base::Duration kQuietInterval = std::chrono::seconds(3);
 /// For the first document after a start: little more than an election takes.
 constexpr base::Duration kEarlyPatience = std::chrono::milliseconds(1500);
 constexpr std::size_t kMaxEarly = 256;
@@ -117,7 +120,7 @@
 void Gateway::leaderFollowed(bool told) {
   quarantine_.leaderFollowed(told);
   reportCutsSoon();
-  toldNothing_ = false;
+  quietUntil_ = {};
   quota_.leaderLost();
   askForDocument();
   askForQuota(true);
@@ -403,8 +406,8 @@
     return;
   }
   registry::DemandUpdate update = demand_.takeUpdate(directory_);
-  const bool toldNothing = std::exchange(toldNothing_, update.empty());
-  if (!toldNothing || !update.empty()) {
+  if (!update.empty() || scheduler_.now() >= quietUntil_) {
+    quietUntil_ = update.empty() ? scheduler_.now() + kQuietInterval : base::TimePoint();
     session_.send(std::move(update));
   }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -199,7 +199,7 @@
   bool cutsSoon_ = false;
   event::TimerPtr demandTimer_;
   bool demandSoon_ = false;
-  bool toldNothing_ = false;  ///< The last report had nothing: another such one is no news.
+  base::TimePoint quietUntil_;  ///< The last report had nothing: another such one is no news.
   base::TimePoint demandReportedAt_;
   base::TimePoint demandDueAt_;
   std::uint32_t gateways_ = kUnknownGateways;
--- a/test/gateway/demand_report_test.cpp
+++ b/test/gateway/demand_report_test.cpp
@@ -55,3 +55,19 @@
   CHECK_EQUAL(1, demand.waiting);
   CHECK_TRUE(demand.targetLatency == 400ms);
 }
+
+/// Thousands of gateways have nothing to tell most of the time; their servers take a connection on
+/// which nothing comes for 10 s for lost.
+TEST(DemandReportTest, aGatewayWithNothingToTellSaysSoSeldomButInTime) {
+  harness.advanceFollowing(30s);
+  CHECK_TRUE(reports() >= 6);
+  CHECK_TRUE(reports() <= 11);
+}
+
+TEST(DemandReportTest, theFirstReportWithNothingIsNews) {
+  const auto caller = harness.request("stream", "r1", "m");
+  harness.advanceFollowing(600ms);
+  harness.answer(*harness.launcher.sent.back(), 200, "r1", "id: 1\ndata: x\n\n");
+  harness.advanceFollowing(1s);
+  CHECK_TRUE(harness.link.demand.back().empty());
+}
