--- a/include/walnut/registry/feature_level.h
+++ b/include/walnut/registry/feature_level.h
@@ -7,9 +7,9 @@
 
 namespace walnut::registry {
 
-/// A message of a level goes only to peers that have said in their Hello that they know it. An entry
-/// of the log of a level is proposed only once every server of the cell has: from then on the cell
-/// is of that level for good (RaiseFeatureLevel), and takes in no server of a lower one.
+/// A message of a level goes only to peers that have said in their Hello that they know it. An
+/// entry of the log of a level is proposed only once every server of the cell has: from then on the
+/// cell is of that level for good (RaiseFeatureLevel), and takes in no server of a lower one.
 namespace feature {
 /// EvacuateZone, StoreZoneEvacuation.
 inline constexpr std::uint32_t kZoneEvacuation = 1;
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -55,8 +55,8 @@
 struct EvacuateZone {
   base::ZoneId zone;
   bool evacuated = true;  ///< False: the evacuation ends.
-  /// Changes of that zone which the server that took the call had applied by then: a call that comes
-  /// late, after later ones were acknowledged, changes nothing.
+  /// Changes of that zone which the server that took the call had applied by then: a call that
+  /// comes late, after later ones were acknowledged, changes nothing.
   std::uint64_t basedOn = 0;
   template <class Archive>
   void serialize(Archive& archive) {
--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -42,8 +42,8 @@
   consensus::Member self;  ///< Its id is that of the recovered state.
   /// Internal endpoints of servers to ask for admission, beside those of the known membership.
   std::vector<base::Endpoint> joinEndpoints;
-  std::vector<base::ZoneId> zones;  ///< That workers may be in; empty: any.
-  std::uint32_t tolerableLosses = 2;                            ///< Disks that may be lost at once.
+  std::vector<base::ZoneId> zones;    ///< That workers may be in; empty: any.
+  std::uint32_t tolerableLosses = 2;  ///< Disks that may be lost at once.
   base::Duration callTimeout = std::chrono::milliseconds(900);  ///< Heartbeats and the like.
   base::Duration documentTimeout = std::chrono::milliseconds(900);
   base::Duration viewInterval = std::chrono::milliseconds(250);  ///< Longest silence to gateways.
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -22,8 +22,8 @@
 /// A turn of the loop that is longer is told of: as long as the time between two heartbeats of a
 /// leader, a fifth of its lease.
 constexpr base::Duration kLongTurn = std::chrono::milliseconds(100);
-/// Of a turn, for what the logic has to do: what is left then waits for the next turn, in which other
-/// servers are heard first. A fifth of the time between two heartbeats of a leader.
+/// Of a turn, for what the logic has to do: what is left then waits for the next turn, in which
+/// other servers are heard first. A fifth of the time between two heartbeats of a leader.
 constexpr base::Duration kSettleSlice = std::chrono::milliseconds(20);
 constexpr base::Duration kLongTurnLogInterval = std::chrono::seconds(1);
 constexpr base::Duration kRefusedCallLogInterval = std::chrono::seconds(1);
@@ -59,8 +59,8 @@
       stopTimer_(dispatcher_.createTimer([this] { checkStopped(); })),
       queue_(
           runtime::now,
-          [this](net::HttpRequest request, net::ResponseSink& sink) {
-            serveCall(std::move(request), sink);
+          [this](const net::HttpRequest& request, net::ResponseSink& sink) {
+            serveCall(request, sink);
           },
           [this](const net::HttpRequest& /*request*/, net::ResponseSink& sink) {
             metrics_.count("walnut_registry_calls_total", "given-up");
@@ -282,7 +282,7 @@
   }
 }
 
-void RegistryHost::serveCall(net::HttpRequest request, net::ResponseSink& sink) {
+void RegistryHost::serveCall(const net::HttpRequest& request, net::ResponseSink& sink) {
   auto call = dialects_.control.readCall(request);
   if (call.has_error()) {
     noteRefusedCall(request, call.error());
--- a/src/daemon/registry_host.h
+++ b/src/daemon/registry_host.h
@@ -75,7 +75,7 @@
   bool settleOnce();
   void noteLongTurn();
   void serveCalls();
-  void serveCall(net::HttpRequest request, net::ResponseSink& sink);
+  void serveCall(const net::HttpRequest& request, net::ResponseSink& sink);
   void noteRefusedCall(const net::HttpRequest& request, const base::Error& error);
   void perform(control::SendToServer& send);
   void perform(control::SendToConnection& send);
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -1,9 +1,9 @@
 #include "walnut/protocol/codec.h"
 
-#include "base/archive.h"
-
 #include <charconv>
 
+#include "base/archive.h"
+
 namespace walnut::protocol {
 
 namespace {
--- a/src/registry/cell_state.cpp
+++ b/src/registry/cell_state.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// A worker's call may be seconds late; fewer workers than this, or than there are, end in that time.
+/// A worker's call may be seconds late; fewer workers than this, or than there are, end in that
+/// time.
 constexpr std::size_t kLeastForgotten = 1024;
 /// A leader reads them after each batch of entries.
 constexpr std::size_t kMostChanges = 8192;
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -478,9 +478,7 @@
 }
 
 /// @return workers that plans look at, at most.
-std::size_t LeaderDuties::plannedWorkers() const {
-  return std::min(workers_.size(), kMostPlanned);
-}
+std::size_t LeaderDuties::plannedWorkers() const { return std::min(workers_.size(), kMostPlanned); }
 
 void LeaderDuties::plan(base::TimePoint now) {
   if (document_ == nullptr) {
@@ -513,8 +511,7 @@
 }
 
 void LeaderDuties::planLargeService(const catalog::Service& service, base::TimePoint now) {
-  const PlanningPool pool =
-      choosePlanningPool(service.name, index_, demand_, poolStart_, now);
+  const PlanningPool pool = choosePlanningPool(service.name, index_, demand_, poolStart_, now);
   std::vector<PlacementWorker> workers;
   for (const WorkerId& id : pool.workers) {
     const WorkerRecord* record = state_.findWorker(id);
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -165,7 +165,7 @@
   const base::TimePoint turnAllowedAt_;  ///< Not before, if another server had the last turn.
 
   std::shared_ptr<const catalog::Document> document_;
-  base::TimePoint documentSince_;  ///< When this leader took it.
+  base::TimePoint documentSince_;        ///< When this leader took it.
   std::set<std::string> plainServices_;  ///< Of the document: those without engines.
   std::map<WorkerId, WorkerStatus> workers_;
   /// Unknown workers that called from the endpoint of one that is alive, with the sequence.
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -65,12 +65,10 @@
 
 }  // namespace
 
-std::vector<PlacementStep> PlacementPolicy::plan(const catalog::EngineSpec& engine,
-                                                 const std::vector<PlacementWorker>& workers,
-                                                 const DemandBook& demand, StoreScheduler& store,
-                                                 base::TimePoint now,
-                                                 const std::set<std::string>& postponed,
-                                                 const std::map<std::string, std::uint32_t>& outside) {
+std::vector<PlacementStep> PlacementPolicy::plan(
+    const catalog::EngineSpec& engine, const std::vector<PlacementWorker>& workers,
+    const DemandBook& demand, StoreScheduler& store, base::TimePoint now,
+    const std::set<std::string>& postponed, const std::map<std::string, std::uint32_t>& outside) {
   PlacementRound round(engine, workers, demand, store, service_, now);
   round.addOutside(outside);
   queued_.clear();
--- a/src/registry/planning_pool.h
+++ b/src/registry/planning_pool.h
@@ -16,8 +16,8 @@
 /// workers that may load; not each of thousands. How many more hold a model is counted.
 struct PlanningPool {
   std::set<WorkerId> workers;
-  std::set<WorkerId> targets;                    ///< Of these, who may be ordered to load a model.
-  std::set<WorkerId> adapterHolders;             ///< Of these, who may be ordered to load an adapter.
+  std::set<WorkerId> targets;         ///< Of these, who may be ordered to load a model.
+  std::set<WorkerId> adapterHolders;  ///< Of these, who may be ordered to load an adapter.
   std::map<std::string, std::uint32_t> outside;  ///< By model, how many others serve it.
 };
 
--- a/src/registry/registry_calls.cpp
+++ b/src/registry/registry_calls.cpp
@@ -54,8 +54,8 @@
     return;
   }
   if (auto batch = relay_.takeBatch(now_)) {
-    actions_.emplace_back(control::SendToServer{
-        leader, *endpoint, RegistryMessage{MessageBody(std::move(*batch))}});
+    actions_.emplace_back(
+        control::SendToServer{leader, *endpoint, RegistryMessage{MessageBody(std::move(*batch))}});
   }
 }
 
@@ -234,8 +234,8 @@
   answer(call, std::move(unavailable));
 }
 
-/// Heartbeats are called again, by workers that wait longer and longer; what changes the document or
-/// a zone is taken in any case.
+/// Heartbeats are called again, by workers that wait longer and longer; what changes the document
+/// or a zone is taken in any case.
 void RegistryImpl::take(WaitingCall call) {
   const bool heartbeat = std::holds_alternative<ReportAlive>(call.call);
   const std::uint64_t number = calls_.add(std::move(call));
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -139,7 +139,7 @@
   std::vector<RegistryAction> actions_;
 
   CallTable calls_;
-  HeartbeatRelay relay_;  ///< While another server leads.
+  HeartbeatRelay relay_;    ///< While another server leads.
   bool callsLeft_ = false;  ///< Some wait for this server's next turn.
   std::map<consensus::LogIndex, std::vector<std::uint64_t>> callsByEntry_;  ///< At the leader.
   std::vector<PendingRead> reads_;                                          ///< At the leader.
--- a/src/registry/store_rate.cpp
+++ b/src/registry/store_rate.cpp
@@ -20,8 +20,7 @@
 void StoreRate::setLimit(double perSecond, const StoreWindow& window, base::TimePoint now) {
   perSecond_ = perSecond;
   const double overshoot = seconds(window.length) * (window.overshoot - 1.0);
-  burst_ = kBurstBeyondOvershoot +
-           perSecond * std::max(0.0, overshoot - seconds(kOrderJitter));
+  burst_ = kBurstBeyondOvershoot + perSecond * std::max(0.0, overshoot - seconds(kOrderJitter));
   refill(now);
   while (!unclear_.empty() && unclear_.front() + kUnclearFor <= now) {
     unclear_.pop_front();
--- a/src/registry/turn_limit.h
+++ b/src/registry/turn_limit.h
@@ -9,8 +9,8 @@
 
 namespace walnut::registry {
 
-/// At most `most` items in each span of `spacing`, counted from the first of them. An item may count
-/// as several.
+/// At most `most` items in each span of `spacing`, counted from the first of them. An item may
+/// count as several.
 class TurnLimit {
  public:
   TurnLimit(std::size_t most, base::Duration spacing) : most_(most), spacing_(spacing) {}
--- a/src/registry/view_interest.cpp
+++ b/src/registry/view_interest.cpp
@@ -143,8 +143,7 @@
   const auto wished = gateway.wishes.find(key);
   std::size_t workers = kModelWorkers;
   if (wished != gateway.wishes.end()) {
-    const bool more =
-        wished->second.workers < serverCount(key) && (waiting || busy(gateway, key));
+    const bool more = wished->second.workers < serverCount(key) && (waiting || busy(gateway, key));
     workers = wished->second.workers * (more ? 2 : 1);
   }
   wish(id, gateway, key, workers, now);
@@ -174,8 +173,7 @@
   return count;
 }
 
-std::vector<WorkerId> ViewInterest::followedFor(const Gateway& gateway,
-                                                const ModelKey& key) const {
+std::vector<WorkerId> ViewInterest::followedFor(const Gateway& gateway, const ModelKey& key) const {
   std::vector<WorkerId> serving;
   std::copy_if(gateway.follows.begin(), gateway.follows.end(), std::back_inserter(serving),
                [this, &key](const WorkerId& id) { return workers_.at(id).serves.count(key) != 0; });
--- a/src/registry/view_interest.h
+++ b/src/registry/view_interest.h
@@ -16,10 +16,10 @@
 namespace walnut::registry {
 
 /// Each gateway follows some of the workers of each plain service, and some of those that serve a
-/// model or an adapter that it has been asked for: more of them while these are busy or its requests
-/// wait. Those of its own zone come first. Gateways of one group follow the same workers as far as
-/// can be, so that the prompts that these have read are used again; groups differ, so that no worker
-/// is everybody's.
+/// model or an adapter that it has been asked for: more of them while these are busy or its
+/// requests wait. Those of its own zone come first. Gateways of one group follow the same workers
+/// as far as can be, so that the prompts that these have read are used again; groups differ, so
+/// that no worker is everybody's.
 ///
 /// Work grows with what changes and who follows it, never with workers x gateways.
 class ViewInterest {
--- a/src/registry/view_publisher.cpp
+++ b/src/registry/view_publisher.cpp
@@ -129,8 +129,7 @@
     if (!gateway.complete && !completeUpdates_.take(now)) {
       continue;
     }
-    ViewUpdate update =
-        interest_ ? makeFollowedUpdate(connection, gateway) : makeUpdate(gateway);
+    ViewUpdate update = interest_ ? makeFollowedUpdate(connection, gateway) : makeUpdate(gateway);
     update.term = term;
     update.documentVersion = documentVersion;
     update.gateways = count;
--- a/src/registry/view_publisher.h
+++ b/src/registry/view_publisher.h
@@ -21,9 +21,9 @@
 /// Kept by the leader. A connection delivers in order or ends, so what was sent to it needs no
 /// acknowledgement.
 ///
-/// While workers x gateways are few, each gateway is told of every worker. From `kMostPairs` on, and
-/// until the end of the leadership, it is told of those that it follows (ViewInterest), and of what
-/// it was told before.
+/// While workers x gateways are few, each gateway is told of every worker. From `kMostPairs` on,
+/// and until the end of the leadership, it is told of those that it follows (ViewInterest), and of
+/// what it was told before.
 class ViewPublisher {
  public:
   explicit ViewPublisher(base::Duration interval);
--- a/src/registry/view_publisher_interest.cpp
+++ b/src/registry/view_publisher_interest.cpp
@@ -146,8 +146,8 @@
     due.resize(std::min(due.size(), kMostCompleteUpdates));
   }
   const std::size_t most = due.size() + kMostUpdatesInTurn;
-  for (auto next = dueAt_.begin();
-       next != dueAt_.end() && next->first <= now && due.size() < most; ++next) {
+  for (auto next = dueAt_.begin(); next != dueAt_.end() && next->first <= now && due.size() < most;
+       ++next) {
     due.push_back(next->second);
   }
   for (auto next = withNews_.begin(); next != withNews_.end() && due.size() < most; ++next) {
--- a/test/platform/dialect_test.cpp
+++ b/test/platform/dialect_test.cpp
@@ -113,8 +113,7 @@
   CHECK_TRUE(std::get<registry::EvacuateZone>(begin).evacuated);
   const auto end = control.readCall(post("/v1/Evacuations.End/hel-a", "")).value();
   CHECK_FALSE(std::get<registry::EvacuateZone>(end).evacuated);
-  STRCMP_EQUAL("zone",
-               control.readCall(post("/v1/Evacuations.Begin/", "")).error().field.c_str());
+  STRCMP_EQUAL("zone", control.readCall(post("/v1/Evacuations.Begin/", "")).error().field.c_str());
 }
 
 TEST(DialectTest, answersHaveTheStatusThatCallersActOn) {
--- a/test/registry/view_interest_test.cpp
+++ b/test/registry/view_interest_test.cpp
@@ -17,9 +17,7 @@
 constexpr protocol::ConnectionId kGateway{8};
 constexpr protocol::ConnectionId kOther{16};  ///< Of the same group.
 
-std::string name(const char* prefix, std::size_t number) {
-  return prefix + std::to_string(number);
-}
+std::string name(const char* prefix, std::size_t number) { return prefix + std::to_string(number); }
 
 WorkerView worker(const std::string& id, const char* zone, std::vector<HeldModel> models) {
   WorkerView view;
@@ -47,8 +45,9 @@
   }
   std::size_t followedIn(protocol::ConnectionId gateway, const char* prefix) const {
     const auto& all = interest.followedBy(gateway);
-    return static_cast<std::size_t>(std::count_if(
-        all.begin(), all.end(), [prefix](const WorkerId& id) { return id.value.starts_with(prefix); }));
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(),
+                      [prefix](const WorkerId& id) { return id.value.starts_with(prefix); }));
   }
 };
 
@@ -297,7 +296,8 @@
   CHECK_EQUAL(kGateways, told.size());
 }
 
-/// Else the loop would hold up consensus with each document, the longer the more gateways there are.
+/// Else the loop would hold up consensus with each document, the longer the more gateways there
+/// are.
 TEST(LargeViewPublisherTest, oneTurnTellsABoundedNumber) {
   const base::TimePoint now = tellAll();
   CHECK_TRUE(publisher.takeUpdates(now, 1, 2, loads, {}).size() <= 64);
--- a/test/registry/zone_evacuation_test.cpp
+++ b/test/registry/zone_evacuation_test.cpp
@@ -1,4 +1,5 @@
-/// The operator has a zone evacuated: durable, idempotent, told to gateways, and known to placement.
+/// The operator has a zone evacuated: durable, idempotent, told to gateways, and known to
+/// placement.
 
 #include "registry/cluster.h"
 #include "registry/leader_duties_kit.h"
@@ -152,34 +153,34 @@
   CHECK_EQUAL(4, cluster.voterCount(*cluster.leader()));
 }
 
-TEST_GROUP_BASE(ZoneEvacuationDutiesTest, LeaderDutiesKit) {
-  void evacuate(bool evacuated) {
+TEST_GROUP_BASE(ZoneEvacuationDutiesTest, LeaderDutiesKit){void evacuate(bool evacuated){
     state.apply(StoreZoneEvacuation{{"zone-a"}, evacuated, state.zoneRevision({"zone-a"})});
-    duties->stateChanged(now);
-  }
-  /// Workers of the views that were sent, and whether they are out of service.
-  std::map<WorkerId, bool> told() {
-    std::map<WorkerId, bool> leaving;
-    for (const RegistryAction& action : std::exchange(actions, {})) {
-      const auto* sent = std::get_if<control::SendToConnection>(&action);
-      const auto* packed =
-          sent == nullptr ? nullptr
-                          : std::get_if<PackedView>(&std::get<RegistryMessage>(sent->message).body);
-      if (packed != nullptr) {
-        const ViewUpdate update = decoder.decode(packed->bytes).value();
-        for (const WorkerView& view : update.changed) {
-          leaving[view.record.id] = view.record.leaving;
-        }
+duties->stateChanged(now);
+}
+/// Workers of the views that were sent, and whether they are out of service.
+std::map<WorkerId, bool> told() {
+  std::map<WorkerId, bool> leaving;
+  for (const RegistryAction& action : std::exchange(actions, {})) {
+    const auto* sent = std::get_if<control::SendToConnection>(&action);
+    const auto* packed =
+        sent == nullptr ? nullptr
+                        : std::get_if<PackedView>(&std::get<RegistryMessage>(sent->message).body);
+    if (packed != nullptr) {
+      const ViewUpdate update = decoder.decode(packed->bytes).value();
+      for (const WorkerView& view : update.changed) {
+        leaving[view.record.id] = view.record.leaving;
       }
     }
-    return leaving;
   }
-  void inZoneA(const char* worker) {
-    WorkerRecord record = *state.findWorker({worker});
-    record.zone = {"zone-a"};
-    state.apply(StoreWorker{record});
-  }
-};
+  return leaving;
+}
+void inZoneA(const char* worker) {
+  WorkerRecord record = *state.findWorker({worker});
+  record.zone = {"zone-a"};
+  state.apply(StoreWorker{record});
+}
+}
+;
 
 TEST(ZoneEvacuationDutiesTest, gatewaysAreToldAtOnce) {
   inZoneA("w1");
