registry: consensus goes before all other messages, and registrations are handed on in bounds, the newest first

Cause (WorkerFleetTest, 8,000 workers, 10 servers, 100 gateways, processor time charged): all workers register in the first second and call again after one. Servers handed the leader all of them at once, the oldest first, whose callers had nearly given up; votes and heartbeats of the cell waited behind them: three leaderships in 10 s.

Change: messages of consensus are taken at once, others in slices of 10 ms a turn. A server has 32 heartbeats at the leader that wait for their entries; what is no heartbeat goes first, of these the newest.

The fleet's simulation gives each worker an endpoint of its own, has it call again at another server what is not acknowledged within a second, charges the reading of heartbeats, and takes what came meanwhile in one turn, as the host does.

--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -24,6 +24,7 @@
 constexpr base::Duration kLongTurn = std::chrono::milliseconds(100);
 /// Of a turn, for what the logic has to do: what is left then waits for the next turn, in which
 /// other servers are heard first. A fifth of the time between two heartbeats of a leader.
+constexpr base::Duration kInboxSlice = std::chrono::milliseconds(10);
 constexpr base::Duration kSettleSlice = std::chrono::milliseconds(20);
 constexpr base::Duration kLongTurnLogInterval = std::chrono::seconds(1);
 constexpr base::Duration kRefusedCallLogInterval = std::chrono::seconds(1);
@@ -104,12 +105,37 @@
   } else if (const auto* failed = std::get_if<transport::OpenFailed>(&event)) {
     takeOpenFailed(*failed);
   } else if (auto* received = std::get_if<transport::Received>(&event)) {
-    step(registry::LinkReceived{received->connection, std::move(received->message)});
+    registry::LinkReceived input{received->connection, std::move(received->message)};
+    if (std::holds_alternative<consensus::Message>(input.message)) {
+      step(input);
+    } else {
+      queue(std::move(input));
+    }
+  }
+}
+
+void RegistryHost::queue(registry::RegistryInput input) {
+  inbox_.push_back(std::move(input));
+  if (!std::exchange(inboxSoon_, true)) {
+    dispatcher_.runSoon([this] { serveInbox(); });
+  }
+}
+
+/// Votes and heartbeats of the cell never wait behind thousands of other messages.
+void RegistryHost::serveInbox() {
+  const base::TimePoint begin = runtime::now();
+  while (!inbox_.empty() && runtime::now() < begin + kInboxSlice) {
+    step(inbox_.front());
+    inbox_.pop_front();
+  }
+  inboxSoon_ = !inbox_.empty();
+  if (inboxSoon_) {
+    dispatcher_.runSoon([this] { serveInbox(); });
   }
 }
 
 void RegistryHost::takeOpened(const transport::Opened& event) {
-  step(registry::LinkOpened{event.connection, event.hello});
+  queue(registry::LinkOpened{event.connection, event.hello});
   if (event.hello.role != protocol::PeerRole::controller) {
     return;
   }
@@ -130,7 +156,7 @@
   std::erase_if(endpointLinks_, [&event](const auto& entry) {
     return entry.second.connection == event.connection;
   });
-  step(registry::LinkClosed{event.connection});
+  queue(registry::LinkClosed{event.connection});
 }
 
 void RegistryHost::takeOpenFailed(const transport::OpenFailed& event) {
--- a/src/daemon/registry_host.h
+++ b/src/daemon/registry_host.h
@@ -2,6 +2,7 @@
 /// @file
 /// A registry process around the registry's logic.
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -68,6 +69,9 @@
   void takeClosed(const transport::Closed& event);
   void takeOpenFailed(const transport::OpenFailed& event);
   void step(const registry::RegistryInput& input);
+  /// Takes it in its turn, after what came before.
+  void queue(registry::RegistryInput input);
+  void serveInbox();
 
   /// Persists and carries out what the logic has decided.
   void settle();
@@ -99,6 +103,9 @@
   event::TimerPtr wakeup_;
   event::TimerPtr stopTimer_;
   base::TimePoint stopDeadline_;
+  /// What came over links, but for messages of consensus: these are taken at once.
+  std::deque<registry::RegistryInput> inbox_;
+  bool inboxSoon_ = false;
   CallQueue queue_;
   bool serveSoon_ = false;
   std::uint64_t lastCall_ = 0;
--- a/src/registry/call_table.cpp
+++ b/src/registry/call_table.cpp
@@ -1,11 +1,13 @@
 #include "registry/call_table.h"
 
+#include <iterator>
+
 namespace walnut::registry {
 
 std::uint64_t CallTable::add(WaitingCall call) {
   ++last_;
   deadlines_.emplace(call.deadline, last_);
-  unhanded_.insert(last_);
+  noteUnhanded(last_, call);
   calls_.emplace(last_, std::move(call));
   return last_;
 }
@@ -21,21 +23,32 @@
     return;
   }
   deadlines_.erase({found->second.deadline, number});
-  unhanded_.erase(number);
+  const bool waits = heartbeats_.erase(number) + others_.erase(number) != 0;
+  if (!waits && found->second.isHeartbeat()) {
+    --handedHeartbeats_;
+  }
   calls_.erase(found);
 }
 
-std::vector<std::uint64_t> CallTable::handTo(base::ServerId leader, std::size_t most) {
+std::vector<std::uint64_t> CallTable::handTo(base::ServerId leader, std::size_t most,
+                                             std::size_t mostWaiting) {
   if (leader != leader_) {
     leader_ = leader;
+    handedHeartbeats_ = 0;
     for (const auto& [number, call] : calls_) {
-      unhanded_.insert(number);
+      noteUnhanded(number, call);
     }
   }
   std::vector<std::uint64_t> numbers;
-  while (!unhanded_.empty() && numbers.size() < most) {
-    numbers.push_back(*unhanded_.begin());
-    unhanded_.erase(unhanded_.begin());
+  while (!others_.empty() && numbers.size() < most) {
+    numbers.push_back(*others_.begin());
+    others_.erase(others_.begin());
+  }
+  while (!heartbeats_.empty() && numbers.size() < most && handedHeartbeats_ < mostWaiting) {
+    const auto newest = std::prev(heartbeats_.end());
+    numbers.push_back(*newest);
+    heartbeats_.erase(newest);
+    ++handedHeartbeats_;
   }
   return numbers;
 }
--- a/src/registry/call_table.h
+++ b/src/registry/call_table.h
@@ -26,6 +26,8 @@
   CallOrigin origin;
   ControlCall call;
   base::TimePoint deadline;
+
+  bool isHeartbeat() const { return std::holds_alternative<ReportAlive>(call); }
 };
 
 /// Numbered by arrival. What is asked for takes time in proportion to the calls that it concerns.
@@ -36,12 +38,15 @@
   void erase(std::uint64_t number);
   std::size_t size() const { return calls_.size(); }
 
-  /// Calls that were not given to that leader are given to it.
-  /// @return the oldest of them, so many at most.
-  std::vector<std::uint64_t> handTo(base::ServerId leader, std::size_t most);
-  /// @return true if `handTo` that leader would give it more.
-  bool hasCallsFor(base::ServerId leader) const {
-    return leader == leader_ ? !unhanded_.empty() : !calls_.empty();
+  /// Calls that were not given to that leader are given to it: first what is no heartbeat, then the
+  /// newest: the callers of the oldest have nearly given up, and would all be answered too late.
+  /// @param most of them, at most.
+  /// @param mostWaiting heartbeats that may wait for their answer; the rest stays here.
+  std::vector<std::uint64_t> handTo(base::ServerId leader, std::size_t most,
+                                    std::size_t mostWaiting);
+  /// @return true if `handTo` the same leader would give it more now.
+  bool hasMore(std::size_t mostWaiting) const {
+    return !others_.empty() || (!heartbeats_.empty() && handedHeartbeats_ < mostWaiting);
   }
 
   /// @return calls whose time is up.
@@ -54,8 +59,17 @@
   std::uint64_t last_ = 0;
   std::map<std::uint64_t, WaitingCall> calls_;
   std::set<std::pair<base::TimePoint, std::uint64_t>> deadlines_;
-  base::ServerId leader_;             ///< That calls are given to; zero: none yet.
-  std::set<std::uint64_t> unhanded_;  ///< Not given to `leader_`.
+  void noteUnhanded(std::uint64_t number, const WaitingCall& call) {
+    (call.isHeartbeat() ? heartbeats_ : others_).insert(number);
+  }
+
+  base::ServerId leader_;  ///< That calls are given to; zero: none yet.
+  /// @name Not given to `leader_`
+  /// @{
+  std::set<std::uint64_t> heartbeats_;
+  std::set<std::uint64_t> others_;
+  /// @}
+  std::size_t handedHeartbeats_ = 0;  ///< Given to it, and not answered.
 };
 
 }  // namespace walnut::registry
--- a/src/registry/registry_calls.cpp
+++ b/src/registry/registry_calls.cpp
@@ -20,6 +20,9 @@
 
 /// Calls that one turn of the loop decides or forwards, at most: some ms of a small core.
 constexpr std::size_t kMostCallsInTurn = 64;
+/// Heartbeats that a server has given to the leader and that wait for their entries, at most: the
+/// leader's queue is as long as the servers are many, however many workers register at once.
+constexpr std::size_t kMostForwardedHeartbeats = 32;
 /// Calls that wait at one server, at most: more than can be answered before their callers give up.
 constexpr std::size_t kMostWaitingCalls = 4096;
 
@@ -255,7 +258,8 @@
   if (own && (!leadingActively() || !durableBeyondLosses())) {
     return;
   }
-  for (const std::uint64_t number : calls_.handTo(status.leader, kMostCallsInTurn)) {
+  const std::size_t mostWaiting = own ? kMostWaitingCalls : kMostForwardedHeartbeats;
+  for (const std::uint64_t number : calls_.handTo(status.leader, kMostCallsInTurn, mostWaiting)) {
     WaitingCall& call = *calls_.find(number);
     if (!own && call.origin.connection) {
       continue;  // Forwarded to this server, which doesn't lead any more: its sender sees that too.
@@ -271,7 +275,7 @@
           status.leader, *leader, RegistryMessage{MessageBody(ForwardedCall{number, call.call})}});
     }
   }
-  callsLeft_ = calls_.hasCallsFor(status.leader);
+  callsLeft_ = calls_.hasMore(mostWaiting);
 }
 
 void RegistryImpl::expireCalls() {
--- a/src/simulator/fleet_server.cpp
+++ b/src/simulator/fleet_server.cpp
@@ -11,7 +11,9 @@
 
 constexpr std::size_t kKilobyte = 1000;
 /// As the loop of RegistryHost.
-constexpr int kMostRounds = 16;
+constexpr base::Duration kSettleSlice = std::chrono::milliseconds(20);
+/// What came meanwhile is taken in one turn; so many at most.
+constexpr std::size_t kMostInputsInTurn = 64;
 
 }  // namespace
 
@@ -44,24 +46,37 @@
 
 void FleetServer::kill() {
   ++life_;
+  unsettled_ = 0;
   registry_.reset();
   processor_.reset();
 }
 
-void FleetServer::post(registry::RegistryInput input, std::size_t bytes) {
+void FleetServer::post(registry::RegistryInput input, std::size_t bytes, std::size_t textBytes) {
   if (!running()) {
     return;
   }
   const auto shared = std::make_shared<registry::RegistryInput>(std::move(input));
-  processor_.post([this, shared, bytes] {
-    processor_.charge(messageTime(bytes));
+  const auto* received = std::get_if<registry::LinkReceived>(shared.get());
+  const bool consensus =
+      received != nullptr && std::holds_alternative<consensus::Message>(received->message);
+  const auto take = [this, shared, bytes, textBytes] {
+    processor_.charge(messageTime(bytes) + kReadTimePerKilobyte * textBytes / kKilobyte);
     registry_->step(scheduler_.now(), *shared);
-    settle();
-  });
+    if (processor_.waitingCount() == 0 || ++unsettled_ >= kMostInputsInTurn) {
+      settle();
+    }
+  };
+  if (consensus) {
+    processor_.postFirst(take);
+  } else {
+    processor_.post(take);
+  }
 }
 
 void FleetServer::settle() {
-  for (int round = 0; round < kMostRounds; ++round) {
+  unsettled_ = 0;
+  bool more = true;
+  while (more && processor_.turnTime() < kSettleSlice) {
     registry::RegistryOutputs outputs = registry_->takeOutputs();
     const bool persisted = !outputs.persist.empty();
     log_.persist(outputs.persist);
@@ -70,12 +85,15 @@
     }
     if (persisted) {
       registry_->step(scheduler_.now(), registry::Persisted{});
-    } else if (outputs.actions.empty()) {
-      break;
     }
+    more = persisted || !outputs.actions.empty();
+    processor_.charge(kReadTimePerKilobyte * reader_.takeBytesRead() / kKilobyte);
+  }
+  if (more) {
+    post(registry::Tick{}, 0);
+  } else {
+    scheduleWakeup();
   }
-  processor_.charge(kReadTimePerKilobyte * reader_.takeBytesRead() / kKilobyte);
-  scheduleWakeup();
 }
 
 void FleetServer::perform(registry::RegistryAction& action) {
--- a/src/simulator/fleet_server.h
+++ b/src/simulator/fleet_server.h
@@ -41,8 +41,8 @@
   void start(const consensus::Membership& founders);
   void kill();
   void loseDisk() { log_ = {}; }
-  /// Hands in an input that came as a message of so many bytes.
-  void post(registry::RegistryInput input, std::size_t bytes);
+  /// Hands in an input that came as a message of so many bytes, some of them text to be read.
+  void post(registry::RegistryInput input, std::size_t bytes, std::size_t textBytes = 0);
 
   bool running() const { return registry_ != nullptr; }
   std::uint64_t life() const { return life_; }
@@ -75,6 +75,7 @@
   std::unique_ptr<registry::Registry> registry_;
   std::uint64_t life_ = 0;
   base::TimePoint wakeupAt_ = base::kNever;
+  std::size_t unsettled_ = 0;  ///< Inputs since the logic's outputs were last taken.
 };
 
 /// @name Processor time of a whole core
--- a/src/simulator/processor.cpp
+++ b/src/simulator/processor.cpp
@@ -12,6 +12,13 @@
   }
 }
 
+void Processor::postFirst(std::function<void()> input) {
+  firstInputs_.push_back(std::move(input));
+  if (!busy_) {
+    runNext();
+  }
+}
+
 bool Processor::postponed(void (Processor::*step)()) {
   if (scheduler_.now() >= suspendedUntil_) {
     return false;
@@ -30,8 +37,9 @@
     return;
   }
   charged_ = base::Duration::zero();
-  const std::function<void()> input = std::move(inputs_.front());
-  inputs_.pop_front();
+  std::deque<std::function<void()>>& inputs = firstInputs_.empty() ? inputs_ : firstInputs_;
+  const std::function<void()> input = std::move(inputs.front());
+  inputs.pop_front();
   const std::uint64_t life = life_;
   input();
   if (life != life_) {
@@ -55,7 +63,7 @@
     output();
   }
   busy_ = false;
-  if (!inputs_.empty()) {
+  if (waitingCount() > 0) {
     runNext();
   }
 }
@@ -63,6 +71,7 @@
 void Processor::reset() {
   ++life_;
   busy_ = false;
+  firstInputs_.clear();
   inputs_.clear();
   outputs_.clear();
 }
--- a/src/simulator/registry_fleet.cpp
+++ b/src/simulator/registry_fleet.cpp
@@ -3,13 +3,16 @@
 #include <algorithm>
 #include <utility>
 
+#include "walnut/registry/feature_level.h"
+
 namespace walnut::simulator {
 
 namespace {
 
 constexpr std::uint16_t kPeerPort = 7000;
 constexpr std::size_t kHandshakeBytes = 120;
-constexpr std::size_t kHeartbeatBytes = 400;
+/// With its HTTP head; some copies in memory and on disk are named.
+constexpr std::size_t kHeartbeatBytes = 900;
 /// Of the operator, as on the platform.
 constexpr base::Duration kDeclareAgain = std::chrono::seconds(1);
 /// After which a server gives up a connection whose gateway is silent (TransportOptions).
@@ -32,7 +35,10 @@
       scheduler_(options.seed),
       network_(scheduler_),
       startedAt_(scheduler_.now()),
-      heartbeats_(options.workers),
+      workers_(options.workers, options.servers, scheduler_,
+               [this](const std::optional<base::Endpoint>& home,
+                      const registry::ReportAlive& call) { return callAsWorker(home, call); }),
+      lastLeader_(options.servers),
       cellRestsAt_(scheduler_.now()),
       gatewayRestsAt_(options.gateways),
       served_(options.gateways) {
@@ -43,6 +49,7 @@
     server.name = "server-" + std::to_string(index);
     server.self.peerEndpoint = {serverAddress(index), kPeerPort};
     server.self.resourceEndpoint = server.self.peerEndpoint;
+    server.self.zone = {"zone-" + std::to_string(index)};
     server.joinEndpoints = seeds();
     server.ordersFenced = true;
     servers_.push_back(
@@ -82,13 +89,14 @@
   for (std::size_t index = 0; index < servers_.size(); ++index) {
     servers_[index]->start(index < options_.founders ? founders : consensus::Membership{});
   }
+  for (std::size_t index = 0; index < servers_.size(); ++index) {
+    greetServers(index);
+  }
   founded_ = true;
   for (const auto& gateway : gateways_) {
     gateway->start(seeds());
   }
-  for (std::size_t worker = 0; worker < options_.workers; ++worker) {
-    beat(worker);
-  }
+  workers_.start();
   noteDisturbance(options_.restAfterFault);
   check();
 }
@@ -133,7 +141,7 @@
 
 void RegistryFleet::callAnswered(std::uint64_t call, const registry::ControlAnswer& answer) {
   const auto found = declarations_.find(call);
-  if (found == declarations_.end()) {
+  if (workers_.answered(call, answer) || found == declarations_.end()) {
     return;
   }
   const std::uint64_t version = found->second;
@@ -144,17 +152,42 @@
   }
 }
 
-void RegistryFleet::beat(std::size_t worker) {
-  const std::size_t server = drawRunningServer();
+std::uint64_t RegistryFleet::callAsWorker(const std::optional<base::Endpoint>& home,
+                                          const registry::ReportAlive& call) {
+  const std::size_t server = home ? serverOf(*home) : drawRunningServer();
+  ++lastCall_;
   if (server < servers_.size()) {
-    registry::Heartbeat heartbeat;
-    heartbeat.worker = {{"worker-" + std::to_string(worker)}, "service", {"10.1.0.1", 80}, {}, 16};
-    heartbeat.sequence = ++heartbeats_[worker];
-    servers_[server]->post(registry::CallReceived{++lastCall_, registry::ReportAlive{heartbeat}},
+    servers_[server]->post(registry::CallReceived{lastCall_, call}, kHeartbeatBytes,
                            kHeartbeatBytes);
   }
-  const base::Duration interval = registry::RegistryOptions().heartbeatInterval;
-  scheduler_.after(random().between(interval * 9 / 10, interval), [this, worker] { beat(worker); });
+  return lastCall_;
+}
+
+void RegistryFleet::greetServers(std::size_t started) {
+  for (std::size_t other = 0; other < servers_.size(); ++other) {
+    if (other != started && servers_[other]->running()) {
+      greet(started, other);
+      greet(other, started);
+    }
+  }
+}
+
+void RegistryFleet::greet(std::size_t from, std::size_t to) {
+  protocol::Hello hello;
+  hello.role = protocol::PeerRole::controller;
+  hello.id = servers_[from]->identity().value;
+  hello.zone = servers_[from]->options().self.zone;
+  hello.featureLevel = registry::kFeatureLevel;
+  servers_[to]->post(registry::LinkOpened{protocol::ConnectionId{from + 1}, hello},
+                     kHandshakeBytes);
+}
+
+std::vector<base::Duration> RegistryFleet::takeServerTimes() {
+  std::vector<base::Duration> times;
+  for (const auto& server : servers_) {
+    times.push_back(server->processor().takeUsedTime());
+  }
+  return times;
 }
 
 // Links
@@ -222,6 +255,10 @@
   const protocol::ConnectionId connection{servers_.size() + ++lastConnection_};
   if (accepted) {
     connections_[connection] = {gateway, life, server, servers_[server]->life()};
+    protocol::Hello hello;
+    hello.zone = {"zone-" + std::to_string(gateway % servers_.size())};
+    hello.featureLevel = registry::kFeatureLevel;
+    servers_[server]->post(registry::LinkOpened{connection, hello}, kHandshakeBytes);
   }
   network_.transfer(servers_[server]->host, gateways_[gateway]->host, kHandshakeBytes,
                     [this, gateway, life, accepted, endpoint, connection] {
@@ -315,6 +352,7 @@
   }
   noteDisturbance(options_.restAfterFault);
   servers_[server]->start({});
+  greetServers(server);
 }
 
 void RegistryFleet::killGateway(std::size_t gateway) {
--- a/src/simulator/registry_fleet.h
+++ b/src/simulator/registry_fleet.h
@@ -13,6 +13,7 @@
 
 #include "simulator/fleet_gateway.h"
 #include "simulator/fleet_server.h"
+#include "simulator/fleet_workers.h"
 #include "simulator/loaded_network.h"
 
 namespace walnut::simulator {
@@ -92,6 +93,13 @@
   /// @return how often a gateway would have let a key through that had been taken away.
   std::size_t revokedKeysInForce() const;
   std::string describeViolations() const;
+  /// @return how many workers were acknowledged within the last heartbeats.
+  std::size_t workersAcknowledged() const { return workers_.acknowledgedCount(); }
+  std::uint64_t workerCalls() const { return workers_.callCount(); }
+  /// @return how often a server began to lead.
+  std::size_t leaderships() const { return leaderships_; }
+  /// @return processor time of a whole core that each server was charged since the last call.
+  std::vector<base::Duration> takeServerTimes();
   /// The longest that one input held up a server's loop since the last call.
   base::Duration takeLongestServerTurn();
   base::TimePoint now() const { return scheduler_.now(); }
@@ -127,7 +135,11 @@
   void endConnection(protocol::ConnectionId connection);
   void endConnectionsOf(std::size_t server);
   void sendDeclaration();
-  void beat(std::size_t worker);
+  std::uint64_t callAsWorker(const std::optional<base::Endpoint>& home,
+                             const registry::ReportAlive& call);
+  /// A server that starts and those that run hear each other's greeting.
+  void greetServers(std::size_t started);
+  void greet(std::size_t from, std::size_t to);
   void check();
   void checkRegression(std::size_t gateway);
   void checkKeys(std::size_t gateway);
@@ -157,7 +169,9 @@
   std::uint64_t acknowledgedVersion_ = 0;
   std::map<std::uint64_t, base::TimePoint> acknowledgedAt_;  ///< By version.
   std::map<std::uint64_t, std::uint64_t> declarations_;      ///< Version by call.
-  std::vector<std::uint64_t> heartbeats_;                    ///< Sequence by worker.
+  FleetWorkers workers_;
+  std::size_t lastLeader_ = 0;
+  std::size_t leaderships_ = 0;
 
   std::set<std::size_t> cutServers_;
   std::set<std::size_t> slowServers_;
--- a/src/simulator/registry_fleet_checks.cpp
+++ b/src/simulator/registry_fleet_checks.cpp
@@ -49,6 +49,11 @@
 /// A gateway at rest, beside a cell at rest, has the newest document some time after it was
 /// acknowledged. One that has none serves nothing, which is as late.
 void RegistryFleet::check() {
+  const std::size_t leading = leader();
+  if (leading < servers_.size() && leading != lastLeader_) {
+    lastLeader_ = leading;
+    ++leaderships_;
+  }
   scheduler_.after(kCheckInterval, [this] { check(); });
   for (std::size_t index = 0; index < gateways_.size(); ++index) {
     checkRegression(index);
--- a/test/simulator/registry_fleet_test.cpp
+++ b/test/simulator/registry_fleet_test.cpp
@@ -156,3 +156,49 @@
   fleet->run(6s);
   checkUpToDate();
 }
+
+TEST_GROUP_BASE(WorkerFleetTest, TEST_GROUP_CppUTestGroupRegistryFleetTest){
+    static RegistryFleetOptions manyWorkers(std::size_t workers){RegistryFleetOptions options;
+options.servers = 10;
+options.gateways = 100;
+options.workers = workers;
+return options;
+}
+}
+;
+
+/// Thousands of workers register at once and call again after a second. What they ask for must not
+/// keep the cell from its leases: else no leader lasts, and all of it is asked for again and again.
+TEST(WorkerFleetTest, aCellOfManyWorkersKeepsItsLeader) {
+  constexpr std::size_t kWorkers = 8000;
+  fleet = std::make_unique<RegistryFleet>(manyWorkers(kWorkers));
+  fleet->startAll();
+  fleet->run(10s);
+  CHECK_EQUAL(kWorkers, fleet->workersAcknowledged());
+  CHECK_EQUAL(1, fleet->leaderships());
+}
+
+/// The same when every process was killed, and all workers call at once.
+TEST(WorkerFleetTest, afterARestartOfAllEveryWorkerIsHeardWithinSeconds) {
+  constexpr std::size_t kWorkers = 2000;
+  fleet = std::make_unique<RegistryFleet>(manyWorkers(kWorkers));
+  fleet->startAll();
+  fleet->run(10s);
+  fleet->restartAll(500ms, {});
+  fleet->run(6s);
+  CHECK_EQUAL(kWorkers, fleet->workersAcknowledged());
+  CHECK_EQUAL(2, fleet->leaderships());
+}
+
+/// Heartbeats are read where they arrive: the leader's share grows with what changes.
+TEST(WorkerFleetTest, theLeaderSpendsLittleMoreOnHeartbeatsThanTheOthers) {
+  fleet = std::make_unique<RegistryFleet>(manyWorkers(2000));
+  fleet->startAll();
+  fleet->run(20s);
+  (void)fleet->takeServerTimes();
+  constexpr base::Duration kCounted = 10s;
+  fleet->run(kCounted);
+  const std::vector<base::Duration> times = fleet->takeServerTimes();
+  const base::Duration leader = times.at(fleet->leader());
+  CHECK_TRUE(leader < kCounted * 3 / 10);
+}
