--- a/programs/walnut-rehearse/fleet.cpp
+++ b/programs/walnut-rehearse/fleet.cpp
@@ -13,6 +13,7 @@
 #include "commands.h"
 #include "seed_range.h"
 #include "simulator/fleet_campaign.h"
+#include "simulator/fleet_figures.h"
 #include "walnut/runtime/settings.h"
 
 namespace walnut::rehearsal {
@@ -21,22 +22,32 @@
 
 using runtime::ExitCode;
 
-constexpr std::uint64_t kMaxGateways = 1000;
+constexpr std::uint64_t kMaxGateways = 2000;
+constexpr std::uint64_t kMaxWorkers = 40000;
+constexpr std::uint64_t kLeastServers = 5;
+constexpr std::uint64_t kMaxServers = 20;
 constexpr std::uint64_t kMaxSeconds = 3600;
 
 constexpr const char* kUsage =
     "Usage: walnut-rehearse fleet --seeds A-B [FLAGS]\n"
     "Runs servers of the registry and gateways under virtual time, with faults drawn by seed.\n"
     "  --seeds A-B     seeds to run, or one seed A\n"
-    "  --gateways N    1 .. 1000; default: 65\n"
+    "  --gateways N    1 .. 2000; default: 65\n"
+    "  --workers N     1 .. 40000; default: 90\n"
+    "  --servers N     5 .. 20; default: 5\n"
     "  --seconds N     of faults, 1 .. 3600; default: 60\n"
+    "  --figures       no faults: what the fleet costs its servers at rest, and how soon it is "
+    "there\n"
     "Exit code 1: a gateway served by an older document than it should have, or by none.\n";
 
-enum Flag : int { seeds = 1, gateways, duration, help };
+enum Flag : int { seeds = 1, gateways, workers, servers, duration, figures, help };
 
 constexpr option kOptions[] = {{"seeds", required_argument, nullptr, Flag::seeds},
                                {"gateways", required_argument, nullptr, Flag::gateways},
+                               {"workers", required_argument, nullptr, Flag::workers},
+                               {"servers", required_argument, nullptr, Flag::servers},
                                {"seconds", required_argument, nullptr, Flag::duration},
+                               {"figures", no_argument, nullptr, Flag::figures},
                                {"help", no_argument, nullptr, Flag::help},
                                {nullptr, 0, nullptr, 0}};
 
@@ -44,6 +55,7 @@
   std::uint64_t firstSeed = 0;
   std::uint64_t lastSeed = 0;
   bool seedsGiven = false;
+  bool figures = false;
   bool help = false;
   simulator::FleetCampaignOptions campaign;
 };
@@ -61,6 +73,21 @@
       }
       flags.campaign.fleet.gateways = number;
       return true;
+    case Flag::workers:
+      if (!parseNumber(value, number) || number == 0 || number > kMaxWorkers) {
+        return false;
+      }
+      flags.campaign.fleet.workers = number;
+      return true;
+    case Flag::servers:
+      if (!parseNumber(value, number) || number < kLeastServers || number > kMaxServers) {
+        return false;
+      }
+      flags.campaign.fleet.servers = number;
+      return true;
+    case Flag::figures:
+      flags.figures = true;
+      return true;
     case Flag::duration:
       if (!parseNumber(value, number) || number == 0 || number > kMaxSeconds) {
         return false;
@@ -100,6 +127,33 @@
   }
 }
 
+/// @return true if the fleet came to rest with no more leaderships than needed.
+bool printFigures(const simulator::RegistryFleetOptions& options) {
+  const simulator::FleetFigures figures = simulator::measureFleet(options);
+  const auto millis = [](base::Duration duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  };
+  std::cout << "seed " << options.seed << " gateways=" << options.gateways
+            << " workers=" << options.workers << " servers=" << options.servers
+            << " leader-cores=" << figures.leaderShare
+            << " busiest-other-cores=" << figures.busiestOtherShare
+            << " started-ms=" << millis(figures.started)
+            << " restarted-ms=" << millis(figures.restarted)
+            << " leaderships=" << figures.leaderships << "\n";
+  constexpr std::size_t kNeeded = 2;
+  return figures.leaderships <= kNeeded;
+}
+
+bool runSeed(Flags& flags, std::uint64_t seed) {
+  flags.campaign.fleet.seed = seed;
+  if (flags.figures) {
+    return printFigures(flags.campaign.fleet);
+  }
+  const simulator::FleetCampaignResult result = simulator::runFleetCampaign(flags.campaign);
+  print(seed, result);
+  return result.passed();
+}
+
 }  // namespace
 
 int runFleet(int argc, char** argv) {
@@ -114,10 +168,7 @@
   }
   std::uint64_t failed = 0;
   for (std::uint64_t seed = flags.firstSeed; seed <= flags.lastSeed; ++seed) {
-    flags.campaign.fleet.seed = seed;
-    const simulator::FleetCampaignResult result = simulator::runFleetCampaign(flags.campaign);
-    print(seed, result);
-    failed += result.passed() ? 0 : 1;
+    failed += runSeed(flags, seed) ? 0 : 1;
   }
   std::cout << flags.lastSeed - flags.firstSeed + 1 << " seeds, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
--- /dev/null
+++ b/src/registry/leader_plans.cpp
@@ -0,0 +1,240 @@
+/// @file
+/// The part of a leader's duties that plans: who is looked at, what is decided, and what of it is
+/// told.
+
+#include <algorithm>
+#include <utility>
+
+#include "registry/leader_duties.h"
+
+namespace walnut::registry {
+
+namespace {
+
+using runtime::LogEvent;
+
+constexpr base::Duration kPlanSpacing = std::chrono::milliseconds(15);
+constexpr base::Duration kPlanSpacingPerWorker = std::chrono::microseconds(500);
+
+/// Of a worker that has an order under way: an order and its answer.
+constexpr base::Duration kLeastBusyTime = std::chrono::milliseconds(50);
+
+constexpr double kPercent = 100;
+constexpr double kMillis = 1000;
+
+std::uint64_t rounded(double value) {
+  constexpr double kMost = 1e12;
+  return static_cast<std::uint64_t>(std::clamp(value, 0.0, kMost));
+}
+
+std::string_view reasonName(WantReason reason) {
+  switch (reason) {
+    case WantReason::spare:
+      return "spare";
+    case WantReason::queueing:
+      return "queueing";
+    case WantReason::cold:
+      return "cold";
+  }
+  return "unknown";
+}
+
+std::string_view outcomeName(WantOutcome outcome) {
+  switch (outcome) {
+    case WantOutcome::loaded:
+      return "loaded";
+    case WantOutcome::roomMade:
+      return "room-made";
+    case WantOutcome::waitsForWorker:
+      return "waits-for-worker";
+    case WantOutcome::waitsForUse:
+      return "waits-for-use";
+    case WantOutcome::waitsForStore:
+      return "waits-for-store";
+    case WantOutcome::notWorth:
+      return "not-worth";
+    case WantOutcome::noWorker:
+      return "no-worker";
+  }
+  return "unknown";
+}
+
+void noteOrder(PlacementWorker& worker, OrderOperation operation, const std::string& model) {
+  (operation == OrderOperation::load ? worker.arriving : worker.retiring) = model;
+}
+
+base::Duration longestLoad(const catalog::EngineSpec& engine) {
+  base::Duration longest{0};
+  for (const catalog::ModelSpec& model : engine.models) {
+    longest = std::max(longest, model.storeLoadTime);
+  }
+  return longest;
+}
+
+/// @return for how long a caller of that service waits at most.
+base::Duration longestTimeout(const catalog::Document& document, const std::string& service) {
+  base::Duration longest{0};
+  for (const catalog::Route& route : document.routes) {
+    const bool served = std::any_of(
+        route.services.begin(), route.services.end(),
+        [&service](const catalog::WeightedService& part) { return part.service == service; });
+    longest = served ? std::max(longest, route.timeout) : longest;
+  }
+  return longest;
+}
+
+/// @return until the order under way is expected to end. One that is overdue is taken to need as
+/// long again as it is late.
+base::Duration busyTime(const WorkerStatus& status, base::TimePoint now) {
+  if (status.modelOrder) {
+    const base::TimePoint end = status.modelOrder->expectedEnd;
+    return std::max<base::Duration>(kLeastBusyTime, end > now ? end - now : now - end);
+  }
+  return status.sentOrder || status.foreignOrder ? kLeastBusyTime : base::Duration::zero();
+}
+
+}  // namespace
+
+/// Planning takes time in proportion to the workers; the spacing keeps its share of a core bounded.
+base::Duration LeaderDuties::planSpacing() const {
+  return kPlanSpacing + kPlanSpacingPerWorker * plannedWorkers();
+}
+
+/// @return workers that plans look at, at most.
+std::size_t LeaderDuties::plannedWorkers() const { return std::min(workers_.size(), kMostPlanned); }
+
+void LeaderDuties::plan(base::TimePoint now) {
+  if (document_ == nullptr) {
+    return;
+  }
+  for (const catalog::Service& service : document_->services) {
+    if (service.engine) {
+      planService(service, now);
+    }
+  }
+}
+
+bool LeaderDuties::isLarge(const std::string& service) const {
+  return index_.of(service).size() > kMostPlanned;
+}
+
+void LeaderDuties::planService(const catalog::Service& service, base::TimePoint now) {
+  if (isLarge(service.name)) {
+    planLargeService(service, now);
+    return;
+  }
+  std::vector<PlacementWorker> workers;
+  for (const auto& [id, record] : state_.workers()) {
+    const WorkerStatus& status = statusOf(id, now);
+    if (record.service == service.name && status.holdingsKnown) {
+      workers.push_back(placementWorker(record, status, now));
+    }
+  }
+  decide(service, workers, {}, now);
+}
+
+void LeaderDuties::planLargeService(const catalog::Service& service, base::TimePoint now) {
+  const PlanningPool pool = choosePlanningPool(service.name, index_, demand_, poolStart_, now);
+  std::vector<PlacementWorker> workers;
+  for (const WorkerId& id : pool.workers) {
+    const WorkerRecord* record = state_.findWorker(id);
+    if (record == nullptr) {
+      continue;
+    }
+    WorkerStatus& status = statusOf(id, now);
+    const bool target = pool.targets.count(id) != 0;
+    if ((target || pool.adapterHolders.count(id) != 0) && needsReport(*record, status, now)) {
+      requestReport(*record, status);
+    }
+    workers.push_back(placementWorker(*record, status, now));
+    workers.back().mayLoad = target;
+  }
+  decide(service, workers, pool.outside, now);
+}
+
+void LeaderDuties::decide(const catalog::Service& service,
+                          const std::vector<PlacementWorker>& workers,
+                          const std::map<std::string, std::uint32_t>& outside,
+                          base::TimePoint now) {
+  PlacementPolicy& policy = policies_.try_emplace(service.name, service.name).first->second;
+  StoreScheduler& store = stores_[service.name];
+  store.setPatience(longestLoad(*service.engine), longestTimeout(*document_, service.name));
+  store.setLimit(service.engine->storeLoadsPerSecond,
+                 {options_.storeWindow, options_.storeOvershoot}, now);
+  countForeignLoads(service, store);
+  const std::vector<PlacementStep> steps =
+      policy.plan(*service.engine, workers, demand_, store, now,
+                  backoffs_[service.name].postponed(now), outside);
+  logDecisions(policy, store, now);
+  carryOut(steps, now);
+}
+
+/// One line for each change of what is decided about a model, with what decided it.
+void LeaderDuties::logDecisions(PlacementPolicy& policy, const StoreScheduler& store,
+                                base::TimePoint now) {
+  const auto storeWait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(store.expectedWait(now));
+  for (const PlacementDecision& decision : policy.takeDecisions()) {
+    log_.write(LogEvent::placementDecided,
+               {{"model", decision.model},
+                {"reason", reasonName(decision.reason)},
+                {"outcome", outcomeName(decision.outcome)},
+                {"waiting", decision.waiting},
+                {"unanswered", decision.unanswered},
+                {"queued", rounded(decision.queued)},
+                {"rate-percent", rounded(kPercent * decision.rate)},
+                {"replicas", decision.replicas},
+                {"worker", decision.worker.value},
+                {"victim", decision.victim},
+                {"cost-millis", rounded(kMillis * decision.cost)},
+                {"worth-millis", rounded(kMillis * decision.worth)},
+                {"tier", std::string_view(decision.fromStore ? "store" : "near")},
+                {"store-loads", std::uint64_t{store.underWay()}},
+                {"store-limit", std::uint64_t{store.limit()}},
+                {"store-wait", static_cast<std::uint64_t>(storeWait.count())}});
+  }
+}
+
+/// An order of a former leader that is under way may be a load from the store.
+void LeaderDuties::countForeignLoads(const catalog::Service& service, StoreScheduler& store) {
+  std::size_t foreign = 0;
+  for (const WorkerId& id : busyWorkers_) {
+    const WorkerRecord* record = state_.findWorker(id);
+    const auto status = workers_.find(id);
+    const bool counts = record != nullptr && record->service == service.name &&
+                        status != workers_.end() && status->second.foreignOrder &&
+                        !status->second.silent;
+    foreign += counts ? 1 : 0;
+  }
+  store.setForeign(foreign);
+}
+
+PlacementWorker LeaderDuties::placementWorker(const WorkerRecord& record,
+                                              const WorkerStatus& status,
+                                              base::TimePoint now) const {
+  PlacementWorker worker;
+  worker.id = record.id;
+  worker.holdings = status.expected(now);
+  worker.serving = !outOfService(record) && !status.silent && !outliers_.failing(record.id);
+  worker.mayBeOrdered = status.reportFresh && !status.sentOrder && !status.reportUnderWay &&
+                        now >= status.orderAgainAt && mayOrder(record.id, now);
+  worker.mayTakeAdapters = !(status.adaptersBlocked && status.modelOrder);
+  for (const HeldModel& held : worker.holdings.models) {
+    for (const std::string& adapter : held.adapters) {
+      if (status.adapterIsNew(held.name, adapter, now)) {
+        worker.newAdapters.insert({held.name, adapter});
+      }
+    }
+  }
+  worker.running = demand_.running(record.id);
+  if (status.modelOrder) {
+    noteOrder(worker, status.modelOrder->operation, status.modelOrder->model);
+  }
+  if (status.sentOrder && status.sentOrder->adapter.empty()) {
+    noteOrder(worker, status.sentOrder->operation, status.sentOrder->model);
+  }
+  worker.busyFor = busyTime(status, now);
+  return worker;
+}
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/registry_state.cpp
@@ -0,0 +1,113 @@
+/// @file
+/// Entries of the log, as they are applied to the replicated state.
+
+#include <algorithm>
+#include <utility>
+
+#include "registry/registry_impl.h"
+
+namespace walnut::registry {
+
+using runtime::LogEvent;
+
+void RegistryImpl::applyEntries(const std::vector<consensus::LogEntry>& entries) {
+  for (const consensus::LogEntry& entry : entries) {
+    applyEntry(entry);
+  }
+  if (!entries.empty() && leading_ != nullptr) {
+    leading_->stateChanged(now_);
+  }
+}
+
+void RegistryImpl::applyEntry(const consensus::LogEntry& entry) {
+  appliedIndex_ = entry.index;
+  if (entry.type == consensus::EntryType::command) {
+    bytesSinceSnapshot_ += entry.payload.size();
+    const auto command = decodeCommand(entry.payload);
+    if (command) {
+      noteSuccession(command.value());
+      state_.apply(command.value());
+      noteApplied(command.value(), entry.index);
+    } else {
+      log_.write(LogEvent::entryRefused,
+                 {{"index", entry.index}, {"detail", command.error().detail}});
+    }
+  }
+  const auto waiting = callsByEntry_.find(entry.index);
+  if (waiting != callsByEntry_.end()) {
+    const std::vector<std::uint64_t> calls = std::move(waiting->second);
+    callsByEntry_.erase(waiting);
+    for (const std::uint64_t call : calls) {
+      answerApplied(call);
+    }
+  }
+}
+
+void RegistryImpl::noteApplied(const Command& command, consensus::LogIndex index) {
+  if (const auto* document = std::get_if<StoreDocument>(&command)) {
+    log_.write(LogEvent::documentStored, {{"version", document->version}, {"index", index}});
+  } else if (const auto* worker = std::get_if<StoreWorker>(&command)) {
+    log_.write(LogEvent::workerStored,
+               {{"worker", worker->worker.id.value},
+                {"service", worker->worker.service},
+                {"state", std::string_view(worker->worker.leaving ? "leaving" : "ready")}});
+    const auto pending = pendingWorkers_.find(worker->worker.id);
+    if (pending != pendingWorkers_.end() && pending->second.index <= index) {
+      pendingWorkers_.erase(pending);
+    }
+  } else if (const auto* gone = std::get_if<ForgetWorker>(&command)) {
+    log_.write(LogEvent::workerForgotten, {{"worker", gone->worker.value}});
+    orderTurns_.forget(gone->worker);
+  } else if (std::holds_alternative<StoreOrderHolder>(command) && index > recoveredIndex_) {
+    lastTurnAt_ = now_;
+  } else if (const auto* ordered = std::get_if<StoreOrderedWorkers>(&command)) {
+    noteOrdered(*ordered, index);
+  } else if (const auto* raised = std::get_if<RaiseFeatureLevel>(&command)) {
+    log_.write(LogEvent::featureLevelRaised,
+               {{"level", std::uint64_t{raised->level}}, {"index", index}});
+  } else if (const auto* zone = std::get_if<StoreZoneEvacuation>(&command)) {
+    log_.write(state_.evacuated(zone->zone) ? LogEvent::zoneEvacuated : LogEvent::zoneReturned,
+               {{"zone", zone->zone.value},
+                {"asked", std::string_view(zone->evacuated ? "evacuated" : "in service")},
+                {"based-on", zone->basedOn},
+                {"revision", state_.zoneRevision(zone->zone)},
+                {"index", index}});
+  }
+}
+
+/// Before a command is applied.
+void RegistryImpl::noteSuccession(const Command& command) {
+  const auto* stored = std::get_if<StoreWorker>(&command);
+  if (stored == nullptr) {
+    return;
+  }
+  const WorkerRecord* former = state_.findLife(stored->worker.calledName());
+  if (former != nullptr && stored->worker.succeeds(*former)) {
+    orderTurns_.succeeded(former->id, stored->worker.id);
+    log_.write(LogEvent::workerReborn,
+               {{"worker", stored->worker.id.value}, {"former", former->id.value}});
+  }
+}
+
+void RegistryImpl::noteOrdered(const StoreOrderedWorkers& ordered, consensus::LogIndex index) {
+  if (index > recoveredIndex_) {
+    orderTurns_.ordered(ordered.workers, now_);
+  }
+  const consensus::RaftStatus status = raft_->status();
+  if (leading_ != nullptr && ordered.server == status.self && ordered.term == status.term) {
+    leading_->ordersRecorded(ordered.batch, now_, raft_->leaseValid(now_));
+  }
+}
+
+/// As much is written in snapshots as in the log, however large the state is.
+void RegistryImpl::takeSnapshotIfDue() {
+  if (bytesSinceSnapshot_ < std::max(options_.snapshotEveryBytes, snapshotBytes_)) {
+    return;
+  }
+  std::string snapshot = state_.encode();
+  bytesSinceSnapshot_ = 0;
+  snapshotBytes_ = snapshot.size();
+  raft_->compact(appliedIndex_, std::move(snapshot), options_.snapshotKeepEntries);
+}
+
+}  // namespace walnut::registry
