--- a/src/registry/view_interest.cpp
+++ b/src/registry/view_interest.cpp
@@ -13,7 +13,7 @@
   Gateway& gateway = gateways_[id];
   gateway.zone = zone;
   for (const ModelKey& key : plain_) {
-    wish(id, gateway, key, kPlainWorkers, {});
+    require(id, gateway, key, kPlainWorkers, {});
   }
 }
 
@@ -25,8 +25,8 @@
   for (const WorkerId& worker : found->second.follows) {
     workers_.at(worker).followers.erase(id);
   }
-  for (const auto& [key, wish] : found->second.wishes) {
-    wanting_[key].erase(id);
+  for (const auto& [key, need] : found->second.needs) {
+    unmet_[key].erase(id);
   }
   gateways_.erase(found);
 }
@@ -69,14 +69,14 @@
   const std::set<ModelKey> former = std::exchange(worker.serves, {});
   for (const ModelKey& key : former) {
     if (moved || serves.count(key) == 0) {
-      servedNoMore(id, worker, key);
+      stoppedServing(id, worker, key);
     }
   }
   worker.zone = view.record.zone;
   worker.serves = std::move(serves);
   for (const ModelKey& key : worker.serves) {
     if (moved || former.count(key) == 0) {
-      served(id, worker, key);
+      startedServing(id, worker, key);
     }
   }
 }
@@ -93,7 +93,7 @@
     changes_.push_back({gateway, id, false});
   }
   for (const ModelKey& key : ended.serves) {
-    servedNoMore(id, ended, key);
+    stoppedServing(id, ended, key);
   }
 }
 
@@ -104,31 +104,31 @@
   }
 }
 
-/// Another worker serves it: those that wish for more of them may follow it.
-void ViewInterest::served(const WorkerId& id, const Worker& worker, const ModelKey& key) {
-  servers_[key][worker.zone].emplace(worker.hash, id);
+/// Another worker serves it: those that need more of them may follow it.
+void ViewInterest::startedServing(const WorkerId& id, const Worker& worker, const ModelKey& key) {
+  serving_[key][worker.zone].emplace(worker.hash, id);
   if (key.model.empty() && plain_.insert(key).second) {
     for (auto& [gatewayId, gateway] : gateways_) {
-      wish(gatewayId, gateway, key, kPlainWorkers, {});
+      require(gatewayId, gateway, key, kPlainWorkers, {});
     }
     return;
   }
-  const auto wanting = wanting_.find(key);
-  if (wanting == wanting_.end()) {
+  const auto unmet = unmet_.find(key);
+  if (unmet == unmet_.end()) {
     return;
   }
-  const std::set<GatewayId> all = wanting->second;
+  const std::set<GatewayId> all = unmet->second;
   for (const GatewayId gateway : all) {
     fill(gateway, gateways_.at(gateway), key);
   }
 }
 
-void ViewInterest::servedNoMore(const WorkerId& id, const Worker& worker, const ModelKey& key) {
-  servers_.at(key).at(worker.zone).erase({worker.hash, id});
+void ViewInterest::stoppedServing(const WorkerId& id, const Worker& worker, const ModelKey& key) {
+  serving_.at(key).at(worker.zone).erase({worker.hash, id});
   const std::set<GatewayId> followers = worker.followers;
   for (const GatewayId gatewayId : followers) {
     Gateway& gateway = gateways_.at(gatewayId);
-    if (gateway.wishes.count(key) != 0) {
+    if (gateway.needs.count(key) != 0) {
       fill(gatewayId, gateway, key);
     }
   }
@@ -140,33 +140,33 @@
     return;
   }
   Gateway& gateway = found->second;
-  const auto wished = gateway.wishes.find(key);
+  const auto known = gateway.needs.find(key);
   std::size_t workers = kModelWorkers;
-  if (wished != gateway.wishes.end()) {
-    const bool more = wished->second.workers < serverCount(key) && (waiting || busy(gateway, key));
-    workers = wished->second.workers * (more ? 2 : 1);
+  if (known != gateway.needs.end()) {
+    const bool more = known->second.workers < servingCount(key) && (waiting || busy(gateway, key));
+    workers = known->second.workers * (more ? 2 : 1);
   }
-  wish(id, gateway, key, workers, now);
+  require(id, gateway, key, workers, now);
   if (gateway.follows.size() > kMostFollowed) {
     dropUseless(id, gateway, now);
   }
 }
 
-void ViewInterest::wish(GatewayId id, Gateway& gateway, const ModelKey& key, std::size_t workers,
-                        base::TimePoint now) {
-  Wish& wish = gateway.wishes[key];
-  wish.askedAt = now;
-  if (wish.workers < workers) {
-    wish.workers = workers;
+void ViewInterest::require(GatewayId id, Gateway& gateway, const ModelKey& key, std::size_t workers,
+                           base::TimePoint now) {
+  Need& need = gateway.needs[key];
+  need.askedAt = now;
+  if (need.workers < workers) {
+    need.workers = workers;
     fill(id, gateway, key);
   }
 }
 
-std::size_t ViewInterest::serverCount(const ModelKey& key) const {
-  const auto servers = servers_.find(key);
+std::size_t ViewInterest::servingCount(const ModelKey& key) const {
+  const auto rings = serving_.find(key);
   std::size_t count = 0;
-  if (servers != servers_.end()) {
-    for (const auto& [zone, ring] : servers->second) {
+  if (rings != serving_.end()) {
+    for (const auto& [zone, ring] : rings->second) {
       count += ring.size();
     }
   }
@@ -191,27 +191,27 @@
   return running > kBusyShare * slots;
 }
 
-/// Sees to it that the gateway follows as many workers for the key as it wishes, if there are.
+/// Sees to it that the gateway follows as many workers for the key as it needs, if there are.
 void ViewInterest::fill(GatewayId id, Gateway& gateway, const ModelKey& key) {
-  const std::size_t wished = gateway.wishes.at(key).workers;
+  const std::size_t needed = gateway.needs.at(key).workers;
   const std::size_t followed = followedFor(gateway, key).size();
-  if (followed < wished) {
-    followMore(id, gateway, key, wished - followed);
+  if (followed < needed) {
+    followMore(id, gateway, key, needed - followed);
   }
-  if (followedFor(gateway, key).size() < wished) {
-    wanting_[key].insert(id);
+  if (followedFor(gateway, key).size() < needed) {
+    unmet_[key].insert(id);
   } else {
-    wanting_[key].erase(id);
+    unmet_[key].erase(id);
   }
 }
 
 void ViewInterest::followMore(GatewayId id, Gateway& gateway, const ModelKey& key,
                               std::size_t most) {
-  const auto servers = servers_.find(key);
-  if (servers == servers_.end()) {
+  const auto rings = serving_.find(key);
+  if (rings == serving_.end()) {
     return;
   }
-  for (const WorkerId& worker : unfollowed(id, gateway, servers->second, most)) {
+  for (const WorkerId& worker : unfollowed(id, gateway, rings->second, most)) {
     follow(id, gateway, worker);
   }
 }
@@ -250,11 +250,11 @@
 
 void ViewInterest::dropUseless(GatewayId id, Gateway& gateway, base::TimePoint now) {
   std::set<WorkerId> useful;
-  for (auto next = gateway.wishes.begin(); next != gateway.wishes.end();) {
-    const auto& [key, wish] = *next;
-    if (!key.model.empty() && now >= wish.askedAt + kInterestLasts) {
-      wanting_[key].erase(id);
-      next = gateway.wishes.erase(next);
+  for (auto next = gateway.needs.begin(); next != gateway.needs.end();) {
+    const auto& [key, need] = *next;
+    if (!key.model.empty() && now >= need.askedAt + kInterestLasts) {
+      unmet_[key].erase(id);
+      next = gateway.needs.erase(next);
       continue;
     }
     for (const WorkerId& worker : followedFor(gateway, key)) {
--- a/src/registry/view_interest.h
+++ b/src/registry/view_interest.h
@@ -67,13 +67,13 @@
   std::vector<Change> takeChanges() { return std::exchange(changes_, {}); }
 
  private:
-  struct Wish {
+  struct Need {
     std::size_t workers = 0;  ///< That are to be followed for it.
     base::TimePoint askedAt;
   };
   struct Gateway {
     base::ZoneId zone;
-    std::map<ModelKey, Wish> wishes;
+    std::map<ModelKey, Need> needs;
     std::set<WorkerId> follows;
   };
   struct Worker {
@@ -90,25 +90,25 @@
   using Rings = std::map<base::ZoneId, Ring>;
 
   static std::set<ModelKey> servedBy(const WorkerView& view, bool plain);
-  void wish(GatewayId id, Gateway& gateway, const ModelKey& key, std::size_t workers,
-            base::TimePoint now);
+  void require(GatewayId id, Gateway& gateway, const ModelKey& key, std::size_t workers,
+               base::TimePoint now);
   void fill(GatewayId id, Gateway& gateway, const ModelKey& key);
   void followMore(GatewayId id, Gateway& gateway, const ModelKey& key, std::size_t most);
   std::vector<WorkerId> unfollowed(GatewayId id, const Gateway& gateway, const Rings& rings,
                                    std::size_t most) const;
   std::vector<WorkerId> followedFor(const Gateway& gateway, const ModelKey& key) const;
-  std::size_t serverCount(const ModelKey& key) const;
+  std::size_t servingCount(const ModelKey& key) const;
   bool busy(const Gateway& gateway, const ModelKey& key) const;
   void follow(GatewayId id, Gateway& gateway, const WorkerId& workerId);
   void dropUseless(GatewayId id, Gateway& gateway, base::TimePoint now);
-  void served(const WorkerId& id, const Worker& worker, const ModelKey& key);
-  void servedNoMore(const WorkerId& id, const Worker& worker, const ModelKey& key);
+  void startedServing(const WorkerId& id, const Worker& worker, const ModelKey& key);
+  void stoppedServing(const WorkerId& id, const Worker& worker, const ModelKey& key);
 
   std::map<GatewayId, Gateway> gateways_;
   std::map<WorkerId, Worker> workers_;
-  std::map<ModelKey, Rings> servers_;                ///< Who serves it.
-  std::set<ModelKey> plain_;                         ///< Keys of plain services.
-  std::map<ModelKey, std::set<GatewayId>> wanting_;  ///< Who follows fewer than it wishes.
+  std::map<ModelKey, Rings> serving_;              ///< Who serves it.
+  std::set<ModelKey> plain_;                       ///< Keys of plain services.
+  std::map<ModelKey, std::set<GatewayId>> unmet_;  ///< Who follows fewer than it needs.
   std::vector<Change> changes_;
 };
 
