registry: a leader of a large fleet begins in bounded turns

Change: 512 views and 1,024 holdings in a turn; views go out once all workers were looked at, plans begin then; entries that were recovered are applied without a line for each worker.

--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -12,8 +12,12 @@
 
 /// Least time between two stored states of one worker's holdings.
 constexpr base::Duration kHoldingsInterval = std::chrono::milliseconds(500);
-/// At each check, so that all workers of a cell that starts don't make one turn.
+/// @name Workers in one turn, at most: all of a large fleet are new to a leader that begins
+/// @{
 constexpr std::size_t kMostHoldingsStored = 256;
+constexpr std::size_t kMostHoldingsCompared = 1024;
+constexpr std::size_t kMostViewsRefreshed = 512;
+/// @}
 constexpr base::Duration kCheckInterval = std::chrono::milliseconds(50);
 /// Of a large fleet, whose gateways hear of loads four times a second.
 constexpr base::Duration kLoadsInterval = std::chrono::milliseconds(50);
@@ -267,7 +271,7 @@
     planSoon_ = false;
   }
   const bool planDue = (planSoon_ && now >= lastPlanAt_ + planSpacing()) || now >= nextPlan_;
-  if (leaseValid && planDue) {
+  if (leaseValid && planDue && workersKnown_) {
     planSoon_ = false;
     lastPlanAt_ = now;
     nextPlan_ = now + options_.planInterval;
@@ -292,7 +296,9 @@
 
 void LeaderDuties::storeHoldings(base::TimePoint now) {
   std::size_t stored = 0;
-  for (auto next = unstored_.begin(); next != unstored_.end() && stored < kMostHoldingsStored;) {
+  std::size_t compared = 0;
+  for (auto next = unstored_.begin(); next != unstored_.end() && stored < kMostHoldingsStored &&
+                                      compared < kMostHoldingsCompared;) {
     const WorkerId id = *next;
     const auto found = workers_.find(id);
     if (found == workers_.end() || !found->second.holdingsKnown ||
@@ -306,6 +312,7 @@
       continue;
     }
     next = unstored_.erase(next);
+    ++compared;
     std::vector<HeldModel> models = status.serving(now);
     const std::vector<HeldModel>* held = state_.findHoldings(id);
     if (held == nullptr || *held != models) {
@@ -318,6 +325,9 @@
 
 void LeaderDuties::publish(base::TimePoint now, const std::vector<base::Endpoint>& servers) {
   refreshViews(now);
+  if (!changed_.empty()) {
+    return;  // A first view without all workers would take the rest away from its gateway.
+  }
   const std::uint64_t version = document_ == nullptr ? 0 : document_->version;
   if (!publisher_.due(now, version)) {
     return;
@@ -368,7 +378,9 @@
     noteChanged(changesAt_.begin()->second);
     changesAt_.erase(changesAt_.begin());
   }
-  for (const WorkerId& id : std::exchange(changed_, {})) {
+  for (std::size_t count = 0; !changed_.empty() && count < kMostViewsRefreshed; ++count) {
+    const WorkerId id = *changed_.begin();
+    changed_.erase(changed_.begin());
     if (const WorkerRecord* record = state_.findWorker(id)) {
       const WorkerStatus& status = statusOf(id, now);
       WorkerView view{*record, status.silent, outliers_.failing(id), status.holdingsKnown,
@@ -382,6 +394,7 @@
       publisher_.setWorker(view, isPlain(record->service));
     }
   }
+  workersKnown_ = workersKnown_ || changed_.empty();
 }
 
 /// To gateways a worker of an evacuated zone is one that leaves: none sends it anything new.
@@ -394,8 +407,9 @@
 }
 
 base::TimePoint LeaderDuties::nextWakeup() const {
-  const base::TimePoint publish =
-      std::max(publishAgainAt_, std::min(publisher_.nextUpdate(), sender_.nextParts()));
+  const base::TimePoint due =
+      changed_.empty() ? std::min(publisher_.nextUpdate(), sender_.nextParts()) : base::TimePoint();
+  const base::TimePoint publish = std::max(publishAgainAt_, due);
   base::TimePoint next = std::min({publish, nextPlan_, nextCheck_});
   if (planSoon_) {
     next = std::min(next, lastPlanAt_ + planSpacing());
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -214,6 +214,7 @@
   /// @}
   /// When each worker's silence is looked at again; an entry counts if its status names that time.
   std::multimap<base::TimePoint, WorkerId> silenceChecks_;
+  bool workersKnown_ = false;  ///< All that were there at the beginning have been looked at.
   bool planSoon_ = true;
   std::vector<RegistryAction> actions_;
   std::vector<Command> commands_;
--- a/src/registry/registry_state.cpp
+++ b/src/registry/registry_state.cpp
@@ -47,16 +47,20 @@
   if (const auto* document = std::get_if<StoreDocument>(&command)) {
     log_.write(LogEvent::documentStored, {{"version", document->version}, {"index", index}});
   } else if (const auto* worker = std::get_if<StoreWorker>(&command)) {
-    log_.write(LogEvent::workerStored,
-               {{"worker", worker->worker.id.value},
-                {"service", worker->worker.service},
-                {"state", std::string_view(worker->worker.leaving ? "leaving" : "ready")}});
+    if (index > recoveredIndex_) {  // What was recovered is told of by the lines of that time.
+      log_.write(LogEvent::workerStored,
+                 {{"worker", worker->worker.id.value},
+                  {"service", worker->worker.service},
+                  {"state", std::string_view(worker->worker.leaving ? "leaving" : "ready")}});
+    }
     const auto pending = pendingWorkers_.find(worker->worker.id);
     if (pending != pendingWorkers_.end() && pending->second.index <= index) {
       pendingWorkers_.erase(pending);
     }
   } else if (const auto* gone = std::get_if<ForgetWorker>(&command)) {
-    log_.write(LogEvent::workerForgotten, {{"worker", gone->worker.value}});
+    if (index > recoveredIndex_) {
+      log_.write(LogEvent::workerForgotten, {{"worker", gone->worker.value}});
+    }
     orderTurns_.forget(gone->worker);
   } else if (std::holds_alternative<StoreOrderHolder>(command) && index > recoveredIndex_) {
     lastTurnAt_ = now_;
