registry: a worker that has just started is told to so many gateways as send no more than it bears

Change: where the document says what a worker bears while it is cold, the leader takes a worker that registers, or whose zone comes back, for cold for that time, and tells so many gateways of it as together are asked for no more than that; to the others it is one that leaves, so nothing is new on the wire. Where gateways follow only some workers it is told to none meanwhile. What a worker says of itself (coldLeftMs) is not read, and a new leader takes the workers that are there for warm: open.

--- a/include/walnut/catalog/document.h
+++ b/include/walnut/catalog/document.h
@@ -96,6 +96,11 @@
   std::string healthPath;
   std::uint32_t maxConnections = 0;  ///< That one worker accepts, from all callers together.
   std::optional<EngineSpec> engine;  ///< Absent: a plain service without models.
+  /// @name Of a worker that has just started; for servers only, not in the packed form
+  /// @{
+  base::Duration coldTime{0};  ///< For which it is cold.
+  double coldPerSecond = 0;    ///< Requests that it bears meanwhile; 0: as many as ever.
+  /// @}
 
   bool operator==(const Service&) const = default;
   template <class Archive>
--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -199,6 +199,15 @@
   return count == found->second.end() ? 0 : count->second;
 }
 
+double DemandBook::serviceRate(const std::string& service, base::TimePoint now) const {
+  double rate = 0;
+  for (auto entry = history_.lower_bound({service, {}, {}});
+       entry != history_.end() && entry->first.service == service; ++entry) {
+    rate += entry->first.adapter.empty() ? entry->second.arrivals.perSecond(now) : 0;
+  }
+  return rate;
+}
+
 std::vector<ModelKey> DemandBook::askedSince(const std::string& service,
                                              base::TimePoint since) const {
   std::vector<ModelKey> keys;
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -69,6 +69,8 @@
   bool unreachable(const WorkerId& worker) const { return unreachable_.count(worker) != 0; }
   /// @return the running requests of all workers that have any.
   std::vector<WorkerLoad> loads() const;
+  /// @return arrivals a second for all models of a service.
+  double serviceRate(const std::string& service, base::TimePoint now) const;
   /// @return models and adapters of the service that requests came for since then.
   std::vector<ModelKey> askedSince(const std::string& service, base::TimePoint since) const;
   /// @return all models and adapters for which requests wait.
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -1,6 +1,7 @@
 #include "registry/leader_duties.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -182,7 +183,10 @@
     if (state_.findWorker(id) == nullptr) {
       gone.insert(id);
     } else {
-      statusOf(id, now);
+      WorkerStatus& status = statusOf(id, now);
+      if (!std::exchange(status.registered, true)) {
+        beginCold(*state_.findWorker(id), status, now);
+      }
       noteChanged(id);
     }
   }
@@ -193,7 +197,7 @@
   workerChanges_ = state_.workerChanges();
   zoneChanges_ = state_.zoneChanges();
   for (const auto& [id, record] : state_.workers()) {
-    statusOf(id, now);
+    statusOf(id, now).registered = true;
     noteChanged(id);
   }
   std::set<WorkerId> gone;
@@ -382,16 +386,19 @@
     const WorkerId id = *changed_.begin();
     changed_.erase(changed_.begin());
     if (const WorkerRecord* record = state_.findWorker(id)) {
-      const WorkerStatus& status = statusOf(id, now);
+      WorkerStatus& status = statusOf(id, now);
       WorkerView view{*record, status.silent, outliers_.failing(id), status.holdingsKnown,
                       status.serving(now)};
       view.record.leaving = outOfService(*record);
+      if (std::exchange(status.outOfService, view.record.leaving) && !view.record.leaving) {
+        beginCold(*record, status, now);
+      }
       if (view.record.leaving || view.silent || view.failing) {
         index_.remove(id);
       } else {
         index_.set(id, record->service, view.models);
       }
-      publisher_.setWorker(view, isPlain(record->service));
+      publisher_.setWorker(view, isPlain(record->service), mostGatewaysFor(*record, status, now));
     }
   }
   workersKnown_ = workersKnown_ || changed_.empty();
@@ -402,6 +409,34 @@
   return record.leaving || state_.evacuated(record.zone);
 }
 
+void LeaderDuties::beginCold(const WorkerRecord& record, WorkerStatus& status,
+                             base::TimePoint now) {
+  const catalog::Service* service =
+      document_ == nullptr ? nullptr : document_->findService(record.service);
+  if (service != nullptr && service->coldPerSecond > 0) {
+    status.coldUntil = now + service->coldTime;
+    changesAt_.emplace(status.coldUntil, record.id);
+  }
+}
+
+/// As many as send no more than the worker bears, if all that they are asked for went to it: to
+/// each gateway it looks like the one that is least busy.
+std::optional<std::size_t> LeaderDuties::mostGatewaysFor(const WorkerRecord& record,
+                                                         const WorkerStatus& status,
+                                                         base::TimePoint now) const {
+  if (now >= status.coldUntil) {
+    return std::nullopt;
+  }
+  const catalog::Service* service = document_->findService(record.service);
+  const double share = service == nullptr ? 0 : service->coldPerSecond;
+  const double rate = demand_.serviceRate(record.service, now);
+  const auto gateways = static_cast<double>(publisher_.gatewayCount());
+  if (rate <= share) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(std::max(1.0, std::floor(gateways * share / rate)));
+}
+
 bool LeaderDuties::isPlain(const std::string& service) const {
   return plainServices_.count(service) != 0;
 }
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -104,6 +104,11 @@
   /// @return true if nothing new is to be sent to the worker.
   bool outOfService(const WorkerRecord& record) const;
   bool isPlain(const std::string& service) const;
+  /// The worker has just started, or has come back with its zone.
+  void beginCold(const WorkerRecord& record, WorkerStatus& status, base::TimePoint now);
+  /// @return how many gateways may send to a cold worker; nothing: all.
+  std::optional<std::size_t> mostGatewaysFor(const WorkerRecord& record, const WorkerStatus& status,
+                                             base::TimePoint now) const;
   bool namesUnknownService(const Heartbeat& heartbeat) const;
   bool isOfFormerLife(const Heartbeat& heartbeat, base::TimePoint now);
   bool contestsALiveWorker(const Heartbeat& heartbeat, base::TimePoint now);
--- a/src/registry/view_publisher.cpp
+++ b/src/registry/view_publisher.cpp
@@ -1,6 +1,9 @@
 #include "registry/view_publisher.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <iterator>
 
 namespace walnut::registry {
 
@@ -52,10 +55,36 @@
   }
 }
 
-void ViewPublisher::setWorker(const WorkerView& view, bool plain) {
+WorkerView ViewPublisher::Worker::viewFor(protocol::ConnectionId gateway) const {
+  WorkerView told = view;
+  told.record.leaving = told.record.leaving || (onlyFor && onlyFor->count(gateway) == 0);
+  return told;
+}
+
+/// Others for each worker.
+std::set<protocol::ConnectionId> ViewPublisher::chooseGateways(const WorkerId& worker,
+                                                               std::size_t most) const {
+  std::set<protocol::ConnectionId> chosen;
+  if (interest_ || gateways_.empty()) {
+    return chosen;
+  }
+  const std::uint64_t hash = XXH3_64bits(worker.value.data(), worker.value.size());
+  auto next = std::next(gateways_.begin(), static_cast<std::ptrdiff_t>(hash % gateways_.size()));
+  for (std::size_t count = 0; count < std::min(most, gateways_.size()); ++count) {
+    chosen.insert(next->first);
+    ++next;
+    next = next == gateways_.end() ? gateways_.begin() : next;
+  }
+  return chosen;
+}
+
+void ViewPublisher::setWorker(const WorkerView& view, bool plain,
+                              std::optional<std::size_t> mostGateways) {
   const auto [found, added] = workers_.try_emplace(view.record.id);
   Worker& worker = found->second;
-  const bool changed = added || worker.removed || !(worker.view == view) || worker.plain != plain;
+  const bool limited = worker.onlyFor.has_value();
+  const bool changed = added || worker.removed || !(worker.view == view) || worker.plain != plain ||
+                       limited != mostGateways.has_value();
   if (!changed) {
     return;
   }
@@ -63,9 +92,14 @@
   worker.view = view;
   worker.plain = plain;
   worker.removed = false;
+  if (!mostGateways) {
+    worker.onlyFor.reset();
+  } else if (!limited) {
+    worker.onlyFor = chooseGateways(view.record.id, *mostGateways);
+  }
   if (interest_) {
     noteWorkerChanged(view.record.id);
-    interest_->setWorker(view, plain);
+    interest_->setWorker(worker.viewFor({}), plain);
     takeInterestChanges();
   }
   followIfLarge();
@@ -129,7 +163,8 @@
     if (!gateway.complete && !completeUpdates_.take(now)) {
       continue;
     }
-    ViewUpdate update = interest_ ? makeFollowedUpdate(connection, gateway) : makeUpdate(gateway);
+    ViewUpdate update =
+        interest_ ? makeFollowedUpdate(connection, gateway) : makeUpdate(connection, gateway);
     update.term = term;
     update.documentVersion = documentVersion;
     update.gateways = count;
@@ -192,16 +227,16 @@
   gateway.loadsSentAt = now;
 }
 
-ViewUpdate ViewPublisher::makeUpdate(const Gateway& gateway) const {
+ViewUpdate ViewPublisher::makeUpdate(protocol::ConnectionId id, const Gateway& gateway) const {
   ViewUpdate update;
   update.complete = !gateway.complete;
-  for (const auto& [id, worker] : workers_) {
+  for (const auto& [workerId, worker] : workers_) {
     if (worker.removed) {
       if (gateway.complete && worker.revision > gateway.revision) {
-        update.removed.push_back(id);
+        update.removed.push_back(workerId);
       }
     } else if (!gateway.complete || worker.revision > gateway.revision) {
-      update.changed.push_back(worker.view);
+      update.changed.push_back(worker.viewFor(id));
     }
   }
   return update;
--- a/src/registry/view_publisher.h
+++ b/src/registry/view_publisher.h
@@ -49,7 +49,10 @@
              base::TimePoint now);
 
   /// @param plain it serves a plain service: all its workers serve the same.
-  void setWorker(const WorkerView& view, bool plain = false);
+  /// @param mostGateways that may send to it; to the others it is one that leaves. Where gateways
+  /// follow only some workers none may.
+  void setWorker(const WorkerView& view, bool plain = false,
+                 std::optional<std::size_t> mostGateways = std::nullopt);
   void removeWorker(const WorkerId& worker);
   /// @return the workers that were set and not removed.
   std::vector<WorkerId> workers() const;
@@ -104,13 +107,17 @@
     bool plain = false;
     std::uint64_t revision = 0;
     bool removed = false;
+    std::optional<std::set<protocol::ConnectionId>> onlyFor;  ///< Absent: for all gateways.
+
+    WorkerView viewFor(protocol::ConnectionId gateway) const;
   };
 
   bool countGrew(const Gateway& gateway) const;
   void setLoads(const std::vector<WorkerLoad>& loads);
   void addLoads(Gateway& gateway, base::TimePoint now, ViewUpdate& update) const;
   base::Duration loadSpacing() const;
-  ViewUpdate makeUpdate(const Gateway& gateway) const;
+  ViewUpdate makeUpdate(protocol::ConnectionId id, const Gateway& gateway) const;
+  std::set<protocol::ConnectionId> chooseGateways(const WorkerId& worker, std::size_t most) const;
   void dropRemoved();
 
   // While gateways follow only some workers (view_publisher_interest.cpp).
--- a/src/registry/view_publisher_interest.cpp
+++ b/src/registry/view_publisher_interest.cpp
@@ -24,7 +24,7 @@
   interest_.emplace();
   for (const auto& [id, worker] : workers_) {
     if (!worker.removed) {
-      interest_->setWorker(worker.view, worker.plain);
+      interest_->setWorker(worker.viewFor({}), worker.plain);
     }
   }
   for (auto& [id, gateway] : gateways_) {
@@ -167,7 +167,7 @@
     gateway.removed.clear();
   }
   for (const WorkerId& worker : std::exchange(gateway.changed, {})) {
-    update.changed.push_back(workers_.at(worker).view);
+    update.changed.push_back(workers_.at(worker).viewFor(id));
   }
   for (const WorkerId& worker : std::exchange(gateway.removed, {})) {
     update.removed.push_back(worker);
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -45,6 +45,9 @@
   base::TimePoint holdingsStoredAt;  ///< When its holdings were last proposed for the log.
   std::uint64_t lastSequence = 0;
   std::uint64_t holdingsHash = 0;  ///< Of the last heartbeat whose holdings count; 0: none.
+  bool registered = false;         ///< It is in the replicated state, as this leader knows.
+  bool outOfService = false;       ///< As gateways were last told.
+  base::TimePoint coldUntil;       ///< It has just started, or may have; long past: it has not.
   bool silent = false;
   bool holdingsKnown = false;
 
--- /dev/null
+++ b/test/registry/cold_worker_test.cpp
@@ -0,0 +1,132 @@
+/// A worker that has just started bears few requests, and looks idle to every gateway: told to all
+/// of them at once it gets what all of them have.
+
+#include "registry/leader_duties_kit.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace walnut::registry::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kGateways = 60;
+constexpr double kColdPerSecond = 10;
+
+/// As EngineReader, with workers that are cold for 3 s.
+class ColdReader : public DocumentReader {
+ public:
+  base::Result<catalog::Document> read(const std::string& text) const override {
+    catalog::Document document = EngineReader().read(text).value();
+    document.services[0].coldTime = 3s;
+    document.services[0].coldPerSecond = kColdPerSecond;
+    return document;
+  }
+};
+
+}  // namespace
+
+TEST_GROUP_BASE(ColdWorkerTest, LeaderDutiesKit) {
+  ColdReader coldReader;
+  DocumentCache coldDocuments{coldReader};
+  std::map<protocol::ConnectionId, ViewDecoder> decoders;
+  std::map<protocol::ConnectionId, std::map<WorkerId, bool>> leavingTold;
+
+  void leadCold() {
+    duties = std::make_unique<LeaderDuties>(options, coldDocuments, state, kTerm, kSelf, log, now,
+                                            turns, std::nullopt);
+    for (std::uint64_t gateway = 1; gateway <= kGateways; ++gateway) {
+      duties->subscribe({gateway}, {});
+    }
+    runGateways(200ms);
+  }
+  /// Every gateway tells of that many requests.
+  void demandAtAll(std::uint32_t arrivals) {
+    for (std::uint64_t gateway = 1; gateway <= kGateways; ++gateway) {
+      DemandUpdate update;
+      update.demands.push_back({"svc", "a", "", 0, arrivals});
+      duties->demand({gateway}, update, now);
+    }
+  }
+  void runGateways(base::Duration duration) {
+    run(duration);
+    for (const RegistryAction& action : std::exchange(actions, {})) {
+      const auto* sent = std::get_if<control::SendToConnection>(&action);
+      const auto* packed =
+          sent == nullptr ? nullptr
+                          : std::get_if<PackedView>(&std::get<RegistryMessage>(sent->message).body);
+      if (packed != nullptr) {
+        const ViewUpdate update = decoders[sent->connection].decode(packed->bytes).value();
+        for (const WorkerView& view : update.changed) {
+          leavingTold[sent->connection][view.record.id] = view.record.leaving;
+        }
+      }
+    }
+  }
+  /// @return how many gateways may send to the worker.
+  std::size_t toldInService(const char* worker) const {
+    return static_cast<std::size_t>(
+        std::count_if(leavingTold.begin(), leavingTold.end(), [worker](const auto& told) {
+          const auto found = told.second.find({worker});
+          return found != told.second.end() && !found->second;
+        }));
+  }
+  void startWorker(const char* id, std::uint16_t port, const char* zone = "") {
+    state.apply(StoreWorker{{{id}, "svc", {"10.0.1.1", port}, {zone}, 4, false}});
+    duties->stateChanged(now);
+  }
+};
+
+/// 60 gateways with 48 requests a second to all of them: 12 of them have 9.6 in all.
+TEST(ColdWorkerTest, itIsToldToSoManyAsSendNoMoreThanItBears) {
+  leadCold();
+  demandAtAll(8);
+  startWorker("w3", 3);
+  runGateways(100ms);
+  const std::size_t told = toldInService("w3");
+  CHECK_TRUE(told >= 1);
+  CHECK_TRUE(static_cast<double>(told) * 48 / kGateways <= kColdPerSecond);
+}
+
+TEST(ColdWorkerTest, itIsToldToAllOnceItIsWarm) {
+  leadCold();
+  demandAtAll(8);
+  startWorker("w3", 3);
+  runGateways(3100ms);
+  CHECK_EQUAL(kGateways, toldInService("w3"));
+}
+
+TEST(ColdWorkerTest, whereAllTogetherSendLessItIsToldToAll) {
+  leadCold();
+  demandAtAll(1);
+  startWorker("w3", 3);
+  runGateways(100ms);
+  CHECK_EQUAL(kGateways, toldInService("w3"));
+}
+
+TEST(ColdWorkerTest, workersThatWereThereBeforeAreNotCold) {
+  leadCold();
+  demandAtAll(8);
+  runGateways(100ms);
+  CHECK_EQUAL(kGateways, toldInService("w1"));
+}
+
+TEST(ColdWorkerTest, theWorkersOfAZoneThatComesBackMayBeCold) {
+  leadCold();
+  startWorker("w3", 3, "zone-a");
+  runGateways(3100ms);
+  demandAtAll(8);
+  state.apply(StoreZoneEvacuation{{"zone-a"}, true, 0});
+  duties->stateChanged(now);
+  runGateways(100ms);
+  CHECK_EQUAL(0, toldInService("w3"));
+  state.apply(StoreZoneEvacuation{{"zone-a"}, false, 1});
+  duties->stateChanged(now);
+  runGateways(100ms);
+  CHECK_TRUE(toldInService("w3") < kGateways);
+  runGateways(3s);
+  CHECK_EQUAL(kGateways, toldInService("w3"));
+}
