registry: a new leader knows which workers have just started

Cause: the new leader took it for warm, and heard of no demand yet.

Change: every server notes when it applies a registration (RegistrationTimes); a leader that begins takes those workers for cold, and one that has not heard of the demand for a second tells one gateway of each.

--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -13,6 +13,8 @@
 
 /// Least time between two stored states of one worker's holdings.
 constexpr base::Duration kHoldingsInterval = std::chrono::milliseconds(500);
+/// Of a rate that a leader has heard of since it began: with less it is not known yet.
+constexpr double kLeastKnown = 0.1;
 /// @name Workers in one turn, at most: all of a large fleet are new to a leader that begins
 /// @{
 constexpr std::size_t kMostHoldingsStored = 256;
@@ -28,7 +30,8 @@
 LeaderDuties::LeaderDuties(const RegistryOptions& options, DocumentCache& documents,
                            const CellState& state, consensus::Term term, base::ServerId self,
                            runtime::EventLog& log, base::TimePoint now, const OrderTurns& turns,
-                           std::optional<base::TimePoint> lastTurnAt)
+                           std::optional<base::TimePoint> lastTurnAt,
+                           const RegistrationTimes* registrations)
     : options_(options),
       documents_(documents),
       state_(state),
@@ -37,6 +40,7 @@
       log_(log),
       since_(now),
       turns_(turns),
+      registrations_(registrations),
       turnAllowedAt_(turnAllowedAt(lastTurnAt)),
       poolStart_{std::to_string(self.value)},
       quotas_(options.quota),
@@ -46,6 +50,7 @@
       hearingSince_(now) {
   refreshDocument(now);
   takeEveryWorker(now);
+  takeColdWorkers();
 }
 
 WorkerStatus& LeaderDuties::statusOf(const WorkerId& id, base::TimePoint now) {
@@ -409,16 +414,27 @@
   return record.leaving || state_.evacuated(record.zone);
 }
 
-void LeaderDuties::beginCold(const WorkerRecord& record, WorkerStatus& status,
-                             base::TimePoint now) {
+void LeaderDuties::beginCold(const WorkerRecord& record, WorkerStatus& status, base::TimePoint at) {
   const catalog::Service* service =
       document_ == nullptr ? nullptr : document_->findService(record.service);
   if (service != nullptr && service->coldPerSecond > 0) {
-    status.coldUntil = now + service->coldTime;
+    status.coldUntil = at + service->coldTime;
     changesAt_.emplace(status.coldUntil, record.id);
   }
 }
 
+/// Those that registered with a former leader.
+void LeaderDuties::takeColdWorkers() {
+  if (registrations_ == nullptr) {
+    return;
+  }
+  for (const auto& [id, record] : state_.workers()) {
+    if (const auto registeredAt = registrations_->of(id)) {
+      beginCold(record, workers_.at(id), *registeredAt);
+    }
+  }
+}
+
 /// As many as send no more than the worker bears, if all that they are asked for went to it: to
 /// each gateway it looks like the one that is least busy.
 std::optional<std::size_t> LeaderDuties::mostGatewaysFor(const WorkerRecord& record,
@@ -429,8 +445,13 @@
   }
   const catalog::Service* service = document_->findService(record.service);
   const double share = service == nullptr ? 0 : service->coldPerSecond;
-  const double rate = demand_.serviceRate(record.service, now);
+  const std::chrono::duration<double> heardFor = now - since_;
+  const double known = 1 - std::exp(-heardFor.count() / DecayingRate::kSeconds);
+  const double rate = demand_.serviceRate(record.service, now) / std::max(known, kLeastKnown);
   const auto gateways = static_cast<double>(publisher_.gatewayCount());
+  if (known < kLeastKnown) {
+    return 1;
+  }
   if (rate <= share) {
     return std::nullopt;
   }
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -22,6 +22,7 @@
 #include "registry/placement.h"
 #include "registry/planning_pool.h"
 #include "registry/quota_ledger.h"
+#include "registry/registration_times.h"
 #include "registry/view_publisher.h"
 #include "registry/worker_index.h"
 #include "registry/worker_outlier_detector.h"
@@ -36,11 +37,13 @@
 class LeaderDuties {
  public:
   /// @param turns kept by the owner: when workers were last ordered.
+  /// @param registrations kept by the owner as well.
   /// @param lastTurnAt when this server, while it ran, saw another server take its turn to order.
   LeaderDuties(const RegistryOptions& options, DocumentCache& documents, const CellState& state,
                consensus::Term term, base::ServerId self, runtime::EventLog& log,
                base::TimePoint now, const OrderTurns& turns,
-               std::optional<base::TimePoint> lastTurnAt = std::nullopt);
+               std::optional<base::TimePoint> lastTurnAt = std::nullopt,
+               const RegistrationTimes* registrations = nullptr);
 
   /// @return true if the replicated record must change for this heartbeat.
   bool heartbeat(const Heartbeat& heartbeat, base::TimePoint now);
@@ -104,8 +107,9 @@
   /// @return true if nothing new is to be sent to the worker.
   bool outOfService(const WorkerRecord& record) const;
   bool isPlain(const std::string& service) const;
-  /// The worker has just started, or has come back with its zone.
-  void beginCold(const WorkerRecord& record, WorkerStatus& status, base::TimePoint now);
+  /// The worker started at that time, or came back with its zone.
+  void beginCold(const WorkerRecord& record, WorkerStatus& status, base::TimePoint at);
+  void takeColdWorkers();
   /// @return how many gateways may send to a cold worker; nothing: all.
   std::optional<std::size_t> mostGatewaysFor(const WorkerRecord& record, const WorkerStatus& status,
                                              base::TimePoint now) const;
@@ -167,6 +171,7 @@
   runtime::EventLog& log_;
   const base::TimePoint since_;
   const OrderTurns& turns_;
+  const RegistrationTimes* const registrations_;  ///< Null: none are known.
   const base::TimePoint turnAllowedAt_;  ///< Not before, if another server had the last turn.
 
   std::shared_ptr<const catalog::Document> document_;
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -289,7 +289,7 @@
   activeIndex_ = status.lastIndex;
   keeper_.emplace(CellKeeperOptions{options_.tolerableLosses}, now_);
   leading_ = std::make_unique<LeaderDuties>(options_, documents_, state_, status.term, status.self,
-                                            log_, now_, orderTurns_, lastTurnAt_);
+                                            log_, now_, orderTurns_, lastTurnAt_, &registrations_);
   pendingDocumentVersion_ = 0;
   proposedLevel_ = 0;
 }
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -15,6 +15,7 @@
 #include "registry/heartbeat_relay.h"
 #include "registry/leader_duties.h"
 #include "registry/order_turns.h"
+#include "registry/registration_times.h"
 #include "walnut/registry/registry.h"
 
 namespace walnut::registry {
@@ -110,6 +111,7 @@
   void confirmDocuments();
   void applyEntries(const std::vector<consensus::LogEntry>& entries);
   void applyEntry(const consensus::LogEntry& entry);
+  void noteRegistration(const Command& command, consensus::LogIndex index);
   void noteSuccession(const Command& command);
   void noteApplied(const Command& command, consensus::LogIndex index);
   void noteOrdered(const StoreOrderedWorkers& ordered, consensus::LogIndex index);
@@ -175,6 +177,7 @@
   /// When another server took the turn to order, while this one ran.
   std::optional<base::TimePoint> lastTurnAt_;
   OrderTurns orderTurns_;
+  RegistrationTimes registrations_;
   const consensus::LogIndex recoveredIndex_;  ///< The last entry of the log as it was recovered.
   const base::TimePoint startedAt_;
   base::TimePoint leaderHeardAt_;
--- a/src/registry/registry_state.cpp
+++ b/src/registry/registry_state.cpp
@@ -25,6 +25,7 @@
     bytesSinceSnapshot_ += entry.payload.size();
     const auto command = decodeCommand(entry.payload);
     if (command) {
+      noteRegistration(command.value(), entry.index);
       noteSuccession(command.value());
       state_.apply(command.value());
       noteApplied(command.value(), entry.index);
@@ -79,6 +80,15 @@
   }
 }
 
+/// Before a command is applied.
+void RegistryImpl::noteRegistration(const Command& command, consensus::LogIndex index) {
+  const auto* stored = std::get_if<StoreWorker>(&command);
+  if (stored != nullptr && index > recoveredIndex_ &&
+      state_.findWorker(stored->worker.id) == nullptr) {
+    registrations_.registered(stored->worker.id, now_);
+  }
+}
+
 /// Before a command is applied.
 void RegistryImpl::noteSuccession(const Command& command) {
   const auto* stored = std::get_if<StoreWorker>(&command);
--- a/test/registry/cold_worker_test.cpp
+++ b/test/registry/cold_worker_test.cpp
@@ -35,9 +35,11 @@
   std::map<protocol::ConnectionId, ViewDecoder> decoders;
   std::map<protocol::ConnectionId, std::map<WorkerId, bool>> leavingTold;
 
+  RegistrationTimes registrations;
+
   void leadCold() {
     duties = std::make_unique<LeaderDuties>(options, coldDocuments, state, kTerm, kSelf, log, now,
-                                            turns, std::nullopt);
+                                            turns, std::nullopt, &registrations);
     for (std::uint64_t gateway = 1; gateway <= kGateways; ++gateway) {
       duties->subscribe({gateway}, {});
     }
@@ -101,6 +103,7 @@
 
 TEST(ColdWorkerTest, whereAllTogetherSendLessItIsToldToAll) {
   leadCold();
+  runGateways(20s);
   demandAtAll(1);
   startWorker("w3", 3);
   runGateways(100ms);
@@ -130,3 +133,21 @@
   runGateways(3s);
   CHECK_EQUAL(kGateways, toldInService("w3"));
 }
+
+/// As seen on the bench: the leader was killed two seconds after the worker had started.
+TEST(ColdWorkerTest, aNewLeaderKnowsWhoHasStartedLately) {
+  registrations.registered({"w1"}, now);
+  now += 2s;
+  leadCold();
+  CHECK_EQUAL(1, toldInService("w1"));
+  CHECK_EQUAL(kGateways, toldInService("w2"));
+  runGateways(1s);
+  CHECK_EQUAL(kGateways, toldInService("w1"));
+}
+
+TEST(ColdWorkerTest, registrationsOfLongAgoAreForgotten) {
+  registrations.registered({"w1"}, now);
+  registrations.registered({"w2"}, now + 2min);
+  CHECK_FALSE(registrations.of({"w1"}).has_value());
+  CHECK_TRUE(registrations.of({"w2"}).has_value());
+}
