registry: a server that can't read an entry ends

Change: it is told of (entry-refused) with its typed error, nothing is applied, sent or stored after it, and the process ends as it does when its storage fails.

--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -151,6 +152,9 @@
 struct RegistryOutputs {
   consensus::PersistBatch persist;
   std::vector<RegistryAction> actions;
+  /// An entry or a snapshot that this build can't read: its state would differ from the others'.
+  /// The driver ends the process, and carries out nothing more.
+  std::optional<base::Error> unreadable;
 };
 
 /// Decision logic of one server. Deterministic, no I/O, owned by one loop.
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -198,6 +198,10 @@
 
 bool RegistryHost::settleOnce() {
   registry::RegistryOutputs outputs = registry_->takeOutputs();
+  if (outputs.unreadable) {
+    noteStorageFailure(*outputs.unreadable);
+    return false;
+  }
   const bool persisted = !outputs.persist.empty();
   if (persisted) {
     const base::TimePoint begin = runtime::now();
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -71,12 +71,18 @@
     actions_.emplace_back(control::SendToServer{to, endpoint, std::move(message)});
   }
   if (raftOutputs.installed) {
-    (void)state_.restore(raftOutputs.installed->data);
+    const auto restored = state_.restore(raftOutputs.installed->data);
+    if (restored.has_error()) {
+      noteUnreadable(raftOutputs.installed->lastIndex, restored.error());
+    }
     appliedIndex_ = raftOutputs.installed->lastIndex;
     bytesSinceSnapshot_ = 0;
     orderTurns_.restored(now_);
   }
   applyEntries(raftOutputs.committed);
+  if (unreadable_) {
+    return {{}, {}, unreadable_};
+  }
   followLeadership();
   runDuties();
   outputs.actions = std::exchange(actions_, {});
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -111,6 +111,7 @@
   void confirmDocuments();
   void applyEntries(const std::vector<consensus::LogEntry>& entries);
   void applyEntry(const consensus::LogEntry& entry);
+  void noteUnreadable(consensus::LogIndex index, const base::Error& error);
   void noteRegistration(const Command& command, consensus::LogIndex index);
   void noteSuccession(const Command& command);
   void noteApplied(const Command& command, consensus::LogIndex index);
@@ -136,6 +137,7 @@
   std::unique_ptr<consensus::Raft> raft_;
   CellState state_;
   consensus::LogIndex appliedIndex_ = 0;
+  std::optional<base::Error> unreadable_;  ///< Then nothing is applied or sent any more.
   std::size_t bytesSinceSnapshot_ = 0;
   std::size_t snapshotBytes_ = 0;  ///< Of the last one that this server took.
   std::vector<RegistryAction> actions_;
--- a/src/registry/registry_state.cpp
+++ b/src/registry/registry_state.cpp
@@ -12,6 +12,9 @@
 
 void RegistryImpl::applyEntries(const std::vector<consensus::LogEntry>& entries) {
   for (const consensus::LogEntry& entry : entries) {
+    if (unreadable_) {
+      return;
+    }
     applyEntry(entry);
   }
   if (!entries.empty() && leading_ != nullptr) {
@@ -30,8 +33,8 @@
       state_.apply(command.value());
       noteApplied(command.value(), entry.index);
     } else {
-      log_.write(LogEvent::entryRefused,
-                 {{"index", entry.index}, {"detail", command.error().detail}});
+      noteUnreadable(entry.index, command.error());
+      return;
     }
   }
   const auto waiting = callsByEntry_.find(entry.index);
@@ -44,6 +47,14 @@
   }
 }
 
+void RegistryImpl::noteUnreadable(consensus::LogIndex index, const base::Error& error) {
+  log_.write(LogEvent::entryRefused, {{"index", index},
+                                      {"error", base::errorCodeName(error.code)},
+                                      {"field", error.field},
+                                      {"detail", error.detail}});
+  unreadable_ = error;
+}
+
 void RegistryImpl::noteApplied(const Command& command, consensus::LogIndex index) {
   if (const auto* document = std::get_if<StoreDocument>(&command)) {
     log_.write(LogEvent::documentStored, {{"version", document->version}, {"index", index}});
