registry: names that callers invent take no room at the leader

Cause: since views by interest the leader of a large fleet remembers for each gateway which models and adapters it was asked for, without looking whether they exist; what is asked for is dropped only beyond 512 followed workers, so a caller who invents names each time took room without bound. Change: remembered is only what a worker holds or the document names.

--- a/include/walnut/catalog/document.h
+++ b/include/walnut/catalog/document.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "walnut/base/time.h"
@@ -67,6 +68,8 @@
   std::uint32_t adapters = 0;
   double adapterMegabytes = 0;
 
+  /// @param adapter empty for the model itself.
+  bool hasAdapter(std::string_view adapter) const;
   bool operator==(const ModelSpec&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
@@ -84,6 +87,8 @@
   double storeLoadsPerSecond = 0;  ///< Of the weight store, for all workers together.
   std::vector<ModelSpec> models;
 
+  /// @return nothing if it names no such model.
+  const ModelSpec* findModel(std::string_view name) const;
   bool operator==(const EngineSpec&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/catalog/validation.cpp
+++ b/src/catalog/validation.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <cmath>
 #include <map>
 #include <set>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 namespace walnut::catalog {
@@ -107,6 +109,23 @@
 
 }  // namespace
 
+bool ModelSpec::hasAdapter(std::string_view adapter) const {
+  if (adapter.empty()) {
+    return true;
+  }
+  std::uint32_t number = 0;
+  const char* const end = adapter.data() + adapter.size();
+  const auto [last, error] = std::from_chars(adapter.data() + 1, end, number);
+  const bool isName = adapter.front() == 'a' && error == std::errc() && last == end;
+  return isName && adapter[1] != '0' && number <= adapters;
+}
+
+const ModelSpec* EngineSpec::findModel(std::string_view name) const {
+  const auto found = std::find_if(models.begin(), models.end(),
+                                  [name](const ModelSpec& model) { return model.name == name; });
+  return found == models.end() ? nullptr : &*found;
+}
+
 const Service* Document::findService(const std::string& name) const {
   for (const Service& service : services) {
     if (service.name == name) {
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -140,8 +140,10 @@
                           base::TimePoint now) {
   demand_.update(gateway, update, now);
   for (const ModelDemand& demand : update.demands) {
-    publisher_.asked(gateway, {demand.service, demand.model, demand.adapter}, demand.waiting > 0,
-                     now);
+    if (mayBeServed(demand)) {
+      publisher_.asked(gateway, {demand.service, demand.model, demand.adapter}, demand.waiting > 0,
+                       now);
+    }
   }
   for (const WorkerOutcomes& outcomes : update.outcomes) {
     if (state_.findWorker(outcomes.worker) != nullptr) {
@@ -153,6 +155,24 @@
   planSoon_ = planSoon_ || !demand_.waiting().empty();
 }
 
+/// Callers may name anything: who asks is remembered only for what is held or may be loaded, so
+/// that the names of callers take no room here.
+bool LeaderDuties::mayBeServed(const ModelDemand& demand) const {
+  const std::string held = demand.adapter.empty()
+                               ? demand.model
+                               : WorkerIndex::adapterName(demand.model, demand.adapter);
+  if (!index_.holding(demand.service, held).empty()) {
+    return true;
+  }
+  const catalog::Service* service =
+      document_ == nullptr ? nullptr : document_->findService(demand.service);
+  if (service == nullptr || !service->engine) {
+    return false;
+  }
+  const catalog::ModelSpec* model = service->engine->findModel(demand.model);
+  return model != nullptr && model->hasAdapter(demand.adapter);
+}
+
 void LeaderDuties::quotaAsked(protocol::ConnectionId gateway, const QuotaRequest& request,
                               base::TimePoint now) {
   actions_.emplace_back(control::SendToConnection{
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -106,6 +106,7 @@
   void sendSuspectsTo(protocol::ConnectionId gateway, base::TimePoint now);
   /// @return true if nothing new is to be sent to the worker.
   bool outOfService(const WorkerRecord& record) const;
+  bool mayBeServed(const ModelDemand& demand) const;
   bool isPlain(const std::string& service) const;
   /// The worker started at that time, or came back with its zone.
   void beginCold(const WorkerRecord& record, WorkerStatus& status, base::TimePoint at);
--- a/test/catalog/validation_test.cpp
+++ b/test/catalog/validation_test.cpp
@@ -111,3 +111,14 @@
     CHECK_TRUE(outcome.error().detail.find("secret") == std::string::npos);
   }
 }
+
+TEST(ValidationTest, adaptersAreNumberedFromOne) {
+  ModelSpec model;
+  model.adapters = 12;
+  for (const char* name : {"", "a1", "a9", "a12"}) {
+    CHECK_TRUE(model.hasAdapter(name));
+  }
+  for (const char* name : {"a", "a0", "a01", "a13", "b1", "a1x", "a-1", "1", "a99999999999"}) {
+    CHECK_FALSE(model.hasAdapter(name));
+  }
+}
--- /dev/null
+++ b/test/registry/demand_names_test.cpp
@@ -0,0 +1,96 @@
+/// Callers may name models and adapters that don't exist, each time others: in a large fleet, whose
+/// leader remembers who asked for what, such names are not remembered.
+
+#include "leader_duties_kit.h"
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace walnut::registry::testing;
+
+namespace {
+
+constexpr std::uint64_t kGateways = 400;
+constexpr std::uint16_t kWorkers = 260;
+static_assert(kGateways * kWorkers > ViewPublisher::kMostPairs);
+
+}  // namespace
+
+TEST_GROUP_BASE(DemandNamesTest, LeaderDutiesKit) {
+  ViewDecoder gatewayDecoder;
+  std::set<WorkerId> told;
+
+  void startWorker(const std::string& id, std::uint16_t port) {
+    state.apply(StoreWorker{{{id}, "svc", {"10.0.2.1", port}, {}, 4, false}});
+  }
+  void leadLargeFleet() {
+    for (std::uint16_t port = 1; port <= kWorkers; ++port) {
+      startWorker("x" + std::to_string(port), port);
+    }
+    lead();
+    for (std::uint64_t gateway = 1; gateway <= kGateways; ++gateway) {
+      duties->subscribe({gateway}, {});
+    }
+    runGateway(1s);
+  }
+  void runGateway(base::Duration duration) {
+    run(duration);
+    for (const RegistryAction& action : std::exchange(actions, {})) {
+      const auto* sent = std::get_if<control::SendToConnection>(&action);
+      const bool own = sent != nullptr && sent->connection == kGateway;
+      const auto* packed =
+          own ? std::get_if<PackedView>(&std::get<RegistryMessage>(sent->message).body) : nullptr;
+      if (packed != nullptr) {
+        const ViewUpdate update = gatewayDecoder.decode(packed->bytes).value();
+        for (const WorkerView& view : update.changed) {
+          told.insert(view.record.id);
+        }
+      }
+    }
+  }
+  void ask(const std::string& model, const std::string& adapter) {
+    DemandUpdate update;
+    update.demands.push_back({"svc", model, adapter, 1, 1});
+    duties->demand(kGateway, update, now);
+  }
+  /// @return whether the gateway is told of a worker that has the model only from now on.
+  bool toldOnceHeld(const char* model, std::vector<std::string> adapters) {
+    startWorker("late", kWorkers + 1);
+    duties->stateChanged(now);
+    hold("late", model, std::move(adapters));
+    runGateway(1s);
+    return told.count({"late"}) != 0;
+  }
+};
+
+TEST(DemandNamesTest, whoAskedForANamedModelIsToldOnceItIsHeld) {
+  leadLargeFleet();
+  ask("a", "");
+  CHECK_TRUE(toldOnceHeld("a", {}));
+}
+
+TEST(DemandNamesTest, whoAskedForANamedAdapterIsToldOnceItIsHeld) {
+  leadLargeFleet();
+  ask("a", "a2");
+  CHECK_TRUE(toldOnceHeld("a", {"a2"}));
+}
+
+TEST(DemandNamesTest, anInventedModelIsNotRemembered) {
+  leadLargeFleet();
+  ask("invented", "");
+  CHECK_FALSE(toldOnceHeld("invented", {}));
+}
+
+TEST(DemandNamesTest, anInventedAdapterIsNotRemembered) {
+  leadLargeFleet();
+  ask("a", "a3");
+  CHECK_FALSE(toldOnceHeld("a", {"a3"}));
+}
+
+/// A document may have dropped what workers still serve.
+TEST(DemandNamesTest, whatIsHeldIsToldThoughNothingNamesIt) {
+  leadLargeFleet();
+  CHECK_FALSE(toldOnceHeld("dropped", {}));
+  ask("dropped", "");
+  runGateway(1s);
+  CHECK_EQUAL(1, told.count({"late"}));
+}
