--- a/programs/walnut-rehearse/serving.cpp
+++ b/programs/walnut-rehearse/serving.cpp
@@ -11,6 +11,7 @@
 #include "commands.h"
 #include "seed_range.h"
 #include "simulator/crash_campaign.h"
+#include "simulator/limit_campaign.h"
 #include "simulator/serving_campaign.h"
 #include "simulator/store_campaign.h"
 #include "walnut/runtime/settings.h"
@@ -22,7 +23,7 @@
 using runtime::ExitCode;
 
 constexpr const char* kUsage =
-    "Usage: walnut-rehearse serving --seeds A-B [--only failing|crashing|busy|slow-store]\n"
+    "Usage: walnut-rehearse serving --seeds A-B [--only failing|crashing|busy|limited|slow-store]\n"
     "Runs a leader, gateways, workers and callers under virtual time. The seed draws the size of\n"
     "the fleet and workers that fail what they are sent, in overlapping episodes; and in two more\n"
     "runs requests that crash the workers that run them, beside changes of the leader and "
@@ -30,11 +31,13 @@
     "that restart or stand still.\n"
     "  --seeds A-B     seeds to run, or one seed A\n"
     "  --only KIND     just the runs with failing workers, with crashing requests, with such\n"
-    "                  requests beside others that queue, or those with a weight store that is\n"
-    "                  slower than the demand, which are not among the others\n"
+    "                  requests beside others that queue, with workers that name the requests a\n"
+    "                  second that they take, or those with a weight store that is slower than\n"
+    "                  the demand, which are not among the others\n"
     "Exit code 1: a model or an adapter was asked for and never served; too little was served\n"
     "once all was well again; a request that had crashed three workers was sent to workers more\n"
-    "than three times later on; another request was refused as if it did such things.\n";
+    "than three times later on; another request was refused as if it did such things; a worker\n"
+    "got more than the limit that it had named allows.\n";
 
 enum Flag : int { seeds = 1, only, help };
 
@@ -48,6 +51,7 @@
 constexpr const char* kFailing = "failing";
 constexpr const char* kCrashing = "crashing";
 constexpr const char* kBusy = "busy";
+constexpr const char* kLimited = "limited";
 constexpr const char* kSlowStore = "slow-store";
 /// @}
 
@@ -60,7 +64,8 @@
 };
 
 bool isKind(const std::string& text) {
-  return text == kFailing || text == kCrashing || text == kBusy || text == kSlowStore;
+  return text == kFailing || text == kCrashing || text == kBusy || text == kLimited ||
+         text == kSlowStore;
 }
 
 bool parseFlags(int argc, char** argv, Flags& flags) {
@@ -104,6 +109,9 @@
   if (runs(kBusy)) {
     passed = print(seed, simulator::runCrashCampaign(seed, simulator::CrashLoad::busy)) && passed;
   }
+  if (runs(kLimited)) {
+    passed = print(seed, simulator::runLimitCampaign(seed)) && passed;
+  }
   if (only == kSlowStore) {
     passed = print(seed, simulator::runStoreCampaign(seed)) && passed;
   }
--- a/src/simulator/serving_caller.h
+++ b/src/simulator/serving_caller.h
@@ -18,7 +18,13 @@
 struct ServingFleet::Caller : net::ResponseSink {
   explicit Caller(ServingFleet& owner) : fleet(owner) {}
 
-  void respond(net::HttpResponse) override { end(false); }  // Streams are answered in pieces.
+  /// Streams are answered in pieces; what is refused, and answers of plain services, at once.
+  void respond(net::HttpResponse response) override {
+    constexpr int kOk = 200;
+    const bool served = response.head.status == kOk;
+    fleet.answered(*this, response);
+    end(served);
+  }
   void beginChunked(net::HttpResponseHead) override { begun = true; }
   void writeChunk(std::string_view) override {}
   void endChunked() override { end(true); }
@@ -44,6 +50,7 @@
   ServingGateway* gateway = nullptr;
   std::function<void()> gone;
   bool begun = false;
+  base::TimePoint sentAt;
   bool over = false;
   bool answered = false;  ///< Also after it gave up.
 };
--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -78,6 +78,7 @@
     request.thirdCrashAt = scheduler_.now();
   }
   noteCrash(**found);
+  limitAccount_.limitEnded(id.value, scheduler_.now());
   const std::size_t cut = (*found)->crash();
   crashAccount_.cutBeside += cut - std::min<std::size_t>(cut, 1);
   const auto index = static_cast<std::size_t>(found - workers_.begin());
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -36,13 +36,14 @@
 
 std::string modelName(std::size_t number) { return "m" + std::to_string(number); }
 
-catalog::Route makeRoute(const char* name, bool repeatable) {
+catalog::Route makeRoute(const char* name, bool repeatable, bool plain) {
   catalog::Route route;
   route.name = name;
   route.host = "host";
   route.pathPrefix = std::string("/") + name + "/";
-  route.kind = catalog::RouteKind::streaming;
-  route.resumable = repeatable;
+  const auto kind = repeatable ? catalog::RouteKind::idempotent : catalog::RouteKind::nonIdempotent;
+  route.kind = plain ? kind : catalog::RouteKind::streaming;
+  route.resumable = repeatable && !plain;
   route.maxAttempts = repeatable ? 2 : 1;
   route.timeout = kTimeout;
   route.targetLatency = kTargetLatency;
@@ -60,7 +61,12 @@
   base::Result<catalog::Document> read(const std::string& /*text*/) const override {
     catalog::Document document;
     document.version = kDocumentVersion;
-    document.routes = {makeRoute("again", true), makeRoute("once", false)};
+    document.routes = {makeRoute("again", true, options_.plain),
+                       makeRoute("once", false, options_.plain)};
+    if (options_.plain) {
+      document.services = {{kService, "/healthz", 0, std::nullopt}};
+      return document;
+    }
     catalog::EngineSpec engine;
     engine.slots = options_.worker.slots;
     engine.weightsMegabytes = kModelMegabytes * static_cast<double>(options_.modelsPerWorker);
@@ -107,6 +113,8 @@
   lead();
   gateways_.resize(options.gateways);
   gatewayDisturbedAt_.resize(options.gateways);
+  gatewayCutUntil_.resize(options.gateways);
+  gatewayLives_.resize(options.gateways);
   for (std::size_t index = 0; index < options.gateways; ++index) {
     startGateway(index);
   }
@@ -127,6 +135,7 @@
 void ServingFleet::startGateway(std::size_t index) {
   gateway::GatewayOptions options;
   options.selection.seed = scheduler_.random().uniform(1, 1'000'000);
+  ++gatewayLives_[index];
   ServingGatewayLinks& links = *this;
   gateways_[index] = std::make_unique<ServingGateway>(index, scheduler_, links, options);
   gateways_[index]->start();
@@ -186,7 +195,7 @@
     const std::size_t gateway = send->connection.value - 1;
     const auto* message = std::get_if<registry::RegistryMessage>(&send->message);
     scheduler_.after(kLinkDelay, [this, gateway, term = term_, copy = *message] {
-      if (term == term_) {
+      if (term == term_ && scheduler_.now() >= gatewayCutUntil_[gateway]) {
         gateways_[gateway]->received(copy);
       }
     });
@@ -288,7 +297,7 @@
 
 void ServingFleet::toLeader(std::size_t gateway, registry::MessageBody message) {
   scheduler_.after(kLinkDelay, [this, gateway, message = std::move(message)] {
-    if (leader_ == nullptr) {
+    if (leader_ == nullptr || scheduler_.now() < gatewayCutUntil_[gateway]) {
       return;
     }
     const protocol::ConnectionId connection{gateway + 1};
@@ -308,17 +317,18 @@
                             std::shared_ptr<ServingCall> call) {
   call->sentAt = scheduler_.now();
   ServingGateway* const sender = gateways_[gateway].get();
-  scheduler_.after(kLinkDelay, [this, sender, inTouch = inTouch(gateway), id = record.id,
+  scheduler_.after(kLinkDelay, [this, gateway, sender, inTouch = inTouch(gateway), id = record.id,
                                 call = std::move(call)] {
     if (!call->cancelled) {
-      arrived(call, id, inTouch,
+      arrived(gateway, call, id, inTouch,
               [sender](const std::function<void()>& input) { sender->run(input); });
     }
   });
 }
 
-void ServingFleet::arrived(const std::shared_ptr<ServingCall>& call, const registry::WorkerId& id,
-                           bool inTouch, const ServingWorker::InLoop& inLoop) {
+void ServingFleet::arrived(std::size_t gateway, const std::shared_ptr<ServingCall>& call,
+                           const registry::WorkerId& id, bool inTouch,
+                           const ServingWorker::InLoop& inLoop) {
   ServingWorker* const worker = find(id);
   if (worker == nullptr) {
     inLoop([call] {
@@ -328,6 +338,7 @@
     });
     return;
   }
+  noteLimitedArrival(gateway, call, *worker);
   if (const auto crashing = call->request.headers.findNumber(kCrashingField)) {
     arrivedCrashing(*crashing, call, *worker, inTouch, inLoop);
     return;
@@ -359,6 +370,9 @@
 }
 
 std::string ServingFleet::drawTarget() {
+  if (options_.plain) {
+    return {};
+  }
   base::Random& random = scheduler_.random();
   if (!random.chance(options_.popularShare)) {
     return modelName(random.uniform(options_.popularModels, options_.models - 1));
@@ -393,6 +407,7 @@
   } while (gateways_[drawn]->hasEnded());
   ServingGateway& gateway = *gateways_[drawn];
   caller.gateway = &gateway;
+  caller.sentAt = scheduler_.now();
   gateway.request(std::move(request), caller);
   scheduler_.after(kGivesUpAfter, [this, &caller, &gateway] {
     if (!caller.begun && !std::exchange(caller.over, true)) {
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "registry/leader_duties.h"
+#include "simulator/limit_account.h"
 #include "simulator/serving_gateway.h"
 #include "simulator/serving_worker.h"
 
@@ -34,6 +35,8 @@
   std::uint32_t retries = 1;  ///< Of a caller.
   /// A worker sends the head of its answer to a request that is about to crash it.
   bool crashingShowsHead = false;
+  /// A plain service, without models: its requests are answered whole.
+  bool plain = false;
   ServingWorkerOptions worker;
 };
 
@@ -75,6 +78,15 @@
   std::uint64_t servedElsewhere = 0;  ///< Of models that another live worker served.
 };
 
+/// Requests that were refused as not run, since counting began.
+struct RefusalAccount {
+  std::vector<base::Duration> after;  ///< For each, from its arrival at the gateway.
+  std::uint64_t withoutRetryAfter = 0;
+
+  /// @return the time that all but a hundredth took at most.
+  base::Duration mostlyAfter() const;
+};
+
 class ServingFleet : private ServingGatewayLinks {
  public:
   explicit ServingFleet(const ServingFleetOptions& options);
@@ -111,9 +123,25 @@
   static constexpr base::Duration kContact = std::chrono::seconds(3);
   /// @}
 
+  /// @name Limits that workers name
+  /// @{
+  void limitWorker(std::size_t worker, double perSecond);
+  void endLimit(std::size_t worker);
+  /// The gateway hears nothing of the leader for that time, nor it of the gateway.
+  void cutGateway(std::size_t gateway, base::Duration duration);
+  const LimitAccount& limitAccount() const { return limitAccount_; }
+  /// @return arrivals at limited workers as a share of what their limits take.
+  double limitUsed() const { return limitAccount_.used(scheduler_.now()); }
+  const RefusalAccount& refusals() const { return refusals_; }
+  /// Messages about shares of limits that gateways sent to leaders.
+  std::uint64_t shareQuestions() const { return shareQuestions_; }
+  std::string describe(const LimitWindow& window) const;
+  /// @}
+
   /// Only requests that are made from now on are counted.
   void countAnew() {
     counts_.clear();
+    refusals_ = {};
     ++counting_;
   }
   /// @return the models and adapters that were asked for four times or more, over `span` or longer,
@@ -170,9 +198,14 @@
   void send(const Caller& from);
   void ended(const Caller& caller, bool served);
   void count(const Caller& caller, bool served);
+  void answered(const Caller& caller, const net::HttpResponse& response);
+  void noteLimitedArrival(std::size_t gateway, const std::shared_ptr<ServingCall>& call,
+                          const ServingWorker& worker);
+  /// @return true if that machine was neither started, suspended nor cut off lately.
+  bool undisturbed(std::size_t gateway) const;
   ServingWorker* find(const registry::WorkerId& id);
-  void arrived(const std::shared_ptr<ServingCall>& call, const registry::WorkerId& worker,
-               bool inTouch, const ServingWorker::InLoop& inLoop);
+  void arrived(std::size_t gateway, const std::shared_ptr<ServingCall>& call,
+               const registry::WorkerId& worker, bool inTouch, const ServingWorker::InLoop& inLoop);
   void arrivedCrashing(std::size_t number, const std::shared_ptr<ServingCall>& call,
                        ServingWorker& worker, bool inTouch, const ServingWorker::InLoop& inLoop);
   void sendCrashing(std::size_t number);
@@ -203,6 +236,8 @@
   std::vector<std::unique_ptr<ServingGateway>> gateways_;
   std::vector<std::unique_ptr<ServingGateway>> formerGateways_;
   std::vector<base::TimePoint> gatewayDisturbedAt_;
+  std::vector<base::TimePoint> gatewayCutUntil_;
+  std::vector<std::uint64_t> gatewayLives_;
   base::TimePoint leaderDisturbedAt_;
   std::vector<std::unique_ptr<Caller>> callers_;
   std::uint64_t lastRequest_ = 0;
@@ -219,6 +254,9 @@
   std::vector<RefusedInnocent> refused_;
   std::map<std::string, std::string> bodies_;  ///< By the id of a try.
   std::uint64_t lastIncarnation_ = 0;
+  LimitAccount limitAccount_;
+  RefusalAccount refusals_;
+  std::uint64_t shareQuestions_ = 0;
 };
 
 }  // namespace walnut::simulator
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -58,7 +58,7 @@
   std::unique_ptr<gateway::Attempt> start(const registry::WorkerRecord& worker,
                                           const net::HttpRequest& request,
                                           net::ResponseCallbacks& callbacks) override {
-    auto call = std::make_shared<ServingCall>(ServingCall{request, &callbacks, false, {}});
+    auto call = std::make_shared<ServingCall>(ServingCall{request, &callbacks, false, {}, {}, {}});
     links_.toWorker(index_, worker, call);
     return std::make_unique<CallAttempt>(std::move(call));
   }
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -13,12 +13,20 @@
 /// Ended requests are dropped from the list of running ones at this length.
 constexpr std::size_t kMostKept = 64;
 
-net::MessageHead answerHead(const ServingCall& call, int status, const char* field) {
+/// Hands over the head of an answer.
+void passHead(const ServingCall& call, int status, const char* field, const std::string& limit,
+              net::ResponseCallbacks& callbacks) {
   net::MessageHead head;
   head.status = status;
   head.headers.add("Id", *call.request.headers.find("Id"));
   head.headers.add(field, "1");
-  return head;
+  if (!limit.empty()) {
+    head.headers.add("Limit", limit);
+    if (call.onLimit) {
+      call.onLimit();
+    }
+  }
+  callbacks.onResponseHead(std::move(head));
 }
 
 }  // namespace
@@ -115,6 +123,9 @@
 void ServingWorker::receive(const std::shared_ptr<ServingCall>& call, const std::string& model,
                             const std::string& adapter, const InLoop& inLoop) {
   keepRunning(call, inLoop);
+  if (options_.answerTravel > base::Duration::zero()) {
+    call->answerTravel = scheduler_.random().between(base::Duration::zero(), options_.answerTravel);
+  }
   switch (fault_) {
     case WorkerFault::none:
       break;
@@ -124,13 +135,14 @@
     case WorkerFault::hang:
       return;
     case WorkerFault::reset:
-      later(options_.errorTime, call, inLoop, [](net::ResponseCallbacks& callbacks) {
+      later(options_.errorTime, call, inLoop, [](auto& callbacks, const std::string&) {
         callbacks.onResponseFailure({base::ErrorCode::connectionLost, "", ""}, true);
       });
       return;
   }
   const registry::HeldModel* const held = find(model);
-  const bool holds = held != nullptr && (adapter.empty() || holdings_.holds(model, adapter));
+  const bool holds =
+      model.empty() || (held != nullptr && (adapter.empty() || holdings_.holds(model, adapter)));
   if (!holds) {
     answer(options_.errorTime, call, inLoop, kMisdirected, true);
   } else if (scheduler_.random().unit() < options_.strayErrors) {
@@ -142,46 +154,55 @@
 
 void ServingWorker::answer(base::Duration delay, const std::shared_ptr<ServingCall>& call,
                            const InLoop& inLoop, int status, bool notRun) {
-  later(delay, call, inLoop, [status, notRun, call](net::ResponseCallbacks& callbacks) {
-    callbacks.onResponseHead(answerHead(*call, status, notRun ? "Not-Run" : "Sealed"));
+  later(delay, call, inLoop, [status, notRun, call](auto& callbacks, const std::string& limit) {
+    passHead(*call, status, notRun ? "Not-Run" : "Sealed", limit, callbacks);
     callbacks.onResponseComplete();
   });
 }
 
 void ServingWorker::serve(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop) {
-  const auto head = [call](net::ResponseCallbacks& callbacks) {
-    callbacks.onResponseHead(answerHead(*call, kOk, "Sealed"));
+  const auto head = [call](net::ResponseCallbacks& callbacks, const std::string& limit) {
+    passHead(*call, kOk, "Sealed", limit, callbacks);
   };
-  const auto event = [](net::ResponseCallbacks& callbacks) {
+  const auto event = [](net::ResponseCallbacks& callbacks, const std::string&) {
     callbacks.onResponseBody("id: 1\n\n");
   };
   if (options_.headTime > base::Duration::zero()) {
     later(options_.firstEventTime - options_.headTime, call, inLoop, head);
     later(options_.firstEventTime, call, inLoop, event);
   } else {
-    later(options_.firstEventTime, call, inLoop, [head, event](net::ResponseCallbacks& callbacks) {
-      head(callbacks);
-      event(callbacks);
-    });
+    later(options_.firstEventTime, call, inLoop,
+          [head, event](net::ResponseCallbacks& callbacks, const std::string& limit) {
+            head(callbacks, limit);
+            event(callbacks, limit);
+          });
   }
   later(options_.serviceTime, call, inLoop,
-        [](net::ResponseCallbacks& callbacks) { callbacks.onResponseComplete(); });
+        [](auto& callbacks, const std::string&) { callbacks.onResponseComplete(); });
 }
 
 void ServingWorker::later(base::Duration delay, const std::shared_ptr<ServingCall>& call,
-                          const InLoop& inLoop,
-                          std::function<void(net::ResponseCallbacks&)> callback) {
+                          const InLoop& inLoop, Callback callback) {
   scheduler_.after(delay, [this, call, inLoop, callback = std::move(callback)] {
     if (!call->cancelled && !crashed_) {
-      inLoop([call, callback] {
+      deliver(call, inLoop, [call, callback, limit = limit_] {
         if (!call->cancelled) {
-          callback(*call->callbacks);
+          callback(*call->callbacks, limit);
         }
       });
     }
   });
 }
 
+void ServingWorker::deliver(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
+                            const std::function<void()>& callback) {
+  if (call->answerTravel == base::Duration::zero()) {
+    inLoop(callback);
+  } else {
+    scheduler_.after(call->answerTravel, [inLoop, callback] { inLoop(callback); });
+  }
+}
+
 void ServingWorker::receiveCrashing(const std::shared_ptr<ServingCall>& call,
                                     const std::string& model, bool showsHead, const InLoop& inLoop,
                                     std::function<void()> onCrash) {
@@ -193,8 +214,8 @@
   const base::Duration queued =
       scheduler_.random().between(base::Duration::zero(), options_.crashQueueTime);
   if (showsHead) {
-    later(queued, call, inLoop, [call](net::ResponseCallbacks& callbacks) {
-      callbacks.onResponseHead(answerHead(*call, kOk, "Sealed"));
+    later(queued, call, inLoop, [call](auto& callbacks, const std::string& limit) {
+      passHead(*call, kOk, "Sealed", limit, callbacks);
     });
   }
   scheduler_.after(queued + options_.crashTime, [this, call, onCrash = std::move(onCrash)] {
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -3,6 +3,7 @@
 /// A worker of a simulated serving fleet: it holds models, carries out orders and answers requests,
 /// and may fail requests while it says that it is well.
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
   net::ResponseCallbacks* callbacks = nullptr;
   bool cancelled = false;
   base::TimePoint sentAt;
+  base::Duration answerTravel{0};  ///< From the worker to the gateway.
+  std::function<void()> onLimit;   ///< An answer that names the worker's limit was handed over.
 };
 
 struct ServingWorkerOptions {
@@ -44,6 +47,8 @@
   base::Duration crashTime = std::chrono::milliseconds(80);
   /// Longest time that such a request waits in its queue before.
   base::Duration crashQueueTime = std::chrono::milliseconds(900);
+  /// Longest time that an answer travels, so that answers overtake one another.
+  base::Duration answerTravel{0};
 };
 
 class ServingWorker {
@@ -58,6 +63,9 @@
   const registry::WorkerRecord& record() const { return record_; }
   void setFault(WorkerFault fault) { fault_ = fault; }
   WorkerFault fault() const { return fault_; }
+  /// What its answers name as the requests a second that it takes; empty: they name nothing.
+  void setLimit(std::string text) { limit_ = std::move(text); }
+  const std::string& limit() const { return limit_; }
 
   registry::Heartbeat heartbeat();
   registry::WorkerReport report() const;
@@ -97,8 +105,12 @@
   void serve(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop);
   void answer(base::Duration delay, const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
               int status, bool notRun);
+  /// Gets the limit that the worker named when it answered.
+  using Callback = std::function<void(net::ResponseCallbacks&, const std::string& limit)>;
   void later(base::Duration delay, const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
-             std::function<void(net::ResponseCallbacks&)> callback);
+             Callback callback);
+  void deliver(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
+               const std::function<void()>& callback);
   void remember(std::vector<std::string>& copies, const std::string& model);
   registry::HeldModel* find(const std::string& model);
   void keepRunning(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop);
@@ -107,6 +119,7 @@
   const ServingWorkerOptions options_;
   Scheduler& scheduler_;
   WorkerFault fault_ = WorkerFault::none;
+  std::string limit_;
   registry::Holdings holdings_;
   bool orderUnderWay_ = false;
   std::uint64_t orderCount_ = 0;
