platform: the limit that a worker names is read, and logged with each request

Cause: no log line tells which gateway got an answer that names a limit, so that the incident's hypotheses (nobody reads it; each gateway keeps it alone) can't be told apart from logs. Change: AnswerFacts has the limit, or a typed error that names the field: negative, not decimal, infinite, NaN, too long, above a million, or twice in one answer. request-ended has what the last answer named. Nothing is decided by it yet.

--- a/include/walnut/gateway/dialect.h
+++ b/include/walnut/gateway/dialect.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "walnut/base/error.h"
 #include "walnut/base/time.h"
 #include "walnut/net/http_message.h"
 #include "walnut/registry/worker.h"
@@ -49,6 +50,10 @@
   bool sealed = false;       ///< The worker vouches for it.
   bool notExecuted = false;  ///< The request was not run, and never will be.
   bool encoded = false;      ///< The body is not the worker's own.
+  /// Requests a second that the worker takes from all gateways together; absent: it names no limit.
+  std::optional<double> limit;
+  /// It names a limit that can't be read; the field tells which one.
+  std::optional<base::Error> limitError;
 };
 
 class RequestDialect {
--- a/include/walnut/registry/worker.h
+++ b/include/walnut/registry/worker.h
@@ -5,6 +5,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,10 @@
 /// @return the id of that life: the name itself if nothing tells lives apart.
 WorkerId workerIdOf(const std::string& name, std::uint64_t bornMillis);
 
+/// @param perSecond requests a second that a worker takes; absent: it names no limit.
+/// @return the limit for logs.
+std::string limitText(const std::optional<double>& perSecond);
+
 /// What is replicated of a worker.
 struct WorkerRecord {
   WorkerId id;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -429,6 +429,7 @@
        {"attempts", runs_ + std::uint64_t{accepted_}},
        {"first", millisOf(headSent_ ? firstEventAt_ - arrivedAt_ : base::Duration::zero())},
        {"gap", millisOf(longestGap_)},
+       {"limit", registry::limitText(answer_.limit)},
        {"waited", millisOf(waited_)},
        {"target", millisOf(route_.targetLatency)},
        {"target-gap", millisOf(route_.targetGap)},
--- a/src/registry/worker.cpp
+++ b/src/registry/worker.cpp
@@ -1,5 +1,6 @@
 #include "walnut/registry/worker.h"
 
+#include <Poco/NumberFormatter.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -12,6 +13,11 @@
   return {bornMillis == 0 ? name : name + "#" + std::to_string(bornMillis)};
 }
 
+std::string limitText(const std::optional<double>& perSecond) {
+  constexpr int kDecimals = 3;
+  return perSecond ? Poco::NumberFormatter::format(*perSecond, kDecimals) : std::string("none");
+}
+
 const HeldModel* Holdings::find(const std::string& model) const {
   for (const HeldModel& held : models) {
     if (held.name == model) {
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -33,7 +33,7 @@
   void writeAttempt(net::HttpRequest&, const gateway::AttemptFacts&) const override {}
   gateway::AnswerFacts readAnswer(int, const net::HeaderList& headers) const override {
     return {text(headers, "Id"), headers.find("Sealed") != nullptr,
-            headers.find("Not-Run") != nullptr, false};
+            headers.find("Not-Run") != nullptr, false, {}, {}};
   }
   bool isReadinessCall(const net::HttpRequest&) const override { return false; }
 };
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -97,7 +97,7 @@
   }
   AnswerFacts readAnswer(int /*status*/, const net::HeaderList& headers) const override {
     return {text(headers, "Id"), headers.find("Sealed") != nullptr,
-            headers.find("Not-Run") != nullptr, false};
+            headers.find("Not-Run") != nullptr, false, {}, {}};
   }
   bool isReadinessCall(const net::HttpRequest&) const override { return false; }
 
--- a/test/platform/dialect_test.cpp
+++ b/test/platform/dialect_test.cpp
@@ -192,6 +192,39 @@
   STRCMP_EQUAL("5", request.headers.find("Last-Event-Id")->c_str());
 }
 
+TEST(DialectTest, aLimitOfAWorkerIsRead) {
+  net::HeaderList headers;
+  CHECK_FALSE(requests.readAnswer(200, headers).limit.has_value());
+  headers.set("Server-Limit", "0.25");
+  DOUBLES_EQUAL(0.25, *requests.readAnswer(200, headers).limit, 1e-9);
+  headers.set("Server-Limit", "3");
+  DOUBLES_EQUAL(3, *requests.readAnswer(503, headers).limit, 1e-9);
+  headers.set("Server-Limit", "0");
+  DOUBLES_EQUAL(0, *requests.readAnswer(421, headers).limit, 1e-9);
+}
+
+TEST(DialectTest, aLimitThatIsNoDecimalNumberIsRefusedByItsName) {
+  const std::string long400(400, '9');
+  for (const char* text : {"", "one", "-1", "+1", "nan", "inf", "infinity", "1e3", "1.2.3", ".",
+                           "1,5", "0x10", "1 2", "1000001", long400.c_str()}) {
+    net::HeaderList headers;
+    headers.set("Server-Limit", text);
+    const gateway::AnswerFacts facts = requests.readAnswer(200, headers);
+    CHECK_FALSE_TEXT(facts.limit.has_value(), text);
+    CHECK_TRUE_TEXT(facts.limitError.has_value(), text);
+    STRCMP_EQUAL("Server-Limit", facts.limitError->field.c_str());
+  }
+}
+
+TEST(DialectTest, ofTwoLimitsInOneAnswerNoneIsBelieved) {
+  net::HeaderList headers;
+  headers.add("Server-Limit", "1");
+  headers.add("server-limit", "5");
+  const gateway::AnswerFacts facts = requests.readAnswer(200, headers);
+  CHECK_FALSE(facts.limit.has_value());
+  STRCMP_EQUAL("Server-Limit", facts.limitError->field.c_str());
+}
+
 TEST(DialectTest, whatDidNotRunIsKnown) {
   net::HeaderList headers;
   CHECK_FALSE(requests.readAnswer(503, headers).notExecuted);
