--- a/include/walnut/registry/feature_level.h
+++ b/include/walnut/registry/feature_level.h
@@ -15,9 +15,14 @@
 inline constexpr std::uint32_t kZoneEvacuation = 1;
 /// HeartbeatBatch, HeartbeatsWanted.
 inline constexpr std::uint32_t kHeartbeatBatches = 2;
+/// LimitReport, ShareRequest, ShareGrant; limits of workers in a PackedView.
+inline constexpr std::uint32_t kWorkerLimits = 3;
 }  // namespace feature
 
 /// Of this build.
-inline constexpr std::uint32_t kFeatureLevel = feature::kHeartbeatBatches;
+inline constexpr std::uint32_t kFeatureLevel = feature::kWorkerLimits;
+/// To which a cell is raised: what came later needs nothing of its log, so that servers of this
+/// level are still taken in.
+inline constexpr std::uint32_t kCellFeatureLevel = feature::kHeartbeatBatches;
 
 }  // namespace walnut::registry
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -16,6 +16,8 @@
 #include "walnut/base/error.h"
 #include "walnut/catalog/document.h"
 #include "walnut/consensus/messages.h"
+#include "walnut/registry/limit_messages.h"
+#include "walnut/registry/quota_messages.h"
 #include "walnut/registry/request_digest.h"
 #include "walnut/registry/worker.h"
 
@@ -225,6 +227,9 @@
   bool failing = false;           ///< It fails what it is sent, as gateways together have seen.
   bool holdingsKnown = false;     ///< Else a gateway keeps what it was told before.
   std::vector<HeldModel> models;  ///< Without what is about to be unloaded.
+  /// Requests a second that it takes from all gateways together; absent: it names no limit. Told in
+  /// a PackedView only, to gateways of level `kWorkerLimits`.
+  std::optional<double> limit;
 
   bool operator==(const WorkerView&) const = default;
   template <class Archive>
@@ -379,53 +384,6 @@
   }
 };
 
-/// What a gateway asks of one tenant's quota, in the units that it counts in.
-struct QuotaClaim {
-  std::string tenant;
-  double held = 0;      ///< Granted before, and neither spent nor given back.
-  double needed = 0;    ///< Beyond `held`, for requests that wait for it.
-  double first = 0;     ///< Of that, for the one that waits longest.
-  double ahead = 0;     ///< Beyond that, for requests to come.
-  double returned = 0;  ///< Given back; no longer in `held`.
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(tenant, held, needed, first, ahead, returned);
-  }
-};
-/// Gateway to leader. A gateway has one such question open at a time, so that `held` includes all
-/// that it was granted before.
-struct QuotaRequest {
-  std::uint64_t sequence = 0;  ///< Of the gateway; echoed.
-  std::vector<QuotaClaim> claims;
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(sequence, claims);
-  }
-};
-struct QuotaShare {
-  std::string tenant;
-  double granted = 0;
-  /// Until what was needed beyond it can be had; 0: all was granted.
-  base::Duration retryAfter{0};
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(tenant, granted, retryAfter);
-  }
-};
-/// Leader to gateway. What is granted, and what was held, counts for `kQuotaLease` from the
-/// question.
-struct QuotaGrant {
-  std::uint64_t sequence = 0;
-  std::vector<QuotaShare> shares;
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(sequence, shares);
-  }
-};
-/// Several times the interval at which gateways ask (gateway/quota_account.h), and more than a
-/// change of leader takes.
-inline constexpr base::Duration kQuotaLease = std::chrono::milliseconds(2500);
-
 /// A model that is asked for, that no worker serves, and that will not be there soon.
 struct LateModel {
   std::string service;
@@ -452,7 +410,8 @@
     std::variant<ForwardedCall, ForwardedAnswer, JoinRequest, JoinReply, Subscribe, NotLeading,
                  ViewUpdate, DemandUpdate, DocumentPart, DocumentPartTaken, PackedView, CutReport,
                  SuspectList, ConfirmDocument, DocumentConfirmed, QuotaRequest, QuotaGrant,
-                 LateModels, HeartbeatBatch, HeartbeatsWanted>;
+                 LateModels, HeartbeatBatch, HeartbeatsWanted, LimitReport, ShareRequest,
+                 ShareGrant>;
 
 /// One alternative of protocol::Message for all of the registry's.
 struct RegistryMessage {
--- a/include/walnut/registry/view_codec.h
+++ b/include/walnut/registry/view_codec.h
@@ -22,6 +22,7 @@
   std::uint64_t epoch = 0;                         ///< Of the encoder's names.
   std::vector<bool> names;                         ///< By number.
   std::map<std::uint32_t, std::uint64_t> records;  ///< Revisions, by the number of the worker.
+  bool takesLimits = false;                        ///< The gateway reads limits of workers.
 };
 
 /// Kept by the leader, one for all gateways. Views must be sent in the order of encoding.
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -107,7 +107,7 @@
 
 void GatewayHost::takeEvent(transport::Event& event) {
   if (const auto* opened = std::get_if<transport::Opened>(&event)) {
-    session_.opened(opened->connection, opened->remote);
+    session_.opened(opened->connection, opened->remote, opened->hello.featureLevel);
   } else if (const auto* failed = std::get_if<transport::OpenFailed>(&event)) {
     session_.openFailed(failed->remote);
   } else if (const auto* closed = std::get_if<transport::Closed>(&event)) {
--- a/src/explain/loss_account.cpp
+++ b/src/explain/loss_account.cpp
@@ -79,6 +79,8 @@
       return "quota";
     case LossCause::modelTooLate:
       return "model-too-late";
+    case LossCause::limited:
+      return "limited";
   }
   return "unknown";
 }
@@ -140,7 +142,8 @@
       {"quota is not confirmed", LossCause::unconfirmed},
       {"too many wait for their quota", LossCause::unconfirmed},
       {"quota", LossCause::quota},
-      {"the model comes too late", LossCause::modelTooLate}};
+      {"the model comes too late", LossCause::modelTooLate},
+      {"limit of its workers", LossCause::limited}};
   const auto known = kByOutcome.find(outcome);
   if (known != kByOutcome.end()) {
     return known->second;
--- a/src/explain/loss_account.h
+++ b/src/explain/loss_account.h
@@ -33,6 +33,7 @@
   unconfirmed,     ///< Refused, as keys or quotas were not confirmed by a leader.
   quota,           ///< Refused, as its tenant's quota was used up.
   modelTooLate,    ///< Refused, as its model was expected after its caller would have left.
+  limited,         ///< Refused, as the limits that its workers name left no room.
 };
 
 std::string_view lossKindName(LossKind kind);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -97,11 +97,19 @@
     return;
   }
   const Selection selection = context_.selector().select(service_, facts_, excluded_, now());
+  if (selection.askable != nullptr) {
+    askForShare(*selection.askable);
+    return;
+  }
   if (selection.lastResort != nullptr && takesLastResort()) {
     endWait();
     launch(selection.lastResort);
     return;
   }
+  if (selection.reason == NoWorkerReason::limited && selection.worker == nullptr) {
+    waitForLimit(selection);
+    return;
+  }
   if (selection.worker == nullptr) {
     wait(selection.reason);
     return;
@@ -199,13 +207,14 @@
   answerNoted_ = false;
   bodyUse_ = BodyUse::discard;
   body_.clear();
+  context_.takeShare(worker->view.record.id);
   context_.attemptBegan(*worker, facts_);
   worker->breaker.attempted();
   AttemptFacts facts;
   facts.target = worker->view.record.calledName();
   facts.tenant = facts_.tenant;
   facts.deadline = deadline_ - now();
-  facts.priority = facts_.tenantPriority.value_or(route_.priority);
+  facts.priority = priority();
   facts.resumeAfter = headSent_ ? events_.lastId() : std::string();
   context_.dialect().writeAttempt(request_, facts);
   context_.selector().affinity().sent(facts_, worker->view.record.id);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -85,6 +85,17 @@
                           bool begun) = 0;
   virtual void suspectAnswered(const registry::RequestDigest& request) = 0;
   /// @}
+  /// @name Workers that name limits
+  /// @{
+  /// An answer of the worker has come, to a request that was sent at `sentAt`.
+  virtual void answerRead(const Worker& worker, const AnswerFacts& answer,
+                          base::TimePoint sentAt) = 0;
+  /// A request waits for a share of the worker's limit, or no longer.
+  virtual void shareWaitBegan(const registry::WorkerId& worker) = 0;
+  virtual void shareWaitEnded(const registry::WorkerId& worker) = 0;
+  /// A request is sent to the worker.
+  virtual void takeShare(const registry::WorkerId& worker) = 0;
+  /// @}
   /// @return when a model that no worker serves is expected; nothing if that is soon, or not known.
   virtual std::optional<base::TimePoint> expectedAt(const std::string& service,
                                                     const std::string& model) const = 0;
@@ -119,6 +130,11 @@
   void viewChanged();
   /// Requests are suspected of crashing their workers, or no longer.
   void suspectsChanged();
+  /// The leader has answered about shares of limits.
+  void sharesChanged();
+  bool waitsForShare() const { return shareOf_.has_value(); }
+  /// @return by which those that wait are served: a lower one before a higher one.
+  std::uint32_t priority() const { return facts_.tenantPriority.value_or(route_.priority); }
   /// The process is about to end: a request that waits for a worker is refused.
   void stopWaiting();
   /// The process ends: what runs is given up.
@@ -155,6 +171,11 @@
   bool wouldBeginLate(const Selection& selection) const;
   bool takesLastResort() const;
   void wait(NoWorkerReason reason);
+  void beginWait(NoWorkerReason reason);
+  void askForShare(const Worker& worker);
+  void endShareWait();
+  bool waitsForLimit(const Selection& selection) const;
+  void waitForLimit(const Selection& selection);
   bool refuseIfTooLate(NoWorkerReason reason);
   base::TimePoint callerLeavesAt() const;
   void endWait();
@@ -205,6 +226,7 @@
 
   std::set<registry::WorkerId> excluded_;  ///< Not to be chosen again for now.
   bool waiting_ = false;
+  std::optional<registry::WorkerId> shareOf_;  ///< Whose share the leader is asked for.
   base::TimePoint waitBeganAt_;
   base::Duration waited_{0};    ///< For a worker that could be had, in all.
   bool mayHaveRun_ = false;     ///< Some earlier attempt has run, or may have.
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -34,6 +34,7 @@
     return false;
   }
   answer_ = std::move(facts);
+  context_.answerRead(*worker_, answer_, attemptAt_);
   headSeen_ = true;
   head_.status = head.status;
   head_.reason = std::move(head.reason);
--- a/src/gateway/exchange_wait.cpp
+++ b/src/gateway/exchange_wait.cpp
@@ -32,6 +32,8 @@
 /// @}
 /// Without workers, a plain request waits this share of its target latency.
 constexpr int kPatienceDivisor = 4;
+/// Until the leader is asked anew for a share of a limit.
+constexpr base::Duration kSharePatience = std::chrono::milliseconds(100);
 
 std::string_view reasonName(NoWorkerReason reason) {
   switch (reason) {
@@ -45,6 +47,8 @@
       return "breaker-open";
     case NoWorkerReason::failing:
       return "failing";
+    case NoWorkerReason::limited:
+      return "limited";
   }
   return "unknown";
 }
@@ -57,20 +61,74 @@
   return facts_.model.empty() || !context_.leaderKnown() || now() >= arrivedAt_ + kReplicaPatience;
 }
 
-void Exchange::wait(NoWorkerReason reason) {
-  const bool first = !waiting_;
-  if (first) {
-    waiting_ = true;
-    waitBeganAt_ = now();
-    context_.metrics().count("walnut_gateway_waits_total", std::string(reasonName(reason)));
-    context_.waitBegan(service_, facts_, route_);
-    context_.log().write(LogEvent::requestWaiting, {{"request", facts_.requestId},
-                                                    {"service", service_},
-                                                    {"model", facts_.model},
-                                                    {"adapter", facts_.adapter},
-                                                    {"reason", reasonName(reason)},
-                                                    {"document", context_.documentVersion()}});
+void Exchange::beginWait(NoWorkerReason reason) {
+  if (std::exchange(waiting_, true)) {
+    return;
+  }
+  waitBeganAt_ = now();
+  context_.metrics().count("walnut_gateway_waits_total", std::string(reasonName(reason)));
+  context_.waitBegan(service_, facts_, route_);
+  context_.log().write(LogEvent::requestWaiting, {{"request", facts_.requestId},
+                                                  {"service", service_},
+                                                  {"model", facts_.model},
+                                                  {"adapter", facts_.adapter},
+                                                  {"reason", reasonName(reason)},
+                                                  {"document", context_.documentVersion()}});
+}
+
+/// The leader answers within some ms, or is lost.
+void Exchange::askForShare(const Worker& worker) {
+  const registry::WorkerId& id = worker.view.record.id;
+  beginWait(NoWorkerReason::limited);
+  if (shareOf_ != id) {
+    endShareWait();
+    shareOf_ = id;
+    context_.shareWaitBegan(id);
+  }
+  retryTimer_->enableAt(now() + kSharePatience);
+}
+
+void Exchange::sharesChanged() {
+  if (state_ == State::choosing && waitsForShare()) {
+    endShareWait();
+    choose();
+  }
+}
+
+void Exchange::endShareWait() {
+  if (shareOf_) {
+    context_.shareWaitEnded(*std::exchange(shareOf_, std::nullopt));
   }
+}
+
+/// A model is brought up at another worker once it is waited for, and a leader may be found within
+/// moments. A stream that has begun goes on if its caller waits.
+bool Exchange::waitsForLimit(const Selection& selection) const {
+  if (headSent_) {
+    return true;
+  }
+  if (!context_.leaderKnown()) {
+    return now() < arrivedAt_ + route_.targetLatency / kPatienceDivisor;
+  }
+  return !facts_.model.empty() && selection.othersUnlimited &&
+         now() < arrivedAt_ + kReplicaPatience;
+}
+
+void Exchange::waitForLimit(const Selection& selection) {
+  if (!waitsForLimit(selection)) {
+    context_.metrics().count("walnut_gateway_limited_total", "refused");
+    refuse(mayHaveRun_ ? kBadGateway : kUnavailable, "limit of its workers", selection.shareIn);
+    return;
+  }
+  beginWait(NoWorkerReason::limited);
+  endShareWait();
+  if (!refuseIfTooLate(NoWorkerReason::limited)) {
+    retryTimer_->enableAt(now() + std::min(selection.shareIn, kSharePatience));
+  }
+}
+
+void Exchange::wait(NoWorkerReason reason) {
+  beginWait(reason);
   if (refuseIfTooLate(reason)) {
     return;
   }
@@ -98,7 +156,8 @@
 
 /// Its caller would wait in vain: it is told at once when the model is expected.
 bool Exchange::refuseIfTooLate(NoWorkerReason reason) {
-  if (reason != NoWorkerReason::notHeld || !facts_.adapter.empty() || headSent_) {
+  const bool waitsForModel = reason == NoWorkerReason::notHeld || reason == NoWorkerReason::limited;
+  if (!waitsForModel || !facts_.adapter.empty() || headSent_) {
     return false;
   }
   const auto expected = context_.expectedAt(service_, facts_.model);
@@ -110,6 +169,7 @@
 }
 
 void Exchange::endWait() {
+  endShareWait();
   if (std::exchange(waiting_, false)) {
     waited_ += now() - waitBeganAt_;
     context_.waitEnded(service_, facts_);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,8 +57,11 @@
       lease_(leaseOf(options.revocation)),
       leaseTimer_(scheduler.createTimer([this] { askForDocument(); })),
       quotaTimer_(scheduler.createTimer([this] { reviewQuota(); })),
-      selector_(directory_, options.selection,
-                [&launcher](const registry::WorkerId& id) { return launcher.connected(id); }),
+      limits_(options.selection.seed),
+      shareTimer_(scheduler.createTimer([this] { reviewShares(); })),
+      selector_(
+          directory_, options.selection,
+          [&launcher](const registry::WorkerId& id) { return launcher.connected(id); }, this),
       demandTimer_(scheduler.createTimer([this] { reportDemand(); })),
       earlyTimer_(scheduler.createTimer([this] { refuseLateEarly(); })) {}
 
@@ -77,6 +80,7 @@
 
 void Gateway::viewReceived(const registry::ViewUpdate& update) {
   directory_.apply(update);
+  takeLimits(update);
   gateways_ = std::max<std::uint32_t>(1, update.gateways);
   noteNewest(update.documentVersion);
   for (auto& [service, budget] : budgets_) {
@@ -122,6 +126,7 @@
   reportCutsSoon();
   quietUntil_ = {};
   quota_.leaderLost();
+  limits_.leaderFollowed(scheduler_.now());
   askForDocument();
   askForQuota(true);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/quota_account.h"
 #include "gateway/registry_session.h"
 #include "gateway/request_quarantine.h"
+#include "gateway/worker_limits.h"
 #include "routing/retry_budget.h"
 #include "walnut/catalog/route_table.h"
 #include "walnut/runtime/metrics_sink.h"
@@ -38,7 +39,7 @@
 /// leader; without one it goes on with what it knows, but never back to an older document. What it
 /// knows of keys counts only while it is confirmed (DocumentLease): else requests that need one are
 /// refused as not run.
-class Gateway : public net::RequestHandler, public ExchangeContext {
+class Gateway : public net::RequestHandler, public ExchangeContext, private ShareView {
  public:
   Gateway(const GatewayOptions& options, event::Scheduler& scheduler, const RequestDialect& dialect,
           AttemptLauncher& launcher, RegistrySession& session, runtime::EventLog& log,
@@ -59,6 +60,7 @@
   void documentConfirmed(const registry::DocumentConfirmed& answer);
   void quotaGranted(const registry::QuotaGrant& grant);
   void lateModelsReceived(const registry::LateModels& late);
+  void sharesGranted(const registry::ShareGrant& grant);
   /// @return the version by whose keys a request would be let through now; 0: none would be.
   std::uint64_t keysInForce() const;
 
@@ -104,6 +106,10 @@
   void requestCut(const Worker& worker, const registry::RequestDigest& request,
                   bool begun) override;
   void suspectAnswered(const registry::RequestDigest& request) override;
+  void answerRead(const Worker& worker, const AnswerFacts& answer, base::TimePoint sentAt) override;
+  void shareWaitBegan(const registry::WorkerId& worker) override;
+  void shareWaitEnded(const registry::WorkerId& worker) override;
+  void takeShare(const registry::WorkerId& worker) override;
   std::optional<base::TimePoint> expectedAt(const std::string& service,
                                             const std::string& model) const override;
   std::uint64_t documentVersion() const override;
@@ -115,6 +121,13 @@
   static constexpr std::uint32_t kUnknownGateways = 16;
   static constexpr base::Duration kRetryAfterRefusal = std::chrono::milliseconds(200);
 
+  // ShareView
+  ShareStanding standing(const registry::WorkerId& worker) override;
+  bool limited(const registry::WorkerId& worker) const override {
+    return limits_.limitOf(worker).has_value();
+  }
+  base::Duration shareRetryAfter(const registry::WorkerId& worker) override;
+
   /// A request that came before any document was known.
   struct EarlyRequest {
     net::HttpRequest request;
@@ -143,6 +156,17 @@
   void askForDocument();
   void askForQuota(bool all);
   void askForQuotaSoon();
+  bool sharesLimits() const;
+  void takeLimits(const registry::ViewUpdate& update);
+  void noteLimitChange(const std::optional<WorkerLimits::Change>& change, std::string_view source);
+  void noteUnreadableLimit(const Worker& worker, const base::Error& error);
+  void reportLimits();
+  void reportLimitsSoon();
+  void askForShares(bool all);
+  void askForSharesSoon();
+  void reviewShares();
+  base::Duration shareInterval() const;
+  void wakeShareWaiters();
   void reviewQuota();
   void waitForQuota(UnpaidRequest unpaid);
   void settleUnpaid(const std::string& tenant, std::uint64_t question, base::Duration retryAfter);
@@ -190,6 +214,12 @@
   std::uint64_t newestVersion_ = 0;  ///< That the leader has told of.
   base::TimePoint newestSince_;      ///< When it told of that first.
   WorkerDirectory directory_;
+  WorkerLimits limits_;
+  std::set<registry::WorkerId> unreadableLimits_;  ///< Workers whose last limit could not be read.
+  event::TimerPtr shareTimer_;
+  std::size_t shareWaiters_ = 0;
+  bool sharesSoon_ = false;
+  bool limitsSoon_ = false;
   WorkerSelector selector_;
   DemandTracker demand_;
   RequestQuarantine quarantine_;
--- a/src/gateway/gateway_admission.cpp
+++ b/src/gateway/gateway_admission.cpp
@@ -191,7 +191,7 @@
     return;
   }
   for (const registry::QuotaShare& share : grant.shares) {
-    settleUnpaid(share.tenant, grant.sequence, share.retryAfter);
+    settleUnpaid(share.owner, grant.sequence, share.retryAfter);
   }
   if (unpaidCount_ > 0) {
     askForQuotaSoon();
--- /dev/null
+++ b/src/gateway/gateway_limits.cpp
@@ -0,0 +1,205 @@
+/// @file
+/// The part of a gateway that keeps the limits that workers name, together with all others.
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gateway/gateway.h"
+#include "walnut/registry/feature_level.h"
+
+namespace walnut::gateway {
+
+namespace {
+
+using runtime::LogEvent;
+
+/// Between two questions to the leader while requests wait for its answer.
+constexpr base::Duration kShareReview = std::chrono::milliseconds(50);
+/// Workers whose unreadable limits are remembered, so that each is logged once.
+constexpr std::size_t kMostUnreadable = 256;
+
+}  // namespace
+
+/// @return true if a leader is followed that shares out limits; else each gateway sends on its own.
+bool Gateway::sharesLimits() const {
+  return session_.followingWith(registry::feature::kWorkerLimits);
+}
+
+void Gateway::answerRead(const Worker& worker, const AnswerFacts& answer, base::TimePoint sentAt) {
+  const registry::WorkerId& id = worker.view.record.id;
+  if (answer.limitError) {
+    noteUnreadableLimit(worker, *answer.limitError);
+    return;
+  }
+  // Rejections are made before a worker looks at a request: only a limit that they name counts.
+  const bool counts = answer.limit || answer.sealed;
+  if (!counts || (!answer.limit && !limits_.any())) {
+    return;
+  }
+  limits_.setSharing(sharesLimits(), gateways_);
+  noteLimitChange(limits_.answered(id, answer.limit, sentAt, scheduler_.readClock()), "answer");
+  reportLimitsSoon();
+}
+
+void Gateway::noteUnreadableLimit(const Worker& worker, const base::Error& error) {
+  metrics_.count("walnut_gateway_limited_total", "unreadable");
+  if (unreadableLimits_.size() >= kMostUnreadable ||
+      !unreadableLimits_.insert(worker.view.record.id).second) {
+    return;
+  }
+  log_.write(LogEvent::limitRefused, {{"worker", worker.view.record.id.value},
+                                      {"error", base::errorCodeName(error.code)},
+                                      {"field", error.field},
+                                      {"detail", error.detail}});
+}
+
+void Gateway::noteLimitChange(const std::optional<WorkerLimits::Change>& change,
+                              std::string_view source) {
+  if (!change) {
+    return;
+  }
+  log_.write(change->perSecond ? LogEvent::workerLimited : LogEvent::workerLimitEnded,
+             {{"worker", change->worker.value},
+              {"limit", registry::limitText(change->perSecond)},
+              {"former", registry::limitText(change->former)},
+              {"source", source},
+              {"shared", sharesLimits() ? "yes" : "no"},
+              {"gateways", std::uint64_t{gateways_}}});
+  shareTimer_->enableAt(scheduler_.now() + shareInterval());
+}
+
+/// Before a request is sent by the view that told of them.
+void Gateway::takeLimits(const registry::ViewUpdate& update) {
+  const base::TimePoint now = scheduler_.now();
+  limits_.setSharing(sharesLimits(), std::max<std::uint32_t>(1, update.gateways));
+  for (const registry::WorkerView& view : update.changed) {
+    noteLimitChange(limits_.told(view.record.id, view.limit, now), "leader");
+  }
+  if (limits_.any() && (update.complete || !update.removed.empty())) {
+    limits_.forgetIf([this](const registry::WorkerId& worker) {
+      return directory_.workers().count(worker) == 0;
+    });
+  }
+  if (!update.removed.empty()) {
+    unreadableLimits_.clear();
+  }
+  reportLimitsSoon();
+}
+
+/// One report for all that answers in a turn said.
+void Gateway::reportLimitsSoon() {
+  if (!std::exchange(limitsSoon_, true)) {
+    scheduler_.runSoon([this] {
+      limitsSoon_ = false;
+      reportLimits();
+    });
+  }
+}
+
+void Gateway::reportLimits() {
+  if (!sharesLimits()) {
+    return;
+  }
+  if (auto report = limits_.takeReport(scheduler_.readClock())) {
+    session_.send(std::move(*report));
+  }
+}
+
+// Shares
+
+/// The clock is read: the process may have stood still since the turn of the loop began, for longer
+/// than a share lasts.
+ShareStanding Gateway::standing(const registry::WorkerId& worker) {
+  if (!limits_.any()) {
+    return ShareStanding::open;
+  }
+  limits_.setSharing(sharesLimits(), gateways_);
+  return limits_.standing(worker, scheduler_.readClock());
+}
+
+base::Duration Gateway::shareRetryAfter(const registry::WorkerId& worker) {
+  return limits_.retryAfter(worker, scheduler_.readClock());
+}
+
+void Gateway::takeShare(const registry::WorkerId& worker) {
+  if (limits_.any()) {
+    limits_.take(worker, scheduler_.readClock());
+  }
+}
+
+void Gateway::shareWaitBegan(const registry::WorkerId& worker) {
+  limits_.waitBegan(worker);
+  ++shareWaiters_;
+  shareTimer_->enableAt(scheduler_.now() + kShareReview);
+  askForSharesSoon();
+}
+
+void Gateway::shareWaitEnded(const registry::WorkerId& worker) {
+  limits_.waitEnded(worker);
+  --shareWaiters_;
+}
+
+/// One question for all that came within a turn, after what answers said.
+void Gateway::askForSharesSoon() {
+  if (!std::exchange(sharesSoon_, true)) {
+    scheduler_.runSoon([this] {
+      sharesSoon_ = false;
+      reportLimits();
+      askForShares(false);
+    });
+  }
+}
+
+void Gateway::askForShares(bool all) {
+  if (!sharesLimits()) {
+    return;
+  }
+  if (auto request = limits_.ask(all, scheduler_.readClock())) {
+    session_.send(std::move(*request));
+  }
+}
+
+base::Duration Gateway::shareInterval() const {
+  return shareWaiters_ > 0 ? kShareReview : QuotaAccount::kInterval;
+}
+
+void Gateway::reviewShares() {
+  askForShares(shareWaiters_ == 0);
+  if (limits_.any()) {
+    shareTimer_->enableAt(scheduler_.now() + shareInterval());
+  }
+}
+
+void Gateway::sharesGranted(const registry::ShareGrant& grant) {
+  if (!limits_.granted(grant, scheduler_.now())) {
+    return;
+  }
+  for (const registry::WorkerId& worker : grant.unlimited) {
+    noteLimitChange(limits_.unlimited(worker), "leader");
+  }
+  wakeShareWaiters();
+  if (shareWaiters_ > 0) {
+    askForSharesSoon();
+  }
+}
+
+/// The most urgent first, and of these the first to come.
+void Gateway::wakeShareWaiters() {
+  std::vector<std::pair<std::uint32_t, std::uint64_t>> waiters;
+  for (const auto& [number, exchange] : exchanges_) {
+    if (exchange->waitsForShare()) {
+      waiters.emplace_back(exchange->priority(), number);
+    }
+  }
+  std::sort(waiters.begin(), waiters.end());
+  for (const auto& [priority, number] : waiters) {
+    const auto found = exchanges_.find(number);
+    if (found != exchanges_.end()) {
+      found->second->sharesChanged();
+    }
+  }
+}
+
+}  // namespace walnut::gateway
--- a/src/gateway/quota_account.cpp
+++ b/src/gateway/quota_account.cpp
@@ -15,7 +15,11 @@
 constexpr base::Duration kShortFor = std::chrono::seconds(2);
 /// A leader answers within some ms, or has lost its lease and drops the question.
 constexpr base::Duration kAnswerPatience = std::chrono::milliseconds(250);
-/// A tenant without a request for so long is asked for no more.
+/// After a leader's word that there is too little it is not asked again for the same.
+constexpr base::Duration kShortTrust = std::chrono::milliseconds(100);
+/// After a request that could have gone to an owner one unit is held ahead.
+constexpr base::Duration kWantedFor = std::chrono::seconds(1);
+/// An owner without a request for so long is asked for no more.
 constexpr base::Duration kForgottenAfter = std::chrono::seconds(10);
 
 }  // namespace
@@ -26,8 +30,8 @@
   }
 }
 
-bool QuotaAccount::take(const std::string& tenant, double cost, base::TimePoint now) {
-  Account& account = accounts_[tenant];
+bool QuotaAccount::take(const std::string& owner, double cost, base::TimePoint now) {
+  Account& account = accounts_[owner];
   expire(account, now);
   account.usedAt = now;
   if (account.held < cost) {
@@ -40,47 +44,76 @@
   return true;
 }
 
-void QuotaAccount::giveBack(const std::string& tenant, double cost, base::TimePoint now) {
-  const auto found = accounts_.find(tenant);
+void QuotaAccount::giveBack(const std::string& owner, double cost, base::TimePoint now) {
+  const auto found = accounts_.find(owner);
   if (found != accounts_.end() && now < found->second.until) {
     found->second.held += cost;
   }
 }
 
-void QuotaAccount::waitBegan(const std::string& tenant, double cost) {
-  accounts_[tenant].needs.push_back(cost);
+void QuotaAccount::waitBegan(const std::string& owner, double cost) {
+  accounts_[owner].needs.push_back(cost);
 }
 
-void QuotaAccount::waitEnded(const std::string& tenant, double cost) {
-  std::deque<double>& needs = accounts_[tenant].needs;
+void QuotaAccount::waitEnded(const std::string& owner, double cost) {
+  std::deque<double>& needs = accounts_[owner].needs;
   const auto found = std::find(needs.begin(), needs.end(), cost);
   if (found != needs.end()) {
     needs.erase(found);
   }
 }
 
+bool QuotaAccount::covers(const std::string& owner, double cost, base::TimePoint now) const {
+  const auto found = accounts_.find(owner);
+  return found != accounts_.end() && now < found->second.until && found->second.held >= cost;
+}
+
+void QuotaAccount::noteWanted(const std::string& owner, base::TimePoint now) {
+  accounts_[owner].usedAt = now;
+}
+
+std::optional<base::Duration> QuotaAccount::shortFor(const std::string& owner,
+                                                     base::TimePoint now) const {
+  const auto found = accounts_.find(owner);
+  if (found == accounts_.end() || !found->second.wasShort ||
+      now >= found->second.shortAt + kShortTrust || now >= found->second.moreAt) {
+    return std::nullopt;
+  }
+  return found->second.moreAt - now;
+}
+
 /// While the tenant's quota is used up nothing is held without need: it would be missed elsewhere.
 bool QuotaAccount::isShort(const Account& account, base::TimePoint now) {
   return account.wasShort && now < account.shortAt + kShortFor;
 }
 
-registry::QuotaClaim QuotaAccount::claimOf(const std::string& tenant, Account& account,
-                                           base::TimePoint now) {
-  expire(account, now);
+QuotaAccount::Reserve QuotaAccount::reserveOf(const Account& account, base::TimePoint now) const {
+  if (ahead_ == AheadOfNeed::oneUnit) {
+    const double wanted = now < account.usedAt + kWantedFor ? 1 : 0;
+    return {wanted, wanted};
+  }
+  if (isShort(account, now)) {
+    return {};
+  }
   const double spending = account.spending.perSecond(now);
-  const bool lacking = isShort(account, now);
   const bool often = kAheadSeconds * spending >= account.meanCost;
-  const double wanted = often && !lacking ? kAheadSeconds * spending : 0;
+  const double wanted = often ? kAheadSeconds * spending : 0;
+  return {wanted, 2 * wanted + account.meanCost};
+}
+
+registry::QuotaClaim QuotaAccount::claimOf(const std::string& owner, Account& account,
+                                           base::TimePoint now) const {
+  expire(account, now);
+  const Reserve reserve = reserveOf(account, now);
   const double needed = std::accumulate(account.needs.begin(), account.needs.end(), 0.0);
-  const double most = needed + (lacking ? 0 : 2 * wanted + account.meanCost);
   registry::QuotaClaim claim;
-  claim.tenant = tenant;
-  claim.returned = std::max(0.0, account.held - most);
+  claim.owner = owner;
+  claim.returned = std::max(0.0, account.held - needed - reserve.most);
   account.held -= claim.returned;
   claim.held = account.held;
   claim.needed = std::max(0.0, needed - account.held);
   claim.first = account.needs.empty() ? 0 : std::max(0.0, account.needs.front() - account.held);
-  claim.ahead = std::max(0.0, wanted - std::max(0.0, account.held - needed));
+  claim.ahead = std::max(0.0, reserve.wanted - std::max(0.0, account.held - needed));
   return claim;
 }
 
@@ -94,11 +127,11 @@
   });
   registry::QuotaRequest request;
   Question question;
-  for (auto& [tenant, account] : accounts_) {
+  for (auto& [owner, account] : accounts_) {
     const bool idle = account.held > 0 && isShort(account, now);
     if (all || !account.needs.empty() || idle) {
-      request.claims.push_back(claimOf(tenant, account, now));
-      question.tenants.push_back(tenant);
+      request.claims.push_back(claimOf(owner, account, now));
+      question.owners.push_back(owner);
     }
   }
   if (request.claims.empty()) {
@@ -115,18 +148,19 @@
   if (!open_ || grant.sequence != open_->sequence) {
     return false;
   }
-  for (const std::string& tenant : open_->tenants) {
-    const auto found = accounts_.find(tenant);
+  for (const std::string& owner : open_->owners) {
+    const auto found = accounts_.find(owner);
     if (found != accounts_.end()) {
       found->second.until = open_->askedAt + registry::kQuotaLease;
     }
   }
   for (const registry::QuotaShare& share : grant.shares) {
-    Account& account = accounts_[share.tenant];
+    Account& account = accounts_[share.owner];
     account.held += share.granted;
     if (share.retryAfter > base::Duration::zero()) {
       account.wasShort = true;
       account.shortAt = now;
+      account.moreAt = now + share.retryAfter;
     }
   }
   open_.reset();
--- a/src/gateway/registry_follower.cpp
+++ b/src/gateway/registry_follower.cpp
@@ -85,6 +85,14 @@
   return false;
 }
 
+bool RegistryFollower::receive(protocol::ConnectionId connection,
+                               const registry::ShareGrant& grant) {
+  if (session_.asks(connection)) {
+    gateway_.sharesGranted(grant);
+  }
+  return false;
+}
+
 bool RegistryFollower::receive(protocol::ConnectionId connection,
                                const registry::LateModels& late) {
   if (session_.asks(connection)) {
--- a/src/gateway/registry_follower.h
+++ b/src/gateway/registry_follower.h
@@ -32,6 +32,7 @@
   bool receive(protocol::ConnectionId connection, const registry::DocumentConfirmed& answer);
   bool receive(protocol::ConnectionId connection, const registry::QuotaGrant& grant);
   bool receive(protocol::ConnectionId connection, const registry::LateModels& late);
+  bool receive(protocol::ConnectionId connection, const registry::ShareGrant& grant);
   template <class Other>
   bool receive(protocol::ConnectionId, const Other&) {
     return false;  // For servers only.
--- a/src/gateway/registry_session.cpp
+++ b/src/gateway/registry_session.cpp
@@ -98,12 +98,14 @@
   }
 }
 
-void RegistrySession::opened(protocol::ConnectionId connection, const base::Endpoint& server) {
+void RegistrySession::opened(protocol::ConnectionId connection, const base::Endpoint& server,
+                             std::uint32_t featureLevel) {
   if (state_ != State::connecting || server != server_) {
     link_.close(connection);
     return;
   }
   connection_ = connection;
+  featureLevel_ = featureLevel;
   enter(State::asking, options_.silenceLimit);
   link_.send(connection, subscription_);
 }
--- a/src/gateway/registry_session.h
+++ b/src/gateway/registry_session.h
@@ -52,7 +52,9 @@
   /// What a server is told first: the document that the gateway holds, and what it has of a newer.
   void setSubscription(const registry::Subscribe& subscription) { subscription_ = subscription; }
 
-  void opened(protocol::ConnectionId connection, const base::Endpoint& server);
+  /// @param featureLevel that the server knows (registry/feature_level.h).
+  void opened(protocol::ConnectionId connection, const base::Endpoint& server,
+              std::uint32_t featureLevel);
   void openFailed(const base::Endpoint& server);
   void closed(protocol::ConnectionId connection);
   void notLeading(protocol::ConnectionId connection, const registry::NotLeading& message);
@@ -69,6 +71,10 @@
   /// To the leader; lost if none is followed.
   void send(registry::MessageBody message);
   bool following() const { return state_ == State::following; }
+  /// @return true if a leader is followed that knows that level.
+  bool followingWith(std::uint32_t featureLevel) const {
+    return following() && featureLevel_ >= featureLevel;
+  }
 
  private:
   void search();
@@ -92,6 +98,7 @@
   base::Endpoint server_;
   bool asksHinted_ = false;  ///< `server_` is asked because another one named it.
   std::optional<protocol::ConnectionId> connection_;
+  std::uint32_t featureLevel_ = 0;  ///< Of the server at the end of the connection.
   registry::Subscribe subscription_;
   std::uint32_t fruitlessRounds_ = 0;  ///< Over all servers, since one was followed.
   base::TimePoint lostAt_;
--- /dev/null
+++ b/src/gateway/worker_limits.cpp
@@ -0,0 +1,231 @@
+#include "gateway/worker_limits.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace walnut::gateway {
+
+namespace {
+
+/// Of a limit, what all gateways together send while nobody shares it out. With what a leader that
+/// has just ended, or only some of them follow, has granted besides, the sum stays within one and a
+/// half times the limit.
+constexpr double kUnsharedShare = 0.4;
+/// And at the least, in requests a second: somebody has to hear of the end of a low limit.
+constexpr double kLeastUnshared = 0.1;
+/// Between two reports of answers without a limit, of one worker: the leader answers by a view.
+constexpr base::Duration kEndSpacing = std::chrono::milliseconds(200);
+constexpr base::Duration kShortestRetryAfter = std::chrono::milliseconds(50);
+constexpr base::Duration kLongestRetryAfter = std::chrono::seconds(8);
+/// Callers that are refused together are asked back over a time that is longer by up to this share.
+constexpr double kRetrySpread = 0.5;
+
+base::Duration toDuration(double seconds) {
+  return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+UnsharedRate::UnsharedRate(base::Duration period, double phase, base::TimePoint now)
+    : period_(period),
+      next_(now + toDuration(std::chrono::duration<double>(period).count() * phase)) {}
+
+void UnsharedRate::dropUnused(base::TimePoint now) {
+  const base::TimePoint oldest = now - kUsableFor;
+  if (next_ < oldest) {
+    next_ += ((oldest - next_) / period_ + 1) * period_;
+  }
+}
+
+bool UnsharedRate::allows(base::TimePoint now) {
+  dropUnused(now);
+  return next_ <= now;
+}
+
+void UnsharedRate::take(base::TimePoint now) {
+  dropUnused(now);
+  next_ += period_;
+}
+
+std::optional<double> WorkerLimits::limitOf(const registry::WorkerId& worker) const {
+  const auto found = limits_.find(worker);
+  return found == limits_.end() ? std::nullopt : std::optional(found->second.perSecond);
+}
+
+std::optional<WorkerLimits::Change> WorkerLimits::answered(const registry::WorkerId& worker,
+                                                           const std::optional<double>& perSecond,
+                                                           base::TimePoint sentAt,
+                                                           base::TimePoint now) {
+  return perSecond ? named(worker, *perSecond, sentAt, now) : notNamed(worker, sentAt, now);
+}
+
+std::optional<WorkerLimits::Change> WorkerLimits::named(const registry::WorkerId& worker,
+                                                        double perSecond, base::TimePoint sentAt,
+                                                        base::TimePoint now) {
+  const auto [found, added] = limits_.try_emplace(worker, Limit{perSecond, now, now, {}, {}, {}});
+  Limit& limit = found->second;
+  limit.lastNamedAt = now;
+  if (!added && limit.perSecond == perSecond) {
+    return std::nullopt;
+  }
+  // Which of two answers that crossed is the later one is not known: the lower limit holds.
+  if (!added && sentAt <= limit.since && perSecond > limit.perSecond) {
+    return std::nullopt;
+  }
+  const std::optional<double> former = added ? std::nullopt : std::optional(limit.perSecond);
+  limit.perSecond = perSecond;
+  limit.since = now;
+  limit.unshared.reset();
+  noteSighting(worker, perSecond, sentAt, now);
+  return Change{worker, perSecond, former};
+}
+
+/// Where a leader is followed its word ends the limit, for all gateways at the same time.
+std::optional<WorkerLimits::Change> WorkerLimits::notNamed(const registry::WorkerId& worker,
+                                                           base::TimePoint sentAt,
+                                                           base::TimePoint now) {
+  const auto found = limits_.find(worker);
+  if (found == limits_.end() || sentAt <= found->second.since) {
+    return std::nullopt;
+  }
+  Limit& limit = found->second;
+  if (!shared_) {
+    return erase(worker);
+  }
+  if (now >= limit.endToldAt + kEndSpacing) {
+    limit.endToldAt = now;
+    noteSighting(worker, std::nullopt, sentAt, now);
+  }
+  return std::nullopt;
+}
+
+std::optional<WorkerLimits::Change> WorkerLimits::told(const registry::WorkerId& worker,
+                                                       const std::optional<double>& perSecond,
+                                                       base::TimePoint now) {
+  const auto found = limits_.find(worker);
+  if (!perSecond) {
+    // What the leader has not heard of yet goes on.
+    return found != limits_.end() && found->second.toldByLeader ? erase(worker) : std::nullopt;
+  }
+  if (found == limits_.end()) {
+    limits_.emplace(worker, Limit{*perSecond, now, now, true, {}, {}});
+    return Change{worker, perSecond, std::nullopt};
+  }
+  Limit& limit = found->second;
+  limit.toldByLeader = true;
+  if (limit.perSecond == *perSecond) {
+    return std::nullopt;
+  }
+  const double former = std::exchange(limit.perSecond, *perSecond);
+  limit.since = now;
+  limit.unshared.reset();
+  return Change{worker, perSecond, former};
+}
+
+std::optional<WorkerLimits::Change> WorkerLimits::unlimited(const registry::WorkerId& worker) {
+  return limits_.count(worker) == 0 ? std::nullopt : erase(worker);
+}
+
+std::optional<WorkerLimits::Change> WorkerLimits::erase(const registry::WorkerId& worker) {
+  const double former = limits_.at(worker).perSecond;
+  forget(worker);
+  return Change{worker, std::nullopt, former};
+}
+
+void WorkerLimits::forget(const registry::WorkerId& worker) {
+  limits_.erase(worker);
+  untold_.erase(worker);
+  shares_.forget(worker.value);
+}
+
+void WorkerLimits::leaderFollowed(base::TimePoint now) {
+  shares_.leaderLost();
+  untold_.clear();
+  for (auto& [worker, limit] : limits_) {
+    limit.toldByLeader = false;
+    limit.endToldAt = {};
+    noteSighting(worker, limit.perSecond, std::min(limit.since, now), limit.lastNamedAt);
+  }
+}
+
+void WorkerLimits::noteSighting(const registry::WorkerId& worker,
+                                const std::optional<double>& perSecond, base::TimePoint sentAt,
+                                base::TimePoint answeredAt) {
+  untold_[worker] = {perSecond, sentAt, answeredAt};
+}
+
+std::optional<registry::LimitReport> WorkerLimits::takeReport(base::TimePoint now) {
+  if (untold_.empty()) {
+    return std::nullopt;
+  }
+  registry::LimitReport report;
+  for (const auto& [worker, sighting] : std::exchange(untold_, {})) {
+    report.sightings.push_back(
+        {worker, sighting.perSecond, now - sighting.sentAt, now - sighting.answeredAt});
+  }
+  return report;
+}
+
+void WorkerLimits::setSharing(bool shared, std::uint32_t gateways) {
+  if (shared_ == shared && gateways_ == gateways) {
+    return;
+  }
+  shared_ = shared;
+  gateways_ = gateways;
+  for (auto& [worker, limit] : limits_) {
+    limit.unshared.reset();
+  }
+}
+
+UnsharedRate& WorkerLimits::unsharedRate(Limit& limit, base::TimePoint now) {
+  if (!limit.unshared) {
+    const double rate = std::max(kUnsharedShare * limit.perSecond, kLeastUnshared);
+    limit.unshared.emplace(toDuration(gateways_ / rate), random_.unit(), now);
+  }
+  return *limit.unshared;
+}
+
+ShareStanding WorkerLimits::standing(const registry::WorkerId& worker, base::TimePoint now) {
+  const auto found = limits_.find(worker);
+  if (found == limits_.end() || shares_.covers(worker.value, 1, now)) {
+    return ShareStanding::open;
+  }
+  if (!shared_) {
+    return unsharedRate(found->second, now).allows(now) ? ShareStanding::open
+                                                        : ShareStanding::spent;
+  }
+  shares_.noteWanted(worker.value, now);
+  return shares_.shortFor(worker.value, now) ? ShareStanding::spent : ShareStanding::askable;
+}
+
+base::Duration WorkerLimits::retryAfter(const registry::WorkerId& worker, base::TimePoint now) {
+  const auto found = limits_.find(worker);
+  if (found == limits_.end()) {
+    return base::Duration::zero();
+  }
+  const base::Duration left =
+      shared_ ? shares_.shortFor(worker.value, now).value_or(base::Duration::zero())
+              : unsharedRate(found->second, now).next() - now;
+  const double spread = 1 + kRetrySpread * random_.unit();
+  const base::Duration spreadOut = toDuration(std::chrono::duration<double>(left).count() * spread);
+  return std::clamp<base::Duration>(spreadOut, kShortestRetryAfter, kLongestRetryAfter);
+}
+
+void WorkerLimits::take(const registry::WorkerId& worker, base::TimePoint now) {
+  const auto found = limits_.find(worker);
+  if (found == limits_.end() || shares_.take(worker.value, 1, now)) {
+    return;
+  }
+  unsharedRate(found->second, now).take(now);
+}
+
+std::optional<registry::ShareRequest> WorkerLimits::ask(bool all, base::TimePoint now) {
+  auto request = shares_.ask(all, now);
+  return request ? std::optional(registry::ShareRequest{std::move(*request)}) : std::nullopt;
+}
+
+bool WorkerLimits::granted(const registry::ShareGrant& grant, base::TimePoint now) {
+  return shares_.granted(grant.grant, now);
+}
+
+}  // namespace walnut::gateway
--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -66,8 +66,7 @@
                                  const std::set<registry::WorkerId>& excluded,
                                  base::TimePoint now) {
   Selection selection;
-  std::vector<WorkerDirectory::WorkerPtr> usable;
-  std::vector<WorkerDirectory::WorkerPtr> failing;
+  Candidates candidates;
   double latencySum = 0;
   std::size_t latencies = 0;
   const auto worse = [&selection](NoWorkerReason reason) {
@@ -80,11 +79,14 @@
       worse(NoWorkerReason::excluded);
     } else if (!worker->breaker.allows(now)) {
       worse(NoWorkerReason::broken);
+    } else if (const ShareStanding share = standing(*worker); share != ShareStanding::open) {
+      worse(NoWorkerReason::limited);
+      addLimited(worker, share, candidates, selection);
     } else if (worker->view.failing) {
       worse(NoWorkerReason::failing);
-      failing.push_back(worker);
+      candidates.failing.push_back(worker);
     } else {
-      usable.push_back(worker);
+      candidates.usable.push_back(worker);
     }
     if (const auto latency = worker->latency.value()) {
       latencySum += seconds(*latency);
@@ -93,15 +95,44 @@
   }
   const double typical =
       latencies == 0 ? kDefaultLatency : latencySum / static_cast<double>(latencies);
-  selection.worker = cheapest(usable, typical, service, facts, now);
+  selection.worker = cheapest(candidates.usable, typical, service, facts, now);
   if (selection.worker != nullptr) {
     selection.expectedWait = expectedWait(service, *selection.worker);
   } else {
-    selection.lastResort = cheapest(failing, typical, service, facts, now);
+    selection.askable = cheapest(candidates.askable, typical, service, facts, now);
+    selection.lastResort = cheapest(candidates.failing, typical, service, facts, now);
+    selection.othersUnlimited =
+        selection.reason == NoWorkerReason::limited && hasUnlimited(service);
   }
   return selection;
 }
 
+bool WorkerSelector::hasUnlimited(const std::string& service) const {
+  const std::vector<WorkerDirectory::WorkerPtr> workers = directory_.candidates(service);
+  return std::any_of(workers.begin(), workers.end(), [this](const auto& worker) {
+    return !worker->view.failing && !shares_->limited(worker->view.record.id);
+  });
+}
+
+ShareStanding WorkerSelector::standing(const Worker& worker) const {
+  return shares_ == nullptr ? ShareStanding::open : shares_->standing(worker.view.record.id);
+}
+
+/// A failing worker is not worth a question.
+void WorkerSelector::addLimited(const WorkerDirectory::WorkerPtr& worker, ShareStanding standing,
+                                Candidates& candidates, Selection& selection) const {
+  if (worker->view.failing) {
+    return;
+  }
+  if (standing == ShareStanding::askable) {
+    candidates.askable.push_back(worker);
+    return;
+  }
+  const base::Duration in = shares_->shareRetryAfter(worker->view.record.id);
+  const bool first = selection.shareIn == base::Duration::zero();
+  selection.shareIn = first ? in : std::min(selection.shareIn, in);
+}
+
 WorkerDirectory::WorkerPtr WorkerSelector::cheapest(
     const std::vector<WorkerDirectory::WorkerPtr>& workers, double typicalLatency,
     const std::string& service, const RequestFacts& facts, base::TimePoint now) {
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -24,13 +24,38 @@
   excluded,   ///< All that could have refused this request already.
   broken,     ///< All that could have an open circuit breaker.
   failing,    ///< All that could fail what they are sent.
+  limited,    ///< The limits of those that could leave no room.
+};
+
+/// Whether a worker's limit leaves room for a request of this gateway.
+enum class ShareStanding : std::uint8_t {
+  open,     ///< It has no limit, or there is a share for one more.
+  askable,  ///< The leader may grant one.
+  spent,    ///< There is none to be had now.
+};
+
+/// What the selector asks about workers with limits. Implemented by the gateway.
+class ShareView {
+ public:
+  virtual ~ShareView() = default;
+  virtual ShareStanding standing(const registry::WorkerId& worker) = 0;
+  virtual bool limited(const registry::WorkerId& worker) const = 0;
+  /// @return until there is a share, of a worker whose share is spent.
+  virtual base::Duration shareRetryAfter(const registry::WorkerId& worker) = 0;
 };
 
 struct Selection {
   WorkerDirectory::WorkerPtr worker;  ///< Null: see `reason`.
   /// The best of the failing workers if `worker` is null: better than none.
   WorkerDirectory::WorkerPtr lastResort;
+  /// The best worker for which a share may be asked, if `worker` is null.
+  WorkerDirectory::WorkerPtr askable;
   NoWorkerReason reason = NoWorkerReason::noWorkers;
+  /// Until some limited worker has room; zero unless the reason is `limited`.
+  base::Duration shareIn{0};
+  /// The reason is `limited`, and other workers of the service have no limit: what the request
+  /// needs may be brought up there.
+  bool othersUnlimited = false;
   /// Until a slot of the worker is expected to be free; zero if one is, or if that is not known.
   base::Duration expectedWait{0};
 };
@@ -70,12 +95,14 @@
   /// Whether a request to a worker would need no new connection.
   using ConnectedTo = std::function<bool(const registry::WorkerId&)>;
 
+  /// @param shares null: no worker has a limit.
   WorkerSelector(const WorkerDirectory& directory, const WorkerSelectorOptions& options,
-                 ConnectedTo connectedTo)
+                 ConnectedTo connectedTo, ShareView* shares = nullptr)
       : directory_(directory),
         options_(options),
         random_(options.seed),
-        connectedTo_(std::move(connectedTo)) {}
+        connectedTo_(std::move(connectedTo)),
+        shares_(shares) {}
 
   Selection select(const std::string& service, const RequestFacts& facts,
                    const std::set<registry::WorkerId>& excluded, base::TimePoint now);
@@ -86,6 +113,17 @@
   }
 
  private:
+  /// Workers that could take a request, by what speaks against it.
+  struct Candidates {
+    std::vector<WorkerDirectory::WorkerPtr> usable;
+    std::vector<WorkerDirectory::WorkerPtr> failing;
+    std::vector<WorkerDirectory::WorkerPtr> askable;
+  };
+
+  ShareStanding standing(const Worker& worker) const;
+  bool hasUnlimited(const std::string& service) const;
+  void addLimited(const WorkerDirectory::WorkerPtr& worker, ShareStanding standing,
+                  Candidates& candidates, Selection& selection) const;
   base::Duration expectedWait(const std::string& service, const Worker& worker) const;
   WorkerDirectory::WorkerPtr cheapest(const std::vector<WorkerDirectory::WorkerPtr>& workers,
                                       double typicalLatency, const std::string& service,
@@ -97,6 +135,7 @@
   const WorkerSelectorOptions options_;
   base::Random random_;
   const ConnectedTo connectedTo_;
+  ShareView* const shares_;
   PromptAffinity affinity_;
   std::map<std::string, routing::MovingAverage> slotTimes_;  ///< Of streams, by service.
 };
--- a/src/registry/leader_beliefs.cpp
+++ b/src/registry/leader_beliefs.cpp
@@ -223,7 +223,7 @@
 void LeaderDuties::logQuotaChanges() {
   for (const QuotaLedger::Change& change : quotas_.takeChanges()) {
     log_.write(change.exhausted ? LogEvent::quotaExhausted : LogEvent::quotaRegained,
-               {{"tenant", change.tenant},
+               {{"tenant", change.owner},
                 {"rate", static_cast<std::uint64_t>(change.unitsPerSecond)},
                 {"held", static_cast<std::uint64_t>(change.held)},
                 {"former-millis", millisOf(change.formerFor)}});
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -120,12 +120,12 @@
 }
 
 void LeaderDuties::subscribe(protocol::ConnectionId gateway, const Subscribe& request,
-                             const base::ZoneId& zone) {
+                             const base::ZoneId& zone, std::uint32_t featureLevel) {
   log_.write(LogEvent::gatewaySubscribed, {{"connection", gateway.value},
                                            {"document", request.documentVersion},
                                            {"partial", request.cursor.version},
                                            {"bytes", request.cursor.received}});
-  publisher_.subscribe(gateway, zone);
+  publisher_.subscribe(gateway, zone, featureLevel);
   subscriptions_[gateway] = request;
 }
 
@@ -250,6 +250,7 @@
       workers_.erase(found);
     }
     publisher_.removeWorker(id);
+    limits_.forget(id);
     index_.remove(id);
     busyWorkers_.erase(id);
   }
@@ -414,6 +415,7 @@
       WorkerStatus& status = statusOf(id, now);
       WorkerView view{*record, status.silent, outliers_.failing(id), status.holdingsKnown,
                       status.serving(now)};
+      view.limit = limits_.limitOf(id);
       view.record.leaving = outOfService(*record);
       if (std::exchange(status.outOfService, view.record.leaving) && !view.record.leaving) {
         beginCold(*record, status, now);
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -25,6 +25,7 @@
 #include "registry/registration_times.h"
 #include "registry/view_publisher.h"
 #include "registry/worker_index.h"
+#include "registry/worker_limit_book.h"
 #include "registry/worker_outlier_detector.h"
 #include "registry/worker_status.h"
 #include "walnut/registry/registry.h"
@@ -51,8 +52,9 @@
   /// @return those of which this leader doesn't know enough.
   HeartbeatsWanted heartbeats(const HeartbeatBatch& batch, base::TimePoint now);
   /// @param zone of the gateway.
+  /// @param featureLevel that it knows.
   void subscribe(protocol::ConnectionId gateway, const Subscribe& request,
-                 const base::ZoneId& zone = {});
+                 const base::ZoneId& zone = {}, std::uint32_t featureLevel = 0);
   void unsubscribe(protocol::ConnectionId gateway);
   void documentPartTaken(protocol::ConnectionId gateway, const DocumentPartTaken& taken) {
     sender_.partTaken(gateway, taken.cursor);
@@ -61,6 +63,11 @@
   void cutsReported(const CutReport& report, base::TimePoint now) { crashes_.report(report, now); }
   /// Only while this server is sure to lead: another leader grants from the same quotas.
   void quotaAsked(protocol::ConnectionId gateway, const QuotaRequest& request, base::TimePoint now);
+  void limitsReported(protocol::ConnectionId gateway, const LimitReport& report,
+                      base::TimePoint now);
+  /// Only while this server is sure to lead, as with quotas.
+  void sharesAsked(protocol::ConnectionId gateway, const ShareRequest& request,
+                   base::TimePoint now);
   void orderFinished(const OrderFinished& finished, base::TimePoint now);
   void reportFinished(const ReportFinished& finished, base::TimePoint now);
   /// The orders of a batch are in the log: they are sent, unless it took too long.
@@ -121,6 +128,7 @@
   void detectOutliers(base::TimePoint now);
   void logAnswerChanges();
   void logQuotaChanges();
+  void logShareChanges();
   LateModels lateModels() const;
   void sendLateModels(base::TimePoint now);
   void sendLateModelsTo(protocol::ConnectionId gateway);
@@ -185,6 +193,7 @@
   WorkerId poolStart_;  ///< See choosePlanningPool.
   DemandBook demand_;
   QuotaLedger quotas_;
+  WorkerLimitBook limits_;
   WorkerOutlierDetector outliers_;
   CrashMonitor crashes_;
   ViewPublisher publisher_;
--- a/src/registry/leader_plans.cpp
+++ b/src/registry/leader_plans.cpp
@@ -215,7 +215,11 @@
   PlacementWorker worker;
   worker.id = record.id;
   worker.holdings = status.expected(now);
-  worker.serving = !outOfService(record) && !status.silent && !outliers_.failing(record.id);
+  // What it can't take of its models' requests is served elsewhere, and nothing new is brought to
+  // it.
+  worker.serving = !outOfService(record) && !status.silent && !outliers_.failing(record.id) &&
+                   !limits_.wasShort(record.id, now);
+  worker.mayLoad = !limits_.limitOf(record.id);
   worker.mayBeOrdered = status.reportFresh && !status.sentOrder && !status.reportUnderWay &&
                         now >= status.orderAgainAt && mayOrder(record.id, now);
   worker.mayTakeAdapters = !(status.adaptersBlocked && status.modelOrder);
--- a/src/registry/quota_ledger.cpp
+++ b/src/registry/quota_ledger.cpp
@@ -1,6 +1,7 @@
 #include "registry/quota_ledger.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace walnut::registry {
@@ -48,34 +49,42 @@
       continue;
     }
     limited.insert(tenant.name);
-    const auto [found, added] = buckets_.try_emplace(tenant.name);
-    Bucket& bucket = found->second;
-    if (added) {
-      bucket.level = kToleranceAtStart * allowance(tenant);
-      bucket.refilledAt = now;
-      bucket.changedAt = now;
-    } else {
-      refill(bucket, now);
-    }
-    bucket.unitsPerSecond = tenant.unitsPerSecond;
-    bucket.capacity = std::max(tenant.burst + kToleranceUsed * allowance(tenant),
-                               kLeastCapacitySeconds * tenant.unitsPerSecond);
-    bucket.level = std::min(bucket.level, bucket.capacity);
+    BucketTerms terms;
+    terms.unitsPerSecond = tenant.unitsPerSecond;
+    terms.capacity = std::max(tenant.burst + kToleranceUsed * allowance(tenant),
+                              kLeastCapacitySeconds * tenant.unitsPerSecond);
+    terms.atStart = kToleranceAtStart * allowance(tenant);
+    setBucket(tenant.name, terms, now);
   }
   std::erase_if(buckets_,
                 [&limited](const auto& entry) { return limited.count(entry.first) == 0; });
 }
 
+void QuotaLedger::setBucket(const std::string& owner, const BucketTerms& terms,
+                            base::TimePoint now) {
+  const auto [found, added] = buckets_.try_emplace(owner);
+  Bucket& bucket = found->second;
+  if (added) {
+    bucket.level = terms.atStart;
+    bucket.refilledAt = now;
+    bucket.changedAt = now;
+  } else {
+    refill(bucket, now);
+  }
+  bucket.terms = terms;
+  bucket.level = std::min(bucket.level, terms.capacity);
+}
+
 void QuotaLedger::refill(Bucket& bucket, base::TimePoint now) const {
   std::erase_if(bucket.holdings, [&bucket, now](const auto& entry) {
     const bool ended = entry.second.until <= now;
     bucket.outside -= ended ? entry.second.amount : 0;
     return ended;
   });
-  const double brought = bucket.unitsPerSecond * seconds(now - bucket.refilledAt);
+  const double brought = bucket.terms.unitsPerSecond * seconds(now - bucket.refilledAt);
   bucket.refilledAt = now;
   bucket.backlog = std::max(0.0, bucket.backlog - brought);
-  const double most = std::max(0.0, bucket.capacity - bucket.outside);
+  const double most = std::max(0.0, bucket.terms.capacity - bucket.outside);
   bucket.level = std::min(bucket.level + brought, std::max(most, 0.0));
 }
 
@@ -91,10 +100,10 @@
   QuotaGrant answer;
   answer.sequence = request.sequence;
   for (const QuotaClaim& claim : request.claims) {
-    const auto found = buckets_.find(claim.tenant);
+    const auto found = buckets_.find(claim.owner);
     if (found == buckets_.end()) {
       // No limit is known here; the gateway's document may be another one.
-      answer.shares.push_back({claim.tenant, claim.needed, base::Duration::zero()});
+      answer.shares.push_back({claim.owner, claim.needed, base::Duration::zero()});
       continue;
     }
     answer.shares.push_back(grantShare(found->second, gateway, claim, now));
@@ -102,36 +111,56 @@
   return answer;
 }
 
+double QuotaLedger::granted(const Bucket& bucket, double needed, double first) {
+  if (bucket.terms.wholeUnits) {
+    return std::min(needed, std::floor(bucket.level));
+  }
+  return bucket.level >= needed ? needed : bucket.level >= first ? first : 0;
+}
+
+/// What a gateway holds without need is missed elsewhere.
+double QuotaLedger::grantedAhead(const Bucket& bucket, double ahead, base::TimePoint now) {
+  if (bucket.terms.wholeUnits) {
+    const bool scarce = bucket.exhausted && now < bucket.shortAt + kExhaustedFor;
+    return scarce ? 0 : std::min(ahead, std::floor(bucket.level));
+  }
+  const bool plenty = bucket.level > kAheadAbove * bucket.terms.capacity;
+  return plenty ? std::min(ahead, kAheadShare * bucket.level) : 0;
+}
+
 QuotaShare QuotaLedger::grantShare(Bucket& bucket, protocol::ConnectionId gateway,
                                    const QuotaClaim& claim, base::TimePoint now) {
   const double held = std::max(0.0, claim.held);
   hold(bucket, gateway, held, now + kQuotaLease);
   refill(bucket, now);
   bucket.level = std::min(bucket.level + std::max(0.0, claim.returned),
-                          std::max(bucket.capacity - bucket.outside, 0.0));
+                          std::max(bucket.terms.capacity - bucket.outside, 0.0));
   // Less than a request needs would lie at the gateway, and be missed elsewhere.
   const double needed = std::max(0.0, claim.needed);
   const double first = std::clamp(claim.first, 0.0, needed);
-  double granted = bucket.level >= needed ? needed : bucket.level >= first ? first : 0;
-  const double left = bucket.level - granted;
-  if (granted >= needed && left > kAheadAbove * bucket.capacity) {
-    granted += std::min(std::max(0.0, claim.ahead), kAheadShare * left);
+  double grant = granted(bucket, needed, first);
+  bucket.level -= grant;
+  const bool enough = grant >= needed;
+  if (enough) {
+    const double ahead = grantedAhead(bucket, std::max(0.0, claim.ahead), now);
+    bucket.level -= ahead;
+    grant += ahead;
   }
-  bucket.level -= granted;
-  hold(bucket, gateway, held + granted, now + kQuotaLease);
-  QuotaShare share{claim.tenant, granted, base::Duration::zero()};
-  if (granted < needed) {
+  hold(bucket, gateway, held + grant, now + kQuotaLease);
+  QuotaShare share{claim.owner, grant, base::Duration::zero()};
+  if (!enough) {
     // Callers are sent away in turn: each is told when what was refused before it will have passed.
-    bucket.backlog += needed - granted;
-    share.retryAfter = timeFor(bucket.backlog, bucket.unitsPerSecond);
+    const double most = bucket.terms.unitsPerSecond * seconds(kLongestRetryAfter);
+    bucket.backlog = std::min(bucket.backlog + needed - grant, most);
+    share.retryAfter = timeFor(bucket.backlog, bucket.terms.unitsPerSecond);
   }
   if (needed > 0) {
-    noteExhausted(bucket, claim.tenant, granted < needed, now);
+    noteExhausted(bucket, claim.owner, !enough, now);
   }
   return share;
 }
 
-void QuotaLedger::noteExhausted(Bucket& bucket, const std::string& tenant, bool exhausted,
+void QuotaLedger::noteExhausted(Bucket& bucket, const std::string& owner, bool exhausted,
                                 base::TimePoint now) {
   bucket.shortAt = exhausted ? now : bucket.shortAt;
   const bool lasts = bucket.exhausted && now < bucket.shortAt + kExhaustedFor;
@@ -140,7 +169,7 @@
   }
   bucket.exhausted = exhausted;
   changes_.push_back(
-      {tenant, exhausted, bucket.unitsPerSecond, bucket.outside, now - bucket.changedAt});
+      {owner, exhausted, bucket.terms.unitsPerSecond, bucket.outside, now - bucket.changedAt});
   bucket.changedAt = now;
 }
 
--- a/src/registry/quota_ledger.h
+++ b/src/registry/quota_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 /// @file
-/// The quotas of tenants, over all gateways: what each gateway may let through.
+/// Token buckets that all gateways share, of tenants with a quota and of workers with a limit: what
+/// each gateway may let through.
 
 #include <map>
 #include <string>
@@ -13,7 +14,15 @@
 
 namespace walnut::registry {
 
-/// A token bucket for each tenant, parts of which are out at gateways. Kept by the leader.
+/// How a bucket fills.
+struct BucketTerms {
+  double unitsPerSecond = 0;
+  double capacity = 0;
+  double atStart = 0;       ///< What it holds when it is new.
+  bool wholeUnits = false;  ///< Granted are whole units only: one is a request.
+};
+
+/// A token bucket for each owner, parts of which are out at gateways. Kept by the leader.
 ///
 /// Invariant: what is in the bucket and what is out at gateways never exceed the capacity together,
 /// so that in any span all gateways spend at most the capacity and what the rate brings in that
@@ -27,12 +36,16 @@
  public:
   explicit QuotaLedger(const QuotaOptions& options) : options_(options) {}
 
+  /// Each tenant with a quota, and no other owner, has a bucket from now on.
   void setTenants(const std::vector<catalog::Tenant>& tenants, base::TimePoint now);
+  void setBucket(const std::string& owner, const BucketTerms& terms, base::TimePoint now);
+  void removeBucket(const std::string& owner) { buckets_.erase(owner); }
+  bool has(const std::string& owner) const { return buckets_.count(owner) != 0; }
   QuotaGrant grant(protocol::ConnectionId gateway, const QuotaRequest& request,
                    base::TimePoint now);
-  /// A tenant asked for more than there is, or is below its quota again.
+  /// More was asked of a bucket than there is, or it has enough again.
   struct Change {
-    std::string tenant;
+    std::string owner;
     bool exhausted = false;
     double unitsPerSecond = 0;
     double held = 0;  ///< Out at gateways.
@@ -46,8 +59,7 @@
     base::TimePoint until;
   };
   struct Bucket {
-    double unitsPerSecond = 0;
-    double capacity = 0;
+    BucketTerms terms;
     double level = 0;
     double outside = 0;  ///< Sum of the holdings.
     double backlog = 0;  ///< Refused, and told to come back when the rate will have brought it.
@@ -60,15 +72,16 @@
 
   double allowance(const catalog::Tenant& tenant) const;
   void refill(Bucket& bucket, base::TimePoint now) const;
+  static double granted(const Bucket& bucket, double needed, double first);
+  static double grantedAhead(const Bucket& bucket, double ahead, base::TimePoint now);
   static void hold(Bucket& bucket, protocol::ConnectionId gateway, double amount,
                    base::TimePoint until);
   QuotaShare grantShare(Bucket& bucket, protocol::ConnectionId gateway, const QuotaClaim& claim,
                         base::TimePoint now);
-  void noteExhausted(Bucket& bucket, const std::string& tenant, bool exhausted,
-                     base::TimePoint now);
+  void noteExhausted(Bucket& bucket, const std::string& owner, bool exhausted, base::TimePoint now);
 
   const QuotaOptions options_;
-  std::map<std::string, Bucket> buckets_;  ///< Of tenants that have a limit.
+  std::map<std::string, Bucket> buckets_;  ///< By owner.
   std::vector<Change> changes_;
 };
 
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -109,12 +109,12 @@
   if (input.hello.role == protocol::PeerRole::controller) {
     peers_[{input.hello.id}] = {input.hello.featureLevel, input.hello.zone};
   } else {
-    gatewayZones_[input.connection] = input.hello.zone;
+    gatewayPeers_[input.connection] = {input.hello.featureLevel, input.hello.zone};
   }
 }
 
 void RegistryImpl::handle(const LinkClosed& input) {
-  gatewayZones_.erase(input.connection);
+  gatewayPeers_.erase(input.connection);
   if (leading_ != nullptr) {
     leading_->unsubscribe(input.connection);
   }
@@ -215,8 +215,9 @@
 /// was acknowledged, and after a restart it is.
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const Subscribe& message) {
   if (leadingActively()) {
-    const auto zone = gatewayZones_.find(from);
-    leading_->subscribe(from, message, zone == gatewayZones_.end() ? base::ZoneId{} : zone->second);
+    const auto found = gatewayPeers_.find(from);
+    const Peer gateway = found == gatewayPeers_.end() ? Peer{} : found->second;
+    leading_->subscribe(from, message, gateway.zone, gateway.featureLevel);
     return;
   }
   actions_.emplace_back(control::SendToConnection{
@@ -241,6 +242,18 @@
   }
 }
 
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const LimitReport& message) {
+  if (leadingActively()) {
+    leading_->limitsReported(from, message, now_);
+  }
+}
+
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const ShareRequest& message) {
+  if (leadingActively() && raft_->leaseValid(now_)) {
+    leading_->sharesAsked(from, message, now_);
+  }
+}
+
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const HeartbeatBatch& message) {
   if (!leadingActively()) {
     return;
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -67,10 +67,13 @@
   void receiveBody(protocol::ConnectionId from, const DocumentPartTaken& message);
   void receiveBody(protocol::ConnectionId from, const ConfirmDocument& message);
   void receiveBody(protocol::ConnectionId from, const QuotaRequest& message);
+  void receiveBody(protocol::ConnectionId from, const LimitReport& message);
+  void receiveBody(protocol::ConnectionId from, const ShareRequest& message);
   void receiveBody(protocol::ConnectionId from, const HeartbeatBatch& message);
   void receiveBody(protocol::ConnectionId from, const HeartbeatsWanted& message);
   void receiveBody(protocol::ConnectionId, const DocumentConfirmed&) {}
   void receiveBody(protocol::ConnectionId, const QuotaGrant&) {}
+  void receiveBody(protocol::ConnectionId, const ShareGrant&) {}
   void receiveBody(protocol::ConnectionId, const LateModels&) {}
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
   void receiveBody(protocol::ConnectionId, const NotLeading&) {}
@@ -148,13 +151,13 @@
   std::map<consensus::LogIndex, std::vector<std::uint64_t>> callsByEntry_;  ///< At the leader.
   std::vector<PendingRead> reads_;                                          ///< At the leader.
 
-  /// What another server has said of itself on its latest connection to this process.
+  /// What a peer has said of itself.
   struct Peer {
     std::uint32_t featureLevel = 0;
     base::ZoneId zone;
   };
-  std::map<base::ServerId, Peer> peers_;
-  std::map<protocol::ConnectionId, base::ZoneId> gatewayZones_;  ///< Of gateways that are linked.
+  std::map<base::ServerId, Peer> peers_;  ///< Other servers, on their latest connections.
+  std::map<protocol::ConnectionId, Peer> gatewayPeers_;  ///< Gateways that are linked.
 
   // Of the present leadership of this server.
   std::unique_ptr<LeaderDuties> leading_;
--- a/src/registry/registry_membership.cpp
+++ b/src/registry/registry_membership.cpp
@@ -63,10 +63,10 @@
 /// The level of the cell is the least that its servers have said that they know.
 void RegistryImpl::raiseFeatureLevel() {
   const std::uint32_t held = std::max(state_.featureLevel(), proposedLevel_);
-  if (held >= kFeatureLevel || !leadingActively()) {
+  if (held >= kCellFeatureLevel || !leadingActively()) {
     return;
   }
-  std::uint32_t level = kFeatureLevel;
+  std::uint32_t level = kCellFeatureLevel;
   for (const consensus::Member& member : raft_->status().membership.members) {
     level = std::min(level, levelOf(member.id));
   }
--- a/src/registry/view_codec.cpp
+++ b/src/registry/view_codec.cpp
@@ -1,6 +1,7 @@
 #include "walnut/registry/view_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -21,8 +22,12 @@
 constexpr std::uint64_t kSilent = 2;
 constexpr std::uint64_t kHoldingsKnown = 4;
 constexpr std::uint64_t kFailing = 8;
+constexpr std::uint64_t kLimited = 16;
 /// @}
 
+/// Limits are told in thousandths of a request a second.
+constexpr double kLimitUnits = 1000;
+
 base::Error malformed(const char* detail) {
   return {base::ErrorCode::malformedInput, "view", detail};
 }
@@ -103,8 +108,13 @@
 void ViewEncoder::writeChanged(const WorkerView& view, ViewCursor& cursor, Writer& writer) {
   const std::uint32_t worker = writer.name(view.record.id.value);
   const bool withRecord = recordIsNew(worker, view.record, cursor);
+  const bool limited = view.limit && cursor.takesLimits;
   writer.number((withRecord ? kWithRecord : 0) | (view.silent ? kSilent : 0) |
-                (view.failing ? kFailing : 0) | (view.holdingsKnown ? kHoldingsKnown : 0));
+                (view.failing ? kFailing : 0) | (view.holdingsKnown ? kHoldingsKnown : 0) |
+                (limited ? kLimited : 0));
+  if (limited) {
+    writer.number(static_cast<std::uint64_t>(std::llround(*view.limit * kLimitUnits)));
+  }
   if (withRecord) {
     writer.name(view.record.service);
     writer.text(view.record.endpoint.address);
@@ -130,7 +140,8 @@
   startAnewIfFull();
   const bool namesAnew = view.complete || cursor.epoch != epoch_;
   if (namesAnew) {
-    cursor = {};
+    cursor.names.clear();
+    cursor.records.clear();
     cursor.epoch = epoch_;
   }
   Writer writer(*this, cursor);
@@ -237,6 +248,9 @@
   view.silent = (flags & kSilent) != 0;
   view.failing = (flags & kFailing) != 0;
   view.holdingsKnown = (flags & kHoldingsKnown) != 0;
+  if ((flags & kLimited) != 0) {
+    view.limit = static_cast<double>(reader.number()) / kLimitUnits;
+  }
   if (!reader.failed() && (flags & kWithRecord) != 0) {
     WorkerRecord& record = records_[worker];
     record.id = {names_[worker]};
--- a/src/registry/view_publisher.cpp
+++ b/src/registry/view_publisher.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "walnut/registry/feature_level.h"
+
 namespace walnut::registry {
 
 namespace {
@@ -30,9 +32,11 @@
 ViewPublisher::ViewPublisher(base::Duration interval)
     : interval_(interval), completeUpdates_(kMostCompleteUpdates, kCompleteSpacing) {}
 
-void ViewPublisher::subscribe(protocol::ConnectionId id, const base::ZoneId& zone) {
+void ViewPublisher::subscribe(protocol::ConnectionId id, const base::ZoneId& zone,
+                              std::uint32_t featureLevel) {
   unsubscribe(id);
   gateways_[id].zone = zone;
+  gateways_[id].cursor.takesLimits = featureLevel >= feature::kWorkerLimits;
   if (interest_) {
     incomplete_.insert(id);
     interest_->addGateway(id, zone);
--- a/src/registry/view_publisher.h
+++ b/src/registry/view_publisher.h
@@ -38,7 +38,9 @@
   /// pairs takes some 10 MB at the leader, and a second of a small core.
   static constexpr std::size_t kMostPairs = 100'000;
 
-  void subscribe(protocol::ConnectionId gateway, const base::ZoneId& zone = {});
+  /// @param featureLevel that the gateway knows.
+  void subscribe(protocol::ConnectionId gateway, const base::ZoneId& zone = {},
+                 std::uint32_t featureLevel = 0);
   void unsubscribe(protocol::ConnectionId gateway);
   std::size_t gatewayCount() const { return gateways_.size(); }
   /// @return true while each gateway is told of every worker.
--- a/src/simulator/fleet_gateway.cpp
+++ b/src/simulator/fleet_gateway.cpp
@@ -5,6 +5,7 @@
 
 #include "simulator/virtual_loop.h"
 #include "walnut/protocol/codec.h"
+#include "walnut/registry/feature_level.h"
 
 namespace walnut::simulator {
 
@@ -113,7 +114,9 @@
 }
 
 void FleetGateway::opened(protocol::ConnectionId connection, const base::Endpoint& server) {
-  post([this, connection, server] { process_->session.opened(connection, server); }, 0);
+  post([this, connection,
+        server] { process_->session.opened(connection, server, registry::kFeatureLevel); },
+       0);
 }
 
 void FleetGateway::openFailed(const base::Endpoint& server) {
--- a/src/simulator/limit_account.cpp
+++ b/src/simulator/limit_account.cpp
@@ -23,6 +23,10 @@
     spell->worker = worker;
     spell->begin = now;
   }
+  // Who was told of a higher limit doesn't know of this one.
+  if (!spell->rates.empty() && perSecond < spell->rates.back().perSecond) {
+    spell->told.clear();
+  }
   spell->rates.push_back({now, perSecond});
 }
 
--- a/src/simulator/limit_campaign.cpp
+++ b/src/simulator/limit_campaign.cpp
@@ -45,7 +45,9 @@
 
 /// Low and high limits are drawn as often.
 double drawLimit(base::Random& random) {
-  return kLowestLimit * std::pow(kHighestLimit / kLowestLimit, random.unit());
+  constexpr double kUnits = 1000;  // Limits go over the wire in thousandths.
+  const double drawn = kLowestLimit * std::pow(kHighestLimit / kLowestLimit, random.unit());
+  return std::round(drawn * kUnits) / kUnits;
 }
 
 /// Draws limits and faults one after the other and has them begin as time passes.
@@ -64,7 +66,7 @@
       const base::Duration gap =
           random_.between(std::chrono::milliseconds(500),
                           random_.chance(0.3) ? kLongestLeaderless : std::chrono::seconds(3));
-      fleet_.later(drawTime(random_, kTrouble),
+      fleet_.later(drawTime(random_, kTrouble - gap),
                    [gap](ServingFleet& fleet) { fleet.changeLeader(gap); });
     }
     for (std::uint64_t left = random_.uniform(0, kMostGatewayFaults); left > 0; --left) {
@@ -76,7 +78,7 @@
   /// Some workers name another limit after the first one; the last one ends with the trouble.
   void addLimits(std::size_t worker) {
     base::Duration at = drawTime(random_, kTrouble / 4);
-    for (std::uint64_t left = random_.uniform(1, kMostLimits); left > 0; --left) {
+    for (std::uint64_t left = random_.uniform(1, kMostLimits); left > 0 && at < kTrouble; --left) {
       const double limit = drawLimit(random_);
       fleet_.later(at, [worker, limit](ServingFleet& fleet) { fleet.limitWorker(worker, limit); });
       at += random_.between(std::chrono::seconds(4), kTrouble / 2);
@@ -93,9 +95,9 @@
 
   void addGatewayFault() {
     const std::size_t gateway = random_.uniform(0, options_.gateways - 1);
-    const base::Duration at = drawTime(random_, kTrouble);
     const base::Duration lasts =
         random_.between(std::chrono::milliseconds(500), std::chrono::milliseconds(8000));
+    const base::Duration at = drawTime(random_, kTrouble - lasts);
     switch (random_.uniform(0, 2)) {
       case 0:
         fleet_.later(at, [gateway](ServingFleet& fleet) { fleet.restartGateway(gateway); });
--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -165,6 +165,9 @@
   for (const runtime::EventField& field : fields) {
     quarantined = quarantined || (field.key == "reason" && field.value == "quarantined");
     request = field.key == "request" ? std::string(field.value) : request;
+    if (field.key == "reason") {
+      ++refusals_.reasons[std::string(field.value)];
+    }
   }
   if (quarantined && request.starts_with('r')) {
     ++crashAccount_.innocentsRefused;
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "simulator/serving_caller.h"
+#include "walnut/registry/feature_level.h"
 
 namespace walnut::simulator {
 
@@ -302,13 +303,18 @@
     }
     const protocol::ConnectionId connection{gateway + 1};
     if (const auto* request = std::get_if<registry::Subscribe>(&message)) {
-      leader_->subscribe(connection, *request);
+      leader_->subscribe(connection, *request, {}, registry::kFeatureLevel);
     } else if (const auto* taken = std::get_if<registry::DocumentPartTaken>(&message)) {
       leader_->documentPartTaken(connection, *taken);
     } else if (const auto* demand = std::get_if<registry::DemandUpdate>(&message)) {
       leader_->demand(connection, *demand, scheduler_.now());
     } else if (const auto* cuts = std::get_if<registry::CutReport>(&message)) {
       leader_->cutsReported(*cuts, scheduler_.now());
+    } else if (const auto* limits = std::get_if<registry::LimitReport>(&message)) {
+      leader_->limitsReported(connection, *limits, scheduler_.now());
+    } else if (const auto* shares = std::get_if<registry::ShareRequest>(&message)) {
+      ++shareQuestions_;
+      leader_->sharesAsked(connection, *shares, scheduler_.now());
     }
   });
 }
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -82,6 +82,7 @@
 struct RefusalAccount {
   std::vector<base::Duration> after;  ///< For each, from its arrival at the gateway.
   std::uint64_t withoutRetryAfter = 0;
+  std::map<std::string, std::uint64_t> reasons;  ///< As logged.
 
   /// @return the time that all but a hundredth took at most.
   base::Duration mostlyAfter() const;
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "walnut/registry/feature_level.h"
+
 namespace walnut::simulator {
 
 namespace {
@@ -32,8 +34,16 @@
   void removeSystemFields(net::HttpRequest&) const override {}
   void writeAttempt(net::HttpRequest&, const gateway::AttemptFacts&) const override {}
   gateway::AnswerFacts readAnswer(int, const net::HeaderList& headers) const override {
-    return {text(headers, "Id"), headers.find("Sealed") != nullptr,
-            headers.find("Not-Run") != nullptr, false, {}, {}};
+    gateway::AnswerFacts facts{text(headers, "Id"),
+                               headers.find("Sealed") != nullptr,
+                               headers.find("Not-Run") != nullptr,
+                               false,
+                               {},
+                               {}};
+    if (const std::string* limit = headers.find("Limit")) {
+      facts.limit = std::stod(*limit);
+    }
+    return facts;
   }
   bool isReadinessCall(const net::HttpRequest&) const override { return false; }
 };
@@ -105,7 +115,7 @@
   }
 
   void open(const base::Endpoint& server) override {
-    loop.runSoon([this, server] { session.opened(kLeader, server); });
+    loop.runSoon([this, server] { session.opened(kLeader, server, registry::kFeatureLevel); });
   }
   void close(protocol::ConnectionId) override {}
   void send(protocol::ConnectionId, registry::MessageBody message) override {
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -10,6 +10,7 @@
 
 #include "event/timer_queue.h"
 #include "gateway/gateway.h"
+#include "walnut/registry/feature_level.h"
 
 namespace walnut::gateway::testing {
 
@@ -96,8 +97,19 @@
     request.headers.set("Resume", facts.resumeAfter);
   }
   AnswerFacts readAnswer(int /*status*/, const net::HeaderList& headers) const override {
-    return {text(headers, "Id"), headers.find("Sealed") != nullptr,
-            headers.find("Not-Run") != nullptr, false, {}, {}};
+    AnswerFacts facts{text(headers, "Id"),
+                      headers.find("Sealed") != nullptr,
+                      headers.find("Not-Run") != nullptr,
+                      false,
+                      {},
+                      {}};
+    const std::string limit = text(headers, "Limit");
+    if (limit == "bad") {
+      facts.limitError = base::Error{base::ErrorCode::malformedInput, "Limit", limit};
+    } else if (!limit.empty()) {
+      facts.limit = std::stod(limit);
+    }
+    return facts;
   }
   bool isReadinessCall(const net::HttpRequest&) const override { return false; }
 
@@ -178,6 +190,8 @@
   std::vector<registry::CutReport> cuts;
   std::vector<registry::ConfirmDocument> questions;
   std::vector<registry::QuotaRequest> quotas;
+  std::vector<registry::LimitSighting> limits;
+  std::vector<registry::QuotaRequest> shares;
 
   void open(const base::Endpoint& server) override { opened.push_back(server); }
   void close(protocol::ConnectionId) override {}
@@ -190,6 +204,10 @@
       questions.push_back(*question);
     } else if (auto* quota = std::get_if<registry::QuotaRequest>(&message)) {
       quotas.push_back(std::move(*quota));
+    } else if (auto* seen = std::get_if<registry::LimitReport>(&message)) {
+      limits.insert(limits.end(), seen->sightings.begin(), seen->sightings.end());
+    } else if (auto* share = std::get_if<registry::ShareRequest>(&message)) {
+      shares.push_back(std::move(share->request));
     }
   }
 };
@@ -250,11 +268,13 @@
     made.servers = {{"10.0.0.9", 7000}};
     return made;
   }
+  std::uint32_t featureLevel = registry::kFeatureLevel;  ///< Of the leader.
+
   /// Connects the gateway to the registry's leader.
   void follow() {
     const protocol::ConnectionId connection{1};
     session_.start();
-    session_.opened(connection, link.opened.back());
+    session_.opened(connection, link.opened.back(), featureLevel);
     session_.viewReceived(connection, {});
     gateway.start();
   }
@@ -262,9 +282,10 @@
   /// The leader is found again after it was lost.
   void followAgain() {
     const protocol::ConnectionId connection{1};
-    session_.opened(connection, link.opened.back());
+    session_.opened(connection, link.opened.back(), featureLevel);
     session_.viewReceived(connection, {});
   }
+  void loseLeader() { session_.closed(protocol::ConnectionId{1}); }
   /// Time passes, and the followed leader is heard all the while.
   void advanceFollowing(base::Duration duration) {
     constexpr base::Duration kStep = std::chrono::milliseconds(100);
--- a/test/gateway/registry_follower_test.cpp
+++ b/test/gateway/registry_follower_test.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway/gateway_harness.h"
 #include "walnut/catalog/document_codec.h"
+#include "walnut/registry/feature_level.h"
 
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
@@ -44,7 +45,7 @@
 
   void setup() override { session.start(); }
 
-  void connect() { session.opened({++connection}, link.opens.back()); }
+  void connect() { session.opened({++connection}, link.opens.back(), registry::kFeatureLevel); }
   void receive(std::uint64_t from, registry::MessageBody body) {
     follower.messageReceived({from}, {std::move(body)});
     scheduler.settle();
--- a/test/gateway/registry_session_test.cpp
+++ b/test/gateway/registry_session_test.cpp
@@ -3,6 +3,7 @@
 #include "gateway/registry_session.h"
 
 #include "gateway/gateway_harness.h"
+#include "walnut/registry/feature_level.h"
 
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
@@ -42,7 +43,9 @@
     session->start();
   }
   /// The server asked last accepts, as connection `number`.
-  void accept(std::uint64_t number) { session->opened({number}, link.opens.back()); }
+  void accept(std::uint64_t number) {
+    session->opened({number}, link.opens.back(), registry::kFeatureLevel);
+  }
   void follow(std::uint64_t number) {
     accept(number);
     CHECK_TRUE(session->viewReceived({number}, {}));
--- a/test/registry/view_codec_test.cpp
+++ b/test/registry/view_codec_test.cpp
@@ -102,6 +102,31 @@
   checkSame(view, decoded.value());
 }
 
+TEST(ViewCodecTest, aLimitIsToldToGatewaysThatReadIt) {
+  ViewUpdate view = complete();
+  view.changed[0].limit = 0.25;
+  cursor.takesLimits = true;
+  told(view);
+  ViewUpdate change;
+  change.changed = {view.changed[0]};
+  change.changed[0].limit = 1000;
+  told(change);
+  change.changed[0].limit.reset();
+  told(change);
+}
+
+/// Builds that know nothing of limits take the bytes that they always took.
+TEST(ViewCodecTest, aGatewayOfAnEarlierBuildIsToldNothingOfLimits) {
+  const ViewUpdate without = complete();
+  ViewUpdate with = without;
+  with.changed[0].limit = 0.25;
+  ViewCursor first;
+  ViewCursor second;
+  ViewEncoder encoderWithout;
+  ViewEncoder encoderWith;
+  CHECK(encoderWithout.encode(without, first) == encoderWith.encode(with, second));
+}
+
 TEST(ViewCodecTest, aCompleteViewStartsAnew) {
   told(complete());
   told(complete());
