--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -133,12 +133,18 @@
                                                      kSelf, log_, scheduler_.now(), turns_);
 }
 
+std::uint32_t ServingFleet::leaderLevel() const {
+  return options_.leaderSharesLimits ? registry::kFeatureLevel
+                                     : registry::feature::kHeartbeatBatches;
+}
+
 void ServingFleet::startGateway(std::size_t index) {
   gateway::GatewayOptions options;
   options.selection.seed = scheduler_.random().uniform(1, 1'000'000);
   ++gatewayLives_[index];
   ServingGatewayLinks& links = *this;
-  gateways_[index] = std::make_unique<ServingGateway>(index, scheduler_, links, options);
+  gateways_[index] =
+      std::make_unique<ServingGateway>(index, scheduler_, links, options, leaderLevel());
   gateways_[index]->start();
 }
 
@@ -303,7 +309,7 @@
     }
     const protocol::ConnectionId connection{gateway + 1};
     if (const auto* request = std::get_if<registry::Subscribe>(&message)) {
-      leader_->subscribe(connection, *request, {}, registry::kFeatureLevel);
+      leader_->subscribe(connection, *request, {}, leaderLevel());
     } else if (const auto* taken = std::get_if<registry::DocumentPartTaken>(&message)) {
       leader_->documentPartTaken(connection, *taken);
     } else if (const auto* demand = std::get_if<registry::DemandUpdate>(&message)) {
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -37,6 +37,8 @@
   bool crashingShowsHead = false;
   /// A plain service, without models: its requests are answered whole.
   bool plain = false;
+  /// False: leaders are of a build that knows nothing of limits, and each gateway keeps them alone.
+  bool leaderSharesLimits = true;
   ServingWorkerOptions worker;
 };
 
@@ -185,6 +187,7 @@
               std::initializer_list<runtime::EventField> fields) override;
 
   void lead();
+  std::uint32_t leaderLevel() const;
   void startGateway(std::size_t index);
   void runLeader();
   void carryOut(const registry::RegistryAction& action);
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "walnut/registry/feature_level.h"
-
 namespace walnut::simulator {
 
 namespace {
@@ -98,8 +96,9 @@
 
 struct ServingGateway::Process : public gateway::RegistryLink {
   Process(std::size_t number, Scheduler& time, ServingGatewayLinks& fleet,
-          const gateway::GatewayOptions& options)
+          const gateway::GatewayOptions& options, std::uint32_t featureLevel)
       : index(number),
+        leaderLevel(featureLevel),
         links(fleet),
         loop(time),
         log(number, fleet),
@@ -115,7 +114,7 @@
   }
 
   void open(const base::Endpoint& server) override {
-    loop.runSoon([this, server] { session.opened(kLeader, server, registry::kFeatureLevel); });
+    loop.runSoon([this, server] { session.opened(kLeader, server, leaderLevel); });
   }
   void close(protocol::ConnectionId) override {}
   void send(protocol::ConnectionId, registry::MessageBody message) override {
@@ -123,6 +122,7 @@
   }
 
   const std::size_t index;
+  const std::uint32_t leaderLevel;  ///< Of features that it knows.
   ServingGatewayLinks& links;
   VirtualLoop loop;
   ForwardingLog log;
@@ -135,9 +135,9 @@
 };
 
 ServingGateway::ServingGateway(std::size_t index, Scheduler& scheduler, ServingGatewayLinks& links,
-                               const gateway::GatewayOptions& options)
+                               const gateway::GatewayOptions& options, std::uint32_t leaderLevel)
     : scheduler_(scheduler),
-      process_(std::make_unique<Process>(index, scheduler, links, options)) {}
+      process_(std::make_unique<Process>(index, scheduler, links, options, leaderLevel)) {}
 
 ServingGateway::~ServingGateway() = default;
 
--- a/src/simulator/serving_gateway.h
+++ b/src/simulator/serving_gateway.h
@@ -27,7 +27,7 @@
 class ServingGateway {
  public:
   ServingGateway(std::size_t index, Scheduler& scheduler, ServingGatewayLinks& links,
-                 const gateway::GatewayOptions& options);
+                 const gateway::GatewayOptions& options, std::uint32_t leaderLevel);
   ~ServingGateway();
 
   void start();
--- a/test/simulator/limited_worker_test.cpp
+++ b/test/simulator/limited_worker_test.cpp
@@ -122,6 +122,23 @@
   }
 }
 
+/// The other way that was weighed, and what gateways do before a leader of an earlier build: each
+/// keeps a part of the limit by itself. The bound holds, and most of the limit lies unused.
+TEST(LimitedWorkerTest, gatewaysThatKeepTheLimitAloneUseLittleOfIt) {
+  constexpr double kAim = 0.8;
+  options.gateways = 24;
+  for (options.seed = 1; options.seed <= kSeeds; ++options.seed) {
+    options.leaderSharesLimits = false;
+    const auto alone = runLimited(3, 2);
+    checkKept(*alone);
+    CHECK(alone->limitUsed() < kAim);
+    options.leaderSharesLimits = true;
+    const auto shared = runLimited(3, 2);
+    checkKept(*shared);
+    CHECK(shared->limitUsed() >= kAim);
+  }
+}
+
 TEST_GROUP(LimitCampaignTest){};
 
 TEST(LimitCampaignTest, limitsAreKeptBesideFaultsOfLeadersAndGateways) {
