--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -82,8 +82,8 @@
       return directory_.workers().count(worker) == 0;
     });
   }
-  if (!update.removed.empty()) {
-    unreadableLimits_.clear();
+  for (const registry::WorkerId& worker : update.removed) {
+    unreadableLimits_.erase(worker);
   }
   reportLimitsSoon();
 }
--- a/src/gateway/worker_limits.h
+++ b/src/gateway/worker_limits.h
@@ -26,7 +26,6 @@
   bool allows(base::TimePoint now);
   void take(base::TimePoint now);
   base::TimePoint next() const { return next_; }
-  base::Duration period() const { return period_; }
 
  private:
   void dropUnused(base::TimePoint now);
--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -79,12 +79,14 @@
       worse(NoWorkerReason::excluded);
     } else if (!worker->breaker.allows(now)) {
       worse(NoWorkerReason::broken);
+    } else if (worker->view.failing) {
+      worse(NoWorkerReason::failing);
+      if (standing(*worker) == ShareStanding::open) {
+        candidates.failing.push_back(worker);
+      }
     } else if (const ShareStanding share = standing(*worker); share != ShareStanding::open) {
       worse(NoWorkerReason::limited);
       addLimited(worker, share, candidates, selection);
-    } else if (worker->view.failing) {
-      worse(NoWorkerReason::failing);
-      candidates.failing.push_back(worker);
     } else {
       candidates.usable.push_back(worker);
     }
@@ -118,12 +120,8 @@
   return shares_ == nullptr ? ShareStanding::open : shares_->standing(worker.view.record.id);
 }
 
-/// A failing worker is not worth a question.
 void WorkerSelector::addLimited(const WorkerDirectory::WorkerPtr& worker, ShareStanding standing,
                                 Candidates& candidates, Selection& selection) const {
-  if (worker->view.failing) {
-    return;
-  }
   if (standing == ShareStanding::askable) {
     candidates.askable.push_back(worker);
     return;
--- a/test/gateway/limited_worker_test.cpp
+++ b/test/gateway/limited_worker_test.cpp
@@ -93,6 +93,22 @@
   CHECK_EQUAL(questions, harness.link.shares.size());
 }
 
+/// A failing worker is not worth a question, and without a share it is no last resort either.
+TEST(LimitedWorkerTest, aFailingWorkerWithoutAShareIsNotSentTo) {
+  begin();
+  limit("1");
+  registry::ViewUpdate update;
+  update.changed = {GatewayHarness::worker(1)};
+  update.changed[0].failing = true;
+  update.changed[0].limit = 1;
+  harness.gateway.viewReceived(update);
+  const auto caller = request();
+  harness.scheduler.advance(200ms);
+  CHECK_EQUAL(1, sentCount());
+  CHECK_EQUAL(0, harness.link.shares.size());
+  CHECK_EQUAL(503, caller->status);
+}
+
 TEST(LimitedWorkerTest, otherWorkersServeWhatALimitedOneHasNoRoomFor) {
   begin(2);
   limit("1");
