--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -70,7 +70,7 @@
   shareTimer_->enableAt(scheduler_.now() + shareInterval());
 }
 
-/// Before a request is sent by the view that told of them.
+/// Called before a view wakes the requests that wait.
 void Gateway::takeLimits(const registry::ViewUpdate& update) {
   const base::TimePoint now = scheduler_.now();
   limits_.setSharing(sharesLimits(), std::max<std::uint32_t>(1, update.gateways));
