--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -178,6 +178,7 @@
   void waitForLimit(const Selection& selection);
   bool refuseIfTooLate(NoWorkerReason reason);
   base::TimePoint callerLeavesAt() const;
+  base::TimePoint shortPatienceEnds() const;
   void endWait();
   void launch(const WorkerDirectory::WorkerPtr& worker);
   void takeSuccessHead();
--- a/src/gateway/exchange_wait.cpp
+++ b/src/gateway/exchange_wait.cpp
@@ -30,7 +30,8 @@
 constexpr int kPatienceInTargets = 4;
 constexpr int kPatienceInGaps = 8;
 /// @}
-/// Without workers, a plain request waits this share of its target latency.
+/// Without workers, or without a leader to ask for a share of a limit, a request waits this share
+/// of its target latency.
 constexpr int kPatienceDivisor = 4;
 /// Until the leader is asked anew for a share of a limit.
 constexpr base::Duration kSharePatience = std::chrono::milliseconds(100);
@@ -108,7 +109,7 @@
     return true;
   }
   if (!context_.leaderKnown()) {
-    return now() < arrivedAt_ + route_.targetLatency / kPatienceDivisor;
+    return now() < shortPatienceEnds();
   }
   return !facts_.model.empty() && selection.othersUnlimited &&
          now() < arrivedAt_ + kReplicaPatience;
@@ -123,18 +124,24 @@
   beginWait(NoWorkerReason::limited);
   endShareWait();
   if (!refuseIfTooLate(NoWorkerReason::limited)) {
-    retryTimer_->enableAt(now() + std::min(selection.shareIn, kSharePatience));
+    const base::TimePoint next = now() + std::min(selection.shareIn, kSharePatience);
+    const bool forLeader = !headSent_ && !context_.leaderKnown();
+    retryTimer_->enableAt(forLeader ? std::min(next, shortPatienceEnds()) : next);
   }
 }
 
+/// For what comes within moments, if at all.
+base::TimePoint Exchange::shortPatienceEnds() const {
+  return arrivedAt_ + route_.targetLatency / kPatienceDivisor;
+}
+
 void Exchange::wait(NoWorkerReason reason) {
   beginWait(reason);
   if (refuseIfTooLate(reason)) {
     return;
   }
   const bool plain = facts_.model.empty();
-  const base::TimePoint patience = arrivedAt_ + route_.targetLatency / kPatienceDivisor;
-  if (plain && now() >= patience) {
+  if (plain && now() >= shortPatienceEnds()) {
     refuse(mayHaveRun_ ? kBadGateway : kUnavailable, "no worker can be had", kRetryAfterFull);
     return;
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -126,7 +126,7 @@
   reportCutsSoon();
   quietUntil_ = {};
   quota_.leaderLost();
-  limits_.leaderFollowed(scheduler_.now());
+  limits_.leaderFollowed();
   askForDocument();
   askForQuota(true);
 }
--- a/src/gateway/worker_limits.cpp
+++ b/src/gateway/worker_limits.cpp
@@ -49,7 +49,7 @@
 
 std::optional<double> WorkerLimits::limitOf(const registry::WorkerId& worker) const {
   const auto found = limits_.find(worker);
-  return found == limits_.end() ? std::nullopt : std::optional(found->second.perSecond);
+  return found == limits_.end() ? std::nullopt : std::optional(found->second.named.perSecond);
 }
 
 std::optional<WorkerLimits::Change> WorkerLimits::answered(const registry::WorkerId& worker,
@@ -62,19 +62,13 @@
 std::optional<WorkerLimits::Change> WorkerLimits::named(const registry::WorkerId& worker,
                                                         double perSecond, base::TimePoint sentAt,
                                                         base::TimePoint now) {
-  const auto [found, added] = limits_.try_emplace(worker, Limit{perSecond, now, now, {}, {}, {}});
-  Limit& limit = found->second;
+  const std::optional<double> former = limitOf(worker);
+  Limit& limit = limits_[worker];
   limit.lastNamedAt = now;
-  if (!added && limit.perSecond == perSecond) {
-    return std::nullopt;
-  }
-  // Which of two answers that crossed is the later one is not known: the lower limit holds.
-  if (!added && sentAt <= limit.since && perSecond > limit.perSecond) {
+  if (former && !limit.named.yieldsTo(perSecond, sentAt)) {
     return std::nullopt;
   }
-  const std::optional<double> former = added ? std::nullopt : std::optional(limit.perSecond);
-  limit.perSecond = perSecond;
-  limit.since = now;
+  limit.named = {perSecond, now};
   limit.unshared.reset();
   noteSighting(worker, perSecond, sentAt, now);
   return Change{worker, perSecond, former};
@@ -85,7 +79,7 @@
                                                            base::TimePoint sentAt,
                                                            base::TimePoint now) {
   const auto found = limits_.find(worker);
-  if (found == limits_.end() || sentAt <= found->second.since) {
+  if (found == limits_.end() || !found->second.named.endsBy(sentAt)) {
     return std::nullopt;
   }
   Limit& limit = found->second;
@@ -107,17 +101,14 @@
     // What the leader has not heard of yet goes on.
     return found != limits_.end() && found->second.toldByLeader ? erase(worker) : std::nullopt;
   }
-  if (found == limits_.end()) {
-    limits_.emplace(worker, Limit{*perSecond, now, now, true, {}, {}});
-    return Change{worker, perSecond, std::nullopt};
-  }
-  Limit& limit = found->second;
+  const std::optional<double> former = limitOf(worker);
+  Limit& limit = limits_[worker];
   limit.toldByLeader = true;
-  if (limit.perSecond == *perSecond) {
+  if (former == perSecond) {
     return std::nullopt;
   }
-  const double former = std::exchange(limit.perSecond, *perSecond);
-  limit.since = now;
+  limit.lastNamedAt = former ? limit.lastNamedAt : now;
+  limit.named = {*perSecond, now};
   limit.unshared.reset();
   return Change{worker, perSecond, former};
 }
@@ -127,7 +118,7 @@
 }
 
 std::optional<WorkerLimits::Change> WorkerLimits::erase(const registry::WorkerId& worker) {
-  const double former = limits_.at(worker).perSecond;
+  const double former = limits_.at(worker).named.perSecond;
   forget(worker);
   return Change{worker, std::nullopt, former};
 }
@@ -138,13 +129,13 @@
   shares_.forget(worker.value);
 }
 
-void WorkerLimits::leaderFollowed(base::TimePoint now) {
+void WorkerLimits::leaderFollowed() {
   shares_.leaderLost();
   untold_.clear();
   for (auto& [worker, limit] : limits_) {
     limit.toldByLeader = false;
     limit.endToldAt = {};
-    noteSighting(worker, limit.perSecond, std::min(limit.since, now), limit.lastNamedAt);
+    noteSighting(worker, limit.named.perSecond, limit.named.since, limit.lastNamedAt);
   }
 }
 
@@ -179,7 +170,7 @@
 
 UnsharedRate& WorkerLimits::unsharedRate(Limit& limit, base::TimePoint now) {
   if (!limit.unshared) {
-    const double rate = std::max(kUnsharedShare * limit.perSecond, kLeastUnshared);
+    const double rate = std::max(kUnsharedShare * limit.named.perSecond, kLeastUnshared);
     limit.unshared.emplace(toDuration(gateways_ / rate), random_.unit(), now);
   }
   return *limit.unshared;
--- a/src/gateway/worker_limits.h
+++ b/src/gateway/worker_limits.h
@@ -8,6 +8,7 @@
 
 #include "gateway/quota_account.h"
 #include "gateway/worker_selector.h"
+#include "registry/named_limit.h"
 #include "walnut/base/random.h"
 #include "walnut/registry/limit_messages.h"
 
@@ -69,7 +70,7 @@
   template <class Predicate>
   void forgetIf(const Predicate& gone);
   /// Another leader is followed, which is told all that is known.
-  void leaderFollowed(base::TimePoint now);
+  void leaderFollowed();
   /// @return what the leader is to be told.
   std::optional<registry::LimitReport> takeReport(base::TimePoint now);
   /// @}
@@ -94,8 +95,7 @@
 
  private:
   struct Limit {
-    double perSecond = 0;
-    base::TimePoint since;  ///< When the first answer with this value came, or the word of it.
+    registry::NamedLimit named;
     base::TimePoint lastNamedAt;  ///< By an answer, or by the leader.
     bool toldByLeader = false;    ///< By the one that is followed.
     base::TimePoint endToldAt;    ///< When the leader was told of an answer without a limit.
--- a/src/registry/worker_limit_book.cpp
+++ b/src/registry/worker_limit_book.cpp
@@ -28,7 +28,7 @@
 
 std::optional<double> WorkerLimitBook::limitOf(const WorkerId& worker) const {
   const auto found = limits_.find(worker);
-  return found == limits_.end() ? std::nullopt : std::optional(found->second.perSecond);
+  return found == limits_.end() ? std::nullopt : std::optional(found->second.named.perSecond);
 }
 
 bool WorkerLimitBook::wasShort(const WorkerId& worker, base::TimePoint now) const {
@@ -64,19 +64,12 @@
     return std::nullopt;
   }
   const double perSecond = *sighting.perSecond;
-  const auto [found, added] = limits_.try_emplace(worker, Limit{perSecond, answeredAt, {}});
-  Limit& limit = found->second;
-  const std::optional<double> former = added ? std::nullopt : std::optional(limit.perSecond);
-  if (former == perSecond) {
+  const std::optional<double> former = limitOf(worker);
+  Limit& limit = limits_[worker];
+  if (former && !limit.named.yieldsTo(perSecond, now - sighting.sentAgo)) {
     return std::nullopt;
   }
-  // Which of two answers that crossed is the later one is not known: the lower limit holds.
-  const bool later = now - sighting.sentAgo > limit.since;
-  if (!added && !later && perSecond > limit.perSecond) {
-    return std::nullopt;
-  }
-  limit.perSecond = perSecond;
-  limit.since = answeredAt;
+  limit.named = {perSecond, answeredAt};
   ended_.erase(worker);
   const double rate = std::max(perSecond, kLeastLimit);
   ledger_.setBucket(worker.value, {rate, capacityOf(rate), 0, true}, now);
@@ -87,10 +80,10 @@
                                                                  const LimitSighting& sighting,
                                                                  base::TimePoint now) {
   const auto found = limits_.find(worker);
-  if (found == limits_.end() || now - sighting.sentAgo <= found->second.since) {
+  if (found == limits_.end() || !found->second.named.endsBy(now - sighting.sentAgo)) {
     return std::nullopt;
   }
-  const double former = found->second.perSecond;
+  const double former = found->second.named.perSecond;
   forget(worker);
   if (ended_.size() >= kMostEnded) {
     ended_.clear();
--- a/src/registry/worker_limit_book.h
+++ b/src/registry/worker_limit_book.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "registry/named_limit.h"
 #include "registry/quota_ledger.h"
 #include "walnut/registry/limit_messages.h"
 
@@ -50,8 +51,7 @@
 
  private:
   struct Limit {
-    double perSecond = 0;
-    base::TimePoint since;       ///< When the first answer that named this value came.
+    NamedLimit named;
     base::TimePoint shortUntil;  ///< It counts as asked for too much until then.
   };
 
--- a/test/simulator/limited_worker_test.cpp
+++ b/test/simulator/limited_worker_test.cpp
@@ -107,6 +107,58 @@
   }
 }
 
+TEST(LimitedWorkerTest, theLimitIsKeptAndUsedOverChangesOfLeader) {
+  for (options.seed = 1; options.seed <= kSeeds; ++options.seed) {
+    ServingFleet fleet(options);
+    fleet.run(kCalm);
+    for (std::size_t worker = 0; worker < 3; ++worker) {
+      fleet.limitWorker(worker, 2);
+    }
+    fleet.run(6s);
+    for (int change = 0; change < 4; ++change) {
+      fleet.changeLeader(1200ms);
+      fleet.run(4s);
+    }
+    checkKept(fleet);
+    CHECK(fleet.limitUsed() >= 0.5);
+  }
+}
+
+TEST(LimitedWorkerTest, aLimitThatFallsBindsAllGateways) {
+  for (options.seed = 1; options.seed <= kSeeds; ++options.seed) {
+    const auto fleet = runLimited(3, 8);
+    for (std::size_t worker = 0; worker < 3; ++worker) {
+      fleet->limitWorker(worker, 1);
+    }
+    fleet->run(kLimited);
+    checkKept(*fleet);
+  }
+}
+
+TEST(LimitedWorkerTest, aLimitBelowOneASecondIsKeptAndUsed) {
+  for (options.seed = 1; options.seed <= kSeeds; ++options.seed) {
+    const auto fleet = runLimited(3, 0.3);
+    checkKept(*fleet);
+    CHECK(fleet->limitUsed() >= 0.8);
+  }
+}
+
+/// Each gateway hears of it by the little that it sends.
+TEST(LimitedWorkerTest, theEndOfALimitIsHeardWhileNobodyLeads) {
+  for (options.seed = 1; options.seed <= kSeeds; ++options.seed) {
+    const auto fleet = runLimited(3, 5);
+    fleet->changeLeader(20s);
+    fleet->run(5s);
+    for (std::size_t worker = 0; worker < 3; ++worker) {
+      fleet->endLimit(worker);
+    }
+    fleet->run(10s);
+    fleet->countAnew();
+    fleet->run(4s);
+    CHECK(fleet->servedShare() == 1);
+  }
+}
+
 TEST(LimitedWorkerTest, modelsOfALimitedWorkerAreBroughtUpElsewhere) {
   options.plain = false;
   options.gateways = 8;
