registry: a leader counts what it knows of its predecessors' loads

What callers saw: with a store slower than the demand the first seconds of a term brought fewer loads than the store gives, and models at the end of the queue were never served.

Cause: StoreRate began each term with one token at its first plan, as though a predecessor had used the burst just then. The first leader of a cell has no predecessor: its log holds no turn to order, and every leader records its turn before its first order. A later one knows that no former leader orders after its own election (the lease), and waits 0.5 s or longer for its turn.

Change: the bucket begins with its burst where the log holds no turn to order; else with one token at the election and 0.3 s (kTurnMargin), from where it is refilled.

StoreRateTest: no window over the bound in 200 leaders in turn; leaders that take the burst without knowing exceed it. LeaderDutiesTest.theFirstLeader... and ...theTimeWithoutOrders... failed before.

--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -167,6 +167,8 @@
                               const WorkerStatus& status) const;
   void logDecisions(PlacementPolicy& policy, const StoreScheduler& store, base::TimePoint now);
   void countForeignLoads(const catalog::Service& service, StoreScheduler& store);
+  StoreScheduler& storeOf(const std::string& service);
+  FormerLoads formerLoads() const;
   void forgetLoad(const WorkerRecord& record);
   void noteEnded(const WorkerId& id, const WorkerStatus& status, base::TimePoint now);
   void logEndedOrder(const WorkerId& id, WorkerStatus& status, base::TimePoint now);
@@ -216,6 +218,7 @@
   std::map<std::uint64_t, Batch> batches_;
   std::uint64_t lastBatch_ = 0;
   bool holderProposed_ = false;
+  bool firstHolder_ = false;  ///< No server of the cell has ever had the turn to order.
   bool workersClaimed_ = false;
   bool fenced_ = false;  ///< A worker has seen a higher token: this leadership is over.
   base::TimePoint nextPlan_;
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -203,7 +203,7 @@
     return;
   }
   const UnfinishedLoad& load = *status.unfinishedLoad;
-  stores_[load.service].abandoned(id);
+  storeOf(load.service).abandoned(id);
   const base::Duration pause = backoffs_[load.service].workerEnded(load.model, load.orderedAt, now);
   const auto age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - load.orderedAt).count();
@@ -253,7 +253,7 @@
         const base::Duration patience = load ? expected + kOrderMargin : kUnloadPatience;
         status.modelOrdered(step, now, now + expected, now + patience);
         busyWorkers_.insert(step.worker);
-        stores_[record->service].accepted(step.worker, now);
+        storeOf(record->service).accepted(step.worker, now);
       } else {
         status.adapterOrdered(step, now, options_.adapterSettleTime);
       }
@@ -281,7 +281,7 @@
       return;
     case OrderOutcome::unclear:
       if (step.fromStore) {
-        stores_[record->service].unclear(step.worker, now);
+        storeOf(record->service).unclear(step.worker, now);
       }
       [[fallthrough]];
     case OrderOutcome::misdirected:
@@ -350,7 +350,7 @@
   const auto millis =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - ended->acceptedAt).count();
   const WorkerRecord* record = state_.findWorker(id);
-  StoreScheduler* store = record == nullptr ? nullptr : &stores_[record->service];
+  StoreScheduler* store = record == nullptr ? nullptr : &storeOf(record->service);
   const double lateness = store == nullptr ? 0 : store->ended(id, now);
   log_.write(LogEvent::modelOrderEnded, {{"worker", id.value},
                                          {"operation", operationName(ended->operation)},
--- a/src/registry/leader_plans.cpp
+++ b/src/registry/leader_plans.cpp
@@ -157,7 +157,7 @@
                           const std::map<std::string, std::uint32_t>& outside,
                           base::TimePoint now) {
   PlacementPolicy& policy = policies_.try_emplace(service.name, service.name).first->second;
-  StoreScheduler& store = stores_[service.name];
+  StoreScheduler& store = storeOf(service.name);
   store.setPatience(longestLoad(*service.engine), longestTimeout(*document_, service.name));
   store.setLimit(service.engine->storeLoadsPerSecond,
                  {options_.storeWindow, options_.storeOvershoot}, now);
@@ -169,6 +169,10 @@
   carryOut(steps, now);
 }
 
+StoreScheduler& LeaderDuties::storeOf(const std::string& service) {
+  return stores_.try_emplace(service, formerLoads()).first->second;
+}
+
 /// One line for each change of what is decided about a model, with what decided it.
 void LeaderDuties::logDecisions(PlacementPolicy& policy, const StoreScheduler& store,
                                 base::TimePoint now) {
--- a/src/registry/leader_turns.cpp
+++ b/src/registry/leader_turns.cpp
@@ -54,10 +54,17 @@
     return;
   }
   holderProposed_ = true;
+  firstHolder_ = first;
   commands_.emplace_back(StoreOrderHolder{self_});
   log_.write(LogEvent::orderTurn, {{"term", term_}, {"former", holder.value}});
 }
 
+/// A former leader orders only under its lease, which has ended by `since_`; what it sent last is
+/// on its way for some time.
+FormerLoads LeaderDuties::formerLoads() const {
+  return firstHolder_ ? FormerLoads{std::nullopt} : FormerLoads{since_ + kTurnMargin};
+}
+
 /// Without fences, orders are in the log before they are sent, so that the next leader knows which
 /// workers it has to wait for.
 void LeaderDuties::record(const std::vector<PlacementStep>& steps, base::TimePoint now) {
--- a/src/registry/store_rate.cpp
+++ b/src/registry/store_rate.cpp
@@ -10,27 +10,39 @@
 constexpr base::Duration kOrderJitter = std::chrono::milliseconds(50);
 /// Loads that a window may hold beyond the rate and its overshoot, less one for safety.
 constexpr double kBurstBeyondOvershoot = 2.0;
+/// At the end of former leaders' loads: they may have used the burst.
+constexpr double kTokensAfterOthers = 1.0;
 /// In this time an order without a clear answer is carried out, or never.
 constexpr base::Duration kUnclearFor = std::chrono::seconds(12);
 
 double seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+double burstOf(double perSecond, const StoreWindow& window) {
+  const double overshoot = seconds(window.length) * (window.overshoot - 1.0);
+  return kBurstBeyondOvershoot + perSecond * std::max(0.0, overshoot - seconds(kOrderJitter));
+}
+
 }  // namespace
 
 void StoreRate::setLimit(double perSecond, const StoreWindow& window, base::TimePoint now) {
   perSecond_ = perSecond;
-  const double overshoot = seconds(window.length) * (window.overshoot - 1.0);
-  burst_ = kBurstBeyondOvershoot + perSecond * std::max(0.0, overshoot - seconds(kOrderJitter));
+  burst_ = burstOf(perSecond, window);
   refill(now);
   while (!unclear_.empty() && unclear_.front() + kUnclearFor <= now) {
     unclear_.pop_front();
   }
 }
 
+void StoreRate::begin(base::TimePoint now) {
+  tokens_ = former_.endedAt ? kTokensAfterOthers : burst_;
+  refilledAt_ = former_.endedAt ? std::min(*former_.endedAt, now) : now;
+}
+
 void StoreRate::refill(base::TimePoint now) {
-  if (refilledAt_ != base::TimePoint()) {
-    tokens_ = std::min(burst_, tokens_ + perSecond_ * seconds(now - refilledAt_));
+  if (!refilledAt_) {
+    begin(now);
   }
+  tokens_ = std::min(burst_, tokens_ + perSecond_ * seconds(now - *refilledAt_));
   refilledAt_ = now;
 }
 
--- a/src/registry/store_rate.h
+++ b/src/registry/store_rate.h
@@ -3,6 +3,7 @@
 /// The rate at which loads from the weight store may begin.
 
 #include <deque>
+#include <optional>
 
 #include "walnut/base/time.h"
 
@@ -15,11 +16,20 @@
   double overshoot = 1.1;
 };
 
+/// What a leader knows of the loads that former leaders began.
+struct FormerLoads {
+  /// None began after that; never: not known; nothing: there were none at all.
+  std::optional<base::TimePoint> endedAt = base::kNever;
+};
+
 /// A token bucket, so that no window holds more loads than allowed, wherever it begins. A load
 /// whose order had no clear answer may begin some seconds later: while there are such, the bucket's
 /// burst is kept for them.
 class StoreRate {
  public:
+  StoreRate() = default;
+  explicit StoreRate(const FormerLoads& former) : former_(former) {}
+
   /// @param perSecond 0: not limited.
   void setLimit(double perSecond, const StoreWindow& window, base::TimePoint now);
   bool allows() const;
@@ -27,12 +37,14 @@
   void unclear(base::TimePoint now) { unclear_.push_back(now); }
 
  private:
+  void begin(base::TimePoint now);
   void refill(base::TimePoint now);
 
+  FormerLoads former_;
   double perSecond_ = 0;
   double burst_ = 1;
-  double tokens_ = 1;  ///< A former leader may have used the burst.
-  base::TimePoint refilledAt_;
+  double tokens_ = 0;
+  std::optional<base::TimePoint> refilledAt_;  ///< Nothing: there was no limit yet.
   std::deque<base::TimePoint> unclear_;  ///< Oldest first.
 };
 
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -13,6 +13,9 @@
 /// Kept by the leader for one service. A worker has one load under way at most.
 class StoreScheduler {
  public:
+  StoreScheduler() = default;
+  explicit StoreScheduler(const FormerLoads& former) : rate_(former) {}
+
   /// @param longestLoad that a model declares. @param patience the longest that a caller waits.
   void setPatience(base::Duration longestLoad, base::Duration patience) {
     concurrency_.setCautious(patience > base::Duration::zero() && 2 * longestLoad > patience);
--- a/test/registry/leader_duties_kit.h
+++ b/test/registry/leader_duties_kit.h
@@ -3,6 +3,7 @@
 /// A leader's duties, with workers and gateways played by the test.
 
 #include <algorithm>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -141,9 +142,12 @@
       actions = std::move(kept);
     }
   }
-  void demandModel(const char* model) {
+  void demandModel(const char* model) { demandModels({model}); }
+  void demandModels(std::initializer_list<const char*> models) {
     DemandUpdate update;
-    update.demands.push_back({"svc", model, "", 1, 1});
+    for (const char* model : models) {
+      update.demands.push_back({"svc", model, "", 1, 1});
+    }
     duties->demand(kGateway, update, now);
   }
   void answerReports() {
--- a/test/registry/leader_duties_test.cpp
+++ b/test/registry/leader_duties_test.cpp
@@ -112,6 +112,32 @@
   CHECK_EQUAL(1, count<SendOrder>());
 }
 
+/// Guards against a first leader that loads as though another had used the store before it.
+TEST(LeaderDutiesTest, theFirstLeaderOfACellBeginsWithTheBurstOfTheStore) {
+  state.apply(StoreOrderHolder{});
+  lead();
+  demandModels({"a", "b"});
+  runAnswering(300ms);
+  CHECK_EQUAL(2, count<SendOrder>());
+}
+
+TEST(LeaderDutiesTest, aLaterLeaderBeginsWithoutTheBurstOfTheStore) {
+  lead();
+  demandModels({"a", "b"});
+  runAnswering(900ms);
+  CHECK_EQUAL(1, count<SendOrder>());
+}
+
+/// Guards against the time in which nobody may order being lost to the store's rate.
+TEST(LeaderDutiesTest, theTimeWithoutOrdersBeforeATurnCountsForTheStoreRate) {
+  lead(now - 1s);
+  run(kLease);
+  CHECK_TRUE(state.orderHolder() == kFormer);
+  demandModels({"a", "b"});
+  runAnswering(600ms);
+  CHECK_EQUAL(2, count<SendOrder>());
+}
+
 TEST(LeaderDutiesTest, onceFormerOrdersAreOutOfDateAllWorkersAreRecordedAsItsOwn) {
   options.ordersFenced = false;
   state.apply(StoreOrderedWorkers{kFormer, 1, 1, {{"w1"}, {"w2"}}});
--- a/test/registry/store_rate_test.cpp
+++ b/test/registry/store_rate_test.cpp
@@ -3,6 +3,7 @@
 #include "registry/store_rate.h"
 
 #include <deque>
+#include <optional>
 #include <set>
 
 #include "walnut/base/random.h"
@@ -24,18 +25,21 @@
 }  // namespace
 
 TEST_GROUP(StoreRateTest) {
-  StoreRate store;
+  std::optional<StoreRate> store = StoreRate();
   base::TimePoint now = base::TimePoint(100s);
 
   /// Begins all loads that may begin at each step. @return how many did.
-  std::size_t run(base::Duration duration, std::size_t* mostInWindow = nullptr) {
-    std::deque<base::TimePoint> begun;
+  /// @param earlier those of the last window, of former leaders as well.
+  std::size_t run(base::Duration duration, std::size_t* mostInWindow = nullptr,
+                  std::deque<base::TimePoint>* earlier = nullptr) {
+    std::deque<base::TimePoint> own;
+    std::deque<base::TimePoint>& begun = earlier == nullptr ? own : *earlier;
     std::size_t count = 0;
     const base::TimePoint end = now + duration;
     for (; now < end; now += 20ms) {
-      store.setLimit(kPerSecond, kWindow, now);
-      while (store.allows()) {
-        store.taken();
+      store->setLimit(kPerSecond, kWindow, now);
+      while (store->allows()) {
+        store->taken();
         begun.push_back(now);
         ++count;
       }
@@ -51,7 +55,7 @@
 };
 
 TEST(StoreRateTest, noWindowHoldsMoreThanAllowedAfterARest) {
-  store.setLimit(kPerSecond, kWindow, now);
+  store->setLimit(kPerSecond, kWindow, now);
   now += 60s;
   std::size_t most = 0;
   run(30s, &most);
@@ -67,13 +71,13 @@
   constexpr double kLargeRate = 300;
   constexpr std::size_t kMostInLargeWindow = 1653;  // 300 a second for 5 s, a tenth more, and 3.
   std::multiset<base::TimePoint> begun;
-  store.setLimit(kLargeRate, kWindow, now);
+  store->setLimit(kLargeRate, kWindow, now);
   now += 60s;
   base::Random random(1);
   for (const base::TimePoint end = now + 20s; now < end; now += 1ms) {
-    store.setLimit(kLargeRate, kWindow, now);
-    while (store.allows()) {
-      store.taken();
+    store->setLimit(kLargeRate, kWindow, now);
+    while (store->allows()) {
+      store->taken();
       begun.insert(now + random.between(base::Duration::zero(), base::Duration(50ms)));
     }
   }
@@ -85,18 +89,62 @@
 }
 
 TEST(StoreRateTest, severalBeginAtOnceAfterARest) {
-  store.setLimit(kPerSecond, kWindow, now);
+  store->setLimit(kPerSecond, kWindow, now);
   now += 10s;
   CHECK_EQUAL(3, run(20ms));
 }
 
 TEST(StoreRateTest, aNewLeaderBeginsWithoutTheBurst) { CHECK_EQUAL(1, run(20ms)); }
 
+TEST(StoreRateTest, aLeaderThatHasNoPredecessorBeginsWithTheBurst) {
+  store.emplace(FormerLoads{std::nullopt});
+  std::size_t most = 0;
+  CHECK_EQUAL(3, run(20ms, &most));
+  run(30s, &most);
+  CHECK_TRUE(most <= kMostInWindow);
+}
+
+TEST(StoreRateTest, theTimeSinceTheLastLoadOfAPredecessorIsCounted) {
+  store.emplace(FormerLoads{now - 400ms});
+  CHECK_EQUAL(2, run(20ms));
+}
+
+TEST(StoreRateTest, aPredecessorWhoseOrdersMayStillArriveLeavesOneToken) {
+  store.emplace(FormerLoads{now + 300ms});
+  CHECK_EQUAL(1, run(20ms));
+}
+
+/// Guards against leaders that take the burst which their predecessor has used.
+TEST(StoreRateTest, noWindowHoldsMoreThanAllowedWhereLeadersFollowOneAnother) {
+  base::Random random(1);
+  std::deque<base::TimePoint> begun;
+  std::size_t most = 0;
+  FormerLoads former{std::nullopt};
+  for (int leader = 0; leader < 200; ++leader) {
+    store.emplace(former);
+    run(random.between(base::Duration(5s), base::Duration(20s)), &most, &begun);
+    former.endedAt = now;
+    now += random.between(base::Duration::zero(), base::Duration(3s));
+  }
+  CHECK_TRUE(most <= kMostInWindow);
+}
+
+/// Shows that the test before would see such leaders.
+TEST(StoreRateTest, leadersThatBeginWithTheBurstWithoutKnowingExceedTheWindow) {
+  std::deque<base::TimePoint> begun;
+  std::size_t most = 0;
+  for (int leader = 0; leader < 2; ++leader) {
+    store.emplace(FormerLoads{std::nullopt});
+    run(4s, &most, &begun);
+  }
+  CHECK_TRUE(most > kMostInWindow);
+}
+
 TEST(StoreRateTest, ordersWithoutAnAnswerKeepTheBurst) {
-  store.setLimit(kPerSecond, kWindow, now);
+  store->setLimit(kPerSecond, kWindow, now);
   now += 10s;
   for (int count = 0; count < 5; ++count) {
-    store.unclear(now);
+    store->unclear(now);
   }
   CHECK_EQUAL(1, run(20ms));
   now += 12s;
@@ -104,9 +152,9 @@
 }
 
 TEST(StoreRateTest, withoutARateNothingIsLimited) {
-  store.setLimit(0, kWindow, now);
+  store->setLimit(0, kWindow, now);
   for (int count = 0; count < 100; ++count) {
-    CHECK_TRUE(store.allows());
-    store.taken();
+    CHECK_TRUE(store->allows());
+    store->taken();
   }
 }
