simulator: callers that heed Retry-After; what no order of loads could have served

Beside the slow store's runs there are now the same ones with callers that heed it, and a lower bound of what must be left out (loads of one length, earliest deadline first, each request known). Replay lines name the kind.

--- a/programs/walnut-rehearse/serving.cpp
+++ b/programs/walnut-rehearse/serving.cpp
@@ -87,11 +87,11 @@
 
 /// @return true if it passed.
 template <class Result>
-bool print(std::uint64_t seed, const Result& result) {
+bool print(std::uint64_t seed, const char* kind, const Result& result) {
   std::cout << "seed " << seed << (result.passed() ? " passed" : " FAILED") << " "
             << result.description << "\n";
   if (!result.passed()) {
-    std::cout << "replay: walnut-rehearse serving --seeds " << seed << "\n";
+    std::cout << "replay: walnut-rehearse serving --only " << kind << " --seeds " << seed << "\n";
   }
   return result.passed();
 }
@@ -101,19 +101,23 @@
   const auto runs = [&only](const char* kind) { return only.empty() || only == kind; };
   bool passed = true;
   if (runs(kFailing)) {
-    passed = print(seed, simulator::runServingCampaign(seed)) && passed;
+    passed = print(seed, kFailing, simulator::runServingCampaign(seed)) && passed;
   }
   if (runs(kCrashing)) {
-    passed = print(seed, simulator::runCrashCampaign(seed, simulator::CrashLoad::light)) && passed;
+    passed =
+        print(seed, kCrashing, simulator::runCrashCampaign(seed, simulator::CrashLoad::light)) &&
+        passed;
   }
   if (runs(kBusy)) {
-    passed = print(seed, simulator::runCrashCampaign(seed, simulator::CrashLoad::busy)) && passed;
+    passed =
+        print(seed, kBusy, simulator::runCrashCampaign(seed, simulator::CrashLoad::busy)) && passed;
   }
   if (runs(kLimited)) {
-    passed = print(seed, simulator::runLimitCampaign(seed)) && passed;
+    passed = print(seed, kLimited, simulator::runLimitCampaign(seed)) && passed;
   }
   if (only == kSlowStore) {
-    passed = print(seed, simulator::runStoreCampaign(seed)) && passed;
+    passed = print(seed, kSlowStore, simulator::runStoreCampaign(seed)) && passed;
+    passed = print(seed, kSlowStore, simulator::runHeedingCallersCampaign(seed)) && passed;
   }
   return passed;
 }
--- a/src/registry/store_rate.cpp
+++ b/src/registry/store_rate.cpp
@@ -24,6 +24,10 @@
 
 }  // namespace
 
+double StoreRate::mostBegun(double perSecond, const StoreWindow& window, base::Duration duration) {
+  return burstOf(perSecond, window) + perSecond * seconds(duration);
+}
+
 void StoreRate::setLimit(double perSecond, const StoreWindow& window, base::TimePoint now) {
   perSecond_ = perSecond;
   burst_ = burstOf(perSecond, window);
--- a/src/registry/store_rate.h
+++ b/src/registry/store_rate.h
@@ -30,6 +30,9 @@
   StoreRate() = default;
   explicit StoreRate(const FormerLoads& former) : former_(former) {}
 
+  /// @return loads that may begin in that time from the first one on, if none began before.
+  static double mostBegun(double perSecond, const StoreWindow& window, base::Duration duration);
+
   /// @param perSecond 0: not limited.
   void setLimit(double perSecond, const StoreWindow& window, base::TimePoint now);
   bool allows() const;
--- a/src/simulator/serving_caller.h
+++ b/src/simulator/serving_caller.h
@@ -50,7 +50,10 @@
   ServingGateway* gateway = nullptr;
   std::function<void()> gone;
   bool begun = false;
+  base::TimePoint firstSentAt;  ///< Of its first try.
   base::TimePoint sentAt;
+  std::optional<base::Duration> retryAfter;  ///< That this try was refused with.
+  bool returns = false;                      ///< The try before was refused with one.
   bool over = false;
   bool answered = false;  ///< Also after it gave up.
 };
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -30,6 +30,8 @@
 /// After which a caller gives up a stream that does not begin.
 constexpr base::Duration kGivesUpAfter = std::chrono::milliseconds(2400);
 constexpr base::Duration kRetryPause = std::chrono::milliseconds(200);
+/// They wait for one part in so many of their time left, at most.
+constexpr int kShareOfTimeLeft = 3;
 constexpr std::uint64_t kLeastAsked = 4;
 /// @}
 
@@ -371,6 +373,7 @@
                      first.target = drawTarget();
                      first.retries = options_.retries;
                      first.counting = counting_;
+                     first.firstSentAt = scheduler_.now();
                      first.body = "body " + std::to_string(++lastBody_);
                      ServedCount& count = counts_[first.target];
                      count.firstAt = count.asked == 0 ? scheduler_.now() : count.firstAt;
@@ -423,6 +426,7 @@
   gateway.request(std::move(request), caller);
   scheduler_.after(kGivesUpAfter, [this, &caller, &gateway] {
     if (!caller.begun && !std::exchange(caller.over, true)) {
+      returns_.tries += caller.returns && caller.counting == counting_ ? 1 : 0;
       if (caller.crashing) {
         comeAgain(*caller.crashing);
       }
@@ -441,6 +445,10 @@
     comeAgain(*caller.crashing);
     return;
   }
+  if (caller.returns && caller.counting == counting_) {
+    ++returns_.tries;
+    returns_.served += served ? 1 : 0;
+  }
   if (served || caller.retries == 0) {
     count(caller, served);
     return;
@@ -451,7 +459,17 @@
   next.body = caller.body;
   next.retries = caller.retries - 1;
   next.counting = caller.counting;
-  scheduler_.after(kRetryPause, [this, next = std::move(next)] { send(next); });
+  next.firstSentAt = caller.firstSentAt;
+  next.returns = caller.retryAfter.has_value();
+  scheduler_.after(retryPause(caller), [this, next = std::move(next)] { send(next); });
+}
+
+base::Duration ServingFleet::retryPause(const Caller& caller) const {
+  if (!options_.callersHeedRetryAfter || !caller.retryAfter) {
+    return kRetryPause;
+  }
+  const base::Duration left = caller.firstSentAt + kTimeout - scheduler_.now();
+  return std::min(*caller.retryAfter, left / kShareOfTimeLeft);
 }
 
 void ServingFleet::count(const Caller& caller, bool served) {
@@ -474,6 +492,31 @@
   return names;
 }
 
+/// Loads of equal length, each with the time by which it must begin: earliest deadline first, and
+/// whatever then comes too late is left out, leaves out the fewest.
+std::size_t ServingFleet::leastNeverServed(base::Duration span) const {
+  const base::Duration stay = (options_.retries + 1) * (kGivesUpAfter + kRetryPause);
+  std::vector<base::TimePoint> deadlines;
+  for (const auto& [name, count] : counts_) {
+    const bool ofModel = splitTarget(name).second.empty();
+    if (ofModel && count.asked >= kLeastAsked && count.lastAt - count.firstAt >= span) {
+      deadlines.push_back(std::min(count.lastAt + stay, scheduler_.now()) -
+                          options_.worker.loadTime);
+    }
+  }
+  std::sort(deadlines.begin(), deadlines.end());
+  const registry::StoreWindow window{registryOptions_.storeWindow, registryOptions_.storeOvershoot};
+  std::size_t begun = 0;
+  std::size_t leftOut = 0;
+  for (const base::TimePoint deadline : deadlines) {
+    const double loads =
+        registry::StoreRate::mostBegun(options_.storeLoadsPerSecond, window, deadline - startedAt_);
+    const bool inTime = loads >= static_cast<double>(begun + 1);
+    ++(inTime ? begun : leftOut);
+  }
+  return leftOut;
+}
+
 double ServingFleet::servedShare() const {
   std::uint64_t over = 0;
   std::uint64_t served = 0;
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -33,6 +33,9 @@
   /// Share of the requests whose route may not be repeated.
   double unrepeatableShare = 0.2;
   std::uint32_t retries = 1;  ///< Of a caller.
+  /// Callers that are refused come back when they were told to, up to a third of their time left.
+  /// False: all come back after the same short pause.
+  bool callersHeedRetryAfter = false;
   /// A worker sends the head of its answer to a request that is about to crash it.
   bool crashingShowsHead = false;
   /// A plain service, without models: its requests are answered whole.
@@ -80,6 +83,16 @@
   std::uint64_t servedElsewhere = 0;  ///< Of models that another live worker served.
 };
 
+/// Tries that followed a refusal with a Retry-After, since counting began.
+struct ReturnAccount {
+  std::uint64_t tries = 0;
+  std::uint64_t served = 0;
+
+  double servedShare() const {
+    return tries == 0 ? 1 : static_cast<double>(served) / static_cast<double>(tries);
+  }
+};
+
 /// Requests that were refused as not run, since counting began.
 struct RefusalAccount {
   std::vector<base::Duration> after;  ///< For each, from its arrival at the gateway.
@@ -136,6 +149,7 @@
   /// @return arrivals at limited workers as a share of what their limits take.
   double limitUsed() const { return limitAccount_.used(scheduler_.now()); }
   const RefusalAccount& refusals() const { return refusals_; }
+  const ReturnAccount& returns() const { return returns_; }
   /// Messages about shares of limits that gateways sent to leaders.
   std::uint64_t shareQuestions() const { return shareQuestions_; }
   std::string describe(const LimitWindow& window) const;
@@ -145,11 +159,16 @@
   void countAnew() {
     counts_.clear();
     refusals_ = {};
+    returns_ = {};
     ++counting_;
   }
   /// @return the models and adapters that were asked for four times or more, over `span` or longer,
   /// and never served.
   std::vector<std::string> neverServed(base::Duration span) const;
+  /// @return how many of the models that `neverServed` would name no order of loads could have
+  /// served from the store, knowing all requests in advance: at least so many end after their last
+  /// caller has gone. Loads take no room here, and none is made twice.
+  std::size_t leastNeverServed(base::Duration span) const;
   /// @return the share of the requests that were served, of those that are over.
   double servedShare() const;
   /// @return orders for models that were accepted.
@@ -201,8 +220,9 @@
   std::string drawTarget();
   void send(const Caller& from);
   void ended(const Caller& caller, bool served);
+  base::Duration retryPause(const Caller& caller) const;
   void count(const Caller& caller, bool served);
-  void answered(const Caller& caller, const net::HttpResponse& response);
+  void answered(Caller& caller, const net::HttpResponse& response);
   void noteLimitedArrival(std::size_t gateway, const std::shared_ptr<ServingCall>& call,
                           const ServingWorker& worker);
   /// @return true if that machine was neither started, suspended nor cut off lately.
@@ -260,6 +280,7 @@
   std::uint64_t lastIncarnation_ = 0;
   LimitAccount limitAccount_;
   RefusalAccount refusals_;
+  ReturnAccount returns_;
   std::uint64_t shareQuestions_ = 0;
 };
 
--- a/src/simulator/serving_limits.cpp
+++ b/src/simulator/serving_limits.cpp
@@ -41,7 +41,7 @@
   call->onLimit = [this, id, life] { limitAccount_.told(id, life, scheduler_.now()); };
 }
 
-void ServingFleet::answered(const Caller& caller, const net::HttpResponse& response) {
+void ServingFleet::answered(Caller& caller, const net::HttpResponse& response) {
   constexpr int kTooManyRequests = 429;
   constexpr int kUnavailable = 503;
   const int status = response.head.status;
@@ -49,7 +49,12 @@
     return;
   }
   refusals_.after.push_back(scheduler_.now() - caller.sentAt);
-  refusals_.withoutRetryAfter += response.head.headers.find("Retry-After") == nullptr ? 1 : 0;
+  const std::string* retryAfter = response.head.headers.find("Retry-After");
+  refusals_.withoutRetryAfter += retryAfter == nullptr ? 1 : 0;
+  if (retryAfter != nullptr) {
+    caller.retryAfter = std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double>(std::stod(*retryAfter)));
+  }
 }
 
 base::Duration RefusalAccount::mostlyAfter() const {
--- a/src/simulator/store_campaign.cpp
+++ b/src/simulator/store_campaign.cpp
@@ -11,6 +11,12 @@
 /// Over which a model is asked for, to be counted.
 constexpr base::Duration kSpan = std::chrono::seconds(8);
 
+void play(ServingFleet& fleet) {
+  fleet.run(kCalm);
+  fleet.countAnew();
+  fleet.run(kTrouble);
+}
+
 }  // namespace
 
 ServingFleetOptions slowStoreFleet(std::uint64_t seed) {
@@ -25,18 +31,18 @@
 
 StoreCampaignResult runStoreCampaign(std::uint64_t seed) {
   ServingFleet fleet(slowStoreFleet(seed));
-  fleet.run(kCalm);
-  fleet.countAnew();
-  fleet.run(kTrouble);
+  play(fleet);
   StoreCampaignResult result;
   result.neverServed = fleet.neverServed(kSpan);
   result.served = fleet.servedShare();
   result.account = fleet.storeAccount();
+  result.leastNeverServed = fleet.leastNeverServed(kSpan);
   std::ostringstream text;
   text << "never-served=" << result.neverServed.size() << " served=" << result.served
        << " store-loads=" << result.account.loads
        << " of-what-a-disk-has=" << result.account.onDiskElsewhere
-       << " of-what-is-served=" << result.account.servedElsewhere;
+       << " of-what-is-served=" << result.account.servedElsewhere
+       << " unavoidable=" << result.leastNeverServed;
   for (const std::string& name : result.neverServed) {
     text << "\n  " << name << " " << fleet.describeLoads(name);
   }
@@ -44,4 +50,21 @@
   return result;
 }
 
+HeedingCallersResult runHeedingCallersCampaign(std::uint64_t seed) {
+  ServingFleetOptions options = slowStoreFleet(seed);
+  options.callersHeedRetryAfter = true;
+  ServingFleet fleet(options);
+  play(fleet);
+  HeedingCallersResult result;
+  result.neverServed = fleet.neverServed(kSpan);
+  result.served = fleet.servedShare();
+  result.returns = fleet.returns();
+  std::ostringstream text;
+  text << "heeding Retry-After: never-served=" << result.neverServed.size()
+       << " served=" << result.served << " returns=" << result.returns.tries
+       << " served-on-return=" << result.returns.servedShare();
+  result.description = text.str();
+  return result;
+}
+
 }  // namespace walnut::simulator
--- a/src/simulator/store_campaign.h
+++ b/src/simulator/store_campaign.h
@@ -19,12 +19,24 @@
   std::vector<std::string> neverServed;
   double served = 0;  ///< Share of the requests.
   StoreAccount account;
-  std::string description;  ///< With what became of each model that was never served.
+  std::size_t leastNeverServed = 0;  ///< See ServingFleet::leastNeverServed.
+  std::string description;           ///< With what became of each model that was never served.
+
+  bool passed() const { return neverServed.empty(); }
+};
+
+/// The same load from callers that come back when they are told to.
+struct HeedingCallersResult {
+  std::vector<std::string> neverServed;
+  double served = 0;
+  ReturnAccount returns;
+  std::string description;
 
   bool passed() const { return neverServed.empty(); }
 };
 
 /// The same seed gives the same result.
 StoreCampaignResult runStoreCampaign(std::uint64_t seed);
+HeedingCallersResult runHeedingCallersCampaign(std::uint64_t seed);
 
 }  // namespace walnut::simulator
--- a/test/simulator/serving_fleet_test.cpp
+++ b/test/simulator/serving_fleet_test.cpp
@@ -78,6 +78,21 @@
   checkEachIsServed(WorkerFault::none);
 }
 
+/// With a tenth of a load a second, four or five of 54 models can be loaded while they are asked
+/// for.
+TEST(ServingFleetTest, whatNoOrderOfLoadsCouldServeIsCounted) {
+  options.models = 54;
+  options.storeLoadsPerSecond = 0.1;
+  options.requestsPerSecond = 16;
+  ServingFleet fleet(options);
+  fleet.run(kCalm);
+  fleet.countAnew();
+  fleet.run(kTrouble);
+  const std::size_t least = fleet.leastNeverServed(kSpan);
+  CHECK_TRUE(least > 0);
+  CHECK_TRUE(least <= fleet.neverServed(kSpan).size());
+}
+
 TEST_GROUP(ServingCampaignTest){};
 
 TEST(ServingCampaignTest, besideWorkersThatFailInOverlappingEpisodesEachModelIsServed) {
