registry: when a cold model comes follows from the rate of the store too

Cause: the time that callers are told (late models, Retry-After) counted loads under way at once only. With ten models waiting for a store of 1.5 loads a second and 0.9 s each it said 1.8 s; the tenth load begins after 6 s.

Change: StoreRate and StoreScheduler tell when a load may begin that so many others precede; the outlook of a plan uses it.

SlowStoreTest.theRateOfTheStoreTellsWhenAModelComes failed before.

--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -113,8 +113,8 @@
   }
   const base::Duration load = round.spec(want.model)->storeLoadTime;
   if (outcome == WantOutcome::waitsForStore) {
-    const auto rounds = static_cast<std::int64_t>(storeQueue_++ / round.store().limit());
-    noteLate(round, want.model, round.store().expectedWait(round.now()) + (rounds + 1) * load);
+    noteLate(round, want.model,
+             round.store().expectedWait(round.now(), storeQueue_++, load) + load);
   } else {
     noteLate(round, want.model, load);
   }
--- a/src/registry/store_rate.cpp
+++ b/src/registry/store_rate.cpp
@@ -50,9 +50,14 @@
   refilledAt_ = now;
 }
 
-bool StoreRate::allows() const {
+base::Duration StoreRate::wait(std::size_t before) const {
   const double kept = std::min(burst_ - 1.0, static_cast<double>(unclear_.size()));
-  return perSecond_ <= 0 || tokens_ >= 1.0 + kept;
+  const double missing = 1.0 + kept + static_cast<double>(before) - tokens_;
+  if (perSecond_ <= 0 || missing <= 0) {
+    return base::Duration::zero();
+  }
+  const std::chrono::duration<double> wait(missing / perSecond_);
+  return std::max(base::Duration(1), std::chrono::duration_cast<base::Duration>(wait));
 }
 
 void StoreRate::taken() { tokens_ -= 1.0; }
--- a/src/registry/store_rate.h
+++ b/src/registry/store_rate.h
@@ -35,7 +35,9 @@
 
   /// @param perSecond 0: not limited.
   void setLimit(double perSecond, const StoreWindow& window, base::TimePoint now);
-  bool allows() const;
+  bool allows() const { return wait(0) == base::Duration::zero(); }
+  /// @return time from the last `setLimit` until a load may begin that so many others precede.
+  base::Duration wait(std::size_t before) const;
   void taken();
   void unclear(base::TimePoint now) { unclear_.push_back(now); }
 
@@ -48,7 +50,7 @@
   double burst_ = 1;
   double tokens_ = 0;
   std::optional<base::TimePoint> refilledAt_;  ///< Nothing: there was no limit yet.
-  std::deque<base::TimePoint> unclear_;  ///< Oldest first.
+  std::deque<base::TimePoint> unclear_;        ///< Oldest first.
 };
 
 }  // namespace walnut::registry
--- a/src/registry/store_scheduler.cpp
+++ b/src/registry/store_scheduler.cpp
@@ -69,6 +69,12 @@
                                : std::max(base::Duration::zero(), first - now);
 }
 
+base::Duration StoreScheduler::expectedWait(base::TimePoint now, std::size_t before,
+                                            base::Duration load) const {
+  const auto rounds = static_cast<std::int64_t>(before / concurrency_.limit());
+  return std::max(expectedWait(now) + rounds * load, rate_.wait(before));
+}
+
 void StoreScheduler::ordered(const WorkerId& worker, base::Duration declaredTime,
                              base::TimePoint now) {
   rate_.taken();
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -31,6 +31,8 @@
   std::size_t limit() const { return concurrency_.limit(); }
   /// @return time until a place is free, of the load that ends first; zero if one is free.
   base::Duration expectedWait(base::TimePoint now) const;
+  /// @return time until a load may begin that so many others wait before, each of that length.
+  base::Duration expectedWait(base::TimePoint now, std::size_t before, base::Duration load) const;
 
   /// @name The life of a load
   /// @{
--- a/test/registry/slow_store_test.cpp
+++ b/test/registry/slow_store_test.cpp
@@ -107,6 +107,23 @@
   STRCMP_EQUAL("other", steps[0].model.c_str());
 }
 
+/// Guards against callers that wait for a model which the rate of the store lets come long after
+/// they have gone.
+TEST(SlowStoreTest, theRateOfTheStoreTellsWhenAModelComes) {
+  const auto engine = engineOf({"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"});
+  for (const catalog::ModelSpec& model : engine.models) {
+    report(model.name.c_str(), 1, 1);
+  }
+  CHECK_EQUAL(1, plan(engine, {workerWithCopies("w", {}), workerWithCopies("w2", {})}).size());
+  // The ninth of those that wait begins after 6 s.
+  base::Duration last{0};
+  for (const ModelOutlook& outlook : policy.outlook()) {
+    last = std::max(last, outlook.availableIn);
+  }
+  CHECK_TRUE(last > 6s);
+  CHECK_TRUE(last < 8s);
+}
+
 TEST(SlowStoreTest, whatWasLoadedForCallersStaysUntilOneIsAnswered) {
   report("fresh", 0, 3);
   report("used", 0, 3);
--- a/test/registry/store_rate_test.cpp
+++ b/test/registry/store_rate_test.cpp
@@ -140,6 +140,16 @@
   CHECK_TRUE(most > kMostInWindow);
 }
 
+TEST(StoreRateTest, theWaitIsThatOfTheTokensThatAreMissing) {
+  CHECK_EQUAL(1, run(20ms));
+  const base::Duration first = store->wait(0);
+  CHECK_TRUE(first > 300ms && first <= 1s / kPerSecond);
+  CHECK_TRUE(store->wait(6) - first == 2s);
+  now += first;
+  store->setLimit(kPerSecond, kWindow, now);
+  CHECK_TRUE(store->allows());
+}
+
 TEST(StoreRateTest, ordersWithoutAnAnswerKeepTheBurst) {
   store->setLimit(kPerSecond, kWindow, now);
   now += 10s;
