simulator: which reports of crashes reached a leader, and when

The list's cause of besideManySuchRequestsNoOtherIsRefused, one missing report, could not be told from others.

--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -157,6 +157,9 @@
 
 void ServingFleet::logged(std::size_t /*gateway*/, runtime::LogEvent event,
                           std::initializer_list<runtime::EventField> fields) {
+  if (event == runtime::LogEvent::requestCut) {
+    noteCutLogged(fields);
+  }
   if (event != runtime::LogEvent::requestRefused) {
     return;
   }
@@ -175,6 +178,28 @@
   }
 }
 
+void ServingFleet::noteCutLogged(std::initializer_list<runtime::EventField> fields) {
+  std::string request;
+  std::string digest;
+  for (const runtime::EventField& field : fields) {
+    request = field.key == "request" ? std::string(field.value) : request;
+    digest = field.key == "digest" ? std::string(field.value) : digest;
+  }
+  bodiesByDigest_[digest] = bodies_[request];
+}
+
+void ServingFleet::noteReports(const registry::CutReport& report) {
+  for (const registry::RequestCut& cut : report.cuts) {
+    reportedAt_.try_emplace({bodiesByDigest_[cut.request.text()], cut.worker}, scheduler_.now());
+  }
+}
+
+std::string ServingFleet::describeReport(const CrashRecord& crash, const std::string& body) const {
+  const auto found = reportedAt_.find({body, crash.worker});
+  return found == reportedAt_.end() ? "never reported"
+                                    : "reported " + std::to_string(sinceStart(found->second)) + "s";
+}
+
 std::size_t ServingFleet::crashesOf(const std::string& body, base::TimePoint until) const {
   const auto isBody = [&body](const CrashRecord::Cut& cut) { return cut.body == body; };
   return static_cast<std::size_t>(
@@ -190,10 +215,11 @@
     const std::size_t then = crashesOf(cut.body, crash.at);
     if (cut.body == body) {
       text << " after " << std::chrono::duration_cast<std::chrono::milliseconds>(cut.age).count()
-           << "ms";
+           << "ms, " << describeReport(crash, body);
     } else if (cut.causes || then > 1) {
       text << " [" << cut.body << " " << then << " then, " << crashesOf(cut.body, refusedAt)
-           << " at the refusal, " << crashesOf(cut.body, base::kNever) << " in the end]";
+           << " at the refusal, " << crashesOf(cut.body, base::kNever) << " in the end"
+           << (cut.causes ? ", " + describeReport(crash, cut.body) : std::string()) << "]";
     }
   }
   return text.str();
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -317,6 +317,7 @@
     } else if (const auto* demand = std::get_if<registry::DemandUpdate>(&message)) {
       leader_->demand(connection, *demand, scheduler_.now());
     } else if (const auto* cuts = std::get_if<registry::CutReport>(&message)) {
+      noteReports(*cuts);
       leader_->cutsReported(*cuts, scheduler_.now());
     } else if (const auto* limits = std::get_if<registry::LimitReport>(&message)) {
       leader_->limitsReported(connection, *limits, scheduler_.now());
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -237,6 +237,10 @@
   void crash(std::size_t number, const registry::WorkerId& worker);
   void noteCrash(const ServingWorker& worker);
   /// @return at how many crashes it was cut.
+  /// @return when leaders were told that the request was cut at that crash, or that they were not.
+  std::string describeReport(const CrashRecord& crash, const std::string& body) const;
+  void noteCutLogged(std::initializer_list<runtime::EventField> fields);
+  void noteReports(const registry::CutReport& report);
   std::size_t crashesOf(const std::string& body, base::TimePoint until) const;
   std::string describeCrash(const CrashRecord& crash, const std::string& body,
                             base::TimePoint refusedAt) const;
@@ -275,6 +279,9 @@
   std::vector<CrashingRequest> crashing_;
   CrashAccount crashAccount_;
   std::vector<CrashRecord> crashes_;
+  std::map<std::string, std::string> bodiesByDigest_;  ///< Of those that were cut.
+  /// When a leader first heard that a request was cut, by its body, at a worker.
+  std::map<std::pair<std::string, registry::WorkerId>, base::TimePoint> reportedAt_;
   std::vector<RefusedInnocent> refused_;
   std::map<std::string, std::string> bodies_;  ///< By the id of a try.
   std::uint64_t lastIncarnation_ = 0;
