--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,7 +1,6 @@
 #pragma once
 /// @file
-/// HTTP server over Poco::Net::HTTPServer, a thread a connection. Measured at 500 open streams of
-/// 20 events a second: 19 MB and 2.4 ms to the first byte at the median (docs/DESIGN.md).
+/// HTTP server over Poco::Net::HTTPServer, a thread a connection (see docs/DESIGN.md).
 
 #include <Poco/AutoPtr.h>
 #include <Poco/Net/HTTPServer.h>
--- a/src/registry/crash_monitor.cpp
+++ b/src/registry/crash_monitor.cpp
@@ -22,9 +22,7 @@
 constexpr base::Duration kSettleFor = std::chrono::milliseconds(1800);
 /// Suspects below the limit run in turns of this length, half of them in each: those that come
 /// again together would be cut together again, and could not be told apart. As long as most
-/// requests stay at a worker, and no longer than gateways hold one. In 640 runs with up to four
-/// requests that crash workers beside many that queue there, 14 others were refused in place of 150
-/// by the least causes (CrashCover), turns and kSettleFor together.
+/// requests stay at a worker, and no longer than gateways hold one.
 constexpr base::Duration kTurn = std::chrono::seconds(2);
 /// After its last crash: callers are back by then. It bounds what gateways are told.
 constexpr base::Duration kTurnsLast = std::chrono::seconds(10);
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -52,9 +52,7 @@
 /// @}
 
 /// @return how much a load of a cold model brings: those who wait now and come next, for each
-/// request that was in vain, so that no model is put off again and again for busier ones. With a
-/// store slower than the demand (54 models, 120 seeds of 28 s) 234 models were never served in
-/// place of 317 by rate and age, and 0.781 of the requests served in place of 0.775.
+/// request that was in vain, so that no model is put off again and again for busier ones.
 double coldWorth(const DemandFigures& figures) {
   // A leader that is new has not heard of those that waited already.
   const std::uint32_t inVain = std::max(figures.unanswered, figures.waiting);
@@ -282,9 +280,7 @@
 }
 
 /// @return what it costs others that a model is taken from the store which a disk has: each model
-/// that waits for the store waits until its next load. In a run of 28 s with a store slower than
-/// the demand 25 loads of 1,000 were spent on such models in place of 46, and 0.798 of the requests
-/// were served in place of 0.782.
+/// that waits for the store waits until its next load.
 double PlacementPolicy::storeCost(const PlacementRound& round, const ModelSpec& model) const {
   if (round.replicas(model.name).copies == 0) {
     return 0;
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -104,7 +104,7 @@
 
 /// Running requests per replica, as a share of a worker's slots, from which another replica is
 /// added. Far below 1: reading the prompts of others makes pauses in a stream long before slots run
-/// out. From rounds at 0.07, 0.1, 0.15 and 0.22, see docs/DECISIONS.md.
+/// out. See docs/DECISIONS.md.
 constexpr double kScaleOutShare = 0.15;
 
 /// Wakes models and adapters that requests wait for, and keeps further replicas of busy models.
--- a/src/registry/placement_round.cpp
+++ b/src/registry/placement_round.cpp
@@ -10,8 +10,7 @@
 using catalog::ModelSpec;
 
 /// @name Cost of unloading a replica
-/// The figures come from rounds on the earlier deployments, those of last replicas from
-/// docs/DECISIONS.md.
+/// See docs/DECISIONS.md.
 /// @{
 /// Of a surplus one, and of the second last one.
 constexpr double kSurplusCost = 0.1;
@@ -38,8 +37,7 @@
 constexpr double kRecentUseCost = 1.0;
 constexpr base::Duration kRecentUse = std::chrono::seconds(10);
 /// That was loaded for callers of whom none has been answered yet, for each of them and at most,
-/// while they come: unloaded now, its load was for nothing. They count like requests that run. With
-/// a store slower than the demand 214 models were never served in place of 232 (120 runs of 28 s).
+/// while they come: unloaded now, its load was for nothing. They count like requests that run.
 constexpr double kUnansweredCost = 1.0;
 constexpr double kMaxUnansweredCost = 4.0;
 /// Whose next request would still be in time.
