--- a/src/simulator/serving_caller.h
+++ b/src/simulator/serving_caller.h
@@ -14,6 +14,11 @@
 /// Field of a request that crashes its workers: its number.
 inline constexpr const char* kCrashingField = "Crashing";
 
+/// After which a caller gives up a stream that does not begin.
+inline constexpr base::Duration kGivesUpAfter = std::chrono::milliseconds(2400);
+/// Until a caller comes back that does not heed Retry-After.
+inline constexpr base::Duration kRetryPause = std::chrono::milliseconds(200);
+
 /// One try of a caller.
 struct ServingFleet::Caller : net::ResponseSink {
   explicit Caller(ServingFleet& owner) : fleet(owner) {}
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -27,12 +27,8 @@
 /// @{
 constexpr base::Duration kTargetLatency = std::chrono::milliseconds(600);
 constexpr base::Duration kTimeout = std::chrono::seconds(15);
-/// After which a caller gives up a stream that does not begin.
-constexpr base::Duration kGivesUpAfter = std::chrono::milliseconds(2400);
-constexpr base::Duration kRetryPause = std::chrono::milliseconds(200);
 /// They wait for one part in so many of their time left, at most.
 constexpr int kShareOfTimeLeft = 3;
-constexpr std::uint64_t kLeastAsked = 4;
 /// @}
 
 const base::Error kConnectFailed{base::ErrorCode::connectFailed, "", ""};
@@ -480,52 +476,4 @@
   }
 }
 
-// What is seen
-
-std::vector<std::string> ServingFleet::neverServed(base::Duration span) const {
-  std::vector<std::string> names;
-  for (const auto& [name, count] : counts_) {
-    const bool counts = count.asked >= kLeastAsked && count.lastAt - count.firstAt >= span;
-    if (counts && count.served == 0) {
-      names.push_back(name);
-    }
-  }
-  return names;
-}
-
-/// Loads of equal length, each with the time by which it must begin: earliest deadline first, and
-/// whatever then comes too late is left out, leaves out the fewest.
-std::size_t ServingFleet::leastNeverServed(base::Duration span) const {
-  const base::Duration stay = (options_.retries + 1) * (kGivesUpAfter + kRetryPause);
-  std::vector<base::TimePoint> deadlines;
-  for (const auto& [name, count] : counts_) {
-    const bool ofModel = splitTarget(name).second.empty();
-    if (ofModel && count.asked >= kLeastAsked && count.lastAt - count.firstAt >= span) {
-      deadlines.push_back(std::min(count.lastAt + stay, scheduler_.now()) -
-                          options_.worker.loadTime);
-    }
-  }
-  std::sort(deadlines.begin(), deadlines.end());
-  const registry::StoreWindow window{registryOptions_.storeWindow, registryOptions_.storeOvershoot};
-  std::size_t begun = 0;
-  std::size_t leftOut = 0;
-  for (const base::TimePoint deadline : deadlines) {
-    const double loads =
-        registry::StoreRate::mostBegun(options_.storeLoadsPerSecond, window, deadline - startedAt_);
-    const bool inTime = loads >= static_cast<double>(begun + 1);
-    ++(inTime ? begun : leftOut);
-  }
-  return leftOut;
-}
-
-double ServingFleet::servedShare() const {
-  std::uint64_t over = 0;
-  std::uint64_t served = 0;
-  for (const auto& [name, count] : counts_) {
-    over += count.served + count.lost;
-    served += count.served;
-  }
-  return over == 0 ? 1 : static_cast<double>(served) / static_cast<double>(over);
-}
-
 }  // namespace walnut::simulator
