registry: a cold load goes to callers that will still be there at its end

What callers saw: beside a store slower than the demand, models were loaded for callers that left during the load, while others that could have been served waited and left in turn; some models were never served.

Cause: the order of cold models counted every waiting request alike, and the decaying rate put the youngest caller first, so an older caller was overtaken by each newcomer until it had left.

Evidence: forced orders of events (SlowStoreOrderTest) on: theStoreLoadsAModelWhoseCallerWillStillWaitAtTheEnd loads "leaving" in place of "staying", aWaitingCallerComesBeforeManyThatHaveLeft loads "left", ofTwoCallersInTimeTheOneThatLeavesFirstIsServedFirst and aCallerIsNotOvertakenByLaterOnesUntilItLeaves leave the older one unserved. All four pass with this change.

Change: a model's waiting requests count only if its latest caller would still wait at the end of the load, by the same patience by which gateways refuse (now catalog/caller_timeout.h); among similar models the one whose callers leave first comes first. Where loads take longer than callers wait, or arrivals are unknown to a new leader, the order is the former one.

--- a/src/gateway/exchange_wait.cpp
+++ b/src/gateway/exchange_wait.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gateway/exchange.h"
+#include "walnut/catalog/caller_timeout.h"
 
 namespace walnut::gateway {
 
@@ -23,13 +24,6 @@
 /// before it is sent to one of them: a load from disk takes 1 to 2 s, and callers abandon a stream
 /// that has not begun after 2 s at the earliest.
 constexpr base::Duration kReplicaWaitTimeout = std::chrono::milliseconds(1900);
-/// @name Time after which callers on the users' platform abandon a stream that has not begun: the
-/// longest of the three
-/// @{
-constexpr base::Duration kMinCallerTimeout = std::chrono::seconds(2);
-constexpr int kCallerTimeoutInTargets = 4;
-constexpr int kCallerTimeoutInGaps = 8;
-/// @}
 /// Without workers, or without a leader that could grant a share of a limit, a request waits for
 /// this fraction (1/n) of its target latency.
 constexpr int kShortWaitDivisor = 4;
@@ -157,10 +151,8 @@
   if (!isStreaming()) {
     return deadline_;
   }
-  const base::Duration timeout =
-      std::max({kMinCallerTimeout, kCallerTimeoutInTargets * route_.targetLatency,
-                kCallerTimeoutInGaps * route_.targetGap});
-  return std::min(deadline_, arrivedAt_ + timeout);
+  return std::min(deadline_,
+                  arrivedAt_ + catalog::callerTimeout(route_.targetLatency, route_.targetGap));
 }
 
 /// Refuses a request whose caller would disconnect before the model is loaded. Retry-After says
--- /dev/null
+++ b/src/registry/cold_load_benefit.cpp
@@ -0,0 +1,41 @@
+#include "registry/cold_load_benefit.h"
+
+#include <algorithm>
+
+#include "walnut/catalog/caller_timeout.h"
+
+namespace walnut::registry {
+
+namespace {
+
+/// Time between the decision to load and the start of the load, and between its end and the first
+/// answer.
+constexpr base::Duration kOverhead = std::chrono::milliseconds(100);
+/// Benefit of the last load that still serves the callers that wait; a load that they could wait
+/// for longer has less.
+constexpr double kLastChanceBenefit = 0.6;
+
+double seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+}  // namespace
+
+double coldLoadBenefit(const DemandFigures& figures, base::Duration loadTime, base::TimePoint now) {
+  // A new leader has received no counts of the requests that were already waiting.
+  const std::uint32_t unservedCount = std::max(figures.unservedRequests, figures.waiting);
+  const base::Duration timeout =
+      catalog::callerTimeout(figures.targetLatency, base::Duration::zero());
+  const base::Duration needed = loadTime + kOverhead;
+  const bool isArrivalKnown = figures.lastArrival != base::TimePoint();
+  if (needed > timeout || !isArrivalKnown) {
+    // No caller waits that long, or it is unknown for how long; those that wait show the demand.
+    return unservedCount * (figures.rate + figures.waiting);
+  }
+  const base::Duration spare = figures.lastArrival + timeout - (now + needed);
+  if (figures.waiting == 0 || spare < base::Duration::zero()) {
+    return unservedCount * figures.rate;
+  }
+  const double lastChance = std::clamp(1.0 - seconds(spare) / seconds(timeout), 0.0, 1.0);
+  return unservedCount * (figures.rate + figures.waiting) + kLastChanceBenefit * lastChance;
+}
+
+}  // namespace walnut::registry
--- /dev/null
+++ b/src/registry/cold_load_benefit.h
@@ -0,0 +1,15 @@
+#pragma once
+/// @file
+/// The benefit of loading a model that no worker serves, by which such models are ordered.
+
+#include "registry/demand_book.h"
+
+namespace walnut::registry {
+
+/// @return the benefit of a load that starts now: the requests that wait until its end and those to
+/// be expected, multiplied by the number of unserved ones, so that busier models can't put it off
+/// again and again. Among similar models the one whose callers leave first has the highest benefit.
+/// @param loadTime duration of the load.
+double coldLoadBenefit(const DemandFigures& figures, base::Duration loadTime, base::TimePoint now);
+
+}  // namespace walnut::registry
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "registry/cold_load_benefit.h"
 #include "registry/placement_round.h"
 
 namespace walnut::registry {
@@ -51,14 +52,6 @@
 constexpr base::Duration kStarvedRequestGap = std::chrono::seconds(10);
 /// @}
 
-/// @return the benefit of loading a cold model: the waiting and expected requests, multiplied by
-/// the number of unserved ones, so that busier models can't put it off again and again.
-double coldLoadBenefit(const DemandFigures& figures) {
-  // A new leader has received no counts of the requests that were already waiting.
-  const std::uint32_t unservedCount = std::max(figures.unservedRequests, figures.waiting);
-  return unservedCount * (figures.rate + figures.waiting);
-}
-
 double seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 }  // namespace
@@ -174,7 +167,9 @@
     if (figures.waiting == 0 && lateModels_.count(model) == 0 && !isStarved) {
       return std::nullopt;
     }
-    return Candidate{coldLoadBenefit(figures), model, PlacementReason::cold};
+    const ModelSpec& spec = *round.spec(model);
+    const base::Duration load = replicas.copies > 0 ? spec.diskLoadTime : spec.storeLoadTime;
+    return Candidate{coldLoadBenefit(figures, load, round.now()), model, PlacementReason::cold};
   }
   const double replicasBeingLoaded = static_cast<double>(replicas.present - replicas.serving);
   const double excessQueue =
--- /dev/null
+++ b/test/registry/slow_store_order_test.cpp
@@ -0,0 +1,125 @@
+/// Tests the order of loads from a store that is slower than the demand, by scripts that force the
+/// order of requests, reports, tokens of the store, forecasts, refusals and returns. In the pattern
+/// of SlowStoreTest a caller waits 2.4 s, a load takes 0.9 s and the store takes one each 0.67 s.
+
+#include "registry/placement.h"
+#include "registry/placement_fixture.h"
+#include "registry/scripted_store.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace walnut::registry::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::Duration kTokenInterval = 670ms;
+
+catalog::EngineSpec engineOf(std::initializer_list<const char*> models) {
+  catalog::EngineSpec engine;
+  engine.slots = 8;
+  engine.weightsMegabytes = 30;
+  engine.adapterSlots = 4;
+  engine.storeLoadsPerSecond = ScriptedStore::kLoadsPerSecond;
+  catalog::ModelSpec model;
+  model.weightsMegabytes = 10;
+  model.storeLoadTime = ScriptedStore::kLoadTime;
+  model.diskLoadTime = ScriptedStore::kLoadTime;
+  model.memoryLoadTime = ScriptedStore::kLoadTime;
+  return withModels(engine, model, models);
+}
+
+/// @return a worker that holds these models in memory and on its disk.
+PlacementWorker workerWithCopies(const char* id, std::initializer_list<const char*> models) {
+  PlacementWorker worker = workerWith(id, models);
+  worker.holdings.onDisk.assign(models.begin(), models.end());
+  return worker;
+}
+
+}  // namespace
+
+TEST_GROUP(SlowStoreOrderTest) {
+  base::TimePoint now = base::TimePoint(100s);
+  PlacementPolicy policy{"svc"};
+  StoreScheduler store;
+  DemandBook demand;
+  std::map<std::string, std::uint64_t> gateways;
+
+  /// Reports the requests for a model; it replaces the last report of those that wait.
+  void report(const std::string& model, std::uint32_t waiting, std::uint32_t arrivals,
+              std::uint32_t answered = 0) {
+    DemandUpdate update;
+    update.demands.push_back({"svc", model, "", waiting, arrivals, 0, 600ms, answered, 0});
+    const auto gateway = gateways.try_emplace(model, gateways.size() + 1).first->second;
+    demand.update({gateway}, update, now);
+  }
+  std::vector<PlacementStep> plan(const catalog::EngineSpec& engine,
+                                  const std::vector<PlacementWorker>& workers) {
+    store.setLimit(engine.storeLoadsPerSecond, {}, now);
+    return policy.plan(engine, workers, demand, store, now);
+  }
+  /// Uses the token that a store has at first.
+  void useToken() {
+    store.setLimit(ScriptedStore::kLoadsPerSecond, {}, now);
+    store.recordOrdered({"elsewhere"}, ScriptedStore::kLoadTime, now);
+  }
+  /// @return the models loaded from the store by these steps, each followed by a space.
+  static std::string storeLoads(const std::vector<PlacementStep>& steps) {
+    std::string models;
+    for (const PlacementStep& step : steps) {
+      models += step.fromStore ? step.model + " " : "";
+    }
+    return models;
+  }
+};
+
+/// model's caller would still have been there.
+TEST(SlowStoreOrderTest, theStoreLoadsAModelWhoseCallerWillStillWaitAtTheEnd) {
+  useToken();
+  report("leaving", 1, 3);
+  now += 2s;
+  report("staying", 1, 1);
+  const auto steps = plan(engineOf({"leaving", "staying"}), {workerWithCopies("w", {})});
+  STRCMP_EQUAL("staying ", storeLoads(steps).c_str());
+}
+
+/// model's caller waits.
+TEST(SlowStoreOrderTest, aWaitingCallerComesBeforeManyThatHaveLeft) {
+  useToken();
+  for (int request = 0; request < 5; ++request) {
+    report("left", 0, 1);
+    now += 1500ms;
+  }
+  now += 3s;
+  report("waited-for", 1, 1);
+  const auto steps = plan(engineOf({"left", "waited-for"}), {workerWithCopies("w", {})});
+  STRCMP_EQUAL("waited-for ", storeLoads(steps).c_str());
+}
+
+/// the store could serve both in time.
+TEST(SlowStoreOrderTest, ofTwoCallersInTimeTheOneThatLeavesFirstIsServedFirst) {
+  ScriptedStore script(4);
+  for (const char* model : {"first", "first", "second", "second"}) {
+    script.call(model, 0ms);
+  }
+  const std::size_t older = script.call("older", 0ms);
+  const std::size_t younger = script.call("younger", 1200ms);
+  script.run(5s);
+  CHECK_TRUE(script.callers()[older].servedAt.has_value());
+  CHECK_TRUE(script.callers()[younger].servedAt.has_value());
+}
+
+/// the older one until it has left.
+TEST(SlowStoreOrderTest, aCallerIsNotOvertakenByLaterOnesUntilItLeaves) {
+  ScriptedStore script(4);
+  script.call("first", 0ms);
+  const std::size_t older = script.call("older", 50ms);
+  for (int later = 0; later < 4; ++later) {
+    script.call("later" + std::to_string(later), 600ms + later * kTokenInterval);
+  }
+  script.run(8s);
+  CHECK_TRUE(script.callers()[older].servedAt.has_value());
+}
