registry: a loaded model is kept until its refused callers can return

What callers saw: a model was loaded from the slow store, unloaded before anybody asked for it again, and its next callers found nothing: after 36 s they had never been served.

Cause: the cost of unloading a model that has answered nobody since its load ended 10 s after its last request. Models that are seldom asked for, whose callers had been refused, lost their place just before the next one came.

Change: unserved requests count as long as DemandBook remembers them, 20 s after the last one.

--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -161,7 +161,8 @@
     figures.priority = found->second.priority;
     figures.targetLatency = found->second.targetLatency;
     const base::TimePoint since = found->second.unservedSince;
-    figures.unservedRequests = found->second.unservedRequests;
+    figures.unservedRequests =
+        now < figures.lastArrival + kUnservedMemory ? found->second.unservedRequests : 0;
     figures.unservedTime = since == base::TimePoint() ? base::Duration::zero() : now - since;
   }
   return figures;
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -35,7 +35,8 @@
   base::Duration targetLatency{0};
   /// Time since the first request after the last answer; 0 if the last request was answered.
   base::Duration unservedTime{0};
-  /// Requests since the last answer, or since the last long pause between requests.
+  /// Requests since the last answer, or since the last long pause between requests; 0 during such
+  /// a pause.
   std::uint32_t unservedRequests = 0;
 };
 
--- a/src/registry/placement_round.cpp
+++ b/src/registry/placement_round.cpp
@@ -37,9 +37,8 @@
 constexpr double kLateReloadRateCost = 5.0;
 constexpr double kRecentUseCost = 1.0;
 constexpr base::Duration kRecentUse = std::chrono::seconds(10);
-/// Cost for each request that was not answered since the load, and its maximum, while requests keep
-/// coming: if the model were unloaded now, its load would be wasted. The values are those of
-/// running requests.
+/// Cost for each request that was not answered since the load, and its maximum: if the model were
+/// unloaded now, its load would be wasted. The values are those of running requests.
 constexpr double kUnservedRequestCost = 1.0;
 constexpr double kMaxUnservedRequestCost = 4.0;
 /// Cost if the next request would still be in time, and for each arrival per second.
@@ -243,9 +242,7 @@
     return kWaitedForCost;
   }
   const double unservedCost =
-      isRecent
-          ? std::min(kUnservedRequestCost * modelDemand.unservedRequests, kMaxUnservedRequestCost)
-          : 0;
+      std::min(kUnservedRequestCost * modelDemand.unservedRequests, kMaxUnservedRequestCost);
   const bool isOnDisk = contains(worker.holdings.onDisk, model);
   const bool hasOtherCopy = replicas(model).copies > 1;
   const double urgency = std::pow(kPriorityFactor, modelDemand.priority);
--- a/test/registry/slow_store_order_test.cpp
+++ b/test/registry/slow_store_order_test.cpp
@@ -123,3 +123,24 @@
   script.run(8s);
   CHECK_TRUE(script.callers()[older].servedAt.has_value());
 }
+
+/// the next one comes, for a model that could take the place of one that has answered.
+TEST(SlowStoreOrderTest, aModelLoadedForRefusedCallersIsKeptForTheNextOne) {
+  const auto engine = engineOf({"fresh", "used1", "used2", "new"});
+  report("used1", 0, 3);
+  report("used1", 0, 0, 1);
+  report("used2", 0, 3);
+  report("used2", 0, 0, 1);
+  report("fresh", 0, 2);
+  report("fresh", 0, 2);
+  now += 10s;
+  // It was loaded this moment. The others were used since, about as often.
+  report("used1", 0, 1, 1);
+  report("used2", 0, 1, 1);
+  now += 50ms;
+  report("new", 1, 1);
+  const auto steps = plan(engine, {workerWithCopies("w", {"fresh", "used1", "used2"})});
+  CHECK_EQUAL(1, steps.size());
+  CHECK_TRUE(steps[0].operation == OrderOperation::unload);
+  CHECK_TRUE(steps[0].model != "fresh");
+}
