registry: while models without a copy are unserved, copies come from disks

What callers saw: a model that a live worker had on its disk was loaded from the slow store all the same, and a model that nobody had lost its turn; some were never served.

Cause: the price of such a load counted only models that the store had refused in the previous plan. Models for which room was being made, or whose callers had been refused a moment ago, did not count, so the price was 0.

SlowStoreOrderTest: aModelWhose- CallerJustLeftCountsInThePriceOfTheStore, aModelForWhichRoomIsBeingMade- CountsInThePriceOfTheStore and aSpareReplicaLeavesTheStoreToAModelForWhich- RoomIsBeingMade failed before.

Change: while a model with unserved requests has no copy on any live worker, and the store's burst is not unused, a cold or spare replica of a model with a copy is not loaded from the store, unless the workers that have it can't make room. Replicas for a queue are loaded as before.

--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -32,6 +32,9 @@
 /// Least number of requests queued at a model's workers that counts as a queue. A single one may
 /// only be a late notification.
 constexpr double kMinQueuedRequests = 2.0;
+/// Cost in seconds of a load from the store, while models without a copy wait for it, of a model
+/// that a worker could load from its disk instead. Only a worker that can't make room costs more.
+constexpr double kCopiedModelStoreCost = 30.0;
 /// Time between the end of an order and the acceptance of the next: notification and planning.
 constexpr double kOrderGapSeconds = 0.1;
 
@@ -75,6 +78,7 @@
     return postponed.count(candidate.model) != 0;
   });
   dropOutdatedDecisions(candidates);
+  storeIsScarce_ = !store.hasFullBurst() && round.hasUnservedModelWithoutCopy();
   for (const Candidate& candidate : candidates) {
     placeReplica(round, candidate);
   }
@@ -292,10 +296,14 @@
 
 /// @return the cost to other models of loading from the store a model that some disk already has:
 /// each model that waits for the store waits one load longer.
-double PlacementPolicy::storeCost(const PlacementRound& round, const ModelSpec& model) const {
+double PlacementPolicy::storeCost(const PlacementRound& round, const ModelSpec& model,
+                                  PlacementReason reason) const {
   if (round.replicas(model.name).copies == 0) {
     return 0;
   }
+  if (storeIsScarce_ && reason != PlacementReason::queueing) {
+    return kCopiedModelStoreCost;
+  }
   const double perSecond = round.engine().storeLoadsPerSecond;
   const double concurrentLoads =
       static_cast<double>(std::max<std::size_t>(1, round.store().limit()));
@@ -311,7 +319,7 @@
   const ModelSpec& model = *round.spec(name);
   const bool needsFreeWorker = candidate.reason == PlacementReason::queueing;
   const double storeWait =
-      seconds(round.store().expectedWait(round.now())) + storeCost(round, model);
+      seconds(round.store().expectedWait(round.now())) + storeCost(round, model, candidate.reason);
   const auto reservation = reservations_.find(name);
   Choice best;
   for (const PlacementWorker& worker : round.workers()) {
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -176,7 +176,8 @@
   void dropOutdatedDecisions(const std::vector<Candidate>& candidates);
   Choice choose(PlacementRound& round, const Candidate& candidate) const;
   static bool isFree(const PlacementRound& round, const PlacementWorker& worker);
-  double storeCost(const PlacementRound& round, const catalog::ModelSpec& model) const;
+  double storeCost(const PlacementRound& round, const catalog::ModelSpec& model,
+                   PlacementReason reason) const;
   double blockCost(const PlacementRound& round, base::Duration duration) const;
   void orderFirstStep(PlacementRound& round, const std::string& model, const Choice& choice);
   void placeAdapters(PlacementRound& round) const;
@@ -196,6 +197,8 @@
   /// Loads of cold models from the store that could not be started, in this run and the previous.
   std::size_t storeQueue_ = 0;
   std::size_t previousStoreQueue_ = 0;
+  /// In this run, whether a load from the store would be missing for a model without a copy.
+  bool storeIsScarce_ = false;
   /// The last recorded decision on each model that should get another replica, by model.
   std::map<std::string, std::pair<PlacementReason, PlacementOutcome>> lastDecisions_;
 };
--- a/src/registry/placement_round.cpp
+++ b/src/registry/placement_round.cpp
@@ -150,6 +150,14 @@
   return demand_.figures({service_, model, adapter}, now_);
 }
 
+bool PlacementRound::hasUnservedModelWithoutCopy() const {
+  return std::any_of(engine_.models.begin(), engine_.models.end(), [this](const ModelSpec& model) {
+    const DemandFigures modelDemand = figures(model.name);
+    const bool isUnserved = modelDemand.unservedRequests > 0 || modelDemand.waiting > 0;
+    return isUnserved && replicas(model.name).copies == 0;
+  });
+}
+
 bool PlacementRound::canOrder(const PlacementWorker& worker) const {
   return worker.canTakeOrders && worker.serving && ordered_.count(worker.id) == 0;
 }
--- a/src/registry/store_rate.h
+++ b/src/registry/store_rate.h
@@ -39,6 +39,8 @@
   bool allows() const { return wait(0) == base::Duration::zero(); }
   /// @return time from the last `setLimit` until a load may start that comes after `before` others.
   base::Duration wait(std::size_t before) const;
+  /// @return true if no load was started for so long that the next token would be lost.
+  bool hasFullBurst() const { return perSecond_ <= 0 || tokens_ >= burst_; }
   void recordStart();
   void recordUnclear(base::TimePoint now) { unclearOrders_.push_back(now); }
 
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -33,6 +33,8 @@
 
   /// @return true if a load may start now.
   bool allows() const { return rate_.allows() && loadsInProgress() < concurrency_.limit(); }
+  /// @return true if the rate limit has been unused for some time.
+  bool hasFullBurst() const { return rate_.hasFullBurst(); }
   std::size_t loadsInProgress() const { return loads_.size() + previousLeaderLoads_; }
   std::size_t limit() const { return concurrency_.limit(); }
   /// @return zero if a load may start now, otherwise the time until the first load is expected to
--- a/test/registry/slow_store_order_test.cpp
+++ b/test/registry/slow_store_order_test.cpp
@@ -39,6 +39,16 @@
   return worker;
 }
 
+/// @return a worker that is busy for that long and has the model on its disk.
+PlacementWorker busyWorkerWithCopy(const char* model, base::Duration busyFor) {
+  PlacementWorker worker = workerWithCopies("busy", {});
+  worker.holdings.onDisk = {model};
+  worker.canTakeOrders = false;
+  worker.loadingModel = "x";
+  worker.remainingOrderTime = busyFor;
+  return worker;
+}
+
 }  // namespace
 
 TEST_GROUP(SlowStoreOrderTest) {
@@ -76,6 +86,7 @@
   }
 };
 
+/// Guards against a load that ends after the last caller of its model has left, while another
 /// model's caller would still have been there.
 TEST(SlowStoreOrderTest, theStoreLoadsAModelWhoseCallerWillStillWaitAtTheEnd) {
   useToken();
@@ -86,6 +97,7 @@
   STRCMP_EQUAL("staying ", storeLoads(steps).c_str());
 }
 
+/// Guards against a load for callers that were refused and have left for good, while another
 /// model's caller waits.
 TEST(SlowStoreOrderTest, aWaitingCallerComesBeforeManyThatHaveLeft) {
   useToken();
@@ -99,6 +111,7 @@
   STRCMP_EQUAL("waited-for ", storeLoads(steps).c_str());
 }
 
+/// Guards against an order of the youngest caller first, in which an older caller leaves although
 /// the store could serve both in time.
 TEST(SlowStoreOrderTest, ofTwoCallersInTimeTheOneThatLeavesFirstIsServedFirst) {
   ScriptedStore script(4);
@@ -112,6 +125,7 @@
   CHECK_TRUE(script.callers()[younger].servedAt.has_value());
 }
 
+/// Guards against the same order while callers of other models keep coming: each of them overtakes
 /// the older one until it has left.
 TEST(SlowStoreOrderTest, aCallerIsNotOvertakenByLaterOnesUntilItLeaves) {
   ScriptedStore script(4);
@@ -124,6 +138,87 @@
   CHECK_TRUE(script.callers()[older].servedAt.has_value());
 }
 
+/// Guards against a load that another disk could do, while a model without any copy has had its
+/// caller leave a moment ago and isn't counted among those that need the store.
+TEST(SlowStoreOrderTest, aModelWhoseCallerJustLeftCountsInThePriceOfTheStore) {
+  const auto engine = engineOf({"copied", "cold1", "cold2", "cold3", "cold4", "x"});
+  const std::vector<PlacementWorker> workers = {busyWorkerWithCopy("copied", 2s),
+                                                workerWithCopies("idle", {})};
+  for (const char* model : {"cold1", "cold2", "cold3", "cold4"}) {
+    report(model, 1, 1);
+  }
+  now += ScriptedStore::kPatience;
+  for (const char* model : {"cold1", "cold2", "cold3", "cold4"}) {
+    report(model, 0, 0);
+  }
+  useToken();
+  CHECK_TRUE(plan(engine, workers).empty());
+  now += kTokenInterval;
+  report("copied", 1, 9);
+  const std::string loads = storeLoads(plan(engine, workers));
+  CHECK_TRUE(loads != "copied ");
+}
+
+/// The same with models that were announced as late, whose callers were refused.
+TEST(SlowStoreOrderTest, aLateModelCountsInThePriceOfTheStore) {
+  const auto engine = engineOf({"copied", "m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "x"});
+  const std::vector<PlacementWorker> workers = {busyWorkerWithCopy("copied", 2s),
+                                                workerWithCopies("idle", {})};
+  useToken();
+  for (int model = 0; model < 8; ++model) {
+    report("m" + std::to_string(model), 1, 1);
+  }
+  plan(engine, workers);
+  for (int model = 0; model < 8; ++model) {
+    report("m" + std::to_string(model), 0, 0);
+  }
+  now += 100ms;
+  plan(engine, workers);
+  now += kTokenInterval;
+  report("copied", 1, 9);
+  const std::string loads = storeLoads(plan(engine, workers));
+  CHECK_TRUE(loads != "copied ");
+}
+
+/// Guards against a load that another disk could do soon, while a model without any copy has its
+/// room being made: it doesn't wait for the store in that moment, but needs its next load.
+TEST(SlowStoreOrderTest, aModelForWhichRoomIsBeingMadeCountsInThePriceOfTheStore) {
+  const auto engine = engineOf({"cold", "copied", "a", "b", "c", "x"});
+  PlacementWorker full = workerWithCopies("full", {"a", "b", "c"});
+  // It has room, but is so busy that the cold model goes to the other.
+  PlacementWorker roomy = workerWithCopies("roomy", {"x"});
+  roomy.running = 8;
+  const PlacementWorker holder = busyWorkerWithCopy("copied", 1200ms);
+  report("cold", 1, 5);
+  const auto first = plan(engine, {full, roomy, holder});
+  CHECK_EQUAL(1, first.size());
+  STRCMP_EQUAL("full", first[0].worker.value.c_str());
+  full.unloadingModel = first[0].model;
+  full.canTakeOrders = false;
+  full.remainingOrderTime = 50ms;
+  now += 20ms;
+  report("copied", 1, 1);
+  STRCMP_EQUAL("", storeLoads(plan(engine, {full, roomy, holder})).c_str());
+}
+
+/// Guards against a spare replica that takes the store's load while the only workers that can make
+/// room for a cold model are still unloading for it.
+TEST(SlowStoreOrderTest, aSpareReplicaLeavesTheStoreToAModelForWhichRoomIsBeingMade) {
+  const auto engine = engineOf({"popular", "cold", "a", "b", "c", "x"});
+  PlacementWorker holder = workerWithCopies("holder", {"popular"});
+  holder.canLoadModels = false;
+  // It has room, but is so busy that the cold model goes to the other.
+  PlacementWorker roomy = workerWithCopies("roomy", {"x"});
+  roomy.running = 8;
+  report("popular", 0, 30, 1);
+  report("cold", 1, 1);
+  const auto steps = plan(engine, {workerWithCopies("full", {"a", "b", "c"}), holder, roomy});
+  CHECK_TRUE(!steps.empty());
+  CHECK_TRUE(steps[0].operation == OrderOperation::unload);
+  STRCMP_EQUAL("", storeLoads(steps).c_str());
+}
+
+/// Guards against a load that is wasted: its callers were refused, and the model makes room before
 /// the next one comes, for a model that could take the place of one that has answered.
 TEST(SlowStoreOrderTest, aModelLoadedForRefusedCallersIsKeptForTheNextOne) {
   const auto engine = engineOf({"fresh", "used1", "used2", "new"});
