registry: the store's burst is what the rate leaves of the whole window

Cause: of the three loads that a window may hold beyond the rate and its overshoot the bucket kept one back for safety, and models were never served for want of it. Change: starts are whole numbers, so the burst is the allowed number, rounded down, less what the rate adds in a window and the order jitter; with a successor's first token that stays below one load more. At 1.5 loads/s the burst is 3.42 in place of 2.67, at 3/s 3.85 in place of 3.35, and nowhere smaller (at least 2, as before). The rate itself is the same.

--- a/src/registry/store_rate.cpp
+++ b/src/registry/store_rate.cpp
@@ -1,6 +1,7 @@
 #include "registry/store_rate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace walnut::registry {
 
@@ -8,8 +9,10 @@
 
 /// Variation of the delay between the order of a load and its start.
 constexpr base::Duration kOrderJitter = std::chrono::milliseconds(50);
-/// Loads that a window may contain beyond the rate and its overshoot, less one for safety.
-constexpr double kBurstBeyondOvershoot = 2.0;
+/// Loads that a window may contain beyond the rate and its overshoot.
+constexpr double kLoadsBeyondOvershoot = 3.0;
+/// Least burst, so that a high rate without overshoot is used although plans come at intervals.
+constexpr double kMinBurst = 2.0;
 /// Tokens at the end of previous leaders' loads, which may have used up the burst.
 constexpr double kTokensAfterPreviousLeaders = 1.0;
 /// An order with an unclear outcome is carried out within this time or never.
@@ -17,9 +20,19 @@
 
 double seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+/// @return the most loads that may start in one window, a whole number. A product that is rounded
+/// to just below a whole number costs one load; none is ever gained.
+double maxStartsInWindow(double perSecond, const StoreWindow& window) {
+  return std::floor(perSecond * seconds(window.length) * window.overshoot + kLoadsBeyondOvershoot);
+}
+
+/// Within one window the loads of a leader are at most this burst and what the rate adds, and those
+/// of its successor begin with `kTokensAfterPreviousLeaders`. Together they are less than one load
+/// above the allowed number, since time passes between the last load of the one and the first of
+/// the other.
 double burstOf(double perSecond, const StoreWindow& window) {
-  const double overshoot = seconds(window.length) * (window.overshoot - 1.0);
-  return kBurstBeyondOvershoot + perSecond * std::max(0.0, overshoot - seconds(kOrderJitter));
+  const double refilled = perSecond * seconds(window.length + kOrderJitter);
+  return std::max(kMinBurst, maxStartsInWindow(perSecond, window) - refilled);
 }
 
 }  // namespace
