registry: count the loads that may start in the store's window

Cause: the bucket takes a load for started when it is ordered. Orders that are answered late or not at all start later, together with those ordered then, and a window can hold more than allowed; and a refused or cancelled order used up a token. A refused or cancelled order doesn't count and returns its token, as far as the bucket has room for it. A cancelled load of a worker that is gone no longer stays in progress for good.

--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -80,9 +80,8 @@
 void LeaderDuties::cancel(const PlacementStep& step, base::TimePoint now) {
   statusOf(step.worker, now).sentOrder.reset();
   planSoon_ = true;
-  const WorkerRecord* record = state_.findWorker(step.worker);
-  if (step.fromStore && record != nullptr) {
-    abandonStoreLoad(*record);
+  if (step.fromStore) {
+    abandonStoreLoad(step.worker);
   }
   log_.write(LogEvent::orderCancelled, {{"worker", step.worker.value},
                                         {"operation", operationName(step.operation)},
@@ -191,11 +190,11 @@
   return kUnloadReportDelay;
 }
 
-/// Removes the worker's load from the store's scheduler, since its end will not be reported.
-void LeaderDuties::abandonStoreLoad(const WorkerRecord& record) {
-  const auto store = stores_.find(record.service);
-  if (store != stores_.end()) {
-    store->second.recordAbandoned(record.id);
+/// Removes the load from the store's scheduler: it will not start. The worker's service may not be
+/// known any more.
+void LeaderDuties::abandonStoreLoad(const WorkerId& worker) {
+  for (auto& [service, store] : stores_) {
+    store.recordAbandoned(worker);
   }
 }
 
@@ -207,7 +206,7 @@
     return;
   }
   const UnfinishedLoad& load = *status.unfinishedLoad;
-  storeOf(load.service).recordAbandoned(id);
+  storeOf(load.service).recordUnclear(id, now);
   const base::Duration pause =
       backoffs_[load.service].recordWorkerEnd(load.model, load.orderedAt, now);
   const auto age =
@@ -244,7 +243,7 @@
   const bool mayTakeEffect =
       finished.outcome == OrderOutcome::accepted || finished.outcome == OrderOutcome::unclear;
   if (step.fromStore && !mayTakeEffect) {
-    abandonStoreLoad(*record);
+    abandonStoreLoad(step.worker);
   }
   if (!mayTakeEffect && isModelOrder) {
     status.unfinishedLoad.reset();
--- a/src/registry/leader_worker_health.cpp
+++ b/src/registry/leader_worker_health.cpp
@@ -176,7 +176,7 @@
   const base::Duration silence = now - lastContact(status);
   if (!status.silent && isUnresponsive(id, status, now)) {
     status.silent = true;
-    abandonStoreLoad(*state_.findWorker(id));
+    storeOf(state_.findWorker(id)->service).recordUnclear(id, now);
     markChanged(id);
     log_.write(LogEvent::workerSilent, {{"worker", id.value}});
   }
--- a/src/registry/store_rate.cpp
+++ b/src/registry/store_rate.cpp
@@ -43,8 +43,10 @@
 
 void StoreRate::setLimit(double perSecond, const StoreWindow& window, base::TimePoint now) {
   perSecond_ = perSecond;
+  window_ = window;
   burst_ = burstOf(perSecond, window);
   refill(now);
+  refreshStarts(now);
   while (!unclearOrders_.empty() && unclearOrders_.front() + kUnclearOrderLifetime <= now) {
     unclearOrders_.pop_front();
   }
@@ -63,16 +65,93 @@
   refilledAt_ = now;
 }
 
+void StoreRate::refreshStarts(base::TimePoint now) {
+  std::erase_if(starts_, [this, now](const Start& start) {
+    return !start.isUnanswered && start.latest + window_.length < now;
+  });
+  for (Start& start : starts_) {
+    start.latest = start.isUnanswered ? now : start.latest;
+  }
+  std::stable_sort(starts_.begin(), starts_.end(), [](const Start& left, const Start& right) {
+    return left.latest < right.latest;
+  });
+  double room = burst_ - tokens_;
+  for (auto start = starts_.rbegin(); start != starts_.rend(); ++start) {
+    start->returnableToken = std::min(start->returnableToken, room);
+    room -= start->returnableToken;
+  }
+}
+
 base::Duration StoreRate::wait(std::size_t before) const {
+  return perSecond_ <= 0 ? base::Duration::zero()
+                         : std::max(bucketWait(before), windowWait(before));
+}
+
+base::Duration StoreRate::bucketWait(std::size_t before) const {
   const double kept = std::min(burst_ - 1.0, static_cast<double>(unclearOrders_.size()));
   const double missing = 1.0 + kept + static_cast<double>(before) - tokens_;
-  if (perSecond_ <= 0 || missing <= 0) {
+  if (missing <= 0) {
     return base::Duration::zero();
   }
   const std::chrono::duration<double> wait(missing / perSecond_);
   return std::max(base::Duration(1), std::chrono::duration_cast<base::Duration>(wait));
 }
 
-void StoreRate::recordStart() { tokens_ -= 1.0; }
+/// Each load waits for the start of the one that precedes it by as many as the window may contain.
+base::Duration StoreRate::windowWait(std::size_t before) const {
+  const auto most = static_cast<std::size_t>(maxStartsInWindow(perSecond_, window_));
+  const base::Duration fullWindows =
+      static_cast<std::int64_t>(before / most) * (window_.length + base::Duration(1));
+  const std::size_t counted = starts_.size() + before % most + 1;
+  if (counted <= most) {
+    return fullWindows;
+  }
+  const Start& last = starts_[counted - most - 1];
+  return fullWindows + (last.latest + window_.length + base::Duration(1) - *refilledAt_);
+}
+
+void StoreRate::recordStart() {
+  tokens_ -= 1.0;
+  insert({0, refilledAt_.value_or(base::TimePoint()), false, 0});
+}
+
+void StoreRate::recordOrdered(std::uint64_t load) {
+  tokens_ -= 1.0;
+  insert({load, refilledAt_.value_or(base::TimePoint()), true, 1});
+}
+
+void StoreRate::insert(const Start& start) {
+  const auto isBefore = [](base::TimePoint latest, const Start& other) {
+    return latest < other.latest;
+  };
+  starts_.insert(std::upper_bound(starts_.begin(), starts_.end(), start.latest, isBefore), start);
+}
+
+StoreRate::Start* StoreRate::findUnanswered(std::uint64_t load) {
+  const auto found = std::find_if(starts_.begin(), starts_.end(), [load](const Start& start) {
+    return start.isUnanswered && start.load == load;
+  });
+  return found == starts_.end() ? nullptr : &*found;
+}
+
+void StoreRate::recordAccepted(std::uint64_t load, base::TimePoint now) {
+  if (Start* const start = findUnanswered(load)) {
+    *start = {load, now, false, 0};
+  }
+}
+
+void StoreRate::recordRefused(std::uint64_t load) {
+  if (const Start* const start = findUnanswered(load)) {
+    tokens_ += start->returnableToken;
+    starts_.erase(starts_.begin() + (start - starts_.data()));
+  }
+}
+
+void StoreRate::recordUnclear(std::uint64_t load, base::TimePoint now) {
+  if (Start* const start = findUnanswered(load)) {
+    *start = {load, now + kUnclearOrderLifetime, false, 0};
+    recordUnclear(now);
+  }
+}
 
 }  // namespace walnut::registry
--- a/src/registry/store_scheduler.cpp
+++ b/src/registry/store_scheduler.cpp
@@ -81,9 +81,10 @@
 
 void StoreScheduler::recordOrdered(const WorkerId& worker, base::Duration declaredTime,
                                    base::TimePoint now) {
-  rate_.recordStart();
+  recordUnclear(worker, now);  // An earlier load of which no end was reported.
   Load load;
   load.number = ++lastLoadNumber_;
+  rate_.recordOrdered(load.number);
   load.startedAt = now;
   load.declaredTime = declaredTime;
   load.inProgressAtStart = loadsInProgress() + 1;
@@ -97,12 +98,24 @@
   const auto found = loads_.find(worker);
   if (found != loads_.end()) {
     found->second.startedAt = now;
+    rate_.recordAccepted(found->second.number, now);
   }
 }
 
 void StoreScheduler::recordUnclear(const WorkerId& worker, base::TimePoint now) {
-  rate_.recordUnclear(now);
-  loads_.erase(worker);
+  const auto found = loads_.find(worker);
+  if (found != loads_.end()) {
+    rate_.recordUnclear(found->second.number, now);
+    loads_.erase(found);
+  }
+}
+
+void StoreScheduler::recordAbandoned(const WorkerId& worker) {
+  const auto found = loads_.find(worker);
+  if (found != loads_.end()) {
+    rate_.recordRefused(found->second.number);
+    loads_.erase(found);
+  }
 }
 
 double StoreScheduler::recordEnd(const WorkerId& worker, base::TimePoint now) {
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -46,14 +46,14 @@
   /// @param declaredTime duration of the load if the store isn't overloaded.
   void recordOrdered(const WorkerId& worker, base::Duration declaredTime, base::TimePoint now);
   void recordAccepted(const WorkerId& worker, base::TimePoint now);
-  /// It is unknown whether the load starts. It counts towards the rate for some time, but not as a
-  /// load in progress, since its worker may be lost. If it did start, the worker's next report
-  /// shows it, see `setPreviousLeaderLoads`.
+  /// The order has an unclear outcome, or its worker is lost. A load that was not accepted may
+  /// start some seconds later, and counts towards the rate meanwhile. No such load counts as in
+  /// progress. If it did start, the worker's next report shows it, see `setPreviousLeaderLoads`.
   void recordUnclear(const WorkerId& worker, base::TimePoint now);
   /// @return the load's duration as a multiple of the declared one; 0 if there is no such load.
   double recordEnd(const WorkerId& worker, base::TimePoint now);
-  /// The load was refused, or its worker is lost.
-  void recordAbandoned(const WorkerId& worker) { loads_.erase(worker); }
+  /// The load was refused, or its order was not sent: it will not start.
+  void recordAbandoned(const WorkerId& worker);
   /// @}
 
  private:
