--- a/test/registry/leader_store_test.cpp
+++ b/test/registry/leader_store_test.cpp
@@ -63,3 +63,20 @@
   runAnswering(100ms);
   CHECK_EQUAL(1, count<SendOrder>());
 }
+
+/// Guards against loads that stay in progress for good, since the worker of their cancelled order
+/// is no longer registered.
+TEST(LeaderStoreTest, aCancelledLoadOfALostWorkerDoesNotUseTheStoreRate) {
+  options.ordersFenced = false;
+  recordsOrders = false;
+  lead();
+  demandModel("a");
+  runAnswering(100ms);
+  const WorkerId lost = state.lastOrderedBy({"w1"}) == kSelf ? WorkerId{"w1"} : WorkerId{"w2"};
+  CHECK_TRUE(state.lastOrderedBy(lost) == kSelf);
+  state.apply(ForgetWorker{lost});
+  duties->stateChanged(now);
+  recordsOrders = true;
+  runAnswering(500ms);
+  CHECK_EQUAL(1, count<SendOrder>());
+}
