registry: a placement decision tells of copies and of models that wait for the store

Cause: whether a load from the store was of a model that a live disk has, and how many cold models the price of such a load took into account, could not be told from the log. Change: copies and store-queue in placement-decided.

--- a/src/registry/leader_plans.cpp
+++ b/src/registry/leader_plans.cpp
@@ -193,6 +193,7 @@
                 {"queued", rounded(decision.queued)},
                 {"rate-percent", rounded(kPercent * decision.rate)},
                 {"replicas", decision.replicas},
+                {"copies", decision.copies},
                 {"worker", decision.worker.value},
                 {"victim", decision.victim},
                 {"cost-millis", rounded(kMillis * decision.cost)},
@@ -200,6 +201,7 @@
                 {"tier", std::string_view(decision.fromStore ? "store" : "near")},
                 {"store-loads", std::uint64_t{store.loadsInProgress()}},
                 {"store-limit", std::uint64_t{store.limit()}},
+                {"store-queue", std::uint64_t{decision.storeQueue}},
                 {"store-wait", static_cast<std::uint64_t>(storeWait.count())}});
   }
 }
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -264,6 +264,8 @@
   decision.queued = replicas.queued;
   decision.rate = figures.rate;
   decision.replicas = replicas.present;
+  decision.copies = replicas.copies;
+  decision.storeQueue = previousStoreQueue_;
   decision.benefit = benefit;
   if (choice.worker != nullptr) {
     decision.worker = choice.worker->id;
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -85,8 +85,10 @@
   double queued = 0;                   ///< Requests that wait for a slot of the model's workers.
   double rate = 0;                     ///< Arrivals per second.
   std::uint32_t replicas = 0;
-  WorkerId worker;     ///< The best worker, if any.
-  std::string victim;  ///< The first model to unload there; empty if none has to be.
+  std::uint32_t copies = 0;    ///< Workers that have the weights in any tier or are loading them.
+  std::size_t storeQueue = 0;  ///< Cold models that waited for the store after the previous run.
+  WorkerId worker;             ///< The best worker, if any.
+  std::string victim;          ///< The first model to unload there; empty if none has to be.
   /// @name In seconds of request waiting time
   /// @{
   double cost = 0;
--- a/test/registry/placement_test.cpp
+++ b/test/registry/placement_test.cpp
@@ -218,6 +218,28 @@
   STRCMP_EQUAL("onDisk", steps[0].model.c_str());
 }
 
+TEST(PlacementTest, aDecisionTellsOfCopiesAndOfModelsThatWaitForTheStore) {
+  reportDemand("cold1", "", 5, 9, 1);
+  reportDemand("cold2", "", 5, 9, 2);
+  PlacementWorker worker = workerWith("w", {});
+  worker.holdings.onDisk = {"onDisk"};
+  const catalog::EngineSpec engine = engineOf({"cold1", "cold2", "onDisk"});
+  store.setLimit(engine.storeLoadsPerSecond, {}, now);
+  store.recordOrdered({"elsewhere"}, 4s, now);
+  CHECK_TRUE(plan(engine, {worker}).empty());
+  for (const PlacementDecision& decision : policy.takeDecisions()) {
+    CHECK_EQUAL(0, decision.copies);
+    CHECK_EQUAL(0, decision.storeQueue);
+  }
+  reportDemand("onDisk", "", 1, 1, 3);
+  plan(engine, {worker});
+  const std::vector<PlacementDecision> decisions = policy.takeDecisions();
+  CHECK_EQUAL(1, decisions.size());
+  STRCMP_EQUAL("onDisk", decisions[0].model.c_str());
+  CHECK_EQUAL(1, decisions[0].copies);
+  CHECK_EQUAL(2, decisions[0].storeQueue);
+}
+
 TEST(PlacementTest, aBusyWorkerWithACopyIsWaitedForRatherThanTheStore) {
   reportDemand("a", "", 1, 1);
   PlacementWorker busy = workerWith("busy", {});
