simulator: count the store's loads of what a disk has while others needed the store

Cause: the account of a slow store told how many loads were of models that another live worker's disk had, not whether a model that no disk had was asked for then.

--- a/src/simulator/serving_account.cpp
+++ b/src/simulator/serving_account.cpp
@@ -50,6 +50,22 @@
   return leftOut;
 }
 
+/// @return true if a model that no live worker's disk has and none is loading was asked for within
+/// the time that a caller stays. Callers that were turned away count too.
+bool ServingFleet::othersNeedTheStore() const {
+  std::set<std::string> available;
+  for (const auto& worker : workers_) {
+    if (!worker->crashed()) {
+      available.insert(worker->loading());
+      available.insert(worker->onDisk().begin(), worker->onDisk().end());
+    }
+  }
+  const base::TimePoint since = scheduler_.now() - (kGivesUpAfter + kRetryPause);
+  return std::any_of(callers_.begin(), callers_.end(), [&available, since](const auto& caller) {
+    return caller->firstSentAt >= since && available.count(splitTarget(caller->target).first) == 0;
+  });
+}
+
 double ServingFleet::servedShare() const {
   std::uint64_t over = 0;
   std::uint64_t served = 0;
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -256,8 +256,10 @@
                        [&has](const auto& other) { return !other->crashed() && has(*other); });
   };
   ++storeAccount_.loads;
-  storeAccount_.onDiskElsewhere +=
+  const bool onDiskElsewhere =
       elsewhere([&order](const ServingWorker& other) { return other.hasCopy(order.model); });
+  storeAccount_.onDiskElsewhere += onDiskElsewhere;
+  storeAccount_.whileOthersNeededIt += onDiskElsewhere && othersNeedTheStore();
   storeAccount_.servedElsewhere +=
       elsewhere([&order](const ServingWorker& other) { return other.holds(order.model); });
 }
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -81,6 +81,9 @@
   std::uint64_t loads = 0;
   std::uint64_t onDiskElsewhere = 0;  ///< Of models that another live worker's disk had.
   std::uint64_t servedElsewhere = 0;  ///< Of models that another live worker served.
+  /// Of models that another live worker's disk had, taken while a model that none had or was
+  /// loading had been asked for within the time that a caller stays.
+  std::uint64_t whileOthersNeededIt = 0;
 };
 
 /// Tries that followed a refusal with a Retry-After, since counting began.
@@ -213,6 +216,7 @@
   void order(const registry::SendOrder& order);
   /// @return seconds.
   double sinceStart(base::TimePoint time) const;
+  bool othersNeedTheStore() const;
   void noteModelOrder(const registry::SendOrder& order, const ServingWorker& worker);
   void heard(ServingWorker& worker);
   void beat(std::size_t worker);
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -75,6 +75,7 @@
   }
   ++orderCount_;
   orderUnderWay_ = true;
+  loading_ = order.load ? order.model : std::string();
   scheduler_.after(order.load ? options_.loadTime : options_.unloadTime,
                    [this, order, onChange = std::move(onChange)] {
                      if (!crashed_) {
@@ -87,6 +88,7 @@
 
 void ServingWorker::finishModelOrder(const registry::SendOrder& order) {
   orderUnderWay_ = false;
+  loading_.clear();
   if (!order.load) {
     std::erase_if(holdings_.models,
                   [&order](const auto& held) { return held.name == order.model; });
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -84,6 +84,8 @@
   std::size_t crash();
   bool crashed() const { return crashed_; }
   bool holds(const std::string& model) const;
+  /// @return the model whose load is under way; empty if there is none.
+  const std::string& loading() const { return loading_; }
   /// @return true if its machine's disk has the model.
   bool hasCopy(const std::string& model) const;
   /// @return what it has and has not ended.
@@ -122,6 +124,7 @@
   std::string limit_;
   registry::Holdings holdings_;
   bool orderUnderWay_ = false;
+  std::string loading_;  ///< The model whose load is under way; empty if there is none.
   std::uint64_t orderCount_ = 0;
   std::uint64_t sequence_ = 0;
   std::vector<Running> running_;  ///< And some that have ended.
--- a/src/simulator/store_campaign.cpp
+++ b/src/simulator/store_campaign.cpp
@@ -41,6 +41,7 @@
   text << "never-served=" << result.neverServed.size() << " served=" << result.served
        << " store-loads=" << result.account.loads
        << " of-what-a-disk-has=" << result.account.onDiskElsewhere
+       << " while-others-needed-it=" << result.account.whileOthersNeededIt
        << " of-what-is-served=" << result.account.servedElsewhere
        << " unavoidable=" << result.leastNeverServed;
   for (const std::string& name : result.neverServed) {
