--- a/src/simulator/serving_account.cpp
+++ b/src/simulator/serving_account.cpp
@@ -66,6 +66,41 @@
   });
 }
 
+base::Duration ForecastAccount::medianError() const {
+  if (errors.empty()) {
+    return base::Duration::zero();
+  }
+  std::vector<base::Duration> sorted = errors;
+  const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+  std::nth_element(sorted.begin(), middle, sorted.end());
+  return *middle;
+}
+
+/// Records what a refused caller was told about its model, unless a worker serves the model.
+void ServingFleet::noteToldTime(const Caller& caller) {
+  const std::string model = splitTarget(caller.target).first;
+  const bool served = std::any_of(workers_.begin(), workers_.end(), [&model](const auto& worker) {
+    return !worker->crashed() && worker->holds(model);
+  });
+  if (!served) {
+    toldTimes_[model].push_back({scheduler_.now(), *caller.retryAfter});
+  }
+}
+
+/// Compares what callers were told about a model with the time at which its load has ended.
+void ServingFleet::noteLoaded(const std::string& model) {
+  const auto found = toldTimes_.find(model);
+  if (found == toldTimes_.end()) {
+    return;
+  }
+  for (const ToldTime& told : found->second) {
+    const base::Duration taken = scheduler_.now() - told.at;
+    forecasts_.errors.push_back(taken - told.told);
+    forecasts_.inPatience += taken <= kGivesUpAfter ? 1 : 0;
+  }
+  toldTimes_.erase(found);
+}
+
 double ServingFleet::servedShare() const {
   std::uint64_t over = 0;
   std::uint64_t served = 0;
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -224,7 +224,12 @@
     ServingWorker* const worker = find(order.worker.id);
     const registry::OrderOutcome outcome =
         worker == nullptr ? registry::OrderOutcome::unclear
-                          : worker->order(order, [this, worker] { heard(*worker); });
+                          : worker->order(order, [this, worker, model = order.model] {
+                              if (worker->holds(model)) {
+                                noteLoaded(model);
+                              }
+                              heard(*worker);
+                            });
     if (outcome == registry::OrderOutcome::accepted && order.adapter.empty()) {
       noteModelOrder(order, *worker);
     }
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -96,6 +96,16 @@
   }
 };
 
+/// What callers were told who were refused with a Retry-After while no worker served their model,
+/// and when a worker had loaded it, since counting began.
+struct ForecastAccount {
+  std::vector<base::Duration> errors;  ///< Time until the load's end, less the time told.
+  std::uint64_t inPatience = 0;        ///< Loads that ended before the caller would have given up.
+
+  /// @return the median of the errors; zero if there are none.
+  base::Duration medianError() const;
+};
+
 /// Requests that were refused as not run, since counting began.
 struct RefusalAccount {
   std::vector<base::Duration> after;  ///< For each, from its arrival at the gateway.
@@ -153,6 +163,7 @@
   double limitUsed() const { return limitAccount_.used(scheduler_.now()); }
   const RefusalAccount& refusals() const { return refusals_; }
   const ReturnAccount& returns() const { return returns_; }
+  const ForecastAccount& forecasts() const { return forecasts_; }
   /// Messages about shares of limits that gateways sent to leaders.
   std::uint64_t shareQuestions() const { return shareQuestions_; }
   std::string describe(const LimitWindow& window) const;
@@ -163,6 +174,8 @@
     counts_.clear();
     refusals_ = {};
     returns_ = {};
+    forecasts_ = {};
+    toldTimes_.clear();
     ++counting_;
   }
   /// @return the models and adapters that were asked for four times or more, over `span` or longer,
@@ -185,6 +198,11 @@
  private:
   struct Caller;
   class Reader;
+  /// A time after which a caller was told to come back, and when it was told so.
+  struct ToldTime {
+    base::TimePoint at;
+    base::Duration told{0};
+  };
   /// Another request that was refused as if it did.
   struct RefusedInnocent {
     base::TimePoint at;
@@ -227,6 +245,8 @@
   base::Duration retryPause(const Caller& caller) const;
   void count(const Caller& caller, bool served);
   void answered(Caller& caller, const net::HttpResponse& response);
+  void noteToldTime(const Caller& caller);
+  void noteLoaded(const std::string& model);
   void noteLimitedArrival(std::size_t gateway, const std::shared_ptr<ServingCall>& call,
                           const ServingWorker& worker);
   /// @return true if that machine was neither started, suspended nor cut off lately.
@@ -292,6 +312,8 @@
   LimitAccount limitAccount_;
   RefusalAccount refusals_;
   ReturnAccount returns_;
+  ForecastAccount forecasts_;
+  std::map<std::string, std::vector<ToldTime>> toldTimes_;  ///< By model that is not loaded yet.
   std::uint64_t shareQuestions_ = 0;
 };
 
--- a/src/simulator/serving_limits.cpp
+++ b/src/simulator/serving_limits.cpp
@@ -54,6 +54,7 @@
   if (retryAfter != nullptr) {
     caller.retryAfter = std::chrono::duration_cast<base::Duration>(
         std::chrono::duration<double>(std::stod(*retryAfter)));
+    noteToldTime(caller);
   }
 }
 
--- a/src/simulator/store_campaign.cpp
+++ b/src/simulator/store_campaign.cpp
@@ -17,6 +17,14 @@
   fleet.run(kTrouble);
 }
 
+/// @return the account of forecasts in words; errors are in seconds, above 0 if models came late.
+std::string describe(const ForecastAccount& forecasts) {
+  std::ostringstream text;
+  text << " forecasts=" << forecasts.errors.size() << " loaded-in-patience=" << forecasts.inPatience
+       << " median-error=" << std::chrono::duration<double>(forecasts.medianError()).count();
+  return text.str();
+}
+
 }  // namespace
 
 ServingFleetOptions slowStoreFleet(std::uint64_t seed) {
@@ -36,6 +44,7 @@
   result.neverServed = fleet.neverServed(kSpan);
   result.served = fleet.servedShare();
   result.account = fleet.storeAccount();
+  result.forecasts = fleet.forecasts();
   result.leastNeverServed = fleet.leastNeverServed(kSpan);
   std::ostringstream text;
   text << "never-served=" << result.neverServed.size() << " served=" << result.served
@@ -43,7 +52,7 @@
        << " of-what-a-disk-has=" << result.account.onDiskElsewhere
        << " while-others-needed-it=" << result.account.whileOthersNeededIt
        << " of-what-is-served=" << result.account.servedElsewhere
-       << " unavoidable=" << result.leastNeverServed;
+       << " unavoidable=" << result.leastNeverServed << describe(result.forecasts);
   for (const std::string& name : result.neverServed) {
     text << "\n  " << name << " " << fleet.describeLoads(name);
   }
@@ -60,10 +69,11 @@
   result.neverServed = fleet.neverServed(kSpan);
   result.served = fleet.servedShare();
   result.returns = fleet.returns();
+  result.forecasts = fleet.forecasts();
   std::ostringstream text;
   text << "heeding Retry-After: never-served=" << result.neverServed.size()
        << " served=" << result.served << " returns=" << result.returns.tries
-       << " served-on-return=" << result.returns.servedShare();
+       << " served-on-return=" << result.returns.servedShare() << describe(result.forecasts);
   result.description = text.str();
   return result;
 }
--- a/src/simulator/store_campaign.h
+++ b/src/simulator/store_campaign.h
@@ -19,6 +19,7 @@
   std::vector<std::string> neverServed;
   double served = 0;  ///< Share of the requests.
   StoreAccount account;
+  ForecastAccount forecasts;
   std::size_t leastNeverServed = 0;  ///< See ServingFleet::leastNeverServed.
   std::string description;           ///< With what became of each model that was never served.
 
@@ -30,6 +31,7 @@
   std::vector<std::string> neverServed;
   double served = 0;
   ReturnAccount returns;
+  ForecastAccount forecasts;
   std::string description;
 
   bool passed() const { return neverServed.empty(); }
--- a/test/simulator/serving_fleet_test.cpp
+++ b/test/simulator/serving_fleet_test.cpp
@@ -93,6 +93,25 @@
   CHECK_TRUE(least <= fleet.neverServed(kSpan).size());
 }
 
+/// A store of 1.5 loads a second keeps callers waiting; one of 12 does not.
+TEST(ServingFleetTest, whatRefusedCallersWereToldIsComparedWithTheLoads) {
+  options.models = 54;
+  options.requestsPerSecond = 16;
+  options.popularShare = 0.3;
+  for (const double loadsPerSecond : {1.5, 12.0}) {
+    options.storeLoadsPerSecond = loadsPerSecond;
+    ServingFleet fleet(options);
+    fleet.run(kCalm);
+    fleet.countAnew();
+    fleet.run(kTrouble);
+    CHECK_EQUAL(loadsPerSecond < 2, !fleet.forecasts().errors.empty());
+    CHECK_TRUE(fleet.forecasts().inPatience <= fleet.forecasts().errors.size());
+    const StoreAccount& account = fleet.storeAccount();
+    CHECK_TRUE(account.whileOthersNeededIt <= account.onDiskElsewhere);
+    CHECK_TRUE(account.onDiskElsewhere <= account.loads);
+  }
+}
+
 TEST_GROUP(ServingCampaignTest){};
 
 TEST(ServingCampaignTest, besideWorkersThatFailInOverlappingEpisodesEachModelIsServed) {
