--- a/src/simulator/serving_account.cpp
+++ b/src/simulator/serving_account.cpp
@@ -50,6 +50,57 @@
   return leftOut;
 }
 
+/// @return true if a model that no live worker's disk has and none is loading was asked for within
+/// the time that a caller stays. Callers that were turned away count too.
+bool ServingFleet::othersNeedTheStore() const {
+  std::set<std::string> available;
+  for (const auto& worker : workers_) {
+    if (!worker->crashed()) {
+      available.insert(worker->loading());
+      available.insert(worker->onDisk().begin(), worker->onDisk().end());
+    }
+  }
+  const base::TimePoint since = scheduler_.now() - (kGivesUpAfter + kRetryPause);
+  return std::any_of(callers_.begin(), callers_.end(), [&available, since](const auto& caller) {
+    return caller->firstSentAt >= since && available.count(splitTarget(caller->target).first) == 0;
+  });
+}
+
+base::Duration ForecastAccount::medianError() const {
+  if (errors.empty()) {
+    return base::Duration::zero();
+  }
+  std::vector<base::Duration> sorted = errors;
+  const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+  std::nth_element(sorted.begin(), middle, sorted.end());
+  return *middle;
+}
+
+/// Records what a refused caller was told about its model, unless a worker serves the model.
+void ServingFleet::noteToldTime(const Caller& caller) {
+  const std::string model = splitTarget(caller.target).first;
+  const bool served = std::any_of(workers_.begin(), workers_.end(), [&model](const auto& worker) {
+    return !worker->crashed() && worker->holds(model);
+  });
+  if (!served) {
+    toldTimes_[model].push_back({scheduler_.now(), *caller.retryAfter});
+  }
+}
+
+/// Compares what callers were told about a model with the time at which its load has ended.
+void ServingFleet::noteLoaded(const std::string& model) {
+  const auto found = toldTimes_.find(model);
+  if (found == toldTimes_.end()) {
+    return;
+  }
+  for (const ToldTime& told : found->second) {
+    const base::Duration taken = scheduler_.now() - told.at;
+    forecasts_.errors.push_back(taken - told.told);
+    forecasts_.inPatience += taken <= kGivesUpAfter ? 1 : 0;
+  }
+  toldTimes_.erase(found);
+}
+
 double ServingFleet::servedShare() const {
   std::uint64_t over = 0;
   std::uint64_t served = 0;
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -224,7 +224,12 @@
     ServingWorker* const worker = find(order.worker.id);
     const registry::OrderOutcome outcome =
         worker == nullptr ? registry::OrderOutcome::unclear
-                          : worker->order(order, [this, worker] { heard(*worker); });
+                          : worker->order(order, [this, worker, model = order.model] {
+                              if (worker->holds(model)) {
+                                noteLoaded(model);
+                              }
+                              heard(*worker);
+                            });
     if (outcome == registry::OrderOutcome::accepted && order.adapter.empty()) {
       noteModelOrder(order, *worker);
     }
@@ -256,8 +261,10 @@
                        [&has](const auto& other) { return !other->crashed() && has(*other); });
   };
   ++storeAccount_.loads;
-  storeAccount_.onDiskElsewhere +=
+  const bool onDiskElsewhere =
       elsewhere([&order](const ServingWorker& other) { return other.hasCopy(order.model); });
+  storeAccount_.onDiskElsewhere += onDiskElsewhere;
+  storeAccount_.whileOthersNeededIt += onDiskElsewhere && othersNeedTheStore();
   storeAccount_.servedElsewhere +=
       elsewhere([&order](const ServingWorker& other) { return other.holds(order.model); });
 }
