simulator: a run that served too little afterwards tells why

ServingFleet can keep what gateways decide about each request (traceCallers) and tells, for each that was lost, all its tries, and the loads of the models asked for (describeLost). The crash campaign traces the part after the crashes and prints it where the share is below the bound.

--- a/src/simulator/crash_campaign.cpp
+++ b/src/simulator/crash_campaign.cpp
@@ -121,6 +121,7 @@
   result.servedInTrouble = fleet.servedShare();
   fleet.run(kRecovery);
   fleet.countAnew();
+  fleet.traceCallers();
   fleet.run(kAfter);
   result.servedAfter = fleet.servedShare();
   result.account = fleet.crashAccount();
@@ -133,6 +134,9 @@
        << " innocents-refused=" << result.account.innocentsRefused
        << " served=" << result.servedInTrouble << " after=" << result.servedAfter
        << fleet.describeRefused();
+  if (result.servedAfter < kLeastServedAfter) {
+    text << fleet.describeLost();
+  }
   result.description = text.str();
   return result;
 }
--- a/src/simulator/serving_account.cpp
+++ b/src/simulator/serving_account.cpp
@@ -2,6 +2,10 @@
 /// The account of a serving fleet: which models and adapters were served, and what could have been.
 
 #include <algorithm>
+#include <array>
+#include <set>
+#include <sstream>
+#include <string_view>
 
 #include "simulator/serving_caller.h"
 
@@ -12,6 +16,10 @@
 /// Requests from which a model or adapter is counted.
 constexpr std::uint64_t kLeastAsked = 4;
 
+/// Fields of a gateway's decisions that tell why a request was not served.
+constexpr std::array<std::string_view, 7> kToldFields = {
+    "worker", "reason", "outcome", "status", "running", "executed", "retry-after"};
+
 }  // namespace
 
 std::vector<std::string> ServingFleet::neverServed(base::Duration span) const {
@@ -60,4 +68,39 @@
   return over == 0 ? 1 : static_cast<double>(served) / static_cast<double>(over);
 }
 
+void ServingFleet::noteDecision(std::size_t gateway, runtime::LogEvent event,
+                                std::initializer_list<runtime::EventField> fields) {
+  std::ostringstream text;
+  text << "\n    " << sinceStart(scheduler_.now()) << "s gateway " << gateway << " "
+       << runtime::logEventName(event);
+  std::string request;
+  for (const runtime::EventField& field : fields) {
+    request = field.key == "request" ? field.value : request;
+    if (std::find(kToldFields.begin(), kToldFields.end(), field.key) != kToldFields.end()) {
+      text << " " << field.key << "=" << field.value;
+    }
+  }
+  const auto body = bodies_.find(request);
+  if (body != bodies_.end()) {
+    decisions_[body->second] += text.str();
+  }
+}
+
+std::string ServingFleet::describeLost() const {
+  std::ostringstream text;
+  std::set<std::string> targets;
+  for (const LostRequest& lost : lost_) {
+    targets.insert(lost.target);
+    const auto found = decisions_.find(lost.body);
+    text << "\n  lost " << lost.body << " for " << lost.target
+         << (found == decisions_.end() ? std::string() : found->second);
+  }
+  for (const std::string& target : targets) {
+    const ServedCount& count = counts_.at(target);
+    text << "\n  " << target << " served=" << count.served << " lost=" << count.lost << " "
+         << describeLoads(splitTarget(target).first);
+  }
+  return text.str();
+}
+
 }  // namespace walnut::simulator
--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -155,8 +155,11 @@
   return scheduler_.now() > since + kContact;
 }
 
-void ServingFleet::logged(std::size_t /*gateway*/, runtime::LogEvent event,
+void ServingFleet::logged(std::size_t gateway, runtime::LogEvent event,
                           std::initializer_list<runtime::EventField> fields) {
+  if (tracesCallers_) {
+    noteDecision(gateway, event, fields);
+  }
   if (event == runtime::LogEvent::requestCut) {
     noteCutLogged(fields);
   }
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -473,6 +473,11 @@
   if (caller.counting == counting_ && !caller.crashing) {
     ServedCount& count = counts_[caller.target];
     ++(served ? count.served : count.lost);
+    if (served) {
+      decisions_.erase(caller.body);
+    } else if (tracesCallers_) {
+      lost_.push_back({caller.target, caller.body});
+    }
   }
 }
 
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -158,6 +158,7 @@
   /// Only requests that are made from now on are counted.
   void countAnew() {
     counts_.clear();
+    lost_.clear();
     refusals_ = {};
     returns_ = {};
     ++counting_;
@@ -171,6 +172,11 @@
   std::size_t leastNeverServed(base::Duration span) const;
   /// @return the share of the requests that were served, of those that are over.
   double servedShare() const;
+  /// Keeps from now on what gateways decide about each request, until it is served.
+  void traceCallers() { tracesCallers_ = true; }
+  /// @return for each request that was lost since counting began what gateways decided about all
+  /// its tries, and the loads of the models that such requests asked for.
+  std::string describeLost() const;
   /// @return orders for models that were accepted.
   std::uint64_t modelOrders() const { return modelOrders_; }
   const StoreAccount& storeAccount() const { return storeAccount_; }
@@ -187,6 +193,11 @@
     base::TimePoint at;
     std::string body;
   };
+  /// A request of which no try was served.
+  struct LostRequest {
+    std::string target;
+    std::string body;
+  };
   /// A request that crashes each worker that runs it.
   struct CrashingRequest {
     std::string target;
@@ -223,6 +234,8 @@
   base::Duration retryPause(const Caller& caller) const;
   void count(const Caller& caller, bool served);
   void answered(Caller& caller, const net::HttpResponse& response);
+  void noteDecision(std::size_t gateway, runtime::LogEvent event,
+                    std::initializer_list<runtime::EventField> fields);
   void noteLimitedArrival(std::size_t gateway, const std::shared_ptr<ServingCall>& call,
                           const ServingWorker& worker);
   /// @return true if that machine was neither started, suspended nor cut off lately.
@@ -272,6 +285,9 @@
   std::uint64_t lastBody_ = 0;
   std::map<std::string, ServedCount> counts_;  ///< By model, or model/adapter.
   std::uint64_t counting_ = 0;                 ///< How often counting began.
+  bool tracesCallers_ = false;
+  std::map<std::string, std::string> decisions_;  ///< Of gateways about requests, by their bodies.
+  std::vector<LostRequest> lost_;                 ///< Since counting began, if callers are traced.
   std::uint64_t modelOrders_ = 0;
   std::uint64_t requestsToFailing_ = 0;
   StoreAccount storeAccount_;
