gateway: a stream stays where it begins in time, if elsewhere it comes too late

Callers saw: with workers whose first event usually takes close to 1.5 s, sound all the time, a part of the streams was lost, also half a minute after the last crash: the caller left after 2.4 s without an event.

Cause: after the stall time, 0.9 s without an event, a gateway leaves a worker for any other that has a free slot. Elsewhere the time begins anew: 0.9 s + 1.497 s is after its caller has gone, where the worker it left would have answered at 1.5 s. Each such move counts as a failure of both workers, so sound workers were declared failing as well, and others waited for them.

The mend: while a worker with free slots takes no longer than usual there, a stream leaves it only if the other one, by its usual time, begins before the caller goes. A worker that is later than usual, or full, or not known yet, or in the middle of a stream, is left as before; so a hung worker of a service that begins within 0.9 s is left as before at 0.9 s. The new test fails on the code before with two sends.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -365,11 +365,19 @@
   }
 }
 
+/// @return true if leaving the worker may help the caller: another one has a free slot. It does not
+/// help if the worker takes no longer than it usually does, and another one, by its usual time,
+/// would begin the stream only after the caller had disconnected.
 bool Exchange::beginsSoonerElsewhere() const {
   std::set<registry::WorkerId> excluded = excluded_;
   excluded.insert(worker_->view.record.id);
   const Selection other = context_.selector().select(service_, facts_, excluded, now());
-  return other.worker != nullptr && !other.worker->full();
+  if (other.worker == nullptr || other.worker->full()) {
+    return false;
+  }
+  const base::Duration usual = worker_->latency.valueOr(base::Duration::zero());
+  const bool isLate = headSent_ || worker_->full() || now() >= attemptAt_ + usual;
+  return isLate || now() + other.worker->latency.valueOr(usual) < callerDisconnectsAt();
 }
 
 /// Handles a worker that has sent nothing for the stall timeout. A resumable stream continues at
--- a/test/gateway/exchange_test.cpp
+++ b/test/gateway/exchange_test.cpp
@@ -23,6 +23,15 @@
     }
     harness.gateway.viewReceived(update);
   }
+  /// Sends a stream that may not be repeated and gets its first event after that time.
+  std::unique_ptr<Caller> beginStream(const char* id, base::Duration firstEventTime) {
+    auto caller = harness.request("bound", id);
+    harness.scheduler.advance(firstEventTime);
+    const SentRequest& attempt = *harness.launcher.sent.back();
+    harness.head(attempt, 200, id, true);
+    attempt.callbacks->onResponseBody("id: 1\n\n");
+    return caller;
+  }
   /// Runs a stream for a second from its first event on, so that the gateway knows for how long a
   /// stream occupies a slot.
   void completeStream(const char* id) {
@@ -344,6 +353,40 @@
   CHECK_TRUE(sent(0).cancelled);
 }
 
+/// Guards against streams that left sound workers whose first event usually takes longer than the
+/// stall time: elsewhere they would have begun after their callers had gone.
+TEST(ExchangeTest, aStreamStaysWhereItBeginsInTimeIfItCameTooLateElsewhere) {
+  harness.declare(2);
+  // Both workers are known to begin after 1.6 s. Callers disconnect after 2.4 s.
+  const auto first = beginStream("r1", 1600ms);
+  const auto second = beginStream("r2", 1600ms);
+  CHECK_FALSE(sent(0).worker.id == sent(1).worker.id);
+  harness.launcher.sent.clear();
+  const auto caller = harness.request("stream", "r3");
+  harness.scheduler.advance(1590ms);
+  CHECK_EQUAL(1, sentCount());
+  CHECK_FALSE(sent(0).cancelled);
+  // Later than usual, it may have stopped.
+  harness.scheduler.advance(500ms);
+  CHECK_EQUAL(2, sentCount());
+  CHECK_TRUE(sent(0).cancelled);
+}
+
+TEST(ExchangeTest, aStreamLeavesASlowWorkerForOneThatUsuallyBeginsSooner) {
+  harness.declare(2);
+  const auto slow = beginStream("r1", 1600ms);
+  const auto quick = beginStream("r2", 50ms);
+  harness.launcher.sent.clear();
+  // The quick worker is full when the request comes, and has free slots later.
+  announceLoads({0, 400});
+  const auto caller = harness.request("stream", "r3");
+  STRCMP_EQUAL("w1", sent(0).worker.id.value.c_str());
+  announceLoads({0, 0});
+  harness.scheduler.advance(950ms);
+  CHECK_EQUAL(2, sentCount());
+  STRCMP_EQUAL("w2", sent(1).worker.id.value.c_str());
+}
+
 TEST(ExchangeTest, aStreamThatWouldBeginLateIsRefusedAtOnce) {
   harness.declare(2);
   completeStream("r0");
