registry: what can't use the store doesn't keep it from copied models

A review of the rule that keeps the store for models without a copy showed three ways in which callers waited without need (StoreSharingTest, all three failed before): a model whose loads are postponed, or that is larger than any worker, made the store scarce for all others; and a model whose only copy is on a worker with an overdue order was tied to it for up to 30 s, while loads went to single callers of others.

Change: such models don't count; a busy disk is waited for 8 s at most. A spare replica is not loaded from a scarce store at all.

--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -32,9 +32,9 @@
 /// Least number of requests queued at a model's workers that counts as a queue. A single one may
 /// only be a late notification.
 constexpr double kMinQueuedRequests = 2.0;
-/// Cost in seconds of a load from the store, while models without a copy wait for it, of a model
-/// that a worker could load from its disk instead. Only a worker that can't make room costs more.
-constexpr double kCopiedModelStoreCost = 30.0;
+/// Cost in seconds of a load from the store, while models without a copy need it, of a cold model
+/// that a worker could load from its disk instead: a busy disk is waited for that long.
+constexpr double kCopiedModelStoreCost = 8.0;
 /// Time between the end of an order and the acceptance of the next: notification and planning.
 constexpr double kOrderGapSeconds = 0.1;
 
@@ -78,7 +78,7 @@
     return postponed.count(candidate.model) != 0;
   });
   dropOutdatedDecisions(candidates);
-  storeIsScarce_ = !store.hasFullBurst() && round.hasUnservedModelWithoutCopy();
+  storeIsScarce_ = !store.hasFullBurst() && round.hasUnservedModelWithoutCopy(postponed);
   for (const Candidate& candidate : candidates) {
     placeReplica(round, candidate);
   }
@@ -297,13 +297,17 @@
 }
 
 /// @return the cost to other models of loading from the store a model that some disk already has:
-/// each model that waits for the store waits one load longer.
+/// each model that waits for the store waits one load longer. While the store is scarce, its loads
+/// are kept for models without a copy.
 double PlacementPolicy::storeCost(const PlacementRound& round, const ModelSpec& model,
                                   PlacementReason reason) const {
   if (round.replicas(model.name).copies == 0) {
     return 0;
   }
-  if (storeIsScarce_ && reason != PlacementReason::queueing) {
+  if (storeIsScarce_ && reason == PlacementReason::spare) {
+    return std::numeric_limits<double>::infinity();
+  }
+  if (storeIsScarce_ && reason == PlacementReason::cold) {
     return kCopiedModelStoreCost;
   }
   const double perSecond = round.engine().storeLoadsPerSecond;
--- a/src/registry/placement_round.cpp
+++ b/src/registry/placement_round.cpp
@@ -37,8 +37,8 @@
 constexpr double kLateReloadRateCost = 5.0;
 constexpr double kRecentUseCost = 1.0;
 constexpr base::Duration kRecentUse = std::chrono::seconds(10);
-/// Cost for each request that was not answered since the load, and its maximum: if the model were
-/// unloaded now, its load would be wasted. The values are those of running requests.
+/// Cost for each request since the last answer, and its maximum: if the model were unloaded now, a
+/// load for these requests would be wasted. The values are those of running requests.
 constexpr double kUnservedRequestCost = 1.0;
 constexpr double kMaxUnservedRequestCost = 4.0;
 /// Cost if the next request would still be in time, and for each arrival per second.
@@ -150,12 +150,17 @@
   return demand_.figures({service_, model, adapter}, now_);
 }
 
-bool PlacementRound::hasUnservedModelWithoutCopy() const {
-  return std::any_of(engine_.models.begin(), engine_.models.end(), [this](const ModelSpec& model) {
+bool PlacementRound::hasUnservedModelWithoutCopy(const std::set<std::string>& postponed) const {
+  const auto needsStore = [this, &postponed](const ModelSpec& model) {
+    const bool canBeLoaded =
+        model.weightsMegabytes <= engine_.weightsMegabytes && postponed.count(model.name) == 0;
+    if (!canBeLoaded || replicas(model.name).copies > 0) {
+      return false;
+    }
     const DemandFigures modelDemand = figures(model.name);
-    const bool isUnserved = modelDemand.unservedRequests > 0 || modelDemand.waiting > 0;
-    return isUnserved && replicas(model.name).copies == 0;
-  });
+    return modelDemand.unservedRequests > 0 || modelDemand.waiting > 0;
+  };
+  return std::any_of(engine_.models.begin(), engine_.models.end(), needsStore);
 }
 
 bool PlacementRound::canOrder(const PlacementWorker& worker) const {
--- a/src/registry/placement_round.h
+++ b/src/registry/placement_round.h
@@ -50,8 +50,10 @@
   Replicas replicas(const std::string& model) const;
   DemandFigures figures(const std::string& model, const std::string& adapter = {}) const;
 
-  /// @return true if a model with unserved requests can only be loaded from the store.
-  bool hasUnservedModelWithoutCopy() const;
+  /// @return true if a model with unserved requests can only be loaded from the store: no worker of
+  /// this plan has a copy.
+  /// @param postponed models that must not be loaded now.
+  bool hasUnservedModelWithoutCopy(const std::set<std::string>& postponed) const;
 
   /// @return true if the worker takes orders and this run has ordered nothing of it yet.
   bool canOrder(const PlacementWorker& worker) const;
--- /dev/null
+++ b/test/registry/store_sharing_test.cpp
@@ -0,0 +1,124 @@
+/// Tests states in which loads from the store are put off without need.
+
+#include "registry/placement.h"
+#include "registry/placement_fixture.h"
+#include "registry/store_rate.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::registry;
+using namespace walnut::registry::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+catalog::EngineSpec engineOf(std::initializer_list<const char*> models) {
+  catalog::EngineSpec engine;
+  engine.slots = 8;
+  engine.weightsMegabytes = 30;
+  engine.adapterSlots = 4;
+  engine.storeLoadsPerSecond = 1.5;
+  catalog::ModelSpec model;
+  model.weightsMegabytes = 10;
+  model.storeLoadTime = 900ms;
+  model.diskLoadTime = 900ms;
+  model.memoryLoadTime = 900ms;
+  return withModels(engine, model, models);
+}
+
+/// @return a worker that is busy for that long and has the model on its disk.
+PlacementWorker busyWorkerWithCopy(const char* model, base::Duration busyFor) {
+  PlacementWorker worker = workerWith("busy", {});
+  worker.holdings.onDisk = {model};
+  worker.canTakeOrders = false;
+  worker.loadingModel = "x";
+  worker.remainingOrderTime = busyFor;
+  return worker;
+}
+
+}  // namespace
+
+TEST_GROUP(StoreSharingTest) {
+  base::TimePoint now = base::TimePoint(100s);
+  PlacementPolicy policy{"svc"};
+  StoreScheduler store;
+  DemandBook demand;
+  std::map<std::string, std::uint64_t> gateways;
+
+  /// Reports the requests for a model; it replaces the last report of those that wait.
+  void report(const std::string& model, std::uint32_t waiting, std::uint32_t arrivals) {
+    DemandUpdate update;
+    update.demands.push_back({"svc", model, "", waiting, arrivals, 0, 600ms, 0, 0});
+    const auto gateway = gateways.try_emplace(model, gateways.size() + 1).first->second;
+    demand.update({gateway}, update, now);
+  }
+  std::vector<PlacementStep> plan(const catalog::EngineSpec& engine,
+                                  const std::vector<PlacementWorker>& workers,
+                                  const std::set<std::string>& postponed = {}) {
+    store.setLimit(engine.storeLoadsPerSecond, {}, now);
+    return policy.plan(engine, workers, demand, store, now, postponed);
+  }
+  /// Leaves a store that may load now, but hasn't a full burst.
+  void useToken() {
+    store = StoreScheduler(PreviousLoads{std::nullopt});
+    store.setLimit(1.5, {}, now);
+    store.recordOrdered({"elsewhere"}, 900ms, now);
+    store.recordAccepted({"elsewhere"}, now);
+    store.recordEnd({"elsewhere"}, now);
+    CHECK_TRUE(store.allows());
+  }
+  static std::string storeLoads(const std::vector<PlacementStep>& steps) {
+    std::string models;
+    for (const PlacementStep& step : steps) {
+      models += step.fromStore ? step.model + " " : "";
+    }
+    return models;
+  }
+};
+
+/// Guards against a model whose loads are postponed, for up to 32 s, that keeps the store from
+/// others although it can't use it.
+TEST(StoreSharingTest, aPostponedModelDoesNotMakeTheStoreScarce) {
+  useToken();
+  report("crashing", 1, 1);
+  report("copied", 1, 1);
+  const auto steps =
+      plan(engineOf({"crashing", "copied", "x"}),
+           {busyWorkerWithCopy("copied", 20s), workerWith("idle", {})}, {"crashing"});
+  STRCMP_EQUAL("copied ", storeLoads(steps).c_str());
+}
+
+/// The same for a model that no worker can hold.
+TEST(StoreSharingTest, aModelLargerThanAWorkerDoesNotMakeTheStoreScarce) {
+  useToken();
+  report("huge", 1, 1);
+  report("copied", 1, 1);
+  auto engine = engineOf({"huge", "copied", "x"});
+  engine.models[0].weightsMegabytes = 1000;
+  const auto steps = plan(engine, {busyWorkerWithCopy("copied", 20s), workerWith("idle", {})});
+  STRCMP_EQUAL("copied ", storeLoads(steps).c_str());
+}
+
+/// Guards against a model with a copy on a worker that is busy for long, whose callers come and
+/// leave while the store's loads go to single callers of other models without a copy.
+TEST(StoreSharingTest, aModelWhoseDiskIsBusyForLongIsServedFromTheStore) {
+  const auto engine =
+      engineOf({"copied", "0",  "1",  "2",  "3",  "4",  "5",  "6",  "7",  "8",  "9",
+                "10",     "11", "12", "13", "14", "15", "16", "17", "18", "19", "x"});
+  base::Duration asked{0};
+  std::string loads;
+  for (int load = 0; load < 20 && loads.find("copied") == std::string::npos; ++load) {
+    report(std::to_string(load), 1, 1);
+    report("copied", 3, 1);
+    useToken();
+    // Its order is overdue, and is taken to last as long again as it is late.
+    loads += storeLoads(
+        plan(engine, {busyWorkerWithCopy("copied", 5s + asked), workerWith("idle", {})}));
+    report(std::to_string(load), 0, 0);
+    now += 670ms;
+    asked += 670ms;
+  }
+  CHECK_TRUE_TEXT(asked < 8s, loads.c_str());
+}
