registry: callers that wait longer than a stream's keep their weight

Callers of whole answers wait until their deadline. Once the last of them had waited for as long as a stream's caller would, they counted for nothing in the order of cold models, and each newcomer overtook them: three callers were put off by 20 single ones in a row (StoreSharingTest.callersThatStillWait- AfterAStreamsPatienceCount failed before).

Change: whoever gateways still report as waiting after that time, and the delay of a report, counts as before the order regarded patience.

--- a/include/walnut/catalog/caller_timeout.h
+++ b/include/walnut/catalog/caller_timeout.h
@@ -8,7 +8,8 @@
 
 namespace walnut::catalog {
 
-/// @return the time after which a caller abandons a stream that has not begun.
+/// @return the time after which a caller abandons a stream that has not begun. Callers that expect
+/// a whole answer wait until their deadline.
 /// @param targetLatency target time until the first event of the stream.
 /// @param targetGap longest target time between two events; 0 if there is none.
 inline base::Duration callerTimeout(base::Duration targetLatency, base::Duration targetGap) {
--- a/src/registry/cold_load_benefit.cpp
+++ b/src/registry/cold_load_benefit.cpp
@@ -15,6 +15,9 @@
 /// for longer has less.
 constexpr double kLastChanceBenefit = 0.6;
 
+/// Time until the registry has heard that a caller has left.
+constexpr base::Duration kReportDelay = std::chrono::milliseconds(600);
+
 double seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 }  // namespace
@@ -25,12 +28,15 @@
   const base::Duration timeout =
       catalog::callerTimeout(figures.targetLatency, base::Duration::zero());
   const base::Duration needed = loadTime + kOverhead;
+  const base::TimePoint leavesAt = figures.lastArrival + timeout;
   const bool isArrivalKnown = figures.lastArrival != base::TimePoint();
-  if (needed > timeout || !isArrivalKnown) {
-    // No caller waits that long, or it is unknown for how long; those that wait show the demand.
+  const bool waitsLonger = now > leavesAt + kReportDelay;
+  if (needed > timeout || !isArrivalKnown || waitsLonger) {
+    // No caller waits until the end, or it is unknown for how long; those that wait show the
+    // demand.
     return unservedCount * (figures.rate + figures.waiting);
   }
-  const base::Duration spare = figures.lastArrival + timeout - (now + needed);
+  const base::Duration spare = leavesAt - (now + needed);
   if (figures.waiting == 0 || spare < base::Duration::zero()) {
     return unservedCount * figures.rate;
   }
--- a/test/registry/store_sharing_test.cpp
+++ b/test/registry/store_sharing_test.cpp
@@ -78,6 +78,29 @@
   }
 };
 
+/// Guards against callers that wait longer than a stream's (whole answers wait until their
+/// deadline), and that single new callers of other models overtake until that deadline, since they
+/// count for nothing once the last of them has waited for as long as a stream's caller would.
+TEST(StoreSharingTest, callersThatStillWaitAfterAStreamsPatienceCount) {
+  report("patient", 3, 3);
+  const auto engine = engineOf({"patient", "0",  "1",  "2",  "3",  "4",  "5",  "6",  "7",  "8", "9",
+                                "10",      "11", "12", "13", "14", "15", "16", "17", "18", "19"});
+  now += 2s;  // The store was in use by others.
+  base::Duration waited = 2s;
+  std::string loads;
+  for (int load = 0; load < 20 && loads.find("patient") == std::string::npos; ++load) {
+    report(std::to_string(load), 1, 1);
+    report("patient", 3, 0);  // The gateway says that they are still there.
+    useToken();
+    const auto steps = plan(engine, {workerWith("w", {})});
+    loads += storeLoads(steps);
+    report(std::to_string(load), 0, 0);
+    now += 670ms;
+    waited += 670ms;
+  }
+  CHECK_TRUE_TEXT(waited < 8s, loads.c_str());
+}
+
 /// Guards against a model whose loads are postponed, for up to 32 s, that keeps the store from
 /// others although it can't use it.
 TEST(StoreSharingTest, aPostponedModelDoesNotMakeTheStoreScarce) {
