registry: loads without a limit owe nothing to a limit that is set later

Without a limit each load took a token that was never refilled. After 100 such loads and a pause a limit of one load a second allowed none for some 100 s (StoreSharingTest.aLimitThatIsSetLaterOwesNothingForEarlierLoads failed before). Now only a limited rate takes and returns tokens; the window's own count covers the change.

--- a/src/registry/store_rate.cpp
+++ b/src/registry/store_rate.cpp
@@ -110,14 +110,21 @@
   return fullWindows + (last.latest + window_.length + base::Duration(1) - *refilledAt_);
 }
 
+/// Loads that are not limited owe nothing to a rate that is set later.
+double StoreRate::takeToken() {
+  const double taken = perSecond_ > 0 ? 1.0 : 0.0;
+  tokens_ -= taken;
+  return taken;
+}
+
 void StoreRate::recordStart() {
-  tokens_ -= 1.0;
+  takeToken();
   insert({0, refilledAt_.value_or(base::TimePoint()), false, 0});
 }
 
 void StoreRate::recordOrdered(std::uint64_t load) {
-  tokens_ -= 1.0;
-  insert({load, refilledAt_.value_or(base::TimePoint()), true, 1});
+  const double taken = takeToken();
+  insert({load, refilledAt_.value_or(base::TimePoint()), true, taken});
 }
 
 void StoreRate::insert(const Start& start) {
--- a/src/registry/store_rate.h
+++ b/src/registry/store_rate.h
@@ -80,6 +80,8 @@
   void initialize(base::TimePoint now);
   void refill(base::TimePoint now);
   void refreshStarts(base::TimePoint now);
+  /// @return the tokens taken for one load: none without a limit.
+  double takeToken();
   Start* findUnanswered(std::uint64_t load);
   void insert(const Start& start);
   base::Duration bucketWait(std::size_t before) const;
--- a/test/registry/store_sharing_test.cpp
+++ b/test/registry/store_sharing_test.cpp
@@ -145,3 +145,16 @@
   }
   CHECK_TRUE_TEXT(asked < 8s, loads.c_str());
 }
+
+/// Guards against loads that were started without a limit and are owed once there is one.
+TEST(StoreSharingTest, aLimitThatIsSetLaterOwesNothingForEarlierLoads) {
+  StoreRate rate(PreviousLoads{std::nullopt});
+  for (int load = 1; load <= 100; ++load) {
+    now += 1s;
+    rate.setLimit(0, {}, now);
+    rate.recordStart();
+  }
+  now += 6s;  // No start is left in the window.
+  rate.setLimit(1, {}, now);
+  CHECK_TRUE(rate.allows());
+}
