--- a/test/registry/slow_store_order_test.cpp
+++ b/test/registry/slow_store_order_test.cpp
@@ -76,6 +76,14 @@
     store.setLimit(ScriptedStore::kLoadsPerSecond, {}, now);
     store.recordOrdered({"elsewhere"}, ScriptedStore::kLoadTime, now);
   }
+  std::optional<base::Duration> forecastOf(const char* model) const {
+    for (const LateModelForecast& forecast : policy.outlook()) {
+      if (forecast.model == model) {
+        return forecast.availableIn;
+      }
+    }
+    return std::nullopt;
+  }
   /// @return the models loaded from the store by these steps, each followed by a space.
   static std::string storeLoads(const std::vector<PlacementStep>& steps) {
     std::string models;
@@ -138,6 +146,50 @@
   CHECK_TRUE(script.callers()[older].servedAt.has_value());
 }
 
+/// Guards against a forecast that is true only because it sends the callers away: with one caller
+/// waiting the model would be the next to be loaded.
+TEST(SlowStoreOrderTest, aModelIsNotAnnouncedAsLateIfItsNextCallerWouldBeServedInTime) {
+  const auto engine =
+      engineOf({"often", "m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"});
+  const std::vector<PlacementWorker> workers = {workerWithCopies("w0", {}),
+                                                workerWithCopies("w1", {})};
+  useToken();
+  for (int request = 0; request < 4; ++request) {
+    report("often", 0, 1);
+    now += 4s;
+  }
+  useToken();
+  useToken();
+  for (int model = 0; model < 10; ++model) {
+    report("m" + std::to_string(model), 1, 2);
+  }
+  CHECK_TRUE(plan(engine, workers).empty());
+  const std::optional<base::Duration> forecast = forecastOf("often");
+  report("often", 1, 1);
+  now += kTokenInterval;
+  STRCMP_EQUAL("often ", storeLoads(plan(engine, workers)).c_str());
+  CHECK_TRUE(!forecast || *forecast <= ScriptedStore::kPatience);
+}
+
+/// Guards against a caller that returns when it was told to and is refused again: while it was away
+/// its model was overtaken by models whose callers came after it.
+TEST(SlowStoreOrderTest, aCallerThatReturnsWhenToldFindsItsModel) {
+  ScriptedStore script(8);
+  for (int model = 0; model < 9; ++model) {
+    script.call("early" + std::to_string(model), model * 10ms);
+    script.call("early" + std::to_string(model), model * 10ms);
+  }
+  const std::size_t told = script.call("told", 100ms, CallerReturn::atRetryAfter);
+  for (int model = 0; model < 20; ++model) {
+    script.call("later" + std::to_string(model), 1s + model * 500ms);
+  }
+  script.run(12s);
+  const ScriptedCaller& caller = script.callers()[told];
+  CHECK_TRUE(caller.toldAt.has_value());
+  CHECK_EQUAL(1, caller.refusals);
+  CHECK_TRUE(caller.servedAt.has_value());
+}
+
 /// Guards against a load that another disk could do, while a model without any copy has had its
 /// caller leave a moment ago and isn't counted among those that need the store.
 TEST(SlowStoreOrderTest, aModelWhoseCallerJustLeftCountsInThePriceOfTheStore) {
@@ -218,6 +270,19 @@
   STRCMP_EQUAL("", storeLoads(steps).c_str());
 }
 
+/// Guards against models that are unloaded for loads which the store doesn't allow yet.
+TEST(SlowStoreOrderTest, noMoreModelsMakeRoomThanTheStoreAllowsLoads) {
+  const auto engine = engineOf({"n0", "n1", "n2", "a", "b", "c", "d", "e", "f", "g", "h", "i"});
+  for (const char* model : {"n0", "n1", "n2"}) {
+    report(model, 1, 1);
+  }
+  const auto steps = plan(
+      engine, {workerWithCopies("w0", {"a", "b", "c"}), workerWithCopies("w1", {"d", "e", "f"}),
+               workerWithCopies("w2", {"g", "h", "i"})});
+  CHECK_EQUAL(1, steps.size());
+  CHECK_TRUE(steps[0].operation == OrderOperation::unload);
+}
+
 /// Guards against a load that is wasted: its callers were refused, and the model makes room before
 /// the next one comes, for a model that could take the place of one that has answered.
 TEST(SlowStoreOrderTest, aModelLoadedForRefusedCallersIsKeptForTheNextOne) {
