registry: a placement decision tells whether the store is scarce

The log could not tell why a model that a live disk has was loaded from the store: `copies` and `store-queue` said what waited, not whether models without a copy kept the store. Now `store-scarce` says so.

--- a/src/registry/cold_load_benefit.cpp
+++ b/src/registry/cold_load_benefit.cpp
@@ -14,7 +14,6 @@
 /// Benefit of the last load that still serves the callers that wait; a load that they could wait
 /// for longer has less.
 constexpr double kLastChanceBenefit = 0.6;
-
 /// Time until the registry has heard that a caller has left.
 constexpr base::Duration kReportDelay = std::chrono::milliseconds(600);
 
--- a/src/registry/leader_plans.cpp
+++ b/src/registry/leader_plans.cpp
@@ -202,6 +202,7 @@
                 {"store-loads", std::uint64_t{store.loadsInProgress()}},
                 {"store-limit", std::uint64_t{store.limit()}},
                 {"store-queue", std::uint64_t{decision.storeQueue}},
+                {"store-scarce", std::string_view(decision.storeIsScarce ? "yes" : "no")},
                 {"store-wait", static_cast<std::uint64_t>(storeWait.count())}});
   }
 }
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -265,6 +265,7 @@
   decision.replicas = replicas.present;
   decision.copies = replicas.copies;
   decision.storeQueue = previousStoreQueue_;
+  decision.storeIsScarce = storeIsScarce_;
   decision.benefit = benefit;
   if (choice.worker != nullptr) {
     decision.worker = choice.worker->id;
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -87,6 +87,7 @@
   std::uint32_t replicas = 0;
   std::uint32_t copies = 0;    ///< Workers that have the weights in any tier or are loading them.
   std::size_t storeQueue = 0;  ///< Cold models that waited for the store after the previous run.
+  bool storeIsScarce = false;  ///< True if models without a copy need the store's loads.
   WorkerId worker;             ///< The best worker, if any.
   std::string victim;          ///< The first model to unload there; empty if none has to be.
   /// @name In seconds of request waiting time
