test: one fixture for the tests of the slow store

Three files had the same service and workers of their own, the scripted store had functions that no test calls, and a group was laid out so that its function could not be read.

--- a/test/registry/leader_store_test.cpp
+++ b/test/registry/leader_store_test.cpp
@@ -6,22 +6,24 @@
 using namespace walnut::registry;
 using namespace walnut::registry::testing;
 
-TEST_GROUP_BASE(LeaderStoreTest, LeaderDutiesFixture){
-    /// Runs a leader, whose store allows a load per second, until it has sent the first one.
-    SendOrder firstLoad(){lead();
-demandModel("a");
-while (count<SendOrder>() == 0) {
-  runAnswering(50ms);
-}
-for (const RegistryAction& action : actions) {
-  if (const auto* order = std::get_if<SendOrder>(&action)) {
-    return *order;
+struct LeaderStoreFixture : LeaderDutiesFixture {
+  /// Runs a leader, whose store allows a load per second, until it has sent the first one.
+  SendOrder firstLoad() {
+    lead();
+    demandModel("a");
+    while (count<SendOrder>() == 0) {
+      runAnswering(50ms);
+    }
+    for (const RegistryAction& action : actions) {
+      if (const auto* order = std::get_if<SendOrder>(&action)) {
+        return *order;
+      }
+    }
+    return {};
   }
-}
-return {};
-}
-}
-;
+};
+
+TEST_GROUP_BASE(LeaderStoreTest, LeaderStoreFixture){};
 
 /// Guards against losing the store's rate to loads that never start.
 TEST(LeaderStoreTest, aRefusedLoadDoesNotUseTheStoreRate) {
--- a/test/registry/scripted_store.h
+++ b/test/registry/scripted_store.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "registry/late_model_announcer.h"
@@ -19,7 +20,6 @@
 /// What a caller does that was refused.
 enum class CallerReturn : std::uint8_t {
   never,
-  soon,          ///< Returns after a short pause, whatever it was told.
   atRetryAfter,  ///< Returns when it was told to.
 };
 
@@ -28,10 +28,8 @@
   std::string model;
   base::TimePoint arrivesAt;
   CallerReturn returns = CallerReturn::never;
-  bool isNeverRefused = false;  ///< It waits even if its model is announced as late.
 
-  base::TimePoint leavesAt;                  ///< When its patience ends, once it waits.
-  std::optional<base::TimePoint> refusedAt;  ///< Its first refusal.
+  base::TimePoint leavesAt;  ///< When its patience ends, once it waits.
   int refusals = 0;
   std::optional<base::TimePoint> toldAt;  ///< When it was told that the model is available.
   std::optional<base::TimePoint> servedAt;
@@ -44,15 +42,9 @@
  public:
   static constexpr base::Duration kPatience = std::chrono::milliseconds(2400);
   static constexpr base::Duration kLoadTime = std::chrono::milliseconds(900);
-  static constexpr base::Duration kShortPause = std::chrono::milliseconds(200);
   static constexpr base::Duration kStep = std::chrono::milliseconds(10);
   static constexpr double kLoadsPerSecond = 1.5;
 
-  struct Load {
-    std::string model;
-    base::TimePoint orderedAt;
-  };
-
   explicit ScriptedStore(std::size_t workers) {
     engine_.slots = 8;
     engine_.weightsMegabytes = 1e6;
@@ -66,8 +58,6 @@
     }
   }
 
-  base::TimePoint now() const { return now_; }
-  const std::vector<Load>& loads() const { return loads_; }
   const std::vector<ScriptedCaller>& callers() const { return callers_; }
 
   /// @return the caller's index.
@@ -81,7 +71,6 @@
     callers_.push_back(caller);
     return callers_.size() - 1;
   }
-  void neverRefuse(std::size_t caller) { callers_[caller].isNeverRefused = true; }
 
   void run(base::Duration duration) {
     for (const base::TimePoint end = now_ + duration; now_ < end; now_ += kStep) {
@@ -92,17 +81,6 @@
       plan();
     }
   }
-  /// @return when the model was ordered to be loaded; `kNever` if it was not.
-  base::TimePoint loadedAt(const std::string& model) const {
-    const auto found = std::find_if(loads_.begin(), loads_.end(),
-                                    [&model](const Load& load) { return load.model == model; });
-    return found == loads_.end() ? base::kNever : found->orderedAt;
-  }
-  std::size_t served() const {
-    return static_cast<std::size_t>(
-        std::count_if(callers_.begin(), callers_.end(),
-                      [](const ScriptedCaller& caller) { return caller.servedAt.has_value(); }));
-  }
 
  private:
   void declare(const std::string& name) {
@@ -175,15 +153,14 @@
   /// Refuses as Exchange::refuseIfTooLate does.
   bool refuseIfTooLate(ScriptedCaller& caller) {
     const auto late = lateModels_.find(caller.model);
-    if (caller.isNeverRefused || late == lateModels_.end() || now_ >= lateModelsExpireAt_ ||
+    if (late == lateModels_.end() || now_ >= lateModelsExpireAt_ ||
         late->second <= caller.leavesAt) {
       return false;
     }
     const bool isFirst = ++caller.refusals == 1;
-    caller.refusedAt = caller.refusedAt.value_or(now_);
     caller.toldAt = caller.toldAt.value_or(late->second);
-    if (isFirst && caller.returns != CallerReturn::never) {
-      caller.arrivesAt = caller.returns == CallerReturn::soon ? now_ + kShortPause : late->second;
+    if (isFirst && caller.returns == CallerReturn::atRetryAfter) {
+      caller.arrivesAt = late->second;
     }
     if (std::exchange(caller.isWaiting, false)) {
       report(caller.model, 0, 0);
@@ -211,7 +188,6 @@
           loadEndsAt_[index] = now_ + kLoadTime;
         }
       }
-      loads_.push_back({step.model, now_});
     }
     announce();
   }
@@ -239,7 +215,6 @@
   std::vector<PlacementWorker> workers_;
   std::vector<base::TimePoint> loadEndsAt_;  ///< By worker; `kNever` if it loads nothing.
   std::vector<ScriptedCaller> callers_;
-  std::vector<Load> loads_;
   std::map<std::string, base::TimePoint> lateModels_;
   base::TimePoint lateModelsExpireAt_;
   std::map<std::string, std::uint64_t> gatewayOf_;  ///< Connection that reports a model.
--- a/test/registry/slow_store_order_test.cpp
+++ b/test/registry/slow_store_order_test.cpp
@@ -3,8 +3,8 @@
 /// of SlowStoreTest a caller waits 2.4 s, a load takes 0.9 s and the store takes one each 0.67 s.
 
 #include "registry/placement.h"
-#include "registry/placement_fixture.h"
 #include "registry/scripted_store.h"
+#include "registry/slow_store_fixture.h"
 
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
@@ -18,37 +18,6 @@
 
 constexpr base::Duration kTokenInterval = 670ms;
 
-catalog::EngineSpec engineOf(std::initializer_list<const char*> models) {
-  catalog::EngineSpec engine;
-  engine.slots = 8;
-  engine.weightsMegabytes = 30;
-  engine.adapterSlots = 4;
-  engine.storeLoadsPerSecond = ScriptedStore::kLoadsPerSecond;
-  catalog::ModelSpec model;
-  model.weightsMegabytes = 10;
-  model.storeLoadTime = ScriptedStore::kLoadTime;
-  model.diskLoadTime = ScriptedStore::kLoadTime;
-  model.memoryLoadTime = ScriptedStore::kLoadTime;
-  return withModels(engine, model, models);
-}
-
-/// @return a worker that holds these models in memory and on its disk.
-PlacementWorker workerWithCopies(const char* id, std::initializer_list<const char*> models) {
-  PlacementWorker worker = workerWith(id, models);
-  worker.holdings.onDisk.assign(models.begin(), models.end());
-  return worker;
-}
-
-/// @return a worker that is busy for that long and has the model on its disk.
-PlacementWorker busyWorkerWithCopy(const char* model, base::Duration busyFor) {
-  PlacementWorker worker = workerWithCopies("busy", {});
-  worker.holdings.onDisk = {model};
-  worker.canTakeOrders = false;
-  worker.loadingModel = "x";
-  worker.remainingOrderTime = busyFor;
-  return worker;
-}
-
 }  // namespace
 
 TEST_GROUP(SlowStoreOrderTest) {
@@ -101,7 +70,7 @@
   report("leaving", 1, 3);
   now += 2s;
   report("staying", 1, 1);
-  const auto steps = plan(engineOf({"leaving", "staying"}), {workerWithCopies("w", {})});
+  const auto steps = plan(slowStoreEngine({"leaving", "staying"}), {workerWithCopies("w", {})});
   STRCMP_EQUAL("staying ", storeLoads(steps).c_str());
 }
 
@@ -115,7 +84,7 @@
   }
   now += 3s;
   report("waited-for", 1, 1);
-  const auto steps = plan(engineOf({"left", "waited-for"}), {workerWithCopies("w", {})});
+  const auto steps = plan(slowStoreEngine({"left", "waited-for"}), {workerWithCopies("w", {})});
   STRCMP_EQUAL("waited-for ", storeLoads(steps).c_str());
 }
 
@@ -150,7 +119,7 @@
 /// waiting the model would be the next to be loaded.
 TEST(SlowStoreOrderTest, aModelIsNotAnnouncedAsLateIfItsNextCallerWouldBeServedInTime) {
   const auto engine =
-      engineOf({"often", "m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"});
+      slowStoreEngine({"often", "m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"});
   const std::vector<PlacementWorker> workers = {workerWithCopies("w0", {}),
                                                 workerWithCopies("w1", {})};
   useToken();
@@ -193,7 +162,7 @@
 /// Guards against a load that another disk could do, while a model without any copy has had its
 /// caller leave a moment ago and isn't counted among those that need the store.
 TEST(SlowStoreOrderTest, aModelWhoseCallerJustLeftCountsInThePriceOfTheStore) {
-  const auto engine = engineOf({"copied", "cold1", "cold2", "cold3", "cold4", "x"});
+  const auto engine = slowStoreEngine({"copied", "cold1", "cold2", "cold3", "cold4", "x"});
   const std::vector<PlacementWorker> workers = {busyWorkerWithCopy("copied", 2s),
                                                 workerWithCopies("idle", {})};
   for (const char* model : {"cold1", "cold2", "cold3", "cold4"}) {
@@ -213,7 +182,8 @@
 
 /// The same with models that were announced as late, whose callers were refused.
 TEST(SlowStoreOrderTest, aLateModelCountsInThePriceOfTheStore) {
-  const auto engine = engineOf({"copied", "m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "x"});
+  const auto engine =
+      slowStoreEngine({"copied", "m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "x"});
   const std::vector<PlacementWorker> workers = {busyWorkerWithCopy("copied", 2s),
                                                 workerWithCopies("idle", {})};
   useToken();
@@ -235,7 +205,7 @@
 /// Guards against a load that another disk could do soon, while a model without any copy has its
 /// room being made: it doesn't wait for the store in that moment, but needs its next load.
 TEST(SlowStoreOrderTest, aModelForWhichRoomIsBeingMadeCountsInThePriceOfTheStore) {
-  const auto engine = engineOf({"cold", "copied", "a", "b", "c", "x"});
+  const auto engine = slowStoreEngine({"cold", "copied", "a", "b", "c", "x"});
   PlacementWorker full = workerWithCopies("full", {"a", "b", "c"});
   // It has room, but is so busy that the cold model goes to the other.
   PlacementWorker roomy = workerWithCopies("roomy", {"x"});
@@ -256,7 +226,7 @@
 /// Guards against a spare replica that takes the store's load while the only workers that can make
 /// room for a cold model are still unloading for it.
 TEST(SlowStoreOrderTest, aSpareReplicaLeavesTheStoreToAModelForWhichRoomIsBeingMade) {
-  const auto engine = engineOf({"popular", "cold", "a", "b", "c", "x"});
+  const auto engine = slowStoreEngine({"popular", "cold", "a", "b", "c", "x"});
   PlacementWorker holder = workerWithCopies("holder", {"popular"});
   holder.canLoadModels = false;
   // It has room, but is so busy that the cold model goes to the other.
@@ -272,7 +242,8 @@
 
 /// Guards against models that are unloaded for loads which the store doesn't allow yet.
 TEST(SlowStoreOrderTest, noMoreModelsMakeRoomThanTheStoreAllowsLoads) {
-  const auto engine = engineOf({"n0", "n1", "n2", "a", "b", "c", "d", "e", "f", "g", "h", "i"});
+  const auto engine =
+      slowStoreEngine({"n0", "n1", "n2", "a", "b", "c", "d", "e", "f", "g", "h", "i"});
   for (const char* model : {"n0", "n1", "n2"}) {
     report(model, 1, 1);
   }
@@ -286,7 +257,7 @@
 /// Guards against a load that is wasted: its callers were refused, and the model makes room before
 /// the next one comes, for a model that could take the place of one that has answered.
 TEST(SlowStoreOrderTest, aModelLoadedForRefusedCallersIsKeptForTheNextOne) {
-  const auto engine = engineOf({"fresh", "used1", "used2", "new"});
+  const auto engine = slowStoreEngine({"fresh", "used1", "used2", "new"});
   report("used1", 0, 3);
   report("used1", 0, 0, 1);
   report("used2", 0, 3);
--- a/test/registry/slow_store_test.cpp
+++ b/test/registry/slow_store_test.cpp
@@ -9,7 +9,7 @@
 /// had on its disk.
 
 #include "registry/placement.h"
-#include "registry/placement_fixture.h"
+#include "registry/slow_store_fixture.h"
 
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
@@ -19,31 +19,6 @@
 using namespace walnut::registry::testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-catalog::EngineSpec engineOf(std::initializer_list<const char*> models) {
-  catalog::EngineSpec engine;
-  engine.slots = 8;
-  engine.weightsMegabytes = 30;
-  engine.adapterSlots = 4;
-  engine.storeLoadsPerSecond = 1.5;
-  catalog::ModelSpec model;
-  model.weightsMegabytes = 10;
-  model.storeLoadTime = 900ms;
-  model.diskLoadTime = 900ms;
-  model.memoryLoadTime = 900ms;
-  return withModels(engine, model, models);
-}
-
-/// @return a worker that holds these models in memory and on its disk.
-PlacementWorker workerWithCopies(const char* id, std::initializer_list<const char*> models) {
-  PlacementWorker worker = workerWith(id, models);
-  worker.holdings.onDisk.assign(models.begin(), models.end());
-  return worker;
-}
-
-}  // namespace
-
 TEST_GROUP(SlowStoreTest) {
   base::TimePoint now = base::TimePoint(100s);
   PlacementPolicy policy{"svc"};
@@ -72,7 +47,7 @@
   }
   report("often", 1, 1);
   report("busier-now", 2, 2);
-  const auto steps = plan(engineOf({"busier-now", "often"}), {workerWithCopies("w", {})});
+  const auto steps = plan(slowStoreEngine({"busier-now", "often"}), {workerWithCopies("w", {})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("often", steps[0].model.c_str());
 }
@@ -83,7 +58,7 @@
   now += 60min;
   report("long-ago", 1, 1);
   report("now", 2, 2);
-  const auto steps = plan(engineOf({"long-ago", "now"}), {workerWithCopies("w", {})});
+  const auto steps = plan(slowStoreEngine({"long-ago", "now"}), {workerWithCopies("w", {})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("now", steps[0].model.c_str());
 }
@@ -92,7 +67,7 @@
 TEST(SlowStoreTest, aNewLeaderLoadsTheModelThatMoreWaitFor) {
   report("few", 1, 0);
   report("many", 3, 0);
-  const auto steps = plan(engineOf({"few", "many"}), {workerWithCopies("w", {})});
+  const auto steps = plan(slowStoreEngine({"few", "many"}), {workerWithCopies("w", {})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("many", steps[0].model.c_str());
 }
@@ -102,7 +77,7 @@
   report("answered", 0, 0, 1);
   report("answered", 1, 1);
   report("other", 2, 2);
-  const auto steps = plan(engineOf({"answered", "other"}), {workerWithCopies("w", {})});
+  const auto steps = plan(slowStoreEngine({"answered", "other"}), {workerWithCopies("w", {})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("other", steps[0].model.c_str());
 }
@@ -110,7 +85,7 @@
 /// Guards against callers that wait for a model which the store's rate limit delays until long
 /// after they have left.
 TEST(SlowStoreTest, theStoreRateDeterminesWhenAModelIsAvailable) {
-  const auto engine = engineOf({"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"});
+  const auto engine = slowStoreEngine({"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"});
   for (const catalog::ModelSpec& model : engine.models) {
     report(model.name.c_str(), 1, 1);
   }
@@ -129,7 +104,7 @@
   report("used", 0, 3);
   report("used", 0, 0, 1);
   report("new", 1, 1);
-  const auto steps = plan(engineOf({"fresh", "used", "new", "x"}),
+  const auto steps = plan(slowStoreEngine({"fresh", "used", "new", "x"}),
                           {workerWithCopies("w", {"fresh", "used", "x"})});
   CHECK_EQUAL(1, steps.size());
   CHECK(steps[0].operation == OrderOperation::unload);
@@ -143,7 +118,7 @@
     report(model, 0, 30, 30);
   }
   report("new", 1, 1);
-  const auto steps = plan(engineOf({"left", "used1", "used2", "new"}),
+  const auto steps = plan(slowStoreEngine({"left", "used1", "used2", "new"}),
                           {workerWithCopies("w", {"left", "used1", "used2"})});
   CHECK_EQUAL(1, steps.size());
   STRCMP_EQUAL("left", steps[0].model.c_str());
@@ -152,7 +127,8 @@
 /// Other models wait for the store, so a model on a busy worker's disk waits for that worker, as
 /// long as its wait costs less than the delay of the others.
 TEST(SlowStoreTest, aModelOnADiskIsNotLoadedFromTheStoreWhileOthersWaitForIt) {
-  const catalog::EngineSpec engine = engineOf({"copied", "cold1", "cold2", "cold3", "cold4", "x"});
+  const catalog::EngineSpec engine =
+      slowStoreEngine({"copied", "cold1", "cold2", "cold3", "cold4", "x"});
   PlacementWorker busy = workerWithCopies("busy", {});
   busy.holdings.onDisk = {"copied"};
   busy.canTakeOrders = false;
@@ -174,7 +150,7 @@
 
 /// No other model waits for the store.
 TEST(SlowStoreTest, aModelOnADiskIsLoadedFromAnIdleStoreIfThatIsSooner) {
-  const catalog::EngineSpec engine = engineOf({"copied", "x"});
+  const catalog::EngineSpec engine = slowStoreEngine({"copied", "x"});
   PlacementWorker busy = workerWithCopies("busy", {});
   busy.holdings.onDisk = {"copied"};
   busy.canTakeOrders = false;
--- a/test/registry/store_sharing_test.cpp
+++ b/test/registry/store_sharing_test.cpp
@@ -1,7 +1,7 @@
 /// Tests states in which loads from the store are put off without need.
 
 #include "registry/placement.h"
-#include "registry/placement_fixture.h"
+#include "registry/slow_store_fixture.h"
 #include "registry/store_rate.h"
 
 // Last: it redefines new.
@@ -12,34 +12,6 @@
 using namespace walnut::registry::testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-catalog::EngineSpec engineOf(std::initializer_list<const char*> models) {
-  catalog::EngineSpec engine;
-  engine.slots = 8;
-  engine.weightsMegabytes = 30;
-  engine.adapterSlots = 4;
-  engine.storeLoadsPerSecond = 1.5;
-  catalog::ModelSpec model;
-  model.weightsMegabytes = 10;
-  model.storeLoadTime = 900ms;
-  model.diskLoadTime = 900ms;
-  model.memoryLoadTime = 900ms;
-  return withModels(engine, model, models);
-}
-
-/// @return a worker that is busy for that long and has the model on its disk.
-PlacementWorker busyWorkerWithCopy(const char* model, base::Duration busyFor) {
-  PlacementWorker worker = workerWith("busy", {});
-  worker.holdings.onDisk = {model};
-  worker.canTakeOrders = false;
-  worker.loadingModel = "x";
-  worker.remainingOrderTime = busyFor;
-  return worker;
-}
-
-}  // namespace
-
 TEST_GROUP(StoreSharingTest) {
   base::TimePoint now = base::TimePoint(100s);
   PlacementPolicy policy{"svc"};
@@ -83,8 +55,9 @@
 /// count for nothing once the last of them has waited for as long as a stream's caller would.
 TEST(StoreSharingTest, callersThatStillWaitAfterAStreamsPatienceCount) {
   report("patient", 3, 3);
-  const auto engine = engineOf({"patient", "0",  "1",  "2",  "3",  "4",  "5",  "6",  "7",  "8", "9",
-                                "10",      "11", "12", "13", "14", "15", "16", "17", "18", "19"});
+  const auto engine =
+      slowStoreEngine({"patient", "0",  "1",  "2",  "3",  "4",  "5",  "6",  "7",  "8", "9",
+                       "10",      "11", "12", "13", "14", "15", "16", "17", "18", "19"});
   now += 2s;  // The store was in use by others.
   base::Duration waited = 2s;
   std::string loads;
@@ -108,7 +81,7 @@
   report("crashing", 1, 1);
   report("copied", 1, 1);
   const auto steps =
-      plan(engineOf({"crashing", "copied", "x"}),
+      plan(slowStoreEngine({"crashing", "copied", "x"}),
            {busyWorkerWithCopy("copied", 20s), workerWith("idle", {})}, {"crashing"});
   STRCMP_EQUAL("copied ", storeLoads(steps).c_str());
 }
@@ -118,7 +91,7 @@
   useToken();
   report("huge", 1, 1);
   report("copied", 1, 1);
-  auto engine = engineOf({"huge", "copied", "x"});
+  auto engine = slowStoreEngine({"huge", "copied", "x"});
   engine.models[0].weightsMegabytes = 1000;
   const auto steps = plan(engine, {busyWorkerWithCopy("copied", 20s), workerWith("idle", {})});
   STRCMP_EQUAL("copied ", storeLoads(steps).c_str());
@@ -128,8 +101,8 @@
 /// leave while the store's loads go to single callers of other models without a copy.
 TEST(StoreSharingTest, aModelWhoseDiskIsBusyForLongIsServedFromTheStore) {
   const auto engine =
-      engineOf({"copied", "0",  "1",  "2",  "3",  "4",  "5",  "6",  "7",  "8",  "9",
-                "10",     "11", "12", "13", "14", "15", "16", "17", "18", "19", "x"});
+      slowStoreEngine({"copied", "0",  "1",  "2",  "3",  "4",  "5",  "6",  "7",  "8",  "9",
+                       "10",     "11", "12", "13", "14", "15", "16", "17", "18", "19", "x"});
   base::Duration asked{0};
   std::string loads;
   for (int load = 0; load < 20 && loads.find("copied") == std::string::npos; ++load) {
