registry: a model whose callers are gone doesn't keep the store

A review showed that a model with nobody waiting kept the store from callers of copied models, and forbade spare replicas, for 10 s longer than it could be loaded itself: it is no candidate from 10 s after its last request, but its unserved requests are remembered for 20 s. Now such requests make the store scarce for 10 s.

--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -33,7 +33,7 @@
 /// only be a late notification.
 constexpr double kMinQueuedRequests = 2.0;
 /// Cost in seconds of a load from the store, while models without a copy need it, of a cold model
-/// that a worker could load from its disk instead: a busy disk is waited for that long.
+/// that a worker could load from its disk instead: so much later a load from disk may end.
 constexpr double kCopiedModelStoreCost = 8.0;
 /// Time between the end of an order and the acceptance of the next: notification and planning.
 constexpr double kOrderGapSeconds = 0.1;
--- a/src/registry/placement_round.cpp
+++ b/src/registry/placement_round.cpp
@@ -51,6 +51,9 @@
 constexpr double kLastCopyCost = 2.0;
 /// @}
 
+/// Time after the last request for which callers of an unserved model are expected to return.
+constexpr base::Duration kUnservedReturnTime = std::chrono::seconds(10);
+
 /// Arrivals per second from which a model is assumed never to become idle: streams last seconds.
 constexpr double kBusyRate = 0.6;
 
@@ -158,7 +161,9 @@
       return false;
     }
     const DemandFigures modelDemand = figures(model.name);
-    return modelDemand.unservedRequests > 0 || modelDemand.waiting > 0;
+    const bool mayReturn =
+        modelDemand.unservedRequests > 0 && now_ < modelDemand.lastArrival + kUnservedReturnTime;
+    return mayReturn || modelDemand.waiting > 0;
   };
   return std::any_of(engine_.models.begin(), engine_.models.end(), needsStore);
 }
--- a/src/registry/placement_round.h
+++ b/src/registry/placement_round.h
@@ -50,9 +50,9 @@
   Replicas replicas(const std::string& model) const;
   DemandFigures figures(const std::string& model, const std::string& adapter = {}) const;
 
-  /// @return true if a model with unserved requests can only be loaded from the store: no worker of
-  /// this plan has a copy.
-  /// @param postponed models that must not be loaded now.
+  /// @return true if a model with recent unserved requests can only be loaded from the store: no
+  /// worker of this plan has a copy. Models that no worker can hold are left out.
+  /// @param postponed models that must not be loaded now, which are left out too.
   bool hasUnservedModelWithoutCopy(const std::set<std::string>& postponed) const;
 
   /// @return true if the worker takes orders and this run has ordered nothing of it yet.
--- a/test/registry/store_sharing_test.cpp
+++ b/test/registry/store_sharing_test.cpp
@@ -131,3 +131,16 @@
   rate.setLimit(1, {}, now);
   CHECK_TRUE(rate.allows());
 }
+
+/// Guards against a model that nobody waits for any more, and that is not to be loaded, which keeps
+/// the store from callers of others for up to 20 s after its last caller.
+TEST(StoreSharingTest, aModelWhoseCallersAreGoneDoesNotMakeTheStoreScarce) {
+  report("left", 1, 1);
+  report("left", 0, 0);
+  now += 12s;
+  useToken();
+  report("copied", 1, 1);
+  const auto steps = plan(slowStoreEngine({"left", "copied", "x"}),
+                          {busyWorkerWithCopy("copied", 5s), workerWith("idle", {})});
+  STRCMP_EQUAL("copied ", storeLoads(steps).c_str());
+}
