registry: tokens come back while a store has no limit

With a limit set to 0 and later to 0.01 a second, loads of an hour ago were still owed, since nothing refilled the bucket meanwhile (StoreSharingTest. aLimitThatIsSetAgainOwesNothingForLongPastLoads failed before). Without a limit a load counts for one window now.

--- a/src/registry/store_rate.cpp
+++ b/src/registry/store_rate.cpp
@@ -61,7 +61,9 @@
   if (!refilledAt_) {
     initialize(now);
   }
-  tokens_ = std::min(burst_, tokens_ + perSecond_ * seconds(now - *refilledAt_));
+  // Without a limit a load counts for one window.
+  const double perSecond = perSecond_ > 0 ? perSecond_ : burst_ / seconds(window_.length);
+  tokens_ = std::min(burst_, tokens_ + perSecond * seconds(now - *refilledAt_));
   refilledAt_ = now;
 }
 
@@ -110,7 +112,7 @@
   return fullWindows + (last.latest + window_.length + base::Duration(1) - *refilledAt_);
 }
 
-/// Loads that are not limited owe nothing to a rate that is set later.
+/// Loads that start without a limit owe nothing to a limit that is set later.
 double StoreRate::takeToken() {
   const double taken = perSecond_ > 0 ? 1.0 : 0.0;
   tokens_ -= taken;
--- a/test/registry/store_sharing_test.cpp
+++ b/test/registry/store_sharing_test.cpp
@@ -144,3 +144,19 @@
                           {busyWorkerWithCopy("copied", 5s), workerWith("idle", {})});
   STRCMP_EQUAL("copied ", storeLoads(steps).c_str());
 }
+
+/// Guards against tokens that don't come back while there is no limit.
+TEST(StoreSharingTest, aLimitThatIsSetAgainOwesNothingForLongPastLoads) {
+  StoreRate rate(PreviousLoads{std::nullopt});
+  rate.setLimit(0.01, {}, now);
+  while (rate.allows()) {
+    rate.recordStart();
+  }
+  for (int minute = 0; minute < 60; ++minute) {
+    now += 1min;
+    rate.setLimit(0, {}, now);
+  }
+  now += 100ms;
+  rate.setLimit(0.01, {}, now);
+  CHECK_TRUE(rate.allows());
+}
