--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -171,7 +171,7 @@
   void countForeignLoads(const catalog::Service& service, StoreScheduler& store);
   StoreScheduler& storeOf(const std::string& service);
   PreviousLoads previousLoads() const;
-  void abandonStoreLoad(const WorkerId& worker);
+  StoreScheduler* storeOfLoad(const WorkerId& worker);
   void handleWorkerEnd(const WorkerId& id, const WorkerStatus& status, base::TimePoint now);
   void logEndedOrder(const WorkerId& id, WorkerStatus& status, base::TimePoint now);
   WorkerStatus& statusOf(const WorkerId& id, base::TimePoint now);
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -80,8 +80,9 @@
 void LeaderDuties::cancel(const PlacementStep& step, base::TimePoint now) {
   statusOf(step.worker, now).sentOrder.reset();
   planSoon_ = true;
-  if (step.fromStore) {
-    abandonStoreLoad(step.worker);
+  StoreScheduler* const store = step.fromStore ? storeOfLoad(step.worker) : nullptr;
+  if (store != nullptr) {
+    store->recordAbandoned(step.worker);
   }
   log_.write(LogEvent::orderCancelled, {{"worker", step.worker.value},
                                         {"operation", operationName(step.operation)},
@@ -190,12 +191,13 @@
   return kUnloadReportDelay;
 }
 
-/// Removes the load from the store's scheduler: it will not start. The worker's service may not be
-/// known any more.
-void LeaderDuties::abandonStoreLoad(const WorkerId& worker) {
-  for (auto& [service, store] : stores_) {
-    store.recordAbandoned(worker);
-  }
+/// @return the scheduler with the worker's load in progress, or nullptr if there is none. The
+/// worker may be forgotten or have changed its service since it was ordered.
+StoreScheduler* LeaderDuties::storeOfLoad(const WorkerId& worker) {
+  const auto found = std::find_if(stores_.begin(), stores_.end(), [&worker](const auto& entry) {
+    return entry.second.hasLoad(worker);
+  });
+  return found == stores_.end() ? nullptr : &found->second;
 }
 
 /// Records that a worker ended during a load, which may have been the cause. The load no longer
@@ -242,8 +244,9 @@
   const bool isModelOrder = step.adapter.empty();
   const bool mayTakeEffect =
       finished.outcome == OrderOutcome::accepted || finished.outcome == OrderOutcome::unclear;
-  if (step.fromStore && !mayTakeEffect) {
-    abandonStoreLoad(step.worker);
+  StoreScheduler* const store = step.fromStore ? storeOfLoad(step.worker) : nullptr;
+  if (store != nullptr && !mayTakeEffect) {
+    store->recordAbandoned(step.worker);
   }
   if (!mayTakeEffect && isModelOrder) {
     status.unfinishedLoad.reset();
@@ -257,7 +260,9 @@
         const base::Duration reportDelay = load ? expected + kLoadReportDelay : kUnloadReportDelay;
         status.modelOrdered(step, now, now + expected, now + reportDelay);
         busyWorkers_.insert(step.worker);
-        storeOf(record->service).recordAccepted(step.worker, now);
+        if (store != nullptr) {
+          store->recordAccepted(step.worker, now);
+        }
       } else {
         status.adapterOrdered(step, now, options_.adapterSettleTime);
       }
@@ -285,8 +290,8 @@
       status.orderAgainAt = now + kRefusedPause;
       return;
     case OrderOutcome::unclear:
-      if (step.fromStore) {
-        storeOf(record->service).recordUnclear(step.worker, now);
+      if (store != nullptr) {
+        store->recordUnclear(step.worker, now);
       }
       [[fallthrough]];
     case OrderOutcome::misdirected:
@@ -354,9 +359,10 @@
   }
   const auto millis =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - ended->acceptedAt).count();
+  StoreScheduler* const loaded = storeOfLoad(id);
+  const double lateness = loaded == nullptr ? 0 : loaded->recordEnd(id, now);
   const WorkerRecord* record = state_.findWorker(id);
-  StoreScheduler* store = record == nullptr ? nullptr : &storeOf(record->service);
-  const double lateness = store == nullptr ? 0 : store->recordEnd(id, now);
+  const StoreScheduler* store = record == nullptr ? loaded : &storeOf(record->service);
   log_.write(LogEvent::modelOrderEnded, {{"worker", id.value},
                                          {"operation", operationName(ended->operation)},
                                          {"model", ended->model},
--- a/src/registry/leader_worker_health.cpp
+++ b/src/registry/leader_worker_health.cpp
@@ -176,9 +176,8 @@
   const base::Duration silence = now - lastContact(status);
   if (!status.silent && isUnresponsive(id, status, now)) {
     status.silent = true;
-    const auto store = stores_.find(state_.findWorker(id)->service);
-    if (store != stores_.end()) {
-      store->second.recordUnclear(id, now);
+    if (StoreScheduler* const store = storeOfLoad(id)) {
+      store->recordUnclear(id, now);
     }
     markChanged(id);
     log_.write(LogEvent::workerSilent, {{"worker", id.value}});
--- a/src/registry/store_scheduler.cpp
+++ b/src/registry/store_scheduler.cpp
@@ -125,7 +125,7 @@
   }
   const Load load = found->second;
   loads_.erase(found);
-  rate_.recordAccepted(load.number, now);  // Its answer may have been lost.
+  rate_.recordAccepted(load.number, now);  // It has started, whether or not that was recorded.
   const double lateness = load.lateness(now);
   if (now - load.startedAt >= kMinStoreLoadShare * load.declaredTime) {
     observe(load, lateness);
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -35,6 +35,8 @@
   bool allows() const { return rate_.allows() && loadsInProgress() < concurrency_.limit(); }
   /// @return true if the rate limit has been unused for some time.
   bool hasFullBurst() const { return rate_.hasFullBurst(); }
+  /// @return true if this worker's load is in progress.
+  bool hasLoad(const WorkerId& worker) const { return loads_.count(worker) != 0; }
   std::size_t loadsInProgress() const { return loads_.size() + previousLeaderLoads_; }
   std::size_t limit() const { return concurrency_.limit(); }
   /// @return zero if a load may start now, otherwise the time until the first load is expected to
--- a/test/registry/leader_store_test.cpp
+++ b/test/registry/leader_store_test.cpp
@@ -82,3 +82,54 @@
   runAnswering(500ms);
   CHECK_EQUAL(1, count<SendOrder>());
 }
+
+namespace {
+
+/// Declares a timeout so short that loads are started one at a time at first.
+class ShortTimeoutReader : public EngineReader {
+ public:
+  base::Result<catalog::Document> read(const std::string& text) const override {
+    catalog::Document document = EngineReader::read(text).value();
+    catalog::Route route;
+    route.timeout = 3s;
+    route.services = {{"svc", 1}};
+    document.routes = {route};
+    return document;
+  }
+};
+
+}  // namespace
+
+/// Guards against a store that is never used again by a service, since the only load that it may
+/// have in progress never ends: its worker had moved to another service when the answer came.
+TEST(LeaderStoreTest, aLoadOfAWorkerThatChangedItsServiceEnds) {
+  const ShortTimeoutReader shortTimeoutReader;
+  DocumentCache shortTimeouts(shortTimeoutReader);
+  duties = std::make_unique<LeaderDuties>(options, shortTimeouts, state, kTerm, kSelf, log, now,
+                                          turns, std::nullopt);
+  demandModel("a");
+  while (count<SendOrder>() == 0) {
+    runAnswering(50ms);
+  }
+  const SendOrder order = std::get<SendOrder>(*std::find_if(
+      actions.begin(), actions.end(),
+      [](const RegistryAction& action) { return std::holds_alternative<SendOrder>(action); }));
+  WorkerRecord moved = *state.findWorker(order.worker.id);
+  moved.service = "other";
+  state.apply(StoreWorker{moved});
+  duties->stateChanged(now);
+  duties->orderFinished({order.order, OrderOutcome::accepted}, now);
+  actions.clear();
+  for (int second = 0; second < 30; ++second) {
+    demandModel("b");
+    hold(moved.id.value.c_str(), "a");
+    const WorkerId other{moved.id.value == "w1" ? "w2" : "w1"};
+    Heartbeat idle;
+    idle.worker = *state.findWorker(other);
+    idle.sequence = ++sequence;
+    duties->heartbeat(idle, now);
+    runAnswering(1s);
+  }
+  duties.reset();
+  CHECK_TRUE(count<SendOrder>() > 0);
+}
