gateway: only the times of streams decide whether a silent worker is kept

Change: the time to the first event of streams is an average of its own; a stream that stayed only because elsewhere it would come too late counts as a failure of its worker if it is late when the caller leaves; an unknown time is taken to be the other worker's.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -230,6 +230,7 @@
                                                   {"worker", worker->view.record.id.value},
                                                   {"running", worker->totalRunning()},
                                                   {"earlier", deliveredAttempts_}});
+  staysForTime_ = false;
   if (isStreaming()) {
     armStallTimer(std::max(kStallFloor, route_.targetLatency));
   }
@@ -365,19 +366,28 @@
   }
 }
 
-/// @return true if leaving the worker may help the caller: another one has a free slot. It does not
-/// help if the worker takes no longer than it usually does, and another one, by its usual time,
-/// would begin the stream only after the caller had disconnected.
-bool Exchange::beginsSoonerElsewhere() const {
+/// @return true if the worker takes no longer than it usually does, and another one, by its usual
+/// time, would begin the stream only after the caller had disconnected. A time that is unknown is
+/// taken to be that of the other.
+bool Exchange::comesTooLateElsewhere(const Worker& other) const {
+  const std::optional<base::Duration> otherTime = other.firstEventTime.value();
+  const std::optional<base::Duration> ownTime = worker_->firstEventTime.value();
+  const base::Duration usual = ownTime ? *ownTime : otherTime.value_or(base::Duration::zero());
+  const bool isLate = headSent_ || worker_->full() || now() >= attemptAt_ + usual;
+  return !isLate && now() + otherTime.value_or(usual) >= callerDisconnectsAt();
+}
+
+/// @return true if leaving the worker may help the caller: another one has a free slot, and would
+/// not begin the stream too late.
+bool Exchange::leavingMayHelp() {
   std::set<registry::WorkerId> excluded = excluded_;
   excluded.insert(worker_->view.record.id);
   const Selection other = context_.selector().select(service_, facts_, excluded, now());
   if (other.worker == nullptr || other.worker->full()) {
     return false;
   }
-  const base::Duration usual = worker_->latency.valueOr(base::Duration::zero());
-  const bool isLate = headSent_ || worker_->full() || now() >= attemptAt_ + usual;
-  return isLate || now() + other.worker->latency.valueOr(usual) < callerDisconnectsAt();
+  staysForTime_ = comesTooLateElsewhere(*other.worker);
+  return !staysForTime_;
 }
 
 /// Handles a worker that has sent nothing for the stall timeout. A resumable stream continues at
@@ -387,7 +397,7 @@
   if (state_ != State::attempting) {
     return;
   }
-  if (!beginsSoonerElsewhere() || !context_.takeRetry(service_)) {
+  if (!leavingMayHelp() || !context_.takeRetry(service_)) {
     armStallTimer(stallTimeout_);
     return;
   }
@@ -399,16 +409,29 @@
   attemptEnded(Executed::unknown, "the worker is silent");
 }
 
+/// Counts a stream that has not begun, though it usually would have, as a failure of its worker. If
+/// it only stayed there because it would have begun too late elsewhere, the worker may hang, which
+/// nothing else shows.
+void Exchange::recordCallerGone() {
+  const base::Duration usual = worker_->firstEventTime.valueOr(base::Duration::zero());
+  const base::Duration timeout = std::max({kStallFloor, route_.targetLatency, usual});
+  const bool isLate = !isAnswerRecorded_ && now() - attemptAt_ >= timeout;
+  if (isLate) {
+    recordFailure();
+  }
+  if (isLate && staysForTime_) {
+    context_.attemptFailed(*worker_);
+  } else {
+    worker_->breaker.recordNoOutcome(now());
+  }
+}
+
 void Exchange::onCallerGone() {
   if (state_ == State::ended) {
     return;
   }
   if (state_ == State::attempting) {
-    worker_->breaker.recordNoOutcome(now());
-    const base::Duration timeout = std::max(kStallFloor, route_.targetLatency);
-    if (!isAnswerRecorded_ && now() - attemptAt_ >= timeout) {
-      recordFailure();
-    }
+    recordCallerGone();
     dropAttempt();
   }
   context_.log().write(LogEvent::requestLeft, {{"request", facts_.requestId}});
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -212,7 +212,9 @@
   void failFinally(std::string_view reason);
   void onDeadline();
   void onStall();
-  bool beginsSoonerElsewhere() const;
+  bool comesTooLateElsewhere(const Worker& other) const;
+  bool leavingMayHelp();
+  void recordCallerGone();
   void armStallTimer(base::Duration timeout);
   void onCallerGone();
   void onCallerDrained();
@@ -255,6 +257,8 @@
   WorkerDirectory::WorkerPtr worker_;
   base::TimePoint attemptAt_;
   base::Duration stallTimeout_{0};  ///< Stall timeout as last armed.
+  /// The stream stays at a silent worker since it would have begun too late elsewhere.
+  bool staysForTime_ = false;
   net::HttpResponseHead head_;
   AnswerFacts answer_;
   bool isHeadReceived_ = false;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -91,6 +91,7 @@
     lastEventAt_ = firstEventAt_;
     context_.metrics().observe("walnut_gateway_first_event_seconds", now() - arrivedAt_);
     worker_->latency.observe(now() - attemptAt_);
+    worker_->firstEventTime.observe(now() - attemptAt_);
     sink_.beginChunked(head_);
   }
   recordGap(now() - lastEventAt_);
--- a/src/gateway/worker_directory.h
+++ b/src/gateway/worker_directory.h
@@ -39,7 +39,8 @@
   std::uint32_t runningAtAllGateways = 0;               ///< Those of all gateways, as reported.
   std::uint32_t runningElsewhere = 0;                   ///< Those of other gateways.
   routing::CircuitBreaker breaker;
-  routing::MovingAverage latency;  ///< To the response head, or to a stream's first event.
+  routing::MovingAverage latency;         ///< To the response head, or to a stream's first event.
+  routing::MovingAverage firstEventTime;  ///< To the first event, of streams only.
   FailureRatio failures;
 
   /// @return true if the worker is known to hold the model and adapter; always true for a plain
--- a/test/gateway/failing_worker_test.cpp
+++ b/test/gateway/failing_worker_test.cpp
@@ -194,3 +194,38 @@
   const auto caller = harness.request("safe", "r1");
   STRCMP_EQUAL("w2", lastSent().worker.id.value.c_str());
 }
+
+/// Guards against sound workers that are declared failing, since callers left before the first
+/// event usually comes there.
+TEST(FailingWorkerTest, aCallerThatLeavesBeforeTheUsualTimeIsNoFailure) {
+  harness.declare(1);
+  harness.follow();
+  const auto first = harness.request("stream", "r1");
+  harness.advanceFollowing(1600ms);
+  harness.head(lastSent(), 200, "r1", true);
+  lastSent().callbacks->onResponseBody("id: 1\n\n");
+  lastSent().callbacks->onResponseComplete();
+  checkOutcomes(1, 0);
+  const auto second = harness.request("stream", "r2");
+  harness.advanceFollowing(1s);
+  second->gone();
+  checkOutcomes(0, 0);
+}
+
+/// Guards against a request that waits for another replica until it is too late for its caller at
+/// the failing worker as well.
+TEST(FailingWorkerTest, aWaitForAReplicaEndsInTimeForTheLastResort) {
+  harness.declare(1);
+  harness.follow();
+  announceWorker(1, false);
+  const auto first = harness.request("stream", "r1", "m");
+  harness.advanceFollowing(1s);
+  harness.head(lastSent(), 200, "r1", true);
+  lastSent().callbacks->onResponseBody("id: 1\n\n");
+  lastSent().callbacks->onResponseComplete();
+  announceWorker(1, true);
+  const auto second = harness.request("stream", "r2", "m");
+  // Callers disconnect after 2.4 s, and the failing worker usually begins after 1 s.
+  harness.advanceFollowing(1400ms);
+  CHECK_EQUAL(2, sentCount());
+}
