--- a/include/walnut/registry/feature_level.h
+++ b/include/walnut/registry/feature_level.h
@@ -17,10 +17,12 @@
 inline constexpr std::uint32_t kHeartbeatBatches = 2;
 /// LimitReport, ShareRequest, ShareGrant; limits of workers in a PackedView.
 inline constexpr std::uint32_t kWorkerLimits = 3;
+/// WorkerTimingReport, WorkerTimings.
+inline constexpr std::uint32_t kWorkerTimings = 4;
 }  // namespace feature
 
 /// Feature level of this build.
-inline constexpr std::uint32_t kFeatureLevel = feature::kWorkerLimits;
+inline constexpr std::uint32_t kFeatureLevel = feature::kWorkerTimings;
 /// Level to which a cell is raised. Later features need no log entries, so that servers of this
 /// level can still be admitted.
 inline constexpr std::uint32_t kCellFeatureLevel = feature::kHeartbeatBatches;
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -19,6 +19,7 @@
 #include "walnut/registry/limit_messages.h"
 #include "walnut/registry/quota_messages.h"
 #include "walnut/registry/request_digest.h"
+#include "walnut/registry/timing_messages.h"
 #include "walnut/registry/worker.h"
 
 namespace walnut::registry {
@@ -418,7 +419,7 @@
                  ViewUpdate, DemandUpdate, DocumentPart, DocumentPartAck, PackedView, CutReport,
                  SuspectList, ConfirmDocument, DocumentConfirmed, QuotaRequest, QuotaGrant,
                  LateModels, HeartbeatBatch, HeartbeatRequest, LimitReport, ShareRequest,
-                 ShareGrant>;
+                 ShareGrant, WorkerTimingReport, WorkerTimings>;
 
 /// The alternative of protocol::Message that carries all messages of the registry.
 struct RegistryMessage {
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -75,6 +75,8 @@
   void receiveBody(protocol::ConnectionId, const DocumentConfirmed&) {}
   void receiveBody(protocol::ConnectionId, const QuotaGrant&) {}
   void receiveBody(protocol::ConnectionId, const ShareGrant&) {}
+  void receiveBody(protocol::ConnectionId, const WorkerTimingReport&) {}
+  void receiveBody(protocol::ConnectionId, const WorkerTimings&) {}
   void receiveBody(protocol::ConnectionId, const LateModels&) {}
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
   void receiveBody(protocol::ConnectionId, const NotLeading&) {}
