registry: a worker that can't be ordered keeps no model waiting

Cause: a worker that carries out an order of the previous leader, or doesn't answer, counted as free within 50 ms. Change: such a worker is expected to stay so for as long again.

--- a/src/registry/leader_plans.cpp
+++ b/src/registry/leader_plans.cpp
@@ -86,12 +86,17 @@
 }
 
 /// @return the time until the order in progress is expected to end. An overdue order is assumed to
-/// take as long again as it is late.
+/// take as long again as it is late, and a worker that can't be ordered for another reason to stay
+/// so as long again: models for which it seemed free soon would wait for it until their callers
+/// leave.
 base::Duration busyTime(const WorkerStatus& status, base::TimePoint now) {
   if (status.modelOrder) {
     const base::TimePoint end = status.modelOrder->expectedEnd;
     return std::max<base::Duration>(kMinBusyTime, end > now ? end - now : now - end);
   }
+  if (status.unorderableSince) {
+    return std::max<base::Duration>(kMinBusyTime, now - *status.unorderableSince);
+  }
   return status.sentOrder || status.foreignOrder ? kMinBusyTime : base::Duration::zero();
 }
 
@@ -130,8 +135,9 @@
   }
   std::vector<PlacementWorker> workers;
   for (const auto& [id, record] : state_.workers()) {
-    const WorkerStatus& status = statusOf(id, now);
+    WorkerStatus& status = statusOf(id, now);
     if (record.service == service.name && status.holdingsKnown) {
+      status.updateOrderable(now);
       workers.push_back(placementWorker(record, status, now));
     }
   }
@@ -151,6 +157,7 @@
     if ((target || pool.adapterTargets.count(id) != 0) && needsReport(*record, status, now)) {
       requestReport(*record, status);
     }
+    status.updateOrderable(now);
     workers.push_back(placementWorker(*record, status, now));
     workers.back().canLoadModels = target;
   }
--- a/src/registry/worker_status.cpp
+++ b/src/registry/worker_status.cpp
@@ -159,6 +159,14 @@
   }
 }
 
+void WorkerStatus::updateOrderable(base::TimePoint now) {
+  if (reportFresh) {
+    unorderableSince.reset();
+  } else if (!unorderableSince) {
+    unorderableSince = now;
+  }
+}
+
 bool WorkerStatus::hasInMemory(const std::string& model) const {
   return std::find(reported_.inMemory.begin(), reported_.inMemory.end(), model) !=
          reported_.inMemory.end();
--- a/src/registry/worker_status.h
+++ b/src/registry/worker_status.h
@@ -60,6 +60,9 @@
   std::optional<ModelOrder> modelOrder;
   std::optional<UnfinishedLoad> unfinishedLoad;
   bool foreignOrder = false;  ///< True if it last reported an order of a previous leader.
+  /// Since when its count of orders is unknown, so that no order can be sent: it carries out an
+  /// order of a previous leader, or does not answer. Absent while `reportFresh` is true.
+  std::optional<base::TimePoint> unorderableSince;
   /// True if an adapter was refused while an order for a model was in progress: no adapter is
   /// ordered before that order ends.
   bool adaptersBlocked = false;
@@ -84,6 +87,8 @@
   void modelOrdered(const PlacementStep& step, base::TimePoint now, base::TimePoint expectedEnd,
                     base::TimePoint dueAt);
   void modelOrderDone(const PlacementStep& step);
+  /// Updates `unorderableSince`.
+  void updateOrderable(base::TimePoint now);
 
   /// @return true if the worker has a copy of the model's weights in host memory.
   bool hasInMemory(const std::string& model) const;
--- a/test/registry/leader_faults_test.cpp
+++ b/test/registry/leader_faults_test.cpp
@@ -92,3 +92,31 @@
   CHECK_TEXT(loads >= 4, std::to_string(loads).c_str());
   CHECK(loads <= 8);
 }
+
+TEST_GROUP_BASE(PreviousOrderTest, LeaderDutiesFixture){};
+
+/// Guards against a model whose callers wait in vain: the worker with a copy of its weights carries
+/// out an order of the previous leader for as long as the callers wait, and the load of 2 s that
+/// another worker could begin at once is not ordered.
+TEST(PreviousOrderTest, aWorkerBusyWithAPreviousLeadersOrderKeepsNoModelWaiting) {
+  lead();
+  WorkerReport busy;
+  busy.orderUnderWay = true;
+  busy.holdings.inMemory = {"a"};
+  for (const base::TimePoint end = now + 4s; now < end;) {
+    demandModel("a");
+    run(50ms);
+    for (const RegistryAction& action : actions) {
+      if (const auto* read = std::get_if<ReadReport>(&action)) {
+        const bool first = read->worker.id == WorkerId{"w1"};
+        duties->reportFinished({read->worker.id, first ? busy : WorkerReport{}}, now);
+      }
+    }
+    std::erase_if(actions, [](const RegistryAction& action) {
+      return std::holds_alternative<ReadReport>(action);
+    });
+  }
+  const std::vector<std::string> workers = ordered();
+  CHECK_EQUAL(1, workers.size());
+  STRCMP_EQUAL("w2", workers.front().c_str());
+}
