registry: plan by expected demand where replicas are slow to add

Cause: the hottest model lost replicas to cold models with one caller each while its demand rose. Change: forecast, protection of replicas in demand, neighbours of full models moved away.

--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -140,6 +141,7 @@
   bool load = true;  ///< False: unload.
   std::string model;
   std::string adapter;
+  std::string_view reason;  ///< Why the order was decided, for metrics; empty for adapters.
   std::uint64_t expectedOrderCount = 0;
   std::string holder;
   std::uint64_t fence = 0;
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -263,6 +263,9 @@
 }
 
 void RegistryHost::perform(registry::SendOrder& order) {
+  if (!order.reason.empty()) {
+    metrics_.count("walnut_registry_placements_total", std::string(order.reason));
+  }
   const net::HttpRequest request = dialects_.worker.writeOrder(order);
   client_.call(order.worker.id.value, order.worker.endpoint, request, settings_.logic.orderTimeout,
                [this, number = order.order](const net::CallOutcome& outcome) {
--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -31,6 +31,7 @@
 
 void DemandBook::update(protocol::ConnectionId gateway, const DemandUpdate& update,
                         base::TimePoint now) {
+  since_ = since_.value_or(now);
   Gateway reported;
   for (const ModelDemand& demand : update.demands) {
     const ModelKey key{demand.service, demand.model, demand.adapter};
@@ -104,6 +105,7 @@
     return;
   }
   history.arrivals.count(now, demand.arrivals);
+  history.trend.count(now, demand.arrivals);
   history.lastArrival = now;
   updateUrgency(history, demand, now);
 }
@@ -168,6 +170,11 @@
   return figures;
 }
 
+double DemandBook::growth(const ModelKey& key, base::Duration ahead, base::TimePoint now) const {
+  const auto found = history_.find(key);
+  return found == history_.end() || !since_ ? 1 : found->second.trend.growth(now, ahead, *since_);
+}
+
 double DemandBook::adapterRate(const std::string& service, const std::string& model,
                                base::TimePoint now) const {
   double rate = 0;
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -4,12 +4,14 @@
 
 #include <compare>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "registry/decaying_rate.h"
+#include "registry/demand_forecast.h"
 #include "walnut/protocol/messages.h"
 #include "walnut/registry/messages.h"
 
@@ -60,6 +62,8 @@
   void forget(protocol::ConnectionId gateway);
 
   DemandFigures figures(const ModelKey& key, base::TimePoint now) const;
+  /// @return the demand expected after that time, as a multiple of the present demand.
+  double growth(const ModelKey& key, base::Duration ahead, base::TimePoint now) const;
   /// @return arrivals per second for all adapters of a model together.
   double adapterRate(const std::string& service, const std::string& model,
                      base::TimePoint now) const;
@@ -89,6 +93,7 @@
   };
   struct History {
     DecayingRate arrivals;
+    ArrivalTrend trend;
     base::TimePoint lastArrival;
     std::uint32_t priority = 0;
     base::Duration targetLatency{0};
@@ -112,6 +117,7 @@
 
   std::map<protocol::ConnectionId, Gateway> gateways_;
   std::map<ModelKey, History> history_;
+  std::optional<base::TimePoint> since_;  ///< Time of the first report.
 
   // Totals over the gateways, without entries of 0.
   std::map<ModelKey, std::uint32_t> waiting_;
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -146,6 +146,7 @@
   void decide(const catalog::Service& service, const std::vector<PlacementWorker>& workers,
               const std::map<std::string, std::uint32_t>& outside, base::TimePoint now);
   bool isLarge(const std::string& service) const;
+  bool replicasAreSlowToAdd(const std::string& service);
   /// @return true if only a fresh report is missing before the worker may be ordered.
   bool needsReport(const WorkerRecord& record, const WorkerStatus& status,
                    base::TimePoint now) const;
@@ -191,6 +192,9 @@
   std::shared_ptr<const catalog::Document> document_;
   base::TimePoint documentSince_;        ///< When this leader took over `document_`.
   std::set<std::string> plainServices_;  ///< Services of the document without engines.
+  /// Services where replicas are slow to add, of the document `slowServicesOf_`.
+  std::set<std::string> slowServices_;
+  std::shared_ptr<const catalog::Document> slowServicesOf_;
   std::map<WorkerId, WorkerStatus> workers_;
   /// Unknown workers that sent a heartbeat from the endpoint of a live one, with its sequence.
   std::map<WorkerId, std::uint64_t> contests_;
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -105,6 +105,7 @@
   send.load = step.operation == OrderOperation::load;
   send.model = step.model;
   send.adapter = step.adapter;
+  send.reason = step.reason ? placementReasonName(*step.reason) : std::string_view();
   send.expectedOrderCount = status.orderCount;
   send.holder = options_.name;
   send.fence = term_;
--- a/src/registry/leader_plans.cpp
+++ b/src/registry/leader_plans.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "registry/leader_duties.h"
+#include "walnut/catalog/slow_replicas.h"
 
 namespace walnut::registry {
 
@@ -28,18 +29,6 @@
   return static_cast<std::uint64_t>(std::clamp(value, 0.0, kMaxLogged));
 }
 
-std::string_view reasonName(PlacementReason reason) {
-  switch (reason) {
-    case PlacementReason::spare:
-      return "spare";
-    case PlacementReason::queueing:
-      return "queueing";
-    case PlacementReason::cold:
-      return "cold";
-  }
-  return "unknown";
-}
-
 std::string_view outcomeName(PlacementOutcome outcome) {
   switch (outcome) {
     case PlacementOutcome::loadOrdered:
@@ -162,6 +151,7 @@
                           const std::map<std::string, std::uint32_t>& outside,
                           base::TimePoint now) {
   PlacementPolicy& policy = policies_.try_emplace(service.name, service.name).first->second;
+  policy.setReplicasAreSlowToAdd(replicasAreSlowToAdd(service.name));
   StoreScheduler& store = storeOf(service.name);
   store.setLongestTimes(longestLoad(*service.engine), longestTimeout(*document_, service.name));
   store.setLimit(service.engine->storeLoadsPerSecond,
@@ -174,6 +164,20 @@
   issueOrders(steps, now);
 }
 
+/// Reading all routes takes long, so the services are determined once for each document.
+bool LeaderDuties::replicasAreSlowToAdd(const std::string& service) {
+  if (slowServicesOf_ != document_) {
+    slowServicesOf_ = document_;
+    slowServices_.clear();
+    for (const catalog::Service& candidate : document_->services) {
+      if (catalog::replicasAreSlowToAdd(*document_, candidate.name)) {
+        slowServices_.insert(candidate.name);
+      }
+    }
+  }
+  return slowServices_.count(service) != 0;
+}
+
 StoreScheduler& LeaderDuties::storeOf(const std::string& service) {
   return stores_.try_emplace(service, previousLoads()).first->second;
 }
@@ -186,7 +190,7 @@
   for (const PlacementDecision& decision : policy.takeDecisions()) {
     log_.write(LogEvent::placementDecided,
                {{"model", decision.model},
-                {"reason", reasonName(decision.reason)},
+                {"reason", placementReasonName(decision.reason)},
                 {"outcome", outcomeName(decision.outcome)},
                 {"waiting", decision.waiting},
                 {"unanswered", decision.unservedRequests},
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -20,8 +20,6 @@
 /// Cost difference in seconds by which another worker must be better to replace the one where
 /// capacity is being freed: about the time of an unload and of its notification.
 constexpr double kReservationAdvantage = 0.5;
-/// Arrivals per second from which a model gets a second replica.
-constexpr double kSecondReplicaRate = 0.6;
 /// Factor on a model's arrival rate in the sort order of candidates if it has two replicas or more.
 constexpr double kFurtherReplicaRateShare = 0.1;
 /// Cost in seconds that a further replica is worth, for each arrival per second.
@@ -59,12 +57,35 @@
 
 }  // namespace
 
+std::string_view placementReasonName(PlacementReason reason) {
+  switch (reason) {
+    case PlacementReason::neighbour:
+      return "neighbour";
+    case PlacementReason::spare:
+      return "spare";
+    case PlacementReason::rising:
+      return "rising";
+    case PlacementReason::queueing:
+      return "queueing";
+    case PlacementReason::cold:
+      return "cold";
+  }
+  return "unknown";
+}
+
 std::vector<PlacementStep> PlacementPolicy::plan(
     const catalog::EngineSpec& engine, const std::vector<PlacementWorker>& workers,
     const DemandBook& demand, StoreScheduler& store, base::TimePoint now,
     const std::set<std::string>& postponed, const std::map<std::string, std::uint32_t>& outside) {
   PlacementRound round(engine, workers, demand, store, service_, now);
   round.addUnplannedWorkers(outside);
+  if (replicasAreSlowToAdd_) {
+    round.lookAhead(requestMeans_);
+    updateFullModels(round);
+  } else {
+    fullModels_.clear();
+    keepsWorkersForFullModels_ = false;
+  }
   queued_.clear();
   outlook_.clear();
   previousStoreQueue_ = std::exchange(storeQueue_, 0);
@@ -82,6 +103,7 @@
   for (const Candidate& candidate : candidates) {
     placeReplica(round, candidate);
   }
+  moveNeighbours(round);
   recordLateLoads(round);
   return round.takeSteps();
 }
@@ -181,13 +203,29 @@
   if (excessQueue >= kMinQueuedRequests) {
     return Candidate{figures.rate + excessQueue, model, PlacementReason::queueing};
   }
-  const bool needsSecondReplica = replicas.present == 1 && figures.rate >= kSecondReplicaRate;
-  const bool isOverloaded = round.loadWith(model, replicas.present) > kScaleOutShare;
-  if (!needsSecondReplica && !isOverloaded) {
+  return findFurtherReplica(round, model);
+}
+
+/// Without a look ahead, the expected load is the present one.
+std::optional<PlacementPolicy::Candidate> PlacementPolicy::findFurtherReplica(
+    const PlacementRound& round, const std::string& model) const {
+  const DemandFigures figures = round.figures(model);
+  const std::uint32_t present = round.replicas(model).present;
+  const bool needsSecondReplica = present == 1 && figures.rate >= kSecondReplicaRate;
+  const double load = round.loadWith(model, present);
+  const double expectedLoad = round.expectedLoadWith(model, present);
+  if (!needsSecondReplica && expectedLoad <= kScaleOutShare) {
     return std::nullopt;
   }
-  const double share = replicas.present >= 2 ? kFurtherReplicaRateShare : 1.0;
-  return Candidate{share * figures.rate, model, PlacementReason::spare};
+  const double share = present >= 2 ? kFurtherReplicaRateShare : 1.0;
+  const bool rises = expectedLoad > load && expectedLoad > kScaleOutShare;
+  Candidate candidate{share * figures.rate, model,
+                      rises ? PlacementReason::rising : PlacementReason::spare};
+  if (round.looksAhead() && expectedLoad > kFullShare && round.hasNearCopy(model)) {
+    candidate.needsNearCopy = true;
+    candidate.benefit = figures.rate;
+  }
+  return candidate;
 }
 
 bool PlacementPolicy::isFree(const PlacementRound& round, const PlacementWorker& worker) {
@@ -215,8 +253,12 @@
                                            : PlacementOutcome::unloadOrdered;
 }
 
-void PlacementPolicy::placeReplica(PlacementRound& round, const Candidate& candidate) {
-  const Choice choice = choose(round, candidate);
+void PlacementPolicy::placeReplica(PlacementRound& round, Candidate candidate) {
+  Choice choice = choose(round, candidate);
+  if (candidate.needsNearCopy && choice.cost >= kUrgentReplicaBenefit) {
+    candidate.needsNearCopy = false;  // No such worker is free: any other may do.
+    choice = choose(round, candidate);
+  }
   const double benefit = candidate.isUrgent()
                              ? kUrgentReplicaBenefit
                              : kFurtherReplicaBenefit * round.figures(candidate.model).rate;
@@ -230,7 +272,7 @@
       return;
     case PlacementOutcome::loadOrdered:
     case PlacementOutcome::unloadOrdered:
-      orderFirstStep(round, candidate.model, choice);
+      orderFirstStep(round, candidate, choice);
       break;
     case PlacementOutcome::waitsForWorker:
     case PlacementOutcome::waitsForRequests:
@@ -319,19 +361,31 @@
   return static_cast<double>(previousStoreQueue_) * interval;
 }
 
+bool PlacementPolicy::mayTake(const PlacementRound& round, const PlacementWorker& worker,
+                              const Candidate& candidate) const {
+  // A model with replicas needs capacity rather than a particular worker.
+  const bool needsFreeWorker =
+      candidate.reason == PlacementReason::queueing || candidate.needsNearCopy;
+  return worker.serving && worker.canLoadModels &&
+         worker.holdings.find(candidate.model) == nullptr &&
+         (!needsFreeWorker || isFree(round, worker)) && !isKeptForFullModel(worker) &&
+         (!candidate.needsNearCopy || round.tier(worker, candidate.model) != WeightTier::store);
+}
+
 /// @return the worker where the model would serve soonest at the least cost to other models.
 PlacementPolicy::Choice PlacementPolicy::choose(PlacementRound& round,
                                                 const Candidate& candidate) const {
   const std::string& name = candidate.model;
   const ModelSpec& model = *round.spec(name);
-  const bool needsFreeWorker = candidate.reason == PlacementReason::queueing;
-  const double storeWait =
-      seconds(round.store().expectedWait(round.now())) + storeCost(round, model, candidate.reason);
+  const bool needsFreeWorker =
+      candidate.reason == PlacementReason::queueing || candidate.needsNearCopy;
+  const double storeWait = seconds(round.store().expectedWait(round.now())) +
+                           storeCost(round, model, candidate.storeReason());
+  const double takerLoad = round.expectedLoadWith(name, round.replicas(name).present);
   const auto reservation = reservations_.find(name);
   Choice best;
   for (const PlacementWorker& worker : round.workers()) {
-    if (!worker.serving || !worker.canLoadModels || worker.holdings.find(name) != nullptr ||
-        (needsFreeWorker && !isFree(round, worker))) {
+    if (!mayTake(round, worker, candidate)) {
       continue;
     }
     const auto queued = queued_.find(worker.id);
@@ -349,7 +403,7 @@
     if (cost >= best.cost) {
       continue;
     }
-    UnloadPlan unloadPlan = round.planUnloads(worker, model.weightsMegabytes);
+    UnloadPlan unloadPlan = round.planUnloads(worker, model.weightsMegabytes, takerLoad);
     cost += unloadPlan.cost;
     if (cost < best.cost && !(needsFreeWorker && unloadPlan.hasEndingRequests)) {
       best = {&worker, cost, std::move(unloadPlan), tier == WeightTier::store};
@@ -358,12 +412,18 @@
   return best;
 }
 
-void PlacementPolicy::orderFirstStep(PlacementRound& round, const std::string& name,
+void PlacementPolicy::orderFirstStep(PlacementRound& round, const Candidate& candidate,
                                      const Choice& choice) {
+  const std::string& name = candidate.model;
   const PlacementWorker& worker = *choice.worker;
   if (!choice.unloadPlan.unloads.empty()) {
     reservations_[name] = {worker.id, round.now()};
-    round.order({worker.id, OrderOperation::unload, choice.unloadPlan.unloads.front(), {}, false});
+    round.order({worker.id,
+                 OrderOperation::unload,
+                 choice.unloadPlan.unloads.front(),
+                 {},
+                 false,
+                 candidate.reason});
     return;
   }
   reservations_.erase(name);
@@ -371,7 +431,7 @@
   if (choice.fromStore) {
     round.store().recordOrdered(worker.id, round.spec(name)->storeLoadTime, round.now());
   }
-  round.order({worker.id, OrderOperation::load, name, {}, choice.fromStore});
+  round.order({worker.id, OrderOperation::load, name, {}, choice.fromStore, candidate.reason});
 }
 
 }  // namespace walnut::registry
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -8,11 +8,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "registry/decaying_rate.h"
 #include "registry/demand_book.h"
+#include "registry/full_models.h"
 #include "registry/store_scheduler.h"
 #include "walnut/catalog/document.h"
 
@@ -29,6 +31,18 @@
   bool hasEndingRequests = false;
 };
 
+/// The reason why a model should get another replica, the most urgent last.
+enum class PlacementReason : std::uint8_t {
+  neighbour,  ///< Not for a replica: another model is moved away from a worker of a full model.
+  spare,      ///< Its replicas are highly loaded, or it has a single one that might be lost.
+  rising,     ///< Its replicas are expected to be highly loaded, as its demand rises.
+  queueing,   ///< More requests are queued at its workers than replicas being loaded will serve.
+  cold,       ///< Requests wait, and no worker serves the model or is loading it.
+};
+
+/// @return the name of the reason in log lines and metrics.
+std::string_view placementReasonName(PlacementReason reason);
+
 /// One load or unload on one worker.
 struct PlacementStep {
   WorkerId worker;
@@ -37,7 +51,13 @@
   std::string adapter;     ///< Empty if the step is about the model itself.
   bool fromStore = false;  ///< True if the load counts towards the weight store's rate limit.
 
-  bool operator==(const PlacementStep&) const = default;
+  std::optional<PlacementReason> reason = std::nullopt;  ///< Not set for adapters.
+
+  /// Compares what is done, not why.
+  bool operator==(const PlacementStep& other) const {
+    return worker == other.worker && operation == other.operation && model == other.model &&
+           adapter == other.adapter && fromStore == other.fromStore;
+  }
 };
 
 /// The state of a worker as the policy's input.
@@ -57,13 +77,6 @@
   std::set<std::pair<std::string, std::string>> recentAdapters;
 };
 
-/// The reason why a model should get another replica, the most urgent last.
-enum class PlacementReason : std::uint8_t {
-  spare,     ///< Its replicas are highly loaded, or it has a single one that might be lost.
-  queueing,  ///< More requests are queued at its workers than replicas being loaded will serve.
-  cold,      ///< Requests wait, and no worker serves the model or is loading it.
-};
-
 /// The decision on a model that should get another replica.
 enum class PlacementOutcome : std::uint8_t {
   loadOrdered,       ///< A load of the model was ordered.
@@ -110,6 +123,8 @@
 /// added. It is far below 1 because processing the prompts of other requests stalls a stream long
 /// before the slots run out. See docs/DECISIONS.md.
 constexpr double kScaleOutShare = 0.15;
+/// Arrivals per second from which a model gets a second replica.
+constexpr double kSecondReplicaRate = 0.6;
 
 /// Loads models and adapters on demand, and adds replicas of busy models. The leader has one policy
 /// for each service.
@@ -123,10 +138,15 @@
 /// Requests that are queued at a model's workers count like requests that wait for a cold model:
 /// both are late until another replica serves. A model that already has replicas doesn't wait for a
 /// busy worker, since it needs capacity rather than a particular worker.
+///
+/// In a service where replicas are slow to add, the policy plans by the expected demand, takes no
+/// replica from a model that needs it, and keeps workers of full models free of other models.
 class PlacementPolicy {
  public:
   explicit PlacementPolicy(std::string service) : service_(std::move(service)) {}
 
+  /// Sets whether replicas are slow to add: see catalog::replicasAreSlowToAdd.
+  void setReplicasAreSlowToAdd(bool slow) { replicasAreSlowToAdd_ = slow; }
   /// @return the steps to order now, at most one for each worker.
   /// @param postponed models that must not be loaded now.
   /// @param outside number of workers not in `workers` that serve a model, by model.
@@ -151,8 +171,18 @@
     double benefit = 0;  ///< Sort key among the urgent candidates, and among those that aren't.
     std::string model;
     PlacementReason reason = PlacementReason::spare;
-
-    bool isUrgent() const { return reason != PlacementReason::spare; }
+    /// True if more than kFullShare of the slots of its replicas will be in use, and a worker has
+    /// the weights on disk or in memory: a replica there is worth nearly any cost.
+    bool needsNearCopy = false;
+
+    bool isUrgent() const {
+      return needsNearCopy || reason == PlacementReason::queueing ||
+             reason == PlacementReason::cold;
+    }
+    /// The reason for the store's cost: a forecast justifies no more than a spare replica does.
+    PlacementReason storeReason() const {
+      return reason == PlacementReason::rising ? PlacementReason::spare : reason;
+    }
   };
   struct Choice {
     const PlacementWorker* worker = nullptr;
@@ -165,29 +195,44 @@
   std::vector<Candidate> findCandidates(const PlacementRound& round) const;
   std::optional<Candidate> findCandidate(const PlacementRound& round,
                                          const std::string& model) const;
+  std::optional<Candidate> findFurtherReplica(const PlacementRound& round,
+                                              const std::string& model) const;
   void recordIfLate(const PlacementRound& round, const Candidate& candidate, const Choice& choice,
                     PlacementOutcome outcome);
   void recordLateLoads(const PlacementRound& round);
   void recordLateModel(const PlacementRound& round, const std::string& model,
                        base::Duration availableIn);
   void dropOutdatedLateModels(const PlacementRound& round);
-  void placeReplica(PlacementRound& round, const Candidate& candidate);
+  void placeReplica(PlacementRound& round, Candidate candidate);
   static PlacementOutcome decideOutcome(const PlacementRound& round, const Choice& choice,
                                         double benefit);
   void recordDecision(const PlacementRound& round, const Candidate& candidate, const Choice& choice,
                       double benefit, PlacementOutcome outcome);
   void dropOutdatedDecisions(const std::vector<Candidate>& candidates);
   Choice choose(PlacementRound& round, const Candidate& candidate) const;
+  bool mayTake(const PlacementRound& round, const PlacementWorker& worker,
+               const Candidate& candidate) const;
   static bool isFree(const PlacementRound& round, const PlacementWorker& worker);
   double storeCost(const PlacementRound& round, const catalog::ModelSpec& model,
                    PlacementReason reason) const;
   double blockCost(const PlacementRound& round, base::Duration duration) const;
-  void orderFirstStep(PlacementRound& round, const std::string& model, const Choice& choice);
+  void orderFirstStep(PlacementRound& round, const Candidate& candidate, const Choice& choice);
+  void updateFullModels(const PlacementRound& round);
+  bool isKeptForFullModel(const PlacementWorker& worker) const;
+  bool canMoveAway(const PlacementRound& round, const PlacementWorker& worker,
+                   const std::string& model) const;
+  void moveNeighbours(PlacementRound& round);
+  void recordNeighbourMove(const PlacementRound& round, const PlacementWorker& worker,
+                           const std::string& neighbour);
   void placeAdapters(PlacementRound& round) const;
   static void placeAdapter(PlacementRound& round, const catalog::ModelSpec& model,
                            const std::string& adapter);
 
   const std::string service_;
+  bool replicasAreSlowToAdd_ = false;
+  std::map<std::string, RequestMean> requestMeans_;  ///< By model; of slow services only.
+  FullModels fullModels_;
+  bool keepsWorkersForFullModels_ = false;  ///< Whether their workers take no further model now.
   std::map<std::string, Reservation> reservations_;  ///< By model.
   DecayingRate loadRate_;                            ///< Rate of model loads on all workers.
   /// Seconds for which loads decided in this run will keep a worker busy, beyond its current order.
--- a/src/registry/placement_round.cpp
+++ b/src/registry/placement_round.cpp
@@ -230,11 +230,13 @@
   return cost;
 }
 
-double PlacementRound::unloadCost(const PlacementWorker& worker, const HeldModel& held) const {
+double PlacementRound::unloadCost(const PlacementWorker& worker, const HeldModel& held,
+                                  double takerLoad) const {
   // A replica that is still being loaded serves no requests yet, so it doesn't count.
   const std::uint32_t count = replicas(held.name).serving;
   const double running = demand_.running(worker.id, held.name);
-  const double wait = std::min(kRunningCost * running, kMaxRunningCost);
+  const double wait = std::min(kRunningCost * running, kMaxRunningCost) +
+                      (looksAhead_ ? demandCost(worker, held.name, takerLoad) : 0);
   if (count <= 1) {
     return wait + lastReplicaCost(worker, held.name);
   }
@@ -281,14 +283,15 @@
          figures(model).rate < kBusyRate;
 }
 
-UnloadPlan PlacementRound::planUnloads(const PlacementWorker& worker, double megabytes) const {
+UnloadPlan PlacementRound::planUnloads(const PlacementWorker& worker, double megabytes,
+                                       double takerLoad) const {
   double free = freeMegabytes(worker);
   if (free >= megabytes) {
     return {};
   }
   std::vector<std::pair<double, const HeldModel*>> candidates;
   for (const HeldModel& held : worker.holdings.models) {
-    candidates.emplace_back(unloadCost(worker, held), &held);
+    candidates.emplace_back(unloadCost(worker, held, takerLoad), &held);
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const auto& left, const auto& right) { return left.first < right.first; });
--- a/src/registry/placement_round.h
+++ b/src/registry/placement_round.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "registry/demand_forecast.h"
 #include "registry/placement.h"
 
 namespace walnut::registry {
@@ -66,14 +67,34 @@
   /// @return the load if that many workers served the model, as a share of their slots.
   double loadWith(const std::string& model, std::uint32_t workers) const;
   /// @return the cheapest set of unloads that leaves that much memory free on a worker.
-  UnloadPlan planUnloads(const PlacementWorker& worker, double megabytes) const;
+  /// @param takerLoad load of the model that needs the memory, as a share of its slots.
+  UnloadPlan planUnloads(const PlacementWorker& worker, double megabytes,
+                         double takerLoad = 0) const;
   /// @return the cost of keeping a worker busy with a model load: it can load no adapters
   /// meanwhile, so adapters of models that no other worker serves have to wait.
   double adapterBlockCost(const PlacementWorker& worker) const;
 
+  /// @name Services where replicas are slow to add
+  /// @{
+  /// Makes this run plan by the expected demand. Requests that wait at gateways for a model with
+  /// replicas count as queued from now on.
+  /// @param means mean requests by model, which this updates. Must outlive the run.
+  void lookAhead(std::map<std::string, RequestMean>& means);
+  bool looksAhead() const { return looksAhead_; }
+  /// @return the load expected at the end of a further load, if that many workers served the model.
+  double expectedLoadWith(const std::string& model, std::uint32_t workers) const;
+  /// @return the load that the model's replicas are kept for, if that many workers served it.
+  double keptLoadWith(const std::string& model, std::uint32_t workers) const;
+  /// @return true if a worker that could load the model has its weights on disk or in memory.
+  bool hasNearCopy(const std::string& model) const;
+  /// @}
+
  private:
   void countReplicas();
-  double unloadCost(const PlacementWorker& worker, const HeldModel& held) const;
+  double unloadCost(const PlacementWorker& worker, const HeldModel& held, double takerLoad) const;
+  double demandCost(const PlacementWorker& worker, const std::string& model,
+                    double takerLoad) const;
+  double growth(const std::string& model) const;
   bool becomesIdle(const PlacementWorker& worker, const std::string& model) const;
   /// @return the share of a worker's requests that wait for a slot, from 0 to 1.
   double queuedShare(const PlacementWorker& worker) const;
@@ -89,6 +110,9 @@
   std::unordered_map<std::string, Replicas> replicas_;
   std::vector<PlacementStep> steps_;
   std::set<WorkerId> ordered_;
+  bool looksAhead_ = false;
+  std::unordered_map<std::string, double> growth_;                    ///< Of models with requests.
+  const std::map<std::string, RequestMean>* requestMeans_ = nullptr;  ///< If it looks ahead.
 };
 
 }  // namespace walnut::registry
