gateway: serve late streams late where replicas are slow to add

Cause: a stream that would begin after its target latency was refused at once, though its caller waits for six times as long and no further replica can be loaded in that time. Refused callers returned together.

Change: in services where replicas are slow to add, such a stream waits at the gateway until the best worker has a short queue, and is then sent with the lowest rank, in the order of the deadlines. A stream that can't begin before its caller leaves is refused at once, and each refused caller of a model is given a time of its own. Other services are served as before.

--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -76,6 +76,7 @@
   // Decisions about requests.
   requestRefused,
   requestWaiting,
+  lateStartDecided,
   attemptStarted,
   attemptFailed,
   requestCut,
--- a/src/explain/loss_account.cpp
+++ b/src/explain/loss_account.cpp
@@ -88,7 +88,7 @@
 void LossAccount::take(const LogLine& line) {
   if (line.event == "lines-dropped") {
     droppedLines_ += line.number("count");
-  } else if (line.event == "request-waiting") {
+  } else if (line.event == "request-waiting" && line.field("reason") != "full") {
     Story& story = stories_[line.field("request")];
     if (story.waitedFor.empty()) {
       story.waitedFor = line.field("reason");
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -94,9 +94,13 @@
     return;
   }
   if (stopIfSuspect()) {
+    leaveLateStarts();
     return;
   }
   const Selection selection = context_.selector().select(service_, facts_, excluded_, now());
+  if (selection.worker == nullptr) {
+    leaveLateStarts();
+  }
   if (selection.requestable != nullptr) {
     requestShare(*selection.requestable);
     return;
@@ -114,13 +118,10 @@
     wait(selection.reason);
     return;
   }
-  endWait();
-  if (wouldBeginLate(selection)) {
-    refuse(mayHaveRun_ ? kBadGateway : kUnavailable, "all replicas are full",
-           selection.expectedWait);
-    return;
+  if (startsNow(selection)) {
+    endWait();
+    launch(selection.worker);
   }
-  launch(selection.worker);
 }
 
 const registry::RequestDigest& Exchange::digest() {
@@ -195,14 +196,6 @@
   (void)stopIfSuspect();
 }
 
-/// A stream that queues for longer than its target latency is late, and delays all streams queued
-/// behind it. Refusing it leaves the slots to streams that can begin in time. A stream that has
-/// begun continues.
-bool Exchange::wouldBeginLate(const Selection& selection) const {
-  return isStreaming() && !headSent_ && route_.targetLatency > base::Duration::zero() &&
-         selection.expectedWait > route_.targetLatency;
-}
-
 void Exchange::launch(const WorkerDirectory::WorkerPtr& worker) {
   state_ = State::attempting;
   worker_ = worker;
@@ -220,7 +213,7 @@
   facts.target = worker->view.record.calledName();
   facts.tenant = facts_.tenant;
   facts.deadline = deadline_ - now();
-  facts.priority = priority();
+  facts.priority = startsLate_ && !headSent_ ? kLateStartRank : priority();
   facts.resumeAfter = headSent_ ? events_.lastId() : std::string();
   context_.dialect().writeAttempt(request_, facts);
   context_.selector().affinity().recordSent(facts_, worker->view.record.id);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -10,6 +10,8 @@
 
 #include "gateway/demand_tracker.h"
 #include "gateway/event_stream.h"
+#include "gateway/late_start_policy.h"
+#include "gateway/late_starts.h"
 #include "gateway/request_quarantine.h"
 #include "gateway/worker_selector.h"
 #include "net/client_connection.h"
@@ -105,6 +107,7 @@
   /// or not known.
   virtual std::optional<base::TimePoint> expectedAt(const std::string& service,
                                                     const std::string& model) const = 0;
+  virtual LateStarts& lateStarts() = 0;
   virtual std::uint64_t documentVersion() const = 0;
   /// @return true if the registry's leader receives this gateway's demand reports.
   virtual bool hasLeader() const = 0;
@@ -179,6 +182,10 @@
   void reportCut();
   void reportSuspectAnswered();
   bool wouldBeginLate(const Selection& selection) const;
+  bool mayStartLate() const;
+  bool startsNow(const Selection& selection);
+  void leaveLateStarts();
+  void logLateStart(std::string_view outcome, base::Duration expectedWait);
   bool acceptsLastResort() const;
   void wait(NoWorkerReason reason);
   void beginWait(NoWorkerReason reason);
@@ -252,6 +259,9 @@
   std::optional<registry::RequestDigest> digest_;  ///< Computed on first use.
   bool wasHeld_ = false;                           ///< Was delayed at least once, being suspect.
 
+  bool wasLate_ = false;     ///< Has waited since it could not begin in time.
+  bool startsLate_ = false;  ///< Is sent behind the streams that are in time.
+
   // State of the current attempt.
   std::unique_ptr<Attempt> attempt_;
   WorkerDirectory::WorkerPtr worker_;
--- a/src/gateway/exchange_wait.cpp
+++ b/src/gateway/exchange_wait.cpp
@@ -44,6 +44,8 @@
       return "failing";
     case NoWorkerReason::limited:
       return "limited";
+    case NoWorkerReason::full:
+      return "full";
   }
   return "unknown";
 }
@@ -172,6 +174,7 @@
 
 void Exchange::endWait() {
   endShareWait();
+  leaveLateStarts();
   if (std::exchange(isWaiting_, false)) {
     waited_ += now() - waitBeganAt_;
     context_.waitEnded(service_, facts_);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -63,6 +63,7 @@
       selector_(
           directory_, options.selection,
           [&launcher](const registry::WorkerId& id) { return launcher.connected(id); }, this),
+      lateStarts_(scheduler, directory_, selector_, options.selection.seed),
       demandTimer_(scheduler.createTimer([this] { reportDemand(); })),
       earlyTimer_(scheduler.createTimer([this] { refuseExpiredEarly(); })) {}
 
@@ -90,6 +91,7 @@
   if (update.complete || !update.changed.empty()) {
     wakeWaiting();
   }
+  lateStarts_.viewReceived(gateways_);
   if (update.complete) {
     reportDemandSoon();
   }
@@ -189,6 +191,7 @@
                                        {"newest", newestVersion_},
                                        {"millis", static_cast<std::uint64_t>(behind.count())}});
   document_ = std::move(document);
+  lateStarts_.documentApplied(*document_);
   routes_ = std::make_unique<catalog::RouteTable>(document_);
   keys_ = std::make_unique<KeyTable>(document_);
   if (!lease_.documentApplied(document_->version)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/document_lease.h"
 #include "gateway/exchange.h"
 #include "gateway/key_table.h"
+#include "gateway/late_starts.h"
 #include "gateway/quota_account.h"
 #include "gateway/registry_session.h"
 #include "gateway/request_quarantine.h"
@@ -117,6 +118,7 @@
   void takeShare(const registry::WorkerId& worker) override;
   std::optional<base::TimePoint> expectedAt(const std::string& service,
                                             const std::string& model) const override;
+  LateStarts& lateStarts() override { return lateStarts_; }
   std::uint64_t documentVersion() const override;
   bool hasLeader() const override { return session_.following(); }
   void exchangeEnded(Exchange& exchange, int status) override;
@@ -228,6 +230,7 @@
   bool sharesSoon_ = false;
   bool limitsSoon_ = false;
   WorkerSelector selector_;
+  LateStarts lateStarts_;
   DemandTracker demand_;
   RequestQuarantine quarantine_;
   /// Expected availability of models that are loaded late, by service and model.
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -25,6 +25,7 @@
   broken,     ///< All remaining ones have an open circuit breaker.
   failing,    ///< All remaining ones fail the requests that they get.
   limited,    ///< The rate limits of the remaining ones are used up.
+  full,       ///< A stream could not begin in time. Never the result of a selection.
 };
 
 /// Whether a worker's rate limit permits a request of this gateway.
@@ -115,6 +116,12 @@
   void slotHeld(const std::string& service, base::Duration held) {
     slotTimes_[service].observe(held);
   }
+  /// @return the mean slot time of streams of the service; 0 if it is not known.
+  base::Duration slotTime(const std::string& service) const {
+    const auto found = slotTimes_.find(service);
+    return found == slotTimes_.end() ? base::Duration::zero()
+                                     : found->second.valueOr(base::Duration::zero());
+  }
 
  private:
   /// Workers that hold what a request needs, by their availability.
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -97,6 +97,7 @@
       request.headers.set("Tenant", facts.tenant);
     }
     request.headers.set("Resume", facts.resumeAfter);
+    request.headers.set("Priority", std::to_string(facts.priority));
   }
   AnswerFacts readAnswer(int /*status*/, const net::HeaderList& headers) const override {
     AnswerFacts facts{text(headers, "Id"),
