gateway: end the wait for another replica while the failing worker can serve in time

Cause: a stream for a model that only failing workers hold was sent to one of them after 1.9 s, whatever time the worker needs, so its caller had left before the first event.

Change: the wait ends when the worker's usual time to the first event is just left to the caller.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -105,7 +105,7 @@
     requestShare(*selection.requestable);
     return;
   }
-  if (selection.lastResort != nullptr && acceptsLastResort()) {
+  if (selection.lastResort != nullptr && acceptsLastResort(*selection.lastResort)) {
     endWait();
     launch(selection.lastResort);
     return;
@@ -115,7 +115,7 @@
     return;
   }
   if (selection.worker == nullptr) {
-    wait(selection.reason);
+    wait(selection);
     return;
   }
   if (startsNow(selection)) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -186,8 +186,9 @@
   bool startsNow(const Selection& selection);
   void leaveLateStarts();
   void logLateStart(std::string_view outcome, base::Duration expectedWait);
-  bool acceptsLastResort() const;
-  void wait(NoWorkerReason reason);
+  bool acceptsLastResort(const Worker& worker) const;
+  base::TimePoint lastResortAt(const Worker& worker) const;
+  void wait(const Selection& selection);
   void beginWait(NoWorkerReason reason);
   void requestShare(const Worker& worker);
   void endShareWait();
--- a/src/gateway/exchange_wait.cpp
+++ b/src/gateway/exchange_wait.cpp
@@ -54,8 +54,19 @@
 
 /// Another replica of a model may be loaded if the leader learns of the demand. A plain service
 /// gets no further worker this way, so its requests use a failing worker at once.
-bool Exchange::acceptsLastResort() const {
-  return facts_.model.empty() || !context_.hasLeader() || now() >= arrivedAt_ + kReplicaWaitTimeout;
+bool Exchange::acceptsLastResort(const Worker& worker) const {
+  return facts_.model.empty() || !context_.hasLeader() || now() >= lastResortAt(worker);
+}
+
+/// @return when the wait for another replica ends. A stream that the failing worker usually begins
+/// after some time is sent there while that time is still left to its caller.
+base::TimePoint Exchange::lastResortAt(const Worker& worker) const {
+  const base::TimePoint waitEnd = arrivedAt_ + kReplicaWaitTimeout;
+  if (!isStreaming() || headSent_) {
+    return waitEnd;
+  }
+  const base::Duration usual = worker.firstEventTime.valueOr(base::Duration::zero());
+  return std::min(waitEnd, callerDisconnectsAt() - usual);
 }
 
 void Exchange::beginWait(NoWorkerReason reason) {
@@ -133,9 +144,9 @@
   return arrivedAt_ + route_.targetLatency / kShortWaitDivisor;
 }
 
-void Exchange::wait(NoWorkerReason reason) {
-  beginWait(reason);
-  if (refuseIfTooLate(reason)) {
+void Exchange::wait(const Selection& selection) {
+  beginWait(selection.reason);
+  if (refuseIfTooLate(selection.reason)) {
     return;
   }
   const bool plain = facts_.model.empty();
@@ -145,7 +156,9 @@
   }
   const std::uint32_t doublings = std::min(backoffs_++, kMaxBackoffDoublings);
   excluded_.clear();
-  retryTimer_->enableAt(now() + kBackoffMin * (1U << doublings));
+  const base::TimePoint next = now() + kBackoffMin * (1U << doublings);
+  retryTimer_->enableAt(
+      selection.lastResort == nullptr ? next : std::min(next, lastResortAt(*selection.lastResort)));
 }
 
 /// @return when the caller is expected to disconnect: callers abandon a stream that does not begin.
--- a/test/explain/loss_account_test.cpp
+++ b/test/explain/loss_account_test.cpp
@@ -122,6 +122,13 @@
   checkOnly(LossKind::refused, LossCause::allFull);
 }
 
+/// Guards against a wait for a full replica that is counted as one for a missing model.
+TEST(LossAccountTest, aRefusalAfterAWaitAtFullReplicasIsTold) {
+  line(1, "event=request-waiting request=r model=m reason=full adapter=\"\"");
+  ended(2, "503", "all replicas are full");
+  checkOnly(LossKind::refused, LossCause::allFull);
+}
+
 TEST(LossAccountTest, aLateFirstEventAndAPauseAreToldApart) {
   ended(2, "200", "complete", "first=900 gap=450");
   checkOnly(LossKind::late, LossCause::queue);
