--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -171,6 +171,8 @@
   virtual RegistryOutputs takeOutputs() = 0;
   virtual base::TimePoint nextWakeup() const = 0;
   virtual consensus::RaftStatus raftStatus() const = 0;
+  /// @return the maxima of the estimates for workers; zero on a server that does not lead.
+  virtual WorkerTimingMaxima timingMaxima() const = 0;
 };
 
 /// @param founders membership of a new cell, the same on all its servers; empty for a server that
--- a/include/walnut/registry/timing_messages.h
+++ b/include/walnut/registry/timing_messages.h
@@ -12,7 +12,9 @@
 
 namespace walnut::registry {
 
-/// What one gateway measured at one worker in the span of a report.
+/// What one gateway measured at one worker in the span of a report. Streams whose time is not
+/// comparable, since all slots of the worker were taken when they were sent, are in a sample of
+/// their own with `firstEvents` zero: their prompts count, their times don't.
 struct WorkerTimingSample {
   WorkerId worker;
   std::uint32_t streams = 0;       ///< Streams that began.
@@ -35,6 +37,12 @@
   }
 };
 
+/// Maxima of the leader's estimates over all workers.
+struct WorkerTimingMaxima {
+  std::uint32_t slownessPercent = 0;
+  std::uint32_t promptSharePercent = 0;
+};
+
 /// The leader's estimate for one worker.
 struct WorkerTiming {
   WorkerId worker;
--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -53,6 +53,8 @@
   limitRefused,
   limitExhausted,
   limitRegained,
+  workerSlownessChanged,
+  timingRefused,
   crashConfirmed,
   crashDenied,
   crashRetracted,
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -295,6 +295,10 @@
     net::HttpResponse response;
     response.head.status = kOk;
     response.head.headers.add("Content-Type", "text/plain; version=0.0.4");
+    constexpr double kPercent = 100;
+    const registry::WorkerTimingMaxima maxima = registry_->timingMaxima();
+    metrics_.set("walnut_registry_worker_slowness_max", maxima.slownessPercent / kPercent);
+    metrics_.set("walnut_registry_prompt_share_max", maxima.promptSharePercent / kPercent);
     response.body = metrics_.text();
     sink.respond(std::move(response));
     return;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -208,6 +208,7 @@
   worker_ = worker;
   ++startedAttempts_;
   attemptAt_ = now();
+  wasWorkerFull_ = worker->full();
   isHeadReceived_ = false;
   accepted_ = false;
   isAnswerRecorded_ = false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -101,6 +101,15 @@
   /// Takes one request from the granted share: it is being sent to the worker.
   virtual void takeShare(const registry::WorkerId& worker) = 0;
   /// @}
+  /// @name Speed of workers
+  /// @{
+  /// Records the first event of a stream that was sent to the worker at `sentAt`.
+  /// @param wasFull true if all slots of the worker were taken then.
+  virtual void streamBegan(const Worker& worker, const RequestFacts& facts, base::TimePoint sentAt,
+                           bool wasFull) = 0;
+  /// Records that the pauses of a stream first exceeded the target gap.
+  virtual void streamPaused(const Worker& worker) = 0;
+  /// @}
   /// @return when a model that no worker serves is expected to be loaded; nothing if that is soon
   /// or not known.
   virtual std::optional<base::TimePoint> expectedAt(const std::string& service,
@@ -256,6 +265,7 @@
   std::unique_ptr<Attempt> attempt_;
   WorkerDirectory::WorkerPtr worker_;
   base::TimePoint attemptAt_;
+  bool wasWorkerFull_ = false;      ///< All slots were taken at the start of the attempt.
   base::Duration stallTimeout_{0};  ///< Stall timeout as last armed.
   /// The stream stays at a silent worker since it would have begun too late elsewhere.
   bool staysForTime_ = false;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -92,6 +92,7 @@
     context_.metrics().observe("walnut_gateway_first_event_seconds", now() - arrivedAt_);
     worker_->latency.observe(now() - attemptAt_);
     worker_->firstEventTime.observe(now() - attemptAt_);
+    context_.streamBegan(*worker_, facts_, attemptAt_, wasWorkerFull_);
     sink_.beginChunked(head_);
   }
   recordGap(now() - lastEventAt_);
@@ -110,6 +111,7 @@
   longestGap_ = std::max(longestGap_, pause);
   if (first && longestGap_ > pauseLimit()) {
     worker_->failures.observe(true, now());
+    context_.streamPaused(*worker_);
   }
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,9 +60,11 @@
       quotaTimer_(scheduler.createTimer([this] { reviewQuota(); })),
       limits_(options.selection.seed),
       shareTimer_(scheduler.createTimer([this] { reviewShares(); })),
+      timingRecorder_(scheduler.now()),
       selector_(
           directory_, options.selection,
-          [&launcher](const registry::WorkerId& id) { return launcher.connected(id); }, this),
+          [&launcher](const registry::WorkerId& id) { return launcher.connected(id); }, this,
+          &timeModel_),
       demandTimer_(scheduler.createTimer([this] { reportDemand(); })),
       earlyTimer_(scheduler.createTimer([this] { refuseExpiredEarly(); })) {}
 
@@ -82,6 +84,7 @@
 void Gateway::viewReceived(const registry::ViewUpdate& update) {
   directory_.apply(update);
   applyLimits(update);
+  refreshTimings(update);
   gateways_ = std::max<std::uint32_t>(1, update.gateways);
   recordNewestVersion(update.documentVersion);
   for (auto& [service, budget] : budgets_) {
@@ -191,6 +194,7 @@
   document_ = std::move(document);
   routes_ = std::make_unique<catalog::RouteTable>(document_);
   keys_ = std::make_unique<KeyTable>(document_);
+  refreshTimedServices();
   if (!lease_.documentApplied(document_->version)) {
     renewLease();
   }
@@ -409,6 +413,7 @@
   demandReportedAt_ = scheduler_.now();
   demandDueAt_ = demandReportedAt_ + options_.demandInterval;
   demandTimer_->enableAt(demandDueAt_);
+  reportTimings();
   if (!session_.following()) {
     demand_.dropOutcomes();
     return;
@@ -423,6 +428,7 @@
 
 void Gateway::attemptBegan(Worker& worker, const RequestFacts& facts) {
   worker.requestBegan(facts.model);
+  recordPromptSent(worker, facts);
   reportUseSoon(worker, facts.model);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,7 +15,9 @@
 #include "gateway/quota_account.h"
 #include "gateway/registry_session.h"
 #include "gateway/request_quarantine.h"
+#include "gateway/timing_recorder.h"
 #include "gateway/worker_limits.h"
+#include "gateway/worker_time_model.h"
 #include "routing/retry_budget.h"
 #include "walnut/catalog/route_table.h"
 #include "walnut/runtime/metrics_sink.h"
@@ -64,6 +66,7 @@
   void quotaGranted(const registry::QuotaGrant& grant);
   void lateModelsReceived(const registry::LateModels& late);
   void sharesGranted(const registry::ShareGrant& grant);
+  void timingsReceived(const registry::WorkerTimings& update);
   /// @return the version of the document by whose keys a request would be admitted now; 0: keys are
   /// not confirmed.
   std::uint64_t admittingDocumentVersion() const;
@@ -115,6 +118,9 @@
   void shareWaitBegan(const registry::WorkerId& worker) override;
   void shareWaitEnded(const registry::WorkerId& worker) override;
   void takeShare(const registry::WorkerId& worker) override;
+  void streamBegan(const Worker& worker, const RequestFacts& facts, base::TimePoint sentAt,
+                   bool wasFull) override;
+  void streamPaused(const Worker& worker) override;
   std::optional<base::TimePoint> expectedAt(const std::string& service,
                                             const std::string& model) const override;
   std::uint64_t documentVersion() const override;
@@ -188,6 +194,11 @@
               const std::string& tenant = {});
   const std::string& pickService(const catalog::Route& route);
   routing::RetryBudget& budgetOf(const std::string& service);
+  void refreshTimedServices();
+  void refreshTimings(const registry::ViewUpdate& update);
+  void recordPromptSent(const Worker& worker, const RequestFacts& facts);
+  bool poolsTimings() const;
+  void reportTimings();
   void reportDemand();
   void reportDemandSoon();
   void reportCuts();
@@ -227,6 +238,8 @@
   std::size_t shareWaiters_ = 0;
   bool sharesSoon_ = false;
   bool limitsSoon_ = false;
+  TimingRecorder timingRecorder_;
+  WorkerTimeModel timeModel_;
   WorkerSelector selector_;
   DemandTracker demand_;
   RequestQuarantine quarantine_;
--- a/src/gateway/registry_follower.h
+++ b/src/gateway/registry_follower.h
@@ -34,6 +34,7 @@
   bool receive(protocol::ConnectionId connection, const registry::QuotaGrant& grant);
   bool receive(protocol::ConnectionId connection, const registry::LateModels& late);
   bool receive(protocol::ConnectionId connection, const registry::ShareGrant& grant);
+  bool receive(protocol::ConnectionId connection, const registry::WorkerTimings& update);
   template <class Other>
   bool receive(protocol::ConnectionId, const Other&) {
     return false;  // A message for servers only.
--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -136,6 +136,9 @@
 WorkerDirectory::WorkerPtr WorkerSelector::cheapest(
     const std::vector<WorkerDirectory::WorkerPtr>& workers, double typicalLatency,
     const std::string& service, const RequestFacts& facts, base::TimePoint now) {
+  if (times_ != nullptr && times_->covers(service)) {
+    return quickest(workers, service, facts, now);
+  }
   const registry::WorkerId* preferred = affinity_.find(facts);
   WorkerDirectory::WorkerPtr best;
   double bestCost = std::numeric_limits<double>::infinity();
@@ -171,7 +174,15 @@
       worker.view.record.slots == 0 ? kDefaultSlots : static_cast<double>(worker.view.record.slots);
   const double running = worker.totalRunning();
   cost *= 1 + (kFullFactor - 1) * running / slots;
-  cost *= 1 + kFailureFactor * worker.failures.value(now);
+  cost = weighted(cost, worker, preferred, now);
+  cost *= 1 + options_.spread * random_.unit();
+  return worker.view.silent ? cost * kUnresponsiveFactor : cost;
+}
+
+/// Returns the cost with the factors for failures, zone, connection and known prompt.
+double WorkerSelector::weighted(double cost, const Worker& worker,
+                                const registry::WorkerId* preferred, base::TimePoint now) const {
+  cost *= failureFactor(worker, now);
   if (worker.view.record.zone != options_.zone) {
     cost *= kOtherZoneFactor;
   }
@@ -181,8 +192,11 @@
   if (preferred != nullptr && *preferred == worker.view.record.id) {
     cost *= kKnownPromptFactor;
   }
-  cost *= 1 + options_.spread * random_.unit();
-  return worker.view.silent ? cost * kUnresponsiveFactor : cost;
+  return cost;
+}
+
+double WorkerSelector::failureFactor(const Worker& worker, base::TimePoint now) {
+  return 1 + kFailureFactor * worker.failures.value(now);
 }
 
 }  // namespace walnut::gateway
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "gateway/worker_directory.h"
+#include "gateway/worker_time_model.h"
 #include "routing/moving_average.h"
 #include "walnut/base/random.h"
 #include "walnut/gateway/dialect.h"
@@ -94,19 +95,28 @@
 /// Selects the worker with the lowest expected time: its observed latency, increased by the
 /// requests that run there and by its failures. Workers in the gateway's zone and workers that know
 /// the prompt are preferred where the difference is small. A failing worker is a last resort.
+///
+/// In services that a `WorkerTimeModel` covers, the expected time is that of the model, and only
+/// two workers with a free slot are compared, drawn at random in proportion to their speed:
+/// hundreds of gateways act on the same estimates, and comparing all workers would send them all to
+/// the same one until the next estimates.
 class WorkerSelector {
  public:
   /// Returns true if a request to the worker would need no new connection.
   using ConnectedTo = std::function<bool(const registry::WorkerId&)>;
 
   /// @param shares null: no worker has a limit.
+  /// @param times null: no service is selected by a time model.
   WorkerSelector(const WorkerDirectory& directory, const WorkerSelectorOptions& options,
-                 ConnectedTo connectedTo, ShareLookup* shares = nullptr)
+                 ConnectedTo connectedTo, ShareLookup* shares = nullptr,
+                 const WorkerTimeModel* times = nullptr)
       : directory_(directory),
         options_(options),
         random_(options.seed),
+        draws_(options.seed ^ kDrawSeed),
         connectedTo_(std::move(connectedTo)),
-        shares_(shares) {}
+        shares_(shares),
+        times_(times) {}
 
   Selection select(const std::string& service, const RequestFacts& facts,
                    const std::set<registry::WorkerId>& excluded, base::TimePoint now);
@@ -135,11 +145,30 @@
   double cost(const Worker& worker, double typicalLatency, const registry::WorkerId* preferred,
               base::TimePoint now);
 
+  double weighted(double cost, const Worker& worker, const registry::WorkerId* preferred,
+                  base::TimePoint now) const;
+  static double failureFactor(const Worker& worker, base::TimePoint now);
+  // Selection by the time model (worker_selector_times.cpp).
+  WorkerDirectory::WorkerPtr quickest(const std::vector<WorkerDirectory::WorkerPtr>& workers,
+                                      const std::string& service, const RequestFacts& facts,
+                                      base::TimePoint now);
+  std::vector<WorkerDirectory::WorkerPtr> drawTwo(std::vector<WorkerDirectory::WorkerPtr> workers,
+                                                  const registry::WorkerId* preferred,
+                                                  base::TimePoint now);
+  double timeCost(const Worker& worker, double spread, const RequestFacts& facts,
+                  const registry::WorkerId* preferred, base::TimePoint now);
+
+  static constexpr std::uint64_t kDrawSeed = 0x9e3779b97f4a7c15;
+
   const WorkerDirectory& directory_;
   const WorkerSelectorOptions options_;
   base::Random random_;
+  /// Source of the draws in services that the time model covers. Separate, so that the selections
+  /// in all other services don't depend on them.
+  base::Random draws_;
   const ConnectedTo connectedTo_;
   ShareLookup* const shares_;
+  const WorkerTimeModel* const times_;
   PromptAffinity affinity_;
   std::map<std::string, routing::MovingAverage> slotTimes_;  ///< Slot times of streams, by service.
 };
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -126,11 +126,13 @@
                                            {"partial", request.cursor.version},
                                            {"bytes", request.cursor.received}});
   publisher_.subscribe(gateway, zone, featureLevel);
+  subscribeToTimings(gateway, featureLevel);
   subscriptions_[gateway] = request;
 }
 
 void LeaderDuties::unsubscribe(protocol::ConnectionId gateway) {
   publisher_.unsubscribe(gateway);
+  timingRevisions_.erase(gateway);
   sender_.unsubscribe(gateway);
   subscriptions_.erase(gateway);
   demand_.forget(gateway);
@@ -173,13 +175,6 @@
   return model != nullptr && model->hasAdapter(demand.adapter);
 }
 
-void LeaderDuties::quotaRequested(protocol::ConnectionId gateway, const QuotaRequest& request,
-                                  base::TimePoint now) {
-  actions_.emplace_back(control::SendToConnection{
-      gateway, RegistryMessage{MessageBody(quotas_.grant(gateway, request, now))}});
-  logQuotaChanges();
-}
-
 void LeaderDuties::stateChanged(base::TimePoint now) {
   refreshDocument(now);
   if (state_.zoneChanges() == zoneChanges_) {
@@ -251,6 +246,7 @@
     }
     publisher_.removeWorker(id);
     limits_.forget(id);
+    timings_.forget(id);
     index_.remove(id);
     busyWorkers_.erase(id);
   }
@@ -284,6 +280,7 @@
   }
   quotas_.setTenants(document_->tenants, now);
   sender_.setDocument(document_);
+  refreshTimedServices();
 }
 
 void LeaderDuties::run(base::TimePoint now, bool leaseValid,
@@ -318,6 +315,7 @@
     sendSuspects(now);
     sendLateModels(now);
     publish(now, servers);
+    sendTimings(now);
     sendDocument(now);
   } else {
     publishAgainAt_ = now + kCheckInterval;
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -28,6 +28,7 @@
 #include "registry/worker_limit_tracker.h"
 #include "registry/worker_outlier_detector.h"
 #include "registry/worker_status.h"
+#include "registry/worker_timing_book.h"
 #include "walnut/registry/registry.h"
 #include "walnut/registry/view_codec.h"
 
@@ -70,6 +71,8 @@
   /// To be called only while this server holds a valid leader lease, as with quotas.
   void sharesRequested(protocol::ConnectionId gateway, const ShareRequest& request,
                        base::TimePoint now);
+  void timingsReported(protocol::ConnectionId gateway, const WorkerTimingReport& report,
+                       base::TimePoint now);
   void orderFinished(const OrderFinished& finished, base::TimePoint now);
   void reportFinished(const ReportFinished& finished, base::TimePoint now);
   /// Sends the orders of a batch, which is committed to the log now, unless that took too long.
@@ -86,6 +89,7 @@
   std::vector<Command> takeCommands() { return std::exchange(commands_, {}); }
   base::TimePoint nextWakeup() const;
   std::vector<protocol::ConnectionId> gateways() const { return publisher_.gateways(); }
+  WorkerTimingMaxima timingMaxima() const { return timings_.maxima(); }
 
  private:
   struct SentOrder {
@@ -131,6 +135,9 @@
   void logAnswerChanges();
   void logQuotaChanges();
   void logShareChanges();
+  void refreshTimedServices();
+  void subscribeToTimings(protocol::ConnectionId gateway, std::uint32_t featureLevel);
+  void sendTimings(base::TimePoint now);
   LateModels lateModels() const;
   void sendLateModels(base::TimePoint now);
   void sendLateModelsTo(protocol::ConnectionId gateway);
@@ -199,6 +206,11 @@
   DemandBook demand_;
   QuotaLedger quotas_;
   WorkerLimitTracker limits_;
+  std::set<std::string> timedServices_;  ///< Services whose replicas are slow to add.
+  WorkerTimingBook timings_;
+  /// Revisions of `timings_` last sent to the gateways that support them; 0: none.
+  std::map<protocol::ConnectionId, std::uint64_t> timingRevisions_;
+  base::TimePoint timingRefusalLoggedAt_;
   WorkerOutlierDetector outliers_;
   CrashMonitor crashes_;
   ViewPublisher publisher_;
--- a/src/registry/leader_limits.cpp
+++ b/src/registry/leader_limits.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// The part of the leader's tasks that grants gateways shares of the request limits of workers.
+/// The part of the leader's tasks that grants gateways shares of quotas and of the request limits
+/// of workers.
 
 #include <utility>
 
@@ -18,6 +19,13 @@
 
 }  // namespace
 
+void LeaderDuties::quotaRequested(protocol::ConnectionId gateway, const QuotaRequest& request,
+                                  base::TimePoint now) {
+  actions_.emplace_back(control::SendToConnection{
+      gateway, RegistryMessage{MessageBody(quotas_.grant(gateway, request, now))}});
+  logQuotaChanges();
+}
+
 void LeaderDuties::handleLimitReport(protocol::ConnectionId gateway, const LimitReport& report,
                                      base::TimePoint now) {
   LimitReport known;
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -254,6 +254,16 @@
   }
 }
 
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const WorkerTimingReport& message) {
+  if (isActiveLeader()) {
+    leading_->timingsReported(from, message, now_);
+  }
+}
+
+WorkerTimingMaxima RegistryImpl::timingMaxima() const {
+  return leading_ == nullptr ? WorkerTimingMaxima{} : leading_->timingMaxima();
+}
+
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const HeartbeatBatch& message) {
   if (!isActiveLeader()) {
     return;
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -34,6 +34,7 @@
   RegistryOutputs takeOutputs() override;
   base::TimePoint nextWakeup() const override;
   consensus::RaftStatus raftStatus() const override { return raft_->status(); }
+  WorkerTimingMaxima timingMaxima() const override;
 
  private:
   /// A call that waits for the confirmation of its linearizable read.
@@ -70,12 +71,12 @@
   void receiveBody(protocol::ConnectionId from, const QuotaRequest& message);
   void receiveBody(protocol::ConnectionId from, const LimitReport& message);
   void receiveBody(protocol::ConnectionId from, const ShareRequest& message);
+  void receiveBody(protocol::ConnectionId from, const WorkerTimingReport& message);
   void receiveBody(protocol::ConnectionId from, const HeartbeatBatch& message);
   void receiveBody(protocol::ConnectionId from, const HeartbeatRequest& message);
   void receiveBody(protocol::ConnectionId, const DocumentConfirmed&) {}
   void receiveBody(protocol::ConnectionId, const QuotaGrant&) {}
   void receiveBody(protocol::ConnectionId, const ShareGrant&) {}
-  void receiveBody(protocol::ConnectionId, const WorkerTimingReport&) {}
   void receiveBody(protocol::ConnectionId, const WorkerTimings&) {}
   void receiveBody(protocol::ConnectionId, const LateModels&) {}
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
--- a/src/runtime/prometheus_sink.cpp
+++ b/src/runtime/prometheus_sink.cpp
@@ -21,4 +21,8 @@
       .Observe(std::chrono::duration<double>(duration).count());
 }
 
+void PrometheusSink::set(const char* name, double value) {
+  metrics_.gauge(name, "Present value").Set(value);
+}
+
 }  // namespace walnut::runtime
--- a/src/runtime/prometheus_sink.h
+++ b/src/runtime/prometheus_sink.h
@@ -11,6 +11,7 @@
  public:
   void count(const char* name, const std::string& outcome) override;
   void observe(const char* name, base::Duration duration) override;
+  void set(const char* name, double value);
   std::string text() const { return metrics_.text(); }
 
  private:
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -196,6 +196,7 @@
   std::vector<registry::QuotaRequest> quotas;
   std::vector<registry::LimitObservation> limits;
   std::vector<registry::QuotaRequest> shares;
+  std::vector<registry::WorkerTimingReport> timings;
 
   void open(const base::Endpoint& server) override { opened.push_back(server); }
   void close(protocol::ConnectionId) override {}
@@ -212,6 +213,8 @@
       limits.insert(limits.end(), seen->sightings.begin(), seen->sightings.end());
     } else if (auto* share = std::get_if<registry::ShareRequest>(&message)) {
       shares.push_back(std::move(share->request));
+    } else if (auto* timing = std::get_if<registry::WorkerTimingReport>(&message)) {
+      timings.push_back(std::move(*timing));
     }
   }
 };
