--- a/src/registry/worker_timing_book.cpp
+++ b/src/registry/worker_timing_book.cpp
@@ -1,7 +1,7 @@
 #include "registry/worker_timing_book.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 namespace walnut::registry {
 
@@ -16,15 +16,17 @@
 constexpr double kTokenSeconds = 1;
 /// @}
 /// @name Weight of the priors, in samples
-/// Two streams at 2.5 times the usual time raise the estimate above 1.5; one, however slow, does
-/// not.
+/// Two streams in half a second at 2.5 times the usual time raise the estimate above 1.4; one
+/// stream alone, however slow, doesn't raise it to 1.5.
 /// @{
 constexpr double kLastingPrior = 8;
-constexpr double kRecentPrior = 2.5;
+constexpr double kRecentPrior = 2;
 /// @}
 /// Bound of the factor by which one sample counts as slower or faster than expected: a single
 /// stream may have waited for something else than its worker.
-const double kMaxLogRatio = std::log(3.0);
+const double kMaxLogRatio = std::log(2.5);
+/// Least deviation from the estimate, as a logarithm, of a sample that may show a changed speed.
+const double kMinOutlier = std::log(1.5);
 constexpr double kMinSlowness = 0.25;
 constexpr double kMaxSlowness = 4;
 constexpr double kMaxShare = 0.99;
@@ -109,7 +111,7 @@
     const double ratio = std::clamp(std::log(time / expected), -kMaxLogRatio, kMaxLogRatio);
     const double weight =
         streams * std::clamp((1 - share) / (1 - kCrowdedShare), kMinSampleWeight, 1.0);
-    estimate.recent.add(ratio, weight, now, kRecentSeconds);
+    addRecent(estimate, ratio, weight, now);
     estimate.lasting.add(ratio, weight, now, kLastingSeconds);
     if (fit.settled()) {
       time = std::min(time, expected * kMaxSlowness);
@@ -119,6 +121,22 @@
   estimate.tokens.add(tokens, 1, now, kTokenSeconds);
 }
 
+/// Adds a sample to the recent mean. Two samples in a row that differ from the estimate in the same
+/// direction replace the earlier ones: the speed has changed.
+void WorkerTimingBook::addRecent(Estimate& estimate, double ratio, double weight,
+                                 base::TimePoint now) {
+  const double deviation = ratio - logSlowness(estimate, now);
+  const std::optional<Outlier> former = std::exchange(estimate.outlier, std::nullopt);
+  if (std::abs(deviation) > kMinOutlier) {
+    estimate.outlier = {ratio, weight, deviation > 0, now};
+    if (former && former->above == estimate.outlier->above) {
+      estimate.recent = {};
+      estimate.recent.add(former->ratio, former->weight, former->at, kRecentSeconds);
+    }
+  }
+  estimate.recent.add(ratio, weight, now, kRecentSeconds);
+}
+
 void WorkerTimingBook::forget(const WorkerId& worker) { estimates_.erase(worker); }
 
 void WorkerTimingBook::forgetServices(const std::function<bool(const std::string&)>& measured) {
--- a/src/registry/worker_timing_book.h
+++ b/src/registry/worker_timing_book.h
@@ -93,11 +93,18 @@
  private:
   static constexpr base::Duration kLogInterval = std::chrono::seconds(5);
 
+  struct Outlier {
+    double ratio = 0;
+    double weight = 0;
+    bool above = false;
+    base::TimePoint at;
+  };
   struct Estimate {
     std::string service;
-    DecayingSum lasting;  ///< Logarithms of time ratios.
-    DecayingSum recent;   ///< The same over less than a second.
-    DecayingSum tokens;   ///< Prompt tokens of the streams that began.
+    DecayingSum lasting;             ///< Logarithms of time ratios.
+    DecayingSum recent;              ///< The same over less than a second.
+    std::optional<Outlier> outlier;  ///< The last sample, if it differed much from the estimate.
+    DecayingSum tokens;              ///< Prompt tokens of the streams that began.
     std::optional<WorkerTiming> published;
     std::uint64_t revision = 0;  ///< Of the last change of `published`.
     std::uint32_t loggedPercent = 100;
@@ -107,6 +114,7 @@
   };
 
   void add(const WorkerTimingSample& sample, const std::string& service, base::TimePoint now);
+  static void addRecent(Estimate& estimate, double ratio, double weight, base::TimePoint now);
   static double logSlowness(const Estimate& estimate, base::TimePoint now);
   double promptShare(const Estimate& estimate, base::TimePoint now) const;
   std::map<std::string, double> medians(base::TimePoint now) const;
