gateway: prompts of unknown length in the time model; test fixes

Cause: without prompt tokens the expected time ignored the prompt share; a new test declared its models without holdingsKnown and so sent nothing. Change: 1,000 tokens are assumed of a prompt whose length isn't known; the test sets the flag.

--- a/src/gateway/worker_time_model.cpp
+++ b/src/gateway/worker_time_model.cpp
@@ -19,6 +19,8 @@
 constexpr double kDefaultSlots = 8;
 /// Coefficients until a stream of the service was measured.
 constexpr registry::PromptTimeFit::Coefficients kUnmeasured{0.04, 40e-6};
+/// Tokens assumed of a prompt whose length isn't known: the prompt share must count for it, too.
+constexpr double kUnknownPrompt = 1000;
 /// Bounds of the leader's estimates. Anything beyond them is not an estimate of its.
 constexpr double kMinSlowness = 0.25;
 constexpr double kMaxSlowness = 4;
@@ -114,7 +116,7 @@
   facts.running = running;
   facts.slots = slots;
   facts.ownTokens = ownTokens(worker, now);
-  facts.promptTokens = static_cast<double>(promptTokens);
+  facts.promptTokens = promptTokens == 0 ? kUnknownPrompt : static_cast<double>(promptTokens);
   facts.usual =
       fit == fits_.end() || fit->second.empty() ? kUnmeasured : fit->second.coefficients();
   return expectedTime(facts);
--- a/test/gateway/timing_recorder_test.cpp
+++ b/test/gateway/timing_recorder_test.cpp
@@ -67,6 +67,7 @@
     registry::ViewUpdate update;
     update.changed = {GatewayHarness::worker(1)};
     update.changed.front().models = {{"m", 1, {}}};
+    update.changed.front().holdingsKnown = true;
     harness.gateway.viewReceived(update);
     harness.follow();
     harness.scheduler.settle();
@@ -86,6 +87,7 @@
     Caller caller;
     harness.gateway.onRequest(std::move(made), caller);
     harness.scheduler.settle();
+    CHECK_EQUAL(1, harness.launcher.sent.size());
     const SentRequest& sent = *harness.launcher.sent.back();
     harness.scheduler.advance(120ms);
     harness.head(sent, 200, "r1", true);
