--- a/src/gateway/demand_tracker.h
+++ b/src/gateway/demand_tracker.h
@@ -9,6 +9,8 @@
 #include <tuple>
 
 #include "gateway/worker_directory.h"
+#include "walnut/catalog/document.h"
+#include "walnut/gateway/dialect.h"
 #include "walnut/registry/messages.h"
 
 namespace walnut::gateway {
@@ -26,6 +28,11 @@
   base::Duration targetLatency{0};
 };
 
+/// @return how urgent a request of that route is; a tenant's priority goes before the route's.
+inline Urgency urgencyOf(const RequestFacts& facts, const catalog::Route& route) {
+  return {facts.tenantPriority.value_or(route.priority), route.targetLatency};
+}
+
 class DemandTracker {
  public:
   void requestArrived(const std::string& service, const std::string& model,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,15 +18,6 @@
 constexpr int kUnavailable = 503;
 /// Fraction of the retry budget that is used, because the number of gateways is known with a delay.
 constexpr double kBudgetFraction = 0.7;
-/// @name Minimum time between reports of whether a model is in use: a leader processes a few
-/// hundred reports a second from all gateways together
-/// @{
-constexpr base::Duration kUseReportSpacing = std::chrono::milliseconds(50);
-constexpr base::Duration kUseReportSpacingPerGateway = std::chrono::milliseconds(4);
-/// @}
-/// Time between two empty reports: well below the time after which a server considers an idle
-/// connection lost.
-constexpr base::Duration kEmptyReportInterval = std::chrono::seconds(3);
 /// Time that early requests wait for the first document after a start: little more than an election
 /// takes.
 constexpr base::Duration kEarlyRequestTimeout = std::chrono::milliseconds(1500);
@@ -39,10 +30,6 @@
   return revocation * kTenths / 10;
 }
 
-Urgency urgencyOf(const RequestFacts& facts, const catalog::Route& route) {
-  return {facts.tenantPriority.value_or(route.priority), route.targetLatency};
-}
-
 }  // namespace
 
 Gateway::Gateway(const GatewayOptions& options, event::Scheduler& scheduler,
@@ -55,6 +42,7 @@
       session_(session),
       log_(log),
       metrics_(metrics),
+      buffers_(options.bufferLimitBytes),
       lease_(leaseDuration(options.revocation)),
       leaseTimer_(scheduler.createTimer([this] { renewLease(); })),
       quotaTimer_(scheduler.createTimer([this] { reviewQuota(); })),
@@ -67,7 +55,9 @@
           &timeModel_),
       lateStarts_(scheduler, directory_, selector_, options.selection.seed),
       demandTimer_(scheduler.createTimer([this] { reportDemand(); })),
-      earlyTimer_(scheduler.createTimer([this] { refuseExpiredEarly(); })) {}
+      earlyTimer_(scheduler.createTimer([this] { refuseExpiredEarly(); })) {
+  prepareBuffers();
+}
 
 Gateway::~Gateway() = default;
 
@@ -261,7 +251,8 @@
            refusingAll_ ? "stopping" : "no document is known");
     return;
   }
-  early_.push_back({std::move(request), &sink, scheduler_.now()});
+  BufferBudget::Share held = shareOf(request);
+  early_.push_back({std::move(request), &sink, scheduler_.now(), std::move(held)});
   const auto entry = std::prev(early_.end());
   sink.setGoneCallback([this, entry] { early_.erase(entry); });
   earlyTimer_->enableAt(early_.front().arrivedAt + kEarlyRequestTimeout);
@@ -303,6 +294,9 @@
     refuse(sink, facts.requestId, kUnavailable, "stopping");
     return;
   }
+  if (refuseAtBufferLimit(request, sink, facts.requestId)) {
+    return;
+  }
   const catalog::Tenant* tenant = nullptr;
   if (document_->keyed && !route->open) {
     tenant = authenticate(facts, sink);
@@ -390,77 +384,6 @@
   return taken;
 }
 
-void Gateway::waitBegan(const std::string& service, const RequestFacts& facts,
-                        const catalog::Route& route) {
-  if (facts.model.empty()) {
-    return;
-  }
-  demand_.waitBegan(service, facts.model, facts.adapter, urgencyOf(facts, route));
-  reportDemandSoon();
-}
-
-void Gateway::reportDemandSoon() {
-  if (!std::exchange(demandSoon_, true)) {
-    scheduler_.runSoon([this] { reportDemand(); });
-  }
-}
-
-void Gateway::waitEnded(const std::string& service, const RequestFacts& facts) {
-  if (!facts.model.empty()) {
-    demand_.waitEnded(service, facts.model, facts.adapter);
-  }
-}
-
-void Gateway::reportDemand() {
-  demandSoon_ = false;
-  demandReportedAt_ = scheduler_.now();
-  demandDueAt_ = demandReportedAt_ + options_.demandInterval;
-  demandTimer_->enableAt(demandDueAt_);
-  reportTimings();
-  if (!session_.following()) {
-    demand_.dropOutcomes();
-    return;
-  }
-  registry::DemandUpdate update = demand_.takeUpdate(directory_);
-  if (!update.empty() || scheduler_.now() >= nextEmptyReportAt_) {
-    nextEmptyReportAt_ =
-        update.empty() ? scheduler_.now() + kEmptyReportInterval : base::TimePoint();
-    session_.send(std::move(update));
-  }
-}
-
-void Gateway::attemptBegan(Worker& worker, const RequestFacts& facts) {
-  worker.requestBegan(facts.model);
-  recordPromptSent(worker, facts);
-  reportUseSoon(worker, facts.model);
-}
-
-void Gateway::attemptEnded(Worker& worker, const RequestFacts& facts) {
-  worker.requestEnded(facts.model);
-  reportUseSoon(worker, facts.model);
-}
-
-/// Reports soon if a model has begun or ceased to be in use, since that decides which models are
-/// evicted to free memory for others; a change of the amount of use may wait. The spacing grows
-/// with the number of gateways, so that the rate of all reports together does not.
-void Gateway::reportUseSoon(const Worker& worker, const std::string& model) {
-  const auto running = worker.runningByModel.find(model);
-  const bool changed = running == worker.runningByModel.end() || running->second == 1;
-  if (!model.empty() && changed) {
-    reportWithinSpacing();
-  }
-}
-
-void Gateway::reportWithinSpacing() {
-  const base::Duration spacing =
-      std::max(kUseReportSpacing, kUseReportSpacingPerGateway * gateways_);
-  const base::TimePoint due = std::max(scheduler_.now(), demandReportedAt_ + spacing);
-  if (due < demandDueAt_) {
-    demandDueAt_ = due;
-    demandTimer_->enableAt(due);
-  }
-}
-
 void Gateway::attemptFailed(Worker& worker) {
   const bool wasOpen = worker.breaker.state() == routing::BreakerState::open;
   worker.failures.observe(true, scheduler_.now());
@@ -493,6 +416,7 @@
     }
     scheduler_.destroySoon(std::move(found->second));
     exchanges_.erase(found);
+    reviewBufferLimit();
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,12 +8,14 @@
 #include <set>
 #include <string>
 
+#include "gateway/buffer_budget.h"
 #include "gateway/demand_tracker.h"
 #include "gateway/document_lease.h"
 #include "gateway/exchange.h"
 #include "gateway/key_table.h"
 #include "gateway/late_starts.h"
 #include "gateway/quota_account.h"
+#include "gateway/quota_wait.h"
 #include "gateway/registry_session.h"
 #include "gateway/request_quarantine.h"
 #include "gateway/timing_recorder.h"
@@ -37,6 +39,8 @@
   /// Maximum time from the acknowledgement of a document that revokes a key until no gateway
   /// accepts the key any more.
   base::Duration revocation = std::chrono::seconds(5);
+  /// Maximum bytes held for all callers together.
+  std::size_t bufferLimitBytes = BufferBudget::kUnlimited;
 };
 
 /// The request router of one gateway process. It owns the exchanges in progress. Its view of the
@@ -125,6 +129,7 @@
   std::optional<base::TimePoint> expectedAt(const std::string& service,
                                             const std::string& model) const override;
   LateStarts& lateStarts() override { return lateStarts_; }
+  BufferBudget& buffers() override { return buffers_; }
   std::uint64_t documentVersion() const override;
   bool hasLeader() const override { return session_.following(); }
   void exchangeEnded(Exchange& exchange, int status) override;
@@ -147,6 +152,7 @@
     net::HttpRequest request;
     net::ResponseSink* sink = nullptr;
     base::TimePoint arrivedAt;
+    BufferBudget::Share held;
   };
 
   /// An authenticated request whose cost has to be taken from its tenant's quota.
@@ -158,7 +164,9 @@
     const catalog::Route* route = nullptr;
     base::TimePoint arrivedAt;
     base::TimePoint until;            ///< It is refused then.
+    bool leaderless = false;          ///< It has waited while no leader answered.
     std::uint64_t quotaSequence = 0;  ///< First quota request that covers it; 0: none.
+    BufferBudget::Share held;
   };
   using PendingRequests = std::list<PendingRequest>;
 
@@ -170,6 +178,7 @@
   void renewLease();
   void requestQuota(bool all);
   void requestQuotaSoon();
+  void scheduleQuotaReview();
   bool sharesLimits() const;
   void applyLimits(const registry::ViewUpdate& update);
   void logLimitChange(const std::optional<WorkerLimits::Change>& change, std::string_view source);
@@ -183,14 +192,26 @@
   void wakeShareWaiters();
   void reviewQuota();
   void queueForQuota(PendingRequest pending);
+  /// @param paid receives the requests to be admitted.
   void settlePending(const std::string& tenant, std::uint64_t quotaSequence,
-                     base::Duration retryAfter);
+                     base::Duration retryAfter, std::vector<PendingRequest>& paid);
+  void admitPaid(std::vector<PendingRequest> paid);
+  LeaderContact leaderContact() const;
+  void recordLeaderAnswering(bool answering);
+  void extendWait(PendingRequest& pending);
+  void countLeaderlessWait(const PendingRequest& pending, const char* outcome);
   void admit(PendingRequest admitted);
   /// @param waited time that the request has spent here.
   void routeRequest(net::HttpRequest request, net::ResponseSink& sink, base::Duration waited);
   void queueEarly(net::HttpRequest request, net::ResponseSink& sink);
   void routeEarly();
   void refuseExpiredEarly();
+  void prepareBuffers();
+  BufferBudget::Share shareOf(const net::HttpRequest& request);
+  bool refuseAtBufferLimit(const net::HttpRequest& request, net::ResponseSink& sink,
+                           const std::string& requestId);
+  void reviewBufferLimit();
+  void logBufferLimit(runtime::LogEvent event);
   void refuse(net::ResponseSink& sink, const std::string& requestId, int status,
               std::string_view reason, base::Duration retryAfter = kRetryAfterRefusal,
               const std::string& tenant = {});
@@ -219,6 +240,9 @@
   RegistrySession& session_;
   runtime::EventLog& log_;
   runtime::MetricsSink& metrics_;
+  BufferBudget buffers_;
+  bool buffersSoon_ = false;
+  bool buffersFull_ = false;  ///< The limit has been reached, as last logged.
   std::shared_ptr<const catalog::Document> document_;
   std::unique_ptr<catalog::RouteTable> routes_;
   std::unique_ptr<KeyTable> keys_;
@@ -230,7 +254,10 @@
   std::size_t pendingCount_ = 0;
   std::set<std::string> countedTenants_;  ///< Tenants with a metric of their own.
   event::TimerPtr quotaTimer_;
+  std::optional<base::TimePoint> quotaReviewAt_;  ///< When `quotaTimer_` runs.
   bool quotaSoon_ = false;
+  bool quotaLeaderless_ = false;  ///< No leader answers about quotas, as last logged.
+  base::TimePoint quotaLeaderlessSince_;
   std::uint64_t newestVersion_ = 0;  ///< Newest document that the leader has announced.
   base::TimePoint newestSince_;      ///< First announcement of `newestVersion_`.
   WorkerDirectory directory_;
--- a/src/runtime/prometheus_sink.cpp
+++ b/src/runtime/prometheus_sink.cpp
@@ -25,4 +25,8 @@
   metrics_.gauge(name, "Present value").Set(value);
 }
 
+void PrometheusSink::setBytes(const char* name, std::size_t bytes) {
+  metrics_.gauge(name, "In bytes").Set(static_cast<double>(bytes));
+}
+
 }  // namespace walnut::runtime
--- a/src/runtime/prometheus_sink.h
+++ b/src/runtime/prometheus_sink.h
@@ -12,6 +12,8 @@
   void count(const char* name, const std::string& outcome) override;
   void observe(const char* name, base::Duration duration) override;
   void set(const char* name, double value);
+  /// Sets a gauge in bytes.
+  void setBytes(const char* name, std::size_t bytes);
   std::string text() const { return metrics_.text(); }
 
  private:
