registry: order the store's loads by the callers they serve

Cause: where a load from the weight store takes 10 s and more, each cold model with one waiting caller took one of the store's places as soon as it was requested, and models with 50 requests/s and full replicas waited behind it. The limit of concurrent loads began at 8, so that six loads of models with 0.12 requests/s began within 0.7 s at a store that serves two.

Change, only where replicasAreSlowToAdd holds: the loads that need the store are collected in a plan and ranked (store_ranking) by the callers that each would serve until one load time after its end; loads that were wanted for over two load times go first, at every second place. A model is unloaded only for the load that gets the place, which it keeps for up to 5 s. The limit of concurrent loads begins at 2, grows by half a load for each one in time and may fall to 1. A new leader compares loads for 1 s first. The log line store-place-given names the load, the reason and the load put off.

--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -65,6 +65,7 @@
   entryRefused,
   orderTurn,
   placementDecided,
+  storePlaceGiven,
   orderSent,
   orderCancelled,
   orderFinished,
--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -100,6 +100,7 @@
   }
   History& history = history_[key];
   updateUnserved(key, history, demand, now);
+  history.answers.count(now, demand.answered);
   if (demand.arrivals == 0) {
     return;
   }
@@ -157,6 +158,7 @@
   const auto found = history_.find(key);
   if (found != history_.end()) {
     figures.rate = found->second.arrivals.perSecond(now);
+    figures.servedRate = found->second.answers.perSecond(now);
     figures.lastArrival = found->second.lastArrival;
     figures.priority = found->second.priority;
     figures.targetLatency = found->second.targetLatency;
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -29,6 +29,7 @@
 struct DemandFigures {
   std::uint32_t waiting = 0;    ///< Requests that wait at gateways.
   double rate = 0;              ///< Arrivals per second, a decaying mean.
+  double servedRate = 0;        ///< Requests per second that workers begin to answer, likewise.
   base::TimePoint lastArrival;  ///< Time of the last request; zero if there was none.
   std::uint32_t priority = 0;   ///< Highest priority of recent requests; 0 is the highest.
   /// The shortest target latency of recent requests; 0 if there is none.
@@ -89,6 +90,7 @@
   };
   struct History {
     DecayingRate arrivals;
+    DecayingRate answers;
     base::TimePoint lastArrival;
     std::uint32_t priority = 0;
     base::Duration targetLatency{0};
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -168,6 +168,8 @@
   base::Duration expectedTime(const PlacementStep& step, const WorkerRecord& record,
                               const WorkerStatus& status) const;
   void logDecisions(PlacementPolicy& policy, const StoreScheduler& store, base::TimePoint now);
+  void logStorePlaces(PlacementPolicy& policy);
+  bool replicasAreSlowToAdd(const std::string& service);
   void countForeignLoads(const catalog::Service& service, StoreScheduler& store);
   StoreScheduler& storeOf(const std::string& service);
   PreviousLoads previousLoads() const;
@@ -191,6 +193,8 @@
   std::shared_ptr<const catalog::Document> document_;
   base::TimePoint documentSince_;        ///< When this leader took over `document_`.
   std::set<std::string> plainServices_;  ///< Services of the document without engines.
+  std::shared_ptr<const catalog::Document> slowServicesOf_;  ///< The document of `slowServices_`.
+  std::set<std::string> slowServices_;  ///< Services in which replicas are slow to add.
   std::map<WorkerId, WorkerStatus> workers_;
   /// Unknown workers that sent a heartbeat from the endpoint of a live one, with its sequence.
   std::map<WorkerId, std::uint64_t> contests_;
--- a/src/registry/leader_plans.cpp
+++ b/src/registry/leader_plans.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "registry/leader_duties.h"
+#include "walnut/catalog/slow_replicas.h"
 
 namespace walnut::registry {
 
@@ -164,6 +165,9 @@
   PlacementPolicy& policy = policies_.try_emplace(service.name, service.name).first->second;
   StoreScheduler& store = storeOf(service.name);
   store.setLongestTimes(longestLoad(*service.engine), longestTimeout(*document_, service.name));
+  const bool isSlow = replicasAreSlowToAdd(service.name);
+  store.setSlowLoads(isSlow);
+  policy.setReplicasSlowToAdd(isSlow);
   store.setLimit(service.engine->storeLoadsPerSecond,
                  {options_.storeWindow, options_.storeOvershoot}, now);
   countForeignLoads(service, store);
@@ -171,9 +175,24 @@
       policy.plan(*service.engine, workers, demand_, store, now,
                   backoffs_[service.name].postponed(now), outside);
   logDecisions(policy, store, now);
+  logStorePlaces(policy);
   issueOrders(steps, now);
 }
 
+/// Caches the answer for each service of the document, since a plan is made many times per second.
+bool LeaderDuties::replicasAreSlowToAdd(const std::string& service) {
+  if (slowServicesOf_ != document_) {
+    slowServicesOf_ = document_;
+    slowServices_.clear();
+    for (const catalog::Service& each : document_->services) {
+      if (catalog::replicasAreSlowToAdd(*document_, each.name)) {
+        slowServices_.insert(each.name);
+      }
+    }
+  }
+  return slowServices_.count(service) != 0;
+}
+
 StoreScheduler& LeaderDuties::storeOf(const std::string& service) {
   return stores_.try_emplace(service, previousLoads()).first->second;
 }
@@ -207,6 +226,18 @@
   }
 }
 
+/// Logs each place of the store that was given, with the load that would have been next.
+void LeaderDuties::logStorePlaces(PlacementPolicy& policy) {
+  for (const StorePlaceGiven& place : policy.takeStorePlaces()) {
+    log_.write(LogEvent::storePlaceGiven,
+               {{"model", place.load.model},
+                {"reason", storePlaceReasonName(place.load.reason)},
+                {"value-percent", rounded(kPercent * place.load.value)},
+                {"next", place.next.model},
+                {"next-value-percent", rounded(kPercent * place.next.value)}});
+  }
+}
+
 /// Counts the orders of previous leaders in progress, each of which may be a load from the store.
 void LeaderDuties::countForeignLoads(const catalog::Service& service, StoreScheduler& store) {
   std::size_t foreign = 0;
--- a/src/registry/load_concurrency.cpp
+++ b/src/registry/load_concurrency.cpp
@@ -20,18 +20,41 @@
 /// limit: one more concurrent load after four rounds, because each attempt makes loads late.
 constexpr double kSlowGrowth = 0.25;
 
-/// Growth for each load in time while the limit is one. A wrong step to two wastes every load, so
-/// it is taken only after two loads in time.
+/// Growth for each load in time while the limit is one, or where replicas are slow to add. A wrong
+/// step wastes every load, so it is taken only after two loads in time.
 constexpr double kCautiousGrowth = 0.5;
 
 }  // namespace
 
 void LoadConcurrency::setCautious(bool cautious) {
-  if (std::exchange(cautious_, cautious) != cautious && !observed_) {
-    limit_ = cautious ? kCautiousLimit : kInitialLimit;
+  if (std::exchange(cautious_, cautious) != cautious) {
+    resetUnlessObserved();
   }
 }
 
+void LoadConcurrency::setSlowLoads(bool slowLoads) {
+  if (std::exchange(slowLoads_, slowLoads) != slowLoads) {
+    resetUnlessObserved();
+  }
+}
+
+void LoadConcurrency::resetUnlessObserved() {
+  if (!observed_) {
+    limit_ = initialLimit();
+  }
+}
+
+double LoadConcurrency::initialLimit() const {
+  if (cautious_) {
+    return kCautiousLimit;
+  }
+  return slowLoads_ ? kSlowLoadsLimit : kInitialLimit;
+}
+
+double LoadConcurrency::probeStep() const {
+  return slowLoads_ || limit_ < 2 * kCautiousLimit ? kCautiousGrowth : 1.0;
+}
+
 void LoadConcurrency::observe(std::uint64_t load, std::size_t inProgressAtStart, double lateness,
                               bool limitReached) {
   observed_ = true;
@@ -51,8 +74,7 @@
 void LoadConcurrency::grow(std::size_t inProgressAtStart) {
   const double probeLimit = kProbeFactor * static_cast<double>(inProgressAtStart);
   if (limit_ < probeLimit) {
-    const double probeStep = limit_ < 2 * kCautiousLimit ? kCautiousGrowth : 1.0;
-    limit_ = std::min(probeLimit, limit_ + (probing_ ? probeStep : kSlowGrowth / limit_));
+    limit_ = std::min(probeLimit, limit_ + (probing_ ? probeStep() : kSlowGrowth / limit_));
   }
 }
 
--- a/src/registry/load_concurrency.h
+++ b/src/registry/load_concurrency.h
@@ -22,7 +22,9 @@
 /// The initial value depends on the cost of a wrong guess. Where loads are short compared to the
 /// callers' timeouts, too many concurrent loads are late but still useful. Where loads are long,
 /// two concurrent loads on a store with a capacity of one both end after all callers have left;
-/// every load of the first guess would be wasted, so the limit starts at one.
+/// every load of the first guess would be wasted, so the limit starts at one. Where loads outlast
+/// the callers that a stream has now, but not the longest deadline, the limit starts at two, grows
+/// by half a load for each load in time, and may fall to one.
 class LoadConcurrency {
  public:
   /// Initial limit, and the minimum to which it falls. Known stores have a median capacity of 10
@@ -33,9 +35,15 @@
   static constexpr double kMinLimit = 2;
   /// Initial limit and minimum where a wrong guess wastes every load.
   static constexpr double kCautiousLimit = 1;
+  /// Initial limit where replicas are slow to add (`catalog::replicasAreSlowToAdd`). Eight loads
+  /// from a store that serves two at a time all end after four load times, and the models that are
+  /// requested most wait behind the first ones that were requested at all.
+  static constexpr double kSlowLoadsLimit = 2;
 
   /// @param cautious true if loads are so long that a wrong guess wastes every one of them.
   void setCautious(bool cautious);
+  /// @param slowLoads true if a replica can't be added while its callers wait.
+  void setSlowLoads(bool slowLoads);
 
   /// @return the number of loads that may be in progress.
   std::size_t limit() const { return static_cast<std::size_t>(limit_); }
@@ -57,9 +65,13 @@
     double estimate = 0;  ///< Estimated capacity of the store, in concurrent loads.
   };
 
-  double minLimit() const { return cautious_ ? kCautiousLimit : kMinLimit; }
+  void resetUnlessObserved();
+  double initialLimit() const;
+  double minLimit() const { return cautious_ || slowLoads_ ? kCautiousLimit : kMinLimit; }
+  double probeStep() const;
 
   bool cautious_ = false;
+  bool slowLoads_ = false;
   bool observed_ = false;  ///< True once a load was observed.
   double limit_ = kInitialLimit;
   double servedInTime_ = 0;  ///< Concurrent loads that the store was seen to serve in time.
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -68,6 +68,7 @@
   queued_.clear();
   outlook_.clear();
   previousStoreQueue_ = std::exchange(storeQueue_, 0);
+  contenders_.clear();
   dropExpiredReservations(round);
   dropOutdatedLateModels(round);
   // Adapters come first: their load takes some milliseconds, that of a model takes seconds during
@@ -82,6 +83,9 @@
   for (const Candidate& candidate : candidates) {
     placeReplica(round, candidate);
   }
+  if (replicasSlowToAdd_) {
+    placeStoreLoads(round);
+  }
   recordLateLoads(round);
   return round.takeSteps();
 }
@@ -108,6 +112,8 @@
 void PlacementPolicy::recordIfLate(const PlacementRound& round, const Candidate& candidate,
                                    const Choice& choice, PlacementOutcome outcome) {
   if (candidate.reason != PlacementReason::cold || !choice.fromStore) {
+    const bool isAhead = replicasSlowToAdd_ && outcome == PlacementOutcome::waitsForStore;
+    storeQueue_ += isAhead ? 1 : 0;
     return;
   }
   const base::Duration load = round.spec(candidate.model)->storeLoadTime;
@@ -195,14 +201,14 @@
 }
 
 PlacementOutcome PlacementPolicy::decideOutcome(const PlacementRound& round, const Choice& choice,
-                                                double benefit) {
+                                                double benefit, bool storeAllows) {
   if (choice.worker == nullptr) {
     return PlacementOutcome::noWorker;
   }
   if (choice.cost >= benefit) {
     return PlacementOutcome::tooCostly;
   }
-  if (choice.fromStore && !round.store().allows()) {
+  if (choice.fromStore && !storeAllows) {
     return PlacementOutcome::waitsForStore;
   }
   if (!isFree(round, *choice.worker)) {
@@ -217,10 +223,21 @@
 
 void PlacementPolicy::placeReplica(PlacementRound& round, const Candidate& candidate) {
   const Choice choice = choose(round, candidate);
-  const double benefit = candidate.isUrgent()
-                             ? kUrgentReplicaBenefit
-                             : kFurtherReplicaBenefit * round.figures(candidate.model).rate;
-  const PlacementOutcome outcome = decideOutcome(round, choice, benefit);
+  const double benefit = benefitOf(round, candidate);
+  const PlacementOutcome outcome = decideOutcome(round, choice, benefit, round.store().allows());
+  if (!replicasSlowToAdd_ || !competesForStore(round, candidate, choice, outcome)) {
+    settle(round, candidate, choice, benefit, outcome);
+  }
+}
+
+double PlacementPolicy::benefitOf(const PlacementRound& round, const Candidate& candidate) {
+  return candidate.isUrgent() ? kUrgentReplicaBenefit
+                              : kFurtherReplicaBenefit * round.figures(candidate.model).rate;
+}
+
+/// Records the decision on a candidate and orders its first step.
+void PlacementPolicy::settle(PlacementRound& round, const Candidate& candidate,
+                             const Choice& choice, double benefit, PlacementOutcome outcome) {
   recordDecision(round, candidate, choice, benefit, outcome);
   recordIfLate(round, candidate, choice, outcome);
   switch (outcome) {
@@ -302,6 +319,9 @@
 /// are kept for models without a copy.
 double PlacementPolicy::storeCost(const PlacementRound& round, const ModelSpec& model,
                                   PlacementReason reason) const {
+  if (replicasSlowToAdd_) {
+    return slowStoreCost(round, model);
+  }
   if (round.replicas(model.name).copies == 0) {
     return 0;
   }
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -13,6 +13,7 @@
 
 #include "registry/decaying_rate.h"
 #include "registry/demand_book.h"
+#include "registry/store_ranking.h"
 #include "registry/store_scheduler.h"
 #include "walnut/catalog/document.h"
 
@@ -104,6 +105,12 @@
   base::Duration availableIn{0};
 };
 
+/// A place of the weight store that was given to a load, for the log.
+struct StorePlaceGiven {
+  RankedStoreLoad load;
+  RankedStoreLoad next;  ///< The next load of the order; without a model if there is none.
+};
+
 class PlacementRound;
 
 /// Running requests per replica, as a share of a worker's slots, above which another replica is
@@ -123,10 +130,19 @@
 /// Requests that are queued at a model's workers count like requests that wait for a cold model:
 /// both are late until another replica serves. A model that already has replicas doesn't wait for a
 /// busy worker, since it needs capacity rather than a particular worker.
+///
+/// Where replicas are slow to add, the loads that need the weight store are compared with each
+/// other
+/// (`rankStoreLoads`) before one of them is started, and a model is unloaded only for the load that
+/// gets the store's next place. That load keeps its place while the unload is in progress.
 class PlacementPolicy {
  public:
   explicit PlacementPolicy(std::string service) : service_(std::move(service)) {}
 
+  /// @param slow true if another replica can't be added while its callers wait, see
+  /// `catalog::replicasAreSlowToAdd`.
+  void setReplicasSlowToAdd(bool slow) { replicasSlowToAdd_ = slow; }
+
   /// @return the steps to order now, at most one for each worker.
   /// @param postponed models that must not be loaded now.
   /// @param outside number of workers not in `workers` that serve a model, by model.
@@ -137,6 +153,8 @@
                                   const std::map<std::string, std::uint32_t>& outside = {});
   /// @return the decisions of the last run, without those that repeat why a model still waits.
   std::vector<PlacementDecision> takeDecisions() { return std::exchange(decisions_, {}); }
+  /// @return the places of the store that were given since the last call.
+  std::vector<StorePlaceGiven> takeStorePlaces() { return std::exchange(storePlaces_, {}); }
   /// @return the models that come late, as of the last run.
   const std::vector<LateModelForecast>& outlook() const { return outlook_; }
 
@@ -161,6 +179,17 @@
     bool fromStore = false;
   };
 
+  /// A candidate whose load needs the store, and the choice before the others were placed.
+  struct StoreContender {
+    Candidate candidate;
+    Choice choice;
+  };
+  /// The time since which a load from the store has been wanted, and when it was last.
+  struct StoreWait {
+    base::TimePoint since;
+    base::TimePoint lastWantedAt;
+  };
+
   void dropExpiredReservations(const PlacementRound& round);
   std::vector<Candidate> findCandidates(const PlacementRound& round) const;
   std::optional<Candidate> findCandidate(const PlacementRound& round,
@@ -172,8 +201,11 @@
                        base::Duration availableIn);
   void dropOutdatedLateModels(const PlacementRound& round);
   void placeReplica(PlacementRound& round, const Candidate& candidate);
+  void settle(PlacementRound& round, const Candidate& candidate, const Choice& choice,
+              double benefit, PlacementOutcome outcome);
+  static double benefitOf(const PlacementRound& round, const Candidate& candidate);
   static PlacementOutcome decideOutcome(const PlacementRound& round, const Choice& choice,
-                                        double benefit);
+                                        double benefit, bool storeAllows);
   void recordDecision(const PlacementRound& round, const Candidate& candidate, const Choice& choice,
                       double benefit, PlacementOutcome outcome);
   void dropOutdatedDecisions(const std::vector<Candidate>& candidates);
@@ -183,6 +215,22 @@
                    PlacementReason reason) const;
   double blockCost(const PlacementRound& round, base::Duration duration) const;
   void orderFirstStep(PlacementRound& round, const std::string& model, const Choice& choice);
+
+  /// @name Loads from the store where replicas are slow to add
+  /// @{
+  bool competesForStore(const PlacementRound& round, const Candidate& candidate,
+                        const Choice& choice, PlacementOutcome outcome);
+  const PlacementWorker* workerMakingRoom(const PlacementRound& round,
+                                          const std::string& model) const;
+  double slowStoreCost(const PlacementRound& round, const catalog::ModelSpec& model) const;
+  void placeStoreLoads(PlacementRound& round);
+  bool placeStoreLoad(PlacementRound& round, const StoreContender& contender, bool mayGive);
+  bool hasComparedStoreLoads(const PlacementRound& round);
+  void updateStoreWaits(const PlacementRound& round);
+  std::vector<RankedStoreLoad> rankContenders(const PlacementRound& round) const;
+  StoreLoadDemand storeLoadDemand(const PlacementRound& round, const std::string& model) const;
+  /// @}
+
   void placeAdapters(PlacementRound& round) const;
   static void placeAdapter(PlacementRound& round, const catalog::ModelSpec& model,
                            const std::string& adapter);
@@ -202,6 +250,17 @@
   std::size_t previousStoreQueue_ = 0;
   /// In this run, whether a load from the store would be missing for a model without a copy.
   bool storeIsScarce_ = false;
+  /// @name Loads from the store where replicas are slow to add
+  /// @{
+  bool replicasSlowToAdd_ = false;
+  std::vector<StoreContender> contenders_;           ///< In this run.
+  std::map<std::string, StoreWait> storeWaits_;      ///< By model.
+  std::map<std::string, base::TimePoint> roomMade_;  ///< Models that hold a place, and since when.
+  std::size_t heldPlaces_ = 0;                       ///< Places held by such models in this run.
+  base::TimePoint comparingSince_;  ///< When a load was first wanted; zero if none was.
+  bool lastPlaceByWait_ = false;    ///< The last place went to a load that had waited long.
+  std::vector<StorePlaceGiven> storePlaces_;
+  /// @}
   /// The last recorded decision on each model that should get another replica, by model.
   std::map<std::string, std::pair<PlacementReason, PlacementOutcome>> lastDecisions_;
 };
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -20,11 +20,13 @@
 
   /// Sets the times that decide whether the concurrency limit starts cautiously.
   /// @param longestLoad longest store load time that a model declares.
-  /// @param patience longest time that a caller waits.
+  /// @param callerTimeout longest time that a caller waits.
   void setLongestTimes(base::Duration longestLoad, base::Duration callerTimeout) {
     concurrency_.setCautious(callerTimeout > base::Duration::zero() &&
                              2 * longestLoad > callerTimeout);
   }
+  /// @param slow true if replicas are slow to add: the concurrency limit then starts low.
+  void setSlowLoads(bool slow) { concurrency_.setSlowLoads(slow); }
   /// Sets the rate limit and the current time. Has to be called before the other functions.
   void setLimit(double perSecond, const StoreWindow& window, base::TimePoint now);
   /// Sets the number of loads in progress that a previous leader ordered, taken as the number of
@@ -33,6 +35,11 @@
 
   /// @return true if a load may start now.
   bool allows() const { return rate_.allows() && loadsInProgress() < concurrency_.limit(); }
+  /// @return true if a load may start now although `held` others are to start before it ends.
+  bool allows(std::size_t held) const {
+    return rate_.wait(held) == base::Duration::zero() &&
+           loadsInProgress() + held < concurrency_.limit();
+  }
   /// @return true if the rate limit has been unused for some time.
   bool hasFullBurst() const { return rate_.hasFullBurst(); }
   /// @return true if this worker's load is in progress.
--- a/test/registry/leader_store_test.cpp
+++ b/test/registry/leader_store_test.cpp
@@ -133,3 +133,50 @@
   duties.reset();
   CHECK_TRUE(count<SendOrder>() > 0);
 }
+
+namespace {
+
+/// Declares a streaming route whose callers leave long before a load ends.
+class SlowReplicasReader : public EngineReader {
+ public:
+  base::Result<catalog::Document> read(const std::string& text) const override {
+    catalog::Document document = EngineReader::read(text).value();
+    for (catalog::ModelSpec& model : document.services.front().engine->models) {
+      model.storeLoadTime = 13200ms;
+    }
+    catalog::Route route;
+    route.kind = catalog::RouteKind::streaming;
+    route.timeout = 25s;
+    route.targetLatency = 400ms;
+    route.targetGap = 300ms;
+    route.services = {{"svc", 1}};
+    document.routes = {route};
+    return document;
+  }
+};
+
+}  // namespace
+
+/// Guards against a store whose places are compared and logged in tests of the policy only.
+TEST(LeaderStoreTest, whereReplicasAreSlowToAddTheGivenPlaceIsLogged) {
+  const SlowReplicasReader slowReplicasReader;
+  DocumentCache slowReplicas(slowReplicasReader);
+  duties = std::make_unique<LeaderDuties>(options, slowReplicas, state, kTerm, kSelf, log, now,
+                                          turns, std::nullopt);
+  demandModel("a");
+  for (int step = 0; step < 100 && count<SendOrder>() == 0; ++step) {
+    runAnswering(50ms);
+  }
+  duties.reset();
+  CHECK_TRUE(count<SendOrder>() > 0);
+  CHECK_EQUAL(1,
+              std::count(log.lines.begin(), log.lines.end(), runtime::LogEvent::storePlaceGiven));
+}
+
+/// Guards against the order of the other services: there each load is started as it is decided.
+TEST(LeaderStoreTest, elsewhereNoPlaceIsLogged) {
+  firstLoad();
+  duties.reset();
+  CHECK_EQUAL(0,
+              std::count(log.lines.begin(), log.lines.end(), runtime::LogEvent::storePlaceGiven));
+}
--- a/test/registry/load_concurrency_test.cpp
+++ b/test/registry/load_concurrency_test.cpp
@@ -92,3 +92,43 @@
   }
   CHECK_EQUAL(grownLimit, concurrency.limit());
 }
+
+/// Guards against six loads of models with 0.12 requests/s that begin within 0.7 s at a store which
+/// serves two at a time, so that models in demand wait behind them for 41 s.
+TEST(LoadConcurrencyTest, whereReplicasAreSlowToAddTheLimitStartsAtTwo) {
+  concurrency.setSlowLoads(true);
+  CHECK_EQUAL(2, concurrency.limit());
+}
+
+/// Guards against a limit that doubles before the first loads beyond the store's capacity have
+/// shown that they are late.
+TEST(LoadConcurrencyTest, whereReplicasAreSlowToAddTheLimitGrowsAfterTwoLoadsInTime) {
+  concurrency.setSlowLoads(true);
+  observeLoads(1000, 1);
+  CHECK_EQUAL(2, concurrency.limit());
+  observeLoads(1000, 1);
+  CHECK_EQUAL(3, concurrency.limit());
+}
+
+/// Guards against two loads that stay in progress at a store which serves one at a time: each of
+/// them takes twice as long.
+TEST(LoadConcurrencyTest, whereReplicasAreSlowToAddLateLoadsLowerTheLimitToOne) {
+  concurrency.setSlowLoads(true);
+  observeLoads(1, 2);
+  CHECK_EQUAL(1, concurrency.limit());
+}
+
+/// Guards against a limit that forgets what it has learned when the document changes.
+TEST(LoadConcurrencyTest, theLimitKeepsWhatWasObservedWhenLoadsBecomeSlow) {
+  observeLoads(1000, 4);
+  const std::size_t grown = concurrency.limit();
+  concurrency.setSlowLoads(true);
+  CHECK_EQUAL(grown, concurrency.limit());
+}
+
+/// Guards against a start at two where already a start at one was called for.
+TEST(LoadConcurrencyTest, theCautiousLimitHoldsAlsoWhereReplicasAreSlowToAdd) {
+  concurrency.setSlowLoads(true);
+  concurrency.setCautious(true);
+  CHECK_EQUAL(1, concurrency.limit());
+}
