test: two models that waited long don't both go before one in demand

Cause: a mutation that lets every place go by waiting time passed all tests. Change: aModelWithFewRequestsIsLoadedAfterTwoLoadTimes has a second cold model.

--- a/test/registry/slow_replicas_store_test.cpp
+++ b/test/registry/slow_replicas_store_test.cpp
@@ -191,14 +191,17 @@
   STRCMP_EQUAL("load cold2 ", describe(plan()).c_str());
 }
 
-/// Guards against a model that is never loaded while the store can't satisfy one in demand.
+/// Guards against a model that is never loaded while the store can't satisfy one in demand, and
+/// against a model in demand that waits for all others which have waited long.
 TEST(SlowReplicasStoreTest, aModelWithFewRequestsIsLoadedAfterTwoLoadTimes) {
   workers = {workerWith("f0", {}), workerWith("f1", {}), workerWith("f2", {}),
              workerWith("f3", {})};
   addFullReplicas(4);
   std::string loads;
   for (int halfSecond = 0; halfSecond < 60; ++halfSecond) {
-    report("cold1", 1, halfSecond % 10 == 0 ? 1 : 0);
+    for (const char* model : {"cold1", "cold2"}) {
+      report(model, 1, halfSecond % 10 == 0 ? 1 : 0);
+    }
     report("hot", 0, 100, 20);
     const auto steps = plan();
     loads += describe(steps);
