--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -140,6 +141,7 @@
   bool load = true;  ///< False: unload.
   std::string model;
   std::string adapter;
+  std::string_view reason;  ///< Why the order was decided, for metrics; empty for adapters.
   std::uint64_t expectedOrderCount = 0;
   std::string holder;
   std::uint64_t fence = 0;
@@ -171,6 +173,8 @@
   virtual RegistryOutputs takeOutputs() = 0;
   virtual base::TimePoint nextWakeup() const = 0;
   virtual consensus::RaftStatus raftStatus() const = 0;
+  /// @return the maxima of the estimates for workers; zero on a server that does not lead.
+  virtual WorkerTimingMaxima timingMaxima() const = 0;
 };
 
 /// @param founders membership of a new cell, the same on all its servers; empty for a server that
--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -53,6 +53,8 @@
   limitRefused,
   limitExhausted,
   limitRegained,
+  workerSlownessChanged,
+  timingRefused,
   crashConfirmed,
   crashDenied,
   crashRetracted,
@@ -77,6 +79,7 @@
   // Decisions about requests.
   requestRefused,
   requestWaiting,
+  lateStartDecided,
   attemptStarted,
   attemptFailed,
   requestCut,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -10,6 +10,8 @@
 
 #include "gateway/demand_tracker.h"
 #include "gateway/event_stream.h"
+#include "gateway/late_start_policy.h"
+#include "gateway/late_starts.h"
 #include "gateway/request_quarantine.h"
 #include "gateway/worker_selector.h"
 #include "net/client_connection.h"
@@ -101,10 +103,20 @@
   /// Takes one request from the granted share: it is being sent to the worker.
   virtual void takeShare(const registry::WorkerId& worker) = 0;
   /// @}
+  /// @name Speed of workers
+  /// @{
+  /// Records the first event of a stream that was sent to the worker at `sentAt`.
+  /// @param wasFull true if all slots of the worker were taken then.
+  virtual void streamBegan(const Worker& worker, const RequestFacts& facts, base::TimePoint sentAt,
+                           bool wasFull) = 0;
+  /// Records that the pauses of a stream first exceeded the target gap.
+  virtual void streamPaused(const Worker& worker) = 0;
+  /// @}
   /// @return when a model that no worker serves is expected to be loaded; nothing if that is soon
   /// or not known.
   virtual std::optional<base::TimePoint> expectedAt(const std::string& service,
                                                     const std::string& model) const = 0;
+  virtual LateStarts& lateStarts() = 0;
   virtual std::uint64_t documentVersion() const = 0;
   /// @return true if the registry's leader receives this gateway's demand reports.
   virtual bool hasLeader() const = 0;
@@ -179,8 +191,13 @@
   void reportCut();
   void reportSuspectAnswered();
   bool wouldBeginLate(const Selection& selection) const;
-  bool acceptsLastResort() const;
-  void wait(NoWorkerReason reason);
+  bool mayStartLate() const;
+  bool startsNow(const Selection& selection);
+  void leaveLateStarts();
+  void logLateStart(std::string_view outcome, base::Duration expectedWait);
+  bool acceptsLastResort(const Worker& worker) const;
+  base::TimePoint lastResortAt(const Worker& worker) const;
+  void wait(const Selection& selection);
   void beginWait(NoWorkerReason reason);
   void requestShare(const Worker& worker);
   void endShareWait();
@@ -252,10 +269,14 @@
   std::optional<registry::RequestDigest> digest_;  ///< Computed on first use.
   bool wasHeld_ = false;                           ///< Was delayed at least once, being suspect.
 
+  bool wasLate_ = false;     ///< Has waited since it could not begin in time.
+  bool startsLate_ = false;  ///< Is sent behind the streams that are in time.
+
   // State of the current attempt.
   std::unique_ptr<Attempt> attempt_;
   WorkerDirectory::WorkerPtr worker_;
   base::TimePoint attemptAt_;
+  bool wasWorkerFull_ = false;      ///< All slots were taken at the start of the attempt.
   base::Duration stallTimeout_{0};  ///< Stall timeout as last armed.
   /// The stream stays at a silent worker since it would have begun too late elsewhere.
   bool staysForTime_ = false;
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -28,6 +28,7 @@
 #include "registry/worker_limit_tracker.h"
 #include "registry/worker_outlier_detector.h"
 #include "registry/worker_status.h"
+#include "registry/worker_timing_book.h"
 #include "walnut/registry/registry.h"
 #include "walnut/registry/view_codec.h"
 
@@ -70,6 +71,8 @@
   /// To be called only while this server holds a valid leader lease, as with quotas.
   void sharesRequested(protocol::ConnectionId gateway, const ShareRequest& request,
                        base::TimePoint now);
+  void timingsReported(protocol::ConnectionId gateway, const WorkerTimingReport& report,
+                       base::TimePoint now);
   void orderFinished(const OrderFinished& finished, base::TimePoint now);
   void reportFinished(const ReportFinished& finished, base::TimePoint now);
   /// Sends the orders of a batch, which is committed to the log now, unless that took too long.
@@ -86,6 +89,7 @@
   std::vector<Command> takeCommands() { return std::exchange(commands_, {}); }
   base::TimePoint nextWakeup() const;
   std::vector<protocol::ConnectionId> gateways() const { return publisher_.gateways(); }
+  WorkerTimingMaxima timingMaxima() const { return timings_.maxima(); }
 
  private:
   struct SentOrder {
@@ -131,6 +135,9 @@
   void logAnswerChanges();
   void logQuotaChanges();
   void logShareChanges();
+  void refreshTimedServices();
+  void subscribeToTimings(protocol::ConnectionId gateway, std::uint32_t featureLevel);
+  void sendTimings(base::TimePoint now);
   LateModels lateModels() const;
   void sendLateModels(base::TimePoint now);
   void sendLateModelsTo(protocol::ConnectionId gateway);
@@ -146,6 +153,7 @@
   void decide(const catalog::Service& service, const std::vector<PlacementWorker>& workers,
               const std::map<std::string, std::uint32_t>& outside, base::TimePoint now);
   bool isLarge(const std::string& service) const;
+  bool replicasAreSlowToAdd(const std::string& service);
   /// @return true if only a fresh report is missing before the worker may be ordered.
   bool needsReport(const WorkerRecord& record, const WorkerStatus& status,
                    base::TimePoint now) const;
@@ -169,7 +177,6 @@
                               const WorkerStatus& status) const;
   void logDecisions(PlacementPolicy& policy, const StoreScheduler& store, base::TimePoint now);
   void logStorePlaces(PlacementPolicy& policy);
-  bool replicasAreSlowToAdd(const std::string& service);
   void countForeignLoads(const catalog::Service& service, StoreScheduler& store);
   StoreScheduler& storeOf(const std::string& service);
   PreviousLoads previousLoads() const;
@@ -193,8 +200,9 @@
   std::shared_ptr<const catalog::Document> document_;
   base::TimePoint documentSince_;        ///< When this leader took over `document_`.
   std::set<std::string> plainServices_;  ///< Services of the document without engines.
-  std::shared_ptr<const catalog::Document> slowServicesOf_;  ///< The document of `slowServices_`.
-  std::set<std::string> slowServices_;  ///< Services in which replicas are slow to add.
+  /// Services where replicas are slow to add, of the document `slowServicesOf_`.
+  std::set<std::string> slowServices_;
+  std::shared_ptr<const catalog::Document> slowServicesOf_;
   std::map<WorkerId, WorkerStatus> workers_;
   /// Unknown workers that sent a heartbeat from the endpoint of a live one, with its sequence.
   std::map<WorkerId, std::uint64_t> contests_;
@@ -203,6 +211,11 @@
   DemandBook demand_;
   QuotaLedger quotas_;
   WorkerLimitTracker limits_;
+  std::set<std::string> timedServices_;  ///< Services whose replicas are slow to add.
+  WorkerTimingBook timings_;
+  /// Revisions of `timings_` last sent to the gateways that support them; 0: none.
+  std::map<protocol::ConnectionId, std::uint64_t> timingRevisions_;
+  base::TimePoint timingRefusalLoggedAt_;
   WorkerOutlierDetector outliers_;
   CrashMonitor crashes_;
   ViewPublisher publisher_;
--- a/src/registry/leader_plans.cpp
+++ b/src/registry/leader_plans.cpp
@@ -29,18 +29,6 @@
   return static_cast<std::uint64_t>(std::clamp(value, 0.0, kMaxLogged));
 }
 
-std::string_view reasonName(PlacementReason reason) {
-  switch (reason) {
-    case PlacementReason::spare:
-      return "spare";
-    case PlacementReason::queueing:
-      return "queueing";
-    case PlacementReason::cold:
-      return "cold";
-  }
-  return "unknown";
-}
-
 std::string_view outcomeName(PlacementOutcome outcome) {
   switch (outcome) {
     case PlacementOutcome::loadOrdered:
@@ -87,12 +75,17 @@
 }
 
 /// @return the time until the order in progress is expected to end. An overdue order is assumed to
-/// take as long again as it is late.
+/// take as long again as it is late, and a worker that can't be ordered for another reason to stay
+/// so as long again: models for which it seemed free soon would wait for it until their callers
+/// leave.
 base::Duration busyTime(const WorkerStatus& status, base::TimePoint now) {
   if (status.modelOrder) {
     const base::TimePoint end = status.modelOrder->expectedEnd;
     return std::max<base::Duration>(kMinBusyTime, end > now ? end - now : now - end);
   }
+  if (status.unorderableSince) {
+    return std::max<base::Duration>(kMinBusyTime, now - *status.unorderableSince);
+  }
   return status.sentOrder || status.foreignOrder ? kMinBusyTime : base::Duration::zero();
 }
 
@@ -131,8 +124,9 @@
   }
   std::vector<PlacementWorker> workers;
   for (const auto& [id, record] : state_.workers()) {
-    const WorkerStatus& status = statusOf(id, now);
+    WorkerStatus& status = statusOf(id, now);
     if (record.service == service.name && status.holdingsKnown) {
+      status.updateOrderable(now);
       workers.push_back(placementWorker(record, status, now));
     }
   }
@@ -152,6 +146,7 @@
     if ((target || pool.adapterTargets.count(id) != 0) && needsReport(*record, status, now)) {
       requestReport(*record, status);
     }
+    status.updateOrderable(now);
     workers.push_back(placementWorker(*record, status, now));
     workers.back().canLoadModels = target;
   }
@@ -163,11 +158,11 @@
                           const std::map<std::string, std::uint32_t>& outside,
                           base::TimePoint now) {
   PlacementPolicy& policy = policies_.try_emplace(service.name, service.name).first->second;
+  const bool isSlow = replicasAreSlowToAdd(service.name);
+  policy.setReplicasAreSlowToAdd(isSlow);
   StoreScheduler& store = storeOf(service.name);
   store.setLongestTimes(longestLoad(*service.engine), longestTimeout(*document_, service.name));
-  const bool isSlow = replicasAreSlowToAdd(service.name);
   store.setSlowLoads(isSlow);
-  policy.setReplicasSlowToAdd(isSlow);
   store.setLimit(service.engine->storeLoadsPerSecond,
                  {options_.storeWindow, options_.storeOvershoot}, now);
   countForeignLoads(service, store);
@@ -179,14 +174,14 @@
   issueOrders(steps, now);
 }
 
-/// Caches the answer for each service of the document, since a plan is made many times per second.
+/// Reading all routes takes long, so the services are determined once for each document.
 bool LeaderDuties::replicasAreSlowToAdd(const std::string& service) {
   if (slowServicesOf_ != document_) {
     slowServicesOf_ = document_;
     slowServices_.clear();
-    for (const catalog::Service& each : document_->services) {
-      if (catalog::replicasAreSlowToAdd(*document_, each.name)) {
-        slowServices_.insert(each.name);
+    for (const catalog::Service& candidate : document_->services) {
+      if (catalog::replicasAreSlowToAdd(*document_, candidate.name)) {
+        slowServices_.insert(candidate.name);
       }
     }
   }
@@ -205,7 +200,7 @@
   for (const PlacementDecision& decision : policy.takeDecisions()) {
     log_.write(LogEvent::placementDecided,
                {{"model", decision.model},
-                {"reason", reasonName(decision.reason)},
+                {"reason", placementReasonName(decision.reason)},
                 {"outcome", outcomeName(decision.outcome)},
                 {"waiting", decision.waiting},
                 {"unanswered", decision.unservedRequests},
--- a/src/registry/placement_store.cpp
+++ b/src/registry/placement_store.cpp
@@ -45,6 +45,9 @@
 /// @return false if the candidate has to be settled without the store.
 bool PlacementPolicy::competesForStore(const PlacementRound& round, const Candidate& candidate,
                                        const Choice& choice, PlacementOutcome outcome) {
+  if (!choice.fromStore && outcome == PlacementOutcome::loadOrdered) {
+    return false;  // It is loaded from a disk or memory at once, also if it holds a place.
+  }
   if (const PlacementWorker* worker = workerMakingRoom(round, candidate.model)) {
     contenders_.push_back({candidate, {worker, 0, {}, true}});
     return true;
@@ -187,7 +190,7 @@
   const auto wait = storeWaits_.find(model);
   StoreLoadDemand demand;
   demand.model = model;
-  demand.expectedRate = figures.rate;
+  demand.expectedRate = figures.rate * round.growth(model);
   demand.priority = figures.priority;
   demand.callerTimeout = catalog::callerTimeout(figures.targetLatency, base::Duration::zero());
   demand.startsIn = round.store().expectedWait(round.now());
--- a/test/registry/slow_replicas_store_test.cpp
+++ b/test/registry/slow_replicas_store_test.cpp
@@ -42,7 +42,7 @@
   DemandUpdate latest;
 
   void setup() override {
-    policy.setReplicasSlowToAdd(true);
+    policy.setReplicasAreSlowToAdd(true);
     store.setLongestTimes(kLoadTime, 25s);
   }
   /// Reports the requests since the last report; those that wait replace the former ones.
@@ -53,14 +53,15 @@
     demand.update({std::hash<std::string>{}(model)}, latest, now);
   }
   /// Adds workers that hold the hot model alone and whose slots are full, and keeps them busy.
-  void addFullReplicas(int count) {
+  void addFullReplicas(int count) { addReplicas(count, kSlots + 4); }
+  void addReplicas(int count, std::uint32_t running) {
     DemandUpdate loads;
     for (int index = 0; index < count; ++index) {
       const std::string id = "hot" + std::to_string(index);
       workers.push_back(workerWith(id.c_str(), {"hot"}));
-      workers.back().running = kSlots + 4;
+      workers.back().running = running;
       workers.back().canLoadModels = false;
-      loads.loads.push_back({{id}, "hot", kSlots + 4});
+      loads.loads.push_back({{id}, "hot", running});
     }
     demand.update({999}, loads, now);
   }
@@ -74,6 +75,23 @@
     now += 1s;
     return plan();
   }
+  /// Reports for 6 s one request per second of a cold model, and more of the hot one, all answered.
+  /// Plans midway between two reports, which on average are as old at the leader.
+  /// @param first hot requests in the first 500 ms.
+  /// @param increase hot requests more in each further 500 ms.
+  std::string planBesideColdModel(std::uint32_t first, std::uint32_t increase) {
+    workers = {workerWith("free1", {}), workerWith("free2", {})};
+    addReplicas(4, kSlots - 1);
+    std::string orders;
+    for (std::uint32_t interval = 0; interval < 12; ++interval) {
+      now += 250ms;
+      report("hot", 0, first + increase * interval, first + increase * interval);
+      report("cold1", 1, interval % 2);
+      now += 250ms;
+      orders += interval < 9 ? "" : describe(plan());
+    }
+    return orders;
+  }
   /// Lets the workers begin the loads of these steps.
   void begin(const std::vector<PlacementStep>& steps) {
     for (const PlacementStep& step : steps) {
@@ -141,6 +159,37 @@
   STRCMP_EQUAL("load hot ", describe(planAfterComparison()).c_str());
 }
 
+/// Guards against an order by the present rate alone: four replicas still answer every request of a
+/// model whose rate rises to 48 per second, and the next load would serve it from 13.2 s on only.
+TEST(SlowReplicasStoreTest, theFirstPlaceGoesToTheModelWhoseRisingDemandWillExceedItsReplicas) {
+  STRCMP_EQUAL("load hot ", planBesideColdModel(2, 2).c_str());
+}
+
+/// Guards against a place for a model whose replicas serve a steady demand of 48 per second, at the
+/// cost of one that can't be served.
+TEST(SlowReplicasStoreTest, theFirstPlaceGoesToTheColdModelIfTheReplicasServeASteadyDemand) {
+  STRCMP_EQUAL("load cold1 ", planBesideColdModel(24, 0).c_str());
+}
+
+/// Guards against a full model that waits up to 5 s for an unload and 13.2 s for the store while a
+/// worker with its weights on disk is free.
+TEST(SlowReplicasStoreTest, aFreeWorkerWithACopyIsUsedWhileRoomIsMadeElsewhere) {
+  workers = {workerWith("w0", {"a", "b"})};
+  addFullReplicas(4);
+  report("hot", 0, 100, 40);
+  const auto unload = planAfterComparison();
+  CHECK_EQUAL(1, unload.size());
+  CHECK_TRUE(unload[0].operation == OrderOperation::unload);
+  workers[0].unloadingModel = unload[0].model;
+  workers[0].canTakeOrders = false;
+  workers.push_back(workerWith("free", {}));
+  workers.back().holdings.onDisk = {"hot"};
+  now += 500ms;
+  const auto load = plan();
+  STRCMP_EQUAL("load hot ", describe(load).c_str());
+  CHECK_FALSE(load[0].fromStore);
+}
+
 /// Guards against models that are unloaded for loads which the store doesn't start yet.
 TEST(SlowReplicasStoreTest, roomIsMadeOnlyForTheLoadThatGetsThePlace) {
   workers = {workerWith("w0", {"a", "b"}), workerWith("w1", {"c", "d"})};
@@ -245,7 +294,7 @@
 
 /// Guards against a change of the decisions in services where replicas are not slow to add.
 TEST(SlowReplicasStoreTest, otherServicesGiveTheFirstPlaceAtOnce) {
-  policy.setReplicasSlowToAdd(false);
+  policy.setReplicasAreSlowToAdd(false);
   workers = {workerWith("free", {})};
   report("cold1", 1, 1);
   STRCMP_EQUAL("load cold1 ", describe(plan()).c_str());
