--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -71,6 +71,7 @@
   entryRefused,
   orderTurn,
   placementDecided,
+  storePlaceGiven,
   orderSent,
   orderCancelled,
   orderFinished,
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -176,6 +176,7 @@
   base::Duration expectedTime(const PlacementStep& step, const WorkerRecord& record,
                               const WorkerStatus& status) const;
   void logDecisions(PlacementPolicy& policy, const StoreScheduler& store, base::TimePoint now);
+  void logStorePlaces(PlacementPolicy& policy);
   void countForeignLoads(const catalog::Service& service, StoreScheduler& store);
   StoreScheduler& storeOf(const std::string& service);
   PreviousLoads previousLoads() const;
--- a/src/registry/leader_plans.cpp
+++ b/src/registry/leader_plans.cpp
@@ -158,9 +158,11 @@
                           const std::map<std::string, std::uint32_t>& outside,
                           base::TimePoint now) {
   PlacementPolicy& policy = policies_.try_emplace(service.name, service.name).first->second;
-  policy.setReplicasAreSlowToAdd(replicasAreSlowToAdd(service.name));
+  const bool isSlow = replicasAreSlowToAdd(service.name);
+  policy.setReplicasAreSlowToAdd(isSlow);
   StoreScheduler& store = storeOf(service.name);
   store.setLongestTimes(longestLoad(*service.engine), longestTimeout(*document_, service.name));
+  store.setSlowLoads(isSlow);
   store.setLimit(service.engine->storeLoadsPerSecond,
                  {options_.storeWindow, options_.storeOvershoot}, now);
   countForeignLoads(service, store);
@@ -168,6 +170,7 @@
       policy.plan(*service.engine, workers, demand_, store, now,
                   backoffs_[service.name].postponed(now), outside);
   logDecisions(policy, store, now);
+  logStorePlaces(policy);
   issueOrders(steps, now);
 }
 
@@ -218,6 +221,18 @@
   }
 }
 
+/// Logs each place of the store that was given, with the load that would have been next.
+void LeaderDuties::logStorePlaces(PlacementPolicy& policy) {
+  for (const StorePlaceGiven& place : policy.takeStorePlaces()) {
+    log_.write(LogEvent::storePlaceGiven,
+               {{"model", place.load.model},
+                {"reason", storePlaceReasonName(place.load.reason)},
+                {"value-percent", rounded(kPercent * place.load.value)},
+                {"next", place.next.model},
+                {"next-value-percent", rounded(kPercent * place.next.value)}});
+  }
+}
+
 /// Counts the orders of previous leaders in progress, each of which may be a load from the store.
 void LeaderDuties::countForeignLoads(const catalog::Service& service, StoreScheduler& store) {
   std::size_t foreign = 0;
--- a/src/registry/leader_timings.cpp
+++ b/src/registry/leader_timings.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "registry/leader_duties.h"
-#include "walnut/catalog/slow_replicas.h"
 #include "walnut/registry/feature_level.h"
 
 namespace walnut::registry {
@@ -21,7 +20,7 @@
 void LeaderDuties::refreshTimedServices() {
   timedServices_.clear();
   for (const catalog::Service& service : document_->services) {
-    if (catalog::replicasAreSlowToAdd(*document_, service.name)) {
+    if (replicasAreSlowToAdd(service.name)) {
       timedServices_.insert(service.name);
     }
   }
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -89,6 +89,7 @@
   queued_.clear();
   outlook_.clear();
   previousStoreQueue_ = std::exchange(storeQueue_, 0);
+  contenders_.clear();
   dropExpiredReservations(round);
   dropOutdatedLateModels(round);
   // Adapters come first: their load takes some milliseconds, that of a model takes seconds during
@@ -103,6 +104,9 @@
   for (const Candidate& candidate : candidates) {
     placeReplica(round, candidate);
   }
+  if (replicasAreSlowToAdd_) {
+    placeStoreLoads(round);
+  }
   moveNeighbours(round);
   recordLateLoads(round);
   return round.takeSteps();
@@ -130,6 +134,8 @@
 void PlacementPolicy::recordIfLate(const PlacementRound& round, const Candidate& candidate,
                                    const Choice& choice, PlacementOutcome outcome) {
   if (candidate.reason != PlacementReason::cold || !choice.fromStore) {
+    const bool isAhead = replicasAreSlowToAdd_ && outcome == PlacementOutcome::waitsForStore;
+    storeQueue_ += isAhead ? 1 : 0;
     return;
   }
   const base::Duration load = round.spec(candidate.model)->storeLoadTime;
@@ -233,14 +239,14 @@
 }
 
 PlacementOutcome PlacementPolicy::decideOutcome(const PlacementRound& round, const Choice& choice,
-                                                double benefit) {
+                                                double benefit, bool storeAllows) {
   if (choice.worker == nullptr) {
     return PlacementOutcome::noWorker;
   }
   if (choice.cost >= benefit) {
     return PlacementOutcome::tooCostly;
   }
-  if (choice.fromStore && !round.store().allows()) {
+  if (choice.fromStore && !storeAllows) {
     return PlacementOutcome::waitsForStore;
   }
   if (!isFree(round, *choice.worker)) {
@@ -259,10 +265,21 @@
     candidate.needsNearCopy = false;  // No such worker is free: any other may do.
     choice = choose(round, candidate);
   }
-  const double benefit = candidate.isUrgent()
-                             ? kUrgentReplicaBenefit
-                             : kFurtherReplicaBenefit * round.figures(candidate.model).rate;
-  const PlacementOutcome outcome = decideOutcome(round, choice, benefit);
+  const double benefit = benefitOf(round, candidate);
+  const PlacementOutcome outcome = decideOutcome(round, choice, benefit, round.store().allows());
+  if (!replicasAreSlowToAdd_ || !competesForStore(round, candidate, choice, outcome)) {
+    settle(round, candidate, choice, benefit, outcome);
+  }
+}
+
+double PlacementPolicy::benefitOf(const PlacementRound& round, const Candidate& candidate) {
+  return candidate.isUrgent() ? kUrgentReplicaBenefit
+                              : kFurtherReplicaBenefit * round.figures(candidate.model).rate;
+}
+
+/// Records the decision on a candidate and orders its first step.
+void PlacementPolicy::settle(PlacementRound& round, const Candidate& candidate,
+                             const Choice& choice, double benefit, PlacementOutcome outcome) {
   recordDecision(round, candidate, choice, benefit, outcome);
   recordIfLate(round, candidate, choice, outcome);
   switch (outcome) {
@@ -344,6 +361,9 @@
 /// are kept for models without a copy.
 double PlacementPolicy::storeCost(const PlacementRound& round, const ModelSpec& model,
                                   PlacementReason reason) const {
+  if (replicasAreSlowToAdd_) {
+    return slowStoreCost(round, model);
+  }
   if (round.replicas(model.name).copies == 0) {
     return 0;
   }
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -15,6 +15,7 @@
 #include "registry/decaying_rate.h"
 #include "registry/demand_book.h"
 #include "registry/full_models.h"
+#include "registry/store_ranking.h"
 #include "registry/store_scheduler.h"
 #include "walnut/catalog/document.h"
 
@@ -117,6 +118,12 @@
   base::Duration availableIn{0};
 };
 
+/// A place of the weight store that was given to a load, for the log.
+struct StorePlaceGiven {
+  RankedStoreLoad load;
+  RankedStoreLoad next;  ///< The next load of the order; without a model if there is none.
+};
+
 class PlacementRound;
 
 /// Running requests per replica, as a share of a worker's slots, above which another replica is
@@ -140,7 +147,10 @@
 /// busy worker, since it needs capacity rather than a particular worker.
 ///
 /// In a service where replicas are slow to add, the policy plans by the expected demand, takes no
-/// replica from a model that needs it, and keeps workers of full models free of other models.
+/// replica from a model that needs it, and keeps workers of full models free of other models. The
+/// loads that need the weight store are compared with each other (`rankStoreLoads`) before one of
+/// them is started, and a model is unloaded only for the load that gets the store's next place.
+/// That load keeps its place while the unload is in progress.
 class PlacementPolicy {
  public:
   explicit PlacementPolicy(std::string service) : service_(std::move(service)) {}
@@ -157,6 +167,8 @@
                                   const std::map<std::string, std::uint32_t>& outside = {});
   /// @return the decisions of the last run, without those that repeat why a model still waits.
   std::vector<PlacementDecision> takeDecisions() { return std::exchange(decisions_, {}); }
+  /// @return the places of the store that were given since the last call.
+  std::vector<StorePlaceGiven> takeStorePlaces() { return std::exchange(storePlaces_, {}); }
   /// @return the models that come late, as of the last run.
   const std::vector<LateModelForecast>& outlook() const { return outlook_; }
 
@@ -191,6 +203,17 @@
     bool fromStore = false;
   };
 
+  /// A candidate whose load needs the store, and the choice before the others were placed.
+  struct StoreContender {
+    Candidate candidate;
+    Choice choice;
+  };
+  /// The time since which a load from the store has been wanted, and when it was last.
+  struct StoreWait {
+    base::TimePoint since;
+    base::TimePoint lastWantedAt;
+  };
+
   void dropExpiredReservations(const PlacementRound& round);
   std::vector<Candidate> findCandidates(const PlacementRound& round) const;
   std::optional<Candidate> findCandidate(const PlacementRound& round,
@@ -204,8 +227,11 @@
                        base::Duration availableIn);
   void dropOutdatedLateModels(const PlacementRound& round);
   void placeReplica(PlacementRound& round, Candidate candidate);
+  void settle(PlacementRound& round, const Candidate& candidate, const Choice& choice,
+              double benefit, PlacementOutcome outcome);
+  static double benefitOf(const PlacementRound& round, const Candidate& candidate);
   static PlacementOutcome decideOutcome(const PlacementRound& round, const Choice& choice,
-                                        double benefit);
+                                        double benefit, bool storeAllows);
   void recordDecision(const PlacementRound& round, const Candidate& candidate, const Choice& choice,
                       double benefit, PlacementOutcome outcome);
   void dropOutdatedDecisions(const std::vector<Candidate>& candidates);
@@ -217,6 +243,9 @@
                    PlacementReason reason) const;
   double blockCost(const PlacementRound& round, base::Duration duration) const;
   void orderFirstStep(PlacementRound& round, const Candidate& candidate, const Choice& choice);
+
+  /// @name Services where replicas are slow to add
+  /// @{
   void updateFullModels(const PlacementRound& round);
   bool isKeptForFullModel(const PlacementWorker& worker) const;
   bool canMoveAway(const PlacementRound& round, const PlacementWorker& worker,
@@ -224,6 +253,19 @@
   void moveNeighbours(PlacementRound& round);
   void recordNeighbourMove(const PlacementRound& round, const PlacementWorker& worker,
                            const std::string& neighbour);
+  bool competesForStore(const PlacementRound& round, const Candidate& candidate,
+                        const Choice& choice, PlacementOutcome outcome);
+  const PlacementWorker* workerMakingRoom(const PlacementRound& round,
+                                          const std::string& model) const;
+  double slowStoreCost(const PlacementRound& round, const catalog::ModelSpec& model) const;
+  void placeStoreLoads(PlacementRound& round);
+  bool placeStoreLoad(PlacementRound& round, const StoreContender& contender, bool mayGive);
+  bool hasComparedStoreLoads(const PlacementRound& round);
+  void updateStoreWaits(const PlacementRound& round);
+  std::vector<RankedStoreLoad> rankContenders(const PlacementRound& round) const;
+  StoreLoadDemand storeLoadDemand(const PlacementRound& round, const std::string& model) const;
+  /// @}
+
   void placeAdapters(PlacementRound& round) const;
   static void placeAdapter(PlacementRound& round, const catalog::ModelSpec& model,
                            const std::string& adapter);
@@ -247,6 +289,16 @@
   std::size_t previousStoreQueue_ = 0;
   /// In this run, whether a load from the store would be missing for a model without a copy.
   bool storeIsScarce_ = false;
+  /// @name Loads from the store where replicas are slow to add
+  /// @{
+  std::vector<StoreContender> contenders_;           ///< In this run.
+  std::map<std::string, StoreWait> storeWaits_;      ///< By model.
+  std::map<std::string, base::TimePoint> roomMade_;  ///< Models that hold a place, and since when.
+  std::size_t heldPlaces_ = 0;                       ///< Places held by such models in this run.
+  base::TimePoint comparingSince_;  ///< When a load was first wanted; zero if none was.
+  bool lastPlaceByWait_ = false;    ///< The last place went to a load that had waited long.
+  std::vector<StorePlaceGiven> storePlaces_;
+  /// @}
   /// The last recorded decision on each model that should get another replica, by model.
   std::map<std::string, std::pair<PlacementReason, PlacementOutcome>> lastDecisions_;
 };
--- a/src/registry/placement_round.h
+++ b/src/registry/placement_round.h
@@ -81,6 +81,9 @@
   /// @param means mean requests by model, which this updates. Must outlive the run.
   void lookAhead(std::map<std::string, RequestMean>& means);
   bool looksAhead() const { return looksAhead_; }
+  /// @return the demand expected at the end of a further load, as a multiple of the present demand;
+  /// 1 for a model without requests at its workers.
+  double growth(const std::string& model) const;
   /// @return the load expected at the end of a further load, if that many workers served the model.
   double expectedLoadWith(const std::string& model, std::uint32_t workers) const;
   /// @return the load that the model's replicas are kept for, if that many workers served it.
@@ -94,7 +97,6 @@
   double unloadCost(const PlacementWorker& worker, const HeldModel& held, double takerLoad) const;
   double demandCost(const PlacementWorker& worker, const std::string& model,
                     double takerLoad) const;
-  double growth(const std::string& model) const;
   bool becomesIdle(const PlacementWorker& worker, const std::string& model) const;
   /// @return the share of a worker's requests that wait for a slot, from 0 to 1.
   double queuedShare(const PlacementWorker& worker) const;
--- a/test/registry/uneven_load_fixture.h
+++ b/test/registry/uneven_load_fixture.h
@@ -72,6 +72,14 @@
     return policy.plan(engine, workers, demand, store, now);
   }
 
+  /// Plans, as `plan` does, after the time in which a new leader only compares the loads that need
+  /// the store. A report arrives between the runs as in operation.
+  std::vector<PlacementStep> planAfterComparison(const catalog::EngineSpec& engine) {
+    plan(engine);
+    reportFor(std::chrono::seconds(1));
+    return plan(engine);
+  }
+
   PlacementWorker& worker(const char* id) {
     for (PlacementWorker& candidate : workers) {
       if (candidate.id.value == id) {
--- a/test/registry/uneven_load_test.cpp
+++ b/test/registry/uneven_load_test.cpp
@@ -78,7 +78,8 @@
   load.reportFor(30s);
   load.set("cold1", 0.2, 0, 1);
   load.report();
-  CHECK_TRUE(unloads(load.plan(engine), "hot"));  // 2 of the 16 slots of the other are no load.
+  // 2 of the 16 slots of the other are no load.
+  CHECK_TRUE(unloads(load.planAfterComparison(engine), "hot"));
   load.set("hot", 30, 2);
   load.reportFor(2s);
   CHECK_FALSE(unloads(load.plan(engine), "hot"));
@@ -219,7 +220,8 @@
   load.reportFor(20s);
   load.set("cold1", 0.2, 0, 1);
   load.report();
-  CHECK_TRUE(unloads(load.plan(engine), "hot"));  // 4 requests on the 32 slots that remain.
+  // 4 requests on the 32 slots that remain.
+  CHECK_TRUE(unloads(load.planAfterComparison(engine), "hot"));
   load.worker("w3").serving = false;
   load.report();
   CHECK_FALSE(unloads(load.plan(engine), "hot"));
