registry: replicas that the others can stand in for give place to rare models

Change: a replica is kept at any cost only from half of the slots on, below that it costs what the lost requests do; at most a tenth of the workers is kept.

--- a/src/registry/placement_demand.cpp
+++ b/src/registry/placement_demand.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "registry/full_models.h"
 #include "registry/placement_round.h"
 
 namespace walnut::registry {
@@ -89,7 +90,9 @@
   if (kept <= kScaleOutShare) {
     return 0;
   }
-  if (takerLoad < kTakingFactor * kept) {
+  // Below half of the slots the others can still take its requests, at the cost below. Rarely used
+  // models need places, too.
+  if (kept > kFullShare && takerLoad < kTakingFactor * kept) {
     return kProtectedCost;
   }
   const catalog::ModelSpec* modelSpec = spec(model);
--- a/src/registry/placement_neighbours.cpp
+++ b/src/registry/placement_neighbours.cpp
@@ -9,15 +9,25 @@
 
 namespace walnut::registry {
 
-/// Determines which workers take no further model. The rule is suspended while it would leave less
-/// than half of the workers to the other models.
+namespace {
+
+/// Beyond two workers, at most one in this many is kept free of other models: each takes a place
+/// from rarely used models, whose callers would be refused.
+constexpr std::size_t kKeptDivisor = 10;
+constexpr std::size_t kMinKeptWorkers = 2;
+
+}  // namespace
+
+/// Determines which workers take no further model. The rule is suspended while it would hold for
+/// more workers than may be kept, or for more than half of them.
 void PlacementPolicy::updateFullModels(const PlacementRound& round) {
   fullModels_.update(round);
   const auto& workers = round.workers();
   const auto closed = static_cast<std::size_t>(std::count_if(
       workers.begin(), workers.end(),
       [this](const PlacementWorker& worker) { return !fullModels_.findOn(worker).empty(); }));
-  keepsWorkersForFullModels_ = closed > 0 && 2 * closed <= workers.size();
+  const std::size_t most = std::max(kMinKeptWorkers, workers.size() / kKeptDivisor);
+  keepsWorkersForFullModels_ = closed > 0 && closed <= most && 2 * closed <= workers.size();
 }
 
 bool PlacementPolicy::isKeptForFullModel(const PlacementWorker& worker) const {
