gateway: a late stream keeps the rank of its route

Change: it is sent with the rank of its route, once the best worker's queue is short enough that streams behind it are in time.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -215,7 +215,7 @@
   facts.target = worker->view.record.calledName();
   facts.tenant = facts_.tenant;
   facts.deadline = deadline_ - now();
-  facts.priority = startsLate_ && !headSent_ ? kLateStartRank : priority();
+  facts.priority = priority();
   facts.resumeAfter = headSent_ ? events_.lastId() : std::string();
   context_.dialect().writeAttempt(request_, facts);
   context_.selector().affinity().recordSent(facts_, worker->view.record.id);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -283,8 +283,7 @@
   std::optional<registry::RequestDigest> digest_;  ///< Computed on first use.
   bool wasHeld_ = false;                           ///< Was delayed at least once, being suspect.
 
-  bool wasLate_ = false;     ///< Has waited since it could not begin in time.
-  bool startsLate_ = false;  ///< Is sent behind the streams that are in time.
+  bool wasLate_ = false;  ///< Has waited since it could not begin in time.
 
   // State of the current attempt.
   std::unique_ptr<Attempt> attempt_;
--- a/src/gateway/exchange_late_start.cpp
+++ b/src/gateway/exchange_late_start.cpp
@@ -67,7 +67,6 @@
   input.isRetry = isRetryOfRefused(deadline_ - arrivedAt_, route_.timeout, route_.targetLatency);
   input.hasWaited = wasLate_;
   const LateStartDecision decision = decideLateStart(input);
-  startsLate_ = decision.action == LateStartAction::sendLate;
   switch (decision.action) {
     case LateStartAction::sendInTime:
       return true;
--- a/src/gateway/late_start_policy.h
+++ b/src/gateway/late_start_policy.h
@@ -46,12 +46,12 @@
                       base::Duration targetLatency);
 
 /// A late stream is sent once the expected wait at the best worker is at most this fraction (1/n)
-/// of the target latency. The streams that are in time then still are so behind it.
+/// of the target latency. The streams that are in time then still are so behind it. It keeps the
+/// rank of its route: with the lowest one it would be overtaken at a busy worker until its caller
+/// has left.
 inline constexpr int kShortQueueDivisor = 4;
 /// A first attempt waits for at most this fraction (1/n) of the caller timeout, a retry for all of
 /// it.
 inline constexpr int kFirstAttemptDivisor = 2;
-/// The lowest rank that workers know: they begin such streams after all others.
-inline constexpr std::uint32_t kLateStartRank = 9;
 
 }  // namespace walnut::gateway
