--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -101,7 +101,7 @@
       latencies == 0 ? kDefaultLatency : latencySum / static_cast<double>(latencies);
   selection.worker = cheapest(candidates.usable, typical, service, facts, now);
   if (selection.worker != nullptr) {
-    selection.expectedWait = expectedWait(service, *selection.worker);
+    selection.expectedWait = expectedWait(service, *selection.worker, now);
   } else {
     selection.requestable = cheapest(candidates.requestable, typical, service, facts, now);
     selection.lastResort = cheapest(candidates.failing, typical, service, facts, now);
@@ -143,8 +143,8 @@
   WorkerDirectory::WorkerPtr best;
   double bestCost = std::numeric_limits<double>::infinity();
   for (const WorkerDirectory::WorkerPtr& worker : workers) {
-    const double price =
-        cost(*worker, typicalLatency, preferred, now) + seconds(expectedWait(service, *worker));
+    const double price = cost(*worker, typicalLatency, preferred, now) +
+                         seconds(expectedWait(service, *worker, now));
     if (price < bestCost) {
       bestCost = price;
       best = worker;
@@ -154,16 +154,22 @@
 }
 
 /// Returns the expected queueing time at a worker. Queued requests begin as running ones end: on
-/// average a slot becomes free each (slot time / number of slots).
-base::Duration WorkerSelector::expectedWait(const std::string& service,
-                                            const Worker& worker) const {
+/// average a slot becomes free each (slot time / number of slots). At a slow worker it takes
+/// longer, in proportion to its slowness.
+base::Duration WorkerSelector::expectedWait(const std::string& service, const Worker& worker,
+                                            base::TimePoint now) const {
   const auto slotTime = slotTimes_.find(service);
   if (!worker.full() || slotTime == slotTimes_.end()) {
     return base::Duration::zero();
   }
   const std::uint32_t slots = worker.view.record.slots;
   const std::uint32_t before = worker.totalRunning() - slots + 1;
-  return *slotTime->second.value() * before / slots;
+  const base::Duration wait = *slotTime->second.value() * before / slots;
+  if (times_ == nullptr || !times_->covers(service)) {
+    return wait;
+  }
+  return std::chrono::duration_cast<base::Duration>(wait *
+                                                    times_->slowness(worker.view.record.id, now));
 }
 
 double WorkerSelector::cost(const Worker& worker, double typicalLatency,
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -145,7 +145,8 @@
   bool hasUnlimited(const std::string& service) const;
   void addLimited(const WorkerDirectory::WorkerPtr& worker, ShareState shareState,
                   Candidates& candidates, Selection& selection) const;
-  base::Duration expectedWait(const std::string& service, const Worker& worker) const;
+  base::Duration expectedWait(const std::string& service, const Worker& worker,
+                              base::TimePoint now) const;
   WorkerDirectory::WorkerPtr cheapest(const std::vector<WorkerDirectory::WorkerPtr>& workers,
                                       double typicalLatency, const std::string& service,
                                       const RequestFacts& facts, base::TimePoint now);
--- a/src/gateway/worker_selector_times.cpp
+++ b/src/gateway/worker_selector_times.cpp
@@ -40,7 +40,7 @@
   WorkerDirectory::WorkerPtr best;
   double bestCost = std::numeric_limits<double>::infinity();
   for (const WorkerDirectory::WorkerPtr& worker : compared) {
-    const std::chrono::duration<double> wait = expectedWait(service, *worker);
+    const std::chrono::duration<double> wait = expectedWait(service, *worker, now);
     const double price = timeCost(*worker, spread, facts, preferred, now) + wait.count();
     if (price < bestCost) {
       bestCost = price;
--- a/test/gateway/worker_time_model_test.cpp
+++ b/test/gateway/worker_time_model_test.cpp
@@ -156,6 +156,19 @@
   CHECK(selector.select("svc", facts(), {}, now).expectedWait > 0s);
 }
 
+/// Guards against streams that are queued at a slow worker as if its slots became free as soon as
+/// those of the others, and are left there by their callers.
+TEST(WorkerTimeModelTest, theExpectedWaitAtASlowWorkerIsLonger) {
+  setWorkers(1);
+  worker("w1").running = 20;
+  WorkerSelector selector = makeSelector(1);
+  selector.slotHeld("svc", 1600ms);
+  const base::Duration usual = selector.select("svc", facts(), {}, now).expectedWait;
+  CHECK_TRUE(usual == 500ms);
+  setTimings({{{"w1"}, 200, 0}});
+  CHECK_TRUE(selector.select("svc", facts(), {}, now).expectedWait == 2 * usual);
+}
+
 /// The draws must not change the selections of services that the model doesn't cover.
 TEST(WorkerTimeModelTest, otherServicesSelectAsWithoutAModel) {
   setWorkers(10);
