--- a/src/gateway/quota_wait.cpp
+++ b/src/gateway/quota_wait.cpp
@@ -13,7 +13,7 @@
 /// Without a leader, a request waits for this fraction (1/n) of its remaining time: the rest is
 /// needed to run it.
 constexpr int kLeaderlessWaitDivisor = 4;
-/// Measured time from the last message of a leader that froze to the first answer of the next one.
+/// Time from the last message of a leader that froze to the first answer of the next one.
 /// A leader that ended is replaced within about a second, so that no request is refused meanwhile.
 constexpr base::Duration kLeaderChangeTime = std::chrono::milliseconds(2800);
 /// Lower bound of the expected time, also for a change that takes longer than usual.
