registry, gateway: who may still be served waits, and is refused before it leaves

Cause: gateways refused by the expected time of a model, which is that of a model whose callers have been sent away: with one waiting it would be loaded sooner. Who waited all the same, for a model that is expected within 4 s, left without a response: not knowing that the request has not run, such a caller doesn't return.

Change: the leader tells gateways of feature level 5 the shortest wait beside the expected time (ModelForecasts): that of a load which comes before all others, 0 for a load in progress. Who leaves before that is refused at once, with the expected time as Retry-After. Who may still be served waits, and a stream is refused as not run 0.2 s before its caller leaves, with the expected time if there is one. Where replicas are slow to add the expected time decides as before. Models are announced from 2 s on in place of 4 s, the shortest time that callers wait; gateways of earlier builds get what they got.

Ruled out: refusing a stream that waits once even the next load would end too late.

--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -414,12 +414,36 @@
 };
 inline constexpr base::Duration kLateModelsLifetime = std::chrono::seconds(3);
 
+/// A requested model that no worker serves, and when one is expected to.
+struct ModelForecast {
+  std::string service;
+  std::string model;
+  base::Duration availableIn{0};  ///< Expected time, counted from when the message was sent.
+  /// Time for which a request waits at least, counted from its arrival: that of a load which comes
+  /// before all others. 0 if it waits until `availableIn`, as for a load in progress.
+  base::Duration shortestWait{0};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, model, availableIn, shortestWait);
+  }
+};
+/// Leader to gateway: replaces LateModels for gateways of feature level `kModelForecasts`, and is
+/// sent at the same times.
+struct ModelForecasts {
+  std::vector<ModelForecast> models;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(models);
+  }
+};
+
 using MessageBody =
     std::variant<ForwardedCall, ForwardedAnswer, JoinRequest, JoinReply, Subscribe, NotLeading,
                  ViewUpdate, DemandUpdate, DocumentPart, DocumentPartAck, PackedView, CutReport,
                  SuspectList, ConfirmDocument, DocumentConfirmed, QuotaRequest, QuotaGrant,
                  LateModels, HeartbeatBatch, HeartbeatRequest, LimitReport, ShareRequest,
-                 ShareGrant, WorkerTimingReport, WorkerTimings>;
+                 ShareGrant, WorkerTimingReport, WorkerTimings, ModelForecasts>;
 
 /// The alternative of protocol::Message that carries all messages of the registry.
 struct RegistryMessage {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "gateway/availability_table.h"
 #include "gateway/buffer_budget.h"
 #include "gateway/demand_tracker.h"
 #include "gateway/event_stream.h"
@@ -113,10 +114,10 @@
   /// Records that the pauses of a stream first exceeded the target gap.
   virtual void streamPaused(const Worker& worker) = 0;
   /// @}
-  /// @return when a model that no worker serves is expected to be loaded; nothing if that is soon
-  /// or not known.
-  virtual std::optional<base::TimePoint> expectedAt(const std::string& service,
-                                                    const std::string& model) const = 0;
+  /// @return when a model that no worker serves will be available; nothing if that is soon or not
+  /// known.
+  virtual std::optional<ModelAvailability> availabilityOf(const std::string& service,
+                                                          const std::string& model) const = 0;
   virtual LateStarts& lateStarts() = 0;
   /// @return the memory that is held for all callers.
   virtual BufferBudget& buffers() = 0;
@@ -206,8 +207,10 @@
   void endShareWait();
   bool waitsForLimit(const Selection& selection) const;
   void waitForLimit(const Selection& selection);
+  std::optional<ModelAvailability> awaitedModel(NoWorkerReason reason) const;
   bool refuseIfTooLate(NoWorkerReason reason);
   base::TimePoint callerDisconnectsAt() const;
+  base::TimePoint waitDeadline() const;
   base::TimePoint shortWaitDeadline() const;
   void endWait();
   void launch(const WorkerDirectory::WorkerPtr& worker);
--- a/src/gateway/exchange_wait.cpp
+++ b/src/gateway/exchange_wait.cpp
@@ -27,6 +27,9 @@
 /// Without workers, or without a leader that could grant a share of a limit, a request waits for
 /// this fraction (1/n) of its target latency.
 constexpr int kShortWaitDivisor = 4;
+/// Time before its caller disconnects at which a stream that still waits is refused: the response
+/// has to reach the caller before.
+constexpr base::Duration kRefusalMargin = std::chrono::milliseconds(200);
 /// Time until a share of a limit is requested again from the leader.
 constexpr base::Duration kShareRequestTimeout = std::chrono::milliseconds(100);
 
@@ -156,7 +159,7 @@
   }
   const std::uint32_t doublings = std::min(backoffs_++, kMaxBackoffDoublings);
   excluded_.clear();
-  const base::TimePoint next = now() + kBackoffMin * (1U << doublings);
+  const base::TimePoint next = std::min(now() + kBackoffMin * (1U << doublings), waitDeadline());
   retryTimer_->enableAt(
       selection.lastResort == nullptr ? next : std::min(next, lastResortAt(*selection.lastResort)));
 }
@@ -170,18 +173,35 @@
                   arrivedAt_ + catalog::callerTimeout(route_.targetLatency, route_.targetGap));
 }
 
-/// Refuses a request whose caller would disconnect before the model is loaded. Retry-After says
-/// when the model is expected.
-bool Exchange::refuseIfTooLate(NoWorkerReason reason) {
+/// @return when a stream that still waits is refused. The caller of one that lasts until its
+/// deadline has no time to return.
+base::TimePoint Exchange::waitDeadline() const {
+  const base::TimePoint disconnectsAt = callerDisconnectsAt();
+  return isStreaming() && !headSent_ && disconnectsAt < deadline_ ? disconnectsAt - kRefusalMargin
+                                                                  : base::kNever;
+}
+
+/// @return when the model that the request waits for will be available, if the leader has said so.
+std::optional<ModelAvailability> Exchange::awaitedModel(NoWorkerReason reason) const {
   const bool waitsForModel = reason == NoWorkerReason::notHeld || reason == NoWorkerReason::limited;
   if (!waitsForModel || !facts_.adapter.empty() || headSent_) {
-    return false;
+    return std::nullopt;
   }
-  const auto expected = context_.expectedAt(service_, facts_.model);
-  if (!expected || *expected <= callerDisconnectsAt()) {
+  return context_.availabilityOf(service_, facts_.model);
+}
+
+/// Refuses a request that can't be served before its caller disconnects: at once if even the next
+/// load ends too late, otherwise shortly before. Retry-After says when the model is expected.
+bool Exchange::refuseIfTooLate(NoWorkerReason reason) {
+  const std::optional<ModelAvailability> model = awaitedModel(reason);
+  const bool comesTooLate = model && model->earliestFor(arrivedAt_) > callerDisconnectsAt();
+  if (!comesTooLate && now() < waitDeadline()) {
     return false;
   }
-  refuse(mayHaveRun_ ? kBadGateway : kUnavailable, "the model comes too late", *expected - now());
+  const base::Duration expectedWait = model ? model->expectedAt - now() : base::Duration::zero();
+  refuse(mayHaveRun_ ? kBadGateway : kUnavailable,
+         comesTooLate ? "the model comes too late" : "no worker before the caller leaves",
+         std::max(expectedWait, kRetryAfterFull));
   return true;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -97,24 +97,22 @@
 }
 
 void Gateway::lateModelsReceived(const registry::LateModels& late) {
-  const base::TimePoint now = scheduler_.now();
-  lateModels_.clear();
-  lateModelsExpireAt_ = now + registry::kLateModelsLifetime;
-  for (const registry::LateModel& model : late.models) {
-    lateModels_[{model.service, model.model}] = now + model.availableIn;
-  }
+  availability_.take(late, scheduler_.now());
   if (!late.models.empty()) {
     wakeWaiting();
   }
 }
 
-std::optional<base::TimePoint> Gateway::expectedAt(const std::string& service,
-                                                   const std::string& model) const {
-  if (!session_.following() || scheduler_.now() >= lateModelsExpireAt_) {
-    return std::nullopt;
+void Gateway::forecastsReceived(const registry::ModelForecasts& forecasts) {
+  availability_.take(forecasts, scheduler_.now());
+  if (!forecasts.models.empty()) {
+    wakeWaiting();
   }
-  const auto found = lateModels_.find({service, model});
-  return found == lateModels_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<ModelAvailability> Gateway::availabilityOf(const std::string& service,
+                                                         const std::string& model) const {
+  return session_.following() ? availability_.find(service, model, scheduler_.now()) : std::nullopt;
 }
 
 void Gateway::leaderFollowed(bool gotSuspects) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -70,6 +70,7 @@
   void documentConfirmed(const registry::DocumentConfirmed& answer);
   void quotaGranted(const registry::QuotaGrant& grant);
   void lateModelsReceived(const registry::LateModels& late);
+  void forecastsReceived(const registry::ModelForecasts& forecasts);
   void sharesGranted(const registry::ShareGrant& grant);
   void timingsReceived(const registry::WorkerTimings& update);
   /// @return the version of the document by whose keys a request would be admitted now; 0: keys are
@@ -126,8 +127,8 @@
   void streamBegan(const Worker& worker, const RequestFacts& facts, base::TimePoint sentAt,
                    bool wasFull) override;
   void streamPaused(const Worker& worker) override;
-  std::optional<base::TimePoint> expectedAt(const std::string& service,
-                                            const std::string& model) const override;
+  std::optional<ModelAvailability> availabilityOf(const std::string& service,
+                                                  const std::string& model) const override;
   LateStarts& lateStarts() override { return lateStarts_; }
   BufferBudget& buffers() override { return buffers_; }
   std::uint64_t documentVersion() const override;
@@ -273,9 +274,7 @@
   LateStarts lateStarts_;
   DemandTracker demand_;
   RequestQuarantine quarantine_;
-  /// Expected availability of models that are loaded late, by service and model.
-  std::map<std::pair<std::string, std::string>, base::TimePoint> lateModels_;
-  base::TimePoint lateModelsExpireAt_;  ///< Expiry of `lateModels_`.
+  AvailabilityTable availability_;
   bool cutsSoon_ = false;
   event::TimerPtr demandTimer_;
   bool demandSoon_ = false;
--- a/src/gateway/registry_follower.cpp
+++ b/src/gateway/registry_follower.cpp
@@ -102,6 +102,14 @@
   return false;
 }
 
+bool RegistryFollower::receive(protocol::ConnectionId connection,
+                               const registry::ModelForecasts& forecasts) {
+  if (session_.isCurrent(connection)) {
+    gateway_.forecastsReceived(forecasts);
+  }
+  return false;
+}
+
 bool RegistryFollower::receive(protocol::ConnectionId connection,
                                const registry::WorkerTimings& update) {
   if (session_.isCurrent(connection)) {
--- a/src/gateway/registry_follower.h
+++ b/src/gateway/registry_follower.h
@@ -33,6 +33,7 @@
   bool receive(protocol::ConnectionId connection, const registry::DocumentConfirmed& answer);
   bool receive(protocol::ConnectionId connection, const registry::QuotaGrant& grant);
   bool receive(protocol::ConnectionId connection, const registry::LateModels& late);
+  bool receive(protocol::ConnectionId connection, const registry::ModelForecasts& forecasts);
   bool receive(protocol::ConnectionId connection, const registry::ShareGrant& grant);
   bool receive(protocol::ConnectionId connection, const registry::WorkerTimings& update);
   template <class Other>
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -127,12 +127,14 @@
                                            {"bytes", request.cursor.received}});
   publisher_.subscribe(gateway, zone, featureLevel);
   subscribeToTimings(gateway, featureLevel);
+  subscribeToForecasts(gateway, featureLevel);
   subscriptions_[gateway] = request;
 }
 
 void LeaderDuties::unsubscribe(protocol::ConnectionId gateway) {
   publisher_.unsubscribe(gateway);
   timingRevisions_.erase(gateway);
+  forecastGateways_.erase(gateway);
   sender_.unsubscribe(gateway);
   subscriptions_.erase(gateway);
   demand_.forget(gateway);
@@ -313,7 +315,7 @@
   }
   if (leaseValid) {
     sendSuspects(now);
-    sendLateModels(now);
+    announceForecasts(now);
     publish(now, servers);
     sendTimings(now);
     sendDocument(now);
@@ -366,7 +368,7 @@
     const auto subscribed = subscriptions_.find(update.gateway);
     if (update.update.complete) {
       sendSuspectsTo(update.gateway, now);
-      sendLateModelsTo(update.gateway);
+      sendFirstForecasts(update.gateway);
     }
     if (update.update.complete && subscribed != subscriptions_.end()) {
       const Subscribe request = subscribed->second;
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -138,9 +138,11 @@
   void refreshTimedServices();
   void subscribeToTimings(protocol::ConnectionId gateway, std::uint32_t featureLevel);
   void sendTimings(base::TimePoint now);
-  LateModels lateModels() const;
-  void sendLateModels(base::TimePoint now);
-  void sendLateModelsTo(protocol::ConnectionId gateway);
+  ModelForecasts modelForecasts() const;
+  void subscribeToForecasts(protocol::ConnectionId gateway, std::uint32_t featureLevel);
+  void sendFirstForecasts(protocol::ConnectionId gateway);
+  void sendForecasts(protocol::ConnectionId gateway, const ModelForecasts& forecasts);
+  void announceForecasts(base::TimePoint now);
   void storeHoldings(base::TimePoint now);
   void publish(base::TimePoint now, const std::vector<base::Endpoint>& servers);
   const std::vector<WorkerLoad>& recentLoads(base::TimePoint now);
@@ -231,6 +233,7 @@
   std::map<std::string, StoreScheduler> stores_;     ///< By service.
   std::map<std::string, LoadBackoff> backoffs_;      ///< By service.
   LateModelAnnouncer lateModelAnnouncer_;
+  std::set<protocol::ConnectionId> forecastGateways_;  ///< Gateways that support ModelForecasts.
   /// Workers that accepted an order for a model or reported one in progress; some have finished it.
   std::set<WorkerId> busyWorkers_;
   std::map<std::uint64_t, SentOrder> orders_;
--- a/src/registry/leader_worker_health.cpp
+++ b/src/registry/leader_worker_health.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// The leader's assessment of workers: which are alive, which report healthy but fail requests, and
-/// which crashed under which requests. Also reports models that will be available late.
+/// which crashed under which requests.
 
 #include <algorithm>
 #include <cmath>
@@ -235,35 +235,6 @@
   }
 }
 
-LateModels LeaderDuties::lateModels() const {
-  LateModels late;
-  for (const auto& [service, policy] : policies_) {
-    for (const LateModelForecast& outlook : policy.outlook()) {
-      late.models.push_back({service, outlook.model, outlook.availableIn});
-    }
-  }
-  return late;
-}
-
-/// An empty list need not be sent: what a previous leader sent expires at the gateway.
-void LeaderDuties::sendLateModelsTo(protocol::ConnectionId gateway) {
-  LateModels late = lateModels();
-  if (!late.models.empty()) {
-    actions_.emplace_back(
-        control::SendToConnection{gateway, RegistryMessage{MessageBody(std::move(late))}});
-  }
-}
-
-void LeaderDuties::sendLateModels(base::TimePoint now) {
-  const LateModels late = lateModels();
-  if (!lateModelAnnouncer_.due(late, now)) {
-    return;
-  }
-  for (const protocol::ConnectionId gateway : publisher_.gateways()) {
-    actions_.emplace_back(control::SendToConnection{gateway, RegistryMessage{MessageBody(late)}});
-  }
-}
-
 bool LeaderDuties::isUnresponsive(const WorkerId& id, const WorkerStatus& status,
                                   base::TimePoint now) const {
   const double heartbeats =
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -38,9 +38,9 @@
 
 /// @name Models that come too late for the callers that wait
 /// @{
-/// Callers are notified of a model that takes longer than this. A load from disk takes 1 to 2 s,
-/// plus the time until its worker is free.
-constexpr base::Duration kLateThreshold = std::chrono::seconds(4);
+/// Gateways are notified of a model that takes this long: callers wait for a stream at least as
+/// long.
+constexpr base::Duration kForecastThreshold = std::chrono::seconds(2);
 /// Time after the last request for a late model until it is no longer to be loaded.
 constexpr base::Duration kLateModelRetention = std::chrono::seconds(20);
 /// @}
@@ -121,12 +121,16 @@
   });
 }
 
-void PlacementPolicy::recordLateModel(const PlacementRound& round, const std::string& model,
-                                      base::Duration availableIn) {
-  if (availableIn >= kLateThreshold) {
-    lateModels_.try_emplace(model, round.now());
-    outlook_.push_back({model, availableIn});
+void PlacementPolicy::recordLateModel(const PlacementRound& round, LateModelForecast forecast) {
+  if (forecast.availableIn < kForecastThreshold) {
+    return;
+  }
+  lateModels_.try_emplace(forecast.model, round.now());
+  if (replicasAreSlowToAdd_) {
+    // The order hardly changes while a load takes longer than callers wait.
+    forecast.shortestWait = base::Duration::zero();
   }
+  outlook_.push_back(std::move(forecast));
 }
 
 /// Records a cold model as late if it is loaded from the store, which takes long. Callers wait for
@@ -140,10 +144,12 @@
   }
   const base::Duration load = round.spec(candidate.model)->storeLoadTime;
   if (outcome == PlacementOutcome::waitsForStore) {
-    recordLateModel(round, candidate.model,
-                    round.store().expectedWait(round.now(), storeQueue_++, load) + load);
+    const base::Duration wait = round.store().expectedWait(round.now(), storeQueue_++, load);
+    const base::Duration shortestWait = round.store().shortestWait(round.now());
+    recordLateModel(round, {candidate.model, wait + load, shortestWait + load});
   } else {
-    recordLateModel(round, candidate.model, load);
+    const bool isLoading = outcome == PlacementOutcome::loadOrdered;
+    recordLateModel(round, {candidate.model, load, isLoading ? base::Duration::zero() : load});
   }
 }
 
@@ -160,7 +166,7 @@
   }
   for (const auto& [model, availableIn] : arrivals) {
     if (lateModels_.count(model) != 0 || round.figures(model).waiting > 0) {
-      recordLateModel(round, model, availableIn);
+      recordLateModel(round, {model, availableIn, base::Duration::zero()});
     }
   }
 }
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -116,6 +116,7 @@
 struct LateModelForecast {
   std::string model;
   base::Duration availableIn{0};
+  base::Duration shortestWait{0};  ///< See ModelForecast.
 };
 
 /// A place of the weight store that was given to a load, for the log.
@@ -223,8 +224,7 @@
   void recordIfLate(const PlacementRound& round, const Candidate& candidate, const Choice& choice,
                     PlacementOutcome outcome);
   void recordLateLoads(const PlacementRound& round);
-  void recordLateModel(const PlacementRound& round, const std::string& model,
-                       base::Duration availableIn);
+  void recordLateModel(const PlacementRound& round, LateModelForecast forecast);
   void dropOutdatedLateModels(const PlacementRound& round);
   void placeReplica(PlacementRound& round, Candidate candidate);
   void settle(PlacementRound& round, const Candidate& candidate, const Choice& choice,
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -79,6 +79,7 @@
   void receiveBody(protocol::ConnectionId, const ShareGrant&) {}
   void receiveBody(protocol::ConnectionId, const WorkerTimings&) {}
   void receiveBody(protocol::ConnectionId, const LateModels&) {}
+  void receiveBody(protocol::ConnectionId, const ModelForecasts&) {}
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
   void receiveBody(protocol::ConnectionId, const NotLeading&) {}
   void receiveBody(protocol::ConnectionId, const ViewUpdate&) {}
--- a/src/registry/store_scheduler.cpp
+++ b/src/registry/store_scheduler.cpp
@@ -62,9 +62,15 @@
 }
 
 base::Duration StoreScheduler::expectedWait(base::TimePoint now) const {
-  if (allows()) {
-    return base::Duration::zero();
-  }
+  return allows() ? base::Duration::zero() : timeUntilFirstEnd(now);
+}
+
+base::Duration StoreScheduler::shortestWait(base::TimePoint now) const {
+  const bool isFull = loadsInProgress() >= concurrency_.limit();
+  return std::max(rate_.wait(0), isFull ? timeUntilFirstEnd(now) : base::Duration::zero());
+}
+
+base::Duration StoreScheduler::timeUntilFirstEnd(base::TimePoint now) const {
   base::TimePoint first = base::kNever;
   for (const auto& [worker, load] : loads_) {
     first = std::min(first, load.expectedEnd(concurrency_.limit()));
--- a/src/registry/store_scheduler.h
+++ b/src/registry/store_scheduler.h
@@ -49,6 +49,8 @@
   /// @return zero if a load may start now, otherwise the time until the first load is expected to
   /// end.
   base::Duration expectedWait(base::TimePoint now) const;
+  /// @return time until a load may start that comes before all others.
+  base::Duration shortestWait(base::TimePoint now) const;
   /// @return time until a load may start that comes after `before` others of length `load`.
   base::Duration expectedWait(base::TimePoint now, std::size_t before, base::Duration load) const;
 
@@ -79,6 +81,7 @@
     base::TimePoint expectedEnd(std::size_t limit) const;
   };
 
+  base::Duration timeUntilFirstEnd(base::TimePoint now) const;
   void observeOverdue(base::TimePoint now);
   void observe(const Load& load, double lateness);
 
--- a/test/registry/slow_replicas_store_test.cpp
+++ b/test/registry/slow_replicas_store_test.cpp
@@ -277,6 +277,18 @@
   CHECK_TRUE(forecasts["cold1"] == 3 * kLoadTime);
 }
 
+/// Guards against callers that wait for a load which ends after they have left.
+TEST(SlowReplicasStoreTest, noShorterWaitIsAnnouncedThanTheExpectedOne) {
+  workers = {workerWith("f0", {}), workerWith("f1", {})};
+  report("cold1", 1, 1);
+  report("cold2", 1, 9);
+  planAfterComparison();
+  CHECK_EQUAL(2, policy.outlook().size());
+  for (const LateModelForecast& forecast : policy.outlook()) {
+    CHECK_TRUE(forecast.shortestWait == base::Duration::zero());
+  }
+}
+
 /// Guards against a log that doesn't tell which load was put off for the one that was given the
 /// place.
 TEST(SlowReplicasStoreTest, aGivenPlaceIsRecordedWithTheNextLoad) {
--- a/test/registry/slow_store_test.cpp
+++ b/test/registry/slow_store_test.cpp
@@ -99,6 +99,21 @@
   CHECK_TRUE(last < 8s);
 }
 
+/// Guards against callers that are refused although their model would be loaded in time if it came
+/// next: gateways have to be told of that time as well.
+TEST(SlowStoreTest, theForecastHasTheWaitForALoadThatComesNext) {
+  const auto engine = slowStoreEngine({"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"});
+  for (const catalog::ModelSpec& model : engine.models) {
+    report(model.name.c_str(), 1, 1);
+  }
+  plan(engine, {workerWithCopies("w", {}), workerWithCopies("w2", {})});
+  CHECK_TRUE(policy.outlook().size() > 5);
+  for (const LateModelForecast& forecast : policy.outlook()) {
+    CHECK_TRUE(forecast.shortestWait >= 900ms);
+    CHECK_TRUE(forecast.shortestWait < 1600ms);
+  }
+}
+
 TEST(SlowStoreTest, aLoadedModelIsKeptUntilARequestIsAnswered) {
   report("fresh", 0, 3);
   report("used", 0, 3);
