--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -8,9 +8,6 @@
 
 /// Time for which the most urgent route to a model is remembered: a few time constants of the rate.
 constexpr base::Duration kUrgencyMemory = std::chrono::seconds(20);
-/// Unserved requests no longer count once no other has come for this long: callers come back within
-/// seconds, or not at all.
-constexpr base::Duration kUnservedMemory = std::chrono::seconds(20);
 /// Time after which an unserved model is reported: most loads are over by then.
 constexpr base::Duration kUnservedReportDelay = std::chrono::seconds(3);
 
@@ -122,14 +119,15 @@
     history.unservedSince = base::TimePoint();
     history.requests = 0;
     history.failed = 0;
-    history.unservedRequests = 0;
+    history.unservedRequests.clear();
     history.isReported = false;
     return;
   }
   history.unservedSince = first ? now : history.unservedSince;
   history.requests += demand.arrivals;
-  const bool isForgotten = demand.arrivals > 0 && now >= history.lastArrival + kUnservedMemory;
-  history.unservedRequests = (isForgotten ? 0 : history.unservedRequests) + demand.arrivals;
+  if (demand.arrivals > 0) {
+    history.unservedRequests.add(demand.arrivals, now);
+  }
   history.failed += demand.failed;
   if (!history.isReported && now >= history.unservedSince + kUnservedReportDelay) {
     history.isReported = true;
@@ -165,8 +163,7 @@
     figures.priority = found->second.priority;
     figures.targetLatency = found->second.targetLatency;
     const base::TimePoint since = found->second.unservedSince;
-    figures.unservedRequests =
-        now < figures.lastArrival + kUnservedMemory ? found->second.unservedRequests : 0;
+    figures.unservedRequests = found->second.unservedRequests.count(now);
     figures.unservedTime = since == base::TimePoint() ? base::Duration::zero() : now - since;
   }
   return figures;
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -12,6 +12,7 @@
 
 #include "registry/decaying_rate.h"
 #include "registry/demand_forecast.h"
+#include "registry/recent_requests.h"
 #include "walnut/protocol/messages.h"
 #include "walnut/registry/messages.h"
 
@@ -38,8 +39,7 @@
   base::Duration targetLatency{0};
   /// Time since the first request after the last answer; 0 if the last request was answered.
   base::Duration unservedTime{0};
-  /// Requests since the last answer, or since the last long pause between requests; 0 during such
-  /// a pause.
+  /// Requests since the last answer, of the last `RecentRequests::kPeriod`.
   std::uint32_t unservedRequests = 0;
 };
 
@@ -105,8 +105,8 @@
     base::TimePoint unservedSince;  ///< Time of the first request; zero if none came.
     std::uint32_t requests = 0;
     std::uint32_t failed = 0;
-    std::uint32_t unservedRequests = 0;  ///< See DemandFigures.
-    bool isReported = false;             ///< True once the model was reported as unserved.
+    RecentRequests unservedRequests;
+    bool isReported = false;  ///< True once the model was reported as unserved.
     /// @}
   };
 
--- a/test/registry/slow_store_order_test.cpp
+++ b/test/registry/slow_store_order_test.cpp
@@ -275,3 +275,35 @@
   CHECK_TRUE(steps[0].operation == OrderOperation::unload);
   CHECK_TRUE(steps[0].model != "fresh");
 }
+
+/// Guards against a model whose former callers have long left: a request now and then kept all of
+/// them in the count.
+TEST(SlowStoreOrderTest, requestsOfLongAgoDoNotCountAlthoughOthersFollowed) {
+  useToken();
+  report("long-ago", 0, 8);
+  now += 15s;
+  report("long-ago", 0, 1);
+  now += 12s;
+  for (int request = 0; request < 3; ++request) {
+    report("lately", 0, 1);
+    now += 1s;
+  }
+  report("lately", 1, 1);
+  report("long-ago", 1, 1);
+  const auto steps = plan(slowStoreEngine({"long-ago", "lately"}), {workerWithCopies("w", {})});
+  STRCMP_EQUAL("lately ", storeLoads(steps).c_str());
+}
+
+/// Guards against callers that are counted twice, as waiting ones and among the requests without an
+/// answer: a few that come together would overtake a model that more have asked for in vain.
+TEST(SlowStoreOrderTest, callersThatComeTogetherDoNotOvertakeMoreThatCameInVain) {
+  useToken();
+  for (int request = 0; request < 5; ++request) {
+    report("in-vain", 0, 1);
+    now += 3s;
+  }
+  report("in-vain", 1, 1);
+  report("together", 3, 3);
+  const auto steps = plan(slowStoreEngine({"in-vain", "together"}), {workerWithCopies("w", {})});
+  STRCMP_EQUAL("in-vain ", storeLoads(steps).c_str());
+}
