--- a/src/registry/cold_load_benefit.cpp
+++ b/src/registry/cold_load_benefit.cpp
@@ -11,8 +11,9 @@
 /// Time between the decision to load and the start of the load, and between its end and the first
 /// answer.
 constexpr base::Duration kOverhead = std::chrono::milliseconds(100);
-/// Arrivals per second to which callers are equal that a load is known to serve.
-constexpr double kWaitedForRate = 1.0;
+/// Arrivals per second that waiting requests are worth, however many they are: they are among the
+/// unserved ones, too.
+constexpr double kWaitingRate = 1.0;
 /// Benefit of the last load that still serves the callers that wait; a load that they could wait
 /// for longer has less.
 constexpr double kLastChanceBenefit = 0.6;
@@ -32,19 +33,18 @@
   const base::TimePoint leavesAt = figures.lastArrival + timeout;
   const bool isArrivalKnown = figures.lastArrival != base::TimePoint();
   const bool waitsLonger = now > leavesAt + kReportDelay;
-  // Those that wait are among the unserved requests.
-  const double waitedForRate = figures.rate + (figures.waiting > 0 ? kWaitedForRate : 0.0);
+  const double rateWithWaiting = figures.rate + (figures.waiting > 0 ? kWaitingRate : 0.0);
   if (needed > timeout || !isArrivalKnown || waitsLonger) {
     // No caller waits until the end, or it is unknown for how long; those that wait show the
     // demand.
-    return unservedCount * waitedForRate;
+    return unservedCount * rateWithWaiting;
   }
   const base::Duration spare = leavesAt - (now + needed);
   if (figures.waiting == 0 || spare < base::Duration::zero()) {
     return unservedCount * figures.rate;
   }
   const double lastChance = 1.0 - seconds(spare) / seconds(timeout);
-  return unservedCount * waitedForRate + kLastChanceBenefit * lastChance;
+  return unservedCount * rateWithWaiting + kLastChanceBenefit * lastChance;
 }
 
 }  // namespace walnut::registry
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -281,8 +281,8 @@
   std::map<WorkerId, double> queued_;
   std::vector<PlacementDecision> decisions_;
   std::vector<LateModelForecast> outlook_;
-  /// Models that were announced as late, and since when. Their callers no longer wait for them, but
-  /// they are still to be loaded.
+  /// Models that were announced as late, and since when. They are to be loaded even if no caller
+  /// waits any more.
   std::map<std::string, base::TimePoint> lateModels_;
   /// Loads of cold models from the store that could not be started, in this run and the previous.
   std::size_t storeQueue_ = 0;
--- a/test/registry/scripted_store.h
+++ b/test/registry/scripted_store.h
@@ -150,7 +150,7 @@
     caller.isWaiting = !refuseIfTooLate(caller);
     report(caller.model, 1, 0);
   }
-  /// Refuses as Exchange::refuseIfTooLate does.
+  /// Refuses as a gateway does that knows only expected times.
   bool refuseIfTooLate(ScriptedCaller& caller) {
     const auto late = lateModels_.find(caller.model);
     if (late == lateModels_.end() || now_ >= lateModelsExpireAt_ ||
