--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -305,7 +305,7 @@
     return;
   }
   const bool taken = std::exchange(retryTaken_, false);
-  if (deliveredAttempts_ > 0 && !taken && !context_.takeRetry(service_)) {
+  if (deliveredAttempts_ > 0 && !taken && !context_.takeRetry(service_, facts_)) {
     failFinally("retry budget used up");
     return;
   }
@@ -392,7 +392,7 @@
   if (state_ != State::attempting) {
     return;
   }
-  if (!leavingMayHelp() || !context_.takeRetry(service_)) {
+  if (!leavingMayHelp() || !context_.takeRetry(service_, facts_)) {
     armStallTimer(stallTimeout_);
     return;
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -68,7 +68,7 @@
   /// Takes one retry from the service's retry budget, which limits the attempts that reach a worker
   /// beyond the first one of each request.
   /// @return false if the budget is exhausted.
-  virtual bool takeRetry(const std::string& service) = 0;
+  virtual bool takeRetry(const std::string& service, const RequestFacts& facts) = 0;
   virtual void waitBegan(const std::string& service, const RequestFacts& facts,
                          const catalog::Route& route) = 0;
   virtual void waitEnded(const std::string& service, const RequestFacts& facts) = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway.h"
 
+#include <Poco/NumberFormatter.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -55,6 +57,7 @@
           &timeModel_),
       lateStarts_(scheduler, directory_, selector_, options.selection.seed),
       demandTimer_(scheduler.createTimer([this] { reportDemand(); })),
+      startedAt_(scheduler.now()),
       earlyTimer_(scheduler.createTimer([this] { refuseExpiredEarly(); })) {
   prepareBuffers();
 }
@@ -76,11 +79,8 @@
   directory_.apply(update);
   applyLimits(update);
   refreshTimings(update);
-  gateways_ = std::max<std::uint32_t>(1, update.gateways);
+  setGatewayCount(std::max<std::uint32_t>(1, update.gateways));
   recordNewestVersion(update.documentVersion);
-  for (auto& [service, budget] : budgets_) {
-    budget.setFloor(kBudgetFraction * options_.retrySlack / gateways_);
-  }
   if (update.complete || !update.changed.empty()) {
     wakeWaiting();
   }
@@ -376,9 +376,33 @@
       .first->second;
 }
 
-bool Gateway::takeRetry(const std::string& service) {
-  const bool taken = budgetOf(service).takeRetry(scheduler_.now());
+void Gateway::setGatewayCount(std::uint32_t count) {
+  if (count == gateways_) {
+    return;
+  }
+  log_.write(LogEvent::gatewaysCounted,
+             {{"gateways", std::uint64_t{count}}, {"former", std::uint64_t{gateways_}}});
+  gateways_ = count;
+  for (auto& [service, budget] : budgets_) {
+    budget.setFloor(kBudgetFraction * options_.retrySlack / gateways_);
+  }
+}
+
+bool Gateway::takeRetry(const std::string& service, const RequestFacts& facts) {
+  const base::TimePoint now = scheduler_.now();
+  routing::RetryBudget& budget = budgetOf(service);
+  const routing::RetryBudget::Usage usage = budget.usage(now);
+  const bool taken = budget.takeRetry(now);
   metrics_.count("walnut_gateway_retries_total", taken ? "taken" : "denied");
+  const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt_);
+  log_.write(LogEvent::retryDecided, {{"request", facts.requestId},
+                                      {"service", service},
+                                      {"taken", taken ? "yes" : "no"},
+                                      {"used", usage.retries},
+                                      {"allowed", Poco::NumberFormatter::format(usage.allowed, 1)},
+                                      {"first-attempts", usage.firstAttempts},
+                                      {"gateways", std::uint64_t{gateways_}},
+                                      {"uptime", static_cast<std::uint64_t>(uptime.count())}});
   return taken;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -104,7 +104,7 @@
   WorkerSelector& selector() override { return selector_; }
   runtime::EventLog& log() override { return log_; }
   runtime::MetricsSink& metrics() override { return metrics_; }
-  bool takeRetry(const std::string& service) override;
+  bool takeRetry(const std::string& service, const RequestFacts& facts) override;
   void waitBegan(const std::string& service, const RequestFacts& facts,
                  const catalog::Route& route) override;
   void waitEnded(const std::string& service, const RequestFacts& facts) override;
@@ -218,6 +218,7 @@
               const std::string& tenant = {});
   const std::string& pickService(const catalog::Route& route);
   routing::RetryBudget& budgetOf(const std::string& service);
+  void setGatewayCount(std::uint32_t count);
   void refreshTimedServices();
   void refreshTimings(const registry::ViewUpdate& update);
   void recordPromptSent(const Worker& worker, const RequestFacts& facts);
@@ -281,6 +282,7 @@
   base::TimePoint nextEmptyReportAt_;  ///< No further empty report is sent before.
   base::TimePoint demandReportedAt_;
   base::TimePoint demandDueAt_;
+  const base::TimePoint startedAt_;
   std::uint32_t gateways_ = kInitialGatewayCount;
   std::map<std::string, routing::RetryBudget> budgets_;             ///< By service.
   std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -25,8 +25,7 @@
 
 bool RetryBudget::takeRetry(base::TimePoint now) {
   Bucket& current = bucket(now);
-  const double allowed = floor_ + ratio_ * static_cast<double>(first_);
-  if (static_cast<double>(retries_) + 1.0 > allowed) {
+  if (static_cast<double>(retries_) + 1.0 > allowed()) {
     return false;
   }
   ++current.retries;
@@ -34,4 +33,9 @@
   return true;
 }
 
+RetryBudget::Usage RetryBudget::usage(base::TimePoint now) {
+  bucket(now);
+  return {first_, retries_, allowed()};
+}
+
 }  // namespace walnut::routing
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -30,6 +30,14 @@
   /// @return false if the budget is exhausted.
   bool takeRetry(base::TimePoint now);
 
+  /// Use of the budget over the window.
+  struct Usage {
+    std::uint64_t firstAttempts = 0;
+    std::uint64_t retries = 0;
+    double allowed = 0;  ///< Number of retries that the window may have.
+  };
+  Usage usage(base::TimePoint now);
+
  private:
   struct Bucket {
     base::TimePoint begin;
@@ -37,6 +45,7 @@
     std::uint64_t retries = 0;
   };
   Bucket& bucket(base::TimePoint now);
+  double allowed() const { return floor_ + ratio_ * static_cast<double>(first_); }
 
   double ratio_;
   double floor_;
