simulator: retries of all gateways together are counted; gateways that are killed exceed the budget

Nothing counted arrivals beyond the first of each request over all gateways. A caller that finds no live gateway fails at once.

--- a/programs/walnut-rehearse/serving.cpp
+++ b/programs/walnut-rehearse/serving.cpp
@@ -12,6 +12,7 @@
 #include "seed_range.h"
 #include "simulator/crash_campaign.h"
 #include "simulator/limit_campaign.h"
+#include "simulator/retry_campaign.h"
 #include "simulator/serving_campaign.h"
 #include "simulator/store_campaign.h"
 #include "walnut/runtime/settings.h"
@@ -23,7 +24,8 @@
 using runtime::ExitCode;
 
 constexpr const char* kUsage =
-    "Usage: walnut-rehearse serving --seeds A-B [--only failing|crashing|busy|limited|slow-store]\n"
+    "Usage: walnut-rehearse serving --seeds A-B\n"
+    "           [--only failing|crashing|busy|limited|retries|slow-store]\n"
     "Runs a leader, gateways, workers and callers under virtual time. The seed draws the size of\n"
     "the fleet and workers that fail what they are sent, in overlapping episodes; and in two more\n"
     "runs requests that crash the workers that run them, beside changes of the leader and "
@@ -32,13 +34,16 @@
     "  --seeds A-B     seeds to run, or one seed A\n"
     "  --only KIND     just the runs with failing workers, with crashing requests, with such\n"
     "                  requests beside others that queue, with workers that name the requests a\n"
-    "                  second that they take, or those with a weight store that is slower than\n"
-    "                  the demand, which are not among the others: each with callers that come\n"
-    "                  back after a short pause, and with others that heed Retry-After\n"
+    "                  second that they take, with gateways that are killed while workers fail,\n"
+    "                  or those with a weight store that is slower than the demand, which are not\n"
+    "                  among the others: each with callers that come back after a short pause, "
+    "and\n"
+    "                  with others that heed Retry-After\n"
     "Exit code 1: a model or an adapter was asked for and never served; too little was served\n"
     "once all was well again; a request that had crashed three workers was sent to workers more\n"
     "than three times later on; another request was refused as if it did such things; a worker\n"
-    "got more than the limit that it had named allows.\n";
+    "got more than the limit that it had named allows; a service got more retries than its retry\n"
+    "budget allows.\n";
 
 enum Flag : int { seeds = 1, only, help };
 
@@ -53,6 +58,7 @@
 constexpr const char* kCrashing = "crashing";
 constexpr const char* kBusy = "busy";
 constexpr const char* kLimited = "limited";
+constexpr const char* kRetries = "retries";
 constexpr const char* kSlowStore = "slow-store";
 /// @}
 
@@ -66,7 +72,7 @@
 
 bool isKind(const std::string& text) {
   return text == kFailing || text == kCrashing || text == kBusy || text == kLimited ||
-         text == kSlowStore;
+         text == kRetries || text == kSlowStore;
 }
 
 bool parseFlags(int argc, char** argv, Flags& flags) {
@@ -116,6 +122,9 @@
   if (runs(kLimited)) {
     passed = print(seed, kLimited, simulator::runLimitCampaign(seed)) && passed;
   }
+  if (runs(kRetries)) {
+    passed = print(seed, kRetries, simulator::runRetryCampaign(seed)) && passed;
+  }
   if (only == kSlowStore) {
     passed = print(seed, kSlowStore, simulator::runStoreCampaign(seed)) && passed;
     passed = print(seed, kSlowStore, simulator::runHeedingCallersCampaign(seed)) && passed;
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -95,7 +95,8 @@
       startedAt_(scheduler_.now()),
       reader_(std::make_unique<Reader>(options)),
       documents_(*reader_),
-      turns_(scheduler_.now()) {
+      turns_(scheduler_.now()),
+      retryAccount_(options.retryRatio, options.retrySlack) {
   registryOptions_.ordersFenced = true;
   state_.apply(registry::StoreDocument{kDocumentVersion, "text"});
   for (std::size_t index = 0; index < options.workers; ++index) {
@@ -139,6 +140,8 @@
 void ServingFleet::startGateway(std::size_t index) {
   gateway::GatewayOptions options;
   options.selection.seed = scheduler_.random().uniform(1, 1'000'000);
+  options.retryRatio = options_.retryRatio;
+  options.retrySlack = options_.retrySlack;
   ++gatewayLives_[index];
   ServingGatewayLinks& links = *this;
   gateways_[index] =
@@ -357,6 +360,7 @@
     return;
   }
   noteLimitedArrival(gateway, call, *worker);
+  retryAccount_.arrived(*call->request.headers.find("Id"), scheduler_.now());
   if (const auto crashing = call->request.headers.findNumber(kCrashingField)) {
     arrivedCrashing(*crashing, call, *worker, inTouch, inLoop);
     return;
@@ -420,13 +424,19 @@
       "Deadline-Ms",
       std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(kTimeout).count()));
   request.headers.add("Model", caller.target);
+  caller.sentAt = scheduler_.now();
+  retryAccount_.requested(caller.sentAt);
+  if (std::all_of(gateways_.begin(), gateways_.end(),
+                  [](const auto& gateway) { return gateway->hasEnded(); })) {
+    caller.end(false);
+    return;
+  }
   std::size_t drawn = 0;
   do {
     drawn = scheduler_.random().uniform(0, gateways_.size() - 1);
   } while (gateways_[drawn]->hasEnded());
   ServingGateway& gateway = *gateways_[drawn];
   caller.gateway = &gateway;
-  caller.sentAt = scheduler_.now();
   gateway.request(std::move(request), caller);
   scheduler_.after(kGivesUpAfter, [this, &caller, &gateway] {
     if (!caller.begun && !std::exchange(caller.over, true)) {
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -14,6 +14,7 @@
 
 #include "registry/leader_duties.h"
 #include "simulator/limit_account.h"
+#include "simulator/retry_account.h"
 #include "simulator/serving_gateway.h"
 #include "simulator/serving_worker.h"
 
@@ -33,6 +34,11 @@
   /// Share of the requests whose route may not be repeated.
   double unrepeatableShare = 0.2;
   std::uint32_t retries = 1;  ///< Of a caller.
+  /// @name Retries at gateways that are allowed per request, and in a window whatever the traffic
+  /// @{
+  double retryRatio = 0.2;
+  double retrySlack = 10;
+  /// @}
   /// Callers that are refused come back when they were told to, up to a third of their time left.
   /// False: all come back after the same short pause.
   bool callersHeedRetryAfter = false;
@@ -161,12 +167,14 @@
   const LimitAccount& limitAccount() const { return limitAccount_; }
   /// @return arrivals at limited workers as a share of what their limits take.
   double limitUsed() const { return limitAccount_.used(scheduler_.now()); }
+  const RetryAccount& retryAccount() const { return retryAccount_; }
   const RefusalAccount& refusals() const { return refusals_; }
   const ReturnAccount& returns() const { return returns_; }
   const ForecastAccount& forecasts() const { return forecasts_; }
   /// Messages about shares of limits that gateways sent to leaders.
   std::uint64_t shareQuestions() const { return shareQuestions_; }
   std::string describe(const LimitWindow& window) const;
+  std::string describe(const RetryWindow& window) const;
   /// @}
 
   /// Only requests that are made from now on are counted.
@@ -326,6 +334,7 @@
   std::map<std::string, std::string> bodies_;  ///< By the id of a try.
   std::uint64_t lastIncarnation_ = 0;
   LimitAccount limitAccount_;
+  RetryAccount retryAccount_;
   RefusalAccount refusals_;
   ReturnAccount returns_;
   ForecastAccount forecasts_;
