gateway: a smaller number of gateways counts once it is the largest of the last 30 seconds

What all gateways share, retry budgets and the limits of workers, each divides by the number that the leader announces. A new leader counts only those that have reached it, and forgets at once whoever is killed or cut off, while one that is cut off goes on with its share: for some seconds, or as long as the cut lasts, the parts add up to more than the whole.

A smaller number is now believed once no larger one was announced for 30 s. In place of it a gateway that stays keeps its own former share; one that leaves for good costs the others 1/n of it for that time. gateways-counted tells both numbers.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -80,12 +80,12 @@
   directory_.apply(update);
   applyLimits(update);
   refreshTimings(update);
-  setGatewayCount(std::max<std::uint32_t>(1, update.gateways));
+  gatewaysAnnounced(update.gateways);
   recordNewestVersion(update.documentVersion);
   if (update.complete || !update.changed.empty()) {
     wakeWaiting();
   }
-  lateStarts_.viewReceived(gateways_);
+  lateStarts_.viewReceived(gatewayCount_.value());
   if (update.complete) {
     reportDemandSoon();
   }
@@ -373,19 +373,22 @@
 routing::RetryBudget& Gateway::budgetOf(const std::string& service) {
   return budgets_
       .try_emplace(service, options_.retryRatio * kBudgetFraction,
-                   kBudgetFraction * options_.retrySlack / gateways_, startedAt_)
+                   kBudgetFraction * options_.retrySlack / gatewayCount_.value(), startedAt_)
       .first->second;
 }
 
-void Gateway::setGatewayCount(std::uint32_t count) {
-  if (count == gateways_) {
+void Gateway::gatewaysAnnounced(std::uint32_t count) {
+  const std::uint32_t former = gatewayCount_.value();
+  gatewayCount_.announced(count, scheduler_.now());
+  const std::uint32_t used = gatewayCount_.value();
+  if (used == former) {
     return;
   }
-  log_.write(LogEvent::gatewaysCounted,
-             {{"gateways", std::uint64_t{count}}, {"former", std::uint64_t{gateways_}}});
-  gateways_ = count;
+  log_.write(LogEvent::gatewaysCounted, {{"gateways", std::uint64_t{used}},
+                                         {"former", std::uint64_t{former}},
+                                         {"announced", std::uint64_t{count}}});
   for (auto& [service, budget] : budgets_) {
-    budget.setFloor(kBudgetFraction * options_.retrySlack / gateways_);
+    budget.setFloor(kBudgetFraction * options_.retrySlack / used);
   }
 }
 
@@ -402,7 +405,7 @@
                                       {"used", usage.retries},
                                       {"allowed", Poco::NumberFormatter::format(usage.allowed, 1)},
                                       {"first-attempts", usage.firstAttempts},
-                                      {"gateways", std::uint64_t{gateways_}},
+                                      {"gateways", std::uint64_t{gatewayCount_.value()}},
                                       {"uptime", static_cast<std::uint64_t>(uptime.count())}});
   return taken;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/demand_tracker.h"
 #include "gateway/document_lease.h"
 #include "gateway/exchange.h"
+#include "gateway/gateway_count.h"
 #include "gateway/key_table.h"
 #include "gateway/late_starts.h"
 #include "gateway/quota_account.h"
@@ -136,8 +137,8 @@
   void exchangeEnded(Exchange& exchange, int status) override;
 
  private:
-  /// Number of gateways assumed until the registry announces it: rather too high, so that the retry
-  /// budget per gateway is not exceeded.
+  /// Number of gateways assumed until the registry announces it: rather too high, so that all
+  /// gateways together keep within what they share.
   static constexpr std::uint32_t kInitialGatewayCount = 16;
   static constexpr base::Duration kRetryAfterRefusal = std::chrono::milliseconds(200);
 
@@ -218,7 +219,7 @@
               const std::string& tenant = {});
   const std::string& pickService(const catalog::Route& route);
   routing::RetryBudget& budgetOf(const std::string& service);
-  void setGatewayCount(std::uint32_t count);
+  void gatewaysAnnounced(std::uint32_t count);
   void refreshTimedServices();
   void refreshTimings(const registry::ViewUpdate& update);
   void recordPromptSent(const Worker& worker, const RequestFacts& facts);
@@ -283,7 +284,7 @@
   base::TimePoint demandReportedAt_;
   base::TimePoint demandDueAt_;
   const base::TimePoint startedAt_;
-  std::uint32_t gateways_ = kInitialGatewayCount;
+  GatewayCount gatewayCount_{kInitialGatewayCount};
   std::map<std::string, routing::RetryBudget> budgets_;             ///< By service.
   std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
   /// Ordered by number, so that waiting requests are woken in the order of their arrival: ordered
--- a/src/gateway/gateway_count.h
+++ b/src/gateway/gateway_count.h
@@ -11,8 +11,8 @@
 namespace walnut::gateway {
 
 /// The largest number of gateways that leaders have announced lately. A smaller number is not
-/// believed at once: a new leader counts only the gateways that have reached it, and one that is cut
-/// off from the leader goes on with its share.
+/// believed at once: a new leader counts only the gateways that have reached it, and one that is
+/// cut off from the leader goes on with its share.
 class GatewayCount {
  public:
   /// Longer than most partitions and changes of leader.
--- a/src/gateway/gateway_demand.cpp
+++ b/src/gateway/gateway_demand.cpp
@@ -85,7 +85,7 @@
 
 void Gateway::reportWithinSpacing() {
   const base::Duration spacing =
-      std::max(kUseReportSpacing, kUseReportSpacingPerGateway * gateways_);
+      std::max(kUseReportSpacing, kUseReportSpacingPerGateway * gatewayCount_.value());
   const base::TimePoint due = std::max(scheduler_.now(), demandReportedAt_ + spacing);
   if (due < demandDueAt_) {
     demandDueAt_ = due;
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -42,7 +42,7 @@
   if (!counts || (!answer.limit && !limits_.any())) {
     return;
   }
-  limits_.setSharing(sharesLimits(), gateways_);
+  limits_.setSharing(sharesLimits(), gatewayCount_.value());
   logLimitChange(limits_.responseReceived(id, answer.limit, sentAt, scheduler_.readClock()),
                  "answer");
   reportLimitsSoon();
@@ -71,7 +71,7 @@
               {"former", registry::limitText(change->previous)},
               {"source", source},
               {"shared", sharesLimits() ? "yes" : "no"},
-              {"gateways", std::uint64_t{gateways_}}});
+              {"gateways", std::uint64_t{gatewayCount_.value()}}});
   shareTimer_->enableAt(scheduler_.now() + shareInterval());
 }
 
@@ -120,7 +120,7 @@
   if (!limits_.any()) {
     return ShareState::open;
   }
-  limits_.setSharing(sharesLimits(), gateways_);
+  limits_.setSharing(sharesLimits(), gatewayCount_.value());
   return limits_.shareState(worker, scheduler_.readClock());
 }
 
