simulator: gateways can be cut off from all workers; their callers are served far worse

Nothing in the simulation cut a gateway off from workers while callers and the leader reach it. ServingFleet::cutFromWorkers does, with links that hang, are reset, or refuse new connections, and counts first tries there and at the other gateways by the windows of the bound, and the ejections of workers by the leader.

--- a/src/simulator/serving_account.cpp
+++ b/src/simulator/serving_account.cpp
@@ -137,6 +137,18 @@
   }
 }
 
+std::string ServingFleet::describeLoads(const std::string& model) const {
+  const auto counted = counts_.find(model);
+  const auto loaded = loads_.find(model);
+  std::ostringstream text;
+  if (counted != counts_.end()) {
+    text << "asked=" << counted->second.asked << " first=" << sinceStart(counted->second.firstAt)
+         << "s last=" << sinceStart(counted->second.lastAt) << "s";
+  }
+  text << (loaded == loads_.end() ? std::string(" never loaded") : loaded->second);
+  return text.str();
+}
+
 std::string ServingFleet::describeLost() const {
   std::ostringstream text;
   std::set<std::string> targets;
--- a/src/simulator/serving_caller.h
+++ b/src/simulator/serving_caller.h
@@ -53,6 +53,7 @@
   std::uint64_t counting = 0;           ///< By which it is counted.
   std::optional<std::size_t> crashing;  ///< Number of the request that crashes its workers.
   ServingGateway* gateway = nullptr;
+  std::size_t gatewayIndex = 0;
   std::function<void()> gone;
   bool begun = false;
   base::TimePoint firstSentAt;  ///< Of its first try.
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -115,6 +115,7 @@
   gatewayDisturbedAt_.resize(options.gateways);
   gatewayCutUntil_.resize(options.gateways);
   gatewayLives_.resize(options.gateways);
+  workerCuts_.resize(options.gateways);
   for (std::size_t index = 0; index < options.gateways; ++index) {
     startGateway(index);
   }
@@ -272,18 +273,6 @@
       elsewhere([&order](const ServingWorker& other) { return other.holds(order.model); });
 }
 
-std::string ServingFleet::describeLoads(const std::string& model) const {
-  const auto counted = counts_.find(model);
-  const auto loaded = loads_.find(model);
-  std::ostringstream text;
-  if (counted != counts_.end()) {
-    text << "asked=" << counted->second.asked << " first=" << sinceStart(counted->second.firstAt)
-         << "s last=" << sinceStart(counted->second.lastAt) << "s";
-  }
-  text << (loaded == loads_.end() ? std::string(" never loaded") : loaded->second);
-  return text.str();
-}
-
 void ServingFleet::heard(ServingWorker& worker) {
   if (leader_ == nullptr || worker.crashed()) {
     return;
@@ -337,6 +326,11 @@
 void ServingFleet::toWorker(std::size_t gateway, const registry::WorkerRecord& record,
                             std::shared_ptr<ServingCall> call) {
   call->sentAt = scheduler_.now();
+  call->gateway = gateway;
+  if (isCutFromWorkers(gateway)) {
+    failCall(gateway, call);
+    return;
+  }
   ServingGateway* const sender = gateways_[gateway].get();
   scheduler_.after(kLinkDelay, [this, gateway, sender, inTouch = inTouch(gateway), id = record.id,
                                 call = std::move(call)] {
@@ -437,6 +431,7 @@
   } while (gateways_[drawn]->hasEnded());
   ServingGateway& gateway = *gateways_[drawn];
   caller.gateway = &gateway;
+  caller.gatewayIndex = drawn;
   gateway.request(std::move(request), caller);
   scheduler_.after(kGivesUpAfter, [this, &caller, &gateway] {
     if (!caller.begun && !std::exchange(caller.over, true)) {
@@ -444,6 +439,7 @@
       if (caller.crashing) {
         comeAgain(*caller.crashing);
       }
+      noteFirstTry(caller, false);
       count(caller, false);
       gateway.run([&caller] {
         if (caller.gone && !caller.answered) {
@@ -455,6 +451,7 @@
 }
 
 void ServingFleet::ended(const Caller& caller, bool served) {
+  noteFirstTry(caller, served);
   if (caller.crashing) {
     comeAgain(*caller.crashing);
     return;
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -112,6 +112,32 @@
   base::Duration medianError() const;
 };
 
+/// How a gateway that is cut off from all workers finds its connections to them.
+enum class WorkerCut : std::uint8_t {
+  hang,    ///< Nothing comes back.
+  reset,   ///< All connections are reset, and new ones are refused.
+  refuse,  ///< What is under way goes on, and new connections are refused.
+};
+
+/// First tries of callers while some gateways are cut off from all workers, from
+/// ServingFleet::kContact after a cut began until its end.
+struct FirstTryAccount {
+  struct Count {
+    std::uint64_t sent = 0;
+    std::uint64_t served = 0;
+
+    double servedShare() const {
+      return sent == 0 ? 1 : static_cast<double>(served) / static_cast<double>(sent);
+    }
+  };
+  Count cutOff;  ///< At gateways that are cut off.
+  Count others;
+
+  /// @return true if first tries at gateways that are cut off are served less than two thirds as
+  /// often as those at the others, and more than 10 and a fiftieth of all fail there.
+  bool broken() const;
+};
+
 /// Requests that were refused as not run, since counting began.
 struct RefusalAccount {
   std::vector<base::Duration> after;  ///< For each, from its arrival at the gateway.
@@ -177,6 +203,14 @@
   std::string describe(const RetryWindow& window) const;
   /// @}
 
+  /// @name Gateways that are cut off from all workers
+  /// @{
+  void cutFromWorkers(std::size_t gateway, base::Duration duration, WorkerCut how);
+  const FirstTryAccount& firstTries() const { return firstTries_; }
+  /// @return how often leaders took a worker for failing.
+  std::uint64_t ejections() const { return log_.ejections; }
+  /// @}
+
   /// Only requests that are made from now on are counted.
   void countAnew() {
     counts_.clear();
@@ -212,6 +246,18 @@
  private:
   struct Caller;
   class Reader;
+  /// Of leaders.
+  struct CountingLog : runtime::EventLog {
+    void write(runtime::LogEvent event, std::initializer_list<runtime::EventField>) override {
+      ejections += event == runtime::LogEvent::workerFailing ? 1 : 0;
+    }
+    std::uint64_t ejections = 0;
+  };
+  struct CutFromWorkers {
+    base::TimePoint begin;
+    base::TimePoint end;
+    WorkerCut how = WorkerCut::hang;
+  };
   /// A time after which a caller was told to come back, and when it was told so.
   struct ToldTime {
     base::TimePoint at;
@@ -268,6 +314,10 @@
   void noteLoaded(const std::string& model);
   void noteDecision(std::size_t gateway, runtime::LogEvent event,
                     std::initializer_list<runtime::EventField> fields);
+  bool isCutFromWorkers(std::size_t gateway) const;
+  /// Ends a request of a gateway that is cut off from the workers as its connection would.
+  void failCall(std::size_t gateway, const std::shared_ptr<ServingCall>& call);
+  void noteFirstTry(const Caller& caller, bool served);
   void noteLimitedArrival(std::size_t gateway, const std::shared_ptr<ServingCall>& call,
                           const ServingWorker& worker);
   /// @return true if that machine was neither started, suspended nor cut off lately.
@@ -295,7 +345,7 @@
   const ServingFleetOptions options_;
   Scheduler scheduler_;
   const base::TimePoint startedAt_;
-  runtime::NullEventLog log_;
+  CountingLog log_;
   registry::RegistryOptions registryOptions_;
   std::unique_ptr<Reader> reader_;
   registry::DocumentCache documents_;
@@ -311,6 +361,8 @@
   std::vector<base::TimePoint> gatewayDisturbedAt_;
   std::vector<base::TimePoint> gatewayCutUntil_;
   std::vector<std::uint64_t> gatewayLives_;
+  std::vector<CutFromWorkers> workerCuts_;  ///< By gateway, its latest one.
+  FirstTryAccount firstTries_;
   base::TimePoint leaderDisturbedAt_;
   std::vector<std::unique_ptr<Caller>> callers_;
   std::uint64_t lastRequest_ = 0;
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -66,7 +66,9 @@
   std::unique_ptr<gateway::Attempt> start(const registry::WorkerRecord& worker,
                                           const net::HttpRequest& request,
                                           net::ResponseCallbacks& callbacks) override {
-    auto call = std::make_shared<ServingCall>(ServingCall{request, &callbacks, false, {}, {}, {}});
+    auto call = std::make_shared<ServingCall>();
+    call->request = request;
+    call->callbacks = &callbacks;
     links_.toWorker(index_, worker, call);
     return std::make_unique<CallAttempt>(std::move(call));
   }
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -186,7 +186,7 @@
 void ServingWorker::later(base::Duration delay, const std::shared_ptr<ServingCall>& call,
                           const InLoop& inLoop, Callback callback) {
   scheduler_.after(delay, [this, call, inLoop, callback = std::move(callback)] {
-    if (!call->cancelled && !crashed_) {
+    if (!call->cancelled && !call->cutOff && !crashed_) {
       deliver(call, inLoop, [call, callback, limit = limit_] {
         if (!call->cancelled) {
           callback(*call->callbacks, limit);
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -27,6 +27,8 @@
   net::HttpRequest request;
   net::ResponseCallbacks* callbacks = nullptr;
   bool cancelled = false;
+  std::size_t gateway = 0;  ///< That sent it.
+  bool cutOff = false;      ///< Nothing that the worker answers reaches the gateway.
   base::TimePoint sentAt;
   base::Duration answerTravel{0};  ///< From the worker to the gateway.
   std::function<void()> onLimit;   ///< An answer that names the worker's limit was handed over.
