registry: gateways that reach no worker don't eject sound ones

Two reporters are enough for an ejection, on the assumption that a faulty reporter is alone. The class: a reporter's own fault is ascribed to what it reports on.

The detector now remembers at which subjects a reporter has failed since it last had an answer from anybody. From the second one on its failures count no more, until it has an answer; a subject that was ejected explains its own failures and doesn't count.

OutlierDetectorTest.gatewaysThatReachNoWorkerDontEjectSoundOnes fails without the change. ServingFleetTest, ServingCampaignTest and CrashingRequestTest pass: workers that do fail are ejected as before.

--- a/src/control/outlier_detector.h
+++ b/src/control/outlier_detector.h
@@ -41,6 +41,9 @@
 /// Minimum number of reporters that must have seen a subject fail. A single reporter may be the
 /// faulty one itself.
 inline constexpr std::size_t kMinReporters = 2;
+/// A reporter that gets no answer from anybody and fails at this many subjects that are not ejected
+/// has most likely lost its own links.
+inline constexpr std::size_t kCutOffFailedSubjects = 2;
 /// @name Ejection time
 /// The first ejection lasts the base time. The time doubles with each further ejection, up to a
 /// maximum number of doublings. Returning a worker that still fails costs one or two attempts; a
@@ -65,8 +68,9 @@
 /// A subject counts as failing, and is ejected, once at least half of its latest attempts failed
 /// and clearly more than those of the others of its group: if all fail alike, avoiding one of them
 /// gains nothing. A single reporter, unless it is the only one, never causes an ejection, because
-/// the reporter itself may be faulty. An ejection ends after its ejection time, so that the subject
-/// gets requests again, or as soon as attempts that were made in spite of it succeed.
+/// the reporter itself may be faulty. Nor do reporters that get no answers where others do: several
+/// may be cut off from the subjects together. An ejection ends after its ejection time, so that the
+/// subject gets requests again, or as soon as attempts that were made in spite of it succeed.
 ///
 /// @tparam Subject id of a worker or an engine.
 /// @tparam Reporter id of the process that makes the attempts.
@@ -105,9 +109,16 @@
   template <class Predicate>
   void forgetIf(Predicate predicate) {
     std::erase_if(records_, [&predicate](const auto& entry) { return predicate(entry.first); });
+    for (auto& [reporter, subjects] : failedSince_) {
+      std::erase_if(subjects, predicate);
+    }
   }
 
+  void forgetReporter(Reporter reporter) { failedSince_.erase(reporter); }
+
   bool failing(const Subject& subject) const;
+  /// @return true if the reporter's attempts fail wherever it makes them.
+  bool seemsCutOff(Reporter reporter) const;
   /// @return ejections and returns since the last call.
   std::vector<Change> takeChanges() { return std::exchange(changes_, {}); }
 
@@ -124,6 +135,8 @@
     std::uint32_t ejections = 0;   ///< Ejections since it was last healthy.
   };
 
+  void recordReporter(Reporter reporter, const Outcomes& outcomes);
+  std::size_t credibleReporters(const Record& record) const;
   void reviewGroup(const std::vector<Subject>& subjects, std::size_t reporters,
                    base::TimePoint now);
   void endEjection(const Subject& subject, Record& record, base::TimePoint now);
@@ -133,6 +146,9 @@
                     base::TimePoint now);
 
   std::map<Subject, Record> records_;  ///< Subjects with reported outcomes.
+  /// By reporter, the subjects that failed it since it last had an answer from any; without those
+  /// that were ejected, since which it is known why.
+  std::map<Reporter, std::set<Subject>> failedSince_;
   bool needsReview_ = false;  ///< Outcomes have arrived that may eject or return a subject.
   std::vector<Change> changes_;
 };
@@ -140,6 +156,10 @@
 template <class Subject, class Reporter>
 void OutlierDetector<Subject, Reporter>::report(Reporter reporter, const Outcomes& outcomes,
                                                 base::TimePoint now) {
+  recordReporter(reporter, outcomes);
+  if (seemsCutOff(reporter)) {
+    return;
+  }
   const auto [found, added] = records_.try_emplace(outcomes.subject);
   Record& record = found->second;
   if (added || outcomes.answered > 0) {
@@ -169,6 +189,31 @@
   needsReview_ = needsReview_ || record.failing || record.share >= outlier::kEjectionFailureShare;
 }
 
+template <class Subject, class Reporter>
+void OutlierDetector<Subject, Reporter>::recordReporter(Reporter reporter,
+                                                        const Outcomes& outcomes) {
+  if (outcomes.answered > 0) {
+    failedSince_.erase(reporter);
+  } else if (outcomes.failed > 0) {
+    failedSince_[reporter].insert(outcomes.subject);
+  }
+}
+
+template <class Subject, class Reporter>
+bool OutlierDetector<Subject, Reporter>::seemsCutOff(Reporter reporter) const {
+  const auto found = failedSince_.find(reporter);
+  return found != failedSince_.end() && found->second.size() >= outlier::kCutOffFailedSubjects;
+}
+
+/// @return the number of reporters that have seen it fail and do not seem cut off.
+template <class Subject, class Reporter>
+std::size_t OutlierDetector<Subject, Reporter>::credibleReporters(const Record& record) const {
+  const auto credible =
+      std::count_if(record.failureReporters.begin(), record.failureReporters.end(),
+                    [this](const Reporter& reporter) { return !seemsCutOff(reporter); });
+  return static_cast<std::size_t>(credible);
+}
+
 template <class Subject, class Reporter>
 bool OutlierDetector<Subject, Reporter>::isReviewDue(base::TimePoint now) const {
   return needsReview_ || std::any_of(records_.begin(), records_.end(), [now](const auto& entry) {
@@ -224,7 +269,7 @@
     const double othersFailureShare =
         healthyCount <= 1 ? 0 : (shares - record->share) / static_cast<double>(healthyCount - 1);
     if (record->share >= othersFailureShare + outlier::kMinExcessFailureShare &&
-        record->failureReporters.size() >= minReporters) {
+        credibleReporters(*record) >= minReporters) {
       eject(subject, *record, othersFailureShare, now);
       shares -= record->share;
       --healthyCount;
@@ -256,6 +301,9 @@
   record.ejectedUntil =
       now + outlier::kBaseEjectionTime * (1U << std::min(record.ejections, outlier::kMaxDoublings));
   ++record.ejections;
+  for (auto& [reporter, subjects] : failedSince_) {
+    subjects.erase(subject);
+  }
   recordChange(subject, record, othersFailureShare, now);
 }
 
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -138,6 +138,7 @@
   sender_.unsubscribe(gateway);
   subscriptions_.erase(gateway);
   demand_.forget(gateway);
+  outliers_.forgetReporter(gateway);
 }
 
 void LeaderDuties::demand(protocol::ConnectionId gateway, const DemandUpdate& update,
@@ -482,10 +483,6 @@
   return static_cast<std::size_t>(std::max(1.0, std::floor(gateways * coldRate / rate)));
 }
 
-bool LeaderDuties::isPlain(const std::string& service) const {
-  return plainServices_.count(service) != 0;
-}
-
 base::TimePoint LeaderDuties::nextWakeup() const {
   const base::TimePoint due =
       changed_.empty() ? std::min(publisher_.nextUpdate(), sender_.nextParts()) : base::TimePoint();
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -120,7 +120,7 @@
   /// @return true if no new requests may be sent to the worker.
   bool outOfService(const WorkerRecord& record) const;
   bool canBeServed(const ModelDemand& demand) const;
-  bool isPlain(const std::string& service) const;
+  bool isPlain(const std::string& service) const { return plainServices_.count(service) != 0; }
   /// Marks the worker as cold: it started at that time, or its zone returned to service then.
   void markCold(const WorkerRecord& record, WorkerStatus& status, base::TimePoint at);
   void markColdWorkers();
--- a/test/control/outlier_detector_test.cpp
+++ b/test/control/outlier_detector_test.cpp
@@ -179,3 +179,41 @@
   fail("w1", 1);
   CHECK_FALSE(failing("w1"));
 }
+
+/// Guards against sound workers that all gateways avoid because two or more gateways are cut off
+/// from the workers, while the others reach them.
+TEST(OutlierDetectorTest, gatewaysThatReachNoWorkerDontEjectSoundOnes) {
+  allAnswer();
+  const auto failAtCutOffGateways = [this](const char* worker) {
+    for (const std::uint64_t cutOff : {6, 7, 8}) {
+      report(worker, 0, 1, cutOff);
+    }
+  };
+  for (const char* worker : {"w2", "w3", "w4"}) {
+    failAtCutOffGateways(worker);
+    now += 50ms;
+    allAnswer();
+  }
+  for (std::uint32_t times = 0; times < 10; ++times) {
+    failAtCutOffGateways("w1");
+    CHECK_FALSE(failing("w1"));
+  }
+}
+
+TEST(OutlierDetectorTest, aGatewayThatReachesWorkersAgainIsBelievedAgain) {
+  for (const WorkerId& worker : workers) {
+    report(worker.value.c_str(), 0, 1, 6);
+    report(worker.value.c_str(), 0, 1, 7);
+  }
+  now += 1s;
+  allAnswer();
+  CHECK_TRUE(detector.seemsCutOff({6}));
+  report("w2", 1, 0, 6);
+  report("w3", 1, 0, 7);
+  CHECK_FALSE(detector.seemsCutOff({6}));
+  for (std::uint32_t round = 0; round < 3; ++round) {
+    report("w1", 0, 1, 6);
+    report("w1", 0, 1, 7);
+  }
+  CHECK_TRUE(failing("w1"));
+}
