routing: a retry counts in its budget until it is a window old

The budget's buckets were dropped by the age of their first event, so up to a second of retries was forgotten within the window that they belong to. First attempts and retries are now counted apart (WindowedCount): the former are dropped early and the latter late, so that no window exceeds the budget.

EarnedRetryBudgetTest.aRetryCountsUntilItIsAWindowOld fails without the change.

--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -4,29 +4,10 @@
 
 namespace walnut::routing {
 
-namespace {
-constexpr base::Duration kBucketWidth = std::chrono::seconds(1);
-}  // namespace
+void RetryBudget::firstAttempt(base::TimePoint now) { firstAttempts_.add(now); }
 
-RetryBudget::Bucket& RetryBudget::bucket(base::TimePoint now) {
-  while (!buckets_.empty() && now - buckets_.front().begin >= kWindow) {
-    first_ -= buckets_.front().first;
-    retries_ -= buckets_.front().retries;
-    buckets_.pop_front();
-  }
-  if (buckets_.empty() || now - buckets_.back().begin >= kBucketWidth) {
-    buckets_.push_back({now, 0, 0});
-  }
-  return buckets_.back();
-}
-
-void RetryBudget::firstAttempt(base::TimePoint now) {
-  ++bucket(now).first;
-  ++first_;
-}
-
-double RetryBudget::allowed(base::TimePoint now) const {
-  const double whole = floor_ + ratio_ * static_cast<double>(first_);
+double RetryBudget::allowed(base::TimePoint now) {
+  const double whole = floor_ + ratio_ * static_cast<double>(firstAttempts_.total(now));
   if (!earnsFrom_) {
     return whole;
   }
@@ -35,18 +16,15 @@
 }
 
 bool RetryBudget::takeRetry(base::TimePoint now) {
-  Bucket& current = bucket(now);
-  if (static_cast<double>(retries_) + 1.0 > allowed(now)) {
+  if (static_cast<double>(retries_.total(now)) + 1.0 > allowed(now)) {
     return false;
   }
-  ++current.retries;
-  ++retries_;
+  retries_.add(now);
   return true;
 }
 
 RetryBudget::Usage RetryBudget::usage(base::TimePoint now) {
-  bucket(now);
-  return {first_, retries_, allowed(now)};
+  return {firstAttempts_.total(now), retries_.total(now), allowed(now)};
 }
 
 }  // namespace walnut::routing
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -4,14 +4,14 @@
 /// an overload.
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 
+#include "routing/windowed_count.h"
 #include "walnut/base/time.h"
 
 namespace walnut::routing {
 
-/// Counts first attempts and retries over a sliding window, in buckets of one second.
+/// Counts first attempts and retries over a sliding window.
 ///
 /// A budget that several processes share outlives each of them, but a new process doesn't know what
 /// its predecessor has used. It therefore begins with nothing and earns its budget evenly over
@@ -52,20 +52,14 @@
   Usage usage(base::TimePoint now);
 
  private:
-  struct Bucket {
-    base::TimePoint begin;
-    std::uint64_t first = 0;
-    std::uint64_t retries = 0;
-  };
-  Bucket& bucket(base::TimePoint now);
-  double allowed(base::TimePoint now) const;
+  double allowed(base::TimePoint now);
 
   double ratio_;
   double floor_;
   std::optional<base::TimePoint> earnsFrom_;
-  std::deque<Bucket> buckets_;
-  std::uint64_t first_ = 0;    ///< Sum over the buckets.
-  std::uint64_t retries_ = 0;  ///< Sum over the buckets.
+  // No window may exceed the budget, so first attempts are dropped early and retries late.
+  WindowedCount firstAttempts_{kWindow};
+  WindowedCount retries_{kWindow + WindowedCount::kBucketWidth};
 };
 
 }  // namespace walnut::routing
--- a/test/routing/shared_retry_budget_test.cpp
+++ b/test/routing/shared_retry_budget_test.cpp
@@ -51,3 +51,14 @@
   RetryBudget budget(kRatio, kFloor);
   CHECK_EQUAL(static_cast<std::size_t>(kFloor), takeAll(budget, start));
 }
+
+/// A bucket was dropped by the age of its first event, so that its last retries were forgotten
+/// within the window.
+TEST(EarnedRetryBudgetTest, aRetryCountsUntilItIsAWindowOld) {
+  RetryBudget budget(0, 1);
+  budget.firstAttempt(start);
+  const base::TimePoint taken = start + 900ms;
+  CHECK_TRUE(budget.takeRetry(taken));
+  CHECK_FALSE(budget.takeRetry(taken + RetryBudget::kWindow - 1ms));
+  CHECK_TRUE(budget.takeRetry(taken + RetryBudget::kWindow + WindowedCount::kBucketWidth));
+}
