routing: a count over a window drops its old events also if nobody reads it

A gateway counts the first attempts of its retry budget and reads the count only when it retries: without a retry it kept a bucket for each second of its life, since counts over windows have a class of their own. EarnedRetryBudgetTest.aCountThatIsNeverReadKeepsNoMoreThanItsWindow.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -283,7 +283,7 @@
   base::TimePoint nextEmptyReportAt_;  ///< No further empty report is sent before.
   base::TimePoint demandReportedAt_;
   base::TimePoint demandDueAt_;
-  const base::TimePoint startedAt_;
+  const base::TimePoint startedAt_;  ///< Of the process.
   GatewayCount gatewayCount_{kInitialGatewayCount};
   std::map<std::string, routing::RetryBudget> budgets_;             ///< By service.
   std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
--- a/src/routing/windowed_count.h
+++ b/src/routing/windowed_count.h
@@ -20,8 +20,11 @@
 
   void add(base::TimePoint now);
   std::uint64_t total(base::TimePoint now);
+  std::size_t bucketCount() const { return buckets_.size(); }
 
  private:
+  void dropOld(base::TimePoint now);
+
   struct Bucket {
     base::TimePoint begin;
     std::uint64_t events = 0;
--- a/src/simulator/serving_cuts.cpp
+++ b/src/simulator/serving_cuts.cpp
@@ -79,7 +79,8 @@
     return;
   }
   const CutFromWorkers& own = workerCuts_[caller.gatewayIndex];
-  if (at >= own.begin && at < own.begin + kContact && at < own.end) {
+  const bool isCutLately = at >= own.begin && at < std::min(own.begin + kContact, own.end);
+  if (isCutLately) {
     return;
   }
   FirstTryAccount::Count& count = counts(own) ? firstTries_.cutOff : firstTries_.others;
--- a/test/routing/shared_retry_budget_test.cpp
+++ b/test/routing/shared_retry_budget_test.cpp
@@ -52,6 +52,14 @@
   CHECK_EQUAL(static_cast<std::size_t>(kFloor), takeAll(budget, start));
 }
 
+TEST(EarnedRetryBudgetTest, aCountThatIsNeverReadKeepsNoMoreThanItsWindow) {
+  WindowedCount count(RetryBudget::kWindow);
+  for (base::TimePoint now = start; now < start + 100s; now += 100ms) {
+    count.add(now);
+  }
+  CHECK_TRUE(count.bucketCount() <= RetryBudget::kWindow / WindowedCount::kBucketWidth);
+}
+
 /// A bucket was dropped by the age of its first event, so that its last retries were forgotten
 /// within the window.
 TEST(EarnedRetryBudgetTest, aRetryCountsUntilItIsAWindowOld) {
