--- a/test/routing/shared_retry_budget_test.cpp
+++ b/test/routing/shared_retry_budget_test.cpp
@@ -57,7 +57,8 @@
   for (base::TimePoint now = start; now < start + 100s; now += 100ms) {
     count.add(now);
   }
-  CHECK_TRUE(count.bucketCount() <= RetryBudget::kWindow / WindowedCount::kBucketWidth);
+  const std::size_t most = RetryBudget::kWindow / WindowedCount::kBucketWidth;
+  CHECK_TRUE(count.bucketCount() <= most);
 }
 
 /// A bucket was dropped by the age of its first event, so that its last retries were forgotten
