--- a/src/simulator/serving_account.cpp
+++ b/src/simulator/serving_account.cpp
@@ -149,6 +149,13 @@
   return text.str();
 }
 
+std::string ServingFleet::describe(const RetryWindow& window) const {
+  std::ostringstream text;
+  text << window.retries << " retries in 10 s, allowed " << window.allowed << ", from "
+       << sinceStart(window.begin) << "s";
+  return text.str();
+}
+
 std::string ServingFleet::describeLost() const {
   std::ostringstream text;
   std::set<std::string> targets;
--- a/src/simulator/serving_cuts.cpp
+++ b/src/simulator/serving_cuts.cpp
@@ -28,7 +28,6 @@
          failed > kAllowed + kAllowedShare * all;
 }
 
-/// What is under way at the workers ends as the cut says.
 void ServingFleet::cutFromWorkers(std::size_t gateway, base::Duration duration, WorkerCut how) {
   const base::TimePoint now = scheduler_.now();
   workerCuts_[gateway] = {now, now + duration, how};
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -193,18 +193,20 @@
   const LimitAccount& limitAccount() const { return limitAccount_; }
   /// @return arrivals at limited workers as a share of what their limits take.
   double limitUsed() const { return limitAccount_.used(scheduler_.now()); }
-  const RetryAccount& retryAccount() const { return retryAccount_; }
   const RefusalAccount& refusals() const { return refusals_; }
   const ReturnAccount& returns() const { return returns_; }
   const ForecastAccount& forecasts() const { return forecasts_; }
   /// Messages about shares of limits that gateways sent to leaders.
   std::uint64_t shareQuestions() const { return shareQuestions_; }
   std::string describe(const LimitWindow& window) const;
-  std::string describe(const RetryWindow& window) const;
   /// @}
 
+  const RetryAccount& retryAccount() const { return retryAccount_; }
+  std::string describe(const RetryWindow& window) const;
+
   /// @name Gateways that are cut off from all workers
   /// @{
+  /// The gateway reaches no worker for that time; callers and the leader reach it.
   void cutFromWorkers(std::size_t gateway, base::Duration duration, WorkerCut how);
   const FirstTryAccount& firstTries() const { return firstTries_; }
   /// @return how often leaders took a worker for failing.
--- a/src/simulator/serving_limits.cpp
+++ b/src/simulator/serving_limits.cpp
@@ -75,11 +75,4 @@
   return text.str();
 }
 
-std::string ServingFleet::describe(const RetryWindow& window) const {
-  std::ostringstream text;
-  text << window.retries << " retries in 10 s, allowed " << window.allowed << ", from "
-       << sinceStart(window.begin) << "s";
-  return text.str();
-}
-
 }  // namespace walnut::simulator
