gateway: metrics tell the retry budget and the number of gateways

The inputs of the retry budget were in the log only (retry-decided), so that a budget that is too small, or divided by a wrong number of gateways, raised no alert. Three gauges tell the retries of the last 10 s, how many the budgets of the process allow, and the number of gateways by which they are divided.

--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -94,6 +94,10 @@
     const gateway::BufferBudget& buffers = host_.gateway_.buffers();
     host_.metrics_.setBytes("walnut_gateway_buffered_bytes", buffers.held());
     host_.metrics_.setBytes("walnut_gateway_buffer_limit_bytes", buffers.limit());
+    const routing::RetryBudget::Usage retries = host_.gateway_.retryUsage();
+    host_.metrics_.set("walnut_gateway_retries_used", static_cast<double>(retries.retries));
+    host_.metrics_.set("walnut_gateway_retries_allowed", retries.allowed);
+    host_.metrics_.set("walnut_gateway_counted_gateways", host_.gateway_.gatewayCount());
     response.body = host_.metrics_.text();
   } else {
     response.head.status = kNotFound;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -392,6 +392,17 @@
   }
 }
 
+routing::RetryBudget::Usage Gateway::retryUsage() {
+  routing::RetryBudget::Usage sum;
+  for (auto& [service, budget] : budgets_) {
+    const routing::RetryBudget::Usage usage = budget.usage(scheduler_.now());
+    sum.firstAttempts += usage.firstAttempts;
+    sum.retries += usage.retries;
+    sum.allowed += usage.allowed;
+  }
+  return sum;
+}
+
 bool Gateway::takeRetry(const std::string& service, const RequestFacts& facts) {
   const base::TimePoint now = scheduler_.now();
   routing::RetryBudget& budget = budgetOf(service);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,6 +92,10 @@
   /// Cancels all requests that still run.
   void cancelAll();
   std::size_t exchangeCount() const { return exchanges_.size(); }
+  /// @return the number of gateways by which it divides what all gateways share.
+  std::uint32_t gatewayCount() const { return gatewayCount_.value(); }
+  /// @return the use of this process's retry budgets, added up over the services.
+  routing::RetryBudget::Usage retryUsage();
   /// @return workers that were removed since the last call.
   std::vector<registry::WorkerId> takeRemovedWorkers() { return directory_.takeRemoved(); }
 
--- a/test/daemon/gateway_path_test.cpp
+++ b/test/daemon/gateway_path_test.cpp
@@ -188,6 +188,17 @@
   STRCMP_EQUAL("i-plain", plain->requests.back().headers.find(platform::kTargetHeader)->c_str());
 }
 
+TEST(GatewayPathTest, theMetricsTellTheRetryBudgetAndTheNumberOfGateways) {
+  declareAndRegister();
+  const std::string metrics =
+      call(gateway->readinessEndpoint(), request("GET", "/metrics", "")).body;
+  for (const char* line :
+       {"\nwalnut_gateway_retries_used 0\n", "\nwalnut_gateway_retries_allowed 0",
+        "\nwalnut_gateway_counted_gateways 1\n"}) {
+    CHECK_TEXT(metrics.find(line) != std::string::npos, metrics.c_str());
+  }
+}
+
 TEST(GatewayPathTest, aStreamThatBreaksGoesOnInOnePiece) {
   declareAndRegister();
   engine->breakNext = true;
