gateway: the log tells how often a request left a silent worker

Cause: an answer that is cut ends with status 0 and the reason of its last attempt; whether the gateway had taken it from a silent worker before could not be seen. Change: request-ended has the number of such moves.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -404,6 +404,7 @@
        {"adapter", facts_.adapter},
        {"worker", worker_ == nullptr ? "" : worker_->view.record.id.value},
        {"attempts", executedAttempts_ + std::uint64_t{accepted_}},
+       {"silent", std::uint64_t{movesFromSilent_}},
        {"first", millisOf(headSent_ ? firstEventAt_ - arrivedAt_ : base::Duration::zero())},
        {"gap", millisOf(longestGap_)},
        {"limit", registry::limitText(answer_.limit)},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -281,6 +281,7 @@
   std::uint32_t startedAttempts_ = 0;
   std::uint32_t attemptsNotRun_ = 0;
   std::uint32_t executedAttempts_ = 0;  ///< Attempts that were executed, or may have been.
+  std::uint32_t movesFromSilent_ = 0;   ///< Attempts that were given up at silent workers.
   std::uint32_t backoffs_ = 0;
   bool retryTaken_ = false;                        ///< A retry was taken for the next attempt.
   std::optional<registry::RequestDigest> digest_;  ///< Computed on first use.
--- a/src/gateway/exchange_stall.cpp
+++ b/src/gateway/exchange_stall.cpp
@@ -54,6 +54,7 @@
   context_.attemptFailed(*worker_);
   recordFailure();
   context_.launcher().forget(worker_->view.record.id);
+  ++movesFromSilent_;
   dropAttempt();
   attemptEnded(Executed::unknown, "the worker is silent");
 }
