gateway: a stream that left a silent worker returns to it rather than end

Seen by callers: a stream whose worker was silent for a second or so ended without its last event, though that worker was sound and went on.

Cause: a stream leaves a worker that sends nothing for four target gaps (0.9 s at least) and takes one retry for it. If the next worker didn't run it, no retry was left for a third; if the next worker failed, the route's two workers were used up. Either way the gateway ended an answer that its first worker would have completed.

Change: a stream that has begun leaves a silent worker only if the budget holds a second retry, which is set aside for the return. If the next worker doesn't run it or fails it, the stream returns to the worker that it left; that uses no further worker, so the route's limit holds. If the budget is exhausted nevertheless, the stream waits for it. It ends only if that worker is gone.

Who pays: streams at silent workers while fewer than two retries are left stay there until the worker goes on or the caller leaves; a retry that is set aside is not available to others until the stream has ended.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -54,7 +54,10 @@
   }
 }
 
-Exchange::~Exchange() { endWait(); }
+Exchange::~Exchange() {
+  releaseReservedRetry();
+  endWait();
+}
 
 void Exchange::start() {
   sink_.setGoneCallback([this] { onCallerGone(); });
@@ -98,7 +101,17 @@
     leaveLateStarts();
     return;
   }
-  const Selection selection = context_.selector().select(service_, facts_, excluded_, now());
+  if (waitsForRetry_ && !takeRetry()) {
+    waitForRetry();
+    return;
+  }
+  waitsForRetry_ = false;
+  if (movesFromSilent_ > 0 && !mayUseNewWorker() && !mayReturn()) {
+    failFinally("the worker that was silent is gone");
+    return;
+  }
+  const WorkerFilter filter{excluded_, mayUseNewWorker() ? std::nullopt : leftWorker_};
+  const Selection selection = context_.selector().select(service_, facts_, filter, now());
   if (selection.worker == nullptr) {
     leaveLateStarts();
   }
@@ -201,6 +214,9 @@
   state_ = State::attempting;
   worker_ = worker;
   ++startedAttempts_;
+  if (leftWorker_ == worker->view.record.id) {
+    leftWorker_.reset();
+  }
   attemptAt_ = now();
   wasWorkerFull_ = worker->full();
   isHeadReceived_ = false;
@@ -298,15 +314,17 @@
 
 void Exchange::retryOrFail(Executed executed, std::string_view reason) {
   const bool repeatable = executed == Executed::no || route_.repeatable();
-  const bool runsLeft = executedAttempts_ < route_.maxAttempts;
-  if (!repeatable || !runsLeft || deliveredAttempts_ >= kMaxDeliveredAttempts ||
-      now() >= deadline_) {
+  const bool attemptsLeft = mayUseNewWorker() && deliveredAttempts_ < kMaxDeliveredAttempts;
+  if (!repeatable || !(attemptsLeft || mayReturn()) || now() >= deadline_) {
     failFinally(reason);
     return;
   }
-  const bool taken = std::exchange(retryTaken_, false);
-  if (deliveredAttempts_ > 0 && !taken && !context_.takeRetry(service_, facts_)) {
-    failFinally("retry budget used up");
+  if (deliveredAttempts_ > 0 && !takeRetry()) {
+    if (mayReturn()) {
+      waitForRetry();
+    } else {
+      failFinally("retry budget used up");
+    }
     return;
   }
   if (headSent_) {
@@ -316,6 +334,17 @@
   choose();
 }
 
+bool Exchange::takeRetry() {
+  if (std::exchange(retryTaken_, false) || context_.takeRetry(service_, facts_)) {
+    return true;
+  }
+  if (!std::exchange(isRetryReserved_, false)) {
+    return false;
+  }
+  context_.useReservedRetry(service_);
+  return true;
+}
+
 void Exchange::failFinally(std::string_view reason) {
   if (headSent_) {
     sink_.abort();
@@ -393,6 +422,7 @@
   deadlineTimer_->disable();
   retryTimer_->disable();
   stallTimer_->disable();
+  releaseReservedRetry();
   endWait();
   context_.log().write(
       LogEvent::requestEnded,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -69,6 +69,13 @@
   /// beyond the first one of each request.
   /// @return false if the budget is exhausted.
   virtual bool takeRetry(const std::string& service, const RequestFacts& facts) = 0;
+  /// @name A retry that is set aside until it is used or released
+  /// @{
+  /// @return false if the budget is exhausted.
+  virtual bool reserveRetry(const std::string& service) = 0;
+  virtual void useReservedRetry(const std::string& service) = 0;
+  virtual void releaseReservedRetry(const std::string& service) = 0;
+  /// @}
   virtual void waitBegan(const std::string& service, const RequestFacts& facts,
                          const catalog::Route& route) = 0;
   virtual void waitEnded(const std::string& service, const RequestFacts& facts) = 0;
@@ -135,7 +142,8 @@
 ///
 /// Invariants: a non-repeatable request is sent again only if each earlier attempt is known not to
 /// have run; a refusal that promises "not run" is given only if that is so; a stream's events are
-/// passed on whole, in order and once.
+/// passed on whole, in order and once; a stream that has left a worker only because that worker was
+/// silent returns to it rather than end.
 class Exchange : public net::ResponseCallbacks {
  public:
   /// @param number unique at this gateway, increasing in the order of arrival.
@@ -238,6 +246,8 @@
   void logAttemptFailed(Executed executed, std::string_view reason);
   void retryOrFail(Executed executed, std::string_view reason);
   bool mayRunAgain(Executed executed) const;
+  bool mayUseNewWorker() const { return executedAttempts_ < route_.maxAttempts; }
+  bool takeRetry();
   void releaseAttempt();
   void dropAttempt();
 
@@ -246,6 +256,11 @@
   void failFinally(std::string_view reason);
   void onDeadline();
   void onStall();
+  bool takeRetryForMove();
+  void leaveSilentWorker();
+  bool mayReturn() const;
+  void waitForRetry();
+  void releaseReservedRetry();
   bool comesTooLateElsewhere(const Worker& other) const;
   bool leavingMayHelp();
   void recordCallerGone();
@@ -283,7 +298,11 @@
   std::uint32_t executedAttempts_ = 0;  ///< Attempts that were executed, or may have been.
   std::uint32_t movesFromSilent_ = 0;   ///< Attempts that were given up at silent workers.
   std::uint32_t backoffs_ = 0;
-  bool retryTaken_ = false;                        ///< A retry was taken for the next attempt.
+  bool retryTaken_ = false;       ///< A retry was taken for the next attempt.
+  bool isRetryReserved_ = false;  ///< A retry is set aside for the return.
+  bool waitsForRetry_ = false;    ///< The retry budget was exhausted.
+  /// The worker that the stream has left since it was silent, until the stream returns to it.
+  std::optional<registry::WorkerId> leftWorker_;
   std::optional<registry::RequestDigest> digest_;  ///< Computed on first use.
   bool wasHeld_ = false;                           ///< Was delayed at least once, being suspect.
 
--- a/src/gateway/exchange_stall.cpp
+++ b/src/gateway/exchange_stall.cpp
@@ -8,6 +8,13 @@
 
 namespace walnut::gateway {
 
+namespace {
+
+/// Time between two attempts to take a retry from an exhausted budget.
+constexpr base::Duration kRetryCheckInterval = std::chrono::milliseconds(250);
+
+}  // namespace
+
 void Exchange::armStallTimer(base::Duration timeout) {
   if (route_.repeatable() && executedAttempts_ + 1 < route_.maxAttempts) {
     stallTimeout_ = timeout;
@@ -29,9 +36,9 @@
 /// @return true if leaving the worker may help the caller: another one has a free slot, and would
 /// not begin the stream too late.
 bool Exchange::leavingMayHelp() {
-  std::set<registry::WorkerId> excluded = excluded_;
-  excluded.insert(worker_->view.record.id);
-  const Selection other = context_.selector().select(service_, facts_, excluded, now());
+  WorkerFilter filter{excluded_, std::nullopt};
+  filter.excluded.insert(worker_->view.record.id);
+  const Selection other = context_.selector().select(service_, facts_, filter, now());
   if (other.worker == nullptr || other.worker->full()) {
     return false;
   }
@@ -39,6 +46,27 @@
   return !staysForTime_;
 }
 
+/// Takes the retry for leaving a silent worker and, for a stream that has begun, the one for
+/// returning to it.
+bool Exchange::takeRetryForMove() {
+  const bool reserves = headSent_ && !isRetryReserved_;
+  if (reserves && !context_.reserveRetry(service_)) {
+    return false;
+  }
+  retryTaken_ = context_.takeRetry(service_, facts_);
+  isRetryReserved_ = isRetryReserved_ || reserves;
+  if (reserves && !retryTaken_) {
+    releaseReservedRetry();
+  }
+  return retryTaken_;
+}
+
+void Exchange::releaseReservedRetry() {
+  if (std::exchange(isRetryReserved_, false)) {
+    context_.releaseReservedRetry(service_);
+  }
+}
+
 /// Handles a worker that has sent nothing for the stall timeout. A resumable stream continues at
 /// another worker if it can begin there at once. Otherwise it keeps its place: most unresponsive
 /// workers are busy, not lost.
@@ -46,19 +74,38 @@
   if (state_ != State::attempting) {
     return;
   }
-  if (!leavingMayHelp() || !context_.takeRetry(service_, facts_)) {
+  if (!leavingMayHelp() || !takeRetryForMove()) {
     armStallTimer(stallTimeout_);
     return;
   }
-  retryTaken_ = true;
+  leaveSilentWorker();
+}
+
+void Exchange::leaveSilentWorker() {
+  ++movesFromSilent_;
+  if (headSent_) {
+    leftWorker_ = worker_->view.record.id;
+  }
   context_.attemptFailed(*worker_);
   recordFailure();
   context_.launcher().forget(worker_->view.record.id);
-  ++movesFromSilent_;
   dropAttempt();
   attemptEnded(Executed::unknown, "the worker is silent");
 }
 
+/// @return true if the stream may return to the silent worker that it has left. That uses no
+/// further worker, so the route's limit of workers permits it.
+bool Exchange::mayReturn() const {
+  return headSent_ && leftWorker_ && context_.selector().isCandidate(service_, *leftWorker_);
+}
+
+/// The worker that the stream has left would have gone on, so the lack of a retry doesn't end the
+/// stream.
+void Exchange::waitForRetry() {
+  waitsForRetry_ = true;
+  retryTimer_->enableAt(now() + kRetryCheckInterval);
+}
+
 /// Counts a stream that has not begun, though it usually would have, as a failure of its worker. If
 /// it only stayed there because it would have begun too late elsewhere, the worker may hang, which
 /// nothing else shows.
--- a/src/gateway/exchange_wait.cpp
+++ b/src/gateway/exchange_wait.cpp
@@ -153,7 +153,7 @@
     return;
   }
   const bool plain = facts_.model.empty();
-  if (plain && now() >= shortWaitDeadline()) {
+  if (plain && !mayReturn() && now() >= shortWaitDeadline()) {
     refuse(mayHaveRun_ ? kBadGateway : kUnavailable, "no worker can be had", kRetryAfterFull);
     return;
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -421,6 +421,19 @@
   return taken;
 }
 
+bool Gateway::reserveRetry(const std::string& service) {
+  return budgetOf(service).reserveRetry(scheduler_.now());
+}
+
+void Gateway::useReservedRetry(const std::string& service) {
+  budgetOf(service).useReservedRetry(scheduler_.now());
+  metrics_.count("walnut_gateway_retries_total", "reserved");
+}
+
+void Gateway::releaseReservedRetry(const std::string& service) {
+  budgetOf(service).releaseReservedRetry();
+}
+
 void Gateway::attemptFailed(Worker& worker) {
   const bool wasOpen = worker.breaker.state() == routing::BreakerState::open;
   worker.failures.observe(true, scheduler_.now());
--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -65,8 +65,7 @@
 }
 
 Selection WorkerSelector::select(const std::string& service, const RequestFacts& facts,
-                                 const std::set<registry::WorkerId>& excluded,
-                                 base::TimePoint now) {
+                                 const WorkerFilter& filter, base::TimePoint now) {
   Selection selection;
   Candidates candidates;
   double latencySum = 0;
@@ -77,7 +76,7 @@
   for (const WorkerDirectory::WorkerPtr& worker : directory_.candidates(service)) {
     if (!worker->holds(facts.model, facts.adapter, now)) {
       worse(NoWorkerReason::notHeld);
-    } else if (excluded.count(worker->view.record.id) != 0) {
+    } else if (!filter.accepts(worker->view.record.id)) {
       worse(NoWorkerReason::excluded);
     } else if (!worker->breaker.allows(now)) {
       worse(NoWorkerReason::broken);
@@ -111,6 +110,14 @@
   return selection;
 }
 
+bool WorkerSelector::isCandidate(const std::string& service,
+                                 const registry::WorkerId& worker) const {
+  const std::vector<WorkerDirectory::WorkerPtr> workers = directory_.candidates(service);
+  return std::any_of(workers.begin(), workers.end(), [&worker](const auto& candidate) {
+    return candidate->view.record.id == worker;
+  });
+}
+
 bool WorkerSelector::hasUnlimited(const std::string& service) const {
   const std::vector<WorkerDirectory::WorkerPtr> workers = directory_.candidates(service);
   return std::any_of(workers.begin(), workers.end(), [this](const auto& worker) {
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -64,6 +65,16 @@
   base::Duration expectedWait{0};
 };
 
+/// Workers that may be selected for a request.
+struct WorkerFilter {
+  std::set<registry::WorkerId> excluded;
+  std::optional<registry::WorkerId> only;  ///< If set, this worker alone, even if it is excluded.
+
+  bool accepts(const registry::WorkerId& worker) const {
+    return only ? worker == *only : excluded.count(worker) == 0;
+  }
+};
+
 /// Prompt cache affinity: remembers the worker that last processed a prompt, since its cache holds
 /// the prompt's shared parts. An estimate: a wrong one costs time only. Bounded, with eviction of
 /// the least recently used entry.
@@ -120,7 +131,9 @@
         times_(times) {}
 
   Selection select(const std::string& service, const RequestFacts& facts,
-                   const std::set<registry::WorkerId>& excluded, base::TimePoint now);
+                   const WorkerFilter& filter, base::TimePoint now);
+  /// @return true if the worker may get new requests for the service.
+  bool isCandidate(const std::string& service, const registry::WorkerId& worker) const;
   PromptAffinity& affinity() { return affinity_; }
   /// Records for how long a stream of the service, now complete, occupied a slot of its worker.
   void slotHeld(const std::string& service, base::Duration held) {
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -15,14 +15,33 @@
   return whole * std::min(1.0, age / std::chrono::duration<double>(kEarningTime));
 }
 
+bool RetryBudget::hasRetry(base::TimePoint now) {
+  return static_cast<double>(retries_.total(now) + reserved_) + 1.0 <= allowed(now);
+}
+
 bool RetryBudget::takeRetry(base::TimePoint now) {
-  if (static_cast<double>(retries_.total(now)) + 1.0 > allowed(now)) {
+  if (!hasRetry(now)) {
     return false;
   }
   retries_.add(now);
   return true;
 }
 
+bool RetryBudget::reserveRetry(base::TimePoint now) {
+  if (!hasRetry(now)) {
+    return false;
+  }
+  ++reserved_;
+  return true;
+}
+
+void RetryBudget::useReservedRetry(base::TimePoint now) {
+  releaseReservedRetry();
+  retries_.add(now);
+}
+
+void RetryBudget::releaseReservedRetry() { --reserved_; }
+
 RetryBudget::Usage RetryBudget::usage(base::TimePoint now) {
   return {firstAttempts_.total(now), retries_.total(now), allowed(now)};
 }
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -43,6 +43,15 @@
   /// @return false if the budget is exhausted.
   bool takeRetry(base::TimePoint now);
 
+  /// @name A retry that is set aside for later use. It takes part of the budget until it is used or
+  /// released.
+  /// @{
+  /// @return false if the budget is exhausted.
+  bool reserveRetry(base::TimePoint now);
+  void useReservedRetry(base::TimePoint now);
+  void releaseReservedRetry();
+  /// @}
+
   /// Use of the budget over the window.
   struct Usage {
     std::uint64_t firstAttempts = 0;
@@ -53,6 +62,7 @@
 
  private:
   double allowed(base::TimePoint now);
+  bool hasRetry(base::TimePoint now);
 
   double ratio_;
   double floor_;
@@ -60,6 +70,7 @@
   // No window may exceed the budget, so first attempts are dropped early and retries late.
   WindowedCount firstAttempts_{kWindow};
   WindowedCount retries_{kWindow + WindowedCount::kBucketWidth};
+  std::uint64_t reserved_ = 0;
 };
 
 }  // namespace walnut::routing
--- a/test/gateway/worker_selector_test.cpp
+++ b/test/gateway/worker_selector_test.cpp
@@ -85,7 +85,7 @@
   RequestFacts facts;
   facts.model = "m";
   CHECK_TRUE(selector.select("svc", facts, {}, now).reason == NoWorkerReason::notHeld);
-  CHECK_TRUE(selector.select("svc", {}, {{"w1"}}, now).reason == NoWorkerReason::excluded);
+  CHECK_TRUE(selector.select("svc", {}, {{{"w1"}}, {}}, now).reason == NoWorkerReason::excluded);
 }
 
 TEST(WorkerSelectorTest, loadsAreKeptUntilUpdated) {
