gateway: a stream that has begun is cut, never answered with a second head

Seen by callers: bytes of a refusal within the body of a stream, on services without models whose workers were all gone.

Cause: Exchange::refuse wrote a whole response whether or not the head had been sent; each of its callers had to check, and the wait for a worker of a plain service did not. Change: refuse itself cuts a stream that has begun; the checks at its callers go.

Who pays: nobody; the caller of such a stream got bytes that are no answer before. Measured: ExchangeTest.aBegunStreamWithoutWorkersIsAbortedAndNotRefused failed before (status 502 where 200 had been sent) and passes; the other tests of the gateway as before.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -166,11 +166,7 @@
     return true;
   }
   logQuarantined(*classification, "refused");
-  if (headSent_) {
-    failFinally(kQuarantined);
-  } else {
-    refuse(mayHaveRun_ ? kBadGateway : kUnavailable, kQuarantined, classification->until - now());
-  }
+  refuse(mayHaveRun_ ? kBadGateway : kUnavailable, kQuarantined, classification->until - now());
   return true;
 }
 
@@ -346,11 +342,6 @@
 }
 
 void Exchange::failFinally(std::string_view reason) {
-  if (headSent_) {
-    sink_.abort();
-    finish(kNoAnswer, reason);
-    return;
-  }
   if (mayHaveRun_) {
     refuse(kBadGateway, reason, base::Duration::zero());
   } else {
@@ -373,10 +364,7 @@
     }
     dropAttempt();
   }
-  if (headSent_) {
-    sink_.abort();
-    finish(kNoAnswer, "deadline");
-  } else if (running || mayHaveRun_) {
+  if (running || mayHaveRun_) {
     refuse(kGatewayTimeout, "deadline", base::Duration::zero());
   } else {
     refuse(kUnavailable, "deadline", kRetryAfterTimeout);
@@ -402,7 +390,13 @@
   finish(status, "answered");
 }
 
+/// Ends the request with that status. A stream that has begun has its status already and is cut.
 void Exchange::refuse(int status, std::string_view reason, base::Duration retryAfter) {
+  if (headSent_) {
+    sink_.abort();
+    finish(kNoAnswer, reason);
+    return;
+  }
   net::HttpResponse response;
   response.head.status = status;
   if (retryAfter > base::Duration::zero()) {
--- a/test/gateway/exchange_test.cpp
+++ b/test/gateway/exchange_test.cpp
@@ -188,6 +188,23 @@
   CHECK_TRUE(caller->complete);
 }
 
+/// Guards against a refusal that is written into the answer of a stream that has begun.
+TEST(ExchangeTest, aBegunStreamWithoutWorkersIsAbortedAndNotRefused) {
+  harness.declare(2);
+  const auto caller = harness.request("stream", "r1");
+  harness.head(sent(0), 200, "r1", true);
+  sent(0).callbacks->onResponseBody("id: 1\n\n");
+  registry::ViewUpdate update;
+  update.removed = {{"w1"}, {"w2"}};
+  harness.gateway.viewReceived(update);
+  harness.lose(sent(0));
+  harness.scheduler.advance(1s);
+  CHECK_EQUAL(200, caller->status);
+  STRCMP_EQUAL("id: 1\n\n", caller->body.c_str());
+  CHECK_FALSE(caller->complete);
+  CHECK_TRUE(caller->aborted);
+}
+
 TEST(ExchangeTest, aBrokenNonResumableStreamIsAborted) {
   harness.declare(2);
   const auto caller = harness.request("bound", "r1");
