registry: a field and messages for the software versions of workers

Change: WorkerRecord::softwareVersion, appended to the zone on the wire, so that records without one are encoded as before; feature level 7; StreamsBegan, FindStreamOrigin, StreamOriginFound; the field Resumes of a request is read. Nobody sets or uses them yet. Measured: builds of the registry and gateway libraries only.

--- a/include/walnut/gateway/dialect.h
+++ b/include/walnut/gateway/dialect.h
@@ -33,6 +33,9 @@
   /// @}
   std::vector<std::string> promptParts;  ///< Ids of the prompt's parts, in order.
   std::string resumeAfter;               ///< Id of the caller's last event, or empty.
+  /// Id of the request that brought the first event of the stream which this one takes up, or
+  /// empty.
+  std::string resumedRequest;
 };
 
 /// What the gateway adds to a request for a worker.
--- a/include/walnut/registry/feature_level.h
+++ b/include/walnut/registry/feature_level.h
@@ -21,12 +21,15 @@
 inline constexpr std::uint32_t kWorkerTimings = 4;
 /// ModelForecasts, which replaces LateModels.
 inline constexpr std::uint32_t kModelForecasts = 5;
+/// Software versions of workers in records and views; StreamsBegan, FindStreamOrigin,
+/// StreamOriginFound.
+inline constexpr std::uint32_t kSoftwareVersions = 7;
 }  // namespace feature
 
 /// Feature level of this build.
-inline constexpr std::uint32_t kFeatureLevel = feature::kModelForecasts;
-/// Level to which a cell is raised. Later features need no log entries, so that servers of this
-/// level can still be admitted.
-inline constexpr std::uint32_t kCellFeatureLevel = feature::kHeartbeatBatches;
+inline constexpr std::uint32_t kFeatureLevel = feature::kSoftwareVersions;
+/// Level to which a cell is raised: that of the latest feature which needs log entries, so that
+/// servers of this level can still be admitted.
+inline constexpr std::uint32_t kCellFeatureLevel = feature::kSoftwareVersions;
 
 }  // namespace walnut::registry
--- /dev/null
+++ b/include/walnut/registry/stream_messages.h
@@ -0,0 +1,58 @@
+#pragma once
+/// @file
+/// Messages about the software version of the worker at which a stream began. Versions of one
+/// service may write different events, so a stream may only be continued at the version that began
+/// it, by whichever gateway. The messages need feature level `kSoftwareVersions`.
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace walnut::registry {
+
+/// Hash of the id that the caller gave the request which brought the first event of a stream.
+using StreamId = std::uint64_t;
+
+/// Streams that began at workers of one version.
+struct StreamsOfVersion {
+  std::string service;
+  std::string version;  ///< Never empty.
+  std::vector<StreamId> streams;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, version, streams);
+  }
+};
+/// Gateway to leader: streams that have begun since the last such message. A new leader is sent all
+/// that the gateway remembers.
+struct StreamsBegan {
+  std::vector<StreamsOfVersion> groups;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(groups);
+  }
+};
+/// Gateway to leader: asks where a stream that a caller takes up began.
+struct FindStreamOrigin {
+  std::uint64_t sequence = 0;  ///< Number chosen by the gateway; echoed.
+  StreamId stream = 0;         ///< 0: the caller did not say.
+  std::string service;         ///< That the request was routed to.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, stream, service);
+  }
+};
+/// Leader to gateway: where the stream began.
+struct StreamOriginFound {
+  std::uint64_t sequence = 0;
+  std::string service;
+  std::string version;  ///< Empty: not known for certain.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, service, version);
+  }
+};
+
+}  // namespace walnut::registry
--- a/include/walnut/registry/worker.h
+++ b/include/walnut/registry/worker.h
@@ -39,6 +39,9 @@
   std::string name;              ///< Name used in messages to the worker; empty: same as its id.
   std::uint64_t bornMillis = 0;  ///< Start time by its own clock; 0: unknown.
   /// @}
+  /// Version of its software, fixed for an incarnation; empty: unknown, equal to no other.
+  /// Set only where all readers have feature level `kSoftwareVersions`.
+  std::string softwareVersion;
 
   const std::string& calledName() const { return name.empty() ? id.value : name; }
   /// @return true if both are incarnations of one worker and this one started later.
@@ -47,10 +50,22 @@
   }
 
   bool operator==(const WorkerRecord&) const = default;
+  /// Builds without software versions accept exactly eight fields, so the version is appended to
+  /// the zone. A record without one is encoded as by such builds.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, service, endpoint, zone, slots, leaving, name, bornMillis);
+    if constexpr (Archive::is_saving::value) {
+      const base::ZoneId zoneAndVersion = zoneWithVersion();
+      archive(id, service, endpoint, zoneAndVersion, slots, leaving, name, bornMillis);
+    } else {
+      archive(id, service, endpoint, zone, slots, leaving, name, bornMillis);
+      takeVersion();
+    }
   }
+
+ private:
+  base::ZoneId zoneWithVersion() const;
+  void takeVersion();
 };
 
 /// A model that a worker holds, with the adapters of it that the worker holds.
--- a/src/registry/worker.cpp
+++ b/src/registry/worker.cpp
@@ -9,6 +9,23 @@
 
 namespace walnut::registry {
 
+namespace {
+
+/// Not part of any zone or version: heartbeats with such a character are rejected.
+constexpr char kVersionMark = '\x1f';
+
+}  // namespace
+
+base::ZoneId WorkerRecord::zoneWithVersion() const {
+  return softwareVersion.empty() ? zone : base::ZoneId{zone.value + kVersionMark + softwareVersion};
+}
+
+void WorkerRecord::takeVersion() {
+  const std::size_t mark = zone.value.find(kVersionMark);
+  softwareVersion = mark == std::string::npos ? std::string() : zone.value.substr(mark + 1);
+  zone.value.resize(std::min(mark, zone.value.size()));
+}
+
 WorkerId workerIdOf(const std::string& name, std::uint64_t bornMillis) {
   return {bornMillis == 0 ? name : name + "#" + std::to_string(bornMillis)};
 }
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -61,8 +61,8 @@
 };
 
 /// Dialect of the tests. Header fields of requests: Id, Deadline-Ms, Model ("m" or "m/a"), Resume,
-/// Key, Tokens (of the prompt), Tenant (set by the gateway only); of responses: Id, Sealed,
-/// Not-Run.
+/// Resumes, Key, Tokens (of the prompt), Tenant (set by the gateway only); of responses: Id,
+/// Sealed, Not-Run.
 class TestDialect : public RequestDialect {
  public:
   RequestFacts readRequest(const net::HttpRequest& request) const override {
@@ -75,6 +75,8 @@
     facts.model = model.substr(0, model.find('/'));
     facts.adapter = model.find('/') == std::string::npos ? "" : model.substr(model.find('/') + 1);
     facts.key = text(request.headers, "Key");
+    facts.resumeAfter = text(request.headers, "Resume");
+    facts.resumedRequest = text(request.headers, "Resumes");
     if (const auto tokens = request.headers.findNumber("Tokens")) {
       facts.promptTokens = *tokens;
       facts.tellsTokens = true;
