--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -80,6 +80,9 @@
   void receiveBody(protocol::ConnectionId, const WorkerTimings&) {}
   void receiveBody(protocol::ConnectionId, const LateModels&) {}
   void receiveBody(protocol::ConnectionId, const ModelForecasts&) {}
+  void receiveBody(protocol::ConnectionId, const StreamsBegan&) {}
+  void receiveBody(protocol::ConnectionId, const FindStreamOrigin&) {}
+  void receiveBody(protocol::ConnectionId, const StreamOriginFound&) {}
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
   void receiveBody(protocol::ConnectionId, const NotLeading&) {}
   void receiveBody(protocol::ConnectionId, const ViewUpdate&) {}
