gateway, registry: a stream goes on only at the software version that began it

Seen by callers: streams whose events come from two versions of a service, which don't fit together.

Cause: a gateway that resumes a stream, and one at which a caller takes a stream up, chose any worker of the service. Change: WorkerFilter::software leaves out workers of other versions; a stream that is taken up is sent nowhere before it is known where it began, and is refused as not run if that is not known, or at once if no worker of that version is left. Gateways report for which version streams wait (VersionDemand); the leader loads the model or adapter at a worker of it.

Who pays: callers whose stream's version has no worker left or whose origin is unknown: they were served the wrong events before.

--- a/include/walnut/registry/feature_level.h
+++ b/include/walnut/registry/feature_level.h
@@ -22,7 +22,7 @@
 /// ModelForecasts, which replaces LateModels.
 inline constexpr std::uint32_t kModelForecasts = 5;
 /// Software versions of workers in records and views; StreamsBegan, FindStreamOrigin,
-/// StreamOriginFound.
+/// StreamOriginFound, VersionDemand.
 inline constexpr std::uint32_t kSoftwareVersions = 7;
 }  // namespace feature
 
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -445,7 +445,7 @@
                  SuspectList, ConfirmDocument, DocumentConfirmed, QuotaRequest, QuotaGrant,
                  LateModels, HeartbeatBatch, HeartbeatRequest, LimitReport, ShareRequest,
                  ShareGrant, WorkerTimingReport, WorkerTimings, ModelForecasts, StreamsBegan,
-                 FindStreamOrigin, StreamOriginFound>;
+                 FindStreamOrigin, StreamOriginFound, VersionDemand>;
 
 /// The alternative of protocol::Message that carries all messages of the registry.
 struct RegistryMessage {
--- a/include/walnut/registry/stream_messages.h
+++ b/include/walnut/registry/stream_messages.h
@@ -55,4 +55,26 @@
   }
 };
 
+/// Requests of one gateway that wait for a model, or an adapter of it, at a worker of one version.
+struct VersionWait {
+  std::string service;
+  std::string model;
+  std::string adapter;  ///< Empty: the model itself.
+  std::string version;
+  std::uint32_t waiting = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, model, adapter, version, waiting);
+  }
+};
+/// Gateway to leader: streams that wait to be continued. Replaces what the gateway reported before.
+/// They are counted in its DemandUpdate, too.
+struct VersionDemand {
+  std::vector<VersionWait> waits;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(waits);
+  }
+};
+
 }  // namespace walnut::registry
--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -91,6 +91,7 @@
   requestCut,
   requestQuarantined,
   requestResumed,
+  streamTakenUp,
   requestEnded,
   requestLeft,
 };
--- a/src/gateway/demand_tracker.cpp
+++ b/src/gateway/demand_tracker.cpp
@@ -33,6 +33,32 @@
   }
 }
 
+void DemandTracker::versionWaitBegan(const std::string& service, const std::string& model,
+                                     const std::string& adapter, const std::string& version) {
+  ++versionWaits_[{service, model, adapter, version}];
+  isUrgent_ = true;
+}
+
+void DemandTracker::versionWaitEnded(const std::string& service, const std::string& model,
+                                     const std::string& adapter, const std::string& version) {
+  const auto found = versionWaits_.find({service, model, adapter, version});
+  if (found != versionWaits_.end() && --found->second == 0) {
+    versionWaits_.erase(found);
+  }
+}
+
+std::optional<registry::VersionDemand> DemandTracker::takeVersionDemand() {
+  if (!std::exchange(isVersionDemandReported_, !versionWaits_.empty()) && versionWaits_.empty()) {
+    return std::nullopt;
+  }
+  registry::VersionDemand demand;
+  for (const auto& [key, waiting] : versionWaits_) {
+    const auto& [service, model, adapter, version] = key;
+    demand.waits.push_back({service, model, adapter, version, waiting});
+  }
+  return demand;
+}
+
 void DemandTracker::attemptSettled(const registry::WorkerId& worker, const std::string& service,
                                    const std::string& model, const std::string& adapter,
                                    AttemptOutcome outcome) {
--- a/src/gateway/demand_tracker.h
+++ b/src/gateway/demand_tracker.h
@@ -5,6 +5,7 @@
 
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 
@@ -41,6 +42,16 @@
                  const Urgency& urgency);
   void waitEnded(const std::string& service, const std::string& model, const std::string& adapter);
 
+  /// @name Waiting streams that only workers of one software version can continue
+  /// @{
+  void versionWaitBegan(const std::string& service, const std::string& model,
+                        const std::string& adapter, const std::string& version);
+  void versionWaitEnded(const std::string& service, const std::string& model,
+                        const std::string& adapter, const std::string& version);
+  /// @return the present ones; nothing if there are none, as in the last call.
+  std::optional<registry::VersionDemand> takeVersionDemand();
+  /// @}
+
   void attemptSettled(const registry::WorkerId& worker, const std::string& service,
                       const std::string& model, const std::string& adapter, AttemptOutcome outcome);
 
@@ -67,7 +78,11 @@
   };
   using Key = std::tuple<std::string, std::string, std::string>;
 
+  using VersionKey = std::tuple<std::string, std::string, std::string, std::string>;
+
   std::map<Key, Counters> counters_;
+  std::map<VersionKey, std::uint32_t> versionWaits_;  ///< Without zeros.
+  bool isVersionDemandReported_ = false;              ///< The last one reported was not empty.
   std::map<registry::WorkerId, registry::WorkerOutcomes> outcomes_;  ///< Since the last update.
   bool isUrgent_ = false;
 };
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -55,6 +55,9 @@
 }
 
 Exchange::~Exchange() {
+  if (originQuery_) {
+    context_.streamOrigins().cancel(*originQuery_);
+  }
   releaseReservedRetry();
   endWait();
 }
@@ -64,7 +67,11 @@
   sink_.setDrainedCallback([this] { onCallerDrained(); });
   deadlineTimer_->enableAt(deadline_);
   beginHolding();
-  choose();
+  if (takesUpStream()) {
+    findOrigin();
+  } else {
+    choose();
+  }
 }
 
 void Exchange::viewChanged() {
@@ -97,6 +104,9 @@
     onDeadline();
     return;
   }
+  if (originQuery_) {
+    return;
+  }
   if (stopIfSuspect()) {
     leaveLateStarts();
     return;
@@ -110,8 +120,7 @@
     failFinally("the worker that was silent is gone");
     return;
   }
-  const WorkerFilter filter{excluded_, mayUseNewWorker() ? std::nullopt : leftWorker_};
-  const Selection selection = context_.selector().select(service_, facts_, filter, now());
+  const Selection selection = context_.selector().select(service_, facts_, filter(), now());
   if (selection.worker == nullptr) {
     leaveLateStarts();
   }
@@ -235,6 +244,7 @@
                                                   {"route", route_.name},
                                                   {"document", document_->version},
                                                   {"worker", worker->view.record.id.value},
+                                                  {"version", worker->view.record.softwareVersion},
                                                   {"running", worker->totalRunning()},
                                                   {"earlier", deliveredAttempts_}});
   staysForTime_ = false;
@@ -324,8 +334,9 @@
     return;
   }
   if (headSent_) {
-    context_.log().write(LogEvent::requestResumed,
-                         {{"request", facts_.requestId}, {"after", events_.lastId()}});
+    context_.log().write(LogEvent::requestResumed, {{"request", facts_.requestId},
+                                                    {"after", events_.lastId()},
+                                                    {"version", software_->version}});
   }
   choose();
 }
@@ -416,6 +427,9 @@
   deadlineTimer_->disable();
   retryTimer_->disable();
   stallTimer_->disable();
+  if (originQuery_) {
+    context_.streamOrigins().cancel(*std::exchange(originQuery_, std::nullopt));
+  }
   releaseReservedRetry();
   endWait();
   context_.log().write(
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "gateway/late_start_policy.h"
 #include "gateway/late_starts.h"
 #include "gateway/request_quarantine.h"
+#include "gateway/stream_origins.h"
 #include "gateway/worker_selector.h"
 #include "net/client_connection.h"
 #include "walnut/catalog/document.h"
@@ -126,6 +127,14 @@
   virtual std::optional<ModelAvailability> availabilityOf(const std::string& service,
                                                           const std::string& model) const = 0;
   virtual LateStarts& lateStarts() = 0;
+  virtual StreamOrigins& streamOrigins() = 0;
+  /// @name Requests that wait for a model at a worker of one software version
+  /// @{
+  virtual void versionWaitBegan(const std::string& service, const RequestFacts& facts,
+                                const std::string& version) = 0;
+  virtual void versionWaitEnded(const std::string& service, const RequestFacts& facts,
+                                const std::string& version) = 0;
+  /// @}
   /// @return the memory that is held for all callers.
   virtual BufferBudget& buffers() = 0;
   virtual std::uint64_t documentVersion() const = 0;
@@ -143,7 +152,8 @@
 /// Invariants: a non-repeatable request is sent again only if each earlier attempt is known not to
 /// have run; a refusal that promises "not run" is given only if that is so; a stream's events are
 /// passed on whole, in order and once; a stream that has left a worker only because that worker was
-/// silent returns to it rather than end.
+/// silent returns to it rather than end; a stream goes on only at the software version that began
+/// it, also if its caller takes it up at another gateway.
 class Exchange : public net::ResponseCallbacks {
  public:
   /// @param number unique at this gateway, increasing in the order of arrival.
@@ -195,6 +205,15 @@
   void onResponseFailure(const base::Error& error, bool sent) override;
 
   void choose();
+  /// @name Software version of a stream
+  /// @{
+  bool takesUpStream() const { return isStreaming() && !facts_.resumeAfter.empty(); }
+  void findOrigin();
+  void originFound(const StreamOrigin& origin);
+  void recordOrigin();
+  bool hasNoWorkerOfVersion(const Selection& selection) const;
+  WorkerFilter filter() const;
+  /// @}
   const registry::RequestDigest& digest();
   bool stopIfSuspect();
   std::optional<RequestQuarantine::Classification> ownClassification();
@@ -275,7 +294,7 @@
   const std::uint64_t number_;
   const std::shared_ptr<const catalog::Document> document_;
   const catalog::Route& route_;
-  const std::string service_;
+  std::string service_;
   const RequestFacts facts_;
   net::HttpRequest request_;
   net::ResponseSink& sink_;
@@ -287,6 +306,11 @@
   event::TimerPtr stallTimer_;
 
   std::set<registry::WorkerId> excluded_;  ///< Workers that are not selected again for now.
+  /// Where the stream began; not set before its first event or before its origin is known.
+  std::optional<StreamSoftware> software_;
+  std::optional<StreamOrigins::QueryId> originQuery_;
+  /// Version for which the present wait was reported, or empty.
+  std::string awaitedVersion_;
   bool isWaiting_ = false;
   std::optional<registry::WorkerId> shareWorker_;  ///< Worker of the requested share.
   base::TimePoint waitBeganAt_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -85,6 +85,7 @@
   recordAnswered();
   if (!headSent_) {
     headSent_ = true;
+    recordOrigin();
     firstEventAt_ = now();
     lastEventAt_ = firstEventAt_;
     context_.metrics().observe("walnut_gateway_first_event_seconds", now() - arrivedAt_);
--- a/src/gateway/exchange_stall.cpp
+++ b/src/gateway/exchange_stall.cpp
@@ -36,9 +36,9 @@
 /// @return true if leaving the worker may help the caller: another one has a free slot, and would
 /// not begin the stream too late.
 bool Exchange::leavingMayHelp() {
-  WorkerFilter filter{excluded_, std::nullopt};
-  filter.excluded.insert(worker_->view.record.id);
-  const Selection other = context_.selector().select(service_, facts_, filter, now());
+  WorkerFilter others = filter();
+  others.excluded.insert(worker_->view.record.id);
+  const Selection other = context_.selector().select(service_, facts_, others, now());
   if (other.worker == nullptr || other.worker->full()) {
     return false;
   }
--- /dev/null
+++ b/src/gateway/exchange_version.cpp
@@ -0,0 +1,66 @@
+/// @file
+/// The part of an exchange that keeps a stream at the software version that began it.
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/exchange.h"
+
+namespace walnut::gateway {
+
+namespace {
+
+using runtime::LogEvent;
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+/// Retry-After value while no leader can tell where a stream began.
+constexpr base::Duration kRetryAfterNoLeader = std::chrono::milliseconds(500);
+
+}  // namespace
+
+/// Finds out where a stream began that the caller takes up. No worker is chosen before.
+void Exchange::findOrigin() {
+  context_.log().write(LogEvent::streamTakenUp, {{"request", facts_.requestId},
+                                                 {"stream", facts_.resumedRequest},
+                                                 {"after", facts_.resumeAfter}});
+  originQuery_ = context_.streamOrigins().find(
+      service_, facts_.resumedRequest, [this](const StreamOrigin& origin) { originFound(origin); });
+}
+
+void Exchange::originFound(const StreamOrigin& origin) {
+  originQuery_.reset();
+  const bool served = std::any_of(
+      route_.services.begin(), route_.services.end(),
+      [&origin](const catalog::WeightedService& part) { return part.service == origin.service; });
+  if (origin.version.empty() || !served) {
+    const bool mayBeKnownSoon = origin.status == OriginStatus::noLeader;
+    refuse(kUnavailable, "where the stream began is not known",
+           mayBeKnownSoon ? kRetryAfterNoLeader : base::Duration::zero());
+    return;
+  }
+  service_ = origin.service;
+  software_ = StreamSoftware{origin.version, {}};
+  choose();
+}
+
+/// Records where the stream began, at its first event.
+void Exchange::recordOrigin() {
+  if (software_) {
+    return;  // It began with an earlier request.
+  }
+  const registry::WorkerRecord& worker = worker_->view.record;
+  software_ = StreamSoftware{worker.softwareVersion, worker.id};
+  context_.streamOrigins().streamBegan(facts_.requestId, service_, worker.softwareVersion);
+}
+
+WorkerFilter Exchange::filter() const {
+  return {excluded_, mayUseNewWorker() ? std::nullopt : leftWorker_, software_};
+}
+
+/// @return true if the stream can't go on: no worker has the software that began it.
+bool Exchange::hasNoWorkerOfVersion(const Selection& selection) const {
+  return software_ && selection.reason == NoWorkerReason::noWorkers;
+}
+
+}  // namespace walnut::gateway
--- a/src/gateway/exchange_wait.cpp
+++ b/src/gateway/exchange_wait.cpp
@@ -79,6 +79,10 @@
   waitBeganAt_ = now();
   context_.metrics().count("walnut_gateway_waits_total", std::string(reasonName(reason)));
   context_.waitBegan(service_, facts_, route_);
+  if (software_ && !facts_.model.empty() && !software_->version.empty()) {
+    awaitedVersion_ = software_->version;
+    context_.versionWaitBegan(service_, facts_, awaitedVersion_);
+  }
   context_.log().write(LogEvent::requestWaiting, {{"request", facts_.requestId},
                                                   {"service", service_},
                                                   {"model", facts_.model},
@@ -148,6 +152,11 @@
 }
 
 void Exchange::wait(const Selection& selection) {
+  if (hasNoWorkerOfVersion(selection)) {
+    refuse(mayHaveRun_ ? kBadGateway : kUnavailable, "no worker of the stream's version",
+           base::Duration::zero());
+    return;
+  }
   beginWait(selection.reason);
   if (refuseIfTooLate(selection.reason)) {
     return;
@@ -211,6 +220,9 @@
   if (std::exchange(isWaiting_, false)) {
     waited_ += now() - waitBeganAt_;
     context_.waitEnded(service_, facts_);
+    if (!awaitedVersion_.empty()) {
+      context_.versionWaitEnded(service_, facts_, std::exchange(awaitedVersion_, {}));
+    }
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -116,6 +116,10 @@
   void waitBegan(const std::string& service, const RequestFacts& facts,
                  const catalog::Route& route) override;
   void waitEnded(const std::string& service, const RequestFacts& facts) override;
+  void versionWaitBegan(const std::string& service, const RequestFacts& facts,
+                        const std::string& version) override;
+  void versionWaitEnded(const std::string& service, const RequestFacts& facts,
+                        const std::string& version) override;
   void attemptBegan(Worker& worker, const RequestFacts& facts) override;
   void attemptEnded(Worker& worker, const RequestFacts& facts) override;
   void attemptFailed(Worker& worker) override;
@@ -233,6 +237,7 @@
   bool poolsTimings() const;
   void reportTimings();
   void reportDemand();
+  void reportVersionDemand();
   void reportDemandSoon();
   void reportCuts();
   void reportCutsSoon();
--- a/src/gateway/gateway_demand.cpp
+++ b/src/gateway/gateway_demand.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gateway/gateway.h"
+#include "walnut/registry/feature_level.h"
 
 namespace walnut::gateway {
 
@@ -43,6 +44,25 @@
   }
 }
 
+void Gateway::versionWaitBegan(const std::string& service, const RequestFacts& facts,
+                               const std::string& version) {
+  demand_.versionWaitBegan(service, facts.model, facts.adapter, version);
+}
+
+void Gateway::versionWaitEnded(const std::string& service, const RequestFacts& facts,
+                               const std::string& version) {
+  demand_.versionWaitEnded(service, facts.model, facts.adapter, version);
+}
+
+void Gateway::reportVersionDemand() {
+  if (!session_.followingWith(registry::feature::kSoftwareVersions)) {
+    return;
+  }
+  if (std::optional<registry::VersionDemand> demand = demand_.takeVersionDemand()) {
+    session_.send(std::move(*demand));
+  }
+}
+
 void Gateway::reportDemand() {
   demandSoon_ = false;
   demandReportedAt_ = scheduler_.now();
@@ -59,6 +79,7 @@
         update.empty() ? scheduler_.now() + kEmptyReportInterval : base::TimePoint();
     session_.send(std::move(update));
   }
+  reportVersionDemand();
 }
 
 void Gateway::attemptBegan(Worker& worker, const RequestFacts& facts) {
--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -74,6 +74,9 @@
     selection.reason = std::max(selection.reason, reason);
   };
   for (const WorkerDirectory::WorkerPtr& worker : directory_.candidates(service)) {
+    if (!filter.hasSoftware(worker->view.record)) {
+      continue;
+    }
     if (!worker->holds(facts.model, facts.adapter, now)) {
       worse(NoWorkerReason::notHeld);
     } else if (!filter.accepts(worker->view.record.id)) {
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -65,14 +65,29 @@
   base::Duration expectedWait{0};
 };
 
+/// The software at which a stream began. Workers of other versions may write other events.
+struct StreamSoftware {
+  std::string version;       ///< Empty: unknown, so that no other worker is known to be equal.
+  registry::WorkerId first;  ///< Incarnation that began it; empty if another gateway's worker did.
+
+  bool equals(const registry::WorkerRecord& worker) const {
+    return worker.id == first || (!version.empty() && worker.softwareVersion == version);
+  }
+};
+
 /// Workers that may be selected for a request.
 struct WorkerFilter {
   std::set<registry::WorkerId> excluded;
   std::optional<registry::WorkerId> only;  ///< If set, this worker alone, even if it is excluded.
+  /// If set, only workers with this software count as workers of the service.
+  std::optional<StreamSoftware> software;
 
   bool accepts(const registry::WorkerId& worker) const {
     return only ? worker == *only : excluded.count(worker) == 0;
   }
+  bool hasSoftware(const registry::WorkerRecord& worker) const {
+    return !software || software->equals(worker);
+  }
 };
 
 /// Prompt cache affinity: remembers the worker that last processed a prompt, since its cache holds
--- a/src/registry/adapter_placement.cpp
+++ b/src/registry/adapter_placement.cpp
@@ -20,6 +20,25 @@
   return count;
 }
 
+/// @return a software version at which requests wait for the adapter while a worker of that version
+/// holds the model but none has the adapter; empty if there is none.
+std::string versionWithoutAdapter(const PlacementRound& round, const ModelKey& key) {
+  std::map<std::string, bool> hasAdapter;  // By the versions of the workers that hold the model.
+  for (const PlacementWorker& worker : round.workers()) {
+    if (worker.serving && worker.holdings.find(key.model) != nullptr &&
+        worker.unloadingModel != key.model) {
+      hasAdapter[worker.softwareVersion] |= worker.holdings.holds(key.model, key.adapter);
+    }
+  }
+  for (const auto& [version, waiting] : round.demand().versionsWaitedFor(key)) {
+    const auto found = hasAdapter.find(version);
+    if (found != hasAdapter.end() && !found->second) {
+      return version;
+    }
+  }
+  return {};
+}
+
 }  // namespace
 
 void PlacementPolicy::placeAdapters(PlacementRound& round) const {
@@ -34,19 +53,22 @@
                                              worker.unloadingModel != key.model;
                                     });
     const ModelSpec* model = round.spec(key.model);
-    if (!isHeld && model != nullptr) {
-      placeAdapter(round, *model, key.adapter);
+    const std::string version = versionWithoutAdapter(round, key);
+    if (model != nullptr && (!isHeld || !version.empty())) {
+      placeAdapter(round, *model, key.adapter, version);
     }
   }
 }
 
+/// @param version if not empty, only workers of that software version are considered.
 void PlacementPolicy::placeAdapter(PlacementRound& round, const ModelSpec& model,
-                                   const std::string& adapter) {
+                                   const std::string& adapter, const std::string& version) {
   const PlacementWorker* best = nullptr;
   double bestCost = std::numeric_limits<double>::infinity();
   for (const PlacementWorker& worker : round.workers()) {
     if (!round.canOrder(worker) || !worker.canLoadAdapters ||
-        worker.holdings.find(model.name) == nullptr || worker.unloadingModel == model.name) {
+        worker.holdings.find(model.name) == nullptr || worker.unloadingModel == model.name ||
+        !(version.empty() || worker.softwareVersion == version)) {
       continue;
     }
     const bool isFull = adapterCount(worker) >= round.engine().adapterSlots ||
--- a/src/registry/demand_book.cpp
+++ b/src/registry/demand_book.cpp
@@ -46,12 +46,39 @@
     }
   }
   reported.unreachable = {update.unreachable.begin(), update.unreachable.end()};
-  forget(gateway);
+  replace(gateway, std::move(reported));
+}
+
+void DemandBook::replace(protocol::ConnectionId gateway, Gateway reported) {
+  Gateway& held = gateways_[gateway];
+  subtract(held);
   add(reported);
-  gateways_[gateway] = std::move(reported);
+  held = std::move(reported);
+}
+
+void DemandBook::updateVersions(protocol::ConnectionId gateway, const VersionDemand& demand) {
+  if (demand.waits.empty()) {
+    versionWaits_.erase(gateway);
+  } else {
+    versionWaits_[gateway] = demand.waits;
+  }
+}
+
+std::map<std::string, std::uint32_t> DemandBook::versionsWaitedFor(const ModelKey& key) const {
+  std::map<std::string, std::uint32_t> versions;
+  for (const auto& [gateway, waits] : versionWaits_) {
+    for (const VersionWait& wait : waits) {
+      const bool isOfAdapter = key.adapter.empty() || wait.adapter == key.adapter;
+      if (wait.service == key.service && wait.model == key.model && isOfAdapter) {
+        versions[wait.version] += wait.waiting;
+      }
+    }
+  }
+  return versions;
 }
 
 void DemandBook::forget(protocol::ConnectionId gateway) {
+  versionWaits_.erase(gateway);
   const auto found = gateways_.find(gateway);
   if (found != gateways_.end()) {
     subtract(found->second);
--- a/src/registry/demand_book.h
+++ b/src/registry/demand_book.h
@@ -60,6 +60,8 @@
   using RunningByModel = std::map<std::string, std::uint32_t>;
 
   void update(protocol::ConnectionId gateway, const DemandUpdate& update, base::TimePoint now);
+  /// Replaces the gateway's requests that wait for workers of particular software versions.
+  void updateVersions(protocol::ConnectionId gateway, const VersionDemand& demand);
   void forget(protocol::ConnectionId gateway);
 
   DemandFigures figures(const ModelKey& key, base::TimePoint now) const;
@@ -82,6 +84,9 @@
   std::vector<ModelKey> requestedSince(const std::string& service, base::TimePoint since) const;
   /// @return the number of waiting requests by model and adapter, without zeros.
   const std::map<ModelKey, std::uint32_t>& waiting() const { return waiting_; }
+  /// @return the software versions that requests for the model or adapter wait for, with their
+  /// number. The figures of a model include those of its adapters.
+  std::map<std::string, std::uint32_t> versionsWaitedFor(const ModelKey& key) const;
   /// @return the changes since the last call. Models are reported as unserved only once they have
   /// been so for some time.
   std::vector<ServedChange> takeServedChanges() { return std::exchange(answerChanges_, {}); }
@@ -114,10 +119,13 @@
   void updateUnserved(const ModelKey& key, History& history, const ModelDemand& demand,
                       base::TimePoint now);
   static void updateUrgency(History& history, const ModelDemand& demand, base::TimePoint now);
+  void replace(protocol::ConnectionId gateway, Gateway reported);
   void add(const Gateway& gateway);
   void subtract(const Gateway& gateway);
 
   std::map<protocol::ConnectionId, Gateway> gateways_;
+  std::map<protocol::ConnectionId, std::vector<VersionWait>>
+      versionWaits_;  ///< Without empty ones.
   std::map<ModelKey, History> history_;
   std::optional<base::TimePoint> since_;  ///< Time of the first report.
 
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -61,6 +61,7 @@
     sender_.partTaken(gateway, taken.cursor);
   }
   void demand(protocol::ConnectionId gateway, const DemandUpdate& update, base::TimePoint now);
+  void versionDemand(protocol::ConnectionId gateway, const VersionDemand& demand);
   void cutsReported(const CutReport& report, base::TimePoint now) { crashes_.report(report, now); }
   /// To be called only while this server holds a valid leader lease, as another leader would grant
   /// from the same quotas.
--- a/src/registry/leader_plans.cpp
+++ b/src/registry/leader_plans.cpp
@@ -133,6 +133,11 @@
   decide(service, workers, {}, now);
 }
 
+void LeaderDuties::versionDemand(protocol::ConnectionId gateway, const VersionDemand& demand) {
+  demand_.updateVersions(gateway, demand);
+  planSoon_ = planSoon_ || !demand.waits.empty();
+}
+
 void LeaderDuties::planLargeService(const catalog::Service& service, base::TimePoint now) {
   const PlanningPool pool = choosePlanningPool(service.name, index_, demand_, poolStart_, now);
   std::vector<PlacementWorker> workers;
@@ -252,6 +257,7 @@
                                               base::TimePoint now) const {
   PlacementWorker worker;
   worker.id = record.id;
+  worker.softwareVersion = record.softwareVersion;
   worker.holdings = status.expected(now);
   // A worker over its request limit doesn't count as a replica, so that the excess is served
   // elsewhere, and no new models are loaded on it.
--- a/src/registry/placement.cpp
+++ b/src/registry/placement.cpp
@@ -198,7 +198,8 @@
     const PlacementRound& round, const std::string& model) const {
   const DemandFigures figures = round.figures(model);
   const PlacementRound::Replicas replicas = round.replicas(model);
-  if (replicas.present == 0) {
+  const std::string version = round.versionToAdd(model);
+  if (replicas.present == 0 || !version.empty()) {
     // Requests wait now, or would wait if their callers had not been turned away.
     const bool isStarved = figures.unservedTime >= kStarvedAfter &&
                            round.now() < figures.lastArrival + kStarvedRequestGap;
@@ -207,7 +208,8 @@
     }
     const ModelSpec& spec = *round.spec(model);
     const base::Duration load = replicas.copies > 0 ? spec.diskLoadTime : spec.storeLoadTime;
-    return Candidate{coldLoadBenefit(figures, load, round.now()), model, PlacementReason::cold};
+    return Candidate{coldLoadBenefit(figures, load, round.now()), model, PlacementReason::cold,
+                     false, version};
   }
   const double replicasBeingLoaded = static_cast<double>(replicas.present - replicas.serving);
   const double excessQueue =
@@ -394,6 +396,8 @@
       candidate.reason == PlacementReason::queueing || candidate.needsNearCopy;
   return worker.serving && worker.canLoadModels &&
          worker.holdings.find(candidate.model) == nullptr &&
+         (candidate.softwareVersion.empty() ||
+          worker.softwareVersion == candidate.softwareVersion) &&
          (!needsFreeWorker || isFree(round, worker)) && !isKeptForFullModel(worker) &&
          (!candidate.needsNearCopy || round.tier(worker, candidate.model) != WeightTier::store);
 }
--- a/src/registry/placement.h
+++ b/src/registry/placement.h
@@ -73,7 +73,8 @@
   std::optional<std::string> unloadingModel;  ///< The model that the worker is unloading, if any.
   /// Expected time until the order in progress ends; zero if there is none.
   base::Duration remainingOrderTime{0};
-  std::uint32_t running = 0;  ///< Number of requests that run or are queued on the worker.
+  std::uint32_t running = 0;    ///< Number of requests that run or are queued on the worker.
+  std::string softwareVersion;  ///< Empty: unknown.
   /// Adapters that were loaded so recently that they must not be evicted yet, as (model, adapter).
   std::set<std::pair<std::string, std::string>> recentAdapters;
 };
@@ -187,6 +188,8 @@
     /// True if more than kFullShare of the slots of its replicas will be in use, and a worker has
     /// the weights on disk or in memory: a replica there is worth nearly any cost.
     bool needsNearCopy = false;
+    /// If not empty, only a worker of that version helps: streams that began there wait.
+    std::string softwareVersion = {};
 
     bool isUrgent() const {
       return needsNearCopy || reason == PlacementReason::queueing ||
@@ -268,7 +271,7 @@
 
   void placeAdapters(PlacementRound& round) const;
   static void placeAdapter(PlacementRound& round, const catalog::ModelSpec& model,
-                           const std::string& adapter);
+                           const std::string& adapter, const std::string& version);
 
   const std::string service_;
   bool replicasAreSlowToAdd_ = false;
--- a/src/registry/placement_round.cpp
+++ b/src/registry/placement_round.cpp
@@ -168,6 +168,32 @@
   return std::any_of(engine_.models.begin(), engine_.models.end(), needsStore);
 }
 
+std::string PlacementRound::versionToAdd(const std::string& model) const {
+  std::map<std::string, std::uint32_t> waited = demand_.versionsWaitedFor({service_, model, {}});
+  if (waited.empty()) {
+    return {};
+  }
+  std::set<std::string> present;
+  for (const PlacementWorker& worker : workers_) {
+    if (worker.serving) {
+      present.insert(worker.softwareVersion);
+      const bool holds = worker.holdings.find(model) != nullptr && worker.unloadingModel != model;
+      if (holds || worker.loadingModel == model) {
+        waited.erase(worker.softwareVersion);
+      }
+    }
+  }
+  std::string most;
+  std::uint32_t count = 0;
+  for (const auto& [version, waiting] : waited) {
+    if (present.count(version) != 0 && waiting > count) {
+      most = version;
+      count = waiting;
+    }
+  }
+  return most;
+}
+
 bool PlacementRound::canOrder(const PlacementWorker& worker) const {
   return worker.canTakeOrders && worker.serving && ordered_.count(worker.id) == 0;
 }
--- a/src/registry/placement_round.h
+++ b/src/registry/placement_round.h
@@ -50,6 +50,9 @@
   const catalog::ModelSpec* spec(const std::string& model) const;
   Replicas replicas(const std::string& model) const;
   DemandFigures figures(const std::string& model, const std::string& adapter = {}) const;
+  /// @return the software version for which most requests for the model wait, of those versions
+  /// that have workers, but none that serves the model or is loading it; empty if there is none.
+  std::string versionToAdd(const std::string& model) const;
 
   /// @return true if a model with recent unserved requests can only be loaded from the store: no
   /// worker of this plan has a copy. Models that no worker can hold are left out.
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -284,6 +284,12 @@
   }
 }
 
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const VersionDemand& message) {
+  if (isActiveLeader()) {
+    leading_->versionDemand(from, message);
+  }
+}
+
 void RegistryImpl::receiveBody(protocol::ConnectionId /*from*/, const CutReport& message) {
   if (isActiveLeader()) {
     leading_->cutsReported(message, now_);
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -80,6 +80,7 @@
   void receiveBody(protocol::ConnectionId, const WorkerTimings&) {}
   void receiveBody(protocol::ConnectionId, const LateModels&) {}
   void receiveBody(protocol::ConnectionId, const ModelForecasts&) {}
+  void receiveBody(protocol::ConnectionId from, const VersionDemand& message);
   void receiveBody(protocol::ConnectionId, const StreamsBegan&) {}
   void receiveBody(protocol::ConnectionId, const FindStreamOrigin&) {}
   void receiveBody(protocol::ConnectionId, const StreamOriginFound&) {}
--- a/src/runtime/event_log.cpp
+++ b/src/runtime/event_log.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Names of the events, in the order of LogEvent.
-constexpr std::array<std::string_view, 78> kNames = {
+constexpr std::array<std::string_view, 79> kNames = {
     "process-started",      "process-stopping",     "process-stopped",
     "settings-reloaded",    "dependency-lost",      "dependency-regained",
     "lines-dropped",        "role-changed",         "membership-changed",
@@ -33,7 +33,8 @@
     "call-refused",         "request-refused",      "request-waiting",
     "late-start-decided",   "attempt-started",      "attempt-failed",
     "retry-decided",        "request-cut",          "request-quarantined",
-    "request-resumed",      "request-ended",        "request-left"};
+    "request-resumed",      "stream-taken-up",      "request-ended",
+    "request-left"};
 static_assert(kNames.size() == static_cast<std::size_t>(LogEvent::requestLeft) + 1);
 
 }  // namespace
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -356,6 +356,7 @@
   static registry::WorkerView worker(std::size_t number) {
     registry::WorkerView view;
     view.record = {{"w" + std::to_string(number)}, "svc", {"10.0.0.1", 80}, {}, 4, false};
+    view.record.softwareVersion = "v1";
     return view;
   }
 
