gateway: the exchange asks StreamOrigins before it takes a stream up

Cause: the search for an origin may be answered at once or later, and ends with the exchange. Change: the exchange keeps the number of the search.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -55,9 +55,7 @@
 }
 
 Exchange::~Exchange() {
-  if (originQuery_) {
-    context_.streamOrigins().cancel(*originQuery_);
-  }
+  context_.streamOrigins().cancel(originSearch_);
   releaseReservedRetry();
   endWait();
 }
@@ -104,7 +102,7 @@
     onDeadline();
     return;
   }
-  if (originQuery_) {
+  if (originSearch_ != 0) {
     return;
   }
   if (stopIfSuspect()) {
@@ -427,9 +425,7 @@
   deadlineTimer_->disable();
   retryTimer_->disable();
   stallTimer_->disable();
-  if (originQuery_) {
-    context_.streamOrigins().cancel(*std::exchange(originQuery_, std::nullopt));
-  }
+  context_.streamOrigins().cancel(std::exchange(originSearch_, 0));
   releaseReservedRetry();
   endWait();
   context_.log().write(
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -209,7 +209,7 @@
   /// @{
   bool takesUpStream() const { return isStreaming() && !facts_.resumeAfter.empty(); }
   void findOrigin();
-  void originFound(const StreamOrigin& origin);
+  void originFound(const StreamOriginResult& result);
   void recordOrigin();
   bool hasNoWorkerOfVersion(const Selection& selection) const;
   WorkerFilter filter() const;
@@ -308,7 +308,7 @@
   std::set<registry::WorkerId> excluded_;  ///< Workers that are not selected again for now.
   /// Where the stream began; not set before its first event or before its origin is known.
   std::optional<StreamSoftware> software_;
-  std::optional<StreamOrigins::QueryId> originQuery_;
+  std::uint64_t originSearch_ = 0;  ///< Number of the search for it; 0: none is under way.
   /// Version for which the present wait was reported, or empty.
   std::string awaitedVersion_;
   bool isWaiting_ = false;
