gateway: the exchange asks StreamOrigins before it takes a stream up

Cause: the search for an origin may be answered at once or later, and ends with the exchange. Change: the exchange keeps the number of the search.

--- a/src/gateway/exchange_version.cpp
+++ b/src/gateway/exchange_version.cpp
@@ -12,7 +12,6 @@
 
 using runtime::LogEvent;
 
-constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 /// Retry-After value while no leader can tell where a stream began.
 constexpr base::Duration kRetryAfterNoLeader = std::chrono::milliseconds(500);
@@ -24,17 +23,19 @@
   context_.log().write(LogEvent::streamTakenUp, {{"request", facts_.requestId},
                                                  {"stream", facts_.resumedRequest},
                                                  {"after", facts_.resumeAfter}});
-  originQuery_ = context_.streamOrigins().find(
-      service_, facts_.resumedRequest, [this](const StreamOrigin& origin) { originFound(origin); });
+  originSearch_ = context_.streamOrigins().find(
+      service_, facts_.resumedRequest,
+      [this](const StreamOriginResult& result) { originFound(result); });
 }
 
-void Exchange::originFound(const StreamOrigin& origin) {
-  originQuery_.reset();
+void Exchange::originFound(const StreamOriginResult& result) {
+  originSearch_ = 0;
+  const registry::StreamOrigin& origin = result.origin;
   const bool served = std::any_of(
       route_.services.begin(), route_.services.end(),
       [&origin](const catalog::WeightedService& part) { return part.service == origin.service; });
-  if (origin.version.empty() || !served) {
-    const bool mayBeKnownSoon = origin.status == OriginStatus::noLeader;
+  if (result.status != StreamOriginStatus::known || !served) {
+    const bool mayBeKnownSoon = result.status == StreamOriginStatus::noLeader;
     refuse(kUnavailable, "where the stream began is not known",
            mayBeKnownSoon ? kRetryAfterNoLeader : base::Duration::zero());
     return;
