registry: the leader remembers where streams began and tells gateways

Cause: a stream may only go on at the version that began it, and a caller takes it up at any gateway. Change: StreamOriginBook keeps the origins that gateways report, for 2 min and up to 200,000; an id with two origins is unknown. The leader answers FindStreamOrigin from it, else with the only version that the service has ever had, for which it needs its lease. What another server may know (no lease), or gateways may not have reported yet (the first second of a leadership), is not answered; the gateway asks again. One line stream-origin-found for each question. The path with an only version has no test while CellState::onlyVersionOf is a stub.

--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -66,6 +66,7 @@
   requestSuspected,
   requestReleased,
   suspectsTaken,
+  streamOriginFound,
   zoneEvacuated,
   zoneReturned,
   featureLevelRaised,
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -23,6 +23,7 @@
 #include "registry/planning_pool.h"
 #include "registry/quota_ledger.h"
 #include "registry/registration_times.h"
+#include "registry/stream_origin_book.h"
 #include "registry/view_publisher.h"
 #include "registry/worker_index.h"
 #include "registry/worker_limit_tracker.h"
@@ -73,6 +74,11 @@
                        base::TimePoint now);
   void timingsReported(protocol::ConnectionId gateway, const WorkerTimingReport& report,
                        base::TimePoint now);
+  void streamsBegan(const StreamsBegan& report, base::TimePoint now);
+  /// @param leaseValid whether this server certainly leads at `now`: otherwise workers of versions
+  /// that it doesn't know may have been registered.
+  void findStreamOrigin(protocol::ConnectionId gateway, const FindStreamOrigin& question,
+                        base::TimePoint now, bool leaseValid);
   void orderFinished(const OrderFinished& finished, base::TimePoint now);
   void reportFinished(const ReportFinished& finished, base::TimePoint now);
   /// Sends the orders of a batch, which is committed to the log now, unless that took too long.
@@ -92,6 +98,9 @@
   WorkerTimingMaxima timingMaxima() const { return timings_.maxima(); }
 
  private:
+  /// Most streams whose origins are remembered.
+  static constexpr std::size_t kMaxStreams = 200'000;
+
   struct SentOrder {
     PlacementStep step;
     base::TimePoint sentAt;
@@ -218,6 +227,7 @@
   /// Revisions of `timings_` last sent to the gateways that support them; 0: none.
   std::map<protocol::ConnectionId, std::uint64_t> timingRevisions_;
   base::TimePoint timingRefusalLoggedAt_;
+  StreamOriginBook streamOrigins_{kMaxStreams};
   WorkerOutlierDetector outliers_;
   CrashMonitor crashes_;
   ViewPublisher publisher_;
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -260,6 +260,18 @@
   }
 }
 
+void RegistryImpl::receiveBody(protocol::ConnectionId /*from*/, const StreamsBegan& message) {
+  if (isActiveLeader()) {
+    leading_->streamsBegan(message, now_);
+  }
+}
+
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const FindStreamOrigin& message) {
+  if (isActiveLeader()) {
+    leading_->findStreamOrigin(from, message, now_, raft_->leaseValid(now_));
+  }
+}
+
 WorkerTimingMaxima RegistryImpl::timingMaxima() const {
   return leading_ == nullptr ? WorkerTimingMaxima{} : leading_->timingMaxima();
 }
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -72,6 +72,8 @@
   void receiveBody(protocol::ConnectionId from, const LimitReport& message);
   void receiveBody(protocol::ConnectionId from, const ShareRequest& message);
   void receiveBody(protocol::ConnectionId from, const WorkerTimingReport& message);
+  void receiveBody(protocol::ConnectionId from, const StreamsBegan& message);
+  void receiveBody(protocol::ConnectionId from, const FindStreamOrigin& message);
   void receiveBody(protocol::ConnectionId from, const HeartbeatBatch& message);
   void receiveBody(protocol::ConnectionId from, const HeartbeatRequest& message);
   void receiveBody(protocol::ConnectionId, const DocumentConfirmed&) {}
@@ -80,8 +82,6 @@
   void receiveBody(protocol::ConnectionId, const WorkerTimings&) {}
   void receiveBody(protocol::ConnectionId, const LateModels&) {}
   void receiveBody(protocol::ConnectionId, const ModelForecasts&) {}
-  void receiveBody(protocol::ConnectionId, const StreamsBegan&) {}
-  void receiveBody(protocol::ConnectionId, const FindStreamOrigin&) {}
   void receiveBody(protocol::ConnectionId, const StreamOriginFound&) {}
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
   void receiveBody(protocol::ConnectionId, const NotLeading&) {}
