gateway: where a stream began is remembered, reported and asked for

Cause: a caller takes a broken stream up at another gateway, which must know for certain at which version it began. Change: StreamOrigins remembers the streams that began here (2 min, 20,000), reports them to the leader in batches (50 ms, or 2 ms for each gateway; the first after a pause at once), sends all to each leader that is newly followed, and searches: own memory, else the leader, again each 200 ms and at the next leader, for 1 s. An answer 'unknown' counts once the reports that were on their way when the search began have come. Leaders below kSoftwareVersions are sent nothing. The exchange does not use it yet.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "gateway/late_start_policy.h"
 #include "gateway/late_starts.h"
 #include "gateway/request_quarantine.h"
+#include "gateway/stream_origins.h"
 #include "gateway/worker_selector.h"
 #include "net/client_connection.h"
 #include "walnut/catalog/document.h"
@@ -128,6 +129,7 @@
   virtual LateStarts& lateStarts() = 0;
   /// @return the memory that is held for all callers.
   virtual BufferBudget& buffers() = 0;
+  virtual StreamOrigins& streamOrigins() = 0;
   virtual std::uint64_t documentVersion() const = 0;
   /// @return true if the registry's leader receives this gateway's demand reports.
   virtual bool hasLeader() const = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,6 +57,7 @@
           [&launcher](const registry::WorkerId& id) { return launcher.connected(id); }, this,
           &timeModel_),
       lateStarts_(scheduler, directory_, selector_, options.selection.seed),
+      streamOrigins_(scheduler, session, metrics),
       demandTimer_(scheduler.createTimer([this] { reportDemand(); })),
       startedAt_(scheduler.now()),
       earlyTimer_(scheduler.createTimer([this] { refuseExpiredEarly(); })) {
@@ -122,6 +123,7 @@
   nextEmptyReportAt_ = {};
   quota_.leaderLost();
   limits_.leaderFollowed();
+  streamOrigins_.leaderFollowed();
   renewLease();
   requestQuota(true);
 }
@@ -387,6 +389,7 @@
   log_.write(LogEvent::gatewaysCounted, {{"gateways", std::uint64_t{used}},
                                          {"former", std::uint64_t{former}},
                                          {"announced", std::uint64_t{count}}});
+  streamOrigins_.setGatewayCount(used);
   for (auto& [service, budget] : budgets_) {
     budget.setFloor(kBudgetFraction * options_.retrySlack / used);
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/quota_wait.h"
 #include "gateway/registry_session.h"
 #include "gateway/request_quarantine.h"
+#include "gateway/stream_origins.h"
 #include "gateway/timing_recorder.h"
 #include "gateway/worker_limits.h"
 #include "gateway/worker_time_model.h"
@@ -74,6 +75,9 @@
   void forecastsReceived(const registry::ModelForecasts& forecasts);
   void sharesGranted(const registry::ShareGrant& grant);
   void timingsReceived(const registry::WorkerTimings& update);
+  void streamOriginReceived(const registry::StreamOriginFound& answer) {
+    streamOrigins_.answerReceived(answer);
+  }
   /// @return the version of the document by whose keys a request would be admitted now; 0: keys are
   /// not confirmed.
   std::uint64_t admittingDocumentVersion() const;
@@ -139,6 +143,7 @@
                                                   const std::string& model) const override;
   LateStarts& lateStarts() override { return lateStarts_; }
   BufferBudget& buffers() override { return buffers_; }
+  StreamOrigins& streamOrigins() override { return streamOrigins_; }
   std::uint64_t documentVersion() const override;
   bool hasLeader() const override { return session_.following(); }
   void exchangeEnded(Exchange& exchange, int status) override;
@@ -284,6 +289,7 @@
   DemandTracker demand_;
   RequestQuarantine quarantine_;
   AvailabilityTable availability_;
+  StreamOrigins streamOrigins_;
   bool cutsSoon_ = false;
   event::TimerPtr demandTimer_;
   bool demandSoon_ = false;
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -202,6 +202,8 @@
   std::vector<registry::LimitObservation> limits;
   std::vector<registry::QuotaRequest> shares;
   std::vector<registry::WorkerTimingReport> timings;
+  std::vector<registry::StreamsBegan> streams;
+  std::vector<registry::FindStreamOrigin> originQuestions;
 
   void open(const base::Endpoint& server) override { opened.push_back(server); }
   void close(protocol::ConnectionId) override {}
@@ -220,6 +222,10 @@
       shares.push_back(std::move(share->request));
     } else if (auto* timing = std::get_if<registry::WorkerTimingReport>(&message)) {
       timings.push_back(std::move(*timing));
+    } else if (auto* began = std::get_if<registry::StreamsBegan>(&message)) {
+      streams.push_back(std::move(*began));
+    } else if (auto* question = std::get_if<registry::FindStreamOrigin>(&message)) {
+      originQuestions.push_back(std::move(*question));
     }
   }
 };
