--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -137,7 +137,6 @@
   /// @}
   /// @return the memory that is held for all callers.
   virtual BufferBudget& buffers() = 0;
-  virtual StreamOrigins& streamOrigins() = 0;
   virtual std::uint64_t documentVersion() const = 0;
   /// @return true if the registry's leader receives this gateway's demand reports.
   virtual bool hasLeader() const = 0;
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -204,6 +204,7 @@
   std::vector<registry::WorkerTimingReport> timings;
   std::vector<registry::StreamsBegan> streams;
   std::vector<registry::FindStreamOrigin> originQuestions;
+  std::vector<registry::VersionDemand> versionDemand;
 
   void open(const base::Endpoint& server) override { opened.push_back(server); }
   void close(protocol::ConnectionId) override {}
@@ -226,6 +227,8 @@
       streams.push_back(std::move(*began));
     } else if (auto* question = std::get_if<registry::FindStreamOrigin>(&message)) {
       originQuestions.push_back(std::move(*question));
+    } else if (auto* waits = std::get_if<registry::VersionDemand>(&message)) {
+      versionDemand.push_back(std::move(*waits));
     }
   }
 };
--- a/test/gateway/stream_version_test.cpp
+++ b/test/gateway/stream_version_test.cpp
@@ -147,7 +147,7 @@
   const auto caller = takeUp("r2", "r1");
   CHECK_EQUAL(0, sentCount());
   CHECK_EQUAL(1, harness.link.originQuestions.size());
-  harness.gateway.streamOriginFound({harness.link.originQuestions.back().sequence, "svc", "v2"});
+  harness.gateway.streamOriginReceived({harness.link.originQuestions.back().sequence, "svc", "v2"});
   harness.scheduler.settle();
   CHECK_EQUAL(1, sentCount());
   checkVersion("v2");
@@ -160,7 +160,7 @@
   const auto caller = takeUp("r2", "r1");
   harness.scheduler.advance(100ms);
   for (const auto& question : std::vector(harness.link.originQuestions)) {
-    harness.gateway.streamOriginFound({question.sequence, "svc", ""});
+    harness.gateway.streamOriginReceived({question.sequence, "svc", ""});
   }
   harness.scheduler.advance(300ms);
   CHECK_EQUAL(503, caller->status);
@@ -196,7 +196,7 @@
   update.changed[0].record.softwareVersion = "v2";
   update.changed[0].holdingsKnown = true;
   harness.gateway.viewReceived(update);
-  harness.gateway.streamOriginFound({harness.link.originQuestions.back().sequence, "svc", "v2"});
+  harness.gateway.streamOriginReceived({harness.link.originQuestions.back().sequence, "svc", "v2"});
   harness.scheduler.settle();
   CHECK_EQUAL(0, sentCount());
   CHECK_EQUAL(1, harness.link.versionDemand.size());
