registry: a test of who answers questions about streams, in a cell

Cause: LeaderStreamsTest calls the leader's tasks directly, not through a server. Change: LeaderStreamsClusterTest: only the leader answers; the next one answers what was reported to it. Measured: LeaderStreamsClusterTest (2) passes, with StreamOriginBookTest (8) and LeaderStreamsTest (4).

--- a/test/registry/stream_origin_book_test.cpp
+++ b/test/registry/stream_origin_book_test.cpp
@@ -2,6 +2,7 @@
 
 #include "registry/stream_origin_book.h"
 
+#include "registry/cluster.h"
 #include "registry/leader_duties_fixture.h"
 #include "walnut/protocol/codec.h"
 
@@ -173,3 +174,53 @@
   now += 1s;
   STRCMP_EQUAL("", ask(43).value().version.c_str());
 }
+
+TEST_GROUP(LeaderStreamsClusterTest) {
+  Cluster cluster{2};
+
+  void setup() override {
+    const std::vector<std::uint16_t> seeds = {1, 2, 3};
+    for (const std::uint16_t port : seeds) {
+      cluster.start(port, port, seeds, seeds);
+    }
+    cluster.start(4, 4, {}, seeds);
+    cluster.start(5, 5, {}, seeds);
+    cluster.run(6s);
+  }
+  void report(std::uint16_t server) {
+    cluster.sendAsGateway(server, StreamsBegan{{{"svc", "1.0", {42}}}}, 10ms);
+  }
+  /// @return the version that the server answers; nothing if it does not answer.
+  std::optional<std::string> ask(std::uint16_t server, StreamId stream) {
+    for (const MessageBody& body :
+         cluster.sendAsGateway(server, FindStreamOrigin{1, stream, "svc"}, 10ms)) {
+      if (const auto* answer = std::get_if<StreamOriginFound>(&body)) {
+        return answer->version;
+      }
+    }
+    return std::nullopt;
+  }
+};
+
+TEST(LeaderStreamsClusterTest, onlyTheLeaderAnswers) {
+  const std::uint16_t leader = *cluster.leader();
+  const std::uint16_t other = leader == 1 ? 2 : 1;
+  report(leader);
+  report(other);
+  CHECK_TRUE(ask(leader, 42) == "1.0");
+  CHECK_TRUE(ask(leader, 43) == "");
+  CHECK_FALSE(ask(other, 42).has_value());
+}
+
+TEST(LeaderStreamsClusterTest, theNextLeaderKnowsWhatIsReportedToIt) {
+  const std::uint16_t former = *cluster.leader();
+  report(former);
+  cluster.partition(former);
+  cluster.run(5s);
+  CHECK_FALSE(ask(former, 43).has_value());
+  cluster.stop(former);
+  const std::uint16_t leader = *cluster.leader();
+  CHECK_TRUE(ask(leader, 42) == "");
+  report(leader);
+  CHECK_TRUE(ask(leader, 42) == "1.0");
+}
