registry: a worker's software version goes from its heartbeat to gateways

Cause: workers of several software versions serve side by side, and a stream may only go on at the version that began it, but the heartbeat's version was not read. Change: the platform's dialect reads `version` (typed errors for it and for a zone with control characters); a server removes it from incoming heartbeats until the cell has level kSoftwareVersions, then it is part of the record, the batches and, for gateways of that level, the views. CellState keeps for each service the only version that it ever had. A known version stays known, as a server that lags behind the log still removes it.

--- a/include/walnut/registry/view_codec.h
+++ b/include/walnut/registry/view_codec.h
@@ -23,6 +23,7 @@
   std::vector<bool> names;                         ///< True for names sent, by number.
   std::map<std::uint32_t, std::uint64_t> records;  ///< Revisions sent, by number of the worker.
   bool acceptsLimits = false;                      ///< The gateway reads limits of workers.
+  bool acceptsVersions = false;  ///< The gateway reads software versions of workers.
 };
 
 /// Encoder of views; the leader has one for all gateways. Views must be sent in the order in which
--- a/include/walnut/registry/worker.h
+++ b/include/walnut/registry/worker.h
@@ -48,6 +48,10 @@
   bool succeeds(const WorkerRecord& other) const {
     return calledName() == other.calledName() && bornMillis > other.bornMillis;
   }
+  /// @param held record of the same incarnation.
+  /// @return this later one as it is stored: a worker never stops leaving, and a known version
+  /// stays known, as a server that has not applied the whole log reports workers without one.
+  WorkerRecord storedOver(const WorkerRecord& held) const;
 
   bool operator==(const WorkerRecord&) const = default;
   /// Builds without software versions accept exactly eight fields, so the version is appended to
--- a/src/registry/cell_state.cpp
+++ b/src/registry/cell_state.cpp
@@ -1,6 +1,7 @@
 #include "registry/cell_state.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/archive.h"
 
@@ -13,6 +14,9 @@
 constexpr std::size_t kMinForgotten = 1024;
 /// Bound of `changes_`, which a leader reads after each batch of entries.
 constexpr std::size_t kMaxChanges = 8192;
+/// Most services whose version is kept; one that comes later has no answer. Services are declared
+/// by the operator, and far fewer in a cell's life.
+constexpr std::size_t kMaxVersionedServices = 65536;
 
 template <class... Handlers>
 struct Overloaded : Handlers... {
@@ -62,9 +66,7 @@
                                : requestCrashes_.clearEvidence(request);
                    }
                  },
-                 [this](const RaiseFeatureLevel& body) {
-                   featureLevel_ = std::max(featureLevel_, body.level);
-                 },
+                 [this](const RaiseFeatureLevel& body) { raise(body.level); },
                  [this](const StoreZoneEvacuation& body) { store(body); },
              },
              command);
@@ -101,11 +103,42 @@
   if (!added) {
     removeFromIndex(held);
   }
-  const bool leaving = held.leaving || worker.leaving;
-  held = worker;
-  held.leaving = leaving;
+  if (!added && held.service != worker.service) {
+    noteVersion(held.service, held.softwareVersion);
+  }
+  held = added ? worker : worker.storedOver(held);
   addToIndex(held);
   noteChange(held.id);
+  if (!held.softwareVersion.empty()) {
+    noteVersion(held.service, held.softwareVersion);
+  }
+}
+
+void CellState::raise(std::uint32_t level) {
+  const std::uint32_t former = std::exchange(featureLevel_, std::max(featureLevel_, level));
+  if (former < feature::kSoftwareVersions && featureLevel_ >= feature::kSoftwareVersions) {
+    versionsKnown_ = forgotten_.empty();
+  }
+}
+
+/// @param version of a worker that has one, or empty for one whose version will never be known.
+void CellState::noteVersion(const std::string& service, const std::string& version) {
+  if (!versionsKnown_ ||
+      (versions_.size() >= kMaxVersionedServices && versions_.count(service) == 0)) {
+    return;
+  }
+  const auto [found, added] = versions_.try_emplace(service, version);
+  if (found->second != version) {
+    found->second.clear();
+  }
+}
+
+std::optional<std::string> CellState::onlyVersionOf(const std::string& service) const {
+  const auto found = versions_.find(service);
+  if (found == versions_.end() || found->second.empty() || unknownVersions_.count(service) != 0) {
+    return std::nullopt;
+  }
+  return found->second;
 }
 
 void CellState::store(const StoreZoneEvacuation& change) {
@@ -131,6 +164,7 @@
 void CellState::forget(const WorkerId& id) {
   const auto found = workers_.find(id);
   if (found != workers_.end()) {
+    noteVersion(found->second.service, found->second.softwareVersion);
     removeFromIndex(found->second);
     workers_.erase(found);
   }
@@ -156,6 +190,9 @@
 void CellState::addToIndex(const WorkerRecord& worker) {
   idsByName_[worker.calledName()].insert(worker.id);
   idsByEndpoint_[worker.endpoint].insert(worker.id);
+  if (worker.softwareVersion.empty()) {
+    ++unknownVersions_[worker.service];
+  }
 }
 
 void CellState::removeFromIndex(const WorkerRecord& worker) {
@@ -168,6 +205,9 @@
   };
   remove(idsByName_, worker.calledName());
   remove(idsByEndpoint_, worker.endpoint);
+  if (worker.softwareVersion.empty() && --unknownVersions_.at(worker.service) == 0) {
+    unknownVersions_.erase(worker.service);
+  }
 }
 
 void CellState::buildIndex() {
--- a/src/registry/cell_state.h
+++ b/src/registry/cell_state.h
@@ -17,6 +17,7 @@
 
 #include "control/crash_ledger.h"
 #include "walnut/base/error.h"
+#include "walnut/registry/feature_level.h"
 #include "walnut/registry/request_digest.h"
 #include "walnut/registry/worker.h"
 
@@ -144,6 +145,14 @@
 /// Replicated state machine of the registry. It applies commands in log order and is therefore
 /// equal on all servers. Each command takes time in proportion to what it changes, not to the size
 /// of the state.
+///
+/// Invariant: `onlyVersionOf` has an answer only if every worker of the service that was ever
+/// registered had that software version. It therefore has none
+/// - for any service, if workers had been forgotten before feature level `kSoftwareVersions`, when
+///   their versions were not reported;
+/// - while a registered worker of the service is of unknown version;
+/// - for good, once such a worker was forgotten or moved to another service.
+/// A worker's version is fixed, so that a worker which reports it late has had it all along.
 class CellState {
  public:
   using Workers = std::map<WorkerId, WorkerRecord>;
@@ -175,6 +184,9 @@
   base::ServerId lastOrderedBy(const WorkerId& id) const;
   const RequestCrashLedger& requestCrashes() const { return requestCrashes_; }
   std::uint32_t featureLevel() const { return featureLevel_; }
+  /// @return the software version that all workers of the service have ever had; nothing if there
+  /// were several or one is unknown.
+  std::optional<std::string> onlyVersionOf(const std::string& service) const;
   /// @return true if no new requests may be sent to the workers of that zone.
   bool evacuated(const base::ZoneId& zone) const;
   /// @return how often an evacuation of the zone has begun or ended.
@@ -213,6 +225,8 @@
   void store(const WorkerRecord& worker);
   void store(const StoreZoneEvacuation& change);
   void forget(const WorkerId& id);
+  void raise(std::uint32_t level);
+  void noteVersion(const std::string& service, const std::string& version);
   void addToIndex(const WorkerRecord& worker);
   void removeFromIndex(const WorkerRecord& worker);
   void buildIndex();
@@ -230,10 +244,17 @@
   std::uint32_t featureLevel_ = 0;
   std::map<base::ZoneId, ZoneState> zones_;  ///< Zones that have ever been evacuated.
   std::uint64_t zoneChanges_ = 0;
+  /// @name Software versions; kept from feature level `kSoftwareVersions` on
+  /// @{
+  bool versionsKnown_ = false;  ///< False if workers were forgotten before.
+  /// The only version by service; empty: several, or it will never be known. Bounded.
+  std::map<std::string, std::string> versions_;
+  /// @}
 
   // Derived from the above, therefore not in a snapshot.
   std::map<std::string, std::set<WorkerId>> idsByName_;  ///< Registered workers only.
   std::map<base::Endpoint, std::set<WorkerId>> idsByEndpoint_;
+  std::map<std::string, std::size_t> unknownVersions_;  ///< Such workers by service; never 0.
   std::set<WorkerId> forgottenIds_;
   std::deque<WorkerId> changes_;  ///< Oldest first, bounded.
   std::uint64_t firstChange_ = 0;
@@ -248,6 +269,9 @@
     if (featureLevel_ > 0) {
       archive(featureLevel_, zones_, zoneChanges_);
     }
+    if (featureLevel_ >= feature::kSoftwareVersions) {
+      archive(versionsKnown_, versions_);
+    }
   } else {
     if (archive.remaining() > 0) {
       archive(requestCrashes_);
@@ -255,6 +279,9 @@
     if (archive.remaining() > 0) {
       archive(featureLevel_, zones_, zoneChanges_);
     }
+    if (featureLevel_ >= feature::kSoftwareVersions) {
+      archive(versionsKnown_, versions_);
+    }
   }
 }
 
--- a/src/registry/heartbeat_relay.cpp
+++ b/src/registry/heartbeat_relay.cpp
@@ -8,12 +8,7 @@
 bool HeartbeatRelay::take(const Heartbeat& heartbeat, const CellState& state) {
   removeForgotten(state);
   const WorkerRecord* held = state.findWorker(heartbeat.worker.id);
-  if (held == nullptr) {
-    return false;
-  }
-  WorkerRecord next = heartbeat.worker;
-  next.leaving = next.leaving || held->leaving;
-  if (!(next == *held)) {
+  if (held == nullptr || !(heartbeat.worker.storedOver(*held) == *held)) {
     return false;
   }
   Worker& worker = workers_[held->id];
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -80,12 +80,7 @@
   logEndedOrder(id, status, now);
   planSoon_ = true;
   const WorkerRecord* held = state_.findWorker(id);
-  if (held == nullptr) {
-    return true;
-  }
-  WorkerRecord next = heartbeat.worker;
-  next.leaving = next.leaving || held->leaving;
-  return !(next == *held);
+  return held == nullptr || !(heartbeat.worker.storedOver(*held) == *held);
 }
 
 HeartbeatRequest LeaderDuties::heartbeats(const HeartbeatBatch& batch, base::TimePoint now) {
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -128,17 +128,27 @@
   const bool document = std::holds_alternative<ReplaceDocument>(input.body) ||
                         std::holds_alternative<ReadDocument>(input.body);
   const base::Duration timeout = document ? options_.documentTimeout : options_.callTimeout;
-  const auto* alive = std::get_if<ReportAlive>(&input.body);
-  if (alive != nullptr && relay(input.call, *alive)) {
-    return;
-  }
   ControlCall body = input.body;
+  if (auto* alive = std::get_if<ReportAlive>(&body)) {
+    dropUnsupported(alive->heartbeat.worker);
+    if (relay(input.call, *alive)) {
+      return;
+    }
+  }
   if (auto* evacuation = std::get_if<EvacuateZone>(&body)) {
     evacuation->basedOn = state_.zoneRevision(evacuation->zone);
   }
   take({{std::nullopt, input.call}, std::move(body), now_ + timeout});
 }
 
+/// Removes what servers of the cell may not be able to decode. All heartbeats pass here before they
+/// reach another server or the log.
+void RegistryImpl::dropUnsupported(WorkerRecord& worker) const {
+  if (state_.featureLevel() < feature::kSoftwareVersions) {
+    worker.softwareVersion.clear();
+  }
+}
+
 void RegistryImpl::handle(const OrderFinished& input) {
   if (leading_ != nullptr) {
     leading_->orderFinished(input, now_);
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -89,6 +89,7 @@
   void receiveBody(protocol::ConnectionId, const PackedView&) {}
   void receiveBody(protocol::ConnectionId, const SuspectList&) {}
 
+  void dropUnsupported(WorkerRecord& worker) const;
   bool relay(std::uint64_t call, const ReportAlive& body);
   void sendHeartbeats();
   bool hasLeaderContact() const;
--- a/src/registry/view_codec.cpp
+++ b/src/registry/view_codec.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t kHoldingsKnown = 4;
 constexpr std::uint64_t kFailing = 8;
 constexpr std::uint64_t kLimited = 16;
+constexpr std::uint64_t kVersioned = 32;  ///< The record has a software version.
 /// @}
 
 /// Limits are encoded in thousandths of a request per second.
@@ -110,9 +111,11 @@
   const std::uint32_t worker = writer.name(view.record.id.value);
   const bool withRecord = recordIsNew(worker, view.record, cursor);
   const bool limited = view.limit && cursor.acceptsLimits;
+  const bool versioned =
+      withRecord && cursor.acceptsVersions && !view.record.softwareVersion.empty();
   writer.number((withRecord ? kWithRecord : 0) | (view.silent ? kSilent : 0) |
                 (view.failing ? kFailing : 0) | (view.holdingsKnown ? kHoldingsKnown : 0) |
-                (limited ? kLimited : 0));
+                (limited ? kLimited : 0) | (versioned ? kVersioned : 0));
   if (limited) {
     writer.number(static_cast<std::uint64_t>(std::llround(*view.limit * kLimitUnits)));
   }
@@ -126,6 +129,9 @@
     writer.text(view.record.name);
     writer.number(view.record.bornMillis);
   }
+  if (versioned) {
+    writer.text(view.record.softwareVersion);
+  }
   writer.number(view.models.size());
   for (const HeldModel& model : view.models) {
     writer.name(model.name);
@@ -264,6 +270,7 @@
     record.leaving = reader.number() != 0;
     record.name = reader.text();
     record.bornMillis = reader.number();
+    record.softwareVersion = (flags & kVersioned) != 0 ? reader.text() : std::string();
   }
   const auto known = records_.find(worker);
   if (known == records_.end()) {
--- a/src/registry/view_publisher.cpp
+++ b/src/registry/view_publisher.cpp
@@ -38,6 +38,7 @@
   unsubscribe(id);
   gateways_[id].zone = zone;
   gateways_[id].cursor.acceptsLimits = featureLevel >= feature::kWorkerLimits;
+  gateways_[id].cursor.acceptsVersions = featureLevel >= feature::kSoftwareVersions;
   if (interest_) {
     incomplete_.insert(id);
     interest_->addGateway(id, zone);
--- a/src/registry/worker.cpp
+++ b/src/registry/worker.cpp
@@ -26,6 +26,15 @@
   zone.value.resize(std::min(mark, zone.value.size()));
 }
 
+WorkerRecord WorkerRecord::storedOver(const WorkerRecord& held) const {
+  WorkerRecord stored = *this;
+  stored.leaving = stored.leaving || held.leaving;
+  if (stored.softwareVersion.empty()) {
+    stored.softwareVersion = held.softwareVersion;
+  }
+  return stored;
+}
+
 WorkerId workerIdOf(const std::string& name, std::uint64_t bornMillis) {
   return {bornMillis == 0 ? name : name + "#" + std::to_string(bornMillis)};
 }
--- a/test/platform/dialect_test.cpp
+++ b/test/platform/dialect_test.cpp
@@ -27,6 +27,9 @@
   "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
     "idleTimeoutMs":15000}})";
 
+constexpr const char* kPlainHeartbeat =
+    R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","slots":64,"state":"ready","seq":4})";
+
 std::string replaced(std::string text, const std::string& from, const std::string& to) {
   return text.replace(text.find(from), from.size(), to);
 }
@@ -96,6 +99,41 @@
   CHECK_TRUE(alive.heartbeat.worker.leaving);
   CHECK_TRUE(alive.heartbeat.holdings.holds("m1", "a2"));
   CHECK_EQUAL(1, alive.heartbeat.holdings.inMemory.size());
+  STRCMP_EQUAL("v1", alive.heartbeat.worker.softwareVersion.c_str());
+}
+
+TEST(DialectTest, aHeartbeatNeedsNoSoftwareVersion) {
+  const auto call = control.readCall(post("/v1/Instances.Heartbeat/i-7", kPlainHeartbeat));
+  const auto& alive = std::get<registry::ReportAlive>(call.value());
+  STRCMP_EQUAL("", alive.heartbeat.worker.softwareVersion.c_str());
+}
+
+TEST(DialectTest, malformedVersionsAndZonesNameTheField) {
+  const std::string longest(128, 'v');
+  const auto withVersion = [](const std::string& value) {
+    return replaced(kPlainHeartbeat, "\"slots\"", "\"version\":" + value + ",\"slots\"");
+  };
+  const auto read = [this](const std::string& body) {
+    return control.readCall(post("/v1/Instances.Heartbeat/i-7", body));
+  };
+  CHECK_TRUE(read(withVersion('"' + longest + '"')).has_value());
+  const struct {
+    std::string text;
+    base::ErrorCode code;
+    const char* field;
+  } cases[] = {
+      {withVersion("\"v" + longest + "\""), base::ErrorCode::outOfRange, "version"},
+      {withVersion("\"v\\u001f1\""), base::ErrorCode::outOfRange, "version"},
+      {withVersion("\"v\\u007f\""), base::ErrorCode::outOfRange, "version"},
+      {withVersion("7"), base::ErrorCode::wrongType, "version"},
+      {replaced(kPlainHeartbeat, "\"z\"", "\"z\\u001fv1\""), base::ErrorCode::outOfRange, "zone"},
+  };
+  for (const auto& fault : cases) {
+    const auto outcome = read(fault.text);
+    CHECK_TRUE(outcome.has_error());
+    CHECK_TRUE_TEXT(outcome.error().code == fault.code, fault.text.c_str());
+    STRCMP_EQUAL(fault.field, outcome.error().field.c_str());
+  }
 }
 
 TEST(DialectTest, otherCallsAreRead) {
--- a/test/registry/cluster.h
+++ b/test/registry/cluster.h
@@ -140,6 +140,17 @@
     run(timeout);
     return toGateway_;
   }
+  /// Connects the gateway to a server, as a build of that feature level.
+  void connectGateway(std::uint16_t port, std::uint32_t level) {
+    protocol::Hello hello;
+    hello.role = protocol::PeerRole::router;
+    hello.featureLevel = level;
+    nodes_.at(port).registry->step(now_, LinkOpened{connection(port, kGatewayPort), hello});
+  }
+  /// @return what the server's disk holds.
+  const consensus::RecoveredState& disk(std::uint16_t port) const {
+    return nodes_.at(port).disk.state;
+  }
   std::vector<MessageBody> subscribe(std::uint16_t port,
                                      base::Duration timeout = std::chrono::seconds(1)) {
     return sendAsGateway(port, Subscribe{}, timeout);
--- a/test/registry/heartbeat_relay_test.cpp
+++ b/test/registry/heartbeat_relay_test.cpp
@@ -38,6 +38,25 @@
   CHECK_TRUE(relay.takeBatch(now) == std::nullopt);
 }
 
+/// The leader stores the version once; the heartbeats after that change nothing.
+TEST(HeartbeatRelayTest, aNewSoftwareVersionIsLeftToTheLeaderOnce) {
+  Heartbeat versioned = makeHeartbeat("w", 2);
+  versioned.worker.softwareVersion = "v1";
+  CHECK_FALSE(relay.take(versioned, state));
+  state.apply(StoreWorker{versioned.worker});
+  versioned.sequence = 3;
+  CHECK_TRUE(relay.take(versioned, state));
+  STRCMP_EQUAL("v1", batch().changed.at(0).worker.softwareVersion.c_str());
+}
+
+/// A server that lags behind the log removes versions from heartbeats.
+TEST(HeartbeatRelayTest, aHeartbeatWithoutTheKnownVersionChangesNothing) {
+  Heartbeat versioned = makeHeartbeat("w", 2);
+  versioned.worker.softwareVersion = "v1";
+  state.apply(StoreWorker{versioned.worker});
+  CHECK_TRUE(relay.take(makeHeartbeat("w", 3), state));
+}
+
 TEST(HeartbeatRelayTest, anUnchangedHeartbeatIsReportedAsContactOnly) {
   CHECK_TRUE(relay.take(makeHeartbeat("w", 1), state));
   CHECK_EQUAL(1, batch().changed.size());
--- a/test/registry/view_codec_test.cpp
+++ b/test/registry/view_codec_test.cpp
@@ -127,6 +127,49 @@
   CHECK(encoderWithout.encode(without, first) == encoderWith.encode(with, second));
 }
 
+TEST(ViewCodecTest, aSoftwareVersionIsSentToGatewaysThatSupportIt) {
+  ViewUpdate view = complete();
+  view.changed[0].record.softwareVersion = "v1";
+  cursor.acceptsVersions = true;
+  roundTrip(view);
+  ViewUpdate change;
+  change.changed = {view.changed[0]};
+  change.changed[0].silent = true;
+  roundTrip(change);
+  change.changed[0].record.slots = 3;
+  roundTrip(change);
+  change.changed[0].record.softwareVersion.clear();
+  roundTrip(change);
+}
+
+TEST(ViewCodecTest, aViewWithVersionsThatIsCutOffIsRefused) {
+  ViewUpdate view = complete();
+  view.changed[0].record.softwareVersion = "v1";
+  cursor.acceptsVersions = true;
+  const std::string bytes = encoder.encode(view, cursor);
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    ViewDecoder fresh;
+    CHECK_TRUE(fresh.decode(std::string_view(bytes).substr(0, size)).has_error());
+  }
+}
+
+/// Builds without support for versions must get the same bytes as before, even if another gateway
+/// is sent versions.
+TEST(ViewCodecTest, aGatewayOfAnEarlierBuildIsToldNothingOfVersions) {
+  const ViewUpdate without = complete();
+  ViewUpdate with = without;
+  with.changed[0].record.softwareVersion = "v1";
+  ViewCursor first;
+  ViewCursor second;
+  ViewEncoder encoderWithout;
+  ViewEncoder encoderWith;
+  cursor.acceptsVersions = true;
+  (void)encoderWith.encode(with, cursor);
+  const std::string bytes = encoderWith.encode(with, second);
+  CHECK(encoderWithout.encode(without, first) == bytes);
+  checkSame(without, decoder.decode(bytes).value());
+}
+
 TEST(ViewCodecTest, aCompleteViewResetsTheState) {
   roundTrip(complete());
   roundTrip(complete());
