simulator: sound workers that are silent within streams, beside new documents

Change: streams of several events (ServingWorkerOptions::events, eventGap), each in two pieces, taken up after Resume; callers check that events come whole, in order, once and to the end, and leave after a gap. silenceWorkers, changeDocument (the time-outs change with each version), WorkerFault::full. StreamAccount tells from the gateways' logs how requests ended. The callers and the documents of the fleet stand in files of their own.

--- a/programs/walnut-rehearse/serving.cpp
+++ b/programs/walnut-rehearse/serving.cpp
@@ -14,6 +14,7 @@
 #include "simulator/limit_campaign.h"
 #include "simulator/retry_campaign.h"
 #include "simulator/serving_campaign.h"
+#include "simulator/silence_campaign.h"
 #include "simulator/store_campaign.h"
 #include "walnut/runtime/settings.h"
 
@@ -25,7 +26,7 @@
 
 constexpr const char* kUsage =
     "Usage: walnut-rehearse serving --seeds A-B\n"
-    "           [--only failing|crashing|busy|limited|retries|slow-store]\n"
+    "           [--only failing|crashing|busy|limited|retries|silent|slow-store]\n"
     "Runs a leader, gateways, workers and callers under virtual time. The seed draws the size of\n"
     "the fleet and workers that fail what they are sent, in overlapping episodes; and in two more\n"
     "runs requests that crash the workers that run them, beside changes of the leader and "
@@ -35,15 +36,16 @@
     "  --only KIND     just the runs with failing workers, with crashing requests, with such\n"
     "                  requests beside others that queue, with workers that name the requests a\n"
     "                  second that they take, with gateways that are killed while workers fail,\n"
-    "                  or those with a weight store that is slower than the demand, which are not\n"
-    "                  among the others: each with callers that come back after a short pause, "
-    "and\n"
-    "                  with others that heed Retry-After\n"
+    "                  or two kinds that are not among the others: with workers that are silent\n"
+    "                  within streams beside new documents; with a weight store that is too slow\n"
+    "                  for the demand, once with callers that come back after a short pause and\n"
+    "                  once with others that heed Retry-After\n"
     "Exit code 1: a model or an adapter was asked for and never served; too little was served\n"
     "once all was well again; a request that had crashed three workers was sent to workers more\n"
     "than three times later on; another request was refused as if it did such things; a worker\n"
     "got more than the limit that it had named allows; a service got more retries than its retry\n"
-    "budget allows.\n";
+    "budget allows; a gateway ended a stream though no worker had broken it, or passed its events\n"
+    "on with a gap.\n";
 
 enum Flag : int { seeds = 1, only, help };
 
@@ -59,6 +61,7 @@
 constexpr const char* kBusy = "busy";
 constexpr const char* kLimited = "limited";
 constexpr const char* kRetries = "retries";
+constexpr const char* kSilent = "silent";
 constexpr const char* kSlowStore = "slow-store";
 /// @}
 
@@ -66,13 +69,13 @@
   std::uint64_t firstSeed = 0;
   std::uint64_t lastSeed = 0;
   bool seedsGiven = false;
-  std::string only;  ///< Empty: all kinds but those with a slow store.
+  std::string only;  ///< Empty: all kinds but silent workers and a slow store.
   bool help = false;
 };
 
 bool isKind(const std::string& text) {
   return text == kFailing || text == kCrashing || text == kBusy || text == kLimited ||
-         text == kRetries || text == kSlowStore;
+         text == kRetries || text == kSilent || text == kSlowStore;
 }
 
 bool parseFlags(int argc, char** argv, Flags& flags) {
@@ -125,6 +128,9 @@
   if (runs(kRetries)) {
     passed = print(seed, kRetries, simulator::runRetryCampaign(seed)) && passed;
   }
+  if (only == kSilent) {
+    passed = print(seed, kSilent, simulator::runSilenceCampaign(seed)) && passed;
+  }
   if (only == kSlowStore) {
     passed = print(seed, kSlowStore, simulator::runStoreCampaign(seed)) && passed;
     passed = print(seed, kSlowStore, simulator::runHeedingCallersCampaign(seed)) && passed;
--- a/src/simulator/serving_caller.h
+++ b/src/simulator/serving_caller.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "simulator/received_stream.h"
 #include "simulator/serving_fleet.h"
 
 namespace walnut::simulator {
@@ -31,8 +32,14 @@
     end(served);
   }
   void beginChunked(net::HttpResponseHead) override { begun = true; }
-  void writeChunk(std::string_view) override {}
-  void endChunked() override { end(true); }
+  void writeChunk(std::string_view bytes) override {
+    stream.feed(bytes);
+    fleet.received(*this);
+  }
+  void endChunked() override {
+    fleet.streamCompleted(*this);
+    end(true);
+  }
   void abort() override { end(false); }
   std::size_t bufferedBytes() const override { return 0; }
   void setGoneCallback(std::function<void()> callback) override { gone = std::move(callback); }
@@ -46,6 +53,7 @@
   }
 
   ServingFleet& fleet;
+  std::string id;  ///< Of this try.
   std::string target;
   std::string body;
   bool repeatable = true;
@@ -56,6 +64,8 @@
   std::size_t gatewayIndex = 0;
   std::function<void()> gone;
   bool begun = false;
+  ReceivedStream stream;
+  base::TimePoint lastEventAt;
   base::TimePoint firstSentAt;  ///< Of its first try.
   base::TimePoint sentAt;
   std::optional<base::Duration> retryAfter;  ///< That this try was refused with.
--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -78,6 +78,7 @@
     request.thirdCrashAt = scheduler_.now();
   }
   noteCrash(**found);
+  noteBroken(**found);
   limitAccount_.limitEnded(id.value, scheduler_.now());
   const std::size_t cut = (*found)->crash();
   crashAccount_.cutBeside += cut - std::min<std::size_t>(cut, 1);
@@ -160,6 +161,9 @@
   if (tracesCallers_) {
     noteDecision(gateway, event, fields);
   }
+  if (streams_.logged(event, fields)) {
+    noteEndedByGateway(fields);
+  }
   if (event == runtime::LogEvent::requestCut) {
     noteCutLogged(fields);
   }
--- a/src/simulator/serving_cuts.cpp
+++ b/src/simulator/serving_cuts.cpp
@@ -40,6 +40,7 @@
         continue;
       }
       call->cutOff = true;
+      streams_.broken(requestId(*call));
       if (how == WorkerCut::reset) {
         gateways_[gateway]->run([call] {
           if (!call->cancelled) {
@@ -56,6 +57,7 @@
 }
 
 void ServingFleet::failCall(std::size_t gateway, const std::shared_ptr<ServingCall>& call) {
+  streams_.broken(requestId(*call));
   const bool hangs = workerCuts_[gateway].how == WorkerCut::hang;
   ServingGateway* const sender = gateways_[gateway].get();
   scheduler_.after(hangs ? kConnectTimeout : base::Duration::zero(), [sender, call] {
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -1,12 +1,12 @@
 #include "simulator/serving_fleet.h"
 
 #include <algorithm>
-#include <cmath>
 #include <sstream>
 #include <utility>
 #include <variant>
 
 #include "simulator/serving_caller.h"
+#include "simulator/serving_document.h"
 #include "walnut/registry/feature_level.h"
 
 namespace walnut::simulator {
@@ -14,81 +14,14 @@
 namespace {
 
 constexpr base::ServerId kSelf{1};
-const char* const kService = "service";
-constexpr std::uint64_t kDocumentVersion = 1;
-
-constexpr double kModelMegabytes = 10;
-constexpr std::uint32_t kAdapterSlots = 4;
 constexpr base::Duration kLinkDelay = std::chrono::milliseconds(3);
 /// How often a leader looks for what is due.
 constexpr base::Duration kLeaderTurn = std::chrono::milliseconds(10);
 
-/// @name Callers, as on the users' platform
-/// @{
-constexpr base::Duration kTargetLatency = std::chrono::milliseconds(600);
-constexpr base::Duration kTimeout = std::chrono::seconds(15);
-/// They wait for one part in so many of their time left, at most.
-constexpr int kShareOfTimeLeft = 3;
-/// @}
-
 const base::Error kConnectFailed{base::ErrorCode::connectFailed, "", ""};
 
-std::string modelName(std::size_t number) { return "m" + std::to_string(number); }
-
-catalog::Route makeRoute(const char* name, bool repeatable, bool plain) {
-  catalog::Route route;
-  route.name = name;
-  route.host = "host";
-  route.pathPrefix = std::string("/") + name + "/";
-  const auto kind = repeatable ? catalog::RouteKind::idempotent : catalog::RouteKind::nonIdempotent;
-  route.kind = plain ? kind : catalog::RouteKind::streaming;
-  route.resumable = repeatable && !plain;
-  route.maxAttempts = repeatable ? 2 : 1;
-  route.timeout = kTimeout;
-  route.targetLatency = kTargetLatency;
-  route.services = {{kService, 1}};
-  return route;
-}
-
 }  // namespace
 
-/// The one document of the fleet.
-class ServingFleet::Reader : public registry::DocumentReader {
- public:
-  explicit Reader(const ServingFleetOptions& options) : options_(options) {}
-
-  base::Result<catalog::Document> read(const std::string& /*text*/) const override {
-    catalog::Document document;
-    document.version = kDocumentVersion;
-    document.routes = {makeRoute("again", true, options_.plain),
-                       makeRoute("once", false, options_.plain)};
-    if (options_.plain) {
-      document.services = {{kService, "/healthz", 0, std::nullopt}};
-      return document;
-    }
-    catalog::EngineSpec engine;
-    engine.slots = options_.worker.slots;
-    engine.weightsMegabytes = kModelMegabytes * static_cast<double>(options_.modelsPerWorker);
-    engine.adapterSlots = kAdapterSlots;
-    engine.storeLoadsPerSecond = options_.storeLoadsPerSecond;
-    for (std::size_t number = 0; number < options_.models; ++number) {
-      catalog::ModelSpec model;
-      model.name = modelName(number);
-      model.weightsMegabytes = kModelMegabytes;
-      model.storeLoadTime = options_.worker.loadTime;
-      model.diskLoadTime = options_.worker.loadTime;
-      model.memoryLoadTime = options_.worker.loadTime;
-      model.adapters = number == 0 ? static_cast<std::uint32_t>(options_.adapters) : 0;
-      engine.models.push_back(model);
-    }
-    document.services = {{kService, "/healthz", 0, engine}};
-    return document;
-  }
-
- private:
-  const ServingFleetOptions options_;
-};
-
 ServingFleet::ServingFleet(const ServingFleetOptions& options)
     : options_(options),
       scheduler_(options.seed),
@@ -98,15 +31,12 @@
       turns_(scheduler_.now()),
       retryAccount_(options.retryRatio, options.retrySlack) {
   registryOptions_.ordersFenced = true;
-  state_.apply(registry::StoreDocument{kDocumentVersion, "text"});
+  state_.apply(registry::StoreDocument{documentVersion_, std::to_string(documentVersion_)});
   for (std::size_t index = 0; index < options.workers; ++index) {
     const std::string name = "w" + std::to_string(index);
-    const registry::WorkerRecord record{{name},
-                                        kService,
-                                        {"10.1.0.1", static_cast<std::uint16_t>(index + 1)},
-                                        {},
-                                        options.worker.slots,
-                                        false};
+    const registry::WorkerRecord record{
+        {name}, kServingService,      {"10.1.0.1", static_cast<std::uint16_t>(index + 1)},
+        {},     options.worker.slots, false};
     state_.apply(registry::StoreWorker{record});
     workers_.push_back(std::make_unique<ServingWorker>(record, options.worker, scheduler_));
   }
@@ -360,139 +290,9 @@
     return;
   }
   requestsToFailing_ += worker->fault() == WorkerFault::none ? 0 : 1;
+  noteFault(*call, *worker);
   const auto [model, adapter] = splitTarget(*call->request.headers.find("Model"));
   worker->receive(call, model, adapter, inLoop);
 }
 
-// Callers
-
-void ServingFleet::ask() {
-  const double pause = -std::log(1 - scheduler_.random().unit()) / options_.requestsPerSecond;
-  scheduler_.after(std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(pause)),
-                   [this] {
-                     Caller first(*this);
-                     first.repeatable = !scheduler_.random().chance(options_.unrepeatableShare);
-                     first.target = drawTarget();
-                     first.retries = options_.retries;
-                     first.counting = counting_;
-                     first.firstSentAt = scheduler_.now();
-                     first.body = "body " + std::to_string(++lastBody_);
-                     ServedCount& count = counts_[first.target];
-                     count.firstAt = count.asked == 0 ? scheduler_.now() : count.firstAt;
-                     count.lastAt = scheduler_.now();
-                     ++count.asked;
-                     send(first);
-                     ask();
-                   });
-}
-
-std::string ServingFleet::drawTarget() {
-  if (options_.plain) {
-    return {};
-  }
-  base::Random& random = scheduler_.random();
-  if (!random.chance(options_.popularShare)) {
-    return modelName(random.uniform(options_.popularModels, options_.models - 1));
-  }
-  const std::size_t model = random.uniform(0, options_.popularModels - 1);
-  const std::size_t adapter = random.uniform(0, options_.adapters);
-  return model != 0 || adapter == 0 ? modelName(model)
-                                    : modelName(model) + "/a" + std::to_string(adapter);
-}
-
-void ServingFleet::send(const Caller& from) {
-  callers_.push_back(std::make_unique<Caller>(from));
-  Caller& caller = *callers_.back();
-  net::HttpRequest request;
-  request.method = "POST";
-  request.target = caller.repeatable ? "/again/x" : "/once/x";
-  request.headers.add("Host", "host");
-  request.headers.add("Id", (caller.crashing ? "c" : "r") + std::to_string(++lastRequest_));
-  if (caller.crashing) {
-    request.headers.add(kCrashingField, std::to_string(*caller.crashing));
-  }
-  // Of each caller a body of its own, the same in all its tries.
-  request.body = caller.body;
-  bodies_[*request.headers.find("Id")] = caller.body;
-  request.headers.add(
-      "Deadline-Ms",
-      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(kTimeout).count()));
-  request.headers.add("Model", caller.target);
-  caller.sentAt = scheduler_.now();
-  retryAccount_.requested(caller.sentAt);
-  if (std::all_of(gateways_.begin(), gateways_.end(),
-                  [](const auto& gateway) { return gateway->hasEnded(); })) {
-    caller.end(false);
-    return;
-  }
-  std::size_t drawn = 0;
-  do {
-    drawn = scheduler_.random().uniform(0, gateways_.size() - 1);
-  } while (gateways_[drawn]->hasEnded());
-  ServingGateway& gateway = *gateways_[drawn];
-  caller.gateway = &gateway;
-  caller.gatewayIndex = drawn;
-  gateway.request(std::move(request), caller);
-  scheduler_.after(kGivesUpAfter, [this, &caller, &gateway] {
-    if (!caller.begun && !std::exchange(caller.over, true)) {
-      returns_.tries += caller.returns && caller.counting == counting_ ? 1 : 0;
-      if (caller.crashing) {
-        comeAgain(*caller.crashing);
-      }
-      noteFirstTry(caller, false);
-      count(caller, false);
-      gateway.run([&caller] {
-        if (caller.gone && !caller.answered) {
-          caller.gone();
-        }
-      });
-    }
-  });
-}
-
-void ServingFleet::ended(const Caller& caller, bool served) {
-  noteFirstTry(caller, served);
-  if (caller.crashing) {
-    comeAgain(*caller.crashing);
-    return;
-  }
-  if (caller.returns && caller.counting == counting_) {
-    ++returns_.tries;
-    returns_.served += served ? 1 : 0;
-  }
-  if (served || caller.retries == 0) {
-    count(caller, served);
-    return;
-  }
-  Caller next(*this);
-  next.target = caller.target;
-  next.repeatable = caller.repeatable;
-  next.body = caller.body;
-  next.retries = caller.retries - 1;
-  next.counting = caller.counting;
-  next.firstSentAt = caller.firstSentAt;
-  next.returns = caller.retryAfter.has_value();
-  scheduler_.after(retryPause(caller), [this, next = std::move(next)] { send(next); });
-}
-
-base::Duration ServingFleet::retryPause(const Caller& caller) const {
-  if (!options_.callersHeedRetryAfter || !caller.retryAfter) {
-    return kRetryPause;
-  }
-  const base::Duration left = caller.firstSentAt + kTimeout - scheduler_.now();
-  return std::min(*caller.retryAfter, left / kShareOfTimeLeft);
-}
-
-void ServingFleet::count(const Caller& caller, bool served) {
-  if (caller.counting == counting_ && !caller.crashing) {
-    ServedCount& count = counts_[caller.target];
-    ++(served ? count.served : count.lost);
-    if (served) {
-      decisions_.erase(caller.body);
-    } else if (tracesCallers_) {
-      lost_.push_back({caller.target, caller.body});
-    }
-  }
-}
-
 }  // namespace walnut::simulator
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -17,6 +17,7 @@
 #include "simulator/retry_account.h"
 #include "simulator/serving_gateway.h"
 #include "simulator/serving_worker.h"
+#include "simulator/stream_account.h"
 
 namespace walnut::simulator {
 
@@ -46,6 +47,7 @@
   bool crashingShowsHead = false;
   /// A plain service, without models: its requests are answered whole.
   bool plain = false;
+  base::Duration targetGap{0};  ///< Of streams, between two events; 0: none.
   /// False: leaders are of a build that knows nothing of limits, and each gateway keeps them alone.
   bool leaderSharesLimits = true;
   ServingWorkerOptions worker;
@@ -204,6 +206,21 @@
   const RetryAccount& retryAccount() const { return retryAccount_; }
   std::string describe(const RetryWindow& window) const;
 
+  /// @name Streams beside workers that are silent for a while
+  /// @{
+  /// So many workers, drawn among those without a fault, are silent from some time on.
+  void silenceWorkers(base::Duration begin, base::Duration duration, std::size_t count);
+  /// Stores a new document, with another time-out of the routes.
+  void changeDocument();
+  const StreamAccount& streams() const { return streams_; }
+  /// @return requests whose callers have not left and got no answer, though their deadline is over.
+  std::size_t unanswered() const;
+  /// @return what was wrong first with the events that a caller got; empty if nothing was.
+  const std::string& streamError() const { return streamError_; }
+  /// @return what gateways decided about the requests that they ended, if callers are traced.
+  const std::string& describeEnded() const { return endedByGateway_; }
+  /// @}
+
   /// @name Gateways that are cut off from all workers
   /// @{
   /// The gateway reaches no worker for that time; callers and the leader reach it.
@@ -221,6 +238,7 @@
     returns_ = {};
     forecasts_ = {};
     toldTimes_.clear();
+    streams_.countAnew();
     ++counting_;
   }
   /// @return the models and adapters that were asked for four times or more, over `span` or longer,
@@ -308,6 +326,13 @@
   void ask();
   std::string drawTarget();
   void send(const Caller& from);
+  void leave(Caller& caller);
+  void received(Caller& caller);
+  void streamCompleted(Caller& caller);
+  void noteStreamError(const Caller& caller);
+  void noteFault(const ServingCall& call, const ServingWorker& worker);
+  void noteBroken(const ServingWorker& worker);
+  void noteEndedByGateway(std::initializer_list<runtime::EventField> fields);
   void ended(const Caller& caller, bool served);
   base::Duration retryPause(const Caller& caller) const;
   void count(const Caller& caller, bool served);
@@ -351,6 +376,7 @@
   registry::RegistryOptions registryOptions_;
   std::unique_ptr<Reader> reader_;
   registry::DocumentCache documents_;
+  std::uint64_t documentVersion_ = 1;
   registry::CellState state_;
   registry::OrderTimes turns_;
   consensus::Term term_ = 0;
@@ -389,6 +415,9 @@
   std::uint64_t lastIncarnation_ = 0;
   LimitAccount limitAccount_;
   RetryAccount retryAccount_;
+  StreamAccount streams_;
+  std::string streamError_;
+  std::string endedByGateway_;
   RefusalAccount refusals_;
   ReturnAccount returns_;
   ForecastAccount forecasts_;
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -14,7 +14,7 @@
   return found == nullptr ? std::string() : *found;
 }
 
-/// Fields: Id, Deadline-Ms, Model; of answers: Id, Sealed, Not-Run.
+/// Fields: Id, Deadline-Ms, Model, Resume; of answers: Id, Sealed, Not-Run.
 class ServingDialect : public gateway::RequestDialect {
  public:
   gateway::RequestFacts readRequest(const net::HttpRequest& request) const override {
@@ -24,13 +24,18 @@
       facts.deadline = std::chrono::milliseconds(*millis);
     }
     std::tie(facts.model, facts.adapter) = splitTarget(text(request.headers, "Model"));
+    facts.resumeAfter = text(request.headers, "Resume");
     return facts;
   }
   std::string callerOf(const net::HttpRequest& request) const override {
     return text(request.headers, "Caller");
   }
   void removeSystemFields(net::HttpRequest&) const override {}
-  void writeAttempt(net::HttpRequest&, const gateway::AttemptFacts&) const override {}
+  void writeAttempt(net::HttpRequest& request, const gateway::AttemptFacts& facts) const override {
+    if (!facts.resumeAfter.empty()) {
+      request.headers.set("Resume", facts.resumeAfter);
+    }
+  }
   gateway::AnswerFacts readAnswer(int, const net::HeaderList& headers) const override {
     gateway::AnswerFacts facts{text(headers, "Id"),
                                headers.find("Sealed") != nullptr,
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "simulator/received_stream.h"
+
 namespace walnut::simulator {
 
 namespace {
@@ -10,8 +12,11 @@
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kInternalError = 500;
+constexpr int kUnavailable = 503;
 /// Ended requests are dropped from the list of running ones at this length.
 constexpr std::size_t kMostKept = 64;
+/// Between the two pieces of an event.
+constexpr base::Duration kPieceGap = std::chrono::milliseconds(10);
 
 /// Hands over the head of an answer.
 void passHead(const ServingCall& call, int status, const char* field, const std::string& limit,
@@ -141,6 +146,9 @@
         callbacks.onResponseFailure({base::ErrorCode::connectionLost, "", ""}, true);
       });
       return;
+    case WorkerFault::full:
+      answer(options_.errorTime, call, inLoop, kUnavailable, true);
+      return;
   }
   const registry::HeldModel* const held = find(model);
   const bool holds =
@@ -149,6 +157,8 @@
     answer(options_.errorTime, call, inLoop, kMisdirected, true);
   } else if (scheduler_.random().unit() < options_.strayErrors) {
     answer(options_.errorTime, call, inLoop, kInternalError, false);
+  } else if (options_.events > 1) {
+    serveEvents(call, inLoop);
   } else {
     serve(call, inLoop);
   }
@@ -184,18 +194,77 @@
 }
 
 void ServingWorker::later(base::Duration delay, const std::shared_ptr<ServingCall>& call,
-                          const InLoop& inLoop, Callback callback) {
-  scheduler_.after(delay, [this, call, inLoop, callback = std::move(callback)] {
-    if (!call->cancelled && !call->cutOff && !crashed_) {
-      deliver(call, inLoop, [call, callback, limit = limit_] {
-        if (!call->cancelled) {
-          callback(*call->callbacks, limit);
-        }
-      });
+                          const InLoop& inLoop, Callback callback, std::function<void()> next) {
+  schedule(delay, std::make_shared<Step>(
+                      Step{call, inLoop, std::move(callback), std::move(next), scheduler_.now()}));
+}
+
+void ServingWorker::schedule(base::Duration delay, const std::shared_ptr<Step>& step) {
+  scheduler_.after(delay, [this, step] {
+    const std::shared_ptr<ServingCall>& call = step->call;
+    if (call->cancelled || call->cutOff || crashed_) {
+      return;
+    }
+    const base::Duration silent = silentSince(step->since);
+    if (silent > base::Duration::zero()) {
+      step->since = std::max(scheduler_.now(), silentUntil_);
+      schedule(silent, step);
+      return;
+    }
+    deliver(call, step->inLoop, [step, limit = limit_] {
+      if (!step->call->cancelled) {
+        step->callback(*step->call->callbacks, limit);
+      }
+    });
+    if (step->next) {
+      step->next();
     }
   });
 }
 
+void ServingWorker::silence(base::Duration duration) {
+  const base::TimePoint now = scheduler_.now();
+  silentFrom_ = now < silentUntil_ ? silentFrom_ : now;
+  silentUntil_ = std::max(silentUntil_, now + duration);
+}
+
+/// @return how long of the time since then it was silent, or is going to be.
+base::Duration ServingWorker::silentSince(base::TimePoint since) const {
+  return std::max(base::Duration::zero(), silentUntil_ - std::max(silentFrom_, since));
+}
+
+/// A stream that is taken up begins after the event that the request names.
+void ServingWorker::serveEvents(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop) {
+  const std::uint64_t last = call->request.headers.findNumber("Resume").value_or(0);
+  later(
+      options_.firstEventTime, call, inLoop,
+      [call](net::ResponseCallbacks& callbacks, const std::string& limit) {
+        passHead(*call, kOk, "Sealed", limit, callbacks);
+      },
+      [this, last, call, inLoop] { sendEvent(last + 1, true, call, inLoop); });
+}
+
+void ServingWorker::sendEvent(std::uint64_t id, bool isFirst,
+                              const std::shared_ptr<ServingCall>& call, const InLoop& inLoop) {
+  if (id > options_.events) {
+    later(base::Duration::zero(), call, inLoop,
+          [](auto& callbacks, const std::string&) { callbacks.onResponseComplete(); });
+    return;
+  }
+  const std::string event = streamEvent(id, record_.id.value, {});
+  const auto piece = [](std::string text) {
+    return [text = std::move(text)](net::ResponseCallbacks& callbacks, const std::string&) {
+      callbacks.onResponseBody(text);
+    };
+  };
+  const auto sendRest = [this, id, call, inLoop, rest = piece(event.substr(event.size() / 2))] {
+    later(kPieceGap, call, inLoop, rest,
+          [this, id, call, inLoop] { sendEvent(id + 1, false, call, inLoop); });
+  };
+  later(isFirst ? base::Duration::zero() : options_.eventGap - kPieceGap, call, inLoop,
+        piece(event.substr(0, event.size() / 2)), sendRest);
+}
+
 void ServingWorker::deliver(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
                             const std::function<void()>& callback) {
   if (call->answerTravel == base::Duration::zero()) {
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -20,6 +20,7 @@
   errors,  ///< Answered with an error of the worker's own.
   hang,    ///< Never answered.
   reset,   ///< The connection is reset.
+  full,    ///< Answered as not run, as by a worker whose slots are all taken.
 };
 
 /// One request on its way to a worker and back. The caller of it sets `cancelled`.
@@ -34,11 +35,20 @@
   std::function<void()> onLimit;   ///< An answer that names the worker's limit was handed over.
 };
 
+/// @return the id of the caller's try.
+inline const std::string& requestId(const ServingCall& call) {
+  return *call.request.headers.find("Id");
+}
+
 struct ServingWorkerOptions {
   std::uint32_t slots = 8;
   base::Duration firstEventTime = std::chrono::milliseconds(150);
   base::Duration headTime{0};  ///< From the head of an answer to its first event.
   base::Duration serviceTime = std::chrono::milliseconds(400);
+  /// Events of a stream. With more than one each comes in two pieces, with its head first, the last
+  /// one ends the stream, and `headTime` and `serviceTime` have no meaning.
+  std::uint32_t events = 1;
+  base::Duration eventGap = std::chrono::milliseconds(200);  ///< Between two events.
   base::Duration errorTime = std::chrono::milliseconds(20);
   base::Duration loadTime = std::chrono::milliseconds(900);
   base::Duration unloadTime = std::chrono::milliseconds(50);
@@ -65,6 +75,8 @@
   const registry::WorkerRecord& record() const { return record_; }
   void setFault(WorkerFault fault) { fault_ = fault; }
   WorkerFault fault() const { return fault_; }
+  /// It answers nothing for that time and then goes on where it was. Its heartbeats go on.
+  void silence(base::Duration duration);
   /// What its answers name as the requests a second that it takes; empty: they name nothing.
   void setLimit(std::string text) { limit_ = std::move(text); }
   const std::string& limit() const { return limit_; }
@@ -111,8 +123,23 @@
               int status, bool notRun);
   /// Gets the limit that the worker named when it answered.
   using Callback = std::function<void(net::ResponseCallbacks&, const std::string& limit)>;
+  /// @param next called after it.
   void later(base::Duration delay, const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
-             Callback callback);
+             Callback callback, std::function<void()> next = {});
+  /// One thing that a worker does for a request, some time after `since`.
+  struct Step {
+    std::shared_ptr<ServingCall> call;
+    InLoop inLoop;
+    Callback callback;
+    std::function<void()> next;
+    base::TimePoint since;
+  };
+  void schedule(base::Duration delay, const std::shared_ptr<Step>& step);
+  base::Duration silentSince(base::TimePoint since) const;
+  void serveEvents(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop);
+  /// Sends that event and those that follow.
+  void sendEvent(std::uint64_t id, bool isFirst, const std::shared_ptr<ServingCall>& call,
+                 const InLoop& inLoop);
   void deliver(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
                const std::function<void()>& callback);
   void remember(std::vector<std::string>& copies, const std::string& model);
@@ -123,6 +150,8 @@
   const ServingWorkerOptions options_;
   Scheduler& scheduler_;
   WorkerFault fault_ = WorkerFault::none;
+  base::TimePoint silentFrom_;
+  base::TimePoint silentUntil_;
   std::string limit_;
   registry::Holdings holdings_;
   bool orderUnderWay_ = false;
