simulator: workers of several software versions, and callers that take streams up

Change: workers have a software version ("v1" at first) that their events name; releaseVersion replaces half of them one at a time (the old one leaves, finishes and ends, the new one begins empty), crashWorkers restarts at the same version, resetConnections resets a share of what is under way. With callersTakeUp a caller whose stream breaks comes again at any gateway with Resume and Resumes, until its first deadline. VersionAccount counts streams that hold events of two versions, and compares taken-up streams that go on, sent to gateways in touch while two workers of their version serve, with new ones that begin. Leaders get StreamsBegan and FindStreamOrigin in ServingFleet::toLeader and drop them for now.

--- a/programs/walnut-rehearse/serving.cpp
+++ b/programs/walnut-rehearse/serving.cpp
@@ -16,6 +16,7 @@
 #include "simulator/serving_campaign.h"
 #include "simulator/silence_campaign.h"
 #include "simulator/store_campaign.h"
+#include "simulator/version_campaign.h"
 #include "walnut/runtime/settings.h"
 
 namespace walnut::rehearsal {
@@ -26,7 +27,8 @@
 
 constexpr const char* kUsage =
     "Usage: walnut-rehearse serving --seeds A-B\n"
-    "           [--only failing|crashing|busy|limited|retries|silent|slow-store]\n"
+    "           [--only failing|crashing|busy|limited|retries|silent|versions|\n"
+    "                  slow-store]\n"
     "Runs a leader, gateways, workers and callers under virtual time. The seed draws the size of\n"
     "the fleet and workers that fail what they are sent, in overlapping episodes; and in two more\n"
     "runs requests that crash the workers that run them, beside changes of the leader and "
@@ -36,8 +38,9 @@
     "  --only KIND     just the runs with failing workers, with crashing requests, with such\n"
     "                  requests beside others that queue, with workers that name the requests a\n"
     "                  second that they take, with gateways that are killed while workers fail,\n"
-    "                  or two kinds that are not among the others: with workers that are silent\n"
-    "                  within streams beside new documents; with a weight store that is too slow\n"
+    "                  or three kinds that are not among the others: with workers that are\n"
+    "                  silent within streams beside new documents; with workers of several\n"
+    "                  software versions; with a weight store that is too slow\n"
     "                  for the demand, once with callers that come back after a short pause and\n"
     "                  once with others that heed Retry-After\n"
     "Exit code 1: a model or an adapter was asked for and never served; too little was served\n"
@@ -45,7 +48,8 @@
     "than three times later on; another request was refused as if it did such things; a worker\n"
     "got more than the limit that it had named allows; a service got more retries than its retry\n"
     "budget allows; a gateway ended a stream though no worker had broken it, or passed its events\n"
-    "on with a gap.\n";
+    "on with a gap; a stream holds events of two software versions, or streams that callers take\n"
+    "up go on less than half as often as new ones begin.\n";
 
 enum Flag : int { seeds = 1, only, help };
 
@@ -62,6 +66,7 @@
 constexpr const char* kLimited = "limited";
 constexpr const char* kRetries = "retries";
 constexpr const char* kSilent = "silent";
+constexpr const char* kVersions = "versions";
 constexpr const char* kSlowStore = "slow-store";
 /// @}
 
@@ -69,13 +74,13 @@
   std::uint64_t firstSeed = 0;
   std::uint64_t lastSeed = 0;
   bool seedsGiven = false;
-  std::string only;  ///< Empty: all kinds but silent workers and a slow store.
+  std::string only;  ///< Empty: all kinds but silent workers, versions and a slow store.
   bool help = false;
 };
 
 bool isKind(const std::string& text) {
   return text == kFailing || text == kCrashing || text == kBusy || text == kLimited ||
-         text == kRetries || text == kSilent || text == kSlowStore;
+         text == kRetries || text == kSilent || text == kVersions || text == kSlowStore;
 }
 
 bool parseFlags(int argc, char** argv, Flags& flags) {
@@ -131,6 +136,9 @@
   if (only == kSilent) {
     passed = print(seed, kSilent, simulator::runSilenceCampaign(seed)) && passed;
   }
+  if (only == kVersions) {
+    passed = print(seed, kVersions, simulator::runVersionCampaign(seed)) && passed;
+  }
   if (only == kSlowStore) {
     passed = print(seed, kSlowStore, simulator::runStoreCampaign(seed)) && passed;
     passed = print(seed, kSlowStore, simulator::runHeedingCallersCampaign(seed)) && passed;
--- a/src/simulator/serving_caller.h
+++ b/src/simulator/serving_caller.h
@@ -64,7 +64,10 @@
   std::size_t gatewayIndex = 0;
   std::function<void()> gone;
   bool begun = false;
-  ReceivedStream stream;
+  ReceivedStream stream;  ///< Of all its tries, if it takes streams up.
+  std::string firstId;    ///< Of the try that brought the first event; empty: none did.
+  bool takesUp = false;   ///< This try takes up a stream.
+  bool counts = false;    ///< Its first event is going to be counted.
   base::TimePoint lastEventAt;
   base::TimePoint firstSentAt;  ///< Of its first try.
   base::TimePoint sentAt;
--- a/src/simulator/serving_callers.cpp
+++ b/src/simulator/serving_callers.cpp
@@ -66,11 +66,15 @@
   // Of each caller a body of its own, the same in all its tries.
   request.body = caller.body;
   bodies_[caller.id] = caller.body;
+  const base::Duration deadline = options_.callersTakeUp ? timeLeft(caller) : kCallerDeadline;
   request.headers.add(
       "Deadline-Ms",
-      std::to_string(
-          std::chrono::duration_cast<std::chrono::milliseconds>(kCallerDeadline).count()));
+      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count()));
   request.headers.add("Model", caller.target);
+  if (caller.stream.lastId() > 0) {
+    request.headers.add("Resume", std::to_string(caller.stream.lastId()));
+    request.headers.add("Resumes", caller.firstId);
+  }
   caller.sentAt = scheduler_.now();
   retryAccount_.requested(caller.sentAt);
   if (std::all_of(gateways_.begin(), gateways_.end(),
@@ -85,6 +89,7 @@
   ServingGateway& gateway = *gateways_[drawn];
   caller.gateway = &gateway;
   caller.gatewayIndex = drawn;
+  noteStreamSent(caller);
   gateway.request(std::move(request), caller);
   scheduler_.after(kGivesUpAfter, [this, &caller] {
     if (!caller.begun) {
@@ -121,7 +126,8 @@
     ++returns_.tries;
     returns_.served += served ? 1 : 0;
   }
-  if (served || caller.retries == 0) {
+  const bool isLate = options_.callersTakeUp && timeLeft(caller) <= retryPause(caller);
+  if (served || caller.retries == 0 || isLate) {
     count(caller, served);
     return;
   }
@@ -133,6 +139,10 @@
   next.counting = caller.counting;
   next.firstSentAt = caller.firstSentAt;
   next.returns = caller.retryAfter.has_value();
+  if (options_.callersTakeUp && caller.repeatable) {
+    next.stream = caller.stream;
+    next.firstId = caller.firstId;
+  }
   scheduler_.after(retryPause(caller), [this, next = std::move(next)] { send(next); });
 }
 
@@ -140,8 +150,11 @@
   if (!options_.callersHeedRetryAfter || !caller.retryAfter) {
     return kRetryPause;
   }
-  const base::Duration left = caller.firstSentAt + kCallerDeadline - scheduler_.now();
-  return std::min(*caller.retryAfter, left / kShareOfTimeLeft);
+  return std::min(*caller.retryAfter, timeLeft(caller) / kShareOfTimeLeft);
+}
+
+base::Duration ServingFleet::timeLeft(const Caller& caller) const {
+  return caller.firstSentAt + kCallerDeadline - scheduler_.now();
 }
 
 void ServingFleet::count(const Caller& caller, bool served) {
--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -111,6 +111,9 @@
     return;
   }
   gateways_[gateway]->end();
+  if (options_.callersTakeUp) {
+    endCallsOf(gateway);
+  }
   gatewayDisturbedAt_[gateway] = scheduler_.now();
   if (leader_ != nullptr) {
     leader_->unsubscribe(protocol::ConnectionId{gateway + 1});
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr base::ServerId kSelf{1};
+const char* const kFirstVersion = "v1";  ///< Of the workers' software.
 constexpr base::Duration kLinkDelay = std::chrono::milliseconds(3);
 /// How often a leader looks for what is due.
 constexpr base::Duration kLeaderTurn = std::chrono::milliseconds(10);
@@ -34,9 +35,12 @@
   state_.apply(registry::StoreDocument{documentVersion_, std::to_string(documentVersion_)});
   for (std::size_t index = 0; index < options.workers; ++index) {
     const std::string name = "w" + std::to_string(index);
-    const registry::WorkerRecord record{
-        {name}, kServingService,      {"10.1.0.1", static_cast<std::uint16_t>(index + 1)},
-        {},     options.worker.slots, false};
+    registry::WorkerRecord record;
+    record.id = {name};
+    record.service = kServingService;
+    record.endpoint = {"10.1.0.1", static_cast<std::uint16_t>(index + 1)};
+    record.slots = options.worker.slots;
+    record.softwareVersion = kFirstVersion;
     state_.apply(registry::StoreWorker{record});
     workers_.push_back(std::make_unique<ServingWorker>(record, options.worker, scheduler_));
   }
@@ -249,6 +253,9 @@
     } else if (const auto* shares = std::get_if<registry::ShareRequest>(&message)) {
       ++shareQuestions_;
       leader_->sharesRequested(connection, *shares, scheduler_.now());
+    } else if (std::holds_alternative<registry::StreamsBegan>(message) ||
+               std::holds_alternative<registry::FindStreamOrigin>(message)) {
+      // Leaders do not keep the origins of streams yet.
     }
   });
 }
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -18,6 +18,7 @@
 #include "simulator/serving_gateway.h"
 #include "simulator/serving_worker.h"
 #include "simulator/stream_account.h"
+#include "simulator/version_account.h"
 
 namespace walnut::simulator {
 
@@ -35,6 +36,9 @@
   /// Share of the requests whose route may not be repeated.
   double unrepeatableShare = 0.2;
   std::uint32_t retries = 1;  ///< Of a caller.
+  /// Callers whose stream breaks take it up after the last event that they have, if its route
+  /// permits that.
+  bool callersTakeUp = false;
   /// @name Retries at gateways that are allowed per request, and in a window whatever the traffic
   /// @{
   double retryRatio = 0.2;
@@ -221,6 +225,18 @@
   const std::string& describeEnded() const { return endedByGateway_; }
   /// @}
 
+  /// @name Workers of several software versions
+  /// @{
+  /// From some time on half of the workers are replaced, one at a time, by new ones of that
+  /// version.
+  void releaseVersion(base::Duration begin, base::Duration pause, const std::string& version);
+  /// So many workers crash, and are back a little later with the same version.
+  void crashWorkers(base::Duration begin, std::size_t count);
+  /// Connections between gateways and workers are reset, of a share of what is under way.
+  void resetConnections(base::Duration begin, double share);
+  const VersionAccount& versions() const { return versions_; }
+  /// @}
+
   /// @name Gateways that are cut off from all workers
   /// @{
   /// The gateway reaches no worker for that time; callers and the leader reach it.
@@ -239,6 +255,7 @@
     forecasts_ = {};
     toldTimes_.clear();
     streams_.countAnew();
+    versions_ = {};
     ++counting_;
   }
   /// @return the models and adapters that were asked for four times or more, over `span` or longer,
@@ -330,11 +347,21 @@
   void received(Caller& caller);
   void streamCompleted(Caller& caller);
   void noteStreamError(const Caller& caller);
+  std::vector<std::size_t> drawServing(std::size_t count);
+  void replaceWorker(std::size_t index, const std::string& version);
+  void endIfIdle(std::size_t index);
+  void endCallsOf(std::size_t gateway);
+  /// @return true if two or more workers of it serve.
+  bool isVersionServed(const std::string& version) const;
+  void noteStreamSent(Caller& caller);
+  void noteVersions(Caller& caller);
   void noteFault(const ServingCall& call, const ServingWorker& worker);
   void noteBroken(const ServingWorker& worker);
   void noteEndedByGateway(std::initializer_list<runtime::EventField> fields);
   void ended(const Caller& caller, bool served);
   base::Duration retryPause(const Caller& caller) const;
+  /// @return until the deadline of the caller's first try.
+  base::Duration timeLeft(const Caller& caller) const;
   void count(const Caller& caller, bool served);
   void answered(Caller& caller, const net::HttpResponse& response);
   void noteToldTime(const Caller& caller);
@@ -416,6 +443,7 @@
   LimitAccount limitAccount_;
   RetryAccount retryAccount_;
   StreamAccount streams_;
+  VersionAccount versions_;
   std::string streamError_;
   std::string endedByGateway_;
   RefusalAccount refusals_;
--- a/src/simulator/serving_streams.cpp
+++ b/src/simulator/serving_streams.cpp
@@ -45,6 +45,8 @@
 /// Callers leave a stream of several events after a gap, as they leave one that does not begin.
 void ServingFleet::received(Caller& caller) {
   noteStreamError(caller);
+  noteVersions(caller);
+  caller.firstId = caller.firstId.empty() ? caller.id : caller.firstId;
   if (options_.worker.events == 1) {
     return;
   }
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -251,7 +251,7 @@
           [](auto& callbacks, const std::string&) { callbacks.onResponseComplete(); });
     return;
   }
-  const std::string event = streamEvent(id, record_.id.value, {});
+  const std::string event = streamEvent(id, record_.id.value, record_.softwareVersion);
   const auto piece = [](std::string text) {
     return [text = std::move(text)](net::ResponseCallbacks& callbacks, const std::string&) {
       callbacks.onResponseBody(text);
@@ -315,19 +315,37 @@
 
 std::size_t ServingWorker::crash() {
   crashed_ = true;
-  std::size_t cut = 0;
+  std::size_t count = 0;
   for (const Running& running : std::exchange(running_, {})) {
     if (running.call->cancelled) {
       continue;
     }
-    ++cut;
-    running.inLoop([call = running.call] {
-      if (!call->cancelled) {
-        call->callbacks->onResponseFailure({base::ErrorCode::connectionLost, "", ""}, true);
-      }
-    });
+    ++count;
+    cut(running);
+  }
+  return count;
+}
+
+std::vector<std::shared_ptr<ServingCall>> ServingWorker::resetConnections(double share) {
+  std::vector<std::shared_ptr<ServingCall>> calls;
+  for (const Running& running : running_) {
+    if (!running.call->cancelled && scheduler_.random().chance(share)) {
+      running.call->cutOff = true;
+      calls.push_back(running.call);
+      cut(running);
+    }
   }
-  return cut;
+  std::erase_if(running_, [](const Running& running) { return running.call->cutOff; });
+  return calls;
+}
+
+/// Tells the gateway that the connection was lost.
+void ServingWorker::cut(const Running& running) {
+  running.inLoop([call = running.call] {
+    if (!call->cancelled) {
+      call->callbacks->onResponseFailure({base::ErrorCode::connectionLost, "", ""}, true);
+    }
+  });
 }
 
 }  // namespace walnut::simulator
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -73,6 +73,8 @@
       : record_(std::move(record)), options_(options), scheduler_(scheduler) {}
 
   const registry::WorkerRecord& record() const { return record_; }
+  /// It gets no new requests.
+  void beginLeaving() { record_.leaving = true; }
   void setFault(WorkerFault fault) { fault_ = fault; }
   WorkerFault fault() const { return fault_; }
   /// It answers nothing for that time and then goes on where it was. Its heartbeats go on.
@@ -97,6 +99,9 @@
   /// @return how many requests were cut.
   std::size_t crash();
   bool crashed() const { return crashed_; }
+  /// Resets the connections of a share of what it has.
+  /// @return the requests that this cuts.
+  std::vector<std::shared_ptr<ServingCall>> resetConnections(double share);
   bool holds(const std::string& model) const;
   /// @return the model whose load is under way; empty if there is none.
   const std::string& loading() const { return loading_; }
@@ -144,9 +149,10 @@
                const std::function<void()>& callback);
   void remember(std::vector<std::string>& copies, const std::string& model);
   registry::HeldModel* find(const std::string& model);
+  static void cut(const Running& running);
   void keepRunning(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop);
 
-  const registry::WorkerRecord record_;
+  registry::WorkerRecord record_;
   const ServingWorkerOptions options_;
   Scheduler& scheduler_;
   WorkerFault fault_ = WorkerFault::none;
--- /dev/null
+++ b/src/simulator/version_campaign.cpp
@@ -0,0 +1,139 @@
+#include "simulator/version_campaign.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace walnut::simulator {
+
+namespace {
+
+constexpr base::Duration kCalm = std::chrono::seconds(8);
+constexpr base::Duration kTrouble = std::chrono::seconds(30);
+constexpr std::uint64_t kMostReleases = 3;
+constexpr std::uint64_t kMostCrashes = 3;
+constexpr std::uint64_t kMostResets = 3;
+constexpr std::uint64_t kMostGatewayKills = 2;
+constexpr std::uint64_t kMostGatewayCuts = 2;
+constexpr std::uint64_t kMostLeaderChanges = 2;
+
+base::Duration drawTime(base::Random& random) {
+  return random.between(base::Duration::zero(), kTrouble);
+}
+
+ServingFleetOptions drawFleet(base::Random& random, std::uint64_t seed) {
+  constexpr double kMostLoad = 0.6;  ///< Share of all slots.
+  ServingFleetOptions options;
+  options.seed = seed;
+  options.workers = random.uniform(6, 16);
+  options.gateways = random.uniform(2, 12);
+  options.models = options.workers + 2;
+  options.unrepeatableShare = 0.2 * random.unit();
+  options.retrySlack = 10 + 40 * random.unit();
+  options.retries = static_cast<std::uint32_t>(random.uniform(1, 4));
+  options.callersTakeUp = true;
+  options.worker.events = static_cast<std::uint32_t>(random.uniform(4, 20));
+  options.worker.eventGap =
+      random.between(std::chrono::milliseconds(80), std::chrono::milliseconds(300));
+  options.targetGap = options.worker.eventGap * 2;
+  const double streamSeconds =
+      std::chrono::duration<double>(options.worker.firstEventTime +
+                                    options.worker.events * options.worker.eventGap)
+          .count();
+  const double slots = static_cast<double>(options.workers * options.worker.slots);
+  options.requestsPerSecond =
+      std::min(30.0, slots * kMostLoad * (0.3 + 0.7 * random.unit()) / streamSeconds);
+  return options;
+}
+
+/// Draws faults that begin as time passes.
+class VersionTroubles {
+ public:
+  VersionTroubles(base::Random& random, ServingFleet& fleet, const ServingFleetOptions& options)
+      : random_(random), fleet_(fleet), options_(options) {}
+
+  void add() {
+    release();
+    repeat("crashes", kMostCrashes, [this] {
+      fleet_.crashWorkers(drawTime(random_), random_.uniform(1, options_.workers / 3));
+    });
+    repeat("resets", kMostResets,
+           [this] { fleet_.resetConnections(drawTime(random_), 0.3 + 0.5 * random_.unit()); });
+    repeat("kills", kMostGatewayKills, [this] { killGateways(); });
+    repeat("cuts", kMostGatewayCuts, [this] { cutGateway(); });
+    repeat("leader-changes", kMostLeaderChanges, [this] { changeLeader(); });
+  }
+  std::string description() const { return text_.str(); }
+
+ private:
+  void repeat(const char* name, std::uint64_t most, const std::function<void()>& fault) {
+    const std::uint64_t times = random_.uniform(0, most);
+    for (std::uint64_t count = 0; count < times; ++count) {
+      fault();
+    }
+    text_ << " " << name << "=" << times;
+  }
+
+  void release() {
+    const std::uint64_t releases = random_.uniform(1, kMostReleases);
+    for (std::uint64_t count = 0; count < releases; ++count) {
+      const base::Duration pause =
+          random_.between(std::chrono::milliseconds(50), std::chrono::milliseconds(1500));
+      fleet_.releaseVersion(drawTime(random_), pause, "v1." + std::to_string(count + 1));
+    }
+    text_ << " releases=" << releases;
+  }
+
+  /// Half of the gateways at once.
+  void killGateways() {
+    const base::Duration at = drawTime(random_);
+    for (std::size_t gateway = 0; gateway < options_.gateways / 2; ++gateway) {
+      fleet_.later(at, [gateway](ServingFleet& fleet) { fleet.restartGateway(gateway); });
+    }
+  }
+
+  void cutGateway() {
+    const std::size_t gateway = random_.uniform(0, options_.gateways - 1);
+    const base::Duration lasts = random_.between(std::chrono::seconds(1), std::chrono::seconds(15));
+    fleet_.later(drawTime(random_),
+                 [gateway, lasts](ServingFleet& fleet) { fleet.cutGateway(gateway, lasts); });
+  }
+
+  void changeLeader() {
+    const base::Duration gap =
+        random_.between(std::chrono::milliseconds(500), std::chrono::seconds(4));
+    fleet_.later(drawTime(random_), [gap](ServingFleet& fleet) { fleet.changeLeader(gap); });
+  }
+
+  base::Random& random_;
+  ServingFleet& fleet_;
+  const ServingFleetOptions& options_;
+  std::ostringstream text_;
+};
+
+}  // namespace
+
+VersionCampaignResult runVersionCampaign(std::uint64_t seed) {
+  base::Random random(seed);
+  const ServingFleetOptions options = drawFleet(random, seed);
+  ServingFleet fleet(options);
+  fleet.run(kCalm);
+  fleet.countAnew();
+  VersionTroubles troubles(random, fleet, options);
+  troubles.add();
+  fleet.run(kTrouble);
+  VersionCampaignResult result;
+  result.account = fleet.versions();
+  result.streamError = fleet.streamError();
+  std::ostringstream text;
+  text << "versions workers=" << options.workers << " gateways=" << options.gateways
+       << " requests/s=" << options.requestsPerSecond << " retries=" << options.retries
+       << troubles.description() << " " << result.account.description()
+       << " served=" << fleet.servedShare();
+  if (!result.streamError.empty()) {
+    text << " stream-error: " << result.streamError;
+  }
+  result.description = text.str();
+  return result;
+}
+
+}  // namespace walnut::simulator
