--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -17,6 +17,8 @@
 #include "simulator/retry_account.h"
 #include "simulator/serving_gateway.h"
 #include "simulator/serving_worker.h"
+#include "simulator/stream_account.h"
+#include "simulator/version_account.h"
 
 namespace walnut::simulator {
 
@@ -34,6 +36,9 @@
   /// Share of the requests whose route may not be repeated.
   double unrepeatableShare = 0.2;
   std::uint32_t retries = 1;  ///< Of a caller.
+  /// Callers whose stream breaks take it up after the last event that they have, if its route
+  /// permits that.
+  bool callersTakeUp = false;
   /// @name Retries at gateways that are allowed per request, and in a window whatever the traffic
   /// @{
   double retryRatio = 0.2;
@@ -46,6 +51,7 @@
   bool crashingShowsHead = false;
   /// A plain service, without models: its requests are answered whole.
   bool plain = false;
+  base::Duration targetGap{0};  ///< Of streams, between two events; 0: none.
   /// False: leaders are of a build that knows nothing of limits, and each gateway keeps them alone.
   bool leaderSharesLimits = true;
   ServingWorkerOptions worker;
@@ -204,6 +210,33 @@
   const RetryAccount& retryAccount() const { return retryAccount_; }
   std::string describe(const RetryWindow& window) const;
 
+  /// @name Streams beside workers that are silent for a while
+  /// @{
+  /// So many workers, drawn among those without a fault, are silent from some time on.
+  void silenceWorkers(base::Duration begin, base::Duration duration, std::size_t count);
+  /// Stores a new document, with another time-out of the routes.
+  void changeDocument();
+  const StreamAccount& streams() const { return streams_; }
+  /// @return requests whose callers have not left and got no answer, though their deadline is over.
+  std::size_t unanswered() const;
+  /// @return what was wrong first with the events that a caller got; empty if nothing was.
+  const std::string& streamError() const { return streamError_; }
+  /// @return what gateways decided about the requests that they ended, if callers are traced.
+  const std::string& describeEnded() const { return endedByGateway_; }
+  /// @}
+
+  /// @name Workers of several software versions
+  /// @{
+  /// From some time on half of the workers are replaced, one at a time, by new ones of that
+  /// version.
+  void releaseVersion(base::Duration begin, base::Duration pause, const std::string& version);
+  /// So many workers crash, and are back a little later with the same version.
+  void crashWorkers(base::Duration begin, std::size_t count);
+  /// Connections between gateways and workers are reset, of a share of what is under way.
+  void resetConnections(base::Duration begin, double share);
+  const VersionAccount& versions() const { return versions_; }
+  /// @}
+
   /// @name Gateways that are cut off from all workers
   /// @{
   /// The gateway reaches no worker for that time; callers and the leader reach it.
@@ -221,6 +254,8 @@
     returns_ = {};
     forecasts_ = {};
     toldTimes_.clear();
+    streams_.countAnew();
+    versions_ = {};
     ++counting_;
   }
   /// @return the models and adapters that were asked for four times or more, over `span` or longer,
@@ -308,8 +343,25 @@
   void ask();
   std::string drawTarget();
   void send(const Caller& from);
+  void leave(Caller& caller);
+  void received(Caller& caller);
+  void streamCompleted(Caller& caller);
+  void noteStreamError(const Caller& caller);
+  std::vector<std::size_t> drawServing(std::size_t count);
+  void replaceWorker(std::size_t index, const std::string& version);
+  void endIfIdle(std::size_t index);
+  void endCallsOf(std::size_t gateway);
+  /// @return true if two or more workers of it serve.
+  bool isVersionServed(const std::string& version) const;
+  void noteStreamSent(Caller& caller);
+  void noteVersions(Caller& caller);
+  void noteFault(const ServingCall& call, const ServingWorker& worker);
+  void noteBroken(const ServingWorker& worker);
+  void noteEndedByGateway(std::initializer_list<runtime::EventField> fields);
   void ended(const Caller& caller, bool served);
   base::Duration retryPause(const Caller& caller) const;
+  /// @return until the deadline of the caller's first try.
+  base::Duration timeLeft(const Caller& caller) const;
   void count(const Caller& caller, bool served);
   void answered(Caller& caller, const net::HttpResponse& response);
   void noteToldTime(const Caller& caller);
@@ -351,6 +403,7 @@
   registry::RegistryOptions registryOptions_;
   std::unique_ptr<Reader> reader_;
   registry::DocumentCache documents_;
+  std::uint64_t documentVersion_ = 1;
   registry::CellState state_;
   registry::OrderTimes turns_;
   consensus::Term term_ = 0;
@@ -389,6 +442,10 @@
   std::uint64_t lastIncarnation_ = 0;
   LimitAccount limitAccount_;
   RetryAccount retryAccount_;
+  StreamAccount streams_;
+  VersionAccount versions_;
+  std::string streamError_;
+  std::string endedByGateway_;
   RefusalAccount refusals_;
   ReturnAccount returns_;
   ForecastAccount forecasts_;
