net: a time-out doesn't cut an answer that its caller still reads

Seen by callers: the end of an answer is missing and the connection closed, though the request was read whole and the answer was complete at the gateway; more often after a document that lowers the idle time-out.

Cause: once the last byte of an answer is buffered the connection counts as idle, and the idle time-out closed it without a look at what was still to be written. An answer that ends its connection was cut 5 s after its end, also if the caller read on all the time. Change: while output is buffered the time-out is one of its own, 15 s without progress; the idle time begins when all is written.

Why it works: a timer closes a connection with unsent bytes only if none of them was taken since it was last armed. Who pays: a connection whose caller reads nothing more is kept for 15 s rather than 5 s when its answer ends the connection; a caller that reads a little every 15 s keeps its connection. The memory is bounded by the buffer budget as before. Progress is seen where the socket takes bytes, so a caller slower than its socket's buffers in 15 s is still cut.

Measured: ServerConnectionTest, theIdleTimeOutDoesNotCutAnAnswerThatIsStillBeingRead and anAnswerThatEndsItsConnectionIsCutOnlyIfNothingOfItIsRead failed before and pass now.

--- a/include/walnut/net/server.h
+++ b/include/walnut/net/server.h
@@ -50,12 +50,15 @@
   virtual void onRequest(HttpRequest request, ResponseSink& sink) = 0;
 };
 
-/// Limits on the size of requests and on the time that callers may take to send them.
+/// Limits on the size of requests and on the time that callers may take to send them and to read
+/// the answers.
 struct ServerLimits {
   std::size_t maxHeadBytes = 16U << 10U;
   std::size_t maxBodyBytes = 4U << 20U;
   base::Duration headTimeout = std::chrono::seconds(3);
   base::Duration idleTimeout = std::chrono::seconds(15);
+  /// Longest time without progress in the writing of a complete answer.
+  base::Duration writeTimeout = std::chrono::seconds(15);
 };
 
 }  // namespace walnut::net
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -16,10 +16,8 @@
 constexpr int kHeadTooLarge = 431;
 /// Bytes of further requests that are buffered while one is handled; beyond that, reading pauses.
 constexpr std::size_t kMaxPending = 64U << 10U;
-/// Longest time to wait for the caller to read the last response, and, after a request was
-/// rejected, for what the caller is still sending: closing a socket with unread bytes would reset
-/// the connection and lose the response.
-constexpr base::Duration kClosingTimeout = std::chrono::seconds(5);
+/// Longest time to wait, after a request was rejected, for what the caller is still sending:
+/// closing a socket with unread bytes would reset the connection and lose the response.
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(1);
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -53,7 +51,10 @@
 }
 
 void ServerConnection::armTimer() {
-  if (state_ == State::idle) {
+  unsent_ = connection_.bufferedBytes();
+  if (isWriting()) {
+    timer_->enableAt(dispatcher_.now() + limits_.writeTimeout);
+  } else if (state_ == State::idle) {
     timer_->enableAt(dispatcher_.now() + limits_.idleTimeout);
   } else if (state_ == State::reading) {
     timer_->enableAt(dispatcher_.now() + limits_.headTimeout);
@@ -62,9 +63,19 @@
   }
 }
 
+/// @return true if the last answer is complete here, and the caller has still to read some of it.
+bool ServerConnection::isWriting() const {
+  return (state_ == State::idle || (state_ == State::closing && !refused_)) &&
+         connection_.bufferedBytes() > 0;
+}
+
 void ServerConnection::onTimeout() {
-  // The connection is idle, or the request did not arrive in time: no request is being handled, so
-  // it is safe to close.
+  if (isWriting() && connection_.bufferedBytes() < unsent_) {
+    armTimer();
+    return;
+  }
+  // The connection is idle, the request did not arrive in time, or the caller has stopped reading:
+  // no request is being handled, so it is safe to close.
   connection_.close();
   becomeClosed();
 }
@@ -226,7 +237,11 @@
   }
   state_ = State::closing;
   connection_.setReading(true);
-  timer_->enableAt(dispatcher_.now() + (refused_ ? kLingerTimeout : kClosingTimeout));
+  if (refused_) {
+    timer_->enableAt(dispatcher_.now() + kLingerTimeout);
+  } else {
+    armTimer();
+  }
 }
 
 void ServerConnection::onEndOfStream() { handleDisconnect(); }
@@ -251,6 +266,8 @@
   } else if (state_ == State::closing && !refused_) {
     connection_.close();
     becomeClosed();
+  } else if (state_ == State::idle) {
+    armTimer();
   }
 }
 
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -68,6 +68,7 @@
   void becomeClosed();
   void onTimeout();
   void armTimer();
+  bool isWriting() const;
   bool willClose() const;
   void finishHead(HttpResponseHead& head) const;
 
@@ -80,7 +81,8 @@
   event::TimerPtr timer_;
   State state_ = State::idle;
   HttpRequest request_;
-  std::string pending_;  ///< Received bytes that are not parsed yet.
+  std::string pending_;     ///< Received bytes that are not parsed yet.
+  std::size_t unsent_ = 0;  ///< Buffered output when the timer was last armed.
   std::function<void()> onGone_;
   std::function<void()> onDrained_;
   bool keepAlive_ = true;
--- /dev/null
+++ b/test/net/server_connection_test.cpp
@@ -0,0 +1,165 @@
+/// Tests of the time-outs and of the closing of a server's connections, with a raw caller over the
+/// loopback interface.
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <array>
+#include <functional>
+#include <thread>
+
+#include "net/http_server.h"
+#include "walnut/runtime/clock.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::net;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct FunctionHandler : RequestHandler {
+  std::function<void(HttpRequest, ResponseSink&)> handle;
+  void onRequest(HttpRequest request, ResponseSink& sink) override {
+    handle(std::move(request), sink);
+  }
+};
+
+HttpResponse textResponse(std::string body) {
+  HttpResponse response;
+  response.head.status = 200;
+  response.body = std::move(body);
+  return response;
+}
+
+std::string requestText(const std::string& body) {
+  return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+/// Larger than the buffers of both sockets.
+const std::size_t kLargeBody = 16U << 20U;
+
+}  // namespace
+
+TEST_GROUP(ServerConnectionTest) {
+  event::Dispatcher dispatcher;
+  FunctionHandler handler;
+  std::unique_ptr<HttpServer> server;
+  Poco::Net::StreamSocket caller;
+  std::string received;
+  bool ended = false;  ///< The server has closed the caller's connection.
+
+  void begin(base::Duration idleTimeout) {
+    server = std::move(HttpServer::open(dispatcher, {"127.0.0.1", 0}, {}, handler).value());
+    setIdleTimeout(idleTimeout);
+    connect();
+  }
+  void teardown() override {
+    caller.close();
+    server.reset();
+  }
+  void connect() {
+    caller = Poco::Net::StreamSocket();
+    received.clear();
+    ended = false;
+    caller.connect(Poco::Net::SocketAddress("127.0.0.1", server->endpoint().port));
+    caller.setBlocking(false);
+  }
+  void setIdleTimeout(base::Duration idleTimeout) {
+    ServerLimits limits;
+    limits.headTimeout = idleTimeout;
+    limits.idleTimeout = idleTimeout;
+    server->setLimits(limits);
+  }
+  void runFor(base::Duration duration) {
+    const base::TimePoint end = runtime::now() + duration;
+    while (runtime::now() < end) {
+      dispatcher.runOnce(5ms);
+    }
+  }
+  /// Sends as much as the caller's socket takes.
+  /// @return the number of bytes.
+  std::size_t send(std::string_view bytes) {
+    try {
+      const int count = caller.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+      return count < 0 ? 0 : static_cast<std::size_t>(count);
+    } catch (const Poco::Exception&) {
+      return 0;
+    }
+  }
+  /// Reads at the caller what has come, up to about that many bytes.
+  void read(std::size_t limit) {
+    static std::array<char, 1U << 16U> buffer;
+    const std::size_t end = received.size() + limit;
+    try {
+      int count = 1;
+      while (received.size() < end &&
+             (count = caller.receiveBytes(buffer.data(), buffer.size())) > 0) {
+        received.append(buffer.data(), static_cast<std::size_t>(count));
+      }
+      ended = ended || count == 0;
+    } catch (const Poco::TimeoutException&) {
+      return;
+    } catch (const Poco::Exception& exception) {
+      ended = ended || exception.code() != EAGAIN;
+    }
+  }
+  void readUntil(const std::function<bool()>& done, std::size_t stepBytes = kLargeBody) {
+    const base::TimePoint end = runtime::now() + 5s;
+    while (!done() && runtime::now() < end) {
+      dispatcher.runOnce(5ms);
+      read(stepBytes);
+    }
+    CHECK_TRUE(done());
+  }
+};
+
+/// Guards against an answer that is cut by the idle time-out while its caller still reads it.
+TEST(ServerConnectionTest, theIdleTimeOutDoesNotCutAnAnswerThatIsStillBeingRead) {
+  handler.handle = [](HttpRequest, ResponseSink& sink) {
+    sink.respond(textResponse(std::string(kLargeBody, 'b')));
+  };
+  begin(100ms);
+  send(requestText(""));
+  runFor(400ms);
+  readUntil([this] { return ended || received.size() > kLargeBody; });
+  CHECK_TRUE(received.size() > kLargeBody);
+  readUntil([this] { return ended; });
+}
+
+/// Guards against an answer that is cut after a fixed time though its caller reads on, and against
+/// one that is kept for ever for a caller that does not.
+TEST(ServerConnectionTest, anAnswerThatEndsItsConnectionIsCutOnlyIfNothingOfItIsRead) {
+  handler.handle = [](HttpRequest, ResponseSink& sink) {
+    sink.respond(textResponse(std::string(kLargeBody, 'b')));
+  };
+  begin(10s);
+  ServerLimits limits;
+  limits.writeTimeout = 200ms;
+  server->setLimits(limits);
+  server->announceClose();
+  send(requestText(""));
+  const std::size_t step = kLargeBody / 16;
+  for (std::size_t wanted = step; wanted < kLargeBody; wanted += step) {
+    readUntil([this, wanted] { return ended || received.size() >= wanted; }, step);
+    runFor(50ms);
+  }
+  readUntil([this] { return ended; });
+  CHECK_TRUE(received.size() > kLargeBody);
+  connect();
+  send(requestText(""));
+  runFor(1s);
+  CHECK_EQUAL(0, server->connectionCount());
+}
+
+/// Guards against connections that stay open for callers that send no whole request.
+TEST(ServerConnectionTest, anIncompleteRequestEndsByTheTimeOut) {
+  begin(100ms);
+  send("POST /x HTTP/1.1\r\nHost: h\r\n");
+  readUntil([this] { return ended; });
+  CHECK_EQUAL(0, server->connectionCount());
+}
