net: a stopping process writes its last answers whole before it closes their connections

Seen by callers: an answer is cut some 2.6 s after the SIGTERM of its gateway, though the request was read whole and the gateway had the whole answer.

Cause: closeWhenIdle closed each connection without a request at once, also one whose last answer was still buffered. Change: it closes once the answer is written; the time-out of writing and the end of the process bound that.

Who pays: a process that stops with callers that read slowly ends later, at most at its stop time-out. Measured: ServerConnectionTest.closingIdleConnectionsDoesNotCutAnAnswerThatIsStillBeingRead failed before and passes; walnut-test-net: 23 of 23 pass.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -44,7 +44,11 @@
 void ServerConnection::closeWhenIdle() {
   announceClose_ = true;
   closeWhenIdle_ = true;
-  if (idle()) {
+  closeIfIdle();
+}
+
+void ServerConnection::closeIfIdle() {
+  if (closeWhenIdle_ && idle() && connection_.bufferedBytes() == 0) {
     connection_.close();
     becomeClosed();
   }
@@ -268,6 +272,7 @@
     becomeClosed();
   } else if (state_ == State::idle) {
     armTimer();
+    closeIfIdle();
   }
 }
 
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -26,7 +26,7 @@
   ServerConnection(event::Dispatcher& dispatcher, const Poco::Net::StreamSocket& socket,
                    const ServerLimits& limits, RequestHandler& handler, ClosedCallback onClosed);
 
-  /// Closes the connection once the current request, if any, is answered.
+  /// Closes the connection once the current request, if any, is answered and the answer is written.
   void closeWhenIdle();
   /// From now on, responses ask the caller to close the connection (`Connection: close`).
   void announceClose() { announceClose_ = true; }
@@ -68,6 +68,7 @@
   void becomeClosed();
   void onTimeout();
   void armTimer();
+  void closeIfIdle();
   bool isWriting() const;
   bool willClose() const;
   void finishHead(HttpResponseHead& head) const;
--- a/test/net/server_connection_test.cpp
+++ b/test/net/server_connection_test.cpp
@@ -156,6 +156,20 @@
   CHECK_EQUAL(0, server->connectionCount());
 }
 
+/// Guards against an answer that a stopping process cuts while its caller still reads it.
+TEST(ServerConnectionTest, closingIdleConnectionsDoesNotCutAnAnswerThatIsStillBeingRead) {
+  handler.handle = [](HttpRequest, ResponseSink& sink) {
+    sink.respond(textResponse(std::string(kLargeBody, 'b')));
+  };
+  begin(10s);
+  send(requestText(""));
+  runFor(50ms);
+  server->closeIdle();
+  readUntil([this] { return ended || received.size() > kLargeBody; });
+  CHECK_TRUE(received.size() > kLargeBody);
+  readUntil([this] { return ended; });
+}
+
 /// Guards against connections that stay open for callers that send no whole request.
 TEST(ServerConnectionTest, anIncompleteRequestEndsByTheTimeOut) {
   begin(100ms);
