net: a connection stays open for the idle time-out that its caller knows

Seen by callers: a whole request sent on a connection at rest, within the time of `Keep-Alive`, gets neither an answer nor a refusal, after a document that changes the idle time-out.

Cause: the head of an answer states the idle time-out, and the timer took the limit that held at the answer's end. If a document lowered it within a stream, the connection closed sooner than told. A connection that was idle when a document raised the limit kept to the old one. Change: the longer of the time told and the present limit holds.

Why it works: nothing that a caller can know, its last answer's head or the document in force, is longer than that. Who pays: after a lowered limit, connections with an answer under way stay idle for the former time once more.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Format.h>
 #include <Poco/NumberFormatter.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace walnut::net {
@@ -59,7 +60,8 @@
   if (isWriting()) {
     timer_->enableAt(dispatcher_.now() + limits_.writeTimeout);
   } else if (state_ == State::idle) {
-    timer_->enableAt(dispatcher_.now() + limits_.idleTimeout);
+    idleSince_ = dispatcher_.now();
+    timer_->enableAt(idleUntil());
   } else if (state_ == State::reading) {
     timer_->enableAt(dispatcher_.now() + limits_.headTimeout);
   } else {
@@ -73,7 +75,17 @@
          connection_.bufferedBytes() > 0;
 }
 
+/// The limits may change after a caller was told an idle time-out, or while a connection is idle:
+/// the longer time-out holds.
+base::TimePoint ServerConnection::idleUntil() const {
+  return idleSince_ + std::max(announcedIdleTimeout_, limits_.idleTimeout);
+}
+
 void ServerConnection::onTimeout() {
+  if (state_ == State::idle && !isWriting() && dispatcher_.now() < idleUntil()) {
+    timer_->enableAt(idleUntil());
+    return;
+  }
   if (isWriting() && connection_.bufferedBytes() < unsent_) {
     armTimer();
     return;
@@ -164,10 +176,11 @@
 
 bool ServerConnection::willClose() const { return !keepAlive_ || announceClose_; }
 
-void ServerConnection::finishHead(HttpResponseHead& head) const {
+void ServerConnection::finishHead(HttpResponseHead& head) {
   if (willClose()) {
     head.headers.set("Connection", "close");
   } else {
+    announcedIdleTimeout_ = limits_.idleTimeout;
     head.headers.set("Keep-Alive", "timeout=" + std::to_string(wholeSeconds(limits_.idleTimeout)));
   }
 }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -71,7 +71,8 @@
   void closeIfIdle();
   bool isWriting() const;
   bool willClose() const;
-  void finishHead(HttpResponseHead& head) const;
+  base::TimePoint idleUntil() const;
+  void finishHead(HttpResponseHead& head);
 
   event::Dispatcher& dispatcher_;
   const ServerLimits& limits_;
@@ -82,8 +83,10 @@
   event::TimerPtr timer_;
   State state_ = State::idle;
   HttpRequest request_;
-  std::string pending_;     ///< Received bytes that are not parsed yet.
-  std::size_t unsent_ = 0;  ///< Buffered output when the timer was last armed.
+  std::string pending_;  ///< Received bytes that are not parsed yet.
+  base::TimePoint idleSince_;
+  base::Duration announcedIdleTimeout_{0};  ///< As the last answer's head said.
+  std::size_t unsent_ = 0;                  ///< Buffered output when the timer was last armed.
   std::function<void()> onGone_;
   std::function<void()> onDrained_;
   bool keepAlive_ = true;
--- a/test/net/server_connection_test.cpp
+++ b/test/net/server_connection_test.cpp
@@ -118,6 +118,43 @@
   }
 };
 
+/// Guards against closing a connection sooner than its answer has told the caller, if the limits
+/// change while that answer is under way.
+TEST(ServerConnectionTest, aConnectionStaysOpenForTheIdleTimeThatItsAnswerHasTold) {
+  ResponseSink* stream = nullptr;
+  handler.handle = [&stream](HttpRequest, ResponseSink& sink) {
+    if (stream != nullptr) {
+      sink.respond(textResponse("second"));
+      return;
+    }
+    stream = &sink;
+    HttpResponseHead head;
+    head.status = 200;
+    sink.beginChunked(head);
+  };
+  begin(2s);
+  send(requestText(""));
+  readUntil([this] { return received.find("timeout=2") != std::string::npos; });
+  setIdleTimeout(100ms);
+  stream->endChunked();
+  runFor(400ms);
+  send(requestText(""));
+  readUntil([this] { return received.find("second") != std::string::npos; });
+}
+
+/// Guards against closing a connection that is idle at a change of the limits sooner than the new
+/// ones say.
+TEST(ServerConnectionTest, anIdleConnectionKeepsToALongerIdleTimeOutThatComes) {
+  handler.handle = [](HttpRequest, ResponseSink& sink) { sink.respond(textResponse("answer")); };
+  begin(100ms);
+  runFor(20ms);
+  setIdleTimeout(1s);
+  runFor(400ms);
+  send(requestText(""));
+  readUntil([this] { return received.find("answer") != std::string::npos; });
+  readUntil([this] { return ended; });
+}
+
 /// Guards against an answer that is cut by the idle time-out while its caller still reads it.
 TEST(ServerConnectionTest, theIdleTimeOutDoesNotCutAnAnswerThatIsStillBeingRead) {
   handler.handle = [](HttpRequest, ResponseSink& sink) {
