net: a stopping process answers what has reached an idle connection before it closes it

Seen by callers: a whole request sent on an open connection shortly before its gateway closes it is reset without an answer.

Cause: closeWhenIdle closed an idle connection without a look at its socket, where a request may lie since the last turn of the event loop; a process with little processor time takes a part of a second for a turn. Change: a connection with unread bytes isn't closed; the request is answered with `Connection: close`.

Why it works: the window shrinks from a turn of the loop to the moment between the look and the close. What is still on its way then is not read, and clients may send it again. Who pays: a system call for each connection that is closed at the stop. Measured: ServerConnectionTest.aRequestThatIsNotReadYetIsAnsweredBeforeItsConnectionIsClosed failed before (reset) and passes.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -121,6 +121,17 @@
   updateMode();
 }
 
+bool Connection::hasUnread() const {
+  if (state_ != State::open || endOfStream_) {
+    return false;
+  }
+  try {
+    return socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
 void Connection::onReady(int mode) {
   if (state_ == State::connecting) {
     finishConnecting();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -56,6 +56,8 @@
   /// (backpressure).
   void setReading(bool enabled);
 
+  /// @return true if received bytes, or the end of the stream, have not been read yet.
+  bool hasUnread() const;
   std::size_t bufferedBytes() const { return output_.size(); }
   /// Counts the buffered output from now on until the connection is closed.
   void countOutput(ByteCounter& counter) { counter_ = &counter; }
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -49,7 +49,7 @@
 }
 
 void ServerConnection::closeIfIdle() {
-  if (closeWhenIdle_ && idle() && connection_.bufferedBytes() == 0) {
+  if (closeWhenIdle_ && idle() && connection_.bufferedBytes() == 0 && !connection_.hasUnread()) {
     connection_.close();
     becomeClosed();
   }
--- a/test/net/server_connection_test.cpp
+++ b/test/net/server_connection_test.cpp
@@ -207,6 +207,19 @@
   readUntil([this] { return ended; });
 }
 
+/// Guards against losing a request that came while the process was busy before it closes its idle
+/// connections.
+TEST(ServerConnectionTest, aRequestThatIsNotReadYetIsAnsweredBeforeItsConnectionIsClosed) {
+  handler.handle = [](HttpRequest, ResponseSink& sink) { sink.respond(textResponse("answer")); };
+  begin(10s);
+  runFor(50ms);
+  send(requestText(""));
+  server->closeIdle();
+  readUntil([this] { return ended; });
+  CHECK_TRUE(received.find("answer") != std::string::npos);
+  CHECK_TRUE(received.find("Connection: close") != std::string::npos);
+}
+
 /// Guards against connections that stay open for callers that send no whole request.
 TEST(ServerConnectionTest, anIncompleteRequestEndsByTheTimeOut) {
   begin(100ms);
