net: a time-out doesn't close a connection whose request lies unread

Seen by callers: a request that was sent whole and in time is neither answered nor refused, when its gateway stood still for longer than the header or idle time-out, or these are short.

Cause: the event loop reads 16 KB of a connection a turn and then runs the timers that are due. After a stop of the process the time-out closed the connection with the rest of the request in its socket. Change: a time-out that finds unread bytes reads on for 200 ms first.

Why it works: bytes that have come can be told from bytes that have not by a look at the socket, not by the clock. Who pays: a caller whose bytes always lie unread when the timer runs keeps its connection for longer, within the size limits of a request. Measured: ServerConnectionTest.aRequestThatCameInTimeIsReadAfterASuspension failed before (closed) and passes; aRequestThatComesInDripsEndsByTheTimeOut passes before and after.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -20,6 +20,8 @@
 /// Longest time to wait, after a request was rejected, for what the caller is still sending:
 /// closing a socket with unread bytes would reset the connection and lose the response.
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(1);
+/// Time to read on after a time-out that finds unread bytes.
+constexpr base::Duration kUnreadTimeout = std::chrono::milliseconds(200);
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::int64_t wholeSeconds(base::Duration duration) {
@@ -75,6 +77,13 @@
          connection_.bufferedBytes() > 0;
 }
 
+/// A process that was suspended runs its timers while most of what came in that time is still
+/// unread. The size limits of a request bound how often this postpones the time-out.
+bool ServerConnection::hasUnreadRequest() const {
+  return (state_ == State::idle || state_ == State::reading) && !refused_ &&
+         connection_.hasUnread();
+}
+
 /// The limits may change after a caller was told an idle time-out, or while a connection is idle:
 /// the longer time-out holds.
 base::TimePoint ServerConnection::idleUntil() const {
@@ -90,6 +99,10 @@
     armTimer();
     return;
   }
+  if (hasUnreadRequest()) {
+    timer_->enableAt(dispatcher_.now() + kUnreadTimeout);
+    return;
+  }
   // The connection is idle, the request did not arrive in time, or the caller has stopped reading:
   // no request is being handled, so it is safe to close.
   connection_.close();
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -69,6 +69,7 @@
   void onTimeout();
   void armTimer();
   void closeIfIdle();
+  bool hasUnreadRequest() const;
   bool isWriting() const;
   bool willClose() const;
   base::TimePoint idleUntil() const;
--- a/test/net/server_connection_test.cpp
+++ b/test/net/server_connection_test.cpp
@@ -220,6 +220,23 @@
   CHECK_TRUE(received.find("Connection: close") != std::string::npos);
 }
 
+/// Guards against losing a request that lies whole in the socket of a process that was suspended.
+TEST(ServerConnectionTest, aRequestThatCameInTimeIsReadAfterASuspension) {
+  handler.handle = [](HttpRequest request, ResponseSink& sink) {
+    sink.respond(textResponse("size " + std::to_string(request.body.size())));
+  };
+  begin(100ms);
+  const std::string text = requestText(std::string(200000, 'b'));
+  const std::size_t first = send(std::string_view(text).substr(0, 1000));
+  dispatcher.runOnce(5ms);
+  dispatcher.runOnce(5ms);
+  const std::size_t rest = send(std::string_view(text).substr(first));
+  CHECK_EQUAL(text.size(), first + rest);
+  std::this_thread::sleep_for(300ms);
+  readUntil([this] { return ended || received.find("size 200000") != std::string::npos; });
+  CHECK_TRUE(received.find("size 200000") != std::string::npos);
+}
+
 /// Guards against connections that stay open for callers that send no whole request.
 TEST(ServerConnectionTest, anIncompleteRequestEndsByTheTimeOut) {
   begin(100ms);
@@ -227,3 +244,17 @@
   readUntil([this] { return ended; });
   CHECK_EQUAL(0, server->connectionCount());
 }
+
+/// Guards against a caller that keeps its connection for ever by sending a little now and then.
+TEST(ServerConnectionTest, aRequestThatComesInDripsEndsByTheTimeOut) {
+  begin(200ms);
+  send("POST /x HTTP/1.1\r\nHost: h\r\nX: ");
+  const base::TimePoint start = runtime::now();
+  while (!ended && runtime::now() < start + 2s) {
+    send("x");
+    runFor(5ms);
+    read(kLargeBody);
+  }
+  CHECK_TRUE(ended);
+  CHECK_TRUE(runtime::now() < start + 1s);
+}
