--- a/test/gateway/late_start_test.cpp
+++ b/test/gateway/late_start_test.cpp
@@ -247,3 +247,33 @@
   CHECK_EQUAL(1, sentCount());
   STRCMP_EQUAL("r2", sentHeader(0, "Id").c_str());
 }
+
+/// Guards against streams that are left in the queue of a service which a document takes out of it.
+TEST(LateStartTest, aWaitingStreamIsDecidedIfADocumentMakesItsServiceQuickToLoad) {
+  prepareFull();
+  const auto first = stream("r1");
+  const auto second = stream("r2");
+  CHECK_EQUAL(0, first->status);
+  CHECK_EQUAL(0, second->status);
+  declareLoads(1s);
+  harness.scheduler.settle();
+  CHECK_EQUAL(503, first->status);
+  CHECK_EQUAL(503, second->status);
+  CHECK_EQUAL(0, harness.gateway.exchangeCount());
+}
+
+/// Guards against streams that are left in the queue of a service which a document removes.
+TEST(LateStartTest, aWaitingStreamIsDecidedIfItsServiceVanishes) {
+  prepareFull();
+  const auto caller = stream("r1");
+  CHECK_EQUAL(0, caller->status);
+  auto document = std::make_shared<catalog::Document>(*harness.gateway.document());
+  ++document->version;
+  document->services.clear();
+  document->routes.clear();
+  harness.gateway.documentReceived(std::move(document));
+  harness.advanceFollowing(10100ms);
+  CHECK_EQUAL(503, caller->status);
+  CHECK_EQUAL(0, sentCount());
+  CHECK_EQUAL(0, harness.gateway.exchangeCount());
+}
