gateway: a stream may return to a silent worker whatever state that worker is in

Cause: the return was forgotten as soon as it was tried, so that a refusal or a connection that failed ended the stream; only the last of several silent workers was remembered; a stream left workers that take nothing back, since they are draining; eight refusals ended it; a stop refused streams that had begun. Besides, a stream moved although the other worker would go on after its caller had left, and the retry that is set aside was kept until the stream's end and used even if the budget had shrunk since.

Change: a worker that the stream left stays one to return to until it fails the stream; a begun stream leaves only a worker that takes it back, and only if the other one goes on in time; other workers are limited, the return is not; a stop cuts begun streams at its end only. The retry that is set aside is released at the next event, and used only within the budget.

Who pays: a stream at a dead worker that is draining, or whose other workers are slow, stays there until the worker is known to be lost or its caller leaves. EarnedRetryBudgetTest.reservedRetriesAreUsedWithinTheBudgetOnly is new.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -19,7 +19,6 @@
 constexpr int kNoAnswer = 0;  ///< The caller had disconnected, or the response was aborted.
 
 constexpr base::Duration kDefaultDeadline = std::chrono::seconds(60);
-constexpr std::uint32_t kMaxDeliveredAttempts = 8;
 /// Retry-After values of refusals.
 constexpr base::Duration kRetryAfterFull = std::chrono::milliseconds(300);
 constexpr base::Duration kRetryAfterTimeout = std::chrono::milliseconds(500);
@@ -74,7 +73,7 @@
 }
 
 void Exchange::stopWaiting() {
-  if (state_ == State::choosing) {
+  if (state_ == State::choosing && !headSent_) {
     failFinally("stopping");
   }
 }
@@ -86,7 +85,9 @@
     mayHaveRun_ = true;
     state_ = State::choosing;
   }
-  stopWaiting();
+  if (state_ == State::choosing) {
+    failFinally("stopping");
+  }
 }
 
 void Exchange::choose() {
@@ -101,16 +102,17 @@
     leaveLateStarts();
     return;
   }
+  if (movesFromSilent_ > 0 && !mayUseNewWorker() && !mayReturn()) {
+    failFinally("the worker that was silent is gone");
+    return;
+  }
   if (waitsForRetry_ && !takeRetry()) {
     waitForRetry();
     return;
   }
   waitsForRetry_ = false;
-  if (movesFromSilent_ > 0 && !mayUseNewWorker() && !mayReturn()) {
-    failFinally("the worker that was silent is gone");
-    return;
-  }
-  const WorkerFilter filter{excluded_, mayUseNewWorker() ? std::nullopt : leftWorker_};
+  const WorkerFilter filter{excluded_,
+                            mayUseNewWorker() ? std::set<registry::WorkerId>() : leftWorkers_};
   const Selection selection = context_.selector().select(service_, facts_, filter, now());
   if (selection.worker == nullptr) {
     leaveLateStarts();
@@ -210,9 +212,6 @@
   state_ = State::attempting;
   worker_ = worker;
   ++startedAttempts_;
-  if (leftWorker_ == worker->view.record.id) {
-    leftWorker_.reset();
-  }
   attemptAt_ = now();
   wasWorkerFull_ = worker->full();
   isHeadReceived_ = false;
@@ -292,6 +291,14 @@
 }
 
 void Exchange::attemptEnded(Executed executed, std::string_view reason) {
+  if (executed != Executed::no) {
+    leftWorkers_.erase(worker_->view.record.id);
+  }
+  recordAttempt(executed, reason);
+  retryOrFail(executed, reason);
+}
+
+void Exchange::recordAttempt(Executed executed, std::string_view reason) {
   logAttemptFailed(executed, reason);
   events_.restart();
   excluded_.insert(worker_->view.record.id);
@@ -305,13 +312,11 @@
     ++attemptsNotRun_;
   }
   state_ = State::choosing;
-  retryOrFail(executed, reason);
 }
 
 void Exchange::retryOrFail(Executed executed, std::string_view reason) {
   const bool repeatable = executed == Executed::no || route_.repeatable();
-  const bool attemptsLeft = mayUseNewWorker() && deliveredAttempts_ < kMaxDeliveredAttempts;
-  if (!repeatable || !(attemptsLeft || mayReturn()) || now() >= deadline_) {
+  if (!repeatable || !(mayUseNewWorker() || mayReturn()) || now() >= deadline_) {
     failFinally(reason);
     return;
   }
@@ -334,10 +339,10 @@
   if (std::exchange(retryTaken_, false) || context_.takeRetry(service_, facts_)) {
     return true;
   }
-  if (!std::exchange(isRetryReserved_, false)) {
+  if (!isRetryReserved_ || !context_.useReservedRetry(service_)) {
     return false;
   }
-  context_.useReservedRetry(service_);
+  isRetryReserved_ = false;
   return true;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -73,7 +73,8 @@
   /// @{
   /// @return false if the budget is exhausted.
   virtual bool reserveRetry(const std::string& service) = 0;
-  virtual void useReservedRetry(const std::string& service) = 0;
+  /// @return false if the budget has shrunk since, so that it is exhausted without the reserve.
+  virtual bool useReservedRetry(const std::string& service) = 0;
   virtual void releaseReservedRetry(const std::string& service) = 0;
   /// @}
   virtual void waitBegan(const std::string& service, const RequestFacts& facts,
@@ -181,6 +182,7 @@
   /// Lower bound of the stall timeout: the time until the first event, or between two events, after
   /// which a stream is sent to another worker.
   static constexpr base::Duration kStallFloor = std::chrono::milliseconds(900);
+  static constexpr std::uint32_t kMaxDeliveredAttempts = 8;
 
   enum class State : std::uint8_t { choosing, attempting, ended };
   /// Whether a failed attempt was executed by its worker.
@@ -243,10 +245,14 @@
   void recordAnswered();
   void recordFailure();
   void attemptEnded(Executed executed, std::string_view reason);
+  void recordAttempt(Executed executed, std::string_view reason);
   void logAttemptFailed(Executed executed, std::string_view reason);
   void retryOrFail(Executed executed, std::string_view reason);
   bool mayRunAgain(Executed executed) const;
-  bool mayUseNewWorker() const { return executedAttempts_ < route_.maxAttempts; }
+  /// @return true if the request may be sent to a worker that has not had it.
+  bool mayUseNewWorker() const {
+    return executedAttempts_ < route_.maxAttempts && deliveredAttempts_ < kMaxDeliveredAttempts;
+  }
   bool takeRetry();
   void releaseAttempt();
   void dropAttempt();
@@ -301,8 +307,8 @@
   bool retryTaken_ = false;       ///< A retry was taken for the next attempt.
   bool isRetryReserved_ = false;  ///< A retry is set aside for the return.
   bool waitsForRetry_ = false;    ///< The retry budget was exhausted.
-  /// The worker that the stream has left since it was silent, until the stream returns to it.
-  std::optional<registry::WorkerId> leftWorker_;
+  /// Workers that the stream has left since they were silent, and that have not failed it since.
+  std::set<registry::WorkerId> leftWorkers_;
   std::optional<registry::RequestDigest> digest_;  ///< Computed on first use.
   bool wasHeld_ = false;                           ///< Was delayed at least once, being suspect.
 
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -93,6 +93,7 @@
     context_.streamBegan(*worker_, facts_, attemptAt_, wasWorkerFull_);
     sink_.beginChunked(head_);
   }
+  releaseReservedRetry();
   recordGap(now() - lastEventAt_);
   lastEventAt_ = now();
   sink_.writeChunk(whole);
--- a/src/gateway/exchange_stall.cpp
+++ b/src/gateway/exchange_stall.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gateway/exchange.h"
+#include "walnut/catalog/caller_timeout.h"
 
 namespace walnut::gateway {
 
@@ -16,27 +17,38 @@
 }  // namespace
 
 void Exchange::armStallTimer(base::Duration timeout) {
-  if (route_.repeatable() && executedAttempts_ + 1 < route_.maxAttempts) {
+  const bool mayLeave =
+      executedAttempts_ + 1 < route_.maxAttempts && deliveredAttempts_ + 1 < kMaxDeliveredAttempts;
+  if (route_.repeatable() && mayLeave) {
     stallTimeout_ = timeout;
     stallTimer_->enableAt(now() + timeout);
   }
 }
 
-/// @return true if the worker takes no longer than it usually does, and another one, by its usual
-/// time, would begin the stream only after the caller had disconnected. A time that is unknown is
-/// taken to be that of the other.
+/// @return true if another worker, by its usual time, would send the next event only after the
+/// caller had disconnected, unless the worker takes longer than it usually does to begin the
+/// stream. A time that is unknown is taken to be that of the other.
 bool Exchange::comesTooLateElsewhere(const Worker& other) const {
   const std::optional<base::Duration> otherTime = other.firstEventTime.value();
   const std::optional<base::Duration> ownTime = worker_->firstEventTime.value();
   const base::Duration usual = ownTime ? *ownTime : otherTime.value_or(base::Duration::zero());
-  const bool isLate = headSent_ || worker_->full() || now() >= attemptAt_ + usual;
-  return !isLate && now() + otherTime.value_or(usual) >= callerDisconnectsAt();
+  const base::TimePoint there = now() + otherTime.value_or(usual);
+  if (headSent_) {
+    const base::Duration patience = catalog::callerTimeout(route_.targetLatency, route_.targetGap);
+    return there >= std::min(deadline_, lastEventAt_ + patience);
+  }
+  const bool isLate = worker_->full() || now() >= attemptAt_ + usual;
+  return !isLate && there >= callerDisconnectsAt();
 }
 
 /// @return true if leaving the worker may help the caller: another one has a free slot, and would
-/// not begin the stream too late.
+/// not go on too late. A stream that has begun only leaves a worker to which it may return: one
+/// that is draining ends what it has, and takes nothing back.
 bool Exchange::leavingMayHelp() {
-  WorkerFilter filter{excluded_, std::nullopt};
+  if (headSent_ && !context_.selector().isCandidate(service_, worker_->view.record.id)) {
+    return false;
+  }
+  WorkerFilter filter{excluded_, {}};
   filter.excluded.insert(worker_->view.record.id);
   const Selection other = context_.selector().select(service_, facts_, filter, now());
   if (other.worker == nullptr || other.worker->full()) {
@@ -82,21 +94,26 @@
 }
 
 void Exchange::leaveSilentWorker() {
+  constexpr std::string_view kSilent = "the worker is silent";
   ++movesFromSilent_;
   if (headSent_) {
-    leftWorker_ = worker_->view.record.id;
+    leftWorkers_.insert(worker_->view.record.id);
   }
   context_.attemptFailed(*worker_);
   recordFailure();
   context_.launcher().forget(worker_->view.record.id);
   dropAttempt();
-  attemptEnded(Executed::unknown, "the worker is silent");
+  recordAttempt(Executed::unknown, kSilent);
+  retryOrFail(Executed::unknown, kSilent);
 }
 
-/// @return true if the stream may return to the silent worker that it has left. That uses no
-/// further worker, so the route's limit of workers permits it.
+/// @return true if the stream may return to a silent worker that it has left. That uses no further
+/// worker, so the route's limit of workers permits it.
 bool Exchange::mayReturn() const {
-  return headSent_ && leftWorker_ && context_.selector().isCandidate(service_, *leftWorker_);
+  return headSent_ &&
+         std::any_of(leftWorkers_.begin(), leftWorkers_.end(), [this](const auto& worker) {
+           return context_.selector().isCandidate(service_, worker);
+         });
 }
 
 /// The worker that the stream has left would have gone on, so the lack of a retry doesn't end the
--- a/src/gateway/exchange_wait.cpp
+++ b/src/gateway/exchange_wait.cpp
@@ -153,7 +153,8 @@
     return;
   }
   const bool plain = facts_.model.empty();
-  if (plain && !mayReturn() && now() >= shortWaitDeadline()) {
+  const bool wasMoved = headSent_ && movesFromSilent_ > 0;
+  if (plain && !wasMoved && now() >= shortWaitDeadline()) {
     refuse(mayHaveRun_ ? kBadGateway : kUnavailable, "no worker can be had", kRetryAfterFull);
     return;
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -425,9 +425,12 @@
   return budgetOf(service).reserveRetry(scheduler_.now());
 }
 
-void Gateway::useReservedRetry(const std::string& service) {
-  budgetOf(service).useReservedRetry(scheduler_.now());
-  metrics_.count("walnut_gateway_retries_total", "reserved");
+bool Gateway::useReservedRetry(const std::string& service) {
+  const bool used = budgetOf(service).useReservedRetry(scheduler_.now());
+  if (used) {
+    metrics_.count("walnut_gateway_retries_total", "reserved");
+  }
+  return used;
 }
 
 void Gateway::releaseReservedRetry(const std::string& service) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -111,7 +111,7 @@
   runtime::MetricsSink& metrics() override { return metrics_; }
   bool takeRetry(const std::string& service, const RequestFacts& facts) override;
   bool reserveRetry(const std::string& service) override;
-  void useReservedRetry(const std::string& service) override;
+  bool useReservedRetry(const std::string& service) override;
   void releaseReservedRetry(const std::string& service) override;
   void waitBegan(const std::string& service, const RequestFacts& facts,
                  const catalog::Route& route) override;
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <list>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -68,10 +67,10 @@
 /// Workers that may be selected for a request.
 struct WorkerFilter {
   std::set<registry::WorkerId> excluded;
-  std::optional<registry::WorkerId> only;  ///< If set, this worker alone, even if it is excluded.
+  std::set<registry::WorkerId> only;  ///< If not empty, no other workers than these.
 
   bool accepts(const registry::WorkerId& worker) const {
-    return only ? worker == *only : excluded.count(worker) == 0;
+    return excluded.count(worker) == 0 && (only.empty() || only.count(worker) != 0);
   }
 };
 
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -35,9 +35,13 @@
   return true;
 }
 
-void RetryBudget::useReservedRetry(base::TimePoint now) {
+bool RetryBudget::useReservedRetry(base::TimePoint now) {
+  if (static_cast<double>(retries_.total(now)) + 1.0 > allowed(now)) {
+    return false;
+  }
   releaseReservedRetry();
   retries_.add(now);
+  return true;
 }
 
 void RetryBudget::releaseReservedRetry() { --reserved_; }
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -48,7 +48,8 @@
   /// @{
   /// @return false if the budget is exhausted.
   bool reserveRetry(base::TimePoint now);
-  void useReservedRetry(base::TimePoint now);
+  /// @return false if the budget has shrunk since, and is exhausted: the retry stays reserved.
+  bool useReservedRetry(base::TimePoint now);
   void releaseReservedRetry();
   /// @}
 
--- a/test/gateway/silent_worker_test.cpp
+++ b/test/gateway/silent_worker_test.cpp
@@ -39,6 +39,37 @@
     answerWith(sent(0), "id: 1\n\n");
     harness->scheduler.advance(kSilence);
   }
+  /// The same with these workers and limits.
+  void beginStreamOf(std::size_t workers, std::uint32_t maxAttempts) {
+    harness = std::make_unique<GatewayHarness>(optionsWithRetries(50));
+    harness->declare(workers);
+    auto document = std::make_shared<catalog::Document>(*harness->gateway.document());
+    ++document->version;
+    for (catalog::Route& route : document->routes) {
+      route.maxAttempts = route.name == "stream" ? maxAttempts : route.maxAttempts;
+    }
+    harness->gateway.documentReceived(std::move(document));
+    caller = harness->request("stream", "r1");
+    answerWith(sent(0), "id: 1\n\n");
+  }
+  /// Refuses each attempt after that time, until so many attempts were made or the stream has
+  /// ended.
+  void refuseAllUntil(std::size_t attempts, base::Duration delay) {
+    std::size_t refused = 1;
+    for (int round = 0; round < 1000 && sentCount() < attempts && !caller->aborted; ++round) {
+      harness->scheduler.advance(delay);
+      if (sentCount() > refused) {
+        refused = sentCount();
+        harness->refuse(*harness->launcher.sent.back(), 503, "r1");
+      }
+    }
+  }
+  void markLeaving(const SentRequest& attempt) {
+    registry::ViewUpdate update;
+    update.changed = {GatewayHarness::worker(attempt.worker.id.value == "w1" ? 1 : 2)};
+    update.changed[0].record.leaving = true;
+    harness->gateway.viewReceived(update);
+  }
   void answerWith(const SentRequest& attempt, const char* events) {
     harness->head(attempt, 200, "r1", true);
     attempt.callbacks->onResponseBody(events);
@@ -133,3 +164,127 @@
   harness->scheduler.advance(500ms);
   CHECK_TRUE(caller->aborted);
 }
+
+/// Guards against a stream that is ended since the worker to which it returns is not ready to take
+/// it back yet.
+TEST(SilentWorkerTest, aReturnThatIsRefusedIsTriedAgain) {
+  beginStream(10);
+  harness->lose(sent(1));
+  harness->scheduler.advance(500ms);
+  CHECK_EQUAL(3, sentCount());
+  harness->refuse(sent(2), 503, "r1");
+  silenceEnds();
+  checkWhole();
+}
+
+TEST(SilentWorkerTest, aReturnThatCannotConnectIsTriedAgain) {
+  beginStream(10);
+  harness->lose(sent(1));
+  harness->scheduler.advance(500ms);
+  CHECK_EQUAL(3, sentCount());
+  harness->unreachable(sent(2));
+  silenceEnds();
+  checkWhole();
+}
+
+/// Guards against a stream that is ended since its worker was silent and all others are full.
+TEST(SilentWorkerTest, refusalsOfAllWorkersDoNotEndAStream) {
+  beginStream(20);
+  refuseAllUntil(11, 10ms);
+  CHECK_FALSE(caller->aborted);
+}
+
+TEST(SilentWorkerTest, onlySoManyOtherWorkersAreAsked) {
+  constexpr std::size_t kMostDelivered = 8;
+  beginStreamOf(12, 2);
+  harness->scheduler.advance(kSilence);
+  refuseAllUntil(12, 10ms);
+  std::size_t others = 0;
+  for (const auto& attempt : harness->launcher.sent) {
+    others += attempt->worker.id == sent(0).worker.id ? 0 : 1;
+  }
+  CHECK_TRUE(others < kMostDelivered);
+  CHECK_FALSE(caller->aborted);
+}
+
+/// Guards against a stream that leaves a worker which completes what it has and takes nothing back.
+TEST(SilentWorkerTest, aStreamStaysAtASilentWorkerThatIsLeaving) {
+  beginStreamOf(2, 2);
+  markLeaving(sent(0));
+  harness->scheduler.advance(kSilence);
+  CHECK_EQUAL(1, sentCount());
+}
+
+TEST(SilentWorkerTest, aStreamIsNotEndedAtOnceIfTheWorkerThatItLeftIsLeaving) {
+  beginStream(10);
+  markLeaving(sent(0));
+  harness->refuse(sent(1), 503, "r1");
+  harness->scheduler.advance(100ms);
+  CHECK_FALSE(caller->aborted);
+}
+
+/// Guards against a stream that remembers only the last of the silent workers that it has left.
+TEST(SilentWorkerTest, aStreamMayReturnToEachWorkerThatItHasLeft) {
+  beginStreamOf(3, 3);
+  harness->scheduler.advance(kSilence);
+  CHECK_EQUAL(2, sentCount());
+  harness->scheduler.advance(kSilence);
+  CHECK_EQUAL(3, sentCount());
+  registry::ViewUpdate update;
+  update.removed = {sent(1).worker.id};
+  harness->gateway.viewReceived(update);
+  harness->lose(sent(2));
+  silenceEnds();
+  checkWhole();
+}
+
+/// Guards against a move after which the caller leaves before the next worker goes on.
+TEST(SilentWorkerTest, aStreamIsNotMovedWhereItGoesOnTooLate) {
+  harness = std::make_unique<GatewayHarness>(optionsWithRetries(10));
+  harness->declare(2);
+  const auto first = harness->request("bound", "a");
+  const auto second = harness->request("bound", "b");
+  harness->scheduler.advance(2s);
+  harness->answer(sent(0), 200, "a", "id: 1\n\n");
+  harness->answer(sent(1), 200, "b", "id: 1\n\n");
+  caller = harness->request("stream", "r1");
+  harness->scheduler.advance(1s);
+  CHECK_EQUAL(3, sentCount());
+  answerWith(sent(2), "id: 1\n\n");
+  harness->scheduler.advance(kSilence);
+  CHECK_EQUAL(3, sentCount());
+}
+
+TEST(SilentWorkerTest, aStreamThatCannotBeLeftForAnotherAttemptStays) {
+  harness = std::make_unique<GatewayHarness>(optionsWithRetries(50));
+  harness->declare(12);
+  caller = harness->request("stream", "r1");
+  for (int refused = 0; refused < 7; ++refused) {
+    harness->refuse(*harness->launcher.sent.back(), 503, "r1");
+  }
+  CHECK_EQUAL(8, sentCount());
+  harness->scheduler.advance(kSilence);
+  CHECK_EQUAL(0, caller->status);
+}
+
+/// Guards against retries that are kept for streams which go on well at their next worker.
+TEST(SilentWorkerTest, theRetryForTheReturnIsReleasedWhenTheNextWorkerGoesOn) {
+  beginStream(2);
+  answerWith(sent(1), "id: 2\n\n");
+  harness->scheduler.advance(500ms);
+  const auto other = harness->request("safe", "r2");
+  const std::size_t before = sentCount();
+  harness->lose(*harness->launcher.sent.back());
+  CHECK_EQUAL(before + 1, sentCount());
+}
+
+/// Guards against a stopping process that ends a stream which waits for its return.
+TEST(SilentWorkerTest, aStopRefusesNoStreamThatHasBegun) {
+  beginStream(10);
+  harness->refuse(sent(1), 503, "r1");
+  harness->gateway.refuseAll();
+  harness->scheduler.advance(100ms);
+  CHECK_FALSE(caller->aborted);
+  harness->gateway.cancelAll();
+  CHECK_TRUE(caller->aborted);
+}
--- a/test/routing/shared_retry_budget_test.cpp
+++ b/test/routing/shared_retry_budget_test.cpp
@@ -71,3 +71,20 @@
   CHECK_FALSE(budget.takeRetry(taken + RetryBudget::kWindow - 1ms));
   CHECK_TRUE(budget.takeRetry(taken + RetryBudget::kWindow + WindowedCount::kBucketWidth));
 }
+
+/// Guards against reserved retries that exceed a budget which has shrunk since.
+TEST(EarnedRetryBudgetTest, reservedRetriesAreUsedWithinTheBudgetOnly) {
+  RetryBudget budget(kRatio, 1);
+  for (int request = 0; request < 100; ++request) {
+    budget.firstAttempt(start);
+  }
+  std::size_t reserved = 0;
+  while (budget.reserveRetry(start)) {
+    ++reserved;
+  }
+  CHECK_EQUAL(21, reserved);
+  CHECK_FALSE(budget.takeRetry(start));
+  const base::TimePoint later = start + 2 * RetryBudget::kWindow;
+  CHECK_TRUE(budget.useReservedRetry(later));
+  CHECK_FALSE(budget.useReservedRetry(later));
+}
