gateway: a new process gets its first retries from the leader

Cause: a new process had to earn its whole retry budget, also the part by requests, so a gateway of a few seconds resumed no stream (GatewayPathTest.aStreamThatBreaksGoesOnInOnePiece, known red). Also, two thirds of the ratio for each process exceed the whole if the requests of killed gateways go to others that have used none yet (by arithmetic, 4/3).

Change: each process uses half of the ratio at once: a request counts at one process, so all together use at most 0.5 x ratio x (requests of the window and of the one before it), whoever is restarted. Of the slack, 0.6 is for established processes, 0.2 is earned by their successors in a window (over 30 s), and 0.2 is a pool at the leader (StartingRetryPool): at most that in any 21 s, used within 10 s of the request, at most half of what is left to one process. It is closed for 21 s at a new leader, except in term 2, the first that can have a leader, and beside gateways of a level below 6. Feature level 6: StartingRetriesRequest, StartingRetries. The gateway's budgets, and the simulated fleet's messages to the leader, move to files of their own; the fleet's first leader has term 2, as in a cell. EarnedRetryBudgetTest.processesThatFollowOneAnother... is renamed and tightened from 3/2 to 4/3 of a floor, as successors now earn a third. GatewayHarness takes the age of the process, by default as before.

EarnedRetryBudgetTest, StartingRetryPoolTest, StartingRetriesTest, GatewayCountTest, the silent worker tests and RecordedMessagesTest pass. Other tests were not run.

--- a/include/walnut/registry/feature_level.h
+++ b/include/walnut/registry/feature_level.h
@@ -21,10 +21,12 @@
 inline constexpr std::uint32_t kWorkerTimings = 4;
 /// ModelForecasts, which replaces LateModels.
 inline constexpr std::uint32_t kModelForecasts = 5;
+/// StartingRetriesRequest, StartingRetries.
+inline constexpr std::uint32_t kStartingRetries = 6;
 }  // namespace feature
 
 /// Feature level of this build.
-inline constexpr std::uint32_t kFeatureLevel = feature::kModelForecasts;
+inline constexpr std::uint32_t kFeatureLevel = feature::kStartingRetries;
 /// Level to which a cell is raised. Later features need no log entries, so that servers of this
 /// level can still be admitted.
 inline constexpr std::uint32_t kCellFeatureLevel = feature::kHeartbeatBatches;
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -19,6 +19,7 @@
 #include "walnut/registry/limit_messages.h"
 #include "walnut/registry/quota_messages.h"
 #include "walnut/registry/request_digest.h"
+#include "walnut/registry/starting_retry_messages.h"
 #include "walnut/registry/timing_messages.h"
 #include "walnut/registry/worker.h"
 
@@ -443,7 +444,8 @@
                  ViewUpdate, DemandUpdate, DocumentPart, DocumentPartAck, PackedView, CutReport,
                  SuspectList, ConfirmDocument, DocumentConfirmed, QuotaRequest, QuotaGrant,
                  LateModels, HeartbeatBatch, HeartbeatRequest, LimitReport, ShareRequest,
-                 ShareGrant, WorkerTimingReport, WorkerTimings, ModelForecasts>;
+                 ShareGrant, WorkerTimingReport, WorkerTimings, ModelForecasts,
+                 StartingRetriesRequest, StartingRetries>;
 
 /// The alternative of protocol::Message that carries all messages of the registry.
 struct RegistryMessage {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,5 @@
 #include "gateway/gateway.h"
 
-#include <Poco/NumberFormatter.h>
-
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -18,9 +16,6 @@
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
-/// Fraction of a gateway's share of the retry budget that one process uses. The rest is for the
-/// processes that follow it within the window.
-constexpr double kBudgetFraction = 1 / (1 + routing::RetryBudget::kSuccessorShare);
 /// Time that early requests wait for the first document after a start: little more than an election
 /// takes.
 constexpr base::Duration kEarlyRequestTimeout = std::chrono::milliseconds(1500);
@@ -124,6 +119,7 @@
   limits_.leaderFollowed();
   renewLease();
   requestQuota(true);
+  requestStartingRetries();
 }
 
 std::optional<RequestQuarantine::Classification> Gateway::classificationOf(
@@ -370,70 +366,6 @@
   return next->service;
 }
 
-routing::RetryBudget& Gateway::budgetOf(const std::string& service) {
-  return budgets_
-      .try_emplace(service, options_.retryRatio * kBudgetFraction,
-                   kBudgetFraction * options_.retrySlack / gatewayCount_.value(), startedAt_)
-      .first->second;
-}
-
-void Gateway::gatewaysAnnounced(std::uint32_t count) {
-  const std::uint32_t former = gatewayCount_.value();
-  gatewayCount_.announced(count, scheduler_.now());
-  const std::uint32_t used = gatewayCount_.value();
-  if (used == former) {
-    return;
-  }
-  log_.write(LogEvent::gatewaysCounted, {{"gateways", std::uint64_t{used}},
-                                         {"former", std::uint64_t{former}},
-                                         {"announced", std::uint64_t{count}}});
-  for (auto& [service, budget] : budgets_) {
-    budget.setFloor(kBudgetFraction * options_.retrySlack / used);
-  }
-}
-
-routing::RetryBudget::Usage Gateway::retryUsage() {
-  routing::RetryBudget::Usage sum;
-  for (auto& [service, budget] : budgets_) {
-    const routing::RetryBudget::Usage usage = budget.usage(scheduler_.now());
-    sum.firstAttempts += usage.firstAttempts;
-    sum.retries += usage.retries;
-    sum.allowed += usage.allowed;
-  }
-  return sum;
-}
-
-bool Gateway::takeRetry(const std::string& service, const RequestFacts& facts) {
-  const base::TimePoint now = scheduler_.now();
-  routing::RetryBudget& budget = budgetOf(service);
-  const routing::RetryBudget::Usage usage = budget.usage(now);
-  const bool taken = budget.takeRetry(now);
-  metrics_.count("walnut_gateway_retries_total", taken ? "taken" : "denied");
-  const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt_);
-  log_.write(LogEvent::retryDecided, {{"request", facts.requestId},
-                                      {"service", service},
-                                      {"taken", taken ? "yes" : "no"},
-                                      {"used", usage.retries},
-                                      {"allowed", Poco::NumberFormatter::format(usage.allowed, 1)},
-                                      {"first-attempts", usage.firstAttempts},
-                                      {"gateways", std::uint64_t{gatewayCount_.value()}},
-                                      {"uptime", static_cast<std::uint64_t>(uptime.count())}});
-  return taken;
-}
-
-bool Gateway::reserveRetry(const std::string& service) {
-  return budgetOf(service).reserveRetry(scheduler_.now());
-}
-
-void Gateway::useReservedRetry(const std::string& service) {
-  budgetOf(service).useReservedRetry(scheduler_.now());
-  metrics_.count("walnut_gateway_retries_total", "reserved");
-}
-
-void Gateway::releaseReservedRetry(const std::string& service) {
-  budgetOf(service).releaseReservedRetry();
-}
-
 void Gateway::attemptFailed(Worker& worker) {
   const bool wasOpen = worker.breaker.state() == routing::BreakerState::open;
   worker.failures.observe(true, scheduler_.now());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,6 +74,7 @@
   void forecastsReceived(const registry::ModelForecasts& forecasts);
   void sharesGranted(const registry::ShareGrant& grant);
   void timingsReceived(const registry::WorkerTimings& update);
+  void startingRetriesReceived(const registry::StartingRetries& grant);
   /// @return the version of the document by whose keys a request would be admitted now; 0: keys are
   /// not confirmed.
   std::uint64_t admittingDocumentVersion() const;
@@ -227,6 +228,7 @@
   const std::string& pickService(const catalog::Route& route);
   routing::RetryBudget& budgetOf(const std::string& service);
   void gatewaysAnnounced(std::uint32_t count);
+  void requestStartingRetries();
   void refreshTimedServices();
   void refreshTimings(const registry::ViewUpdate& update);
   void recordPromptSent(const Worker& worker, const RequestFacts& facts);
@@ -292,7 +294,11 @@
   base::TimePoint demandDueAt_;
   const base::TimePoint startedAt_;  ///< Of the process.
   GatewayCount gatewayCount_{kInitialGatewayCount};
-  std::map<std::string, routing::RetryBudget> budgets_;             ///< By service.
+  std::map<std::string, routing::RetryBudget> budgets_;  ///< By service.
+  bool followedBefore_ = false;                          ///< This process has followed a leader.
+  /// When this process asked for starting retries, if it did.
+  std::optional<base::TimePoint> startingRetriesAskedAt_;
+  std::uint32_t startingRetries_ = 0;                               ///< Granted to each service.
   std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
   /// Ordered by number, so that waiting requests are woken in the order of their arrival: ordered
   /// by address, the latest could take the slot that the first one waits for, and no run of the
--- a/src/gateway/registry_follower.cpp
+++ b/src/gateway/registry_follower.cpp
@@ -118,6 +118,14 @@
   return false;
 }
 
+bool RegistryFollower::receive(protocol::ConnectionId connection,
+                               const registry::StartingRetries& grant) {
+  if (session_.isCurrent(connection)) {
+    gateway_.startingRetriesReceived(grant);
+  }
+  return false;
+}
+
 bool RegistryFollower::receive(protocol::ConnectionId connection,
                                const registry::DocumentPart& part) {
   if (!session_.partReceived(connection)) {
--- a/src/gateway/registry_follower.h
+++ b/src/gateway/registry_follower.h
@@ -36,6 +36,7 @@
   bool receive(protocol::ConnectionId connection, const registry::ModelForecasts& forecasts);
   bool receive(protocol::ConnectionId connection, const registry::ShareGrant& grant);
   bool receive(protocol::ConnectionId connection, const registry::WorkerTimings& update);
+  bool receive(protocol::ConnectionId connection, const registry::StartingRetries& grant);
   template <class Other>
   bool receive(protocol::ConnectionId, const Other&) {
     return false;  // A message for servers only.
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -126,6 +126,7 @@
                                            {"partial", request.cursor.version},
                                            {"bytes", request.cursor.received}});
   publisher_.subscribe(gateway, zone, featureLevel);
+  noteFeatureLevel(gateway, featureLevel);
   subscribeToTimings(gateway, featureLevel);
   subscribeToForecasts(gateway, featureLevel);
   subscriptions_[gateway] = request;
@@ -134,6 +135,7 @@
 void LeaderDuties::unsubscribe(protocol::ConnectionId gateway) {
   publisher_.unsubscribe(gateway);
   timingRevisions_.erase(gateway);
+  olderGateways_.erase(gateway);
   forecastGateways_.erase(gateway);
   sender_.unsubscribe(gateway);
   subscriptions_.erase(gateway);
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -23,6 +23,7 @@
 #include "registry/planning_pool.h"
 #include "registry/quota_ledger.h"
 #include "registry/registration_times.h"
+#include "registry/starting_retry_pool.h"
 #include "registry/view_publisher.h"
 #include "registry/worker_index.h"
 #include "registry/worker_limit_tracker.h"
@@ -71,6 +72,9 @@
   /// To be called only while this server holds a valid leader lease, as with quotas.
   void sharesRequested(protocol::ConnectionId gateway, const ShareRequest& request,
                        base::TimePoint now);
+  /// To be called only while this server holds a valid leader lease, as with quotas.
+  void startingRetriesRequested(protocol::ConnectionId gateway,
+                                const StartingRetriesRequest& request, base::TimePoint now);
   void timingsReported(protocol::ConnectionId gateway, const WorkerTimingReport& report,
                        base::TimePoint now);
   void orderFinished(const OrderFinished& finished, base::TimePoint now);
@@ -136,6 +140,8 @@
   void logQuotaChanges();
   void logShareChanges();
   void refreshTimedServices();
+  base::TimePoint startingRetriesFrom() const;
+  void noteFeatureLevel(protocol::ConnectionId gateway, std::uint32_t featureLevel);
   void subscribeToTimings(protocol::ConnectionId gateway, std::uint32_t featureLevel);
   void sendTimings(base::TimePoint now);
   ModelForecasts modelForecasts() const;
@@ -213,6 +219,9 @@
   DemandBook demand_;
   QuotaLedger quotas_;
   WorkerLimitTracker limits_;
+  StartingRetryPool startingRetries_{startingRetriesFrom()};
+  /// Gateways of a lower level than `kStartingRetries`: they use the pool's part of the budgets.
+  std::set<protocol::ConnectionId> olderGateways_;
   std::set<std::string> timedServices_;  ///< Services whose replicas are slow to add.
   WorkerTimingBook timings_;
   /// Revisions of `timings_` last sent to the gateways that support them; 0: none.
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -260,6 +260,12 @@
   }
 }
 
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const StartingRetriesRequest& message) {
+  if (isActiveLeader() && raft_->leaseValid(now_)) {
+    leading_->startingRetriesRequested(from, message, now_);
+  }
+}
+
 WorkerTimingMaxima RegistryImpl::timingMaxima() const {
   return leading_ == nullptr ? WorkerTimingMaxima{} : leading_->timingMaxima();
 }
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -72,12 +72,14 @@
   void receiveBody(protocol::ConnectionId from, const LimitReport& message);
   void receiveBody(protocol::ConnectionId from, const ShareRequest& message);
   void receiveBody(protocol::ConnectionId from, const WorkerTimingReport& message);
+  void receiveBody(protocol::ConnectionId from, const StartingRetriesRequest& message);
   void receiveBody(protocol::ConnectionId from, const HeartbeatBatch& message);
   void receiveBody(protocol::ConnectionId from, const HeartbeatRequest& message);
   void receiveBody(protocol::ConnectionId, const DocumentConfirmed&) {}
   void receiveBody(protocol::ConnectionId, const QuotaGrant&) {}
   void receiveBody(protocol::ConnectionId, const ShareGrant&) {}
   void receiveBody(protocol::ConnectionId, const WorkerTimings&) {}
+  void receiveBody(protocol::ConnectionId, const StartingRetries&) {}
   void receiveBody(protocol::ConnectionId, const LateModels&) {}
   void receiveBody(protocol::ConnectionId, const ModelForecasts&) {}
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -14,9 +14,23 @@
 /// Counts first attempts and retries over a sliding window.
 ///
 /// A budget that several processes share outlives each of them, but a new process doesn't know what
-/// its predecessor has used. It therefore begins with nothing and earns its budget evenly over
-/// `kEarningTime`. In any window, a process and its successors, however many there are, then use at
-/// most the whole budget and `kSuccessorShare` of it.
+/// its predecessors have used. In a window W, with the window V before it, let all processes get
+/// F(V) and F(W) first attempts.
+///
+/// - Ratio. A process whose last retry in W is at t has taken at most `ratio` times the first
+///   attempts that it got in the window that ends at t, all of which lie in V or W. A first attempt
+///   belongs to one process, so all processes together take at most ratio x (F(V) + F(W)), however
+///   they are restarted or share the traffic. Each has half of the ratio of all processes together,
+///   which makes that the mean of the two windows: no process has to earn it.
+/// - Floor. A place among the processes has one process at a time. The one that runs as W begins
+///   takes at most its floor. The others begin within W, and the floor is earned evenly over
+///   `kEarningTime`: as their ages add up to W at most, they take `kEarnedShare` of a floor
+///   together.
+/// - Grants. New processes can be granted retries to begin with. Whoever grants them bounds what is
+///   used in a window: `kGrantedShare` of all floors.
+///
+/// The floors of all places, times 1 + `kSuccessorShare`, are therefore the fixed number of retries
+/// that all processes together may take in a window beside those by the ratio.
 class RetryBudget {
  public:
   static constexpr base::Duration kWindow = std::chrono::seconds(10);
@@ -25,18 +39,24 @@
   /// requests can retry at all. Envoy's retry budget has such a minimum as well.
   static constexpr double kDefaultFloor = 10.0;
 
-  static constexpr base::Duration kEarningTime = 2 * kWindow;
-  /// Share of the budget that new processes earn within a window.
-  static constexpr double kSuccessorShare = 0.5;
+  static constexpr base::Duration kEarningTime = 3 * kWindow;
+  /// Share of a floor that new processes earn within a window.
+  static constexpr double kEarnedShare =
+      static_cast<double>(kWindow.count()) / static_cast<double>(kEarningTime.count());
+  /// Share of a floor that new processes are granted within a window.
+  static constexpr double kGrantedShare = 1.0 / 3;
+  static constexpr double kSuccessorShare = kEarnedShare + kGrantedShare;
 
   /// @param ratio number of retries allowed per first attempt.
   /// @param floor number of retries allowed in a window whatever the traffic.
-  /// @param earnsFrom start of the process, if the budget is shared; otherwise it is whole at once.
+  /// @param earnsFrom start of the process, if the floor is earned; otherwise it is whole at once.
   explicit RetryBudget(double ratio, double floor = kDefaultFloor,
                        std::optional<base::TimePoint> earnsFrom = std::nullopt)
       : ratio_(ratio), floor_(floor), earnsFrom_(earnsFrom) {}
 
   void setFloor(double floor) { floor_ = floor; }
+  /// Adds retries that may each be taken once until then, when the budget itself has none.
+  void grant(std::uint32_t retries, base::TimePoint until);
 
   void firstAttempt(base::TimePoint now);
   /// Takes one retry from the budget.
@@ -56,13 +76,15 @@
   struct Usage {
     std::uint64_t firstAttempts = 0;
     std::uint64_t retries = 0;
-    double allowed = 0;  ///< Number of retries that the window may have.
+    double allowed = 0;  ///< Number of retries that the window may have, without granted ones.
+    std::uint32_t granted = 0;  ///< Granted retries that are left.
   };
   Usage usage(base::TimePoint now);
 
  private:
   double allowed(base::TimePoint now);
   bool hasRetry(base::TimePoint now);
+  bool takeGranted(base::TimePoint now);
 
   double ratio_;
   double floor_;
@@ -71,6 +93,8 @@
   WindowedCount firstAttempts_{kWindow};
   WindowedCount retries_{kWindow + WindowedCount::kBucketWidth};
   std::uint64_t reserved_ = 0;
+  std::uint32_t granted_ = 0;
+  base::TimePoint grantedUntil_;
 };
 
 }  // namespace walnut::routing
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -182,6 +182,7 @@
   /// was cut, and how often what was cut beside it had been by then, and is in the end.
   std::string describeRefused() const;
   static constexpr base::Duration kContact = std::chrono::seconds(3);
+  static constexpr base::Duration kLinkDelay = std::chrono::milliseconds(3);
   /// @}
 
   /// @name Limits that workers name
