--- a/include/walnut/registry/feature_level.h
+++ b/include/walnut/registry/feature_level.h
@@ -21,6 +21,8 @@
 inline constexpr std::uint32_t kWorkerTimings = 4;
 /// ModelForecasts, which replaces LateModels.
 inline constexpr std::uint32_t kModelForecasts = 5;
+/// StartingRetriesRequest, StartingRetries.
+inline constexpr std::uint32_t kStartingRetries = 6;
 /// Software versions of workers in records and views; StreamsBegan, FindStreamOrigin,
 /// StreamOriginFound, VersionDemand.
 inline constexpr std::uint32_t kSoftwareVersions = 7;
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -19,6 +19,7 @@
 #include "walnut/registry/limit_messages.h"
 #include "walnut/registry/quota_messages.h"
 #include "walnut/registry/request_digest.h"
+#include "walnut/registry/starting_retry_messages.h"
 #include "walnut/registry/stream_messages.h"
 #include "walnut/registry/timing_messages.h"
 #include "walnut/registry/worker.h"
@@ -444,8 +445,9 @@
                  ViewUpdate, DemandUpdate, DocumentPart, DocumentPartAck, PackedView, CutReport,
                  SuspectList, ConfirmDocument, DocumentConfirmed, QuotaRequest, QuotaGrant,
                  LateModels, HeartbeatBatch, HeartbeatRequest, LimitReport, ShareRequest,
-                 ShareGrant, WorkerTimingReport, WorkerTimings, ModelForecasts, StreamsBegan,
-                 FindStreamOrigin, StreamOriginFound, VersionDemand>;
+                 ShareGrant, WorkerTimingReport, WorkerTimings, ModelForecasts,
+                 StartingRetriesRequest, StartingRetries, StreamsBegan, FindStreamOrigin,
+                 StreamOriginFound, VersionDemand>;
 
 /// The alternative of protocol::Message that carries all messages of the registry.
 struct RegistryMessage {
--- a/src/gateway/exchange_version.cpp
+++ b/src/gateway/exchange_version.cpp
@@ -56,7 +56,7 @@
 }
 
 WorkerFilter Exchange::filter() const {
-  return {excluded_, mayUseNewWorker() ? std::nullopt : leftWorker_, software_};
+  return {excluded_, mayUseNewWorker() ? std::set<registry::WorkerId>() : leftWorkers_, software_};
 }
 
 /// @return true if the stream can't go on: no worker has the software that began it.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,6 +78,7 @@
   void streamOriginReceived(const registry::StreamOriginFound& answer) {
     streamOrigins_.answerReceived(answer);
   }
+  void startingRetriesReceived(const registry::StartingRetries& grant);
   /// @return the version of the document by whose keys a request would be admitted now; 0: keys are
   /// not confirmed.
   std::uint64_t admittingDocumentVersion() const;
@@ -115,7 +116,7 @@
   runtime::MetricsSink& metrics() override { return metrics_; }
   bool takeRetry(const std::string& service, const RequestFacts& facts) override;
   bool reserveRetry(const std::string& service) override;
-  void useReservedRetry(const std::string& service) override;
+  bool useReservedRetry(const std::string& service) override;
   void releaseReservedRetry(const std::string& service) override;
   void waitBegan(const std::string& service, const RequestFacts& facts,
                  const catalog::Route& route) override;
@@ -236,6 +237,7 @@
   const std::string& pickService(const catalog::Route& route);
   routing::RetryBudget& budgetOf(const std::string& service);
   void gatewaysAnnounced(std::uint32_t count);
+  void requestStartingRetries();
   void refreshTimedServices();
   void refreshTimings(const registry::ViewUpdate& update);
   void recordPromptSent(const Worker& worker, const RequestFacts& facts);
@@ -303,7 +305,11 @@
   base::TimePoint demandDueAt_;
   const base::TimePoint startedAt_;  ///< Of the process.
   GatewayCount gatewayCount_{kInitialGatewayCount};
-  std::map<std::string, routing::RetryBudget> budgets_;             ///< By service.
+  std::map<std::string, routing::RetryBudget> budgets_;  ///< By service.
+  bool followedBefore_ = false;                          ///< This process has followed a leader.
+  /// When this process asked for starting retries, if it did.
+  std::optional<base::TimePoint> startingRetriesAskedAt_;
+  std::uint32_t startingRetries_ = 0;                               ///< Granted to each service.
   std::map<std::string, std::map<std::string, double>> rotations_;  ///< By route, by service.
   /// Ordered by number, so that waiting requests are woken in the order of their arrival: ordered
   /// by address, the latest could take the slot that the first one waits for, and no run of the
--- a/src/gateway/registry_follower.h
+++ b/src/gateway/registry_follower.h
@@ -37,6 +37,7 @@
   bool receive(protocol::ConnectionId connection, const registry::ShareGrant& grant);
   bool receive(protocol::ConnectionId connection, const registry::WorkerTimings& update);
   bool receive(protocol::ConnectionId connection, const registry::StreamOriginFound& answer);
+  bool receive(protocol::ConnectionId connection, const registry::StartingRetries& grant);
   template <class Other>
   bool receive(protocol::ConnectionId, const Other&) {
     return false;  // A message for servers only.
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <list>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -78,12 +77,12 @@
 /// Workers that may be selected for a request.
 struct WorkerFilter {
   std::set<registry::WorkerId> excluded;
-  std::optional<registry::WorkerId> only;  ///< If set, this worker alone, even if it is excluded.
+  std::set<registry::WorkerId> only;  ///< If not empty, no other workers than these.
   /// If set, only workers with this software count as workers of the service.
   std::optional<StreamSoftware> software;
 
   bool accepts(const registry::WorkerId& worker) const {
-    return only ? worker == *only : excluded.count(worker) == 0;
+    return excluded.count(worker) == 0 && (only.empty() || only.count(worker) != 0);
   }
   bool hasSoftware(const registry::WorkerRecord& worker) const {
     return !software || software->equals(worker);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Format.h>
 #include <Poco/NumberFormatter.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace walnut::net {
@@ -16,11 +17,11 @@
 constexpr int kHeadTooLarge = 431;
 /// Bytes of further requests that are buffered while one is handled; beyond that, reading pauses.
 constexpr std::size_t kMaxPending = 64U << 10U;
-/// Longest time to wait for the caller to read the last response, and, after a request was
-/// rejected, for what the caller is still sending: closing a socket with unread bytes would reset
-/// the connection and lose the response.
-constexpr base::Duration kClosingTimeout = std::chrono::seconds(5);
+/// Longest time to wait, after a request was rejected, for what the caller is still sending:
+/// closing a socket with unread bytes would reset the connection and lose the response.
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(1);
+/// Time to read on after a time-out that finds unread bytes.
+constexpr base::Duration kUnreadTimeout = std::chrono::milliseconds(200);
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::int64_t wholeSeconds(base::Duration duration) {
@@ -46,15 +47,23 @@
 void ServerConnection::closeWhenIdle() {
   announceClose_ = true;
   closeWhenIdle_ = true;
-  if (idle()) {
+  closeIfIdle();
+}
+
+void ServerConnection::closeIfIdle() {
+  if (closeWhenIdle_ && idle() && connection_.bufferedBytes() == 0 && !connection_.hasUnread()) {
     connection_.close();
     becomeClosed();
   }
 }
 
 void ServerConnection::armTimer() {
-  if (state_ == State::idle) {
-    timer_->enableAt(dispatcher_.now() + limits_.idleTimeout);
+  unsent_ = connection_.bufferedBytes();
+  if (isWriting()) {
+    timer_->enableAt(dispatcher_.now() + limits_.writeTimeout);
+  } else if (state_ == State::idle) {
+    idleSince_ = dispatcher_.now();
+    timer_->enableAt(idleUntil());
   } else if (state_ == State::reading) {
     timer_->enableAt(dispatcher_.now() + limits_.headTimeout);
   } else {
@@ -62,9 +71,40 @@
   }
 }
 
+/// @return true if the last answer is complete here, and the caller has still to read some of it.
+bool ServerConnection::isWriting() const {
+  return (state_ == State::idle || (state_ == State::closing && !refused_)) &&
+         connection_.bufferedBytes() > 0;
+}
+
+/// A process that was suspended runs its timers while most of what came in that time is still
+/// unread. The size limits of a request bound how often this postpones the time-out.
+bool ServerConnection::hasUnreadRequest() const {
+  return (state_ == State::idle || state_ == State::reading) && !refused_ &&
+         connection_.hasUnread();
+}
+
+/// The limits may change after a caller was told an idle time-out, or while a connection is idle:
+/// the longer time-out holds.
+base::TimePoint ServerConnection::idleUntil() const {
+  return idleSince_ + std::max(announcedIdleTimeout_, limits_.idleTimeout);
+}
+
 void ServerConnection::onTimeout() {
-  // The connection is idle, or the request did not arrive in time: no request is being handled, so
-  // it is safe to close.
+  if (state_ == State::idle && !isWriting() && dispatcher_.now() < idleUntil()) {
+    timer_->enableAt(idleUntil());
+    return;
+  }
+  if (isWriting() && connection_.bufferedBytes() < unsent_) {
+    armTimer();
+    return;
+  }
+  if (hasUnreadRequest()) {
+    timer_->enableAt(dispatcher_.now() + kUnreadTimeout);
+    return;
+  }
+  // The connection is idle, the request did not arrive in time, or the caller has stopped reading:
+  // no request is being handled, so it is safe to close.
   connection_.close();
   becomeClosed();
 }
@@ -149,10 +189,11 @@
 
 bool ServerConnection::willClose() const { return !keepAlive_ || announceClose_; }
 
-void ServerConnection::finishHead(HttpResponseHead& head) const {
+void ServerConnection::finishHead(HttpResponseHead& head) {
   if (willClose()) {
     head.headers.set("Connection", "close");
   } else {
+    announcedIdleTimeout_ = limits_.idleTimeout;
     head.headers.set("Keep-Alive", "timeout=" + std::to_string(wholeSeconds(limits_.idleTimeout)));
   }
 }
@@ -226,7 +267,11 @@
   }
   state_ = State::closing;
   connection_.setReading(true);
-  timer_->enableAt(dispatcher_.now() + (refused_ ? kLingerTimeout : kClosingTimeout));
+  if (refused_) {
+    timer_->enableAt(dispatcher_.now() + kLingerTimeout);
+  } else {
+    armTimer();
+  }
 }
 
 void ServerConnection::onEndOfStream() { handleDisconnect(); }
@@ -251,6 +296,9 @@
   } else if (state_ == State::closing && !refused_) {
     connection_.close();
     becomeClosed();
+  } else if (state_ == State::idle) {
+    armTimer();
+    closeIfIdle();
   }
 }
 
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -26,7 +26,7 @@
   ServerConnection(event::Dispatcher& dispatcher, const Poco::Net::StreamSocket& socket,
                    const ServerLimits& limits, RequestHandler& handler, ClosedCallback onClosed);
 
-  /// Closes the connection once the current request, if any, is answered.
+  /// Closes the connection once the current request, if any, is answered and the answer is written.
   void closeWhenIdle();
   /// From now on, responses ask the caller to close the connection (`Connection: close`).
   void announceClose() { announceClose_ = true; }
@@ -68,8 +68,12 @@
   void becomeClosed();
   void onTimeout();
   void armTimer();
+  void closeIfIdle();
+  bool hasUnreadRequest() const;
+  bool isWriting() const;
   bool willClose() const;
-  void finishHead(HttpResponseHead& head) const;
+  base::TimePoint idleUntil() const;
+  void finishHead(HttpResponseHead& head);
 
   event::Dispatcher& dispatcher_;
   const ServerLimits& limits_;
@@ -81,6 +85,9 @@
   State state_ = State::idle;
   HttpRequest request_;
   std::string pending_;  ///< Received bytes that are not parsed yet.
+  base::TimePoint idleSince_;
+  base::Duration announcedIdleTimeout_{0};  ///< As the last answer's head said.
+  std::size_t unsent_ = 0;                  ///< Buffered output when the timer was last armed.
   std::function<void()> onGone_;
   std::function<void()> onDrained_;
   bool keepAlive_ = true;
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -205,6 +205,7 @@
   std::vector<registry::StreamsBegan> streams;
   std::vector<registry::FindStreamOrigin> originQuestions;
   std::vector<registry::VersionDemand> versionDemand;
+  std::vector<registry::StartingRetriesRequest> startingRetries;
 
   void open(const base::Endpoint& server) override { opened.push_back(server); }
   void close(protocol::ConnectionId) override {}
@@ -229,6 +230,8 @@
       originQuestions.push_back(std::move(*question));
     } else if (auto* waits = std::get_if<registry::VersionDemand>(&message)) {
       versionDemand.push_back(std::move(*waits));
+    } else if (auto* start = std::get_if<registry::StartingRetriesRequest>(&message)) {
+      startingRetries.push_back(*start);
     }
   }
 };
@@ -267,11 +270,12 @@
 /// repeatable), /stream/ (resumable stream) and /bound/ (non-resumable stream).
 class GatewayHarness {
  public:
-  explicit GatewayHarness(const GatewayOptions& gatewayOptions = options())
+  /// @param age of the process: one that has run for a while has earned its retry budget.
+  explicit GatewayHarness(const GatewayOptions& gatewayOptions = options(),
+                          base::Duration age = routing::RetryBudget::kEarningTime)
       : session_(sessionOptions(), scheduler, link, log, 1),
         gateway(gatewayOptions, scheduler, dialect, launcher, session_, log, metrics_) {
-    // A process that has run for a while has earned its retry budget.
-    scheduler.suspendFor(routing::RetryBudget::kEarningTime);
+    scheduler.suspendFor(age);
   }
 
   ManualScheduler scheduler;
