--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -17,7 +17,6 @@
 /// Term of a cell without a leader yet.
 constexpr consensus::Term kFoundingTerm = 1;
 const char* const kFirstVersion = "v1";  ///< Of the workers' software.
-constexpr base::Duration kLinkDelay = std::chrono::milliseconds(3);
 /// How often a leader looks for what is due.
 constexpr base::Duration kLeaderTurn = std::chrono::milliseconds(10);
 
