test: the transport's counters are compared once they have settled

Cause: the test failed once beside the linter (ctest -j 4 on: 56,045 bytes sent, 48,513 received). Traced by reading: a read's messages are handed over before its bytes are counted (TransportImpl::handleConnection), so whoever has just got the last message may read the counter before. Change: the test waits until both counters are equal, up to 5 s; what is compared is unchanged.

--- a/test/transport/transport_test.cpp
+++ b/test/transport/transport_test.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <chrono>
 #include <map>
 #include <set>
 #include <thread>
@@ -70,6 +71,13 @@
   for (std::thread& thread : threads) {
     thread.join();
   }
+  // A message is handed over before the bytes of its read are counted.
+  const auto countersDiffer = [&client, &server] {
+    return client->counters().bytesSent != server->counters().bytesReceived;
+  };
+  for (int round = 0; round < 500 && countersDiffer(); ++round) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
   const TrafficCounters sent = client->counters();
   const TrafficCounters received = server->counters();
   LONGS_EQUAL(kThreads * kMessages + 1, sent.messagesSent);
