simulator, test: the field of a stream that is taken up has a name of our own

Cause: the test dialects of the simulator and of the gateway's tests used the platform's word, which belongs in platform/ only. Change: the field is called Stream there.

--- a/src/simulator/serving_callers.cpp
+++ b/src/simulator/serving_callers.cpp
@@ -73,7 +73,7 @@
   request.headers.add("Model", caller.target);
   if (caller.stream.lastId() > 0) {
     request.headers.add("Resume", std::to_string(caller.stream.lastId()));
-    request.headers.add("Resumes", caller.firstId);
+    request.headers.add("Stream", caller.firstId);
   }
   caller.sentAt = scheduler_.now();
   retryAccount_.requested(caller.sentAt);
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -14,7 +14,7 @@
   return found == nullptr ? std::string() : *found;
 }
 
-/// Fields: Id, Deadline-Ms, Model, Resume, Resumes; of answers: Id, Sealed, Not-Run.
+/// Fields: Id, Deadline-Ms, Model, Resume, Stream; of answers: Id, Sealed, Not-Run.
 class ServingDialect : public gateway::RequestDialect {
  public:
   gateway::RequestFacts readRequest(const net::HttpRequest& request) const override {
@@ -25,7 +25,7 @@
     }
     std::tie(facts.model, facts.adapter) = splitTarget(text(request.headers, "Model"));
     facts.resumeAfter = text(request.headers, "Resume");
-    facts.resumedRequest = text(request.headers, "Resumes");
+    facts.resumedRequest = text(request.headers, "Stream");
     return facts;
   }
   std::string callerOf(const net::HttpRequest& request) const override {
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -61,7 +61,7 @@
 };
 
 /// Dialect of the tests. Header fields of requests: Id, Deadline-Ms, Model ("m" or "m/a"), Resume,
-/// Resumes, Key, Tokens (of the prompt), Tenant (set by the gateway only); of responses: Id,
+/// Stream, Key, Tokens (of the prompt), Tenant (set by the gateway only); of responses: Id,
 /// Sealed, Not-Run.
 class TestDialect : public RequestDialect {
  public:
@@ -76,7 +76,7 @@
     facts.adapter = model.find('/') == std::string::npos ? "" : model.substr(model.find('/') + 1);
     facts.key = text(request.headers, "Key");
     facts.resumeAfter = text(request.headers, "Resume");
-    facts.resumedRequest = text(request.headers, "Resumes");
+    facts.resumedRequest = text(request.headers, "Stream");
     if (const auto tokens = request.headers.findNumber("Tokens")) {
       facts.promptTokens = *tokens;
       facts.tellsTokens = true;
--- a/test/gateway/stream_version_test.cpp
+++ b/test/gateway/stream_version_test.cpp
@@ -52,7 +52,7 @@
     made.headers.add("Id", id);
     made.headers.add("Deadline-Ms", "5000");
     made.headers.add("Resume", "1");
-    made.headers.add("Resumes", stream);
+    made.headers.add("Stream", stream);
     if (*model != 0) {
       made.headers.add("Model", model);
     }
