gateway, registry: the log tells what was decided on a stream that is taken up

Cause: stream-taken-up was written before the decision, so a gateway's own log named neither the origin nor the outcome; worker-stored named no version. Change: stream-taken-up is written with the decision: origin, service, version, outcome, ms; worker-stored has the worker's software version. The declarations about silent workers stand together in exchange.h.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -280,16 +280,19 @@
   void refuse(int status, std::string_view reason, base::Duration retryAfter);
   void failFinally(std::string_view reason);
   void onDeadline();
+  /// @name Workers that send nothing for a while
+  /// @{
+  void armStallTimer(base::Duration timeout);
   void onStall();
+  bool leavingMayHelp();
+  bool comesTooLateElsewhere(const Worker& other) const;
   bool takeRetryForMove();
   void leaveSilentWorker();
   bool mayReturn() const;
   void waitForRetry();
   void releaseReservedRetry();
-  bool comesTooLateElsewhere(const Worker& other) const;
-  bool leavingMayHelp();
   void recordCallerGone();
-  void armStallTimer(base::Duration timeout);
+  /// @}
   void onCallerGone();
   void onCallerDrained();
   void finish(int status, std::string_view outcome);
--- a/src/gateway/exchange_version.cpp
+++ b/src/gateway/exchange_version.cpp
@@ -16,13 +16,22 @@
 /// Retry-After value while no leader can tell where a stream began.
 constexpr base::Duration kRetryAfterNoLeader = std::chrono::milliseconds(500);
 
+std::string_view originName(StreamOriginStatus status) {
+  switch (status) {
+    case StreamOriginStatus::known:
+      return "known";
+    case StreamOriginStatus::unknown:
+      return "unknown";
+    case StreamOriginStatus::noLeader:
+      return "no-leader";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 /// Finds out where a stream began that the caller takes up. No worker is chosen before.
 void Exchange::findOrigin() {
-  context_.log().write(LogEvent::streamTakenUp, {{"request", facts_.requestId},
-                                                 {"stream", facts_.resumedRequest},
-                                                 {"after", facts_.resumeAfter}});
   originSearch_ = context_.streamOrigins().find(
       service_, facts_.resumedRequest,
       [this](const StreamOriginResult& result) { originFound(result); });
@@ -34,7 +43,20 @@
   const bool served = std::any_of(
       route_.services.begin(), route_.services.end(),
       [&origin](const catalog::WeightedService& part) { return part.service == origin.service; });
-  if (result.status != StreamOriginStatus::known || !served) {
+  const bool isKnown = result.status == StreamOriginStatus::known && served;
+  context_.log().write(
+      LogEvent::streamTakenUp,
+      {{"request", facts_.requestId},
+       {"stream", facts_.resumedRequest},
+       {"after", facts_.resumeAfter},
+       {"origin", originName(result.status)},
+       {"service", origin.service},
+       {"version", origin.version},
+       {"outcome", isKnown ? std::string_view("goes-on") : "refused"},
+       {"millis",
+        static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now() - arrivedAt_).count())}});
+  if (!isKnown) {
     const bool mayBeKnownSoon = result.status == StreamOriginStatus::noLeader;
     refuse(kUnavailable, "where the stream began is not known",
            mayBeKnownSoon ? kRetryAfterNoLeader : base::Duration::zero());
--- a/src/registry/registry_state.cpp
+++ b/src/registry/registry_state.cpp
@@ -63,6 +63,7 @@
       log_.write(LogEvent::workerStored,
                  {{"worker", worker->worker.id.value},
                   {"service", worker->worker.service},
+                  {"version", worker->worker.softwareVersion},
                   {"state", std::string_view(worker->worker.leaving ? "leaving" : "ready")}});
     }
     const auto pending = pendingWorkers_.find(worker->worker.id);
