test: what leaders and gateways do with streams of which little is known

Cause: the leader's answer by the only version, a take-up that names no stream, one at a process that has just started and the reading of the two fields had no test. Change: LeaderStreamsTest.theOnlyVersionOfAServiceIsToldUnderALeaseOnly, three cases of StreamVersionTest, one of DialectTest. No fault was found.

--- a/test/gateway/stream_version_test.cpp
+++ b/test/gateway/stream_version_test.cpp
@@ -210,3 +210,53 @@
   harness.advanceFollowing(1s);
   CHECK_EQUAL(0, harness.link.versionDemand.back().waits.size());
 }
+
+/// Guards against a guess where the caller does not say which stream it takes up.
+TEST(StreamVersionTest, aTakeUpThatNamesNoStreamGoesOnWhereTheLeaderIsCertain) {
+  declare({"v1", "v2"});
+  harness.follow();
+  const auto caller = takeUp("r2", "");
+  CHECK_EQUAL(0, sentCount());
+  CHECK_EQUAL(0, harness.link.originQuestions.back().stream);
+  harness.gateway.streamOriginReceived({harness.link.originQuestions.back().sequence, "svc", "v2"});
+  harness.scheduler.settle();
+  CHECK_EQUAL(1, sentCount());
+  checkVersion("v2");
+}
+
+/// Guards against a process that has just started and takes the versions in its view for all there
+/// were.
+TEST(StreamVersionTest, aProcessThatHasJustStartedGoesOnWithNoStreamByItself) {
+  GatewayHarness fresh(GatewayHarness::options(), 0s);
+  fresh.declare(2);
+  net::HttpRequest made;
+  made.method = "POST";
+  made.target = "/stream/x";
+  made.headers.add("Host", "h");
+  made.headers.add("Id", "r2");
+  made.headers.add("Deadline-Ms", "5000");
+  made.headers.add("Resume", "1");
+  made.headers.add("Stream", "r1");
+  Caller caller;
+  fresh.gateway.onRequest(std::move(made), caller);
+  fresh.scheduler.advance(1100ms);
+  CHECK_EQUAL(503, caller.status);
+  CHECK_EQUAL(0, fresh.launcher.sent.size());
+}
+
+TEST(StreamVersionTest, theLogTellsWhatWasDecidedOnATakeUp) {
+  declare({"v1", "v1"});
+  const auto first = beginStream("r1");
+  leave(*first);
+  const auto second = takeUp("r2", "r1");
+  const auto third = takeUp("r3", "r0");
+  harness.scheduler.advance(1100ms);
+  const auto lines = harness.log.of(runtime::LogEvent::streamTakenUp);
+  CHECK_EQUAL(2, lines.size());
+  STRCMP_EQUAL("goes-on", lines[0].fields.at("outcome").c_str());
+  STRCMP_EQUAL("v1", lines[0].fields.at("version").c_str());
+  STRCMP_EQUAL("refused", lines[1].fields.at("outcome").c_str());
+  STRCMP_EQUAL("no-leader", lines[1].fields.at("origin").c_str());
+  const auto attempts = harness.log.of(runtime::LogEvent::attemptStarted);
+  STRCMP_EQUAL("v1", attempts.back().fields.at("version").c_str());
+}
--- a/test/platform/dialect_test.cpp
+++ b/test/platform/dialect_test.cpp
@@ -211,6 +211,15 @@
   CHECK_TRUE(workers.readReport(response).has_error());
 }
 
+TEST(DialectTest, aRequestThatTakesAStreamUpNamesTheOneThatBeganIt) {
+  net::HttpRequest request;
+  request.headers.add("Last-Event-Id", "12");
+  request.headers.add("Resumes", "9c41d07be2a35f68");
+  const gateway::RequestFacts facts = requests.readRequest(request);
+  STRCMP_EQUAL("12", facts.resumeAfter.c_str());
+  STRCMP_EQUAL("9c41d07be2a35f68", facts.resumedRequest.c_str());
+}
+
 TEST(DialectTest, aRequestIsReadAndForwarded) {
   net::HttpRequest request;
   request.headers.add("X-Walnutlead-Attempt-Id", "id-1");
--- a/test/registry/stream_origin_book_test.cpp
+++ b/test/registry/stream_origin_book_test.cpp
@@ -5,6 +5,7 @@
 #include "registry/cluster.h"
 #include "registry/leader_duties_fixture.h"
 #include "walnut/protocol/codec.h"
+#include "walnut/registry/feature_level.h"
 
 using namespace walnut;
 using namespace walnut::registry;
@@ -125,8 +126,9 @@
 now += 5s;
 }
 /// @return the answer to a gateway's question.
-std::optional<StreamOriginFound> ask(StreamId stream, bool valid = true) {
-  duties->findStreamOrigin(kGateway, {8, stream, "svc"}, now, valid);
+std::optional<StreamOriginFound> ask(StreamId stream, bool valid = true,
+                                     const char* service = "svc") {
+  duties->findStreamOrigin(kGateway, {8, stream, service}, now, valid);
   for (const RegistryAction& action : duties->takeActions()) {
     const auto* sent = std::get_if<control::SendToConnection>(&action);
     if (sent != nullptr && sent->connection == kGateway) {
@@ -175,6 +177,27 @@
   STRCMP_EQUAL("", ask(43).value().version.c_str());
 }
 
+/// Guards against a version that is taken for the only one by a server which may have been replaced
+/// as leader, or in a service that had another one.
+TEST(LeaderStreamsTest, theOnlyVersionOfAServiceIsToldUnderALeaseOnly) {
+  state.apply(RaiseFeatureLevel{feature::kSoftwareVersions});
+  WorkerRecord worker;
+  worker.id = {"one-1"};
+  worker.service = "one";
+  worker.endpoint = {"10.9.0.1", 80};
+  worker.softwareVersion = "1.0";
+  state.apply(StoreWorker{worker});
+  STRCMP_EQUAL("1.0", ask(43, true, "one").value().version.c_str());
+  STRCMP_EQUAL("1.0", ask(0, true, "one").value().version.c_str());
+  CHECK_FALSE(ask(43, false, "one").has_value());
+  worker.id = {"one-2"};
+  worker.endpoint = {"10.9.0.2", 80};
+  worker.softwareVersion = "1.1";
+  state.apply(StoreWorker{worker});
+  STRCMP_EQUAL("", ask(43, true, "one").value().version.c_str());
+  STRCMP_EQUAL("", ask(0, true, "one").value().version.c_str());
+}
+
 TEST_GROUP(LeaderStreamsClusterTest) {
   Cluster cluster{2};
 
