gateway: one name for each status of a stream's origin

Cause: metrics and the log named the same values by two functions. Change: originStatusName serves both.

--- a/src/gateway/exchange_version.cpp
+++ b/src/gateway/exchange_version.cpp
@@ -16,18 +16,6 @@
 /// Retry-After value while no leader can tell where a stream began.
 constexpr base::Duration kRetryAfterNoLeader = std::chrono::milliseconds(500);
 
-std::string_view originName(StreamOriginStatus status) {
-  switch (status) {
-    case StreamOriginStatus::known:
-      return "known";
-    case StreamOriginStatus::unknown:
-      return "unknown";
-    case StreamOriginStatus::noLeader:
-      return "no-leader";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 /// Finds out where a stream began that the caller takes up. No worker is chosen before.
@@ -49,7 +37,7 @@
       {{"request", facts_.requestId},
        {"stream", facts_.resumedRequest},
        {"after", facts_.resumeAfter},
-       {"origin", originName(result.status)},
+       {"origin", originStatusName(result.status)},
        {"service", origin.service},
        {"version", origin.version},
        {"outcome", isKnown ? std::string_view("goes-on") : "refused"},
--- a/src/gateway/stream_origins.cpp
+++ b/src/gateway/stream_origins.cpp
@@ -15,7 +15,9 @@
 /// Upper bound of the time that a report takes to the leader and is decided there.
 constexpr base::Duration kReportDelay = std::chrono::milliseconds(50);
 
-const char* statusName(StreamOriginStatus status) {
+}  // namespace
+
+std::string_view originStatusName(StreamOriginStatus status) {
   switch (status) {
     case StreamOriginStatus::known:
       return "known";
@@ -27,8 +29,6 @@
   return "no-leader";
 }
 
-}  // namespace
-
 registry::StreamId streamIdOf(const std::string& requestId) {
   if (requestId.empty()) {
     return 0;
@@ -213,7 +213,7 @@
 }
 
 void StreamOrigins::count(StreamOriginStatus status) {
-  metrics_.count(kMetric, statusName(status));
+  metrics_.count(kMetric, std::string(originStatusName(status)));
 }
 
 }  // namespace walnut::gateway
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/registry_session.h"
@@ -24,6 +25,9 @@
   noLeader,  ///< No leader has answered in time: it may be known later.
 };
 
+/// @return the name of the status in log lines and metrics.
+std::string_view originStatusName(StreamOriginStatus status);
+
 struct StreamOriginResult {
   StreamOriginStatus status = StreamOriginStatus::unknown;
   registry::StreamOrigin origin;  ///< Set only if known.
