gateway: the quarantine part of an exchange has a file of its own

Change: digest, checks of the classification, reports of cut and answered requests move to exchange_quarantine.cpp, unchanged but for names of constants that both files use.

--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -195,34 +195,6 @@
   finish(head_.status, "complete");
 }
 
-/// Reports a request whose connection was cut: its worker may have crashed because of it. A request
-/// that had received part of its response is not reported, as a request that crashes a worker does
-/// so before it is answered.
-void Exchange::reportCut() {
-  if (isAnswerRecorded_ || worker_->view.record.leaving) {
-    return;
-  }
-  context_.log().write(
-      LogEvent::requestCut,
-      {{"request", facts_.requestId},
-       {"digest", digest().text()},
-       {"worker", worker_->view.record.id.value},
-       {"begun", std::string_view(isHeadReceived_ ? "yes" : "no")},
-       {"running", std::uint64_t{worker_->totalRunning()}},
-       {"age-millis",
-        static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(now() - attemptAt_).count())}});
-  context_.requestCut(*worker_, digest(), isHeadReceived_);
-}
-
-/// Reports that a suspect request was answered, also with an error of the worker's own: the worker
-/// survived the request.
-void Exchange::reportSuspectAnswered() {
-  if (ownClassification()) {
-    context_.suspectAnswered(digest());
-  }
-}
-
 void Exchange::onResponseFailure(const base::Error& error, bool sent) {
   stallTimer_->disable();
   context_.attemptFailed(*worker_);
