gateway: the log names the parts that the prompt of a cut request shares

Of a request that was cut with its worker the log has a digest of caller, method, path and body. Requests of which no two are alike have nothing in common there, so a log can't tell workers that crash under a part of prompts from workers that end for a reason of their own. Change: `request-cut` has `parts`, digests of the prompt's parts but the last, with their service; PromptPartDigest. Result: RequestDigestTest.aCutRequestIsLoggedWithThePartsThatItsPromptShares and partsOfAnotherServiceHaveOtherDigests, new.

--- a/include/walnut/registry/request_digest.h
+++ b/include/walnut/registry/request_digest.h
@@ -1,6 +1,6 @@
 #pragma once
 /// @file
-/// Digest that identifies a request when its caller repeats it under another id.
+/// Digests that identify a request, or a part of a prompt, when it comes again under another id.
 
 #include <array>
 #include <cereal/types/array.hpp>
@@ -27,4 +27,21 @@
   }
 };
 
+/// First half of the SHA-256 of a service and of the id of a part that prompts of several of its
+/// requests may share. Ids are chosen by callers: one that has the digest of another can't be made.
+struct PromptPartDigest {
+  static constexpr std::size_t kBytes = 16;
+
+  std::array<std::uint8_t, kBytes> bytes{};
+
+  auto operator<=>(const PromptPartDigest&) const = default;
+  /// @return the first bytes in hexadecimal, for logs.
+  std::string text() const;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(bytes);
+  }
+};
+
 }  // namespace walnut::registry
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "gateway/availability_table.h"
 #include "gateway/buffer_budget.h"
@@ -217,6 +218,7 @@
   WorkerFilter filter() const;
   /// @}
   const registry::RequestDigest& digest();
+  const std::vector<registry::PromptPartDigest>& sharedParts();
   bool stopIfSuspect();
   std::optional<RequestQuarantine::Classification> ownClassification();
   void logQuarantined(const RequestQuarantine::Classification& classification,
@@ -337,7 +339,9 @@
   /// Workers that the stream has left since they were silent, and that have not failed it since.
   std::set<registry::WorkerId> leftWorkers_;
   std::optional<registry::RequestDigest> digest_;  ///< Computed on first use.
-  bool wasHeld_ = false;                           ///< Was delayed at least once, being suspect.
+  /// Parts of the prompt that other requests may share; computed on first use.
+  std::optional<std::vector<registry::PromptPartDigest>> sharedParts_;
+  bool wasHeld_ = false;  ///< Was delayed at least once, being suspect.
 
   bool wasLate_ = false;  ///< Has waited since it could not begin in time.
 
--- a/src/gateway/exchange_quarantine.cpp
+++ b/src/gateway/exchange_quarantine.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// The part of an exchange that deals with requests which crash workers.
+/// The part of an exchange that deals with requests which crash workers, by themselves or by a part
+/// of their prompts.
 
 #include <utility>
 
@@ -21,6 +22,14 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+std::string textOf(const std::vector<registry::PromptPartDigest>& parts) {
+  std::string text;
+  for (const registry::PromptPartDigest& part : parts) {
+    text += (text.empty() ? "" : ",") + part.text();
+  }
+  return text;
+}
+
 }  // namespace
 
 const registry::RequestDigest& Exchange::digest() {
@@ -31,6 +40,13 @@
   return *digest_;
 }
 
+const std::vector<registry::PromptPartDigest>& Exchange::sharedParts() {
+  if (!sharedParts_) {
+    sharedParts_ = sharedPartsOf(service_, facts_.promptParts);
+  }
+  return *sharedParts_;
+}
+
 /// Refuses or delays a request that is suspected of crashing workers. A request that crashed
 /// several workers would crash the next one as well, with all other requests there: it is refused
 /// at once with the remaining time of its quarantine as Retry-After. While the classification is
@@ -102,6 +118,7 @@
       LogEvent::requestCut,
       {{"request", facts_.requestId},
        {"digest", digest().text()},
+       {"parts", textOf(sharedParts())},
        {"worker", worker_->view.record.id.value},
        {"begun", std::string_view(isHeadReceived_ ? "yes" : "no")},
        {"running", std::uint64_t{worker_->totalRunning()}},
--- a/src/gateway/request_digest.h
+++ b/src/gateway/request_digest.h
@@ -1,8 +1,11 @@
 #pragma once
 /// @file
-/// Digest that identifies a request when its caller sends it again, whatever the request id.
+/// Digests that identify a request when its caller sends it again, whatever the request id, and the
+/// parts that its prompt shares with other requests.
 
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "walnut/net/http_message.h"
 #include "walnut/registry/request_digest.h"
@@ -15,4 +18,12 @@
 /// sent again. Reads the whole body.
 registry::RequestDigest digestOf(std::string_view caller, const net::HttpRequest& request);
 
+/// @return the digests of the parts of the prompt that other requests to the service may share: all
+/// but the last one, which belongs to the request or its session; at most `kMaxSharedParts`.
+std::vector<registry::PromptPartDigest> sharedPartsOf(const std::string& service,
+                                                      const std::vector<std::string>& promptParts);
+
+/// Parts beyond this number are not considered; prompts are made of a few.
+inline constexpr std::size_t kMaxSharedParts = 16;
+
 }  // namespace walnut::gateway
--- a/src/registry/request_digest.cpp
+++ b/src/registry/request_digest.cpp
@@ -2,7 +2,11 @@
 
 namespace walnut::registry {
 
-std::string RequestDigest::text() const {
+namespace {
+
+/// @return the first bytes in hexadecimal.
+template <std::size_t kSize>
+std::string shortText(const std::array<std::uint8_t, kSize>& bytes) {
   constexpr std::size_t kShownBytes = 8;
   constexpr const char* kDigits = "0123456789abcdef";
   constexpr unsigned kNibble = 4;
@@ -15,4 +19,10 @@
   return text;
 }
 
+}  // namespace
+
+std::string RequestDigest::text() const { return shortText(bytes); }
+
+std::string PromptPartDigest::text() const { return shortText(bytes); }
+
 }  // namespace walnut::registry
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -61,8 +62,8 @@
 };
 
 /// Dialect of the tests. Header fields of requests: Id, Deadline-Ms, Model ("m" or "m/a"), Resume,
-/// Stream, Key, Tokens (of the prompt), Tenant (set by the gateway only); of responses: Id,
-/// Sealed, Not-Run.
+/// Stream, Parts (of the prompt, separated by commas), Key, Tokens (of the prompt), Tenant (set by
+/// the gateway only); of responses: Id, Sealed, Not-Run.
 class TestDialect : public RequestDialect {
  public:
   RequestFacts readRequest(const net::HttpRequest& request) const override {
@@ -77,6 +78,10 @@
     facts.key = text(request.headers, "Key");
     facts.resumeAfter = text(request.headers, "Resume");
     facts.resumedRequest = text(request.headers, "Stream");
+    std::istringstream parts(text(request.headers, "Parts"));
+    for (std::string part; std::getline(parts, part, ',');) {
+      facts.promptParts.push_back(part);
+    }
     if (const auto tokens = request.headers.findNumber("Tokens")) {
       facts.promptTokens = *tokens;
       facts.tellsTokens = true;
@@ -376,7 +381,8 @@
   /// Sends a request to the gateway.
   /// @return its caller.
   std::unique_ptr<Caller> request(const std::string& routeName, const std::string& id,
-                                  const std::string& model = "", const std::string& body = "") {
+                                  const std::string& model = "", const std::string& body = "",
+                                  const std::string& parts = "") {
     net::HttpRequest made;
     made.method = "POST";
     made.target = "/" + routeName + "/x";
@@ -386,6 +392,9 @@
     if (!model.empty()) {
       made.headers.add("Model", model);
     }
+    if (!parts.empty()) {
+      made.headers.add("Parts", parts);
+    }
     made.body = body.empty() ? "body of " + id : body;
     auto caller = std::make_unique<Caller>();
     gateway.onRequest(std::move(made), *caller);
--- a/test/gateway/request_digest_test.cpp
+++ b/test/gateway/request_digest_test.cpp
@@ -71,3 +71,24 @@
   STRCMP_EQUAL("r2", lines[1].fields.at("request").c_str());
   STRCMP_EQUAL(lines[0].fields.at("digest").c_str(), lines[1].fields.at("digest").c_str());
 }
+
+TEST(RequestDigestTest, aCutRequestIsLoggedWithThePartsThatItsPromptShares) {
+  GatewayHarness harness;
+  harness.declare(2);
+  harness.follow();
+  const auto first = harness.request("bound", "r1", "", "one", "first,middle,own1");
+  harness.lose(*harness.launcher.sent.back());
+  const auto second = harness.request("bound", "r2", "", "two", "first,middle,own2");
+  harness.lose(*harness.launcher.sent.back());
+  const std::vector<LoggedLine> lines = harness.log.of(runtime::LogEvent::requestCut);
+  CHECK_EQUAL(2, lines.size());
+  const std::string parts = lines[0].fields.at("parts");
+  CHECK(parts.find(',') != std::string::npos);
+  STRCMP_EQUAL(parts.c_str(), lines[1].fields.at("parts").c_str());
+}
+
+TEST(RequestDigestTest, partsOfAnotherServiceHaveOtherDigests) {
+  CHECK(sharedPartsOf("one", {"part", "own"}) != sharedPartsOf("two", {"part", "own"}));
+  CHECK(sharedPartsOf("one", {"own"}).empty());
+  CHECK_EQUAL(kMaxSharedParts, sharedPartsOf("one", std::vector<std::string>(100)).size());
+}
