simulator, test: prompts share parts, and one of these crashes workers

The serving simulation had requests that crash workers and come again word for word; none had prompts with parts, and no two such requests differed. Change: callers have prompts of a first part, a shared one and their own; requests with a crashing part come at any gateway, no two alike, with the part at any place but the last; sound ones share the others. PartAccount counts sends later than contact time after the fifth crash, and how often sound requests with the same first part begin at the first attempt.

--- a/src/simulator/serving_caller.h
+++ b/src/simulator/serving_caller.h
@@ -15,6 +15,9 @@
 /// Field of a request that crashes its workers: its number.
 inline constexpr const char* kCrashingField = "Crashing";
 
+/// Field of a request with a part that crashes its workers: the number of that part.
+inline constexpr const char* kCrashingPartField = "Crashing-Part";
+
 /// After which a caller gives up a stream that does not begin.
 inline constexpr base::Duration kGivesUpAfter = std::chrono::milliseconds(2400);
 /// Until a caller comes back that does not heed Retry-After.
@@ -57,9 +60,12 @@
   std::string target;
   std::string body;
   bool repeatable = true;
-  std::uint32_t retries = 0;            ///< Left after this one.
-  std::uint64_t counting = 0;           ///< By which it is counted.
-  std::optional<std::size_t> crashing;  ///< Number of the request that crashes its workers.
+  std::uint32_t retries = 0;                   ///< Left after this one.
+  std::uint64_t counting = 0;                  ///< By which it is counted.
+  std::optional<std::size_t> crashing;         ///< Number of the request that crashes its workers.
+  std::vector<std::string> parts;              ///< Of its prompt.
+  std::optional<std::size_t> crashingPart;     ///< Number of the part that crashes its workers.
+  std::vector<PartAccount::Count*> countedIn;  ///< Counts of sound requests with this try.
   ServingGateway* gateway = nullptr;
   std::size_t gatewayIndex = 0;
   std::function<void()> gone;
--- a/src/simulator/serving_callers.cpp
+++ b/src/simulator/serving_callers.cpp
@@ -28,6 +28,9 @@
                      first.counting = counting_;
                      first.firstSentAt = scheduler_.now();
                      first.body = "body " + std::to_string(++lastBody_);
+                     if (options_.promptParts) {
+                       first.parts = drawParts();
+                     }
                      ServedCount& count = counts_[first.target];
                      count.firstAt = count.asked == 0 ? scheduler_.now() : count.firstAt;
                      count.lastAt = scheduler_.now();
@@ -58,11 +61,18 @@
   request.method = "POST";
   request.target = caller.repeatable ? "/again/x" : "/once/x";
   request.headers.add("Host", "host");
-  caller.id = (caller.crashing ? "c" : "r") + std::to_string(++lastRequest_);
+  const char* const kind = caller.crashingPart ? "p" : caller.crashing ? "c" : "r";
+  caller.id = kind + std::to_string(++lastRequest_);
   request.headers.add("Id", caller.id);
   if (caller.crashing) {
     request.headers.add(kCrashingField, std::to_string(*caller.crashing));
   }
+  if (caller.crashingPart) {
+    request.headers.add(kCrashingPartField, std::to_string(*caller.crashingPart));
+  }
+  if (!caller.parts.empty()) {
+    request.headers.add(kPartsField, joinParts(caller.parts));
+  }
   // Of each caller a body of its own, the same in all its tries.
   request.body = caller.body;
   bodies_[caller.id] = caller.body;
@@ -90,6 +100,7 @@
   caller.gateway = &gateway;
   caller.gatewayIndex = drawn;
   noteStreamSent(caller);
+  noteSoundSent(caller);
   gateway.request(std::move(request), caller);
   scheduler_.after(kGivesUpAfter, [this, &caller] {
     if (!caller.begun) {
@@ -135,6 +146,8 @@
   next.target = caller.target;
   next.repeatable = caller.repeatable;
   next.body = caller.body;
+  next.parts = caller.parts;
+  next.crashingPart = caller.crashingPart;
   next.retries = caller.retries - 1;
   next.counting = caller.counting;
   next.firstSentAt = caller.firstSentAt;
@@ -158,7 +171,7 @@
 }
 
 void ServingFleet::count(const Caller& caller, bool served) {
-  if (caller.counting == counting_ && !caller.crashing) {
+  if (caller.counting == counting_ && !caller.crashing && !caller.crashingPart) {
     ServedCount& count = counts_[caller.target];
     ++(served ? count.served : count.lost);
     if (served) {
--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -32,6 +32,9 @@
   const std::size_t number = crashing_.size();
   CrashingRequest request;
   request.target = "m" + std::to_string(scheduler_.random().uniform(0, options_.popularModels - 1));
+  if (options_.promptParts) {
+    request.parts = drawParts();
+  }
   request.repeatable = repeatable;
   request.until = scheduler_.now() + begin + lasts;
   crashing_.push_back(std::move(request));
@@ -43,6 +46,7 @@
   ++request.tries;
   Caller caller(*this);
   caller.target = request.target;
+  caller.parts = request.parts;
   caller.repeatable = request.repeatable;
   caller.body = "crashing " + std::to_string(number);
   caller.crashing = number;
@@ -70,20 +74,25 @@
 }
 
 void ServingFleet::crash(std::size_t number, const registry::WorkerId& id) {
-  const auto found = std::find_if(workers_.begin(), workers_.end(),
-                                  [&id](const auto& worker) { return worker->record().id == id; });
   CrashingRequest& request = crashing_[number];
   ++crashAccount_.crashes;
   if (++request.crashes == kCrashesAllowed) {
     request.thirdCrashAt = scheduler_.now();
   }
+  endWorker(id, kShortestDown, kLongestDown);
+}
+
+void ServingFleet::endWorker(const registry::WorkerId& id, base::Duration shortestDown,
+                             base::Duration longestDown) {
+  const auto found = std::find_if(workers_.begin(), workers_.end(),
+                                  [&id](const auto& worker) { return worker->record().id == id; });
   noteCrash(**found);
   noteBroken(**found);
   limitAccount_.limitEnded(id.value, scheduler_.now());
   const std::size_t cut = (*found)->crash();
   crashAccount_.cutBeside += cut - std::min<std::size_t>(cut, 1);
   const auto index = static_cast<std::size_t>(found - workers_.begin());
-  scheduler_.after(scheduler_.random().between(kShortestDown, kLongestDown),
+  scheduler_.after(scheduler_.random().between(shortestDown, longestDown),
                    [this, index] { restartWorker(index); });
 }
 
@@ -91,7 +100,8 @@
   CrashRecord record{scheduler_.now(), worker.record().id, {}};
   for (const auto& call : worker.running()) {
     record.cut.push_back({call->request.body, scheduler_.now() - call->sentAt,
-                          call->request.headers.find(kCrashingField) != nullptr});
+                          call->request.headers.find(kCrashingField) != nullptr ||
+                              call->request.headers.find(kCrashingPartField) != nullptr});
   }
   crashes_.push_back(std::move(record));
 }
--- a/src/simulator/serving_cuts.cpp
+++ b/src/simulator/serving_cuts.cpp
@@ -75,7 +75,8 @@
   const auto counts = [at](const CutFromWorkers& cut) {
     return at >= cut.begin + kContact && at < cut.end;
   };
-  const bool isFirst = caller.sentAt == caller.firstSentAt && !caller.crashing;
+  const bool isFirst =
+      caller.sentAt == caller.firstSentAt && !caller.crashing && !caller.crashingPart;
   if (!isFirst || std::none_of(workerCuts_.begin(), workerCuts_.end(), counts)) {
     return;
   }
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -271,6 +271,9 @@
     arrivedCrashing(*crashing, call, *worker, inTouch, inLoop);
     return;
   }
+  if (arrivedWithCrashingPart(call, *worker, inTouch && undisturbed(gateway), inLoop)) {
+    return;
+  }
   requestsToFailing_ += worker->fault() == WorkerFault::none ? 0 : 1;
   noteFault(*call, *worker);
   const auto [model, adapter] = splitTarget(*call->request.headers.find("Model"));
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -5,6 +5,7 @@
 /// the account of which models and adapters were served, and of what such requests did.
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,6 +15,7 @@
 
 #include "registry/leader_duties.h"
 #include "simulator/limit_account.h"
+#include "simulator/part_account.h"
 #include "simulator/retry_account.h"
 #include "simulator/serving_gateway.h"
 #include "simulator/serving_worker.h"
@@ -49,6 +51,8 @@
   bool callersHeedRetryAfter = false;
   /// A worker sends the head of its answer to a request that is about to crash it.
   bool crashingShowsHead = false;
+  /// Prompts have parts, some of which they share.
+  bool promptParts = false;
   /// A plain service, without models: its requests are answered whole.
   bool plain = false;
   base::Duration targetGap{0};  ///< Of streams, between two events; 0: none.
@@ -76,6 +80,15 @@
   std::uint64_t innocentsRefused = 0;  ///< Other requests, refused as if they did such things.
 };
 
+/// A part of prompts that crashes each worker that begins to answer a request with it.
+struct CrashingPartOptions {
+  base::Duration begin{0};     ///< Until the first request with it.
+  base::Duration soundFor{0};  ///< Workers answer these for so long at first.
+  base::Duration lasts{0};     ///< For which such requests come after that.
+  double perSecond = 5;
+  std::size_t place = 1;  ///< Among the parts of their prompts.
+};
+
 /// A worker that a request has crashed.
 struct CrashRecord {
   struct Cut {
@@ -191,6 +204,15 @@
   static constexpr base::Duration kLinkDelay = std::chrono::milliseconds(3);
   /// @}
 
+  /// @name Parts of prompts that crash workers
+  /// @{
+  void addCrashingPart(const CrashingPartOptions& options);
+  /// @return what was found about each of them.
+  std::vector<PartAccount> partAccounts() const;
+  /// Sound requests from now on are not compared with those beside crashing parts.
+  void beginDisruption() { isDisrupted_ = true; }
+  /// @}
+
   /// @name Limits that workers name
   /// @{
   void limitWorker(std::size_t worker, double perSecond);
@@ -314,6 +336,7 @@
   /// A request that crashes each worker that runs it.
   struct CrashingRequest {
     std::string target;
+    std::vector<std::string> parts;
     bool repeatable = false;
     base::TimePoint until;  ///< It does not come again after.
     std::uint64_t tries = 0;
@@ -322,6 +345,13 @@
     std::uint64_t lateSends = 0;
   };
 
+  struct CrashingPart {
+    CrashingPartOptions options;
+    base::TimePoint crashesFrom;
+    base::TimePoint until;
+    PartAccount account;
+  };
+
   // ServingGatewayLinks
   void toLeader(std::size_t gateway, registry::MessageBody message) override;
   void toWorker(std::size_t gateway, const registry::WorkerRecord& worker,
@@ -385,6 +415,15 @@
   void sendCrashing(std::size_t number);
   void comeAgain(std::size_t number);
   void crash(std::size_t number, const registry::WorkerId& worker);
+  /// The worker crashes, and is back after a time between these.
+  void endWorker(const registry::WorkerId& worker, base::Duration shortestDown,
+                 base::Duration longestDown);
+  std::vector<std::string> drawParts();
+  void sendWithCrashingPart(std::size_t number);
+  bool arrivedWithCrashingPart(const std::shared_ptr<ServingCall>& call, ServingWorker& worker,
+                               bool inTouch, const ServingWorker::InLoop& inLoop);
+  void noteSoundSent(Caller& caller);
+  void noteSoundBegan(Caller& caller);
   void noteCrash(const ServingWorker& worker);
   /// @return at how many crashes it was cut.
   /// @return when leaders were told that the request was cut at that crash, or that they were not.
@@ -434,6 +473,9 @@
   std::map<std::string, std::string> loads_;  ///< By model, in words.
   std::vector<CrashingRequest> crashing_;
   CrashAccount crashAccount_;
+  std::deque<CrashingPart> crashingParts_;  ///< At fixed addresses.
+  PartAccount::Count soundBefore_;          ///< Sound requests before any disruption.
+  bool isDisrupted_ = false;
   std::vector<CrashRecord> crashes_;
   std::map<std::string, std::string> bodiesByDigest_;  ///< Of those that were cut.
   /// When a leader first heard that a request was cut, by its body, at a worker.
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -1,5 +1,6 @@
 #include "simulator/serving_gateway.h"
 
+#include <sstream>
 #include <utility>
 
 namespace walnut::simulator {
@@ -14,7 +15,7 @@
   return found == nullptr ? std::string() : *found;
 }
 
-/// Fields: Id, Deadline-Ms, Model, Resume, Stream; of answers: Id, Sealed, Not-Run.
+/// Fields: Id, Deadline-Ms, Model, Parts, Resume, Stream; of answers: Id, Sealed, Not-Run.
 class ServingDialect : public gateway::RequestDialect {
  public:
   gateway::RequestFacts readRequest(const net::HttpRequest& request) const override {
@@ -24,6 +25,7 @@
       facts.deadline = std::chrono::milliseconds(*millis);
     }
     std::tie(facts.model, facts.adapter) = splitTarget(text(request.headers, "Model"));
+    facts.promptParts = splitParts(text(request.headers, kPartsField));
     facts.resumeAfter = text(request.headers, "Resume");
     facts.resumedRequest = text(request.headers, "Stream");
     return facts;
@@ -102,6 +104,23 @@
                                     : std::pair(target.substr(0, slash), target.substr(slash + 1));
 }
 
+std::string joinParts(const std::vector<std::string>& parts) {
+  std::string text;
+  for (const std::string& part : parts) {
+    text += (text.empty() ? "" : ",") + part;
+  }
+  return text;
+}
+
+std::vector<std::string> splitParts(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream stream(text);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
 struct ServingGateway::Process : public gateway::RegistryLink {
   Process(std::size_t number, Scheduler& time, ServingGatewayLinks& fleet,
           const gateway::GatewayOptions& options, std::uint32_t featureLevel)
--- a/src/simulator/serving_gateway.h
+++ b/src/simulator/serving_gateway.h
@@ -5,6 +5,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "gateway/registry_follower.h"
 #include "simulator/serving_worker.h"
@@ -61,4 +63,9 @@
 /// @return the model and the adapter that "model" or "model/adapter" names.
 std::pair<std::string, std::string> splitTarget(const std::string& target);
 
+/// Field of a request with the parts of its prompt, separated by commas.
+inline constexpr const char* kPartsField = "Parts";
+std::string joinParts(const std::vector<std::string>& parts);
+std::vector<std::string> splitParts(const std::string& text);
+
 }  // namespace walnut::simulator
--- a/src/simulator/serving_streams.cpp
+++ b/src/simulator/serving_streams.cpp
@@ -46,6 +46,7 @@
 void ServingFleet::received(Caller& caller) {
   noteStreamError(caller);
   noteVersions(caller);
+  noteSoundBegan(caller);
   caller.firstId = caller.firstId.empty() ? caller.id : caller.firstId;
   if (options_.worker.events == 1) {
     return;
