--- a/src/simulator/part_account.h
+++ b/src/simulator/part_account.h
@@ -32,6 +32,8 @@
 
   /// @return true if sound requests with the same first part have to begin by now.
   bool soundHaveToBegin(base::TimePoint now) const;
+  /// @return true if workers have begun to crash, and sound requests need not begin yet.
+  bool isNew(base::TimePoint now) const { return crashes_ > 0 && !soundHaveToBegin(now); }
   /// @name Sound requests with the same first part, sent for the first time to a gateway in touch
   /// @{
   /// Those before any disruption.
