registry, gateway: requests with a part of the prompt that crashes workers are refused

Cause: what is known of crashes was bound to the digest of caller, method, path and body; these requests share one part of their prompts only. Class: knowledge bound to a key that is finer than the cause. Change: gateways tell the shared parts of cut requests, and remember for a minute what they saw answered. The leader names parts with two crashes, is told when they were last answered, and refuses what explains the crashes with the fewest causes (PartEvidence, PartCrashMonitor): an answer clears a part of all crashes until then; a part answered in the minute before is chosen only if nothing else explains them; a request that is repeated, or workers that end together, show nothing. Refused parts are replicated (feature level 8); crashes that they explain are no evidence against requests. One request is tried after 20 s, then after ten minutes.

--- a/include/walnut/registry/feature_level.h
+++ b/include/walnut/registry/feature_level.h
@@ -26,12 +26,14 @@
 /// Software versions of workers in records and views; StreamsBegan, FindStreamOrigin,
 /// StreamOriginFound, VersionDemand.
 inline constexpr std::uint32_t kSoftwareVersions = 7;
+/// CutPartsReport, SuspectPartList, PartsAnswered; RefusePart, ReleaseParts.
+inline constexpr std::uint32_t kPromptParts = 8;
 }  // namespace feature
 
 /// Feature level of this build.
-inline constexpr std::uint32_t kFeatureLevel = feature::kSoftwareVersions;
+inline constexpr std::uint32_t kFeatureLevel = feature::kPromptParts;
 /// Level to which a cell is raised: that of the latest feature which needs log entries, so that
 /// servers of this level can still be admitted.
-inline constexpr std::uint32_t kCellFeatureLevel = feature::kSoftwareVersions;
+inline constexpr std::uint32_t kCellFeatureLevel = feature::kPromptParts;
 
 }  // namespace walnut::registry
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -17,6 +17,7 @@
 #include "walnut/catalog/document.h"
 #include "walnut/consensus/messages.h"
 #include "walnut/registry/limit_messages.h"
+#include "walnut/registry/prompt_part_messages.h"
 #include "walnut/registry/quota_messages.h"
 #include "walnut/registry/request_digest.h"
 #include "walnut/registry/starting_retry_messages.h"
@@ -447,7 +448,7 @@
                  LateModels, HeartbeatBatch, HeartbeatRequest, LimitReport, ShareRequest,
                  ShareGrant, WorkerTimingReport, WorkerTimings, ModelForecasts,
                  StartingRetriesRequest, StartingRetries, StreamsBegan, FindStreamOrigin,
-                 StreamOriginFound, VersionDemand>;
+                 StreamOriginFound, VersionDemand, CutPartsReport, SuspectPartList, PartsAnswered>;
 
 /// The alternative of protocol::Message that carries all messages of the registry.
 struct RegistryMessage {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -201,8 +201,12 @@
 
 /// Reports the attempt as answered, once for each attempt.
 void Exchange::recordAnswered() {
-  if (!std::exchange(isAnswerRecorded_, true)) {
-    context_.attemptSettled(*worker_, facts_, AttemptOutcome::answered);
+  if (std::exchange(isAnswerRecorded_, true)) {
+    return;
+  }
+  context_.attemptSettled(*worker_, facts_, AttemptOutcome::answered);
+  if (accepted_ && !sharedParts().empty()) {
+    context_.partsAnswered(sharedParts());
   }
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "gateway/event_stream.h"
 #include "gateway/late_start_policy.h"
 #include "gateway/late_starts.h"
+#include "gateway/part_quarantine.h"
 #include "gateway/request_quarantine.h"
 #include "gateway/stream_origins.h"
 #include "gateway/worker_selector.h"
@@ -99,10 +100,21 @@
       const registry::RequestDigest& request) const = 0;
   /// Records that the connection ended while the worker had the request and before any part of the
   /// response body had come.
+  /// @param parts that its prompt shares with other requests.
   /// @param begun true if the head of the response had come.
   virtual void requestCut(const Worker& worker, const registry::RequestDigest& request,
-                          bool begun) = 0;
+                          const std::vector<registry::PromptPartDigest>& parts, bool begun) = 0;
   virtual void suspectAnswered(const registry::RequestDigest& request) = 0;
+  /// @return true if any part of prompts is suspect: otherwise no request has to be looked up.
+  virtual bool hasSuspectParts() const = 0;
+  /// @param request number of the exchange.
+  /// @param mayBeTried whether the request may be the one that is sent on trial.
+  /// @return why a request with these parts is refused; nothing if it may be sent.
+  virtual std::optional<PartQuarantine::Refusal> refusalOf(
+      const std::vector<registry::PromptPartDigest>& parts, std::uint64_t request,
+      bool mayBeTried) = 0;
+  /// Records that a request with these parts was answered.
+  virtual void partsAnswered(const std::vector<registry::PromptPartDigest>& parts) = 0;
   /// @}
   /// @name Workers that announce rate limits
   /// @{
@@ -220,6 +232,9 @@
   const registry::RequestDigest& digest();
   const std::vector<registry::PromptPartDigest>& sharedParts();
   bool stopIfSuspect();
+  std::optional<PartQuarantine::Refusal> partRefusal();
+  void refuseForPart(const PartQuarantine::Refusal& refusal);
+  bool isRefusedNow();
   std::optional<RequestQuarantine::Classification> ownClassification();
   void logQuarantined(const RequestQuarantine::Classification& classification,
                       std::string_view outcome);
--- a/src/gateway/exchange_quarantine.cpp
+++ b/src/gateway/exchange_quarantine.cpp
@@ -54,6 +54,10 @@
 /// beside such a request are cleared within 2 s.
 /// @return false if the request may be sent.
 bool Exchange::stopIfSuspect() {
+  if (const auto refusal = partRefusal()) {
+    refuseForPart(*refusal);
+    return true;
+  }
   const auto classification = ownClassification();
   if (!classification || classification->standing == registry::RequestStanding::suspected) {
     return false;
@@ -86,6 +90,30 @@
                         {"until-millis", millisOf(classification.until - now())}});
 }
 
+std::optional<PartQuarantine::Refusal> Exchange::partRefusal() {
+  return context_.hasSuspectParts()
+             ? context_.refusalOf(sharedParts(), number_, deliveredAttempts_ == 0)
+             : std::nullopt;
+}
+
+/// The caller can't know which part it is, and no other attempt is served any sooner.
+void Exchange::refuseForPart(const PartQuarantine::Refusal& refusal) {
+  context_.metrics().count("walnut_gateway_quarantined_total", "refused");
+  context_.log().write(LogEvent::requestQuarantined,
+                       {{"request", facts_.requestId},
+                        {"part", refusal.part.text()},
+                        {"outcome", "refused"},
+                        {"crashes", std::uint64_t{refusal.crashes}},
+                        {"until-millis", millisOf(refusal.until - now())}});
+  refuse(mayHaveRun_ ? kBadGateway : kUnavailable, kQuarantined, refusal.until - now());
+}
+
+bool Exchange::isRefusedNow() {
+  const auto classification = ownClassification();
+  return partRefusal() ||
+         (classification && classification->standing == registry::RequestStanding::quarantined);
+}
+
 /// A request that is still queued at a worker has not crashed it yet, and is cancelled there if it
 /// is now quarantined.
 void Exchange::suspectsChanged() {
@@ -93,11 +121,7 @@
     wasHeld_ ? choose() : static_cast<void>(stopIfSuspect());
     return;
   }
-  if (state_ != State::attempting || isAnswerRecorded_) {
-    return;
-  }
-  const auto classification = ownClassification();
-  if (!classification || classification->standing != registry::RequestStanding::quarantined) {
+  if (state_ != State::attempting || isAnswerRecorded_ || !isRefusedNow()) {
     return;
   }
   worker_->breaker.recordNoOutcome(now());
@@ -125,7 +149,7 @@
        {"age-millis",
         static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(now() - attemptAt_).count())}});
-  context_.requestCut(*worker_, digest(), isHeadReceived_);
+  context_.requestCut(*worker_, digest(), sharedParts(), isHeadReceived_);
 }
 
 /// Reports that a suspect request was answered, also with an error of the worker's own: the worker
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gateway/retry_after.h"
+#include "walnut/registry/feature_level.h"
 
 namespace walnut::gateway {
 
@@ -93,6 +94,13 @@
   forEachExchange(&Exchange::suspectsChanged);
 }
 
+void Gateway::suspectPartsReceived(const registry::SuspectPartList& list) {
+  partQuarantine_.take(list, scheduler_.now());
+  log_.write(LogEvent::suspectPartsTaken, {{"parts", std::uint64_t{list.parts.size()}}});
+  forEachExchange(&Exchange::suspectsChanged);
+  reportPartsAnswered();
+}
+
 void Gateway::lateModelsReceived(const registry::LateModels& late) {
   availability_.take(late, scheduler_.now());
   if (!late.models.empty()) {
@@ -112,8 +120,9 @@
   return session_.following() ? availability_.find(service, model, scheduler_.now()) : std::nullopt;
 }
 
-void Gateway::leaderFollowed(bool gotSuspects) {
+void Gateway::leaderFollowed(bool gotSuspects, bool gotSuspectParts) {
   quarantine_.leaderFollowed(gotSuspects);
+  partQuarantine_.leaderFollowed(gotSuspectParts);
   reportCutsSoon();
   nextEmptyReportAt_ = {};
   quota_.leaderLost();
@@ -129,8 +138,9 @@
   return quarantine_.find(request, scheduler_.now());
 }
 
-void Gateway::requestCut(const Worker& worker, const registry::RequestDigest& request, bool begun) {
-  quarantine_.addCut(request, worker.view.record.id, begun, scheduler_.now());
+void Gateway::requestCut(const Worker& worker, const registry::RequestDigest& request,
+                         const std::vector<registry::PromptPartDigest>& parts, bool begun) {
+  quarantine_.addCut(request, parts, worker.view.record.id, begun, scheduler_.now());
   reportCutsSoon();
 }
 
@@ -153,7 +163,27 @@
   if (!session_.following()) {
     return;
   }
+  const bool supported = session_.followingWith(registry::feature::kPromptParts);
   if (auto report = quarantine_.takeReport(scheduler_.now())) {
+    if (supported && !report->parts.cuts.empty()) {
+      session_.send(std::move(report->parts));
+    }
+    session_.send(std::move(report->cuts));
+  }
+  reportPartsAnswered();
+}
+
+void Gateway::partsAnswered(const std::vector<registry::PromptPartDigest>& parts) {
+  if (partQuarantine_.addAnswered(parts, scheduler_.now())) {
+    reportCutsSoon();
+  }
+}
+
+void Gateway::reportPartsAnswered() {
+  if (!session_.followingWith(registry::feature::kPromptParts)) {
+    return;
+  }
+  if (auto report = partQuarantine_.takeReport(scheduler_.now())) {
     session_.send(std::move(*report));
   }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/gateway_count.h"
 #include "gateway/key_table.h"
 #include "gateway/late_starts.h"
+#include "gateway/part_quarantine.h"
 #include "gateway/quota_account.h"
 #include "gateway/quota_wait.h"
 #include "gateway/registry_session.h"
@@ -62,10 +63,12 @@
   std::shared_ptr<const catalog::Document> document() const;
   void viewReceived(const registry::ViewUpdate& update);
   void suspectsReceived(const registry::SuspectList& list);
+  void suspectPartsReceived(const registry::SuspectPartList& list);
   /// Called when the first view of a newly followed leader has come.
   /// @param gotSuspects true if the leader has sent a list of suspect requests before the view:
   /// otherwise there are none.
-  void leaderFollowed(bool gotSuspects);
+  /// @param gotSuspectParts the same for suspect parts of prompts.
+  void leaderFollowed(bool gotSuspects, bool gotSuspectParts = false);
   /// Puts a document in force if it is newer than the present one.
   /// @return true if it was put in force.
   bool documentReceived(std::shared_ptr<const catalog::Document> document);
@@ -134,8 +137,15 @@
   std::optional<RequestQuarantine::Classification> classificationOf(
       const registry::RequestDigest& request) const override;
   void requestCut(const Worker& worker, const registry::RequestDigest& request,
-                  bool begun) override;
+                  const std::vector<registry::PromptPartDigest>& parts, bool begun) override;
   void suspectAnswered(const registry::RequestDigest& request) override;
+  bool hasSuspectParts() const override { return partQuarantine_.isActive(); }
+  std::optional<PartQuarantine::Refusal> refusalOf(
+      const std::vector<registry::PromptPartDigest>& parts, std::uint64_t request,
+      bool mayBeTried) override {
+    return partQuarantine_.find(parts, request, mayBeTried, scheduler_.now());
+  }
+  void partsAnswered(const std::vector<registry::PromptPartDigest>& parts) override;
   void responseHeadReceived(const Worker& worker, const AnswerFacts& answer,
                             base::TimePoint sentAt) override;
   void shareWaitBegan(const registry::WorkerId& worker) override;
@@ -247,6 +257,7 @@
   void reportVersionDemand();
   void reportDemandSoon();
   void reportCuts();
+  void reportPartsAnswered();
   void reportCutsSoon();
   void reportUseSoon(const Worker& worker, const std::string& model);
   void reportWithinSpacing();
@@ -295,6 +306,7 @@
   LateStarts lateStarts_;
   DemandTracker demand_;
   RequestQuarantine quarantine_;
+  PartQuarantine partQuarantine_;
   AvailabilityTable availability_;
   StreamOrigins streamOrigins_;
   bool cutsSoon_ = false;
--- a/src/gateway/gateway_demand.cpp
+++ b/src/gateway/gateway_demand.cpp
@@ -80,6 +80,7 @@
     session_.send(std::move(update));
   }
   reportVersionDemand();
+  reportPartsAnswered();
 }
 
 void Gateway::attemptBegan(Worker& worker, const RequestFacts& facts) {
--- a/src/gateway/registry_follower.cpp
+++ b/src/gateway/registry_follower.cpp
@@ -44,8 +44,10 @@
     return false;
   }
   if (view.complete) {
-    gateway_.leaderFollowed(suspectsConnection_ == connection);
+    gateway_.leaderFollowed(suspectsConnection_ == connection,
+                            suspectPartsConnection_ == connection);
     suspectsConnection_.reset();
+    suspectPartsConnection_.reset();
   }
   gateway_.viewReceived(view);
   resubscribeIfStalled();
@@ -64,6 +66,18 @@
   return true;
 }
 
+bool RegistryFollower::receive(protocol::ConnectionId connection,
+                               const registry::SuspectPartList& list) {
+  if (!session_.isCurrent(connection)) {
+    return false;
+  }
+  if (!session_.following()) {
+    suspectPartsConnection_ = connection;
+  }
+  gateway_.suspectPartsReceived(list);
+  return true;
+}
+
 bool RegistryFollower::receive(protocol::ConnectionId connection,
                                const registry::NotLeading& message) {
   session_.notLeading(connection, message);
--- a/src/gateway/registry_follower.h
+++ b/src/gateway/registry_follower.h
@@ -29,6 +29,7 @@
   bool receive(protocol::ConnectionId connection, const registry::ViewUpdate& view);
   bool receive(protocol::ConnectionId connection, const registry::DocumentPart& part);
   bool receive(protocol::ConnectionId connection, const registry::SuspectList& list);
+  bool receive(protocol::ConnectionId connection, const registry::SuspectPartList& list);
   bool receive(protocol::ConnectionId connection, const registry::NotLeading& message);
   bool receive(protocol::ConnectionId connection, const registry::DocumentConfirmed& answer);
   bool receive(protocol::ConnectionId connection, const registry::QuotaGrant& grant);
@@ -56,6 +57,8 @@
   std::optional<base::TimePoint> documentProgressAt_;
   /// Connection that has sent a list of suspects, but no view yet.
   std::optional<protocol::ConnectionId> suspectsConnection_;
+  /// The same of a list of suspect parts.
+  std::optional<protocol::ConnectionId> suspectPartsConnection_;
 };
 
 }  // namespace walnut::gateway
--- a/src/gateway/request_quarantine.cpp
+++ b/src/gateway/request_quarantine.cpp
@@ -32,11 +32,12 @@
 }
 
 void RequestQuarantine::addCut(const registry::RequestDigest& request,
+                               const std::vector<registry::PromptPartDigest>& parts,
                                const registry::WorkerId& worker, bool begun, base::TimePoint now) {
   while (!cuts_.empty() && (cuts_.size() >= kMaxCuts || now >= cuts_.front().at + kCutRetention)) {
     cuts_.pop_front();
   }
-  cuts_.push_back({request, worker, begun, now, false});
+  cuts_.push_back({request, parts, worker, begun, now, false});
 }
 
 void RequestQuarantine::addAnswered(const registry::RequestDigest& request) {
@@ -44,15 +45,19 @@
   answered_.push_back(request);
 }
 
-std::optional<registry::CutReport> RequestQuarantine::takeReport(base::TimePoint now) {
-  registry::CutReport report;
+std::optional<RequestQuarantine::Report> RequestQuarantine::takeReport(base::TimePoint now) {
+  Report report;
   for (Cut& cut : cuts_) {
-    if (!std::exchange(cut.isReported, true) && now < cut.at + kCutRetention) {
-      report.cuts.push_back({cut.request, cut.worker, cut.begun, now - cut.at});
+    if (std::exchange(cut.isReported, true) || now >= cut.at + kCutRetention) {
+      continue;
+    }
+    report.cuts.cuts.push_back({cut.request, cut.worker, cut.begun, now - cut.at});
+    if (!cut.parts.empty()) {
+      report.parts.cuts.push_back({cut.request, cut.worker, cut.parts});
     }
   }
-  report.answered = std::exchange(answered_, {});
-  if (report.cuts.empty() && report.answered.empty()) {
+  report.cuts.answered = std::exchange(answered_, {});
+  if (report.cuts.cuts.empty() && report.cuts.answered.empty()) {
     return std::nullopt;
   }
   return report;
--- a/src/gateway/request_quarantine.h
+++ b/src/gateway/request_quarantine.h
@@ -40,18 +40,25 @@
 
   /// @name Reports to the leader
   /// @{
+  struct Report {
+    registry::CutReport cuts;
+    registry::CutPartsReport parts;  ///< Of the cut requests whose prompts have parts.
+  };
   /// Records a request whose connection was cut.
+  /// @param parts that its prompt shares with other requests.
   /// @param begun true if the head of the response had come.
-  void addCut(const registry::RequestDigest& request, const registry::WorkerId& worker, bool begun,
-              base::TimePoint now);
+  void addCut(const registry::RequestDigest& request,
+              const std::vector<registry::PromptPartDigest>& parts,
+              const registry::WorkerId& worker, bool begun, base::TimePoint now);
   void addAnswered(const registry::RequestDigest& request);
   /// @return what has not been reported to this leader yet; nothing if there is none.
-  std::optional<registry::CutReport> takeReport(base::TimePoint now);
+  std::optional<Report> takeReport(base::TimePoint now);
   /// @}
 
  private:
   struct Cut {
     registry::RequestDigest request;
+    std::vector<registry::PromptPartDigest> parts;
     registry::WorkerId worker;
     bool begun = false;
     base::TimePoint at;
--- a/src/registry/cell_state.cpp
+++ b/src/registry/cell_state.cpp
@@ -18,6 +18,9 @@
 /// by the operator, and far fewer in a cell's life.
 constexpr std::size_t kMaxVersionedServices = 65536;
 
+/// Bound of `refusedParts_`; the leader refuses fewer.
+constexpr std::size_t kMaxRefusedParts = 256;
+
 template <class... Handlers>
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
@@ -68,6 +71,16 @@
                  },
                  [this](const RaiseFeatureLevel& body) { raise(body.level); },
                  [this](const StoreZoneEvacuation& body) { store(body); },
+                 [this](const RefusePart& body) {
+                   if (refusedParts_.size() < kMaxRefusedParts) {
+                     refusedParts_[body.part] = body.crashes;
+                   }
+                 },
+                 [this](const ReleaseParts& body) {
+                   for (const PromptPartDigest& part : body.parts) {
+                     refusedParts_.erase(part);
+                   }
+                 },
              },
              command);
 }
--- a/src/registry/cell_state.h
+++ b/src/registry/cell_state.h
@@ -130,11 +130,29 @@
     archive(zone, evacuated, basedOn);
   }
 };
+/// Refuses requests with a part that crashes workers.
+struct RefusePart {
+  PromptPartDigest part;
+  std::uint32_t crashes = 0;  ///< Workers that crashed under such requests.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(part, crashes);
+  }
+};
+/// Ends the refusal of requests with these parts.
+struct ReleaseParts {
+  std::vector<PromptPartDigest> parts;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(parts);
+  }
+};
 /// @}
 
-using Command = std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder,
-                             StoreHoldings, StoreOrderedWorkers, StoreCrash, RetractCrash,
-                             ReleaseSuspects, RaiseFeatureLevel, StoreZoneEvacuation>;
+using Command =
+    std::variant<StoreDocument, StoreWorker, ForgetWorker, StoreOrderHolder, StoreHoldings,
+                 StoreOrderedWorkers, StoreCrash, RetractCrash, ReleaseSuspects, RaiseFeatureLevel,
+                 StoreZoneEvacuation, RefusePart, ReleaseParts>;
 
 /// Evidence of which requests crash workers; replicated, so that it survives a change of leader.
 using RequestCrashLedger = control::CrashLedger<RequestDigest, WorkerId>;
@@ -183,6 +201,9 @@
   /// @return the server that ordered the worker last; zero if none did.
   base::ServerId lastOrderedBy(const WorkerId& id) const;
   const RequestCrashLedger& requestCrashes() const { return requestCrashes_; }
+  /// @return the parts of prompts with which requests are refused, with the number of workers that
+  /// crashed under such requests.
+  const std::map<PromptPartDigest, std::uint32_t>& refusedParts() const { return refusedParts_; }
   std::uint32_t featureLevel() const { return featureLevel_; }
   /// @return the software version that all workers of the service have ever had; nothing if there
   /// were several or one is unknown.
@@ -250,6 +271,7 @@
   /// The only version by service; empty: several, or it will never be known. Bounded.
   std::map<std::string, std::string> versions_;
   /// @}
+  std::map<PromptPartDigest, std::uint32_t> refusedParts_;  ///< Bounded.
 
   // Derived from the above, therefore not in a snapshot.
   std::map<std::string, std::set<WorkerId>> idsByName_;  ///< Registered workers only.
@@ -272,6 +294,9 @@
     if (featureLevel_ >= feature::kSoftwareVersions) {
       archive(versionsKnown_, versions_);
     }
+    if (featureLevel_ >= feature::kPromptParts) {
+      archive(refusedParts_);
+    }
   } else {
     if (archive.remaining() > 0) {
       archive(requestCrashes_);
@@ -282,6 +307,9 @@
     if (featureLevel_ >= feature::kSoftwareVersions) {
       archive(versionsKnown_, versions_);
     }
+    if (featureLevel_ >= feature::kPromptParts) {
+      archive(refusedParts_);
+    }
   }
 }
 
--- a/src/registry/crash_monitor.cpp
+++ b/src/registry/crash_monitor.cpp
@@ -78,8 +78,13 @@
 
 void CrashMonitor::report(const CutReport& report, base::TimePoint now) {
   for (const CutRequest& cut : report.cuts) {
+    parts_.addCut(cut, now);
     const bool full = pending_.size() >= kMaxPendingCrashes && pending_.count(cut.worker) == 0;
-    if (full || state_.requestCrashes().has(cut.request, cut.worker)) {
+    if (full) {
+      continue;
+    }
+    if (state_.requestCrashes().has(cut.request, cut.worker)) {
+      parts_.confirm(cut.worker, now);
       continue;
     }
     const auto [found, added] = pending_.try_emplace(cut.worker);
@@ -108,6 +113,7 @@
 }
 
 void CrashMonitor::recordContact(const WorkerId& worker) {
+  parts_.recordContact(worker);
   const RequestCrashLedger& ledger = state_.requestCrashes();
   if (!ledger.empty() && ledger.knows(worker) && retracting_.insert(worker).second) {
     log_.write(LogEvent::crashRetracted, {{"worker", worker.value}});
@@ -118,6 +124,7 @@
 void CrashMonitor::review(base::TimePoint now, base::Duration overdueAfter,
                           const ContactOf& contactOf) {
   const RequestCrashLedger& ledger = state_.requestCrashes();
+  reviewParts(now);
   if (pending_.empty() && ledger.empty() && suspects_.empty()) {
     return;
   }
@@ -134,6 +141,25 @@
   ageEvidence(now);
 }
 
+void CrashMonitor::reviewParts(base::TimePoint now) {
+  parts_.review(now);
+  if (parts_.takeExplainedChanged()) {
+    retractExplained();
+  }
+  for (Command& command : parts_.takeCommands()) {
+    commands_.push_back(std::move(command));
+  }
+}
+
+/// What merely was on the workers that crashed under a part is no longer suspected for it.
+void CrashMonitor::retractExplained() {
+  for (const WorkerId& worker : parts_.explained()) {
+    if (state_.requestCrashes().knows(worker) && retracting_.insert(worker).second) {
+      commands_.emplace_back(RetractCrash{worker});
+    }
+  }
+}
+
 void CrashMonitor::decide(const WorkerId& worker, PendingCrash& pending, base::TimePoint now,
                           base::Duration overdueAfter, const ContactOf& contactOf) {
   const RequestCrashLedger& ledger = state_.requestCrashes();
@@ -159,6 +185,7 @@
                                        {"requests", std::uint64_t{pending.requests.size()}},
                                        {"age-millis", millisOf(now - pending.cutAt)}});
     pending.requests.clear();
+    parts_.deny(worker);
   } else if (now > contact.unresponsiveSince + overdueAfter) {
     confirm(worker, pending, "silent", now);
   }
@@ -175,6 +202,8 @@
 void CrashMonitor::confirm(const WorkerId& worker, PendingCrash& pending, std::string_view evidence,
                            base::TimePoint now) {
   pending.proposedAt = now;
+  parts_.confirm(worker, now);
+  const bool explained = parts_.explains(worker);
   StoreCrash crash = crashOf(worker, pending);
   const std::string begun = textOf(crash.begun);
   const std::string queued = textOf(crash.queued);
@@ -182,8 +211,14 @@
                                         {"evidence", evidence},
                                         {"begun", begun},
                                         {"queued", queued},
+                                        {"by-part", std::string_view(explained ? "yes" : "no")},
                                         {"age-millis", millisOf(now - pending.cutAt)}});
-  commands_.emplace_back(std::move(crash));
+  if (explained) {
+    pending.requests.clear();
+    retractExplained();
+  } else {
+    commands_.emplace_back(std::move(crash));
+  }
 }
 
 /// @return the requests that would be classified as causes if all pending crashes were confirmed.
--- a/src/registry/crash_monitor.h
+++ b/src/registry/crash_monitor.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "registry/cell_state.h"
+#include "registry/part_crash_monitor.h"
 #include "walnut/registry/messages.h"
 #include "walnut/runtime/event_log.h"
 
@@ -21,7 +22,8 @@
 /// its worker is known to have ended, as full workers reset connections and networks lose them;
 /// until then the crash is pending. A worker that makes contact after the cut has not ended; one
 /// that was replaced by another incarnation, or whose next heartbeat is overdue, has. Evidence is
-/// stored in the replicated state (CrashLedger) and retracted if the worker makes contact later.
+/// stored in the replicated state (CrashLedger) and retracted if the worker makes contact later. A
+/// crash that a part of a prompt explains (PartCrashMonitor) is no evidence against requests.
 ///
 /// Standings of a request: none -> suspected (one crash below the limit, and in its time slice) <->
 /// held (outside its time slice, or while the next crash is pending or new) -> quarantined (at the
@@ -35,9 +37,15 @@
   };
   using ContactOf = std::function<Contact(const WorkerId&)>;
 
-  CrashMonitor(const CellState& state, runtime::EventLog& log) : state_(state), log_(log) {}
+  CrashMonitor(const CellState& state, runtime::EventLog& log)
+      : state_(state), log_(log), parts_(state, log) {}
 
   void report(const CutReport& report, base::TimePoint now);
+  /// To be called before `report` with the same requests.
+  void reportParts(const CutPartsReport& report) { parts_.addParts(report); }
+  void reportAnswered(const PartsAnswered& report, base::TimePoint now) {
+    parts_.addAnswers(report, now);
+  }
   /// Records a heartbeat of the worker; retracts its crash if one was recorded.
   void recordContact(const WorkerId& worker);
   /// To be called when the replicated state may have changed.
@@ -50,6 +58,7 @@
   /// @return true if `list` has changed since the last call.
   bool takeChanged() { return std::exchange(changed_, false); }
   SuspectList list(base::TimePoint now) const;
+  PartCrashMonitor& parts() { return parts_; }
 
   /// Retention period of evidence. A request that crashes workers does so until they run other
   /// software, and costs one worker per period. Callers retry for seconds or minutes.
@@ -72,6 +81,8 @@
   static StoreCrash crashOf(const WorkerId& worker, const PendingCrash& pending);
   void confirm(const WorkerId& worker, PendingCrash& pending, std::string_view evidence,
                base::TimePoint now);
+  void reviewParts(base::TimePoint now);
+  void retractExplained();
   void classify(base::TimePoint now);
   std::set<RequestDigest> expectedCauses() const;
   std::optional<RequestStanding> standingOf(const RequestDigest& request,
@@ -89,6 +100,7 @@
 
   const CellState& state_;
   runtime::EventLog& log_;
+  PartCrashMonitor parts_;
   std::map<WorkerId, PendingCrash> pending_;
   std::map<RequestDigest, Suspect> suspects_;
   /// Last crash of each request's evidence, and when this leader first saw it.
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -123,6 +123,7 @@
   publisher_.subscribe(gateway, zone, featureLevel);
   noteFeatureLevel(gateway, featureLevel);
   subscribeToTimings(gateway, featureLevel);
+  subscribeToSuspectParts(gateway, featureLevel);
   subscribeToForecasts(gateway, featureLevel);
   subscriptions_[gateway] = request;
 }
@@ -132,6 +133,7 @@
   timingRevisions_.erase(gateway);
   olderGateways_.erase(gateway);
   forecastGateways_.erase(gateway);
+  partGateways_.erase(gateway);
   sender_.unsubscribe(gateway);
   subscriptions_.erase(gateway);
   demand_.forget(gateway);
@@ -313,6 +315,7 @@
   }
   if (leaseValid) {
     sendSuspects(now);
+    sendSuspectParts(now);
     announceForecasts(now);
     publish(now, servers);
     sendTimings(now);
@@ -366,6 +369,7 @@
     const auto subscribed = subscriptions_.find(update.gateway);
     if (update.update.complete) {
       sendSuspectsTo(update.gateway, now);
+      sendSuspectPartsTo(update.gateway, now);
       sendFirstForecasts(update.gateway);
     }
     if (update.update.complete && subscribed != subscriptions_.end()) {
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -65,6 +65,10 @@
   void demand(protocol::ConnectionId gateway, const DemandUpdate& update, base::TimePoint now);
   void versionDemand(protocol::ConnectionId gateway, const VersionDemand& demand);
   void cutsReported(const CutReport& report, base::TimePoint now) { crashes_.report(report, now); }
+  void cutPartsReported(const CutPartsReport& report) { crashes_.reportParts(report); }
+  void partsAnswered(const PartsAnswered& report, base::TimePoint now) {
+    crashes_.reportAnswered(report, now);
+  }
   /// To be called only while this server holds a valid leader lease, as another leader would grant
   /// from the same quotas.
   void quotaRequested(protocol::ConnectionId gateway, const QuotaRequest& request,
@@ -131,6 +135,10 @@
   void reviewCrashes(base::TimePoint now);
   void sendSuspects(base::TimePoint now);
   void sendSuspectsTo(protocol::ConnectionId gateway, base::TimePoint now);
+  void subscribeToSuspectParts(protocol::ConnectionId gateway, std::uint32_t featureLevel);
+  void sendSuspectParts(base::TimePoint now);
+  void sendSuspectPartsTo(protocol::ConnectionId gateway, base::TimePoint now);
+  bool takesPartTrial(protocol::ConnectionId gateway, base::TimePoint now) const;
   /// @return true if no new requests may be sent to the worker.
   bool outOfService(const WorkerRecord& record) const;
   bool canBeServed(const ModelDemand& demand) const;
@@ -240,6 +248,7 @@
   StreamOriginBook streamOrigins_{kMaxStreams};
   WorkerOutlierDetector outliers_;
   CrashMonitor crashes_;
+  std::set<protocol::ConnectionId> partGateways_;  ///< Gateways that support SuspectPartList.
   ViewPublisher publisher_;
   ViewEncoder viewEncoder_;
   std::vector<WorkerLoad> loads_;  ///< Loads as last collected, at `loadsTakenAt_`.
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -270,6 +270,18 @@
   }
 }
 
+void RegistryImpl::receiveBody(protocol::ConnectionId /*from*/, const CutPartsReport& message) {
+  if (isActiveLeader()) {
+    leading_->cutPartsReported(message);
+  }
+}
+
+void RegistryImpl::receiveBody(protocol::ConnectionId /*from*/, const PartsAnswered& message) {
+  if (isActiveLeader()) {
+    leading_->partsAnswered(message, now_);
+  }
+}
+
 void RegistryImpl::receiveBody(protocol::ConnectionId /*from*/, const StreamsBegan& message) {
   if (isActiveLeader()) {
     leading_->streamsBegan(message, now_);
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -72,6 +72,8 @@
   void receiveBody(protocol::ConnectionId from, const LimitReport& message);
   void receiveBody(protocol::ConnectionId from, const ShareRequest& message);
   void receiveBody(protocol::ConnectionId from, const WorkerTimingReport& message);
+  void receiveBody(protocol::ConnectionId from, const CutPartsReport& message);
+  void receiveBody(protocol::ConnectionId from, const PartsAnswered& message);
   void receiveBody(protocol::ConnectionId from, const StreamsBegan& message);
   void receiveBody(protocol::ConnectionId from, const FindStreamOrigin& message);
   void receiveBody(protocol::ConnectionId from, const StartingRetriesRequest& message);
@@ -91,6 +93,7 @@
   void receiveBody(protocol::ConnectionId, const ViewUpdate&) {}
   void receiveBody(protocol::ConnectionId, const PackedView&) {}
   void receiveBody(protocol::ConnectionId, const SuspectList&) {}
+  void receiveBody(protocol::ConnectionId, const SuspectPartList&) {}
 
   void dropUnsupported(WorkerRecord& worker) const;
   bool relay(std::uint64_t call, const ReportAlive& body);
--- a/src/runtime/event_log.cpp
+++ b/src/runtime/event_log.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Names of the events, in the order of LogEvent.
-constexpr std::array<std::string_view, 83> kNames = {
+constexpr std::array<std::string_view, 87> kNames = {
     "process-started",    "process-stopping",    "process-stopped",      "settings-reloaded",
     "dependency-lost",    "dependency-regained", "lines-dropped",        "role-changed",
     "membership-changed", "member-proposed",     "document-stored",      "document-refused",
@@ -21,7 +21,8 @@
     "quota-leaderless",   "quota-confirmed",     "worker-limited",       "worker-limit-ended",
     "limit-refused",      "limit-exhausted",     "limit-regained",       "worker-slowness-changed",
     "timing-refused",     "crash-confirmed",     "crash-denied",         "crash-retracted",
-    "request-suspected",  "request-released",    "suspects-taken",       "stream-origin-found",
+    "request-suspected",  "request-released",    "suspects-taken",       "part-suspected",
+    "part-acquitted",     "part-released",       "suspect-parts-taken",  "stream-origin-found",
     "zone-evacuated",     "zone-returned",       "feature-level-raised", "entry-refused",
     "order-turn",         "placement-decided",   "store-place-given",    "order-sent",
     "order-cancelled",    "order-finished",      "model-order-ended",    "load-cut-short",
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -34,6 +34,9 @@
       retryAccount_(options.retryRatio, options.retrySlack) {
   registryOptions_.ordersFenced = true;
   state_.apply(registry::StoreDocument{documentVersion_, std::to_string(documentVersion_)});
+  if (options.promptParts) {
+    state_.apply(registry::RaiseFeatureLevel{registry::kCellFeatureLevel});
+  }
   for (std::size_t index = 0; index < options.workers; ++index) {
     const std::string name = "w" + std::to_string(index);
     registry::WorkerRecord record;
--- a/src/simulator/serving_messages.cpp
+++ b/src/simulator/serving_messages.cpp
@@ -20,6 +20,10 @@
     } else if (const auto* cuts = std::get_if<registry::CutReport>(&message)) {
       noteReports(*cuts);
       leader_->cutsReported(*cuts, scheduler_.now());
+    } else if (const auto* parts = std::get_if<registry::CutPartsReport>(&message)) {
+      leader_->cutPartsReported(*parts);
+    } else if (const auto* answered = std::get_if<registry::PartsAnswered>(&message)) {
+      leader_->partsAnswered(*answered, scheduler_.now());
     } else if (const auto* limits = std::get_if<registry::LimitReport>(&message)) {
       leader_->handleLimitReport(connection, *limits, scheduler_.now());
     } else if (const auto* shares = std::get_if<registry::ShareRequest>(&message)) {
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -202,6 +202,8 @@
   std::vector<base::Endpoint> opened;
   std::vector<registry::DemandUpdate> demand;
   std::vector<registry::CutReport> cuts;
+  std::vector<registry::CutPartsReport> cutParts;
+  std::vector<registry::PartsAnswered> partsAnswered;
   std::vector<registry::ConfirmDocument> confirmRequests;
   std::vector<registry::QuotaRequest> quotas;
   std::vector<registry::LimitObservation> limits;
@@ -219,6 +221,10 @@
       demand.push_back(std::move(*update));
     } else if (auto* report = std::get_if<registry::CutReport>(&message)) {
       cuts.push_back(std::move(*report));
+    } else if (auto* parts = std::get_if<registry::CutPartsReport>(&message)) {
+      cutParts.push_back(std::move(*parts));
+    } else if (auto* answered = std::get_if<registry::PartsAnswered>(&message)) {
+      partsAnswered.push_back(std::move(*answered));
     } else if (auto* confirm = std::get_if<registry::ConfirmDocument>(&message)) {
       confirmRequests.push_back(*confirm);
     } else if (auto* quota = std::get_if<registry::QuotaRequest>(&message)) {
