net, gateway: answers without end are given up at a limit

Cause: only the head of an answer was bounded. Change: the attempt fails and its connection is closed after 8 MiB of a body that is collected, 64 KiB of one that the worker does not vouch for, 1 MiB of a single event, 16 interim responses, 1 MiB of late answers to other requests. A refusal keeps its promise that nothing ran.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -155,6 +155,7 @@
   isAnswerRecorded_ = false;
   bodyUse_ = BodyUse::discard;
   body_.clear();
+  discardedBytes_ = 0;
   context_.takeShare(worker->view.record.id);
   context_.attemptBegan(*worker, facts_);
   worker->breaker.recordAttempt();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -262,6 +262,7 @@
   void launch(const WorkerDirectory::WorkerPtr& worker);
   void processSuccessHead();
   void forwardEvents(std::string_view bytes);
+  void passEventsOn(const std::string& whole);
   /// @name Memory held for the caller
   /// @{
   void beginHolding();
@@ -270,6 +271,8 @@
   void holdPartialEvent();
   void beginCollecting();
   void collect(std::string_view bytes);
+  void discard(std::string_view bytes);
+  void rejectOverlongAnswer();
   void makeRoomForBody();
   void passBodyOn();
   /// @}
@@ -375,6 +378,7 @@
   bool isAnswerRecorded_ = false;
   BodyUse bodyUse_ = BodyUse::discard;
   std::string body_;
+  std::size_t discardedBytes_ = 0;  ///< Of a body that the worker does not vouch for.
 
   // Memory held for the caller.
   BufferBudget::Share requestShare_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -21,6 +21,8 @@
 constexpr base::Duration kMissingModelPeriod = std::chrono::milliseconds(500);
 constexpr base::Duration kMissingAdapterPeriod = std::chrono::milliseconds(25);
 constexpr int kStallFactor = 4;
+/// Maximum size of one event of a stream; an event carries a few tokens.
+constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
 }  // namespace
 
@@ -66,6 +68,7 @@
 void Exchange::onResponseBody(std::string_view bytes) {
   switch (bodyUse_) {
     case BodyUse::discard:
+      discard(bytes);
       return;
     case BodyUse::collect:
       collect(bytes);
@@ -79,9 +82,15 @@
 void Exchange::forwardEvents(std::string_view bytes) {
   const std::string whole = events_.feed(bytes);
   holdPartialEvent();
-  if (whole.empty()) {
-    return;
+  if (!whole.empty()) {
+    passEventsOn(whole);
+  }
+  if (state_ == State::attempting && events_.partialSize() > kMaxEventBytes) {
+    rejectOverlongAnswer();
   }
+}
+
+void Exchange::passEventsOn(const std::string& whole) {
   recordAnswered();
   if (!headSent_) {
     headSent_ = true;
--- a/src/gateway/exchange_buffers.cpp
+++ b/src/gateway/exchange_buffers.cpp
@@ -12,6 +12,8 @@
 
 /// Maximum size of a non-streaming response, which is buffered whole before it is passed on.
 constexpr std::size_t kMaxBufferedBody = 8U << 20U;
+/// Maximum size of a body that is read and dropped.
+constexpr std::size_t kMaxDiscardedBody = 64U << 10U;
 /// Bytes buffered for a slow caller above which reading from its worker is paused.
 constexpr std::size_t kHighWatermark = 256U << 10U;
 constexpr std::size_t kReadReserve = BufferBudget::kReadReserve;
@@ -64,12 +66,34 @@
 }
 
 void Exchange::collect(std::string_view bytes) {
-  if (body_.size() + bytes.size() <= kMaxBufferedBody) {
-    body_.append(bytes);
+  if (body_.size() + bytes.size() > kMaxBufferedBody) {
+    rejectOverlongAnswer();
+    return;
   }
+  body_.append(bytes);
   makeRoomForBody();
 }
 
+/// Reads a body that is not passed on, so that its connection may be reused.
+void Exchange::discard(std::string_view bytes) {
+  discardedBytes_ += bytes.size();
+  if (discardedBytes_ > kMaxDiscardedBody) {
+    rejectOverlongAnswer();
+  }
+}
+
+/// Gives up an attempt whose answer goes beyond any limit: it may never end. The connection is
+/// closed, as the rest can't be told from the next answer.
+void Exchange::rejectOverlongAnswer() {
+  const Executed executed = answer_.notExecuted ? Executed::no : Executed::unknown;
+  stallTimer_->disable();
+  context_.attemptFailed(*worker_);
+  recordFailure();
+  answerShare_.clear();
+  dropAttempt();
+  attemptEnded(executed, "the answer is too long");
+}
+
 /// Commits the memory for the next read of the body. Up to half of the limit, a body of unknown
 /// size takes memory as it grows. Beyond it, the memory of the whole body is committed: if many had
 /// part of theirs, none could be completed. The reading waits until there is that much room.
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/client_connection.h"
 
 #include <charconv>
+#include <string>
 #include <utility>
 
 namespace walnut::net {
@@ -12,6 +13,12 @@
 
 constexpr std::size_t kMaxResponseHeadBytes = 64U << 10U;
 constexpr int kFirstFinalStatus = 200;
+/// @name What a server may send before the response to a request
+/// @{
+constexpr std::size_t kMaxInterimResponses = 16;
+/// Bytes of late responses to other requests; most responses are far shorter.
+constexpr std::size_t kMaxDiscardedBytes = 1U << 20U;
+/// @}
 
 /// @return the `timeout` parameter of the Keep-Alive field, if present and valid.
 std::optional<base::Duration> parseKeepAlive(const HeaderList& headers) {
@@ -44,6 +51,8 @@
   callbacks_ = &callbacks;
   reusable_ = false;
   discardResponse_ = false;
+  interimResponses_ = 0;
+  discardedBytes_ = 0;
   if (request.method == "HEAD") {
     parser_.expectNoBody();
   }
@@ -64,6 +73,11 @@
       return;
     }
     bytes.remove_prefix(taken.value());
+    const auto surplus = checkSurplus();
+    if (surplus.has_error() && callbacks_ != nullptr) {
+      fail(surplus.error());
+      return;
+    }
   }
   if (!bytes.empty() && !connection_.closed()) {
     // The server sent bytes that belong to no request.
@@ -101,6 +115,7 @@
 void ClientConnection::onHead(MessageHead head) {
   interim_ = head.status < kFirstFinalStatus;
   if (interim_) {
+    ++interimResponses_;
     return;
   }
   keepAlive_ = head.keepAlive;
@@ -111,6 +126,7 @@
 }
 
 void ClientConnection::onBody(std::string_view bytes) {
+  discardedBytes_ += discardResponse_ ? bytes.size() : 0;
   if (!discardResponse_ && !interim_ && callbacks_ != nullptr) {
     callbacks_->onResponseBody(bytes);
   }
@@ -127,6 +143,18 @@
   callbacks->onResponseComplete();
 }
 
+base::Result<void> ClientConnection::checkSurplus() const {
+  if (interimResponses_ > kMaxInterimResponses) {
+    return Error{ErrorCode::malformedInput, "interim responses",
+                 "over " + std::to_string(kMaxInterimResponses)};
+  }
+  if (discardedBytes_ > kMaxDiscardedBytes) {
+    return Error{ErrorCode::inputTooLarge, "response to another request",
+                 "over " + std::to_string(kMaxDiscardedBytes) + " bytes"};
+  }
+  return base::success();
+}
+
 void ClientConnection::fail(const Error& error) {
   ResponseCallbacks* const callbacks = std::exchange(callbacks_, nullptr);
   connection_.close();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -61,6 +61,8 @@
   void onBody(std::string_view bytes) override;
   void onComplete() override;
 
+  /// @return an error if the server keeps sending what is no answer to the request.
+  base::Result<void> checkSurplus() const;
   void fail(const base::Error& error);
   void handleIdleEnd();
 
@@ -75,6 +77,8 @@
   bool discardResponse_ = false;  ///< The current response belongs to another request.
   bool hasDiscarded_ = false;  ///< A response was discarded, so the connection's state is in doubt.
   bool interim_ = false;       ///< The current response is interim (status 1xx).
+  std::size_t interimResponses_ = 0;  ///< Since the request was sent.
+  std::size_t discardedBytes_ = 0;    ///< Of responses to other requests, since then.
 };
 
 }  // namespace walnut::net
