registry: a refused part stays refused beside a second one with the same crashes

Cause: a refused part was released as soon as another one explained its crashes. Change: a part that nothing acquitted is released only for one with twice its crashes; one that was sound before, for any that explains it.

--- a/src/registry/part_crash_monitor.cpp
+++ b/src/registry/part_crash_monitor.cpp
@@ -19,6 +19,9 @@
 constexpr base::Duration kWatchPeriod = std::chrono::seconds(10);
 /// Time after a refusal in which further evidence may show another part to be the cause.
 constexpr base::Duration kReconsiderPeriod = std::chrono::seconds(30);
+/// Another part has this many times the crashes of a refused one if it is taken for the cause in
+/// its place: of two causes that run side by side, one may have all crashes of the other.
+constexpr std::size_t kClearlyMoreCrashes = 2;
 constexpr base::Duration kReviewInterval = std::chrono::milliseconds(250);
 /// Time after which a lost log entry is proposed again.
 constexpr base::Duration kProposalRetryInterval = std::chrono::seconds(1);
@@ -178,9 +181,18 @@
       refuse(suspect, now);
     }
   }
+  std::size_t mostCrashes = 0;
+  for (const PartEvidence::Suspect& suspect : suspects) {
+    const bool isCause = causes.count(suspect.part) != 0;
+    mostCrashes = std::max(mostCrashes, isCause ? suspect.crashes.size() : 0);
+  }
   for (const PromptPartDigest& part : refusedParts(false)) {
-    const Refusal& refusal = refused_.at(part);
-    if (!refusal.final && causes.count(part) == 0) {
+    const auto suspect = std::find_if(suspects.begin(), suspects.end(),
+                                      [&part](const auto& each) { return each.part == part; });
+    const bool isKept = suspect != suspects.end() && suspect->isAtLimit() &&
+                        !suspect->wasSoundBefore() &&
+                        kClearlyMoreCrashes * suspect->crashes.size() > mostCrashes;
+    if (!refused_.at(part).final && causes.count(part) == 0 && !isKept) {
       release(part, "explained", now);
     }
   }
--- a/test/registry/part_crash_monitor_test.cpp
+++ b/test/registry/part_crash_monitor_test.cpp
@@ -121,6 +121,37 @@
   checkStanding(kCrashing, PartStanding::refused);
 }
 
+// Guards against a refused part that is sent again since another one has its crashes too.
+TEST(PartCrashMonitorTest, aRefusedPartStaysRefusedBesideASecondOneWithTheSameCrashes) {
+  crashThree({kCrashing, kFirst});
+  answer(kFirst);
+  run(2s);
+  checkStanding(kCrashing, PartStanding::refused);
+  const PromptPartDigest second = part(3);
+  for (const char* worker : {"w1", "w2", "w3"}) {
+    cut(worker, {second});
+  }
+  crash("w4", {second});
+  run(2s);
+  checkStanding(second, PartStanding::refused);
+  checkStanding(kCrashing, PartStanding::refused);
+}
+
+TEST(PartCrashMonitorTest, aRefusedPartIsReleasedIfAnotherOneHasClearlyMoreCrashes) {
+  const PromptPartDigest other = part(3);
+  crashThree({kCrashing, other});
+  run(2s);
+  const bool isFirst = standingOf(other) == PartStanding::refused;
+  const PromptPartDigest wrong = isFirst ? other : kCrashing;
+  const PromptPartDigest right = isFirst ? kCrashing : other;
+  for (const char* worker : {"w4", "w5", "w6"}) {
+    crash(worker, {right});
+  }
+  run(2s);
+  checkStanding(right, PartStanding::refused);
+  CHECK(standingOf(wrong) != PartStanding::refused);
+}
+
 TEST(PartCrashMonitorTest, anotherLeaderKeepsAPartRefused) {
   crashThree({kCrashing});
   run(2s);
