gateway, registry, test: findings of the linter and the formatter

Cause: an alias that a move had left unused; a structured binding in a lambda; two lines of a test. Change: these.

--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-using runtime::LogEvent;
-
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 constexpr int kInternalError = 500;
--- a/src/registry/part_evidence.cpp
+++ b/src/registry/part_evidence.cpp
@@ -152,8 +152,10 @@
   if (answeredAt_.size() >= kMaxAnswered && answeredAt_.count(part) == 0) {
     return false;
   }
-  const auto [found, added] = answeredAt_.try_emplace(part, at);
-  const base::TimePoint former = std::exchange(found->second, std::max(found->second, at));
+  const auto inserted = answeredAt_.try_emplace(part, at);
+  const bool added = inserted.second;
+  base::TimePoint& latest = inserted.first->second;
+  const base::TimePoint former = std::exchange(latest, std::max(latest, at));
   return std::any_of(crashes_.begin(), crashes_.end(), [&](const auto& entry) {
     const base::TimePoint crashAt = entry.second.at;
     return crashAt <= at && (added || crashAt > former) && explains({part}, entry.first);
--- a/test/net/raw_server.h
+++ b/test/net/raw_server.h
@@ -19,11 +19,10 @@
   enum class Then { keepOpen, close, reset };
 
   explicit RawServer(event::Dispatcher& dispatcher) : dispatcher_(dispatcher) {
-    listener_ = std::move(Listener::open(dispatcher, {"127.0.0.1", 0},
-                                         [this](const Poco::Net::StreamSocket& socket) {
-                                           peers_.push_back(std::make_unique<Peer>(*this, socket));
-                                         })
-                              .value());
+    listener_ = std::move(
+        Listener::open(dispatcher, {"127.0.0.1", 0}, [this](const Poco::Net::StreamSocket& socket) {
+          peers_.push_back(std::make_unique<Peer>(*this, socket));
+        }).value());
   }
   const base::Endpoint& endpoint() const { return listener_->endpoint(); }
 
