registry: a refused part stays refused at gateways until the leader says otherwise

The list named the time until the first trial, 20 s after the last crash; gateways let all requests with the part through from then until the next list, up to a quarter of a second later, and without a leader for good. Result: PartCrashMonitorTest.aRefusalOutlivesTheTrialAtGateways (the former list named 20 s at most, the test asks for more than 60).

--- a/src/registry/part_crash_monitor.cpp
+++ b/src/registry/part_crash_monitor.cpp
@@ -285,13 +285,13 @@
   return evidence_.explainedBy(refusedParts(false));
 }
 
+/// Only the leader ends a refusal: it expires at gateways long after the next list has come.
 SuspectPartList PartCrashMonitor::list(base::TimePoint now, bool onTrial) const {
   SuspectPartList list;
   for (const auto& [part, refusal] : refused_) {
-    const bool tried = isOnTrial(refusal, now);
-    list.parts.push_back({part, tried && onTrial ? PartStanding::onTrial : PartStanding::refused,
-                          refusal.crashes,
-                          tried ? kTrialPeriod : refusal.since + refusal.untilTrial - now});
+    const bool isTried = onTrial && isOnTrial(refusal, now);
+    list.parts.push_back({part, isTried ? PartStanding::onTrial : PartStanding::refused,
+                          refusal.crashes, kRetention});
   }
   for (const auto& [part, watch] : watches_) {
     if (refused_.count(part) == 0) {
--- a/test/registry/part_crash_monitor_test.cpp
+++ b/test/registry/part_crash_monitor_test.cpp
@@ -184,6 +184,19 @@
   checkStanding(kCrashing, PartStanding::onTrial, true);
 }
 
+// Guards against a refusal that expires at all gateways a moment before they are told of the trial.
+TEST(PartCrashMonitorTest, aRefusalOutlivesTheTrialAtGateways) {
+  crashThree({kCrashing});
+  for (int second = 0; second < 40; ++second) {
+    run(1s);
+    const std::vector<SuspectPart> parts = monitor->list(now, false).parts;
+    const auto found = std::find_if(parts.begin(), parts.end(), [](const SuspectPart& suspect) {
+      return suspect.standing == PartStanding::refused;
+    });
+    CHECK(found == parts.end() || found->remaining > 60s);
+  }
+}
+
 TEST(PartCrashMonitorTest, aWorkerThatMakesContactAgainDidNotCrash) {
   crashThree({kCrashing});
   run(2s);
