--- a/review/standins/doubled.cpp
+++ b/review/standins/doubled.cpp
@@ -67,6 +67,7 @@
     std::snprintf(id, sizeof(id), "%02x%014x", number + 1, count);
     const std::string body = "hold the slot " + std::string(id);
     std::optional<review::Message> answer;
+    record.line("client " + std::to_string(number) + ": " + id + " sent");
     if (socket.open() &&
         socket.write("POST /hold/2f HTTP/1.1\r\nHost: desk.example\r\nX-Walnutlead-Attempt-Id: " +
                      std::string(id) + "\r\nX-Walnutlead-Deadline-Ms: 1500\r\nContent-Length: " +
--- a/review/standins/parts.cpp
+++ b/review/standins/parts.cpp
@@ -406,6 +406,7 @@
         char id[32];
         std::snprintf(id, sizeof(id), "a%01x%014x", number, count);
         int status = 0;
+        record.line("client " + std::to_string(number) + ": " + id + " sent");
         const bool served = sendStream(fronts[random() % fronts.size()], id,
                                        std::string(kSharedPart) + "," + id + ":250", status);
         record.line("client " + std::to_string(number) + ": " + id + " answered " +
@@ -429,6 +430,7 @@
       int status = 0;
       const std::string parts =
           std::string(kSharedPart) + "," + std::string(kCrashingPart) + "," + id + ":250";
+      record.line("client with the part: " + std::string(id) + " sent");
       const bool served =
           sendStream(fronts[static_cast<std::size_t>(count) % fronts.size()], id, parts, status);
       told += status == 503 ? 1 : 0;
--- a/review/standins/uploads.cpp
+++ b/review/standins/uploads.cpp
@@ -71,6 +71,7 @@
   char id[32];
   std::snprintf(id, sizeof(id), "a0%014x", number);
   review::Socket socket = review::Socket::connectTo(front);
+  record.line("upload " + std::string(id) + ": begins at " + front.ip);
   if (!socket.open() || !socket.write(headOf(id, kLongBody))) {
     record.line("upload " + std::string(id) + ": no connection");
     return;
@@ -112,6 +113,7 @@
     const std::string body = "hold the slot " + std::string(id);
     std::optional<review::Message> answer;
     bool sent = false;
+    record.line("client " + std::to_string(number) + ": " + id + " sent");
     if (socket.open()) {
       sent = socket.write(headOf(id, body.size()) + body);
       answer = sent ? socket.read(16000) : std::nullopt;
