--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -33,6 +33,10 @@
   /// Of its answers, the share of which one is sent a second time: late, in the place where the
   /// next answer on the connection is due. Such an answer is always the rejection of a request.
   double doubledShare = 0;
+  /// The worker is in disruption for the first part of each period, and answers soundly in the
+  /// rest.
+  std::int64_t doubledMillis = 5000;
+  std::int64_t doubledPeriodMillis = 10000;
 };
 
 /// A worker of a plain service. It runs `slots` requests at once, queues a few more, and rejects
@@ -57,6 +61,7 @@
   enum class Place { taken, none, gone };
   Place takePlace(const Socket& socket, std::int64_t deadline);
   void leavePlace();
+  bool inDisruption() const;
   bool mayDouble();
   void sendHeartbeats();
 
@@ -67,6 +72,8 @@
   std::atomic<int> answers_{0};
   std::atomic<int> rejections_{0};
   std::atomic<int> doubled_{0};
+  std::atomic<int> answersInDisruption_{0};
+  std::int64_t startedAt_ = 0;
   std::mutex mutex_;
   std::condition_variable placeFree_;
   int running_ = 0;
