gateway: an answer is attributed to an attempt by its connection, not by the request's id alone

Cause: all attempts of a request bear its id, and a retry could go on the connection of the attempt before. An answer without an id was taken for whatever was due. The same on the registry's orders, whose answers bear no id at all. Change: an exchange names the connections that its attempts have used, and the pool passes them over. An answer without an id on a connection that has carried other requests shows nothing: the attempt counts as run and the connection is closed; later requests that may run once go to such a worker on new connections. Orders have connections of their own.

--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -95,6 +95,7 @@
   lateStartDecided,
   attemptStarted,
   attemptFailed,
+  answerWithoutId,
   retryDecided,
   requestCut,
   requestQuarantined,
--- a/programs/walnut-rehearse/serving.cpp
+++ b/programs/walnut-rehearse/serving.cpp
@@ -11,6 +11,7 @@
 #include "commands.h"
 #include "seed_range.h"
 #include "simulator/crash_campaign.h"
+#include "simulator/late_answer_campaign.h"
 #include "simulator/limit_campaign.h"
 #include "simulator/part_campaign.h"
 #include "simulator/retry_campaign.h"
@@ -29,7 +30,7 @@
 constexpr const char* kUsage =
     "Usage: walnut-rehearse serving --seeds A-B\n"
     "           [--only failing|crashing|busy|limited|retries|silent|versions|\n"
-    "                  slow-store|parts]\n"
+    "                  slow-store|parts|late-answers]\n"
     "Runs a leader, gateways, workers and callers under virtual time. The seed draws the size of\n"
     "the fleet and workers that fail what they are sent, in overlapping episodes; and in two more\n"
     "runs requests that crash the workers that run them, beside changes of the leader and "
@@ -39,12 +40,12 @@
     "  --only KIND     just the runs with failing workers, with crashing requests, with such\n"
     "                  requests beside others that queue, with workers that name the requests a\n"
     "                  second that they take, with gateways that are killed while workers fail,\n"
-    "                  or four kinds that are not among the others: with workers that are\n"
+    "                  or five kinds that are not among the others: with workers that are\n"
     "                  silent within streams beside new documents; with workers of several\n"
     "                  software versions; with a weight store that is too slow\n"
     "                  for the demand, once with callers that come back after a short pause and\n"
     "                  once with others that heed Retry-After; with prompts that share parts, one\n"
-    "                  of which crashes workers\n"
+    "                  of which crashes workers; with workers that send answers once more\n"
     "Exit code 1: a model or an adapter was asked for and never served; too little was served\n"
     "once all was well again; a request that had crashed three workers was sent to workers more\n"
     "than three times later on; another request was refused as if it did such things; a worker\n"
@@ -53,7 +54,8 @@
     "on with a gap; a stream holds events of two software versions, or streams that callers take\n"
     "up go on less than half as often as new ones begin; more than three requests with a part\n"
     "under which five workers had crashed were sent to workers later on, or sound requests with\n"
-    "the same first part began less than half as often as before.\n";
+    "the same first part began less than half as often as before; a request that may run once\n"
+    "ran twice, or was refused though it ran.\n";
 
 enum Flag : int { seeds = 1, only, help };
 
@@ -73,20 +75,21 @@
 constexpr const char* kVersions = "versions";
 constexpr const char* kSlowStore = "slow-store";
 constexpr const char* kParts = "parts";
+constexpr const char* kLateAnswers = "late-answers";
 /// @}
 
 struct Flags {
   std::uint64_t firstSeed = 0;
   std::uint64_t lastSeed = 0;
   bool seedsGiven = false;
-  std::string only;  ///< Empty: all kinds but silent workers, versions, a slow store and parts.
+  std::string only;  ///< Empty: those kinds that kUsage lists as not among the others are left out.
   bool help = false;
 };
 
 bool isKind(const std::string& text) {
   return text == kFailing || text == kCrashing || text == kBusy || text == kLimited ||
          text == kRetries || text == kSilent || text == kVersions || text == kSlowStore ||
-         text == kParts;
+         text == kParts || text == kLateAnswers;
 }
 
 bool parseFlags(int argc, char** argv, Flags& flags) {
@@ -148,6 +151,9 @@
   if (only == kParts) {
     passed = print(seed, kParts, simulator::runPartCampaign(seed)) && passed;
   }
+  if (only == kLateAnswers) {
+    passed = print(seed, kLateAnswers, simulator::runLateAnswerCampaign(seed)) && passed;
+  }
   if (only == kSlowStore) {
     passed = print(seed, kSlowStore, simulator::runStoreCampaign(seed)) && passed;
     passed = print(seed, kSlowStore, simulator::runHeedingCallersCampaign(seed)) && passed;
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -262,24 +262,29 @@
   call.sink->respond(std::move(response));
 }
 
+/// Answers to orders bear no id: on a connection of its own, an order can't take one more answer to
+/// an earlier call for its own.
 void RegistryHost::perform(registry::SendOrder& order) {
   if (!order.reason.empty()) {
     metrics_.count("walnut_registry_placements_total", std::string(order.reason));
   }
   const net::HttpRequest request = dialects_.worker.writeOrder(order);
-  client_.call(order.worker.id.value, order.worker.endpoint, request, settings_.logic.orderTimeout,
-               [this, number = order.order](const net::CallOutcome& outcome) {
-                 const registry::OrderOutcome result =
-                     outcome.response ? dialects_.worker.readOrderAnswer(outcome.response.value())
-                                      : registry::OrderOutcome::unclear;
-                 metrics_.count("walnut_registry_orders_total",
-                                outcome.response
-                                    ? std::to_string(outcome.response.value().head.status)
-                                    : std::string("unclear"));
-                 step(registry::OrderFinished{number, result});
-               });
+  client_.call(
+      order.worker.id.value, order.worker.endpoint, request, settings_.logic.orderTimeout,
+      [this, number = order.order](const net::CallOutcome& outcome) {
+        const registry::OrderOutcome result =
+            outcome.response ? dialects_.worker.readOrderAnswer(outcome.response.value())
+                             : registry::OrderOutcome::unclear;
+        metrics_.count("walnut_registry_orders_total",
+                       outcome.response ? std::to_string(outcome.response.value().head.status)
+                                        : std::string("unclear"));
+        step(registry::OrderFinished{number, result});
+      },
+      net::ConnectionUse::own);
 }
 
+/// A report needs no connection of its own: an answer to another call is unreadable as a report,
+/// and one more copy of an earlier report is older by its order count or states what still holds.
 void RegistryHost::perform(registry::ReadReport& read) {
   const net::HttpRequest request = dialects_.worker.writeReportCall(read.worker);
   client_.call(read.worker.id.value, read.worker.endpoint, request, settings_.logic.orderTimeout,
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -178,11 +178,19 @@
   if (isStreaming()) {
     armStallTimer(std::max(kStallFloor, route_.targetLatency));
   }
-  attempt_ = context_.launcher().start(worker->view.record, request_, *this);
+  attempt_ = context_.launcher().start(worker->view.record, request_, connectionChoice(), *this);
+}
+
+/// A request that may run once gets a connection of its own where rejections come without an id:
+/// only there they show that it has not run.
+net::ConnectionChoice Exchange::connectionChoice() const {
+  const bool needsOwn = worker_->answersWithoutId && !route_.repeatable();
+  return {usedConnections_, needsOwn || facts_.requestId.empty()};
 }
 
 void Exchange::releaseAttempt() {
   context_.attemptEnded(*worker_, facts_);
+  usedConnections_.push_back(attempt_->connection());
   attempt_->release();
   context_.scheduler().destroySoon(std::move(attempt_));
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,7 +19,7 @@
 #include "gateway/request_quarantine.h"
 #include "gateway/stream_origins.h"
 #include "gateway/worker_selector.h"
-#include "net/client_connection.h"
+#include "net/client_pool.h"
 #include "walnut/catalog/document.h"
 #include "walnut/event/scheduler.h"
 #include "walnut/gateway/dialect.h"
@@ -38,6 +38,11 @@
   /// Ends the attempt after a complete response: the connection may be reused for another request.
   virtual void release() = 0;
   virtual void setReading(bool enabled) = 0;
+  /// @return the number of the connection, by which later attempts may exclude it.
+  virtual std::uint64_t connection() const = 0;
+  /// @return true if the connection carried other requests before: an answer that comes on it
+  /// without a request id may belong to any of them.
+  virtual bool sharesConnection() const = 0;
 };
 
 /// Sends requests to workers.
@@ -47,6 +52,7 @@
   /// @param callbacks valid until the attempt has ended or is destroyed.
   virtual std::unique_ptr<Attempt> start(const registry::WorkerRecord& worker,
                                          const net::HttpRequest& request,
+                                         const net::ConnectionChoice& choice,
                                          net::ResponseCallbacks& callbacks) = 0;
   /// @return true if a request to that worker would need no new connection.
   virtual bool connected(const registry::WorkerId& worker) const = 0;
@@ -163,11 +169,12 @@
 /// available. An exchange ends with exactly one response, or with none if its caller has
 /// disconnected. Owned by the gateway.
 ///
-/// Invariants: a non-repeatable request is sent again only if each earlier attempt is known not to
-/// have run; a refusal that promises "not run" is given only if that is so; a stream's events are
-/// passed on whole, in order and once; a stream that has left a worker only because that worker was
-/// silent returns to it rather than end; a stream goes on only at the software version that began
-/// it, also if its caller takes it up at another gateway.
+/// Invariants: an answer is taken only if it can't be one to an earlier attempt or, lacking a
+/// request id, to another request; a non-repeatable request is sent again only if each earlier
+/// attempt is known not to have run; a refusal that promises "not run" is given only if that is so;
+/// a stream's events are passed on whole, in order and once; a stream that has left a worker only
+/// because that worker was silent returns to it rather than end; a stream goes on only at the
+/// software version that began it, also if its caller takes it up at another gateway.
 class Exchange : public net::ResponseCallbacks {
  public:
   /// @param number unique at this gateway, increasing in the order of arrival.
@@ -260,6 +267,11 @@
   base::TimePoint shortWaitDeadline() const;
   void endWait();
   void launch(const WorkerDirectory::WorkerPtr& worker);
+  net::ConnectionChoice connectionChoice() const;
+  void noteAnswerWithoutId();
+  void rejectUnattributedAnswer();
+  /// @return true if the worker is known not to have run the request of this attempt.
+  bool isKnownNotRun() const { return answer_.notExecuted && isAnswerAttributed_; }
   void processSuccessHead();
   void forwardEvents(std::string_view bytes);
   void passEventsOn(const std::string& whole);
@@ -334,6 +346,9 @@
   event::TimerPtr retryTimer_;
   event::TimerPtr stallTimer_;
 
+  /// Connections that earlier attempts have returned to the pool. One more answer to such an
+  /// attempt would come with the id of this request.
+  std::vector<std::uint64_t> usedConnections_;
   std::set<registry::WorkerId> excluded_;  ///< Workers that are not selected again for now.
   /// Where the stream began; not set before its first event or before its origin is known.
   std::optional<StreamSoftware> software_;
@@ -374,6 +389,8 @@
   net::HttpResponseHead head_;
   AnswerFacts answer_;
   bool isHeadReceived_ = false;
+  /// The answer belongs to this attempt for certain. It is without meaning before the head.
+  bool isAnswerAttributed_ = true;
   bool accepted_ = false;  ///< The response is a success that the worker itself sealed.
   bool isAnswerRecorded_ = false;
   BodyUse bodyUse_ = BodyUse::discard;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+using runtime::LogEvent;
+
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 constexpr int kInternalError = 500;
@@ -30,6 +32,7 @@
     return false;
   }
   answer_ = std::move(facts);
+  isAnswerAttributed_ = !answer_.requestId.empty() || !attempt_->sharesConnection();
   context_.responseHeadReceived(*worker_, answer_, attemptAt_);
   isHeadReceived_ = true;
   head_.status = head.status;
@@ -37,12 +40,15 @@
   head_.headers = std::move(head.headers);
   net::removeConnectionHeaders(head_.headers);
   worker_->breaker.recordSuccess();
+  if (answer_.requestId.empty()) {
+    noteAnswerWithoutId();
+  }
   const bool success = head_.status >= kOk && head_.status < kMultipleChoices;
   accepted_ = success && answer_.sealed && !answer_.encoded && !answer_.requestId.empty();
   if (accepted_) {
     processSuccessHead();
   } else {
-    bodyUse_ = answer_.sealed ? BodyUse::collect : BodyUse::discard;
+    bodyUse_ = answer_.sealed && isAnswerAttributed_ ? BodyUse::collect : BodyUse::discard;
   }
   if (bodyUse_ == BodyUse::collect) {
     beginCollecting();
@@ -50,6 +56,17 @@
   return true;
 }
 
+void Exchange::noteAnswerWithoutId() {
+  worker_->answersWithoutId = true;
+  const std::string_view attributed = isAnswerAttributed_ ? "yes" : "no";
+  context_.metrics().count("walnut_gateway_answers_without_id_total", std::string(attributed));
+  context_.log().write(LogEvent::answerWithoutId,
+                       {{"request", facts_.requestId},
+                        {"worker", worker_->view.record.id.value},
+                        {"status", static_cast<std::uint64_t>(head_.status)},
+                        {"attributed", attributed}});
+}
+
 void Exchange::processSuccessHead() {
   bodyUse_ = isStreaming() ? BodyUse::stream : BodyUse::collect;
   if (!isStreaming()) {
@@ -131,6 +148,10 @@
 
 void Exchange::onResponseComplete() {
   stallTimer_->disable();
+  if (!isAnswerAttributed_) {
+    rejectUnattributedAnswer();
+    return;
+  }
   if (answer_.notExecuted) {
     if (worker_->full()) {
       worker_->markFull();
@@ -178,6 +199,18 @@
   attemptEnded(Executed::unknown, "an answer that the worker does not vouch for");
 }
 
+/// Gives up an attempt whose answer may be one to an earlier request on its connection. Closing the
+/// connection cancels the request, which the worker may be running.
+void Exchange::rejectUnattributedAnswer() {
+  const bool failed = !answer_.notExecuted && (head_.status >= kInternalError || !answer_.sealed);
+  worker_->failures.observe(failed, now());
+  if (failed) {
+    recordFailure();
+  }
+  dropAttempt();
+  attemptEnded(Executed::unknown, "the answer may belong to another request");
+}
+
 void Exchange::completeStream() {
   if (events_.hasPartialEvent()) {
     reportCut();
@@ -205,7 +238,7 @@
 void Exchange::onResponseFailure(const base::Error& error, bool sent) {
   stallTimer_->disable();
   context_.attemptFailed(*worker_);
-  const bool notRun = !sent || (isHeadReceived_ && answer_.notExecuted);
+  const bool notRun = !sent || (isHeadReceived_ && isKnownNotRun());
   if (!isHeadReceived_ || !answer_.notExecuted) {
     recordFailure();
   }
--- a/src/gateway/exchange_buffers.cpp
+++ b/src/gateway/exchange_buffers.cpp
@@ -85,7 +85,7 @@
 /// Gives up an attempt whose answer goes beyond any limit: it may never end. The connection is
 /// closed, as the rest can't be told from the next answer.
 void Exchange::rejectOverlongAnswer() {
-  const Executed executed = answer_.notExecuted ? Executed::no : Executed::unknown;
+  const Executed executed = isKnownNotRun() ? Executed::no : Executed::unknown;
   stallTimer_->disable();
   context_.attemptFailed(*worker_);
   recordFailure();
--- a/src/gateway/pooled_launcher.cpp
+++ b/src/gateway/pooled_launcher.cpp
@@ -26,6 +26,8 @@
     pool_.release(key_, std::move(connection_));
   }
   void setReading(bool enabled) override { connection_->setReading(enabled); }
+  std::uint64_t connection() const override { return connection_->number(); }
+  bool sharesConnection() const override { return connection_->carriedOthers(); }
 
  private:
   event::Dispatcher& dispatcher_;
@@ -38,9 +40,10 @@
 
 std::unique_ptr<Attempt> PooledLauncher::start(const registry::WorkerRecord& worker,
                                                const net::HttpRequest& request,
+                                               const net::ConnectionChoice& choice,
                                                net::ResponseCallbacks& callbacks) {
   std::unique_ptr<net::ClientConnection> connection =
-      pool_.acquire(worker.id.value, worker.endpoint);
+      pool_.acquire(worker.id.value, worker.endpoint, choice);
   net::ClientConnection* const sending = connection.get();
   auto attempt =
       std::make_unique<PooledAttempt>(dispatcher_, pool_, worker.id.value, std::move(connection));
--- a/src/gateway/pooled_launcher.h
+++ b/src/gateway/pooled_launcher.h
@@ -3,7 +3,6 @@
 /// Sends the attempts of requests over pooled HTTP connections.
 
 #include "gateway/exchange.h"
-#include "net/client_pool.h"
 
 namespace walnut::gateway {
 
@@ -14,6 +13,7 @@
 
   std::unique_ptr<Attempt> start(const registry::WorkerRecord& worker,
                                  const net::HttpRequest& request,
+                                 const net::ConnectionChoice& choice,
                                  net::ResponseCallbacks& callbacks) override;
   bool connected(const registry::WorkerId& worker) const override {
     return pool_.hasIdle(worker.value);
--- a/src/gateway/worker_directory.h
+++ b/src/gateway/worker_directory.h
@@ -42,6 +42,7 @@
   routing::MovingAverage latency;         ///< To the response head, or to a stream's first event.
   routing::MovingAverage firstEventTime;  ///< To the first event, of streams only.
   FailureRatio failures;
+  bool answersWithoutId = false;  ///< Some answer came without the id of its request.
 
   /// @return true if the worker is known to hold the model and adapter; always true for a plain
   /// service (no model).
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -43,12 +43,14 @@
 }  // namespace
 
 ClientConnection::ClientConnection(event::Dispatcher& dispatcher, const base::Endpoint& remote,
-                                   const ClientTimeouts& timeouts)
-    : connection_(dispatcher, remote, timeouts.connect, timeouts.unacked, *this),
+                                   const ClientTimeouts& timeouts, std::uint64_t number)
+    : number_(number),
+      connection_(dispatcher, remote, timeouts.connect, timeouts.unacked, *this),
       parser_(MessageParser::Kind::response, kMaxResponseHeadBytes, *this) {}
 
 void ClientConnection::send(const HttpRequest& request, ResponseCallbacks& callbacks) {
   callbacks_ = &callbacks;
+  ++requests_;
   reusable_ = false;
   discardResponse_ = false;
   interimResponses_ = 0;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -2,6 +2,7 @@
 /// @file
 /// An HTTP/1.1 connection to a server, from the client's side.
 
+#include <cstdint>
 #include <functional>
 
 #include "net/connection.h"
@@ -35,14 +36,19 @@
 /// surplus bytes, no response was discarded, and the server keeps the connection open.
 class ClientConnection : public ConnectionCallbacks, public MessageParserCallbacks {
  public:
+  /// @param number identifies the connection among those of its pool.
   ClientConnection(event::Dispatcher& dispatcher, const base::Endpoint& remote,
-                   const ClientTimeouts& timeouts);
+                   const ClientTimeouts& timeouts, std::uint64_t number = 0);
 
   /// @param callbacks must stay valid until the response is complete or has failed, or `cancel`.
   void send(const HttpRequest& request, ResponseCallbacks& callbacks);
   /// Cancels the request: no callback follows. Closing the connection signals this to the server.
   void cancel();
 
+  std::uint64_t number() const { return number_; }
+  /// @return true if the connection carried other requests before the current one: one more
+  /// response to any of them may still come.
+  bool carriedOthers() const { return requests_ > 1; }
   bool reusable() const { return reusable_ && !connection_.closed(); }
   /// @return how long the server keeps an idle connection open, from its Keep-Alive field; nothing
   /// if it did not send one.
@@ -66,6 +72,8 @@
   void fail(const base::Error& error);
   void handleIdleEnd();
 
+  const std::uint64_t number_;
+  std::uint64_t requests_ = 0;  ///< That were sent on the connection.
   Connection connection_;
   MessageParser parser_;
   ResponseCallbacks* callbacks_ = nullptr;  ///< Null while idle.
--- a/src/net/client_pool.cpp
+++ b/src/net/client_pool.cpp
@@ -6,13 +6,31 @@
 namespace walnut::net {
 
 std::unique_ptr<ClientConnection> ClientPool::acquire(const std::string& key,
-                                                      const base::Endpoint& remote) {
+                                                      const base::Endpoint& remote,
+                                                      const ConnectionChoice& choice) {
+  std::unique_ptr<ClientConnection> idle = takeIdle(key, choice);
+  if (idle != nullptr) {
+    return idle;
+  }
+  return std::make_unique<ClientConnection>(dispatcher_, remote, options_.timeouts, ++lastNumber_);
+}
+
+std::unique_ptr<ClientConnection> ClientPool::takeIdle(const std::string& key,
+                                                       const ConnectionChoice& choice) {
   const auto found = idle_.find(key);
-  if (found == idle_.end() || found->second.empty()) {
-    return std::make_unique<ClientConnection>(dispatcher_, remote, options_.timeouts);
+  if (found == idle_.end() || choice.mustBeNew) {
+    return nullptr;
+  }
+  IdleList& list = found->second;
+  const auto permitted = std::find_if(list.begin(), list.end(), [&choice](const Idle& idle) {
+    return std::find(choice.excluded.begin(), choice.excluded.end(), idle.connection->number()) ==
+           choice.excluded.end();
+  });
+  if (permitted == list.end()) {
+    return nullptr;
   }
-  std::unique_ptr<ClientConnection> connection = std::move(found->second.front().connection);
-  found->second.pop_front();
+  std::unique_ptr<ClientConnection> connection = std::move(permitted->connection);
+  list.erase(permitted);
   connection->setIdleEndCallback(nullptr);
   return connection;
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -15,9 +15,10 @@
 
 class HttpClient::Call : public ResponseCallbacks {
  public:
-  Call(HttpClient& owner, std::string key, Callback callback)
+  Call(HttpClient& owner, std::string key, Callback callback, ConnectionUse use)
       : owner_(owner),
         key_(std::move(key)),
+        use_(use),
         callback_(std::move(callback)),
         timer_(owner.dispatcher_.createTimer([this] {
           fail({ErrorCode::timedOut, "call", "no whole answer in time"}, true);
@@ -25,7 +26,7 @@
 
   void start(const base::Endpoint& remote, const HttpRequest& request, base::Duration timeout) {
     timer_->enableAt(owner_.dispatcher_.now() + timeout);
-    connection_ = owner_.pool_.acquire(key_, remote);
+    connection_ = owner_.pool_.acquire(key_, remote, {{}, use_ == ConnectionUse::own});
     connection_->send(request, *this);
   }
 
@@ -47,11 +48,20 @@
   }
   void onResponseComplete() override {
     timer_->disable();
-    owner_.pool_.release(key_, std::move(connection_));
+    endConnection();
     owner_.finish(*this, {std::move(response_), true});
   }
   void onResponseFailure(const Error& error, bool sent) override { fail(error, sent); }
 
+  void endConnection() {
+    if (use_ == ConnectionUse::pooled) {
+      owner_.pool_.release(key_, std::move(connection_));
+      return;
+    }
+    connection_->cancel();
+    owner_.dispatcher_.destroySoon(std::move(connection_));
+  }
+
   void fail(const Error& error, bool sent) {
     timer_->disable();
     connection_->cancel();
@@ -61,6 +71,7 @@
 
   HttpClient& owner_;
   const std::string key_;
+  const ConnectionUse use_;
   const Callback callback_;
   event::TimerPtr timer_;
   std::unique_ptr<ClientConnection> connection_;
@@ -73,8 +84,9 @@
 HttpClient::~HttpClient() = default;
 
 void HttpClient::call(const std::string& key, const base::Endpoint& remote,
-                      const HttpRequest& request, base::Duration timeout, Callback callback) {
-  auto call = std::make_unique<Call>(*this, key, std::move(callback));
+                      const HttpRequest& request, base::Duration timeout, Callback callback,
+                      ConnectionUse use) {
+  auto call = std::make_unique<Call>(*this, key, std::move(callback), use);
   Call* const started = call.get();
   calls_.emplace(started, std::move(call));
   started->start(remote, request, timeout);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -2,6 +2,7 @@
 /// @file
 /// HTTP client for calls whose response is received whole, within a time-out.
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -17,6 +18,12 @@
   bool sent = false;
 };
 
+/// Which connections a call may use.
+enum class ConnectionUse : std::uint8_t {
+  pooled,  ///< Also one that carried other calls, of which one more response may come.
+  own,     ///< A new one that carries nothing else, so that any response on it is to this call.
+};
+
 /// HTTP client that reuses connections. Owns its calls in progress.
 class HttpClient {
  public:
@@ -30,7 +37,7 @@
   /// Sends a request; `callback` runs once, with the response or an error.
   /// @param key identifies one incarnation of the server, as in ClientPool.
   void call(const std::string& key, const base::Endpoint& remote, const HttpRequest& request,
-            base::Duration timeout, Callback callback);
+            base::Duration timeout, Callback callback, ConnectionUse use = ConnectionUse::pooled);
   /// Closes the idle connections to a server that no longer exists.
   void forget(const std::string& key) { pool_.forget(key); }
 
--- a/src/runtime/event_log.cpp
+++ b/src/runtime/event_log.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Names of the events, in the order of LogEvent.
-constexpr std::array<std::string_view, 87> kNames = {
+constexpr std::array<std::string_view, 88> kNames = {
     "process-started",    "process-stopping",    "process-stopped",      "settings-reloaded",
     "dependency-lost",    "dependency-regained", "lines-dropped",        "role-changed",
     "membership-changed", "member-proposed",     "document-stored",      "document-refused",
@@ -28,8 +28,8 @@
     "order-cancelled",    "order-finished",      "model-order-ended",    "load-cut-short",
     "report-read",        "call-unavailable",    "call-refused",         "request-refused",
     "request-waiting",    "late-start-decided",  "attempt-started",      "attempt-failed",
-    "retry-decided",      "request-cut",         "request-quarantined",  "request-resumed",
-    "stream-taken-up",    "request-ended",       "request-left"};
+    "answer-without-id",  "retry-decided",       "request-cut",          "request-quarantined",
+    "request-resumed",    "stream-taken-up",     "request-ended",        "request-left"};
 static_assert(kNames.size() == static_cast<std::size_t>(LogEvent::requestLeft) + 1);
 
 }  // namespace
--- a/src/simulator/fleet_gateway.cpp
+++ b/src/simulator/fleet_gateway.cpp
@@ -21,6 +21,7 @@
   gateway::AnswerFacts readAnswer(int, const net::HeaderList&) const override { return {}; }
   bool isReadinessCall(const net::HttpRequest&) const override { return false; }
   std::unique_ptr<gateway::Attempt> start(const registry::WorkerRecord&, const net::HttpRequest&,
+                                          const net::ConnectionChoice&,
                                           net::ResponseCallbacks&) override {
     return nullptr;
   }
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -1,5 +1,7 @@
 #include "simulator/serving_gateway.h"
 
+#include <algorithm>
+#include <map>
 #include <sstream>
 #include <utility>
 
@@ -73,27 +75,61 @@
 
   std::unique_ptr<gateway::Attempt> start(const registry::WorkerRecord& worker,
                                           const net::HttpRequest& request,
+                                          const net::ConnectionChoice& choice,
                                           net::ResponseCallbacks& callbacks) override {
     auto call = std::make_shared<ServingCall>();
     call->request = request;
     call->callbacks = &callbacks;
+    call->connection = connect(worker.id, choice);
+    ++call->connection->requests;
     links_.toWorker(index_, worker, call);
-    return std::make_unique<CallAttempt>(std::move(call));
+    return std::make_unique<CallAttempt>(std::move(call), idle_[worker.id]);
   }
   bool connected(const registry::WorkerId&) const override { return true; }
   void forget(const registry::WorkerId&) override {}
 
  private:
+  using Connections = std::vector<std::shared_ptr<ServingConnection>>;
+
   struct CallAttempt : gateway::Attempt {
-    explicit CallAttempt(std::shared_ptr<ServingCall> sent) : call(std::move(sent)) {}
+    CallAttempt(std::shared_ptr<ServingCall> sent, Connections& kept)
+        : call(std::move(sent)), idle(kept) {}
     void cancel() override { call->cancelled = true; }
-    void release() override { call->cancelled = true; }
+    void release() override {
+      call->cancelled = true;
+      if (!call->connection->inDoubt) {
+        idle.push_back(call->connection);
+      }
+    }
     void setReading(bool) override {}
+    std::uint64_t connection() const override { return call->connection->number; }
+    bool sharesConnection() const override { return call->connection->requests > 1; }
     std::shared_ptr<ServingCall> call;
+    Connections& idle;  ///< To the same worker.
   };
 
+  /// @return the connection that was used last of those that the choice permits, or a new one.
+  std::shared_ptr<ServingConnection> connect(const registry::WorkerId& worker,
+                                             const net::ConnectionChoice& choice) {
+    Connections& idle = idle_[worker];
+    const auto found = std::find_if(idle.rbegin(), idle.rend(), [&choice](const auto& connection) {
+      return !choice.mustBeNew && std::find(choice.excluded.begin(), choice.excluded.end(),
+                                            connection->number) == choice.excluded.end();
+    });
+    if (found == idle.rend()) {
+      auto made = std::make_shared<ServingConnection>();
+      made->number = ++lastConnection_;
+      return made;
+    }
+    std::shared_ptr<ServingConnection> connection = *found;
+    idle.erase(std::next(found).base());
+    return connection;
+  }
+
   const std::size_t index_;
   ServingGatewayLinks& links_;
+  std::map<registry::WorkerId, Connections> idle_;
+  std::uint64_t lastConnection_ = 0;
 };
 
 }  // namespace
--- a/src/simulator/serving_limits.cpp
+++ b/src/simulator/serving_limits.cpp
@@ -45,6 +45,9 @@
   constexpr int kTooManyRequests = 429;
   constexpr int kUnavailable = 503;
   const int status = response.head.status;
+  if (options_.worker.account != nullptr && !caller.repeatable) {
+    options_.worker.account->answered(caller.id, status);
+  }
   if (caller.counting != counting_ || (status != kTooManyRequests && status != kUnavailable)) {
     return;
   }
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -17,14 +17,21 @@
 constexpr std::size_t kMostKept = 64;
 /// Between the two pieces of an event.
 constexpr base::Duration kPieceGap = std::chrono::milliseconds(10);
+/// Path of requests that may run once.
+constexpr const char* kOncePath = "/once/";
 
-/// Hands over the head of an answer.
-void passHead(const ServingCall& call, int status, const char* field, const std::string& limit,
-              net::ResponseCallbacks& callbacks) {
+net::MessageHead makeHead(const ServingCall& call, int status, const char* field) {
   net::MessageHead head;
   head.status = status;
-  head.headers.add("Id", *call.request.headers.find("Id"));
+  head.headers.add("Id", requestId(call));
   head.headers.add(field, "1");
+  return head;
+}
+
+/// Hands over the head of an answer.
+void passHead(const ServingCall& call, int status, const char* field, const std::string& limit,
+              net::ResponseCallbacks& callbacks) {
+  net::MessageHead head = makeHead(call, status, field);
   if (!limit.empty()) {
     head.headers.add("Limit", limit);
     if (call.onLimit) {
@@ -129,6 +136,7 @@
 
 void ServingWorker::receive(const std::shared_ptr<ServingCall>& call, const std::string& model,
                             const std::string& adapter, const InLoop& inLoop) {
+  sendRepeated(call, inLoop);
   keepRunning(call, inLoop);
   if (options_.answerTravel > base::Duration::zero()) {
     call->answerTravel = scheduler_.random().between(base::Duration::zero(), options_.answerTravel);
@@ -149,13 +157,22 @@
     case WorkerFault::full:
       answer(options_.errorTime, call, inLoop, kUnavailable, true);
       return;
+    case WorkerFault::filling:
+      if (isRejected()) {
+        reject(call, inLoop);
+        return;
+      }
+      break;
   }
   const registry::HeldModel* const held = find(model);
   const bool holds =
       model.empty() || (held != nullptr && (adapter.empty() || holdings_.holds(model, adapter)));
   if (!holds) {
     answer(options_.errorTime, call, inLoop, kMisdirected, true);
-  } else if (scheduler_.random().unit() < options_.strayErrors) {
+    return;
+  }
+  noteRun(*call);
+  if (scheduler_.random().unit() < options_.strayErrors) {
     answer(options_.errorTime, call, inLoop, kInternalError, false);
   } else if (options_.events > 1) {
     serveEvents(call, inLoop);
@@ -164,6 +181,52 @@
   }
 }
 
+void ServingWorker::noteRun(const ServingCall& call) {
+  if (options_.account != nullptr && call.request.target.starts_with(kOncePath)) {
+    options_.account->ran(requestId(call));
+  }
+}
+
+/// Sends the answer that was to come once more on the connection of the call.
+void ServingWorker::sendRepeated(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop) {
+  const std::optional<net::MessageHead> repeated =
+      std::exchange(call->connection->repeated, std::nullopt);
+  if (!repeated) {
+    return;
+  }
+  if (options_.account != nullptr) {
+    options_.account->repeated();
+  }
+  later(base::Duration::zero(), call, inLoop,
+        [call, head = *repeated](auto& callbacks, const std::string&) {
+          if (callbacks.onResponseHead(head)) {
+            callbacks.onResponseComplete();
+          } else {
+            call->connection->inDoubt = true;
+          }
+        });
+}
+
+bool ServingWorker::isRejected() {
+  constexpr double kRejectedShare = 0.5;
+  return scheduler_.random().chance(kRejectedShare);
+}
+
+void ServingWorker::reject(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop) {
+  net::MessageHead head = makeHead(*call, kUnavailable, "Not-Run");
+  if (!options_.rejectionsHaveId) {
+    head.headers.remove("Id");
+  }
+  const bool twice = scheduler_.random().chance(options_.repeatedAnswers);
+  later(options_.errorTime, call, inLoop, [call, head, twice](auto& callbacks, const std::string&) {
+    if (twice) {
+      call->connection->repeated = head;
+    }
+    callbacks.onResponseHead(head);
+    callbacks.onResponseComplete();
+  });
+}
+
 void ServingWorker::answer(base::Duration delay, const std::shared_ptr<ServingCall>& call,
                            const InLoop& inLoop, int status, bool notRun) {
   later(delay, call, inLoop, [status, notRun, call](auto& callbacks, const std::string& limit) {
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -5,10 +5,12 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "net/client_connection.h"
+#include "simulator/run_account.h"
 #include "simulator/scheduler.h"
 #include "walnut/registry/registry.h"
 
@@ -17,16 +19,27 @@
 /// What becomes of the requests that a worker is sent. Its heartbeats always say that it is well.
 enum class WorkerFault : std::uint8_t {
   none,
-  errors,  ///< Answered with an error of the worker's own.
-  hang,    ///< Never answered.
-  reset,   ///< The connection is reset.
-  full,    ///< Answered as not run, as by a worker whose slots are all taken.
+  errors,   ///< Answered with an error of the worker's own.
+  hang,     ///< Never answered.
+  reset,    ///< The connection is reset.
+  full,     ///< Answered as not run, as by a worker whose slots are all taken.
+  filling,  ///< Half of them are answered as not run.
+};
+
+/// A connection of a gateway to a worker, with one request at a time.
+struct ServingConnection {
+  std::uint64_t number = 0;
+  std::uint64_t requests = 0;  ///< That were sent on it.
+  /// An answer that the worker sends once more, in the place of the next one.
+  std::optional<net::MessageHead> repeated;
+  bool inDoubt = false;  ///< An answer to another request came, so it isn't used again.
 };
 
 /// One request on its way to a worker and back. The caller of it sets `cancelled`.
 struct ServingCall {
   net::HttpRequest request;
   net::ResponseCallbacks* callbacks = nullptr;
+  std::shared_ptr<ServingConnection> connection;
   bool cancelled = false;
   std::size_t gateway = 0;  ///< That sent it.
   bool cutOff = false;      ///< Nothing that the worker answers reaches the gateway.
@@ -59,6 +72,10 @@
   base::Duration crashTime = std::chrono::milliseconds(80);
   /// Longest time that such a request waits in its queue before.
   base::Duration crashQueueTime = std::chrono::milliseconds(900);
+  /// Share of the answers of a worker that is `filling` which it sends once more, late.
+  double repeatedAnswers = 0;
+  bool rejectionsHaveId = true;   ///< They bear the id of their request.
+  RunAccount* account = nullptr;  ///< Told of requests that may run once, if there is one.
   /// Longest time that an answer travels, so that answers overtake one another.
   base::Duration answerTravel{0};
 };
@@ -124,6 +141,10 @@
   registry::OrderOutcome orderAdapter(const registry::SendOrder& order);
   void finishModelOrder(const registry::SendOrder& order);
   void serve(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop);
+  void sendRepeated(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop);
+  bool isRejected();
+  void reject(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop);
+  void noteRun(const ServingCall& call);
   void answer(base::Duration delay, const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
               int status, bool notRun);
   /// Gets the limit that the worker named when it answered.
--- a/test/daemon/gateway_path_test.cpp
+++ b/test/daemon/gateway_path_test.cpp
@@ -242,6 +242,17 @@
   CHECK_EQUAL(ran, plain->requests.size());
 }
 
+// Guards against a rejection of an earlier request on the connection that is passed on as that of
+// the present one: without an id the two can't be told apart.
+TEST(GatewayPathTest, aRefusalWithoutIdIsPassedOnAsNotRunOnANewConnectionOnly) {
+  declareAndRegister();
+  insist([this] { return ask("/once/x", "hello", nullptr).head.status; });
+  plain->full = true;
+  plain->rejectionsHaveId = false;
+  CHECK_EQUAL(502, ask("/once/x", "hello", nullptr).head.status);
+  CHECK_EQUAL(503, ask("/once/x", "hello", nullptr).head.status);
+}
+
 TEST(GatewayPathTest, anInvalidDocumentIsRefusedWithItsField) {
   declareAndRegister();
   std::string broken = documentText(9);
--- a/test/daemon/standin_worker.h
+++ b/test/daemon/standin_worker.h
@@ -24,8 +24,9 @@
   }
 
   std::set<std::string> models;
-  bool full = false;       ///< Rejects all requests as not run.
-  bool breakNext = false;  ///< Breaks the next stream off within its second event.
+  bool full = false;             ///< Rejects all requests as not run.
+  bool rejectionsHaveId = true;  ///< Its rejections bear the id of their request.
+  bool breakNext = false;        ///< Breaks the next stream off within its second event.
   std::vector<net::HttpRequest> requests;
   std::vector<std::string> orders;  ///< Their bodies.
 
@@ -63,7 +64,11 @@
   void serve(net::HttpRequest request, net::ResponseSink& sink) {
     const std::string* target = request.headers.find(platform::kTargetHeader);
     const std::string* model = request.headers.find(platform::kModelHeader);
+    const std::string* attempt = request.headers.find(platform::kRequestIdHeader);
     net::HttpResponse response;
+    if (attempt != nullptr && rejectionsHaveId) {
+      response.head.headers.set(platform::kRequestIdHeader, *attempt);
+    }
     if (target != nullptr && *target != id_) {
       response.head.status = platform::kMisdirected;
     } else if (full) {
@@ -73,8 +78,7 @@
       response.head.status = platform::kMisdirected;
     } else {
       response.head.status = 200;
-      const std::string* attempt = request.headers.find(platform::kRequestIdHeader);
-      response.head.headers.add(std::string(platform::kRequestIdHeader), *attempt);
+      response.head.headers.set(platform::kRequestIdHeader, *attempt);
       response.head.headers.add(std::string(platform::kSealHeader), "seal of " + *attempt);
     }
     if (response.head.status != 200) {
--- a/test/gateway/buffer_path_test.cpp
+++ b/test/gateway/buffer_path_test.cpp
@@ -283,7 +283,7 @@
   request.headers.add("Host", "h");
   for (int number = 0; number < 2; ++number) {
     PausingCaller caller;
-    caller.attempt = launcher.start(record, request, caller);
+    caller.attempt = launcher.start(record, request, {}, caller);
     for (int turn = 0; turn < 200 && !caller.complete; ++turn) {
       loop.runOnce(5ms);
     }
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -165,6 +165,9 @@
   net::HttpRequest request;
   net::ResponseCallbacks* callbacks = nullptr;
   bool cancelled = false;
+  net::ConnectionChoice choice;
+  std::uint64_t connection = 0;   ///< Its number.
+  bool sharesConnection = false;  ///< Other requests were sent on it before.
   bool reading = true;  ///< False while the gateway has paused the reading of the response.
 };
 
@@ -175,9 +178,13 @@
 
   std::unique_ptr<Attempt> start(const registry::WorkerRecord& worker,
                                  const net::HttpRequest& request,
+                                 const net::ConnectionChoice& choice,
                                  net::ResponseCallbacks& callbacks) override {
-    sent.push_back(
-        std::make_shared<SentRequest>(SentRequest{worker, request, &callbacks, false, true}));
+    SentRequest entry{worker, request, &callbacks};
+    entry.choice = choice;
+    entry.connection = sent.size() + 1;
+    entry.sharesConnection = keepsConnections && !choice.mustBeNew;
+    sent.push_back(std::make_shared<SentRequest>(std::move(entry)));
     return std::make_unique<Recorded>(sent.back());
   }
 
@@ -185,6 +192,8 @@
   void forget(const registry::WorkerId& worker) override { forgotten.push_back(worker); }
 
   std::vector<registry::WorkerId> forgotten;
+  /// Requests go on connections that carried others, unless they have to be new.
+  bool keepsConnections = false;
 
  private:
   struct Recorded : Attempt {
@@ -192,6 +201,8 @@
     void cancel() override { sent->cancelled = true; }
     void release() override {}
     void setReading(bool enabled) override { sent->reading = enabled; }
+    std::uint64_t connection() const override { return sent->connection; }
+    bool sharesConnection() const override { return sent->sharesConnection; }
     std::shared_ptr<SentRequest> sent;
   };
 };
