simulator: sound requests beside a crashing part are compared as the rule says

Cause: they were compared only after a fifth crash, where the rule says the last one if there are fewer; a second part with one to four crashes stopped all comparing for good; and a first try that never began counted as begun if its retry did. Change: each first try of a sound request is recorded with its time and judged at the end, from twice the contact time after the fifth crash of the part, or after its last one. Beside another part that is new then, nothing is compared, as before.

--- a/src/simulator/part_account.cpp
+++ b/src/simulator/part_account.cpp
@@ -5,19 +5,22 @@
 namespace walnut::simulator {
 
 void PartAccount::crashed(base::TimePoint now) {
-  if (++crashes_ == kCrashesAllowed) {
-    lastOfAllowed_ = now;
+  if (++crashes_ <= kCrashesAllowed) {
+    lastOfAllowedAt_ = now;
+  }
+  if (crashes_ == 1) {
+    firstCrashAt_ = now;
   }
 }
 
 void PartAccount::arrived(base::TimePoint sentAt, bool inTouch) {
   ++sends_;
-  const bool late = lastOfAllowed_ != base::kNever && sentAt > lastOfAllowed_ + contact_;
+  const bool late = crashes_ >= kCrashesAllowed && sentAt > lastOfAllowedAt_ + contact_;
   lateSends_ += late && inTouch ? 1 : 0;
 }
 
-bool PartAccount::soundHaveToBegin(base::TimePoint now) const {
-  return lastOfAllowed_ != base::kNever && now > lastOfAllowed_ + 2 * contact_;
+bool PartAccount::soundHadToBegin(base::TimePoint at) const {
+  return crashes_ > 0 && at > lastOfAllowedAt_ + 2 * contact_;
 }
 
 bool PartAccount::keepsSoundOnesOut() const {
--- a/src/simulator/part_account.h
+++ b/src/simulator/part_account.h
@@ -5,17 +5,29 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "walnut/base/time.h"
 
 namespace walnut::simulator {
 
+/// A first try of a sound request whose first part is that of requests with a crashing part, sent
+/// to a gateway in touch.
+struct SoundTry {
+  base::TimePoint sentAt;
+  bool begun = false;
+};
+
 class PartAccount {
  public:
   struct Count {
     std::uint64_t sent = 0;
     std::uint64_t begun = 0;
 
+    void add(const SoundTry& attempt) {
+      ++sent;
+      begun += attempt.begun ? 1 : 0;
+    }
     double share() const {
       return sent == 0 ? 1 : static_cast<double>(begun) / static_cast<double>(sent);
     }
@@ -30,16 +42,20 @@
   /// @param inTouch its gateway was in touch when it sent it.
   void arrived(base::TimePoint sentAt, bool inTouch);
 
-  /// @return true if sound requests with the same first part have to begin by now.
-  bool soundHaveToBegin(base::TimePoint now) const;
-  /// @return true if workers have begun to crash, and sound requests need not begin yet.
-  bool isNew(base::TimePoint now) const { return crashes_ > 0 && !soundHaveToBegin(now); }
-  /// @name Sound requests with the same first part, sent for the first time to a gateway in touch
+  /// @return true if sound requests with the same first part had to begin then: from twice the
+  /// contact time after the fifth crash, or the last one if there were fewer. It is settled once
+  /// there are no more crashes.
+  bool soundHadToBegin(base::TimePoint at) const;
+  /// @return true if workers had begun to crash then, and sound requests did not have to begin yet.
+  bool wasNew(base::TimePoint at) const {
+    return crashes_ > 0 && at >= firstCrashAt_ && !soundHadToBegin(at);
+  }
+  /// @name Sound tries
   /// @{
-  /// Those before any disruption.
-  void setBefore(const Count& before) { before_ = before; }
-  /// Those while `soundHaveToBegin`.
-  Count& beside() { return beside_; }
+  /// Adds one from before any disruption.
+  void addBefore(const SoundTry& attempt) { before_.add(attempt); }
+  /// Adds one that had to begin.
+  void addBeside(const SoundTry& attempt) { beside_.add(attempt); }
   /// @}
 
   std::uint64_t crashes() const { return crashes_; }
@@ -59,7 +75,8 @@
   std::uint64_t crashes_ = 0;
   std::uint64_t sends_ = 0;
   std::uint64_t lateSends_ = 0;
-  base::TimePoint lastOfAllowed_ = base::kNever;  ///< When the last crash that is allowed came.
+  base::TimePoint firstCrashAt_;
+  base::TimePoint lastOfAllowedAt_;  ///< Of the fifth crash, or the last one so far.
   Count before_;
   Count beside_;
 };
--- a/src/simulator/serving_caller.h
+++ b/src/simulator/serving_caller.h
@@ -60,12 +60,12 @@
   std::string target;
   std::string body;
   bool repeatable = true;
-  std::uint32_t retries = 0;                   ///< Left after this one.
-  std::uint64_t counting = 0;                  ///< By which it is counted.
-  std::optional<std::size_t> crashing;         ///< Number of the request that crashes its workers.
-  std::vector<std::string> parts;              ///< Of its prompt.
-  std::optional<std::size_t> crashingPart;     ///< Number of the part that crashes its workers.
-  std::vector<PartAccount::Count*> countedIn;  ///< Counts of sound requests with this try.
+  std::uint32_t retries = 0;                ///< Left after this one.
+  std::uint64_t counting = 0;               ///< By which it is counted.
+  std::optional<std::size_t> crashing;      ///< Number of the request that crashes its workers.
+  std::vector<std::string> parts;           ///< Of its prompt.
+  std::optional<std::size_t> crashingPart;  ///< Number of the part that crashes its workers.
+  std::optional<std::size_t> soundTry;      ///< Number of this try among the sound ones compared.
   ServingGateway* gateway = nullptr;
   std::size_t gatewayIndex = 0;
   std::function<void()> gone;
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -210,7 +210,7 @@
   /// @return what was found about each of them.
   std::vector<PartAccount> partAccounts() const;
   /// Sound requests from now on are not compared with those beside crashing parts.
-  void beginDisruption() { isDisrupted_ = true; }
+  void beginDisruption() { disruptedAt_ = scheduler_.now(); }
   /// @}
 
   /// @name Limits that workers name
@@ -474,8 +474,8 @@
   std::vector<CrashingRequest> crashing_;
   CrashAccount crashAccount_;
   std::deque<CrashingPart> crashingParts_;  ///< At fixed addresses.
-  PartAccount::Count soundBefore_;          ///< Sound requests before any disruption.
-  bool isDisrupted_ = false;
+  std::vector<SoundTry> soundTries_;
+  base::TimePoint disruptedAt_ = base::kNever;
   std::vector<CrashRecord> crashes_;
   std::map<std::string, std::string> bodiesByDigest_;  ///< Of those that were cut.
   /// When a leader first heard that a request was cut, by its body, at a worker.
--- a/src/simulator/serving_parts.cpp
+++ b/src/simulator/serving_parts.cpp
@@ -94,42 +94,42 @@
   return true;
 }
 
-/// Prepares the first try of a sound request, if it is compared with others.
+/// Records the first try of a sound request, if it is compared with others.
 void ServingFleet::noteSoundSent(Caller& caller) {
+  caller.soundTry.reset();
   const bool compared = !caller.parts.empty() && !caller.crashing && !caller.crashingPart &&
                         caller.parts.front() == kFirstPart && caller.sentAt == caller.firstSentAt &&
                         undisturbed(caller.gatewayIndex) && inTouch(caller.gatewayIndex);
-  if (!compared) {
-    return;
-  }
-  if (!isDisrupted_) {
-    caller.countedIn.push_back(&soundBefore_);
-  }
-  const base::TimePoint now = scheduler_.now();
-  const bool anyNew =
-      std::any_of(crashingParts_.begin(), crashingParts_.end(),
-                  [now](const CrashingPart& part) { return part.account.isNew(now); });
-  for (CrashingPart& part : crashingParts_) {
-    if (!anyNew && part.account.soundHaveToBegin(now) && now < part.until) {
-      caller.countedIn.push_back(&part.account.beside());
-    }
-  }
-  for (PartAccount::Count* const count : caller.countedIn) {
-    ++count->sent;
+  if (compared) {
+    caller.soundTry = soundTries_.size();
+    soundTries_.push_back({caller.sentAt, false});
   }
 }
 
 void ServingFleet::noteSoundBegan(Caller& caller) {
-  for (PartAccount::Count* const count : std::exchange(caller.countedIn, {})) {
-    ++count->begun;
+  if (const auto number = std::exchange(caller.soundTry, std::nullopt)) {
+    soundTries_[*number].begun = true;
   }
 }
 
+/// Nothing is compared while another part has begun to crash workers.
 std::vector<PartAccount> ServingFleet::partAccounts() const {
   std::vector<PartAccount> accounts;
   for (const CrashingPart& part : crashingParts_) {
     accounts.push_back(part.account);
-    accounts.back().setBefore(soundBefore_);
+  }
+  for (const SoundTry& attempt : soundTries_) {
+    const base::TimePoint at = attempt.sentAt;
+    const bool anyNew = std::any_of(crashingParts_.begin(), crashingParts_.end(),
+                                    [at](const auto& part) { return part.account.wasNew(at); });
+    for (std::size_t number = 0; number < accounts.size(); ++number) {
+      const CrashingPart& part = crashingParts_[number];
+      if (at < disruptedAt_) {
+        accounts[number].addBefore(attempt);
+      } else if (!anyNew && part.account.soundHadToBegin(at) && at < part.until) {
+        accounts[number].addBeside(attempt);
+      }
+    }
   }
   return accounts;
 }
