gateway: a crash after an answer has begun is evidence, under digests of its own

Cause: the first event said three things at once: that the worker responds, that the request's parts are sound, and that a cut of this attempt shows nothing. A worker that answers may still crash. Change: a cut after the first event is reported until the worker has survived it: one more event 1 s later, or the end of the answer. Crashes before and after the first event are evidence of two kinds, kept under two digests of the request and of each part, as what crashes workers does so at the same point each time. A first event acquits of the former only. Streams that have begun end when they are refused for the latter. RequestQuarantineTest asked that a cut stream which had an event is not reported, which is this fault; the test in its place asks for the report until the worker has survived.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -152,7 +152,8 @@
   wasWorkerFull_ = worker->full();
   isHeadReceived_ = false;
   accepted_ = false;
-  isAnswerRecorded_ = false;
+  respondedAt_.reset();
+  hasSurvived_ = false;
   bodyUse_ = BodyUse::discard;
   body_.clear();
   discardedBytes_ = 0;
@@ -208,17 +209,28 @@
   return (executed == Executed::no || route_.repeatable()) && runs < route_.maxAttempts;
 }
 
-/// Reports the attempt as answered, once for each attempt.
-void Exchange::recordAnswered() {
-  if (std::exchange(isAnswerRecorded_, true)) {
+/// Records that the worker responds, once for each attempt. It may still crash as it answers.
+void Exchange::recordResponse() {
+  if (respondedAt_) {
     return;
   }
+  respondedAt_ = now();
   context_.attemptSettled(*worker_, facts_, AttemptOutcome::answered);
   if (accepted_ && !sharedParts().empty()) {
     context_.partsAnswered(sharedParts());
   }
 }
 
+/// Records that the worker survived the request, once for each attempt.
+void Exchange::recordSurvival() {
+  if (std::exchange(hasSurvived_, true)) {
+    return;
+  }
+  if (accepted_ && !sharedParts().empty()) {
+    context_.partsAnswered(answeringParts());
+  }
+}
+
 /// A healthy worker whose slots are all taken is slow to answer and resets connections, just as a
 /// hanging one is. The registry tells the two apart, since it knows whether the worker answers
 /// other gateways; such a failure is reported as stalled.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -104,8 +104,8 @@
   virtual bool hasSuspects() const = 0;
   virtual std::optional<RequestQuarantine::Classification> classificationOf(
       const registry::RequestDigest& request) const = 0;
-  /// Records that the connection ended while the worker had the request and before any part of the
-  /// response body had come.
+  /// Records that the connection ended while the worker had the request, and before it was seen to
+  /// survive it.
   /// @param parts that its prompt shares with other requests.
   /// @param begun true if the head of the response had come.
   virtual void requestCut(const Worker& worker, const registry::RequestDigest& request,
@@ -119,7 +119,7 @@
   virtual std::optional<PartQuarantine::Refusal> refusalOf(
       const std::vector<registry::PromptPartDigest>& parts, std::uint64_t request,
       bool mayBeTried) = 0;
-  /// Records that a request with these parts was answered.
+  /// Records that a worker survived a request with these parts.
   virtual void partsAnswered(const std::vector<registry::PromptPartDigest>& parts) = 0;
   /// @}
   /// @name Workers that announce rate limits
@@ -238,6 +238,7 @@
   /// @}
   const registry::RequestDigest& digest();
   const std::vector<registry::PromptPartDigest>& sharedParts();
+  std::vector<registry::PromptPartDigest> answeringParts();
   bool stopIfSuspect();
   std::optional<PartQuarantine::Refusal> partRefusal();
   void refuseForPart(const PartQuarantine::Refusal& refusal);
@@ -245,6 +246,9 @@
   std::optional<RequestQuarantine::Classification> ownClassification();
   void logQuarantined(const RequestQuarantine::Classification& classification,
                       std::string_view outcome);
+  /// @return true if the present attempt's answer has begun.
+  bool isAnswering() const { return state_ == State::attempting && respondedAt_.has_value(); }
+  bool mayCrashWorker() const;
   void reportCut();
   void reportSuspectAnswered();
   bool wouldBeginLate(const Selection& selection) const;
@@ -293,7 +297,8 @@
     return route_.targetGap > base::Duration::zero() ? route_.targetGap : base::Duration::max();
   }
   void completeStream();
-  void recordAnswered();
+  void recordResponse();
+  void recordSurvival();
   void recordFailure();
   void attemptEnded(Executed executed, std::string_view reason);
   void recordAttempt(Executed executed, std::string_view reason);
@@ -392,7 +397,9 @@
   /// The answer belongs to this attempt for certain. It is without meaning before the head.
   bool isAnswerAttributed_ = true;
   bool accepted_ = false;  ///< The response is a success that the worker itself sealed.
-  bool isAnswerRecorded_ = false;
+  /// When the worker first showed that it responds: by the first event or the whole answer.
+  std::optional<base::TimePoint> respondedAt_;
+  bool hasSurvived_ = false;  ///< The worker was seen to survive the request.
   BodyUse bodyUse_ = BodyUse::discard;
   std::string body_;
   std::size_t discardedBytes_ = 0;  ///< Of a body that the worker does not vouch for.
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -106,7 +106,10 @@
 }
 
 void Exchange::passEventsOn(const std::string& whole) {
-  recordAnswered();
+  recordResponse();
+  if (!mayCrashWorker()) {
+    recordSurvival();
+  }
   if (!headSent_) {
     headSent_ = true;
     recordOrigin();
@@ -177,7 +180,8 @@
   if (failed) {
     recordFailure();
   } else {
-    recordAnswered();
+    recordResponse();
+    recordSurvival();
   }
   if (accepted_) {
     releaseAttempt();
@@ -219,7 +223,8 @@
     attemptEnded(Executed::yes, "the stream ended within an event");
     return;
   }
-  recordAnswered();
+  recordResponse();
+  recordSurvival();
   reportSuspectAnswered();
   if (longestGap_ <= pauseLimit()) {
     worker_->failures.observe(false, now());
--- a/src/gateway/exchange_quarantine.cpp
+++ b/src/gateway/exchange_quarantine.cpp
@@ -16,6 +16,9 @@
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr std::string_view kQuarantined = "quarantined";
+/// Time from the first event of an answer after which the request no longer counts as a possible
+/// cause of a crash: a request that crashes its worker does so as the answer begins.
+constexpr base::Duration kSurvivalPeriod = std::chrono::seconds(1);
 
 std::uint64_t millisOf(base::Duration duration) {
   return static_cast<std::uint64_t>(
@@ -47,6 +50,14 @@
   return *sharedParts_;
 }
 
+std::vector<registry::PromptPartDigest> Exchange::answeringParts() {
+  std::vector<registry::PromptPartDigest> parts;
+  for (const registry::PromptPartDigest& part : sharedParts()) {
+    parts.push_back(answeringDigestOf(part));
+  }
+  return parts;
+}
+
 /// Refuses or delays a request that is suspected of crashing workers. A request that crashed
 /// several workers would crash the next one as well, with all other requests there: it is refused
 /// at once with the remaining time of its quarantine as Retry-After. While the classification is
@@ -75,8 +86,18 @@
   return true;
 }
 
+/// @return the graver one of the classifications by crashes before and after an answer had begun;
+/// once it has begun, that by the latter.
 std::optional<RequestQuarantine::Classification> Exchange::ownClassification() {
-  return context_.hasSuspects() ? context_.classificationOf(digest()) : std::nullopt;
+  if (!context_.hasSuspects()) {
+    return std::nullopt;
+  }
+  const auto after = context_.classificationOf(answeringDigestOf(digest()));
+  if (isAnswering()) {
+    return after;
+  }
+  const auto before = context_.classificationOf(digest());
+  return !before || (after && after->standing > before->standing) ? after : before;
 }
 
 void Exchange::logQuarantined(const RequestQuarantine::Classification& classification,
@@ -91,9 +112,13 @@
 }
 
 std::optional<PartQuarantine::Refusal> Exchange::partRefusal() {
-  return context_.hasSuspectParts()
-             ? context_.refusalOf(sharedParts(), number_, deliveredAttempts_ == 0)
-             : std::nullopt;
+  if (!context_.hasSuspectParts()) {
+    return std::nullopt;
+  }
+  const bool mayBeTried = deliveredAttempts_ == 0;
+  const auto refusal = context_.refusalOf(answeringParts(), number_, mayBeTried);
+  return refusal || isAnswering() ? refusal
+                                  : context_.refusalOf(sharedParts(), number_, mayBeTried);
 }
 
 /// The caller can't know which part it is, and no other attempt is served any sooner.
@@ -114,14 +139,18 @@
          (classification && classification->standing == registry::RequestStanding::quarantined);
 }
 
-/// A request that is still queued at a worker has not crashed it yet, and is cancelled there if it
-/// is now quarantined.
+/// @return true if a crash of the worker may still be due to the request.
+bool Exchange::mayCrashWorker() const {
+  return !hasSurvived_ && (!respondedAt_ || now() < *respondedAt_ + kSurvivalPeriod);
+}
+
+/// A request that may not have crashed its worker yet is cancelled there if it is now quarantined.
 void Exchange::suspectsChanged() {
   if (state_ == State::choosing) {
     wasHeld_ ? choose() : static_cast<void>(stopIfSuspect());
     return;
   }
-  if (state_ != State::attempting || isAnswerRecorded_ || !isRefusedNow()) {
+  if (state_ != State::attempting || !mayCrashWorker() || !isRefusedNow()) {
     return;
   }
   worker_->breaker.recordNoOutcome(now());
@@ -131,32 +160,39 @@
   (void)stopIfSuspect();
 }
 
-/// Reports a request whose connection was cut: its worker may have crashed because of it. A request
-/// that had received part of its response is not reported, as a request that crashes a worker does
-/// so before it is answered.
+/// Reports a request whose connection was cut, if its worker may have crashed because of it.
 void Exchange::reportCut() {
-  if (isAnswerRecorded_ || worker_->view.record.leaving) {
+  if (!mayCrashWorker() || worker_->view.record.leaving) {
     return;
   }
+  const auto reported = isAnswering() ? answeringDigestOf(digest()) : digest();
+  const auto parts = isAnswering() ? answeringParts() : sharedParts();
+  const bool begun = isHeadReceived_ && !isAnswering();
   context_.log().write(
       LogEvent::requestCut,
       {{"request", facts_.requestId},
-       {"digest", digest().text()},
-       {"parts", textOf(sharedParts())},
+       {"digest", reported.text()},
+       {"parts", textOf(parts)},
        {"worker", worker_->view.record.id.value},
-       {"begun", std::string_view(isHeadReceived_ ? "yes" : "no")},
+       {"begun", std::string_view(begun ? "yes" : "no")},
+       {"events-millis", respondedAt_ ? std::to_string(millisOf(now() - *respondedAt_)) : "none"},
        {"running", std::uint64_t{worker_->totalRunning()}},
        {"age-millis",
         static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(now() - attemptAt_).count())}});
-  context_.requestCut(*worker_, digest(), sharedParts(), isHeadReceived_);
+  context_.requestCut(*worker_, reported, parts, begun);
 }
 
 /// Reports that a suspect request was answered, also with an error of the worker's own: the worker
 /// survived the request.
 void Exchange::reportSuspectAnswered() {
-  if (ownClassification()) {
-    context_.suspectAnswered(digest());
+  if (!context_.hasSuspects()) {
+    return;
+  }
+  for (const registry::RequestDigest& request : {digest(), answeringDigestOf(digest())}) {
+    if (context_.classificationOf(request)) {
+      context_.suspectAnswered(request);
+    }
   }
 }
 
--- a/src/gateway/exchange_stall.cpp
+++ b/src/gateway/exchange_stall.cpp
@@ -129,7 +129,7 @@
 void Exchange::recordCallerGone() {
   const base::Duration usual = worker_->firstEventTime.valueOr(base::Duration::zero());
   const base::Duration timeout = std::max({kStallFloor, route_.targetLatency, usual});
-  const bool isLate = !isAnswerRecorded_ && now() - attemptAt_ >= timeout;
+  const bool isLate = !respondedAt_ && now() - attemptAt_ >= timeout;
   if (isLate) {
     recordFailure();
   }
--- a/src/gateway/request_digest.h
+++ b/src/gateway/request_digest.h
@@ -3,6 +3,7 @@
 /// Digests that identify a request when its caller sends it again, whatever the request id, and the
 /// parts that its prompt shares with other requests.
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,19 @@
 /// sent again. Reads the whole body.
 registry::RequestDigest digestOf(std::string_view caller, const net::HttpRequest& request);
 
+/// A request, or a part of prompts, that crashes workers does so at the same point of the answer
+/// each time. Crashes after the answer has begun are therefore evidence by themselves, kept under a
+/// digest of their own: an answer that begins shows nothing about them, and leaders need not know
+/// of it.
+/// @return that digest for the digest of a request or part.
+template <class Digest>
+Digest answeringDigestOf(Digest digest) {
+  for (auto& byte : digest.bytes) {
+    byte = static_cast<std::uint8_t>(~byte);
+  }
+  return digest;
+}
+
 /// @return the digests of the parts of the prompt that other requests to the service may share: all
 /// but the last one, which belongs to the request or its session; at most `kMaxSharedParts`.
 std::vector<registry::PromptPartDigest> sharedPartsOf(const std::string& service,
--- a/src/simulator/crash_campaign.cpp
+++ b/src/simulator/crash_campaign.cpp
@@ -106,12 +106,13 @@
          servedAfter >= kLeastServedAfter;
 }
 
-CrashCampaignResult runCrashCampaign(std::uint64_t seed, CrashLoad load) {
+CrashCampaignResult runCrashCampaign(std::uint64_t seed, CrashLoad load, CrashMoment moment) {
   base::Random random(seed);
   ServingFleetOptions options = drawFleet(random, seed);
   if (load == CrashLoad::busy) {
     makeBusy(random, options);
   }
+  drawCrashMoment(seed, moment, options);
   ServingFleet fleet(options);
   fleet.run(kCalm);
   fleet.countAnew();
@@ -127,9 +128,9 @@
   result.account = fleet.crashAccount();
   std::ostringstream text;
   text << (load == CrashLoad::busy ? "busy " : "") << "workers=" << options.workers
-       << " gateways=" << options.gateways << " crashing=" << result.account.requests
-       << " sends=" << result.account.sends << " crashes=" << result.account.crashes
-       << " cut-beside=" << result.account.cutBeside
+       << " gateways=" << options.gateways << " crash-events=" << options.worker.crashEvents
+       << " crashing=" << result.account.requests << " sends=" << result.account.sends
+       << " crashes=" << result.account.crashes << " cut-beside=" << result.account.cutBeside
        << " most-late-sends=" << result.account.mostLateSends
        << " innocents-refused=" << result.account.innocentsRefused
        << " served=" << result.servedInTrouble << " after=" << result.servedAfter
--- a/src/simulator/crash_campaign.h
+++ b/src/simulator/crash_campaign.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 
+#include "simulator/crash_moment.h"
 #include "simulator/serving_fleet.h"
 
 namespace walnut::simulator {
@@ -25,7 +26,8 @@
   busy,  ///< Requests queue at workers, so that a crash cuts many without a sign of an answer.
 };
 
-/// The same seed and load give the same result.
-CrashCampaignResult runCrashCampaign(std::uint64_t seed, CrashLoad load = CrashLoad::light);
+/// The same seed, load and moment give the same result.
+CrashCampaignResult runCrashCampaign(std::uint64_t seed, CrashLoad load = CrashLoad::light,
+                                     CrashMoment moment = CrashMoment::beforeEvents);
 
 }  // namespace walnut::simulator
--- a/src/simulator/part_campaign.cpp
+++ b/src/simulator/part_campaign.cpp
@@ -129,9 +129,10 @@
   return stopped && account.mostLateSends <= kMostLateSends && servedAfter >= kLeastServedAfter;
 }
 
-PartCampaignResult runPartCampaign(std::uint64_t seed) {
+PartCampaignResult runPartCampaign(std::uint64_t seed, CrashMoment moment) {
   base::Random random(seed);
-  const ServingFleetOptions options = drawFleet(random, seed);
+  ServingFleetOptions options = drawFleet(random, seed);
+  drawCrashMoment(seed, moment, options);
   ServingFleet fleet(options);
   fleet.run(kCalm);
   fleet.beginDisruption();
@@ -149,7 +150,8 @@
   result.servedAfter = fleet.servedShare();
   std::ostringstream text;
   text << "parts workers=" << options.workers << " gateways=" << options.gateways
-       << " requests/s=" << options.requestsPerSecond << troubles.description();
+       << " requests/s=" << options.requestsPerSecond
+       << " crash-events=" << options.worker.crashEvents << troubles.description();
   for (const PartAccount& part : result.parts) {
     text << " [" << part.description() << "]";
   }
--- a/src/simulator/part_campaign.h
+++ b/src/simulator/part_campaign.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "simulator/crash_moment.h"
 #include "simulator/serving_fleet.h"
 
 namespace walnut::simulator {
@@ -21,7 +22,8 @@
   bool passed() const;
 };
 
-/// The same seed gives the same result.
-PartCampaignResult runPartCampaign(std::uint64_t seed);
+/// The same seed and moment give the same result.
+PartCampaignResult runPartCampaign(std::uint64_t seed,
+                                   CrashMoment moment = CrashMoment::beforeEvents);
 
 }  // namespace walnut::simulator
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kMostKept = 64;
 /// Between the two pieces of an event.
 constexpr base::Duration kPieceGap = std::chrono::milliseconds(10);
+/// Between two events of the answer to a request that is about to crash its worker.
+constexpr base::Duration kCrashEventGap = std::chrono::milliseconds(20);
 /// Path of requests that may run once.
 constexpr const char* kOncePath = "/once/";
 
@@ -347,18 +349,34 @@
   keepRunning(call, inLoop);
   const base::Duration queued =
       scheduler_.random().between(base::Duration::zero(), options_.crashQueueTime);
-  if (showsHead) {
+  if (showsHead || options_.crashEvents > 0) {
     later(queued, call, inLoop, [call](auto& callbacks, const std::string& limit) {
       passHead(*call, kOk, "Sealed", limit, callbacks);
     });
   }
-  scheduler_.after(queued + options_.crashTime, [this, call, onCrash = std::move(onCrash)] {
+  const base::Duration answering = sendCrashEvents(queued, call, inLoop);
+  scheduler_.after(answering + options_.crashTime, [this, call, onCrash = std::move(onCrash)] {
     if (!call->cancelled && !crashed_) {
       onCrash();
     }
   });
 }
 
+base::Duration ServingWorker::sendCrashEvents(base::Duration delay,
+                                              const std::shared_ptr<ServingCall>& call,
+                                              const InLoop& inLoop) {
+  const std::uint64_t last = call->request.headers.findNumber("Resume").value_or(0);
+  for (std::uint32_t event = 1; event <= options_.crashEvents; ++event) {
+    delay += event == 1 ? base::Duration::zero() : kCrashEventGap;
+    later(delay, call, inLoop,
+          [text = "id: " + std::to_string(last + event) + "\n\n"](net::ResponseCallbacks& callbacks,
+                                                                  const std::string&) {
+            callbacks.onResponseBody(text);
+          });
+  }
+  return delay;
+}
+
 void ServingWorker::keepRunning(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop) {
   if (running_.size() >= kMostKept) {
     std::erase_if(running_, [](const Running& running) { return running.call->cancelled; });
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -68,7 +68,11 @@
   base::Duration adapterTime = std::chrono::milliseconds(10);
   /// Share of the answers of a sound worker that are errors all the same.
   double strayErrors = 0.01;
-  /// From when a worker begins to run a request that crashes it.
+  /// Events of the answer to a request that crashes its worker, which the worker sends once it runs
+  /// the request; with any, the head of the answer comes before.
+  std::uint32_t crashEvents = 0;
+  /// From the last of these events to the crash; without any, from when the worker runs the
+  /// request.
   base::Duration crashTime = std::chrono::milliseconds(80);
   /// Longest time that such a request waits in its queue before.
   base::Duration crashQueueTime = std::chrono::milliseconds(900);
@@ -166,6 +170,10 @@
   /// Sends that event and those that follow.
   void sendEvent(std::uint64_t id, bool isFirst, const std::shared_ptr<ServingCall>& call,
                  const InLoop& inLoop);
+  /// Sends events of the answer to a request that is about to crash the worker.
+  /// @return the time until the last one.
+  base::Duration sendCrashEvents(base::Duration delay, const std::shared_ptr<ServingCall>& call,
+                                 const InLoop& inLoop);
   void deliver(const std::shared_ptr<ServingCall>& call, const InLoop& inLoop,
                const std::function<void()>& callback);
   void remember(std::vector<std::string>& copies, const std::string& model);
--- a/test/gateway/request_quarantine_test.cpp
+++ b/test/gateway/request_quarantine_test.cpp
@@ -78,12 +78,19 @@
   CHECK_EQUAL(2, harness.link.cuts[0].cuts.size());
 }
 
-TEST(RequestQuarantineTest, aCutStreamThatHadAnEventIsNotReported) {
-  const auto caller = request("bound", "r1");
+TEST(RequestQuarantineTest, aCutStreamIsReportedUntilItsWorkerHasSurvivedIt) {
+  const auto cutEarly = request("bound", "r1", "one");
   harness.head(lastSent(), 200, "r1", true);
   lastSent().callbacks->onResponseBody("id: 1\n\n");
   harness.lose(lastSent());
-  CHECK(harness.link.cuts.empty());
+  CHECK_EQUAL(1, harness.link.cuts.size());
+  const auto cutLate = request("bound", "r2", "two");
+  harness.head(lastSent(), 200, "r2", true);
+  lastSent().callbacks->onResponseBody("id: 1\n\n");
+  harness.scheduler.advance(1s);
+  lastSent().callbacks->onResponseBody("id: 2\n\n");
+  harness.lose(lastSent());
+  CHECK_EQUAL(1, harness.link.cuts.size());
 }
 
 TEST(RequestQuarantineTest, aCutStreamThatHadOnlyAHeadIsReported) {
--- a/test/simulator/crashing_part_test.cpp
+++ b/test/simulator/crashing_part_test.cpp
@@ -53,6 +53,18 @@
   checkIsStopped();
 }
 
+// Guards against a part that is held sound as soon as an event of any answer has come.
+TEST(CrashingPartTest, theyStopIfEventsOfAnAnswerComeBeforeTheCrash) {
+  options.worker.crashEvents = 2;
+  checkIsStopped();
+}
+
+TEST(CrashingPartTest, theyStopIfTheCrashComesSomeTimeAfterTheFirstEvent) {
+  options.worker.crashEvents = 1;
+  options.worker.crashTime = 300ms;
+  checkIsStopped();
+}
+
 TEST(CrashingPartTest, theyStopIfTheFirstPartIsTheOneThatCrashes) {
   part.place = 0;
   checkIsStopped();
@@ -71,3 +83,11 @@
     CHECK_TEXT(result.passed(), result.description.c_str());
   }
 }
+
+TEST(CrashingPartTest, besideOtherFaultsTheyStopHoweverFarTheAnswerGoes) {
+  constexpr std::uint64_t kCampaignSeeds = 10;
+  for (std::uint64_t seed = 1; seed <= kCampaignSeeds; ++seed) {
+    const PartCampaignResult result = runPartCampaign(seed, CrashMoment::whileAnswering);
+    CHECK_TEXT(result.passed(), result.description.c_str());
+  }
+}
--- a/test/simulator/crashing_request_test.cpp
+++ b/test/simulator/crashing_request_test.cpp
@@ -50,6 +50,22 @@
   checkIsStopped(1, false);
 }
 
+// Guards against a request that is held innocent as soon as an event of its answer has come.
+TEST(CrashingRequestTest, aRequestThatCrashesItsWorkersAfterAnEventIsStopped) {
+  options.worker.crashEvents = 1;
+  checkIsStopped(1, true);
+  checkIsStopped(2, false);
+}
+
+TEST(CrashingRequestTest, besideRequestsThatQueueTheyAreStoppedHoweverFarTheAnswerGoes) {
+  constexpr std::uint64_t kCampaignSeeds = 8;
+  for (std::uint64_t seed = 1; seed <= kCampaignSeeds; ++seed) {
+    const CrashCampaignResult result =
+        runCrashCampaign(seed, CrashLoad::busy, CrashMoment::whileAnswering);
+    CHECK_TEXT(result.passed(), result.description.c_str());
+  }
+}
+
 TEST(CrashingRequestTest, severalRequestsThatCrashTheirWorkersAreStopped) {
   checkIsStopped(3, false);
 }
