gateway: a stream keeps to its version also where a worker may have restarted under its name

Cause: a gateway that was cut off from the leader sent the stream on to the name of a worker that had restarted in place with other software; the record in its view was older than the end of the worker's connections, which it had seen. Change: a record is current while views come, or if a connection to the worker has been open since. Else a stream that keeps to a version waits for a view, and the origin of a stream that begins there is not told.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -117,10 +117,13 @@
     return;
   }
   waitsForRetry_ = false;
-  const Selection selection = context_.selector().select(service_, facts_, filter(), now());
+  const Selection selection = selectWorker();
   if (selection.worker == nullptr) {
     leaveLateStarts();
   }
+  if (waitsForCurrentRecord(selection)) {
+    return;
+  }
   if (selection.requestable != nullptr) {
     requestShare(*selection.requestable);
     return;
@@ -149,6 +152,7 @@
   worker_ = worker;
   ++startedAttempts_;
   attemptAt_ = now();
+  wasRecordCurrent_ = !isStreaming() || context_.isRecordCurrent(*worker);
   wasWorkerFull_ = worker->full();
   isHeadReceived_ = false;
   accepted_ = false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -56,6 +56,9 @@
                                          net::ResponseCallbacks& callbacks) = 0;
   /// @return true if a request to that worker would need no new connection.
   virtual bool connected(const registry::WorkerId& worker) const = 0;
+  /// @return true if some connection to that worker has been open since then, so that it has not
+  /// restarted.
+  virtual bool connectedSince(const registry::WorkerId& worker, base::TimePoint time) const = 0;
   /// Closes the idle connections to a worker that has been removed, or of which one connection
   /// became unresponsive. Open connections may become unresponsive together, without a reset, while
   /// new ones work.
@@ -148,6 +151,9 @@
                                                           const std::string& model) const = 0;
   virtual LateStarts& lateStarts() = 0;
   virtual StreamOrigins& streamOrigins() = 0;
+  /// @return true if the worker's record is that of the process which takes requests now. A worker
+  /// may have restarted under its name, with other software, since the leader was last heard.
+  virtual bool isRecordCurrent(const Worker& worker) const = 0;
   /// @name Requests that wait for a model at a worker of one software version
   /// @{
   virtual void versionWaitBegan(const std::string& service, const RequestFacts& facts,
@@ -234,6 +240,8 @@
   void originFound(const StreamOriginResult& result);
   void recordOrigin();
   bool hasNoWorkerOfVersion(const Selection& selection) const;
+  Selection selectWorker() const;
+  bool waitsForCurrentRecord(const Selection& selection);
   WorkerFilter filter() const;
   /// @}
   const registry::RequestDigest& digest();
@@ -387,6 +395,7 @@
   std::unique_ptr<Attempt> attempt_;
   WorkerDirectory::WorkerPtr worker_;
   base::TimePoint attemptAt_;
+  bool wasRecordCurrent_ = true;    ///< The worker's software version was certain at the start.
   bool wasWorkerFull_ = false;      ///< All slots were taken at the start of the attempt.
   base::Duration stallTimeout_{0};  ///< Stall timeout as last armed.
   /// The stream stays at a silent worker since it would have begun too late elsewhere.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,11 @@
 constexpr int kUnavailable = 503;
 /// Time that early requests wait for the first document after a start: little more than an election
 /// takes.
+/// Time after a view for which the records in it count as current: twice the interval in which
+/// leaders send views, and less than a load of a model takes.
+constexpr base::Duration kViewValidity = std::chrono::milliseconds(500);
+/// Time from the start of a worker after which views have its record.
+constexpr base::Duration kRegistrationTime = std::chrono::seconds(1);
 constexpr base::Duration kEarlyRequestTimeout = std::chrono::milliseconds(1500);
 constexpr std::size_t kMaxEarlyRequests = 256;
 
@@ -74,6 +79,7 @@
 }
 
 void Gateway::viewReceived(const registry::ViewUpdate& update) {
+  viewedAt_ = scheduler_.now();
   directory_.apply(update);
   applyLimits(update);
   refreshTimings(update);
@@ -144,6 +150,13 @@
   reportCutsSoon();
 }
 
+/// A worker that restarts is empty until the leader has it load a model, so that it writes no
+/// stream before the leader knows it.
+bool Gateway::isRecordCurrent(const Worker& worker) const {
+  return scheduler_.now() <= viewedAt_ + kViewValidity ||
+         launcher_.connectedSince(worker.view.record.id, viewedAt_ - kRegistrationTime);
+}
+
 void Gateway::suspectAnswered(const registry::RequestDigest& request) {
   quarantine_.addAnswered(request);
   reportCutsSoon();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -159,6 +159,7 @@
   LateStarts& lateStarts() override { return lateStarts_; }
   BufferBudget& buffers() override { return buffers_; }
   StreamOrigins& streamOrigins() override { return streamOrigins_; }
+  bool isRecordCurrent(const Worker& worker) const override;
   std::uint64_t documentVersion() const override;
   bool hasLeader() const override { return session_.following(); }
   void exchangeEnded(Exchange& exchange, int status) override;
@@ -316,6 +317,7 @@
   base::TimePoint demandReportedAt_;
   base::TimePoint demandDueAt_;
   const base::TimePoint startedAt_;  ///< Of the process.
+  base::TimePoint viewedAt_;         ///< When the last view came.
   GatewayCount gatewayCount_{kInitialGatewayCount};
   std::map<std::string, routing::RetryBudget> budgets_;  ///< By service.
   bool followedBefore_ = false;                          ///< This process has followed a leader.
--- a/src/gateway/pooled_launcher.h
+++ b/src/gateway/pooled_launcher.h
@@ -18,6 +18,9 @@
   bool connected(const registry::WorkerId& worker) const override {
     return pool_.hasIdle(worker.value);
   }
+  bool connectedSince(const registry::WorkerId& worker, base::TimePoint time) const override {
+    return pool_.hasIdleSince(worker.value, time);
+  }
   void forget(const registry::WorkerId& worker) override { pool_.forget(worker.value); }
 
  private:
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -44,7 +44,8 @@
 
 ClientConnection::ClientConnection(event::Dispatcher& dispatcher, const base::Endpoint& remote,
                                    const ClientTimeouts& timeouts, std::uint64_t number)
-    : number_(number),
+    : dispatcher_(dispatcher),
+      number_(number),
       connection_(dispatcher, remote, timeouts.connect, timeouts.unacked, *this),
       parser_(MessageParser::Kind::response, kMaxResponseHeadBytes, *this) {}
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -46,6 +46,8 @@
   void cancel();
 
   std::uint64_t number() const { return number_; }
+  /// @return when the connection was established; kNever before.
+  base::TimePoint connectedAt() const { return connectedAt_; }
   /// @return true if the connection carried other requests before the current one: one more
   /// response to any of them may still come.
   bool carriedOthers() const { return requests_ > 1; }
@@ -60,6 +62,7 @@
   void setReading(bool enabled) { connection_.setReading(enabled); }
 
  private:
+  void onConnected() override { connectedAt_ = dispatcher_.now(); }
   void onData(std::string_view bytes) override;
   void onEndOfStream() override;
   void onEnd(const base::Error& error) override;
@@ -72,7 +75,9 @@
   void fail(const base::Error& error);
   void handleIdleEnd();
 
+  event::Dispatcher& dispatcher_;
   const std::uint64_t number_;
+  base::TimePoint connectedAt_ = base::kNever;
   std::uint64_t requests_ = 0;  ///< That were sent on the connection.
   Connection connection_;
   MessageParser parser_;
--- a/src/net/client_pool.cpp
+++ b/src/net/client_pool.cpp
@@ -40,6 +40,13 @@
   return found != idle_.end() && !found->second.empty();
 }
 
+bool ClientPool::hasIdleSince(const std::string& key, base::TimePoint time) const {
+  const auto found = idle_.find(key);
+  return found != idle_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [time](const Idle& idle) { return idle.connection->connectedAt() <= time; });
+}
+
 void ClientPool::release(const std::string& key, std::unique_ptr<ClientConnection> connection) {
   const base::Duration limit =
       connection->keepAliveTimeout().value_or(options_.defaultIdleTimeout) -
--- a/src/net/client_pool.h
+++ b/src/net/client_pool.h
@@ -44,6 +44,8 @@
                                             const ConnectionChoice& choice = {});
   /// @return true if `acquire` would return an idle connection.
   bool hasIdle(const std::string& key) const;
+  /// @return true if some idle connection was established by then, and has been open since.
+  bool hasIdleSince(const std::string& key, base::TimePoint time) const;
   /// Returns a connection to the pool after its response; closes it if it is not reusable. May be
   /// called from within a callback of the connection.
   void release(const std::string& key, std::unique_ptr<ClientConnection> connection);
--- a/src/simulator/fleet_gateway.cpp
+++ b/src/simulator/fleet_gateway.cpp
@@ -26,6 +26,7 @@
     return nullptr;
   }
   bool connected(const registry::WorkerId&) const override { return true; }
+  bool connectedSince(const registry::WorkerId&, base::TimePoint) const override { return true; }
   void forget(const registry::WorkerId&) override {}
 };
 
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -17,6 +17,8 @@
 /// Term of a cell without a leader yet.
 constexpr consensus::Term kFoundingTerm = 1;
 const char* const kFirstVersion = "v1";  ///< Of the workers' software.
+/// Start of the first workers by their clocks.
+constexpr std::uint64_t kFirstBornMillis = 1;
 /// How often a leader looks for what is due.
 constexpr base::Duration kLeaderTurn = std::chrono::milliseconds(10);
 
@@ -45,6 +47,7 @@
     record.endpoint = {"10.1.0.1", static_cast<std::uint16_t>(index + 1)};
     record.slots = options.worker.slots;
     record.softwareVersion = kFirstVersion;
+    record.bornMillis = kFirstBornMillis;
     state_.apply(registry::StoreWorker{record});
     workers_.push_back(std::make_unique<ServingWorker>(record, options.worker, scheduler_));
   }
@@ -229,15 +232,25 @@
                    [this, worker] { beat(worker); });
 }
 
+/// @return the worker that takes what is sent to that one: itself, or a later incarnation under the
+/// same name at the same endpoint.
 ServingWorker* ServingFleet::find(const registry::WorkerId& id) {
-  const auto found = std::find_if(workers_.begin(), workers_.end(), [&id](const auto& worker) {
-    return worker->record().id == id && !worker->crashed();
+  const std::string name = id.value.substr(0, id.value.find('#'));
+  const auto found = std::find_if(workers_.begin(), workers_.end(), [&](const auto& worker) {
+    const registry::WorkerRecord& record = worker->record();
+    return (record.id == id || record.calledName() == name) && !worker->crashed();
   });
   return found == workers_.end() ? nullptr : found->get();
 }
 
 // Links of the gateways
 
+bool ServingFleet::isUp(const registry::WorkerId& process) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&process](const auto& worker) {
+    return worker->record().id == process && !worker->crashed();
+  });
+}
+
 void ServingFleet::toWorker(std::size_t gateway, const registry::WorkerRecord& record,
                             std::shared_ptr<ServingCall> call) {
   call->sentAt = scheduler_.now();
@@ -268,6 +281,7 @@
     });
     return;
   }
+  call->connection->process = worker->record().id;
   noteLimitedArrival(gateway, call, *worker);
   retryAccount_.arrived(*call->request.headers.find("Id"), scheduler_.now());
   if (const auto crashing = call->request.headers.findNumber(kCrashingField)) {
--- a/src/simulator/serving_fleet.h
+++ b/src/simulator/serving_fleet.h
@@ -17,6 +17,7 @@
 #include "simulator/limit_account.h"
 #include "simulator/part_account.h"
 #include "simulator/retry_account.h"
+#include "simulator/serving_accounts.h"
 #include "simulator/serving_gateway.h"
 #include "simulator/serving_worker.h"
 #include "simulator/stream_account.h"
@@ -101,72 +102,6 @@
   std::vector<Cut> cut;
 };
 
-/// Loads from the weight store that workers took.
-struct StoreAccount {
-  std::uint64_t loads = 0;
-  std::uint64_t onDiskElsewhere = 0;  ///< Of models that another live worker's disk had.
-  std::uint64_t servedElsewhere = 0;  ///< Of models that another live worker served.
-  /// Of models that another live worker's disk had, taken while a model that none had or was
-  /// loading had been asked for within the time that a caller stays.
-  std::uint64_t whileOthersNeededIt = 0;
-};
-
-/// Tries that followed a refusal with a Retry-After, since counting began.
-struct ReturnAccount {
-  std::uint64_t tries = 0;
-  std::uint64_t served = 0;
-
-  double servedShare() const {
-    return tries == 0 ? 1 : static_cast<double>(served) / static_cast<double>(tries);
-  }
-};
-
-/// What callers were told who were refused with a Retry-After while no worker served their model,
-/// and when a worker had loaded it, since counting began.
-struct ForecastAccount {
-  std::vector<base::Duration> errors;  ///< Time until the load's end, less the time told.
-  std::uint64_t inPatience = 0;        ///< Loads that ended before the caller would have given up.
-
-  /// @return the median of the errors; zero if there are none.
-  base::Duration medianError() const;
-};
-
-/// How a gateway that is cut off from all workers finds its connections to them.
-enum class WorkerCut : std::uint8_t {
-  hang,    ///< Nothing comes back.
-  reset,   ///< All connections are reset, and new ones are refused.
-  refuse,  ///< What is under way goes on, and new connections are refused.
-};
-
-/// First tries of callers while some gateways are cut off from all workers, from
-/// ServingFleet::kContact after a cut began until its end.
-struct FirstTryAccount {
-  struct Count {
-    std::uint64_t sent = 0;
-    std::uint64_t served = 0;
-
-    double servedShare() const {
-      return sent == 0 ? 1 : static_cast<double>(served) / static_cast<double>(sent);
-    }
-  };
-  Count cutOff;  ///< At gateways that are cut off.
-  Count others;
-
-  /// @return true if first tries at gateways that are cut off are served less than two thirds as
-  /// often as those at the others, and more than 10 and a fiftieth of all fail there.
-  bool broken() const;
-};
-
-/// Requests that were refused as not run, since counting began.
-struct RefusalAccount {
-  std::vector<base::Duration> after;  ///< For each, from its arrival at the gateway.
-  std::uint64_t withoutRetryAfter = 0;
-  std::map<std::string, std::uint64_t> reasons;  ///< As logged.
-
-  /// @return the time that all but a hundredth took at most.
-  base::Duration mostlyAfter() const;
-};
-
 class ServingFleet : private ServingGatewayLinks {
  public:
   explicit ServingFleet(const ServingFleetOptions& options);
@@ -255,6 +190,9 @@
   void releaseVersion(base::Duration begin, base::Duration pause, const std::string& version);
   /// So many workers crash, and are back a little later with the same version.
   void crashWorkers(base::Duration begin, std::size_t count);
+  /// So many workers end, and are back at their endpoints under the names that they had.
+  void restartInPlace(base::Duration begin, std::size_t count, base::Duration down,
+                      const std::string& version);
   /// Connections between gateways and workers are reset, of a share of what is under way.
   void resetConnections(base::Duration begin, double share);
   const VersionAccount& versions() const { return versions_; }
@@ -356,6 +294,7 @@
   void toLeader(std::size_t gateway, registry::MessageBody message) override;
   void toWorker(std::size_t gateway, const registry::WorkerRecord& worker,
                 std::shared_ptr<ServingCall> call) override;
+  bool isUp(const registry::WorkerId& process) const override;
   void logged(std::size_t gateway, runtime::LogEvent event,
               std::initializer_list<runtime::EventField> fields) override;
 
@@ -380,6 +319,7 @@
   void noteStreamError(const Caller& caller);
   std::vector<std::size_t> drawServing(std::size_t count);
   void replaceWorker(std::size_t index, const std::string& version);
+  void beginNextLife(std::size_t index, const std::string& version);
   void endIfIdle(std::size_t index);
   void endCallsOf(std::size_t gateway);
   /// @return true if two or more workers of it serve.
@@ -425,7 +365,6 @@
   void noteSoundSent(Caller& caller);
   void noteSoundBegan(Caller& caller);
   void noteCrash(const ServingWorker& worker);
-  /// @return at how many crashes it was cut.
   /// @return when leaders were told that the request was cut at that crash, or that they were not.
   std::string describeReport(const CrashRecord& crash, const std::string& body) const;
   void noteCutLogged(std::initializer_list<runtime::EventField> fields);
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -71,7 +71,8 @@
 
 class CallLauncher : public gateway::AttemptLauncher {
  public:
-  CallLauncher(std::size_t index, ServingGatewayLinks& links) : index_(index), links_(links) {}
+  CallLauncher(std::size_t index, Scheduler& scheduler, ServingGatewayLinks& links)
+      : index_(index), scheduler_(scheduler), links_(links) {}
 
   std::unique_ptr<gateway::Attempt> start(const registry::WorkerRecord& worker,
                                           const net::HttpRequest& request,
@@ -86,6 +87,13 @@
     return std::make_unique<CallAttempt>(std::move(call), idle_[worker.id]);
   }
   bool connected(const registry::WorkerId&) const override { return true; }
+  bool connectedSince(const registry::WorkerId& worker, base::TimePoint time) const override {
+    const auto found = idle_.find(worker);
+    return found != idle_.end() &&
+           std::any_of(found->second.begin(), found->second.end(), [&](const auto& connection) {
+             return connection->openedAt <= time && links_.isUp(connection->process);
+           });
+  }
   void forget(const registry::WorkerId&) override {}
 
  private:
@@ -112,6 +120,8 @@
   std::shared_ptr<ServingConnection> connect(const registry::WorkerId& worker,
                                              const net::ConnectionChoice& choice) {
     Connections& idle = idle_[worker];
+    std::erase_if(idle,
+                  [this](const auto& connection) { return !links_.isUp(connection->process); });
     const auto found = std::find_if(idle.rbegin(), idle.rend(), [&choice](const auto& connection) {
       return !choice.mustBeNew && std::find(choice.excluded.begin(), choice.excluded.end(),
                                             connection->number) == choice.excluded.end();
@@ -119,6 +129,7 @@
     if (found == idle.rend()) {
       auto made = std::make_shared<ServingConnection>();
       made->number = ++lastConnection_;
+      made->openedAt = scheduler_.now();
       return made;
     }
     std::shared_ptr<ServingConnection> connection = *found;
@@ -127,6 +138,7 @@
   }
 
   const std::size_t index_;
+  Scheduler& scheduler_;
   ServingGatewayLinks& links_;
   std::map<registry::WorkerId, Connections> idle_;
   std::uint64_t lastConnection_ = 0;
@@ -165,7 +177,7 @@
         links(fleet),
         loop(time),
         log(number, fleet),
-        launcher(number, fleet),
+        launcher(number, time, fleet),
         session(sessionOptions(), loop, *this, log, number + 1),
         gateway(options, loop, dialect, launcher, session, log, metrics),
         follower(loop, session, gateway, log) {}
--- a/src/simulator/serving_gateway.h
+++ b/src/simulator/serving_gateway.h
@@ -21,6 +21,8 @@
   virtual void toLeader(std::size_t gateway, registry::MessageBody message) = 0;
   virtual void toWorker(std::size_t gateway, const registry::WorkerRecord& worker,
                         std::shared_ptr<ServingCall> call) = 0;
+  /// @return true if that incarnation of a worker has not ended.
+  virtual bool isUp(const registry::WorkerId& process) const = 0;
   /// A line of the gateway's decision log.
   virtual void logged(std::size_t gateway, runtime::LogEvent event,
                       std::initializer_list<runtime::EventField> fields) = 0;
--- a/src/simulator/serving_versions.cpp
+++ b/src/simulator/serving_versions.cpp
@@ -17,6 +17,8 @@
 constexpr base::Duration kLeavingCheck = std::chrono::milliseconds(100);
 /// Until a worker that was crashed is back.
 constexpr base::Duration kWorkerDown = std::chrono::milliseconds(1500);
+/// From when a worker that restarted in place takes requests to its first heartbeat.
+constexpr base::Duration kLongestUnregistered = std::chrono::milliseconds(200);
 constexpr std::size_t kLeastWorkersOfVersion = 2;
 
 }  // namespace
@@ -87,6 +89,33 @@
   });
 }
 
+void ServingFleet::restartInPlace(base::Duration begin, std::size_t count, base::Duration down,
+                                  const std::string& version) {
+  scheduler_.after(begin, [this, count, down, version] {
+    for (const std::size_t index : drawServing(count)) {
+      noteBroken(*workers_[index]);
+      workers_[index]->crash();
+      scheduler_.after(down, [this, index, version] { beginNextLife(index, version); });
+    }
+  });
+}
+
+/// The worker is empty but for its disk. It takes requests some time before its first heartbeat.
+void ServingFleet::beginNextLife(std::size_t index, const std::string& version) {
+  registry::WorkerRecord record = workers_[index]->record();
+  record.name = record.calledName();
+  record.bornMillis = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(scheduler_.now().time_since_epoch())
+          .count());
+  record.id = registry::workerIdOf(record.name, record.bornMillis);
+  record.softwareVersion = version;
+  auto next = std::make_unique<ServingWorker>(record, options_.worker, scheduler_);
+  next->setOnDisk(workers_[index]->onDisk());
+  formerWorkers_.push_back(std::exchange(workers_[index], std::move(next)));
+  scheduler_.after(scheduler_.random().between(base::Duration::zero(), kLongestUnregistered),
+                   [this, index] { heard(*workers_[index]); });
+}
+
 void ServingFleet::resetConnections(base::Duration begin, double share) {
   scheduler_.after(begin, [this, share] {
     for (const auto& worker : workers_) {
--- a/src/simulator/serving_worker.cpp
+++ b/src/simulator/serving_worker.cpp
@@ -55,7 +55,7 @@
 }
 
 registry::WorkerReport ServingWorker::report() const {
-  return {holdings_, {}, orderUnderWay_, orderCount_};
+  return {holdings_, {}, orderUnderWay_, orderCount_, record_.bornMillis};
 }
 
 bool ServingWorker::holds(const std::string& model) const {
--- a/src/simulator/serving_worker.h
+++ b/src/simulator/serving_worker.h
@@ -30,6 +30,8 @@
 struct ServingConnection {
   std::uint64_t number = 0;
   std::uint64_t requests = 0;  ///< That were sent on it.
+  base::TimePoint openedAt;
+  registry::WorkerId process;  ///< Incarnation of the worker that it reached; empty before.
   /// An answer that the worker sends once more, in the place of the next one.
   std::optional<net::MessageHead> repeated;
   bool inDoubt = false;  ///< An answer to another request came, so it isn't used again.
--- a/src/simulator/version_campaign.cpp
+++ b/src/simulator/version_campaign.cpp
@@ -110,22 +110,99 @@
   std::ostringstream text_;
 };
 
-}  // namespace
+/// Draws faults around one moment at which all gateways are killed.
+class RejoinedTroubles {
+ public:
+  RejoinedTroubles(base::Random& random, ServingFleet& fleet, const ServingFleetOptions& options)
+      : random_(random), fleet_(fleet), options_(options), killAt_(drawKill(random)) {}
 
-VersionCampaignResult runVersionCampaign(std::uint64_t seed) {
+  void add() {
+    for (std::size_t gateway = 0; gateway < options_.gateways; ++gateway) {
+      fleet_.later(killAt_, [gateway](ServingFleet& fleet) { fleet.restartGateway(gateway); });
+    }
+    release();
+    restartInPlace();
+    repeat("cuts", kMostGatewayCuts, [this] { cutGateway(); });
+    repeat("leader-changes", kMostLeaderChanges, [this] {
+      const base::Duration gap =
+          random_.between(std::chrono::milliseconds(100), std::chrono::seconds(2));
+      fleet_.later(near(std::chrono::milliseconds(500)),
+                   [gap](ServingFleet& fleet) { fleet.changeLeader(gap); });
+    });
+    repeat("crashes", kMostCrashes, [this] {
+      fleet_.crashWorkers(near(std::chrono::seconds(3)), random_.uniform(1, options_.workers / 3));
+    });
+    repeat("resets", kMostResets, [this] {
+      fleet_.resetConnections(near(std::chrono::seconds(3)), 0.3 + 0.5 * random_.unit());
+    });
+  }
+  std::string description() const { return text_.str(); }
+
+ private:
+  static base::Duration drawKill(base::Random& random) {
+    return random.between(std::chrono::seconds(8), std::chrono::seconds(18));
+  }
+  /// @return a time at most so long before or after the kill.
+  base::Duration near(base::Duration distance) {
+    return random_.between(killAt_ - distance, killAt_ + distance);
+  }
+  void repeat(const char* name, std::uint64_t most, const std::function<void()>& fault) {
+    const std::uint64_t times = random_.uniform(0, most);
+    for (std::uint64_t count = 0; count < times; ++count) {
+      fault();
+    }
+    text_ << " " << name << "=" << times;
+  }
+  void release() {
+    const std::uint64_t releases = random_.uniform(0, kMostReleases);
+    for (std::uint64_t count = 0; count < releases; ++count) {
+      const base::Duration pause =
+          random_.between(std::chrono::milliseconds(50), std::chrono::milliseconds(1500));
+      fleet_.releaseVersion(near(std::chrono::seconds(6)), pause, newVersion());
+    }
+    text_ << " releases=" << releases;
+  }
+  void restartInPlace() {
+    const std::uint64_t restarts = random_.uniform(1, kMostReleases);
+    for (std::uint64_t count = 0; count < restarts; ++count) {
+      const base::Duration down =
+          random_.between(std::chrono::milliseconds(50), std::chrono::milliseconds(800));
+      fleet_.restartInPlace(near(std::chrono::seconds(3)), random_.uniform(1, options_.workers / 2),
+                            down, newVersion());
+    }
+    text_ << " in-place=" << restarts;
+  }
+  void cutGateway() {
+    const std::size_t gateway = random_.uniform(0, options_.gateways - 1);
+    const base::Duration lasts = random_.between(std::chrono::seconds(1), std::chrono::seconds(8));
+    fleet_.later(near(std::chrono::seconds(5)),
+                 [gateway, lasts](ServingFleet& fleet) { fleet.cutGateway(gateway, lasts); });
+  }
+  std::string newVersion() { return "v1." + std::to_string(++lastVersion_); }
+
+  base::Random& random_;
+  ServingFleet& fleet_;
+  const ServingFleetOptions& options_;
+  const base::Duration killAt_;
+  std::uint64_t lastVersion_ = 0;
+  std::ostringstream text_;
+};
+
+template <class Troubles>
+VersionCampaignResult runCampaign(std::uint64_t seed, const char* name) {
   base::Random random(seed);
   const ServingFleetOptions options = drawFleet(random, seed);
   ServingFleet fleet(options);
   fleet.run(kCalm);
   fleet.countAnew();
-  VersionTroubles troubles(random, fleet, options);
+  Troubles troubles(random, fleet, options);
   troubles.add();
   fleet.run(kTrouble);
   VersionCampaignResult result;
   result.account = fleet.versions();
   result.streamError = fleet.streamError();
   std::ostringstream text;
-  text << "versions workers=" << options.workers << " gateways=" << options.gateways
+  text << name << " workers=" << options.workers << " gateways=" << options.gateways
        << " requests/s=" << options.requestsPerSecond << " retries=" << options.retries
        << troubles.description() << " " << result.account.description()
        << " served=" << fleet.servedShare();
@@ -136,4 +213,14 @@
   return result;
 }
 
+}  // namespace
+
+VersionCampaignResult runVersionCampaign(std::uint64_t seed) {
+  return runCampaign<VersionTroubles>(seed, "versions");
+}
+
+VersionCampaignResult runRejoinedCampaign(std::uint64_t seed) {
+  return runCampaign<RejoinedTroubles>(seed, "rejoined");
+}
+
 }  // namespace walnut::simulator
--- a/src/simulator/version_campaign.h
+++ b/src/simulator/version_campaign.h
@@ -23,4 +23,9 @@
 /// The same seed gives the same result.
 VersionCampaignResult runVersionCampaign(std::uint64_t seed);
 
+/// The same with all gateways killed at once, and releases, workers that restart in place with
+/// another version, changes of the leader and gateways that are cut off from it at nearly that
+/// time.
+VersionCampaignResult runRejoinedCampaign(std::uint64_t seed);
+
 }  // namespace walnut::simulator
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -189,11 +189,15 @@
   }
 
   bool connected(const registry::WorkerId&) const override { return true; }
+  bool connectedSince(const registry::WorkerId&, base::TimePoint) const override {
+    return !hasLostConnections;
+  }
   void forget(const registry::WorkerId& worker) override { forgotten.push_back(worker); }
 
   std::vector<registry::WorkerId> forgotten;
   /// Requests go on connections that carried others, unless they have to be new.
   bool keepsConnections = false;
+  bool hasLostConnections = false;  ///< No connection has been open since the last view.
 
  private:
   struct Recorded : Attempt {
--- a/test/gateway/stream_version_test.cpp
+++ b/test/gateway/stream_version_test.cpp
@@ -260,3 +260,36 @@
   const auto attempts = harness.log.of(runtime::LogEvent::attemptStarted);
   STRCMP_EQUAL("v1", attempts.back().fields.at("version").c_str());
 }
+
+// Guards against texts of two versions: a worker that restarted in place takes what is sent to the
+// former one, while this gateway still has the former record.
+TEST(StreamVersionTest, aStreamWaitsForANewerViewIfTheWorkersMayHaveRestarted) {
+  declare({"v1", "v1"});
+  const auto caller = beginStream("s1");
+  harness.scheduler.advance(600ms);
+  harness.launcher.hasLostConnections = true;
+  harness.lose(lastSent());
+  harness.scheduler.advance(500ms);
+  CHECK_EQUAL(1, sentCount());
+  harness.gateway.viewReceived({});
+  harness.scheduler.advance(100ms);
+  CHECK_EQUAL(2, sentCount());
+}
+
+TEST(StreamVersionTest, aStreamGoesOnWithoutAViewWhereAConnectionHasBeenOpenSince) {
+  declare({"v1", "v1"});
+  const auto caller = beginStream("s1");
+  harness.scheduler.advance(600ms);
+  harness.lose(lastSent());
+  CHECK_EQUAL(2, sentCount());
+}
+
+TEST(StreamVersionTest, whereAStreamBeganIsNotToldIfItsWorkerMayHaveRestarted) {
+  declare({"v1"});
+  harness.follow();
+  harness.scheduler.advance(600ms);
+  harness.launcher.hasLostConnections = true;
+  const auto caller = beginStream("s1");
+  harness.advanceFollowing(200ms);
+  CHECK_TRUE(harness.link.streams.empty());
+}
