--- a/src/simulator/serving_crashes.cpp
+++ b/src/simulator/serving_crashes.cpp
@@ -109,6 +109,7 @@
 /// It comes back empty, under another id and at the same endpoint; its disk is kept.
 void ServingFleet::restartWorker(std::size_t index) {
   registry::WorkerRecord record = workers_[index]->record();
+  record.name.clear();
   record.id = {"w" + std::to_string(index) + "." + std::to_string(++lastIncarnation_)};
   auto next = std::make_unique<ServingWorker>(record, options_.worker, scheduler_);
   next->setOnDisk(workers_[index]->onDisk());
--- a/src/simulator/serving_versions.cpp
+++ b/src/simulator/serving_versions.cpp
@@ -58,6 +58,7 @@
   registry::WorkerRecord record = workers_[index]->record();
   const std::string id = "n" + std::to_string(++lastIncarnation_);
   record.id = {id};
+  record.name.clear();
   record.endpoint.port = static_cast<std::uint16_t>(workers_.size() + 1);
   record.softwareVersion = version;
   workers_[index]->beginLeaving();
