registry: how elections end, how long syncs take, and which workers may be ordered are told

Logs showed changes of role and "no leader is known", but neither how an election ended, whose votes were missing, nor how long a sync took, so that the hypotheses in the postmortem's draft can't be told apart. Change: `election-ended` and `walnut_registry_elections_total`; `sync-slow` beside the histogram that was there; `walnut_registry_leader_known`, `walnut_registry_voters_silent`, `walnut_registry_workers` and `walnut_registry_workers_orderable`. No decision changes.

--- a/include/walnut/consensus/raft.h
+++ b/include/walnut/consensus/raft.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "walnut/base/error.h"
@@ -56,6 +57,25 @@
   }
 };
 
+enum class ElectionEnd : std::uint8_t {
+  won,
+  timedOut,    ///< No majority granted its votes before the election timeout.
+  superseded,  ///< Another server leads, or a higher term has begun.
+};
+
+/// @return the name for logs and metrics.
+std::string_view electionEndName(ElectionEnd end);
+
+/// How an election of this server ended.
+struct ElectionReport {
+  Term term = 0;
+  bool preVote = false;  ///< No votes were asked for: the round of pre-votes before them ended.
+  ElectionEnd end = ElectionEnd::timedOut;
+  std::vector<base::ServerId> missing;  ///< Voters that granted nothing.
+  bool ownVoteDurable = false;
+  base::Duration duration{0};
+};
+
 /// Actions that the caller must carry out, in this order: write and sync `persist`; send
 /// `messages`; pass `installed` and `committed` to the state machine; call `onPersisted()` if
 /// `persist` was not empty.
@@ -64,6 +84,7 @@
   std::vector<Message> messages;
   std::optional<Snapshot> installed;  ///< Replaces the state machine's contents before `committed`.
   std::vector<LogEntry> committed;    ///< Entries to apply next, in order, each exactly once.
+  std::vector<ElectionReport> elections;  ///< Ended since the last outputs; for logs and metrics.
 };
 
 /// Copy of the observable state, for tests, status pages and invariant checks.
--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -163,6 +163,14 @@
   /// Error of an entry or snapshot that this build can't decode; its state would diverge from the
   /// others'. The driver ends the process and performs nothing more.
   std::optional<base::Error> unreadable;
+  std::vector<consensus::ElectionReport> elections;  ///< Of this server, ended since; for metrics.
+};
+
+/// What a leader knows of its cell; zero on a server that does not lead.
+struct LeaderFigures {
+  std::size_t workers = 0;           ///< Workers in the replicated state.
+  std::size_t orderableWorkers = 0;  ///< Those that may be sent an order for a model now.
+  std::size_t silentVoters = 0;      ///< Voters without contact for longer than a voter may be.
 };
 
 /// Decision logic of one registry server. Deterministic, without I/O, owned by one event loop.
@@ -175,6 +183,7 @@
   virtual consensus::RaftStatus raftStatus() const = 0;
   /// @return the maxima of the estimates for workers; zero on a server that does not lead.
   virtual WorkerTimingMaxima timingMaxima() const = 0;
+  virtual LeaderFigures leaderFigures() const = 0;
 };
 
 /// @param founders membership of a new cell, the same on all its servers; empty for a server that
--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -22,6 +22,8 @@
   linesDropped,
   // Changes of the state that the process assumes.
   roleChanged,
+  electionEnded,
+  syncSlow,
   membershipChanged,
   memberProposed,
   documentStored,
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -37,6 +37,28 @@
   return majorityValue(votes);
 }
 
+std::string_view electionEndName(ElectionEnd end) {
+  switch (end) {
+    case ElectionEnd::won:
+      return "won";
+    case ElectionEnd::timedOut:
+      return "timed-out";
+    case ElectionEnd::superseded:
+      return "superseded";
+  }
+  return "unknown";
+}
+
+std::vector<base::ServerId> VoteTally::missing(const Membership& membership) const {
+  std::vector<base::ServerId> servers;
+  for (const base::ServerId voter : votersOf(membership)) {
+    if (granted_.count(voter) == 0) {
+      servers.push_back(voter);
+    }
+  }
+  return servers;
+}
+
 bool grantsVote(const VoterState& voter, base::ServerId candidate, const VoteRequest& request) {
   if (voter.leaderMayHoldLease && !request.leadershipTransfer) {
     return false;
--- a/src/consensus/election.h
+++ b/src/consensus/election.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <set>
+#include <vector>
 
 #include "consensus/raft_log.h"
 #include "walnut/base/random.h"
@@ -44,6 +45,8 @@
   void grant(base::ServerId voter) { granted_.insert(voter); }
   /// @return true if a majority of the voters of `membership` granted their vote.
   bool won(const Membership& membership) const;
+  /// @return the voters of `membership` that did not grant their vote.
+  std::vector<base::ServerId> missing(const Membership& membership) const;
 
  private:
   std::set<base::ServerId> granted_;
--- a/src/consensus/raft_election.cpp
+++ b/src/consensus/raft_election.cpp
@@ -10,6 +10,8 @@
   if (!isVoter(membership(), self_)) {
     return;
   }
+  endElectionReport(ElectionEnd::timedOut);
+  beginElectionReport(hardState_.term + 1, true);
   role_ = Role::preCandidate;
   leader_ = base::ServerId{};
   votes_.clear();
@@ -23,6 +25,7 @@
 
 void RaftImpl::startElection(bool leadershipTransfer) {
   electionTimer_.restart(now_);
+  beginElectionReport(hardState_.term + 1, false);
   role_ = Role::candidate;
   leader_ = base::ServerId{};
   votes_.clear();
@@ -63,6 +66,25 @@
   }
 }
 
+void RaftImpl::beginElectionReport(Term term, bool preVote) {
+  openElection_ = OpenElection{term, preVote, now_};
+}
+
+void RaftImpl::endElectionReport(ElectionEnd end) {
+  if (!openElection_) {
+    return;
+  }
+  ElectionReport report;
+  report.term = openElection_->term;
+  report.preVote = openElection_->preVote;
+  report.end = end;
+  report.missing = votes_.missing(membership());
+  report.ownVoteDurable = persistQueue_.durableHardState() == HardState{report.term, self_};
+  report.duration = now_ - openElection_->since;
+  endedElections_.push_back(std::move(report));
+  openElection_.reset();
+}
+
 void RaftImpl::handle(base::ServerId from, const VoteRequest& request) {
   const bool leaseHeld = isLeader() || electionTimer_.leaderMayHoldLease(now_);
   VoteReply reply;
--- a/src/consensus/raft_impl.cpp
+++ b/src/consensus/raft_impl.cpp
@@ -123,6 +123,7 @@
 
 RaftOutputs RaftImpl::takeOutputs() {
   RaftOutputs outputs;
+  outputs.elections = std::exchange(endedElections_, {});
   if (persistQueue_.isBatchInFlight()) {
     return outputs;  // Further messages may depend on the batch, which is not synced yet.
   }
@@ -178,6 +179,7 @@
     rounds_.clear();
     electionTimer_.restart(now_);
   }
+  endElectionReport(ElectionEnd::superseded);
   role_ = Role::follower;
   leader_ = leader;
 }
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -29,6 +29,13 @@
   bool timeoutNowSent = false;  ///< If true, another leader may be elected at any time.
 };
 
+/// Election of this server that has not ended yet.
+struct OpenElection {
+  Term term = 0;
+  bool preVote = false;
+  base::TimePoint since;
+};
+
 /// State that exists only while this server is leader.
 struct LeaderState {
   std::map<base::ServerId, Progress> followers;  ///< All members except this server.
@@ -90,6 +97,9 @@
   void requestVotes(const VoteRequest& request);
   void countOwnVote();
   void checkElectionWon();
+  void beginElectionReport(Term term, bool preVote);
+  /// Reports the election that is open, if there is one.
+  void endElectionReport(ElectionEnd end);
   void handle(base::ServerId from, const VoteRequest& request);
   void handle(base::ServerId from, const VoteReply& reply);
   void handle(base::ServerId from, const TimeoutNow& request);
@@ -144,13 +154,15 @@
   LogIndex appliedIndex_ = 0;  // Last index passed to the state machine.
 
   PersistQueue persistQueue_;
-  std::vector<Message> messages_;      // For the next outputs.
-  std::optional<Snapshot> installed_;  // For the next outputs.
+  std::vector<Message> messages_;               // For the next outputs.
+  std::optional<Snapshot> installed_;           // For the next outputs.
+  std::vector<ElectionReport> endedElections_;  // For the next outputs.
 
   Role role_ = Role::follower;
   base::ServerId leader_;  // Leader of the current term; zero if unknown.
   ElectionTimer electionTimer_;
   VoteTally votes_;
+  std::optional<OpenElection> openElection_;
   SnapshotReceiver snapshotReceiver_;
   HeartbeatRounds rounds_;
   std::optional<LeaderState> leaderState_;  // Set if and only if role_ is leader.
--- a/src/consensus/raft_leader.cpp
+++ b/src/consensus/raft_leader.cpp
@@ -18,6 +18,7 @@
 }  // namespace
 
 void RaftImpl::becomeLeader() {
+  endElectionReport(ElectionEnd::won);
   role_ = Role::leader;
   leader_ = self_;
   LeaderState& state = leaderState_.emplace();
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -27,6 +27,8 @@
 constexpr base::Duration kInboxSlice = std::chrono::milliseconds(10);
 constexpr base::Duration kSettleSlice = std::chrono::milliseconds(20);
 constexpr base::Duration kLongTurnLogInterval = std::chrono::seconds(1);
+/// Syncs that are longer are logged.
+constexpr base::Duration kSlowSync = std::chrono::milliseconds(100);
 constexpr base::Duration kRefusedCallLogInterval = std::chrono::seconds(1);
 constexpr std::size_t kLoggedPathBytes = 64;
 
@@ -206,12 +208,16 @@
   if (persisted) {
     const base::TimePoint begin = runtime::now();
     const auto outcome = folder_.storage->persist(outputs.persist);
-    metrics_.observe("walnut_registry_sync_seconds", runtime::now() - begin);
+    noteSync(outputs.persist, runtime::now() - begin);
     if (outcome.has_error()) {
       noteStorageFailure(outcome.error());
       return false;
     }
   }
+  for (const consensus::ElectionReport& election : outputs.elections) {
+    metrics_.count("walnut_registry_elections_total",
+                   std::string(consensus::electionEndName(election.end)));
+  }
   for (registry::RegistryAction& action : outputs.actions) {
     std::visit([this](auto& body) { perform(body); }, action);
   }
@@ -221,6 +227,18 @@
   return persisted || !outputs.actions.empty();
 }
 
+void RegistryHost::noteSync(const consensus::PersistBatch& batch, base::Duration duration) {
+  metrics_.observe("walnut_registry_sync_seconds", duration);
+  if (duration < kSlowSync) {
+    return;
+  }
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+  log_.write(LogEvent::syncSlow, {{"millis", static_cast<std::uint64_t>(millis.count())},
+                                  {"entries", batch.entries.size()},
+                                  {"vote", batch.hardState ? "yes" : "no"},
+                                  {"snapshot", batch.snapshot ? "yes" : "no"}});
+}
+
 void RegistryHost::noteStorageFailure(const base::Error& error) {
   log_.write(LogEvent::dependencyLost, {{"dependency", "storage"},
                                         {"error", base::errorCodeName(error.code)},
@@ -307,6 +325,13 @@
     const registry::WorkerTimingMaxima maxima = registry_->timingMaxima();
     metrics_.set("walnut_registry_worker_slowness_max", maxima.slownessPercent / kPercent);
     metrics_.set("walnut_registry_prompt_share_max", maxima.promptSharePercent / kPercent);
+    const registry::LeaderFigures figures = registry_->leaderFigures();
+    metrics_.set("walnut_registry_workers", static_cast<double>(figures.workers));
+    metrics_.set("walnut_registry_workers_orderable",
+                 static_cast<double>(figures.orderableWorkers));
+    metrics_.set("walnut_registry_voters_silent", static_cast<double>(figures.silentVoters));
+    metrics_.set("walnut_registry_leader_known",
+                 registry_->raftStatus().leader == base::ServerId{} ? 0 : 1);
     response.body = metrics_.text();
     sink.respond(std::move(response));
     return;
--- a/src/daemon/registry_host.h
+++ b/src/daemon/registry_host.h
@@ -87,6 +87,7 @@
   void perform(registry::CallAnswered& answered);
   void perform(registry::SendOrder& order);
   void perform(registry::ReadReport& read);
+  void noteSync(const consensus::PersistBatch& batch, base::Duration duration);
   void noteStorageFailure(const base::Error& error);
   void checkStopped();
 
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -105,6 +105,8 @@
   base::TimePoint nextWakeup() const;
   std::vector<protocol::ConnectionId> gateways() const { return publisher_.gateways(); }
   WorkerTimingMaxima timingMaxima() const { return timings_.maxima(); }
+  /// @return how many workers may be sent an order for a model now.
+  std::size_t orderableWorkers(base::TimePoint now) const;
 
  private:
   /// Most streams whose origins are remembered.
--- a/src/registry/leader_orders.cpp
+++ b/src/registry/leader_orders.cpp
@@ -119,6 +119,18 @@
   actions_.emplace_back(std::move(send));
 }
 
+std::size_t LeaderDuties::orderableWorkers(base::TimePoint now) const {
+  if (!ordersAllowed(now)) {
+    return 0;
+  }
+  return static_cast<std::size_t>(
+      std::count_if(workers_.begin(), workers_.end(), [this, now](const auto& entry) {
+        const WorkerStatus& status = entry.second;
+        return status.reportFresh && !status.silent && !status.sentOrder && !status.modelOrder &&
+               mayOrder(entry.first, now);
+      }));
+}
+
 void LeaderDuties::requestReport(const WorkerRecord& record, WorkerStatus& status) {
   if (!status.reportUnderWay) {
     status.reportUnderWay = true;
--- a/src/registry/membership_policy.cpp
+++ b/src/registry/membership_policy.cpp
@@ -74,6 +74,15 @@
   return now - (found == lastContact_.end() ? since_ : std::max(since_, found->second));
 }
 
+std::size_t MembershipPolicy::silentVoters(const Membership& membership, base::ServerId self,
+                                           base::TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      membership.members.begin(), membership.members.end(), [&](const Member& member) {
+        return member.role == MemberRole::voter && member.id != self &&
+               timeSinceContact(member.id, now) > options_.voterTimeout;
+      }));
+}
+
 std::optional<Membership> MembershipPolicy::nextChange(const Membership& membership,
                                                        base::ServerId self,
                                                        base::TimePoint now) const {
--- a/src/registry/membership_policy.h
+++ b/src/registry/membership_policy.h
@@ -41,6 +41,9 @@
   /// change is due.
   std::optional<consensus::Membership> nextChange(const consensus::Membership& membership,
                                                   base::ServerId self, base::TimePoint now) const;
+  /// @return how many voters are unresponsive.
+  std::size_t silentVoters(const consensus::Membership& membership, base::ServerId self,
+                           base::TimePoint now) const;
 
  private:
   struct Applicant {
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -63,6 +63,10 @@
   consensus::RaftOutputs raftOutputs = raft_->takeOutputs();
   RegistryOutputs outputs;
   outputs.persist = std::move(raftOutputs.persist);
+  for (const consensus::ElectionReport& election : raftOutputs.elections) {
+    logElection(election);
+  }
+  outputs.elections = std::move(raftOutputs.elections);
   for (consensus::Message& message : raftOutputs.messages) {
     // A server that is being admitted answers a leader that is not in its membership yet. Such an
     // answer has no endpoint and goes over the connection that the leader opened.
@@ -81,7 +85,7 @@
   }
   applyEntries(raftOutputs.committed);
   if (unreadable_) {
-    return {{}, {}, unreadable_};
+    return {{}, {}, unreadable_, {}};
   }
   followLeadership();
   runTasks();
@@ -304,6 +308,17 @@
   return leading_ == nullptr ? WorkerTimingMaxima{} : leading_->timingMaxima();
 }
 
+LeaderFigures RegistryImpl::leaderFigures() const {
+  LeaderFigures figures;
+  if (leading_ != nullptr) {
+    figures.workers = state_.workers().size();
+    figures.orderableWorkers = leading_->orderableWorkers(now_);
+    figures.silentVoters =
+        membershipPolicy_->silentVoters(raft_->status().membership, options_.self.id, now_);
+  }
+  return figures;
+}
+
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const HeartbeatBatch& message) {
   if (!isActiveLeader()) {
     return;
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -35,6 +35,7 @@
   base::TimePoint nextWakeup() const override;
   consensus::RaftStatus raftStatus() const override { return raft_->status(); }
   WorkerTimingMaxima timingMaxima() const override;
+  LeaderFigures leaderFigures() const override;
 
  private:
   /// A call that waits for the confirmation of its linearizable read.
@@ -147,6 +148,7 @@
   std::vector<base::Endpoint> serverEndpoints() const;
   std::optional<base::Endpoint> peerEndpointOf(base::ServerId server) const;
   void noteMembership();
+  void logElection(const consensus::ElectionReport& election);
 
   const RegistryOptions options_;
   DocumentCache documents_;
--- a/src/registry/registry_membership.cpp
+++ b/src/registry/registry_membership.cpp
@@ -33,6 +33,22 @@
              {{"index", status.membershipIndex}, {"members", members}});
 }
 
+void RegistryImpl::logElection(const consensus::ElectionReport& election) {
+  std::string missing;
+  for (const base::ServerId server : election.missing) {
+    missing += missing.empty() ? "" : ",";
+    missing += peerEndpointOf(server).value_or(base::Endpoint{}).address;
+  }
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(election.duration);
+  log_.write(LogEvent::electionEnded,
+             {{"term", election.term},
+              {"round", election.preVote ? "pre-vote" : "vote"},
+              {"outcome", consensus::electionEndName(election.end)},
+              {"missing", missing},
+              {"own-vote", election.ownVoteDurable ? "durable" : "not-durable"},
+              {"millis", static_cast<std::uint64_t>(millis.count())}});
+}
+
 void RegistryImpl::updateMembership() {
   const consensus::RaftStatus status = raft_->status();
   const auto next = membershipPolicy_->nextChange(status.membership, status.self, now_);
