--- a/src/simulator/fleet_server.cpp
+++ b/src/simulator/fleet_server.cpp
@@ -14,6 +14,18 @@
 constexpr base::Duration kSettleSlice = std::chrono::milliseconds(20);
 /// What came meanwhile is taken in one turn; so many at most.
 constexpr std::size_t kMostInputsInTurn = 64;
+/// Of files and of their folder: when a log is opened, and when a folder is made ready for one.
+constexpr std::size_t kSyncsOfStart = 2;
+constexpr std::size_t kSyncsOfFirstStart = 7;
+
+/// @return how many syncs storage makes for a batch, one after the other.
+std::size_t syncCount(const consensus::PersistBatch& batch) {
+  constexpr std::size_t kWithFolder = 2;
+  std::size_t syncs = batch.entries.empty() && !batch.truncateFrom ? 0 : 1;
+  syncs += batch.hardState ? kWithFolder : 0;
+  syncs += batch.snapshot ? kWithFolder : 0;
+  return syncs;
+}
 
 }  // namespace
 
@@ -51,6 +63,18 @@
   processor_.reset();
 }
 
+base::Duration FleetServer::drawStartTime() {
+  return drawSyncTime(log_.state.self == base::ServerId{} ? kSyncsOfFirstStart : kSyncsOfStart);
+}
+
+base::Duration FleetServer::drawSyncTime(std::size_t syncs) {
+  base::Duration time{0};
+  for (std::size_t sync = 0; sync < syncs && meanSyncTime_ > time.zero(); ++sync) {
+    time += scheduler_.random().between(meanSyncTime_ / 2, meanSyncTime_ * 3 / 2);
+  }
+  return time;
+}
+
 void FleetServer::post(registry::RegistryInput input, std::size_t bytes, std::size_t textBytes) {
   if (!running()) {
     return;
@@ -80,6 +104,8 @@
     registry::RegistryOutputs outputs = registry_->takeOutputs();
     const bool persisted = !outputs.persist.empty();
     log_.persist(outputs.persist);
+    // The loop stands still meanwhile, without using its processor.
+    processor_.hold(drawSyncTime(syncCount(outputs.persist)));
     for (registry::RegistryAction& action : outputs.actions) {
       perform(action);
     }
--- a/src/simulator/fleet_server.h
+++ b/src/simulator/fleet_server.h
@@ -41,6 +41,10 @@
   void start(const consensus::Membership& founders);
   void kill();
   void loseDisk() { log_ = {}; }
+  /// Syncs take from half of `mean` to one and a half from now on; zero: no time.
+  void setSyncTime(base::Duration mean) { meanSyncTime_ = mean; }
+  /// @return the time that the syncs of a start take, drawn.
+  base::Duration drawStartTime();
   /// Hands in an input that came as a message of so many bytes, some of them text to be read.
   void post(registry::RegistryInput input, std::size_t bytes, std::size_t textBytes = 0);
 
@@ -59,6 +63,7 @@
   using Sender = std::function<void(std::shared_ptr<const protocol::Message>, std::size_t)>;
 
   void settle();
+  base::Duration drawSyncTime(std::size_t syncs);
   void perform(registry::RegistryAction& action);
   /// At the end of the turn.
   void send(protocol::Message message, const Sender& sender);
@@ -75,6 +80,7 @@
   std::unique_ptr<registry::Registry> registry_;
   std::uint64_t life_ = 0;
   base::TimePoint wakeupAt_ = base::kNever;
+  base::Duration meanSyncTime_{0};
   std::size_t unsettled_ = 0;  ///< Inputs since the logic's outputs were last taken.
 };
 
--- a/src/simulator/processor.cpp
+++ b/src/simulator/processor.cpp
@@ -37,6 +37,7 @@
     return;
   }
   charged_ = base::Duration::zero();
+  held_ = base::Duration::zero();
   std::deque<std::function<void()>>& inputs = firstInputs_.empty() ? inputs_ : firstInputs_;
   const std::function<void()> input = std::move(inputs.front());
   inputs.pop_front();
@@ -45,8 +46,7 @@
   if (life != life_) {
     return;
   }
-  const auto taken =
-      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(charged_) / share_);
+  const base::Duration taken = turnTime();
   longestTurn_ = std::max(longestTurn_, taken);
   scheduler_.after(taken, [this, life] {
     if (life == life_) {
--- a/src/simulator/registry_fleet.cpp
+++ b/src/simulator/registry_fleet.cpp
@@ -351,8 +351,19 @@
     return;  // Overlapping faults may start it twice.
   }
   noteDisturbance(options_.restAfterFault);
-  servers_[server]->start({});
-  greetServers(server);
+  const base::Duration time = servers_[server]->drawStartTime();
+  if (time > base::Duration::zero()) {
+    scheduler_.after(time, [this, server] { beginServer(server); });
+  } else {
+    beginServer(server);
+  }
+}
+
+void RegistryFleet::beginServer(std::size_t server) {
+  if (!servers_[server]->running()) {
+    servers_[server]->start({});
+    greetServers(server);
+  }
 }
 
 void RegistryFleet::killGateway(std::size_t gateway) {
--- a/src/simulator/registry_fleet.h
+++ b/src/simulator/registry_fleet.h
@@ -76,6 +76,8 @@
   /// Gives a process a part of its share of a core; 1: the whole.
   void slowServer(std::size_t server, double part);
   void slowGateway(std::size_t gateway, double part);
+  /// Syncs of the server's disk take from half of `mean` to one and a half from now on.
+  void slowDisk(std::size_t server, base::Duration mean) { servers_[server]->setSyncTime(mean); }
   /// Their machines stand still for that long.
   void suspendServer(std::size_t server, base::Duration duration);
   void suspendGateway(std::size_t gateway, base::Duration duration);
@@ -87,6 +89,8 @@
   std::size_t gatewayCount() const { return gateways_.size(); }
   /// @return a server that takes itself for the leader; none: the count of servers.
   std::size_t leader() const;
+  /// @return how many gateways would let requests through.
+  std::size_t gatewaysAdmitting() const;
   /// @return how many gateways serve by the newest acknowledged document.
   std::size_t gatewaysUpToDate() const;
   const std::vector<FleetViolation>& violations() const { return violations_; }
@@ -137,6 +141,7 @@
   void sendDeclaration();
   std::uint64_t callAsWorker(const std::optional<base::Endpoint>& home,
                              const registry::ReportAlive& call);
+  void beginServer(std::size_t server);
   /// A server that starts and those that run hear each other's greeting.
   void greetServers(std::size_t started);
   void greet(std::size_t from, std::size_t to);
--- a/src/simulator/registry_fleet_checks.cpp
+++ b/src/simulator/registry_fleet_checks.cpp
@@ -20,6 +20,13 @@
   return static_cast<std::size_t>(found - servers_.begin());
 }
 
+std::size_t RegistryFleet::gatewaysAdmitting() const {
+  return static_cast<std::size_t>(
+      std::count_if(gateways_.begin(), gateways_.end(), [](const auto& gateway) {
+        return gateway->running() && gateway->admittingDocumentVersion() != 0;
+      }));
+}
+
 std::size_t RegistryFleet::gatewaysUpToDate() const {
   return static_cast<std::size_t>(
       std::count_if(gateways_.begin(), gateways_.end(), [this](const auto& gateway) {
