consensus: an election settles whatever a sync takes, and a sync holds up nothing that doesn't depend on it

Cause: time limits that take a write to disk for instantaneous. A vote costs two syncs (the file, its folder), at the candidate and then at each voter, one after the other; the election timeout of 500 to 1,000 ms ran from the beginning of the election, so the next one ended it before its votes were written. While a server synced, its loop stood still: no heartbeat was sent or answered, so that leaders lost their majority, too.

Change: - The registry writes on a thread of its own. Raft outputs at once whatever promises nothing: heartbeats, appends, pre-votes, refusals. A follower confirms its leader with what is durable, and again after the sync. - A candidate asks for votes while its own is being written, if its log is durable. It leads only with its own durable vote: otherwise it could be elected twice in one term, before and after a restart, with different logs. - No pre-vote is granted while a vote is written, and for the least election timeout plus the time that the write took (up to 2 s) after it. No server stands before its hard state is durable. Votes that come after the timeout count while their term lasts. - Where a sync takes nothing, all of this takes nothing: timeouts are drawn as before.

--- a/include/walnut/consensus/raft.h
+++ b/include/walnut/consensus/raft.h
@@ -76,9 +76,10 @@
   base::Duration duration{0};
 };
 
-/// Actions that the caller must carry out, in this order: write and sync `persist`; send
-/// `messages`; pass `installed` and `committed` to the state machine; call `onPersisted()` if
-/// `persist` was not empty.
+/// Actions that the caller must carry out: begin to write and sync `persist`; send `messages`; pass
+/// `installed` and `committed` to the state machine; call `onPersisted()` once `persist`, if it was
+/// not empty, is synced. Nothing else waits for the sync: what promises durability is output after
+/// `onPersisted()`.
 struct RaftOutputs {
   PersistBatch persist;
   std::vector<Message> messages;
@@ -103,7 +104,7 @@
 /// Raft consensus logic of one server. Deterministic, does no I/O and is not thread safe: it is
 /// owned by a single event loop. Invariants: at most one leader per term; log matching; a committed
 /// entry is in the log of every later leader; a message that promises durability is only output
-/// together with, or after, the batch that makes the promise true.
+/// once the batch that makes the promise true is reported as synced.
 class Raft {
  public:
   virtual ~Raft() = default;
@@ -145,8 +146,8 @@
   /// Reports that the last non-empty PersistBatch has been synced.
   virtual void onPersisted(base::TimePoint now) = 0;
 
-  /// @return the actions to carry out now; empty if there are none. Must not be called again until
-  /// the previous non-empty batch has been reported by `onPersisted`.
+  /// @return the actions to carry out now; empty if there are none. There is no new batch until the
+  /// previous one has been reported by `onPersisted`.
   virtual RaftOutputs takeOutputs() = 0;
 
   /// @return the time at which `tick` must be called next.
--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -155,8 +155,8 @@
 using RegistryAction = std::variant<control::SendToServer, control::SendToConnection,
                                     SendToEndpoint, CallAnswered, SendOrder, ReadReport>;
 
-/// Outputs of one step. The driver first persists and syncs `persist`, then performs the actions in
-/// order, then passes `Persisted` if `persist` was not empty.
+/// Outputs of one step. The driver begins to write `persist`, performs the actions in order, and
+/// passes `Persisted` once `persist`, if it was not empty, is synced.
 struct RegistryOutputs {
   consensus::PersistBatch persist;
   std::vector<RegistryAction> actions;
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -6,6 +6,13 @@
 
 namespace walnut::consensus {
 
+namespace {
+
+/// Bounds how long a voter with a hanging disk keeps others from a new election.
+constexpr int kMaxAllowedTimeouts = 2;
+
+}  // namespace
+
 ElectionTimer::ElectionTimer(const RaftOptions& options, std::uint64_t seed, base::TimePoint now)
     : timeoutMin_(options.electionTimeoutMin),
       timeoutMax_(std::max(options.electionTimeoutMin, options.electionTimeoutMax)),
@@ -21,8 +28,8 @@
   restart(now);
 }
 
-void ElectionTimer::restart(base::TimePoint now) {
-  deadline_ = now + random_.between(timeoutMin_, timeoutMax_);
+void ElectionTimer::restart(base::TimePoint now, base::Duration extra) {
+  deadline_ = now + extra + random_.between(timeoutMin_, timeoutMax_);
 }
 
 bool ElectionTimer::leaderMayHoldLease(base::TimePoint now) const {
@@ -37,6 +44,23 @@
   return majorityValue(votes);
 }
 
+VoteHold::VoteHold(const RaftOptions& options)
+    : hold_(options.electionTimeoutMin),
+      maxAllowance_(kMaxAllowedTimeouts * options.electionTimeoutMax) {}
+
+void VoteHold::voteGranted(base::TimePoint now) { grantedAt_ = now; }
+
+void VoteHold::voteDurable(base::TimePoint now) {
+  allowance_ = std::min(now - grantedAt_.value_or(now), maxAllowance_);
+  until_ = now + hold_ + allowance_;
+  grantedAt_.reset();
+}
+
+void VoteHold::termEnded() {
+  grantedAt_.reset();
+  until_ = base::TimePoint::min();
+}
+
 std::string_view electionEndName(ElectionEnd end) {
   switch (end) {
     case ElectionEnd::won:
@@ -63,6 +87,9 @@
   if (voter.leaderMayHoldLease && !request.leadershipTransfer) {
     return false;
   }
+  if (voter.voteUnderWay && request.preVote) {
+    return false;
+  }
   if (!voter.log.isUpToDate(request.lastLogIndex, request.lastLogTerm)) {
     return false;
   }
--- a/src/consensus/election.h
+++ b/src/consensus/election.h
@@ -3,6 +3,7 @@
 /// Election rules: when to start an election, how votes are counted, when a vote is granted.
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,7 +24,8 @@
   /// Records that a message from the current leader arrived, and restarts the timeout.
   void onLeaderContact(base::TimePoint now);
   /// Draws a new deadline; also called when a vote is granted or an election begins.
-  void restart(base::TimePoint now);
+  /// @param extra time to add to the timeout.
+  void restart(base::TimePoint now, base::Duration extra = base::Duration::zero());
 
   base::TimePoint deadline() const { return deadline_; }
 
@@ -43,6 +45,7 @@
  public:
   void clear() { granted_.clear(); }
   void grant(base::ServerId voter) { granted_.insert(voter); }
+  bool hasGranted(base::ServerId voter) const { return granted_.count(voter) != 0; }
   /// @return true if a majority of the voters of `membership` granted their vote.
   bool won(const Membership& membership) const;
   /// @return the voters of `membership` that did not grant their vote.
@@ -52,10 +55,40 @@
   std::set<base::ServerId> granted_;
 };
 
+/// Tracks the vote that this server granted in the present term. Until the vote is durable, and for
+/// a while after that, no pre-vote for a later term is granted: on disks whose syncs take longer
+/// than an election timeout, one election would end the next before its votes are written. Disks of
+/// one cell are expected to be about equally slow, so the time that the own vote took is allowed
+/// for those of others.
+class VoteHold {
+ public:
+  explicit VoteHold(const RaftOptions& options);
+
+  void voteGranted(base::TimePoint now);
+  /// The vote is durable, or the term that it was granted in is over.
+  void voteDurable(base::TimePoint now);
+  void termEnded();
+
+  bool isWriting() const { return grantedAt_.has_value(); }
+  /// @return true while the vote may still elect a leader.
+  bool isUnderWay(base::TimePoint now) const { return isWriting() || now < until_; }
+  /// @return the time that the last vote took to be durable, up to a bound.
+  base::Duration allowance() const { return allowance_; }
+
+ private:
+  const base::Duration hold_;
+  const base::Duration maxAllowance_;
+  std::optional<base::TimePoint> grantedAt_;  // Of a vote that is not durable.
+  base::Duration allowance_{0};
+  base::TimePoint until_ = base::TimePoint::min();
+};
+
 /// State of a voter on which its decision about a vote request depends.
 struct VoterState {
   HardState hardState;
   bool leaderMayHoldLease = false;
+  /// Its vote in the present term may still elect a leader; see VoteHold.
+  bool voteUnderWay = false;
   const RaftLog& log;
 };
 
--- a/src/consensus/persist_queue.h
+++ b/src/consensus/persist_queue.h
@@ -31,6 +31,8 @@
   void onPersisted();
 
   bool isBatchInFlight() const { return batchInFlight_; }
+  /// @return the last index that was put into a batch or recovered.
+  LogIndex lastBatchedIndex() const { return lastBatchedIndex_; }
   /// @return the index up to which all entries are synced.
   LogIndex durableIndex() const { return durableIndex_; }
   const HardState& durableHardState() const { return durableHardState_; }
--- a/src/consensus/raft_election.cpp
+++ b/src/consensus/raft_election.cpp
@@ -5,6 +5,7 @@
 
 namespace walnut::consensus {
 
+/// Votes that were asked for before are still counted while their term lasts.
 void RaftImpl::startPreVote() {
   electionTimer_.restart(now_);
   if (!isVoter(membership(), self_)) {
@@ -14,13 +15,15 @@
   beginElectionReport(hardState_.term + 1, true);
   role_ = Role::preCandidate;
   leader_ = base::ServerId{};
-  votes_.clear();
-  votes_.grant(self_);
+  preVotes_.clear();
+  preVotes_.grant(self_);
   VoteRequest request;
   request.term = hardState_.term + 1;
   request.preVote = true;
   requestVotes(request);
-  checkElectionWon();
+  if (preVotes_.won(membership())) {
+    startElection(false);
+  }
 }
 
 void RaftImpl::startElection(bool leadershipTransfer) {
@@ -28,6 +31,7 @@
   beginElectionReport(hardState_.term + 1, false);
   role_ = Role::candidate;
   leader_ = base::ServerId{};
+  isStanding_ = true;
   votes_.clear();
   setHardState({hardState_.term + 1, self_});
   VoteRequest request;
@@ -36,32 +40,46 @@
   requestVotes(request);
 }
 
+/// Votes are asked for while the own one is being written, so that all are written at the same
+/// time. This is safe only if the log is durable: after a restart in the same term the votes may be
+/// counted again, and a log that has become shorter would be less up to date than was stated.
 void RaftImpl::requestVotes(const VoteRequest& request) {
   VoteRequest complete = request;
   complete.lastLogIndex = log_.lastIndex();
   complete.lastLogTerm = log_.lastTerm();
+  const bool atOnce = request.preVote || persistQueue_.durableIndex() == log_.lastIndex();
   for (const base::ServerId voter : votersOf(membership())) {
-    if (voter != self_) {
+    if (voter == self_) {
+      continue;
+    }
+    if (atOnce) {
       send(voter, complete);
+    } else {
+      sendWhenDurable(voter, complete);
     }
   }
 }
 
-/// Counts the candidate's own vote, which like any other vote counts only once it is durable.
-void RaftImpl::countOwnVote() {
-  if (persistQueue_.durableHardState() == hardState_) {
+/// The election in which this server voted, which may be its own, gets time to be won. A vote
+/// counts only from now on, the own one too.
+void RaftImpl::handleDurableHardState() {
+  if (hardState_.votedFor == base::ServerId{}) {
+    return;
+  }
+  voteHold_.voteDurable(now_);
+  if (leader_ == base::ServerId{}) {
+    electionTimer_.restart(now_, voteHold_.allowance());
+  }
+  if (isStanding_) {
     votes_.grant(self_);
     checkElectionWon();
   }
 }
 
+/// Without the own vote, which is durable, this server could be elected twice in one term, before
+/// and after a restart, with different logs.
 void RaftImpl::checkElectionWon() {
-  if (!votes_.won(membership())) {
-    return;
-  }
-  if (role_ == Role::preCandidate) {
-    startElection(false);
-  } else {
+  if (votes_.hasGranted(self_) && votes_.won(membership())) {
     becomeLeader();
   }
 }
@@ -75,10 +93,10 @@
     return;
   }
   ElectionReport report;
-  report.term = openElection_->term;
-  report.preVote = openElection_->preVote;
+  report.term = end == ElectionEnd::won ? hardState_.term : openElection_->term;
+  report.preVote = openElection_->preVote && end != ElectionEnd::won;
   report.end = end;
-  report.missing = votes_.missing(membership());
+  report.missing = (report.preVote ? preVotes_ : votes_).missing(membership());
   report.ownVoteDurable = persistQueue_.durableHardState() == HardState{report.term, self_};
   report.duration = now_ - openElection_->since;
   endedElections_.push_back(std::move(report));
@@ -89,7 +107,8 @@
   const bool leaseHeld = isLeader() || electionTimer_.leaderMayHoldLease(now_);
   VoteReply reply;
   reply.preVote = request.preVote;
-  reply.granted = grantsVote({hardState_, leaseHeld, log_}, from, request);
+  reply.granted =
+      grantsVote({hardState_, leaseHeld, voteHold_.isUnderWay(now_), log_}, from, request);
   const bool entersTerm = !request.preVote && request.term > hardState_.term;
   if (entersTerm && (!leaseHeld || request.leadershipTransfer)) {
     becomeFollower(request.term, base::ServerId{});
@@ -102,7 +121,11 @@
     electionTimer_.restart(now_);
   }
   reply.term = reply.granted ? request.term : hardState_.term;
-  send(from, reply);
+  if (reply.granted && !request.preVote) {
+    sendWhenDurable(from, reply);
+  } else {
+    send(from, reply);
+  }
 }
 
 void RaftImpl::handle(base::ServerId from, const VoteReply& reply) {
@@ -111,7 +134,13 @@
     if (!expected) {
       return;
     }
-  } else if (!acceptReplyTerm(from, reply.term) || !reply.granted || role_ != Role::candidate) {
+    preVotes_.grant(from);
+    if (preVotes_.won(membership())) {
+      startElection(false);
+    }
+    return;
+  }
+  if (!acceptReplyTerm(from, reply.term) || !reply.granted || !isStanding_) {
     return;
   }
   votes_.grant(from);
--- a/src/consensus/raft_follower.cpp
+++ b/src/consensus/raft_follower.cpp
@@ -52,7 +52,23 @@
   }
   reply.term = hardState_.term;
   reply.round = request.round;
-  send(from, reply);
+  sendAppendReply(from, reply);
+}
+
+/// Confirms the leader at once, with what is durable, and the rest after the sync: the leader's
+/// lease must not depend on how long a sync of a follower takes.
+void RaftImpl::sendAppendReply(base::ServerId to, const AppendReply& reply) {
+  const LogIndex durable = persistQueue_.durableIndex();
+  if (!isHardStateDurable()) {
+    sendWhenDurable(to, reply);
+    return;
+  }
+  AppendReply confirmed = reply;
+  confirmed.matchIndex = std::min(reply.matchIndex, durable);
+  send(to, confirmed);
+  if (reply.accepted && reply.matchIndex > durable) {
+    sendWhenDurable(to, reply);
+  }
 }
 
 AppendReply RaftImpl::applyAppend(const AppendRequest& request) {
@@ -114,7 +130,11 @@
     reply.nextOffset = reply.installed ? chunk.totalBytes : snapshotReceiver_.nextOffset(chunk);
   }
   reply.term = hardState_.term;
-  send(from, reply);
+  if (reply.installed || !isHardStateDurable()) {
+    sendWhenDurable(from, reply);
+  } else {
+    send(from, reply);
+  }
 }
 
 void RaftImpl::installSnapshot(const Snapshot& snapshot) {
--- a/src/consensus/raft_impl.cpp
+++ b/src/consensus/raft_impl.cpp
@@ -1,6 +1,7 @@
 #include "consensus/raft_impl.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "walnut/consensus/codec.h"
@@ -43,7 +44,8 @@
       appliedIndex_(log_.baseIndex()),
       persistQueue_(recovered.hardState, log_.lastIndex()),
       installed_(snapshot_),
-      electionTimer_(options_, seed ^ (recovered.self.value * kSeedMultiplier), now) {
+      electionTimer_(options_, seed ^ (recovered.self.value * kSeedMultiplier), now),
+      voteHold_(options_) {
   for (const LogEntry& entry : log_.range(log_.firstIndex(), log_.lastIndex())) {
     if (entry.type == EntryType::membership) {
       memberships_.append({entry.index, decodeMembership(entry.payload).value()});
@@ -74,7 +76,7 @@
   advanceTime(now);
   if (isLeader()) {
     tickLeader();
-  } else if (now_ >= electionTimer_.deadline()) {
+  } else if (now_ >= electionTimer_.deadline() && isHardStateDurable()) {
     startPreVote();
   }
 }
@@ -113,34 +115,47 @@
 
 void RaftImpl::onPersisted(base::TimePoint now) {
   now_ = std::max(now_, now);
+  const bool wasDurable = isHardStateDurable();
   persistQueue_.onPersisted();
-  if (role_ == Role::candidate) {
-    countOwnVote();
-  } else if (isLeader()) {
+  std::move(syncing_.begin(), syncing_.end(), std::back_inserter(messages_));
+  syncing_.clear();
+  if (!wasDurable && isHardStateDurable()) {
+    handleDurableHardState();
+  }
+  if (isLeader()) {
     updateCommitIndex();
   }
 }
 
 RaftOutputs RaftImpl::takeOutputs() {
   RaftOutputs outputs;
-  outputs.elections = std::exchange(endedElections_, {});
-  if (persistQueue_.isBatchInFlight()) {
-    return outputs;  // Further messages may depend on the batch, which is not synced yet.
-  }
   if (isLeader()) {
     flushFollowers();
   }
-  outputs.persist = persistQueue_.take(log_);
+  if (!persistQueue_.isBatchInFlight()) {
+    outputs.persist = persistQueue_.take(log_);
+    outputs.installed = std::exchange(installed_, std::nullopt);
+    std::vector<Message>& waiting = outputs.persist.empty() ? messages_ : syncing_;
+    std::move(unsynced_.begin(), unsynced_.end(), std::back_inserter(waiting));
+    unsynced_.clear();
+  }
+  outputs.elections = std::exchange(endedElections_, {});
   outputs.messages = std::exchange(messages_, {});
-  outputs.installed = std::exchange(installed_, std::nullopt);
-  outputs.committed = log_.range(appliedIndex_ + 1, commitIndex_);
-  appliedIndex_ = commitIndex_;
+  // Entries that are in no batch yet must not be applied: a snapshot of them would be written
+  // first.
+  const LogIndex applicable = std::min(commitIndex_, persistQueue_.lastBatchedIndex());
+  if (applicable > appliedIndex_) {
+    outputs.committed = log_.range(appliedIndex_ + 1, applicable);
+    appliedIndex_ = applicable;
+  }
   return outputs;
 }
 
 base::TimePoint RaftImpl::nextWakeup() const {
   if (!isLeader()) {
-    return isVoter(membership(), self_) ? electionTimer_.deadline() : base::kNever;
+    // No election begins before the hard state is durable, which `onPersisted` reports.
+    const bool mayStand = isVoter(membership(), self_) && isHardStateDurable();
+    return mayStand ? electionTimer_.deadline() : base::kNever;
   }
   base::TimePoint wakeup = leaderState_->nextHeartbeat;
   const base::TimePoint confirmed = std::max(quorumConfirmedAt(), leaderState_->since);
@@ -166,6 +181,14 @@
 }
 
 void RaftImpl::setHardState(const HardState& hardState) {
+  if (hardState == hardState_) {
+    return;
+  }
+  if (hardState.votedFor != base::ServerId{}) {
+    voteHold_.voteGranted(now_);
+  } else {
+    voteHold_.termEnded();
+  }
   hardState_ = hardState;
   persistQueue_.hardStateChanged(hardState_);
 }
@@ -180,6 +203,7 @@
     electionTimer_.restart(now_);
   }
   endElectionReport(ElectionEnd::superseded);
+  isStanding_ = false;
   role_ = Role::follower;
   leader_ = leader;
 }
@@ -199,6 +223,10 @@
   messages_.push_back({self_, to, std::move(body)});
 }
 
+void RaftImpl::sendWhenDurable(base::ServerId to, MessageBody body) {
+  unsynced_.push_back({self_, to, std::move(body)});
+}
+
 bool RaftImpl::acceptReplyTerm(base::ServerId from, Term term) {
   const bool member = findMember(membership(), from) != nullptr;
   if (term > hardState_.term && member) {  // A removed server must not depose a leader.
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -51,9 +51,10 @@
 
 /// Raft implementation as a state machine over the roles. Transitions: follower -> preCandidate at
 /// the election timeout; preCandidate -> candidate with a majority of pre-votes;
-/// candidate -> leader with a majority of votes; any -> follower on a higher term, on a message
-/// from the term's leader, or (leader) when it loses its majority or membership.
-/// follower -> candidate on TimeoutNow; leader -> candidate when a leadership transfer fails.
+/// candidate -> leader with a majority of votes, as does a preCandidate with late votes of its
+/// former candidacy; any -> follower on a higher term, on a message from the term's leader, or
+/// (leader) when it loses its majority or membership. follower -> candidate on TimeoutNow; leader
+/// -> candidate when a leadership transfer fails.
 class RaftImpl final : public Raft {
  public:
   RaftImpl(const RaftOptions& options, RecoveredState recovered, std::uint64_t seed,
@@ -85,6 +86,9 @@
   void appendEntry(LogEntry entry);
   void advanceCommit(LogIndex index);
   void send(base::ServerId to, MessageBody body);
+  /// Sends a message once all changes so far are durable.
+  void sendWhenDurable(base::ServerId to, MessageBody body);
+  bool isHardStateDurable() const { return persistQueue_.durableHardState() == hardState_; }
   const Membership& membership() const { return memberships_.current().membership; }
   bool isLeader() const { return role_ == Role::leader; }
   /// Enters the term of the reply if it is higher and the sender is a member.
@@ -95,7 +99,7 @@
   void startPreVote();
   void startElection(bool leadershipTransfer);
   void requestVotes(const VoteRequest& request);
-  void countOwnVote();
+  void handleDurableHardState();
   void checkElectionWon();
   void beginElectionReport(Term term, bool preVote);
   /// Reports the election that is open, if there is one.
@@ -109,6 +113,7 @@
   void handle(base::ServerId from, const AppendRequest& request);
   void handle(base::ServerId from, const SnapshotChunk& chunk);
   AppendReply applyAppend(const AppendRequest& request);
+  void sendAppendReply(base::ServerId to, const AppendReply& reply);
   LogIndex conflictHint(LogIndex previousIndex) const;
   void storeEntries(const std::vector<LogEntry>& entries);
   void installSnapshot(const Snapshot& snapshot);
@@ -155,13 +160,20 @@
 
   PersistQueue persistQueue_;
   std::vector<Message> messages_;               // For the next outputs.
+  std::vector<Message> unsynced_;               // Wait for the next batch.
+  std::vector<Message> syncing_;                // Wait for the batch in flight.
   std::optional<Snapshot> installed_;           // For the next outputs.
   std::vector<ElectionReport> endedElections_;  // For the next outputs.
 
   Role role_ = Role::follower;
   base::ServerId leader_;  // Leader of the current term; zero if unknown.
   ElectionTimer electionTimer_;
+  VoteHold voteHold_;
+  VoteTally preVotes_;
   VoteTally votes_;
+  /// This server asked for votes in the present term and may still be elected by them, also by
+  /// votes that arrive after the timeout.
+  bool isStanding_ = false;
   std::optional<OpenElection> openElection_;
   SnapshotReceiver snapshotReceiver_;
   HeartbeatRounds rounds_;
--- a/src/consensus/raft_leader.cpp
+++ b/src/consensus/raft_leader.cpp
@@ -19,6 +19,7 @@
 
 void RaftImpl::becomeLeader() {
   endElectionReport(ElectionEnd::won);
+  isStanding_ = false;
   role_ = Role::leader;
   leader_ = self_;
   LeaderState& state = leaderState_.emplace();
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -29,6 +29,9 @@
 constexpr base::Duration kLongTurnLogInterval = std::chrono::seconds(1);
 /// Syncs that are longer are logged.
 constexpr base::Duration kSlowSync = std::chrono::milliseconds(100);
+/// One writes; the other may still be about to end its turn when the next batch comes.
+constexpr std::size_t kStorageThreads = 2;
+constexpr std::size_t kStorageStackBytes = 256U << 10U;
 constexpr base::Duration kRefusedCallLogInterval = std::chrono::seconds(1);
 constexpr std::size_t kLoggedPathBytes = 64;
 
@@ -69,7 +72,8 @@
             metrics_.count("walnut_registry_calls_total", "given-up");
             sink.respond(dialects_.control.writeError(
                 {base::ErrorCode::timedOut, "", "the call waited for too long"}));
-          }) {}
+          }),
+      storageThreads_(kStorageThreads, kStorageStackBytes) {}
 
 RegistryHost::~RegistryHost() = default;
 
@@ -204,15 +208,8 @@
     noteStorageFailure(*outputs.unreadable);
     return false;
   }
-  const bool persisted = !outputs.persist.empty();
-  if (persisted) {
-    const base::TimePoint begin = runtime::now();
-    const auto outcome = folder_.storage->persist(outputs.persist);
-    noteSync(outputs.persist, runtime::now() - begin);
-    if (outcome.has_error()) {
-      noteStorageFailure(outcome.error());
-      return false;
-    }
+  if (!outputs.persist.empty()) {
+    beginPersist(std::move(outputs.persist));
   }
   for (const consensus::ElectionReport& election : outputs.elections) {
     metrics_.count("walnut_registry_elections_total",
@@ -221,10 +218,33 @@
   for (registry::RegistryAction& action : outputs.actions) {
     std::visit([this](auto& body) { perform(body); }, action);
   }
-  if (persisted) {
-    registry_->step(runtime::now(), registry::Persisted{});
+  return !outputs.actions.empty();
+}
+
+/// Votes, heartbeats and calls are handled while the disk syncs. The registry outputs no other
+/// batch before this one is reported.
+void RegistryHost::beginPersist(consensus::PersistBatch batch) {
+  const auto shared = std::make_shared<const consensus::PersistBatch>(std::move(batch));
+  const bool begun = storageThreads_.run([this, shared] {
+    const base::TimePoint begin = runtime::now();
+    const base::Result<void> outcome = folder_.storage->persist(*shared);
+    const base::Duration duration = runtime::now() - begin;
+    dispatcher_.post(
+        [this, shared, outcome, duration] { finishPersist(*shared, outcome, duration); });
+  });
+  if (!begun) {
+    noteStorageFailure({base::ErrorCode::internal, "persist", "no thread can be started"});
+  }
+}
+
+void RegistryHost::finishPersist(const consensus::PersistBatch& batch,
+                                 const base::Result<void>& outcome, base::Duration duration) {
+  noteSync(batch, duration);
+  if (outcome.has_error()) {
+    noteStorageFailure(outcome.error());
+    return;
   }
-  return persisted || !outputs.actions.empty();
+  registry_->step(runtime::now(), registry::Persisted{});
 }
 
 void RegistryHost::noteSync(const consensus::PersistBatch& batch, base::Duration duration) {
--- a/src/daemon/registry_host.h
+++ b/src/daemon/registry_host.h
@@ -12,6 +12,7 @@
 #include "daemon/data_folder.h"
 #include "daemon/peer_links.h"
 #include "daemon/registry_settings.h"
+#include "daemon/task_threads.h"
 #include "event/dispatcher.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -29,9 +30,10 @@
   const registry::WorkerDialect& worker;
 };
 
-/// Everything but the transport's own thread runs on the event loop. Invariant: nothing that a
-/// batch of outputs says goes out before the batch is synced. If the storage fails, the process
-/// ends: what is on disk is unknown until the next recovery.
+/// Everything but the transport's own thread and writes to disk runs on the event loop. Invariant:
+/// at most one batch is being written, and the registry is told once it is synced; until then it
+/// outputs nothing that promises that. If the storage fails, the process ends: what is on disk is
+/// unknown until the next recovery.
 class RegistryHost : public net::RequestHandler {
  public:
   RegistryHost(const RegistrySettings& settings, const RegistryDialects& dialects,
@@ -73,7 +75,7 @@
   void queue(registry::RegistryInput input);
   void serveInbox();
 
-  /// Persists and carries out what the logic has decided.
+  /// Carries out what the logic has decided.
   void settle();
   /// @return true if there may be more at once.
   bool settleOnce();
@@ -87,6 +89,9 @@
   void perform(registry::CallAnswered& answered);
   void perform(registry::SendOrder& order);
   void perform(registry::ReadReport& read);
+  void beginPersist(consensus::PersistBatch batch);
+  void finishPersist(const consensus::PersistBatch& batch, const base::Result<void>& outcome,
+                     base::Duration duration);
   void noteSync(const consensus::PersistBatch& batch, base::Duration duration);
   void noteStorageFailure(const base::Error& error);
   void checkStopped();
@@ -114,6 +119,7 @@
   base::TimePoint longTurnLoggedAt_;
   base::TimePoint refusedCallLoggedAt_;
   std::uint64_t refusedCalls_ = 0;  ///< Since the last line of them.
+  TaskThreads storageThreads_;      ///< Ends before what its tasks use.
   std::map<std::uint64_t, OutsideCall> calls_;
   std::map<base::Endpoint, EndpointLink> endpointLinks_;
   std::optional<PeerLinks> links_;
--- a/src/registry/registry_membership.cpp
+++ b/src/registry/registry_membership.cpp
@@ -40,13 +40,14 @@
     missing += peerEndpointOf(server).value_or(base::Endpoint{}).address;
   }
   const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(election.duration);
-  log_.write(LogEvent::electionEnded,
-             {{"term", election.term},
-              {"round", election.preVote ? "pre-vote" : "vote"},
-              {"outcome", consensus::electionEndName(election.end)},
-              {"missing", missing},
-              {"own-vote", election.ownVoteDurable ? "durable" : "not-durable"},
-              {"millis", static_cast<std::uint64_t>(millis.count())}});
+  log_.write(LogEvent::electionEnded, {{"term", election.term},
+                                       {"round", election.preVote ? "pre-vote" : "vote"},
+                                       {"outcome", consensus::electionEndName(election.end)},
+                                       {"missing", missing},
+                                       {"own-vote", election.preVote          ? "none"
+                                                    : election.ownVoteDurable ? "durable"
+                                                                              : "not-durable"},
+                                       {"millis", static_cast<std::uint64_t>(millis.count())}});
 }
 
 void RegistryImpl::updateMembership() {
--- a/src/simulator/fleet_server.h
+++ b/src/simulator/fleet_server.h
@@ -64,6 +64,7 @@
 
   void settle();
   base::Duration drawSyncTime(std::size_t syncs);
+  bool persist(const consensus::PersistBatch& batch);
   void perform(registry::RegistryAction& action);
   /// At the end of the turn.
   void send(protocol::Message message, const Sender& sender);
--- a/test/registry/cluster.h
+++ b/test/registry/cluster.h
@@ -95,6 +95,7 @@
       if (call(port, body).status == ControlStatus::done) {
         return true;
       }
+      advance();  // The leader answers at once, without any time passing.
     }
     return false;
   }
