http: a response that ends within its head or body is an error, not a 200 with an empty or short body

What callers saw (a report of other operators): a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. On the users' platform this does not happen: the gateway and the calls of the registry use the parser of src/net, which tells a message that is cut. The client of the chat part and the tools did it: POCO takes the end of a connection for the end of a head, and of a body. Cause: a reader that has no state for "the connection ended before the message did". Change: HttpClientConnection reads with the parser of src/net (ResponseReader); walnutctl and the rehearsal's caller use it, too, in place of two more copies of POCO's session. A cut response is `malformedInput`, as a head that is cut was where POCO saw it; a stream of generation that breaks off stays `connectionLost`. GatewayPathTest.noPartOfAnAnswerIsPassedOnAsWhole, each byte of a worker's answer through the gateway: passes; the code that it runs is unchanged.

--- a/src/cli/http_call.h
+++ b/src/cli/http_call.h
@@ -2,12 +2,10 @@
 /// @file
 /// One try of one HTTP request to a controller, free of exceptions.
 
-#include <Poco/Net/HTTPClientSession.h>
-
-#include <istream>
 #include <memory>
 #include <string>
 
+#include "http/http_client.h"
 #include "walnut/base/error.h"
 #include "walnut/base/ids.h"
 #include "walnut/base/time.h"
@@ -24,7 +22,7 @@
   std::string requestId;  ///< Empty: none is sent.
 };
 
-/// A response of which the head was read. The body follows on `stream`.
+/// A response of which the head was read.
 class HttpResponse {
  public:
   /// @return `connectFailed` if nothing was sent; `connectionLost` or `timedOut` if something may
@@ -36,6 +34,7 @@
   int status() const { return status_; }
 
   /// Reads the whole body.
+  /// @return `malformedInput` if it was cut short.
   base::Result<std::string> readBody();
 
   /// Blocks for a line, for the timeout of the call at most.
@@ -43,11 +42,10 @@
   base::Result<std::string> readLine();
 
  private:
-  explicit HttpResponse(std::unique_ptr<Poco::Net::HTTPClientSession> session)
-      : session_(std::move(session)) {}
+  HttpResponse() = default;
 
-  std::unique_ptr<Poco::Net::HTTPClientSession> session_;
-  std::istream* stream_ = nullptr;
+  http::HttpClientConnection connection_;
+  std::string received_;  ///< Of the body, not yet returned as lines.
   int status_ = 0;
 };
 
--- a/src/daemon/generate_stream.cpp
+++ b/src/daemon/generate_stream.cpp
@@ -77,11 +77,14 @@
   }
   http::EventStreamParser parser(kMaxEventBytes);
   while (!ended_) {
-    BOOST_OUTCOME_TRY(bytes, connection_.readSome());
-    if (bytes.empty()) {
+    const auto bytes = connection_.readSome();
+    if (bytes.has_error() && bytes.error().code != ErrorCode::malformedInput) {
+      return bytes.error();
+    }
+    if (bytes.has_error() || bytes.value().empty()) {
       return Error{ErrorCode::connectionLost, "connection", "the stream broke off"};
     }
-    parser.feed(bytes);
+    parser.feed(bytes.value());
     while (!ended_) {
       const auto event = parser.next();
       if (!event) {
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,17 +1,14 @@
 #include "http/http_client.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
+#include <array>
 #include <cerrno>
-#include <streambuf>
+#include <utility>
 
 namespace walnut::http {
 
@@ -21,7 +18,6 @@
 
 namespace {
 
-/// Most bytes that `readSome` hands out at once.
 constexpr std::size_t kReadBlockBytes = 16U << 10U;
 
 Error lost(const std::string& detail) { return {ErrorCode::connectionLost, "connection", detail}; }
@@ -30,21 +26,34 @@
   if (dynamic_cast<const Poco::TimeoutException*>(&exception) != nullptr) {
     return {ErrorCode::timedOut, "connection", exception.displayText()};
   }
-  const auto* noMessage = dynamic_cast<const Poco::Net::NoMessageException*>(&exception);
-  const auto* message = dynamic_cast<const Poco::Net::MessageException*>(&exception);
-  if (message != nullptr && noMessage == nullptr) {
-    return {ErrorCode::malformedInput, "response", exception.displayText()};
-  }
   return lost(exception.displayText());
 }
 
+std::string encodeRequest(const ClientRequest& request, const std::string& host, bool keepAlive) {
+  net::HttpRequest head;
+  head.method = request.method;
+  head.target = request.path;
+  head.headers.add("Host", host);
+  for (const net::Header& header : request.headers) {
+    head.headers.add(header.name, header.value);
+  }
+  if (!request.body.empty()) {
+    head.headers.add("Content-Type", request.contentType);
+  }
+  if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+    head.headers.add("Content-Length", std::to_string(request.body.size()));
+  }
+  head.headers.add("Connection", keepAlive ? "Keep-Alive" : "Close");
+  return net::encodeRequestHead(head) + request.body;
+}
+
 }  // namespace
 
 HttpClientConnection::~HttpClientConnection() { close(); }
 
 void HttpClientConnection::close() {
-  session_.reset();
-  body_ = nullptr;
+  socket_.reset();
+  reader_.reset();
   const std::lock_guard lock(abortMutex_);
   if (abortDescriptor_ >= 0) {
     ::close(abortDescriptor_);
@@ -56,21 +65,20 @@
   close();
   host_ = endpoint.address + ":" + std::to_string(endpoint.port);
   try {
-    Poco::Net::StreamSocket socket;
-    socket.connect(Poco::Net::SocketAddress(endpoint.address, endpoint.port),
-                   Poco::Timespan(timeout.count()));
-    socket.setNoDelay(true);
-    session_ = std::make_unique<Poco::Net::HTTPClientSession>(socket);
+    auto socket = std::make_unique<Poco::Net::StreamSocket>();
+    socket->connect(Poco::Net::SocketAddress(endpoint.address, endpoint.port),
+                    Poco::Timespan(timeout.count()));
+    socket->setNoDelay(true);
+    socket_ = std::move(socket);
   } catch (const Poco::Exception& exception) {
     return Error{ErrorCode::connectFailed, host_, exception.displayText()};
   }
-  serverKeepsAlive_ = false;
-  bodyRead_ = true;
+  reader_ = std::make_unique<ResponseReader>();
   const std::lock_guard lock(abortMutex_);
   if (aborted_) {
     return Error{ErrorCode::connectFailed, host_, "aborted before anything was sent"};
   }
-  abortDescriptor_ = ::dup(session_->socket().impl()->sockfd());
+  abortDescriptor_ = ::dup(socket_->impl()->sockfd());
   if (abortDescriptor_ < 0) {
     return Error{ErrorCode::connectFailed, host_, "no file descriptor is left"};
   }
@@ -79,34 +87,23 @@
 
 Result<void> HttpClientConnection::setTimeout(base::Duration timeout) {
   try {
-    session_->socket().setReceiveTimeout(Poco::Timespan(timeout.count()));
-    session_->socket().setSendTimeout(Poco::Timespan(timeout.count()));
+    socket_->setReceiveTimeout(Poco::Timespan(timeout.count()));
+    socket_->setSendTimeout(Poco::Timespan(timeout.count()));
   } catch (const Poco::Exception& exception) {
     return errorOf(exception);
   }
   return base::success();
 }
 
-Error HttpClientConnection::failure() const {
-  const Poco::Exception* exception = session_->networkException();
-  return exception == nullptr ? lost("the connection broke") : errorOf(*exception);
-}
-
 Result<void> HttpClientConnection::send(const ClientRequest& request, bool keepAlive) {
-  bodyRead_ = false;
+  reader_->begin(request.method == "HEAD");
+  failure_.reset();
+  const std::string bytes = encodeRequest(request, host_, keepAlive);
   try {
-    Poco::Net::HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
-    head.set("Host", host_);
-    if (!request.body.empty()) {
-      head.setContentType(request.contentType);
-      head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
-    }
-    session_->setKeepAlive(keepAlive);
-    std::ostream& output = session_->sendRequest(head);
-    output.write(request.body.data(), static_cast<std::streamsize>(request.body.size()));
-    output.flush();
-    if (!output.good()) {
-      return failure();
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+      sent += static_cast<std::size_t>(
+          socket_->sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent)));
     }
   } catch (const Poco::Exception& exception) {
     return errorOf(exception);
@@ -114,33 +111,46 @@
   return base::success();
 }
 
-Result<ReplyHead> HttpClientConnection::receiveHead() {
+Result<void> HttpClientConnection::receiveMore() {
+  std::array<char, kReadBlockBytes> block{};
   try {
-    Poco::Net::HTTPResponse response;
-    body_ = &session_->receiveResponse(response);
-    serverKeepsAlive_ = response.getKeepAlive();
-    return ReplyHead{static_cast<int>(response.getStatus()), response.getContentType()};
+    const int count = socket_->receiveBytes(block.data(), static_cast<int>(block.size()));
+    if (count > 0) {
+      return reader_->feed({block.data(), static_cast<std::size_t>(count)});
+    }
   } catch (const Poco::Exception& exception) {
     return errorOf(exception);
   }
+  return reader_->feedEnd();
+}
+
+/// A failure is returned by the next call, as what came before it is handed out first.
+Result<void> HttpClientConnection::awaitMore() {
+  if (failure_) {
+    return *failure_;
+  }
+  const auto received = receiveMore();
+  if (received.has_error()) {
+    failure_ = received.error();
+  }
+  return base::success();
+}
+
+Result<ReplyHead> HttpClientConnection::receiveHead() {
+  while (!reader_->head()) {
+    BOOST_OUTCOME_TRYV(awaitMore());
+  }
+  const net::MessageHead& head = *reader_->head();
+  const std::string* type = head.headers.find("Content-Type");
+  return ReplyHead{head.status, type == nullptr ? std::string() : *type, head.headers};
 }
 
 Result<std::string_view> HttpClientConnection::readSome() {
-  try {
-    // The stream buffer itself, as an istream's read would wait for a full block.
-    std::streambuf* buffer = body_->rdbuf();
-    if (buffer->sgetc() == std::char_traits<char>::eof()) {
-      bodyRead_ = true;
-      return std::string_view();
-    }
-    static thread_local std::string block(kReadBlockBytes, '\0');
-    const std::streamsize ready =
-        std::min<std::streamsize>(buffer->in_avail(), static_cast<std::streamsize>(block.size()));
-    const std::streamsize count = buffer->sgetn(block.data(), ready);
-    return std::string_view(block.data(), static_cast<std::size_t>(count));
-  } catch (const Poco::Exception& exception) {
-    return errorOf(exception);
+  while (!reader_->hasBody() && !reader_->isComplete()) {
+    BOOST_OUTCOME_TRYV(awaitMore());
   }
+  block_ = reader_->takeBody();
+  return std::string_view(block_);
 }
 
 Result<std::string> HttpClientConnection::readBody(std::size_t maxBytes) {
@@ -167,7 +177,7 @@
 }
 
 bool HttpClientConnection::wholeReplyRead() const {
-  return session_ && serverKeepsAlive_ && bodyRead_;
+  return socket_ && reader_->keepsConnection() && !reader_->hasBody();
 }
 
 bool HttpClientConnection::reusable() const {
@@ -175,7 +185,7 @@
     return false;
   }
   char byte = 0;
-  const int descriptor = session_->socket().impl()->sockfd();
+  const int descriptor = socket_->impl()->sockfd();
   const auto received = ::recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -1,16 +1,18 @@
 #pragma once
 /// @file
-/// Client side of HTTP over Poco::Net::HTTPClientSession, free of exceptions. One object is one
-/// TCP connection, so that the caller always knows whether anything was sent.
+/// Client side of HTTP over blocking POCO sockets, free of exceptions. One object is one TCP
+/// connection, so that the caller always knows whether anything was sent.
 
-#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/StreamSocket.h>
 
-#include <istream>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "http/response_reader.h"
 #include "walnut/base/error.h"
 #include "walnut/base/ids.h"
 #include "walnut/base/time.h"
@@ -22,12 +24,14 @@
   std::string path;  ///< With the query.
   std::string body;  ///< Empty: none is sent.
   std::string contentType = "application/json";
+  std::vector<net::Header> headers;  ///< Besides those that describe the body and the connection.
 };
 
 /// First line and headers of a response.
 struct ReplyHead {
   int status = 0;
   std::string contentType;
+  net::HeaderList headers;
 };
 
 struct Reply {
@@ -39,8 +43,8 @@
 /// Nothing is ever sent twice: there is no silent reconnect.
 ///
 /// Errors: `connectFailed` only from `connect`; then nothing was sent. `connectionLost`,
-/// `timedOut`, `inputTooLarge` and `malformedInput` (the response is not HTTP) from the others;
-/// then the request may have reached the server.
+/// `timedOut`, `inputTooLarge` and `malformedInput` (the response is not HTTP, or not whole) from
+/// the others; then the request may have reached the server.
 class HttpClientConnection {
  public:
   HttpClientConnection() = default;
@@ -62,8 +66,8 @@
   base::Result<ReplyHead> receiveHead();
 
   /// Waits for the next bytes of the body.
-  /// @return a view, valid until the next call; empty at the end of the body. A body that was cut
-  /// off ends like a whole one: the content must tell.
+  /// @return a view, valid until the next call; empty at the end of the body; `malformedInput` if
+  /// the body was cut short.
   base::Result<std::string_view> readSome();
 
   /// @return the rest of the body, or `inputTooLarge`.
@@ -86,15 +90,16 @@
   bool aborted() const;
 
  private:
-  /// @return the error behind a failed read or write of the session.
-  base::Error failure() const;
   void close();
-
-  std::unique_ptr<Poco::Net::HTTPClientSession> session_;
-  std::istream* body_ = nullptr;
+  /// Waits for bytes and hands them to the reader.
+  base::Result<void> receiveMore();
+  base::Result<void> awaitMore();
+
+  std::unique_ptr<Poco::Net::StreamSocket> socket_;
+  std::unique_ptr<ResponseReader> reader_;
+  std::optional<base::Error> failure_;  ///< Of the response that is being read.
+  std::string block_;                   ///< Bytes of the body that the caller looks at.
   std::string host_;
-  bool serverKeepsAlive_ = false;
-  bool bodyRead_ = true;
 
   /// A second descriptor of the socket, so that `abort` can't meet a number that was used again.
   mutable std::mutex abortMutex_;
--- a/src/rehearsal/http_client.cpp
+++ b/src/rehearsal/http_client.cpp
@@ -1,76 +1,46 @@
 #include "rehearsal/http_client.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/StreamCopier.h>
-
-#include <ostream>
+#include <limits>
+#include <utility>
 
 namespace walnut::rehearsal {
 
-using base::Error;
-using base::ErrorCode;
-
-namespace {
-
-std::string describe(const HttpCall& call) {
-  return call.server.address + ":" + std::to_string(call.server.port) + call.path;
-}
-
-}  // namespace
-
-HttpExchange::HttpExchange(const HttpCall& call) : session_(call.server.address, call.server.port) {
-  session_.setTimeout(Poco::Timespan(call.timeout.count()));
-}
-
-void HttpExchange::send(const HttpCall& call) {
-  Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
-  for (const HttpHeader& header : call.headers) {
-    request.set(header.name, header.value);
-  }
-  if (call.method != "GET" && call.method != "DELETE") {
-    request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
-    request.setContentType("application/json");
-  }
-  std::ostream& output = session_.sendRequest(request);
-  session_.socket().setNoDelay(true);
-  output << call.body << std::flush;
-  body_ = &session_.receiveResponse(response_);
-}
-
 base::Result<std::unique_ptr<HttpExchange>> HttpExchange::open(const HttpCall& call) {
-  std::unique_ptr<HttpExchange> exchange(new HttpExchange(call));
-  try {
-    exchange->send(call);
-    return exchange;
-  } catch (const Poco::TimeoutException& exception) {
-    const bool sent = exchange->session_.connected();
-    return Error{sent ? ErrorCode::timedOut : ErrorCode::connectFailed, describe(call),
-                 exception.displayText()};
-  } catch (const Poco::Net::ConnectionRefusedException& exception) {
-    return Error{ErrorCode::connectFailed, describe(call), exception.displayText()};
-  } catch (const Poco::Exception& exception) {
-    return Error{ErrorCode::connectionLost, describe(call), exception.displayText()};
+  std::unique_ptr<HttpExchange> exchange(new HttpExchange);
+  http::HttpClientConnection& connection = exchange->connection_;
+  BOOST_OUTCOME_TRYV(connection.connect(call.server, call.timeout));
+  BOOST_OUTCOME_TRYV(connection.setTimeout(call.timeout));
+  http::ClientRequest request;
+  request.method = call.method;
+  request.path = call.path;
+  request.body = call.body;
+  for (const HttpHeader& header : call.headers) {
+    request.headers.push_back({header.name, header.value});
   }
+  BOOST_OUTCOME_TRYV(connection.send(request, false));
+  BOOST_OUTCOME_TRY(head, connection.receiveHead());
+  exchange->head_ = std::move(head);
+  return exchange;
 }
 
 std::optional<std::string> HttpExchange::header(const std::string& name) const {
-  if (!response_.has(name)) {
-    return std::nullopt;
-  }
-  return response_.get(name);
+  const std::string* value = head_.headers.find(name);
+  return value == nullptr ? std::nullopt : std::optional<std::string>(*value);
 }
 
 std::optional<std::string> HttpExchange::readLine() {
-  std::string line;
-  try {
-    if (!std::getline(*body_, line)) {
-      return std::nullopt;
-    }
-  } catch (const Poco::Exception&) {
+  std::size_t end = received_.find('\n');
+  while (end == std::string::npos && !ended_) {
+    const auto bytes = connection_.readSome();
+    ended_ = bytes.has_error() || bytes.value().empty();
+    received_ += ended_ ? std::string_view() : bytes.value();
+    end = received_.find('\n');
+  }
+  if (end == std::string::npos && received_.empty()) {
     return std::nullopt;
   }
+  std::string line = received_.substr(0, end);
+  received_.erase(0, end == std::string::npos ? end : end + 1);
   if (!line.empty() && line.back() == '\r') {
     line.pop_back();
   }
@@ -78,17 +48,9 @@
 }
 
 base::Result<std::string> HttpExchange::readRest() {
-  std::string text;
-  try {
-    Poco::StreamCopier::copyToString(*body_, text);
-  } catch (const Poco::Exception& exception) {
-    return Error{ErrorCode::connectionLost, "body", exception.displayText()};
-  }
-  const bool announced = response_.hasContentLength();
-  if (announced && static_cast<Poco::Int64>(text.size()) != response_.getContentLength64()) {
-    return Error{ErrorCode::connectionLost, "body", "shorter than its Content-Length"};
-  }
-  return text;
+  constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
+  BOOST_OUTCOME_TRY(rest, connection_.readBody(kNoLimit - received_.size()));
+  return std::exchange(received_, {}) + rest;
 }
 
 base::Result<HttpReply> httpCall(const HttpCall& call) {
--- a/src/rehearsal/http_client.h
+++ b/src/rehearsal/http_client.h
@@ -1,16 +1,13 @@
 #pragma once
 /// @file
-/// HTTP client of the rehearsal kit over Poco::Net, free of exceptions.
+/// HTTP client of the rehearsal kit, free of exceptions.
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPResponse.h>
-
-#include <istream>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "http/http_client.h"
 #include "walnut/base/error.h"
 #include "walnut/base/ids.h"
 #include "walnut/base/time.h"
@@ -43,7 +40,7 @@
   /// @return `connectFailed` if nothing was sent, else `connectionLost` or `timedOut`.
   static base::Result<std::unique_ptr<HttpExchange>> open(const HttpCall& call);
 
-  int status() const { return response_.getStatus(); }
+  int status() const { return head_.status; }
   std::optional<std::string> header(const std::string& name) const;
 
   /// @return the next line without its end, or nothing at the end of the body, be it whole or not.
@@ -52,12 +49,12 @@
   base::Result<std::string> readRest();
 
  private:
-  explicit HttpExchange(const HttpCall& call);
-  void send(const HttpCall& call);
+  HttpExchange() = default;
 
-  Poco::Net::HTTPClientSession session_;
-  Poco::Net::HTTPResponse response_;
-  std::istream* body_ = nullptr;
+  http::HttpClientConnection connection_;
+  http::ReplyHead head_;
+  std::string received_;  ///< Of the body, not yet returned.
+  bool ended_ = false;
 };
 
 /// Sends a request and reads the whole response.
--- a/test/daemon/gateway_path_test.cpp
+++ b/test/daemon/gateway_path_test.cpp
@@ -1,6 +1,7 @@
 /// The whole path over loopback: an operator declares, a worker registers, a client is served. The
 /// hosts run on threads of their own; the client and the worker run on the test's.
 
+#include <atomic>
 #include <cstdlib>
 #include <filesystem>
 #include <functional>
@@ -8,6 +9,7 @@
 #include <thread>
 
 #include "daemon/gateway_host.h"
+#include "daemon/raw_server.h"
 #include "daemon/registry_host.h"
 #include "daemon/standin_worker.h"
 #include "net/http_client.h"
@@ -166,6 +168,20 @@
           .head.status;
     });
   }
+  /// Registers a server that answers with raw bytes in place of the plain worker.
+  void registerRaw(const RawServer& server) {
+    std::string text = plain->heartbeat("plain", false);
+    const std::string own = runtime::formatEndpoint(plain->endpoint());
+    text.replace(text.find(own), own.size(), runtime::formatEndpoint(server.endpoint()));
+    insist([this] {
+      return post(std::string(platform::kConfigReplacePath), documentText(3)).head.status;
+    });
+    insist([&] { return post(std::string(platform::kHeartbeatPath) + "i-raw", text).head.status; });
+  }
+  /// Asks with a body that is the id of the request.
+  net::HttpResponse askById() {
+    return ask("/once/x", "a-" + std::to_string(attempts + 1), nullptr);
+  }
   net::HttpResponse ask(const std::string& target, const std::string& body, const char* model) {
     net::HttpRequest made = request("POST", target, body);
     made.headers.add(std::string(platform::kRequestIdHeader), "a-" + std::to_string(++attempts));
@@ -296,3 +312,42 @@
   }
   CHECK_EQUAL(503, status);
 }
+
+/// Guards against an answer that ends within its head or its body and reaches the client as a 200
+/// with an empty or short body, framed as whole.
+TEST(GatewayPathTest, noPartOfAnAnswerIsPassedOnAsWhole) {
+  constexpr std::size_t kWhole = 10'000;
+  std::atomic<std::size_t> cutAt{kWhole};
+  std::atomic<std::size_t> cuts{0};
+  RawServer worker([&](RawConnection& connection) {
+    while (connection.readRequest()) {
+      const std::string answer = "HTTP/1.1 200 OK\r\n" + std::string(platform::kRequestIdHeader) +
+                                 ": " + connection.body + "\r\n" +
+                                 std::string(platform::kSealHeader) +
+                                 ": seal\r\nContent-Length: 12\r\n\r\ntwelve bytes";
+      connection.write(answer.substr(0, cutAt));
+      if (cutAt < answer.size()) {
+        ++cuts;
+        return;
+      }
+    }
+  });
+  registerRaw(worker);
+  insist([this] { return askById().head.status; });
+  std::size_t tried = 0;
+  for (bool whole = false; !whole;) {
+    cutAt = tried;
+    const std::size_t before = cuts;
+    const net::HttpResponse response = askById();
+    whole = cuts == before && response.head.status == 200;
+    if (!whole) {
+      const std::string text = "after byte " + std::to_string(tried);
+      CHECK_TEXT(response.head.status != 200, text.c_str());
+      CHECK_EQUAL_TEXT(before + 1, cuts, text.c_str());
+      ++tried;
+      cutAt = kWhole;
+      insist([this] { return askById().head.status; });
+    }
+  }
+  CHECK(tried > 100);
+}
--- a/test/daemon/raw_server.h
+++ b/test/daemon/raw_server.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
