http: a request that ends within its head or body is not carried out

A DELETE whose condition was cut off would be carried out without it. Change: each connection follows its requests with the parser of src/net; one that ended within a request drops it (`http request cut` in the log), and a body that was cut is an error whatever its framing.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -12,6 +12,8 @@
 #include <ostream>
 #include <sstream>
 
+#include "http/open_connections.h"
+
 namespace walnut::http {
 
 using base::Error;
@@ -55,6 +57,11 @@
   }
 }
 
+bool Exchange::isCut() const {
+  const auto* const socket = dynamic_cast<const OpenSocketImpl*>(socketOf(request_).impl());
+  return socket != nullptr && socket->isRequestCut();
+}
+
 const std::string& Exchange::method() const { return request_.getMethod(); }
 
 bool Exchange::pathIs(std::initializer_list<std::string_view> segments) const {
@@ -121,8 +128,8 @@
   if (received > maxBytes) {
     return tooLarge;
   }
-  if (!chunked && received != length) {
-    return Error{ErrorCode::malformedInput, "body", "shorter than its Content-Length"};
+  if (isCut() || (!chunked && received != length)) {
+    return Error{ErrorCode::malformedInput, "body", "cut short"};
   }
   response_.setKeepAlive(request_.getKeepAlive());
   return body;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -22,6 +22,8 @@
  public:
   Exchange(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
 
+  /// @return true if the connection ended within the request, as far as it was read.
+  bool isCut() const;
   const std::string& method() const;
   /// Path without the query, split at '/', percent-decoded.
   const std::vector<std::string>& segments() const { return segments_; }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -38,6 +38,11 @@
       response.setKeepAlive(false);
     }
     Exchange exchange(request, response);
+    if (exchange.isCut()) {
+      runtime::logEvent("http request cut", {{"path", request.getURI()}});
+      response.setKeepAlive(false);
+      return;
+    }
     try {
       handler_(exchange);
     } catch (const std::exception& exception) {
--- a/src/http/open_connections.cpp
+++ b/src/http/open_connections.cpp
@@ -1,5 +1,7 @@
 #include "http/open_connections.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 
 #include "walnut/runtime/clock.h"
@@ -64,6 +66,17 @@
   return used_ ? drain_.awaitInput(sockfd(), timeout) : awaitFirstRequest(timeout);
 }
 
+int OpenSocketImpl::receiveBytes(void* buffer, int length, int flags) {
+  const int count = StreamSocketImpl::receiveBytes(buffer, length, flags);
+  const bool peeks = (flags & MSG_PEEK) != 0;
+  if (count > 0 && !peeks) {
+    tracker_.received({static_cast<const char*>(buffer), static_cast<std::size_t>(count)});
+  } else if (count == 0 && length > 0) {
+    tracker_.ended();
+  }
+  return count;
+}
+
 bool OpenSocketImpl::awaitFirstRequest(const Poco::Timespan& timeout) {
   // A request that has come already is not subject to the grace.
   bool ready = StreamSocketImpl::poll(Poco::Timespan(0), SELECT_READ);
--- a/src/http/open_connections.h
+++ b/src/http/open_connections.h
@@ -9,6 +9,7 @@
 #include <mutex>
 
 #include "http/drain_signal.h"
+#include "http/request_tracker.h"
 #include "walnut/base/time.h"
 
 namespace walnut::http {
@@ -48,6 +49,10 @@
   /// Takes over the connected descriptor.
   OpenSocketImpl(poco_socket_t descriptor, OpenConnections& open, const DrainSignal& drain);
   bool poll(const Poco::Timespan& timeout, int mode) override;
+  int receiveBytes(void* buffer, int length, int flags) override;
+
+  /// @return true if the client has closed the connection within a request.
+  bool isRequestCut() const { return tracker_.isCut(); }
 
  protected:
   ~OpenSocketImpl() override;
@@ -58,6 +63,7 @@
   OpenConnections& open_;
   const DrainSignal& drain_;
   bool used_ = false;
+  RequestTracker tracker_;
 };
 
 }  // namespace walnut::http
