rehearsal: a soak of registry servers and gateways as real processes

Change: `walnut-rehearse soak`: servers and gateways as real processes, our own stand-ins for workers (each behind a proxy), clients on open connections, and the operator. A seed draws overlapping kills, SIGTERM, SIGHUP, freezes, lost disks (no more than the cell tolerates), slow syncs, delayed, half cut and silent links, restarted workers, late orders and changes, and at the end a fault of all, with two disks lost, slow syncs or restarted workers. Checked: RECOVER, LIMIT (models and adapters), LOST (an acknowledged document), MIXED, ORDER, TWICE, and that no process ends by itself. The setting `sync-delay-file` makes syncs take longer while a server runs.

--- a/include/walnut/factories.h
+++ b/include/walnut/factories.h
@@ -27,6 +27,11 @@
 namespace walnut::storage {
 /// @return the real file system over one folder, created if absent. Implemented in src/storage.
 base::Result<std::unique_ptr<FileSystem>> openPosixFileSystem(const std::string& folder);
+/// @return a file system whose syncs take longer, for rehearsals of slow disks. Implemented in
+/// src/storage.
+/// @param delayFile file with the mean delay in milliseconds; may change at any time.
+std::unique_ptr<FileSystem> makeDelayedFileSystem(std::unique_ptr<FileSystem> files,
+                                                  const std::string& delayFile, std::uint64_t seed);
 /// Creates the log storage over `files`.
 /// @param segmentBytes size at which a new log segment is begun. Implemented in src/storage.
 std::unique_ptr<LogStorage> makeLogStorage(FileSystem& files, std::uint64_t segmentBytes);
--- a/programs/walnut-rehearse/commands.h
+++ b/programs/walnut-rehearse/commands.h
@@ -11,6 +11,8 @@
 int runFleet(int argc, char** argv);
 /// Seeded runs of gateways and workers that fail, under virtual time (serving.cpp).
 int runServing(int argc, char** argv);
+/// Seeded runs of registry servers and gateways as real processes (soak.cpp).
+int runSoakCommand(int argc, char** argv);
 /// Hollow routers and engines over loopback beside real processes (scale.cpp).
 int runScale(int argc, char** argv);
 /// Prints ports that were free when asked for (free_ports.cpp).
--- a/programs/walnut-rehearse/main.cpp
+++ b/programs/walnut-rehearse/main.cpp
@@ -33,6 +33,8 @@
             walnut::rehearsal::runFleet},
     Command{"serving", "seeded runs of gateways beside workers that fail, under virtual time",
             walnut::rehearsal::runServing},
+    Command{"soak", "registry servers and gateways as real processes, under faults drawn by seed",
+            walnut::rehearsal::runSoakCommand},
     Command{"simulate", "seeded runs of the whole system under virtual time",
             walnut::rehearsal::runSimulate},
 };
--- a/src/daemon/registry_program.cpp
+++ b/src/daemon/registry_program.cpp
@@ -32,7 +32,10 @@
               : base::ServerId{std::max<std::uint64_t>(runtime::randomSeed(), 1)};
   DataFolder folder;
   BOOST_OUTCOME_TRY(files, storage::openPosixFileSystem(settings.dataFolder));
-  folder.files = std::move(files);
+  folder.files = settings.syncDelayFile.empty()
+                     ? std::move(files)
+                     : storage::makeDelayedFileSystem(std::move(files), settings.syncDelayFile,
+                                                      runtime::randomSeed());
   folder.storage = storage::makeLogStorage(*folder.files, settings.segmentBytes);
   BOOST_OUTCOME_TRY(recovered, folder.storage->recover(fresh));
   folder.recovered = std::move(recovered);
--- a/src/daemon/registry_settings.cpp
+++ b/src/daemon/registry_settings.cpp
@@ -31,6 +31,8 @@
   keys_.addInteger("peer-port", peerPort_, 1, kMaxPort,
                    "Port of the internal protocol, on all servers");
   keys_.addString("data-folder", settings_.dataFolder, "Folder of the log and the snapshots");
+  keys_.addString("sync-delay-file", settings_.syncDelayFile,
+                  "For rehearsals: file with the milliseconds by which each sync is delayed");
   keys_.addBoolean("bootstrap", settings_.bootstrap,
                    "First start of the whole system: the seeds found the cell");
   keys_.addEndpointList("seeds", settings_.seeds, "Control addresses of some servers");
--- a/src/daemon/registry_settings.h
+++ b/src/daemon/registry_settings.h
@@ -15,6 +15,7 @@
   base::Endpoint listen{"127.0.0.1", 0};  ///< For operators, workers and metrics.
   base::Endpoint peer{"127.0.0.1", 0};    ///< For the internal protocol.
   std::string dataFolder;
+  std::string syncDelayFile;  ///< See storage::makeDelayedFileSystem; empty: syncs as they are.
   /// First start of the whole system: servers that are among the seeds found the cell.
   bool bootstrap = false;
   std::vector<base::Endpoint> seeds;  ///< Control addresses.
--- /dev/null
+++ b/src/rehearsal/soak_account.h
@@ -0,0 +1,50 @@
+#pragma once
+/// @file
+/// What clients, workers and the operator of a soak saw, and which rules that breaks.
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "walnut/base/time.h"
+
+namespace walnut::rehearsal {
+
+/// Records observations of one run. Rules have the names of the users' pages.
+class SoakAccount {
+ public:
+  explicit SoakAccount(base::TimePoint begin) : begin_(begin) {}
+
+  void requestEnded(base::TimePoint sentAt, bool served) {
+    (served ? served_ : failed_).push_back(sentAt);
+  }
+  void violation(const std::string& rule, base::TimePoint at, const std::string& detail);
+  /// A line for the record of faults and changes.
+  void note(base::TimePoint at, const std::string& text);
+  void count(const std::string& event) { ++counts_[event]; }
+  /// @return false if a request with this body, which must run once, ran before.
+  bool runsFirst(const std::string& body) { return ranOnce_.insert(body).second; }
+
+  /// @return the share of the requests sent in [from, until) that were served; 1 if there is none.
+  double servedShare(base::TimePoint from, base::TimePoint until) const;
+  std::size_t requestCount() const { return served_.size() + failed_.size(); }
+  bool passed() const { return violations_.empty(); }
+  const std::vector<std::string>& violations() const { return violations_; }
+  const std::vector<std::string>& notes() const { return notes_; }
+  const std::map<std::string, std::uint64_t>& counts() const { return counts_; }
+
+ private:
+  std::string timeOf(base::TimePoint at) const;
+
+  const base::TimePoint begin_;
+  std::vector<base::TimePoint> served_;
+  std::vector<base::TimePoint> failed_;
+  std::set<std::string> ranOnce_;
+  std::vector<std::string> violations_;
+  std::vector<std::string> notes_;
+  std::map<std::string, std::uint64_t> counts_;
+};
+
+}  // namespace walnut::rehearsal
--- /dev/null
+++ b/src/rehearsal/soak_cell.h
@@ -0,0 +1,64 @@
+#pragma once
+/// @file
+/// The processes of a soak: registry servers and gateways with their settings, disks and logs.
+
+#include <filesystem>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "rehearsal/child_process.h"
+#include "walnut/base/ids.h"
+#include "walnut/base/time.h"
+
+namespace walnut::rehearsal {
+
+struct SoakCellOptions {
+  std::string binFolder;                 ///< Folder of the programs.
+  std::filesystem::path folder;          ///< For settings, disks and logs.
+  std::vector<base::Endpoint> servers;   ///< Control addresses.
+  std::vector<base::Endpoint> gateways;  ///< Addresses for clients.
+  bool fenced = true;
+};
+
+/// A registry server or a gateway.
+struct SoakProcess {
+  std::string name;
+  base::Endpoint endpoint;
+  bool isServer = false;
+  std::optional<ChildProcess> child;
+  bool hasStarted = false;
+  bool isExpectedToEnd = false;  ///< It was killed, or told to stop.
+};
+
+/// Starts and ends the processes of one soak.
+class SoakCell {
+ public:
+  explicit SoakCell(SoakCellOptions options);
+
+  std::size_t serverCount() const { return options_.servers.size(); }
+  std::vector<SoakProcess>& processes() { return processes_; }
+  /// Servers come first.
+  SoakProcess& server(std::size_t index) { return processes_.at(index); }
+  base::Result<void> start(SoakProcess& process);
+  void kill(SoakProcess& process);
+  /// The server must not be running.
+  void loseDisk(SoakProcess& server);
+  /// Syncs of the server take from half of `mean` to one and a half longer.
+  void setSyncDelay(const SoakProcess& server, base::Duration mean);
+  /// @return the names of processes that have ended though nobody told them to.
+  std::vector<std::string> takeUnexpectedEnds();
+
+ private:
+  std::filesystem::path fileOf(const SoakProcess& process, const std::string& suffix) const;
+  void writeSettings(const SoakProcess& process) const;
+  std::string settingsOfServer(const SoakProcess& process) const;
+  std::string settingsOfGateway(const SoakProcess& process) const;
+  std::string seeds() const;
+
+  const SoakCellOptions options_;
+  std::vector<SoakProcess> processes_;
+};
+
+}  // namespace walnut::rehearsal
