daemon: registry servers and gateways wait for addresses that are in use

A process that finds its address in use ended at once with exit code 4. With real TCP that happens for a moment after a crash, and who starts the process again decides how long the machine is away. Change: both programs try again for 10 s, with a line `dependency-lost dependency=listen` each time.

--- a/src/daemon/gateway_program.cpp
+++ b/src/daemon/gateway_program.cpp
@@ -2,8 +2,12 @@
 
 #include <unistd.h>
 
+#include <memory>
+#include <thread>
+
 #include "daemon/gateway_host.h"
 #include "daemon/signal_watcher.h"
+#include "walnut/runtime/clock.h"
 
 namespace walnut::daemon {
 
@@ -12,6 +16,32 @@
 
 namespace {
 
+/// The former process of a machine may hold the addresses for a while after a crash.
+constexpr base::Duration kListenRetryTime = std::chrono::seconds(10);
+constexpr base::Duration kListenRetryPause = std::chrono::milliseconds(300);
+
+/// Tries again while an address is in use.
+base::Result<std::unique_ptr<GatewayHost>> startHost(const GatewaySettings& settings,
+                                                     const gateway::RequestDialect& dialect,
+                                                     runtime::OutputLog& log) {
+  const base::TimePoint end = runtime::now() + kListenRetryTime;
+  while (true) {
+    auto host = std::make_unique<GatewayHost>(settings, dialect, log);
+    const auto started = host->start();
+    if (started.has_value()) {
+      return host;
+    }
+    if (runtime::now() >= end) {
+      return started.error();
+    }
+    log.write(LogEvent::dependencyLost, {{"dependency", "listen"},
+                                         {"field", started.error().field},
+                                         {"detail", started.error().detail}});
+    log.flush();
+    std::this_thread::sleep_for(kListenRetryPause);
+  }
+}
+
 void reload(GatewayHost& host, int argc, char** argv) {
   GatewaySettingsBinder binder;
   if (!binder.parse(argc, argv).exitNow) {
@@ -29,14 +59,14 @@
   }
   blockWatchedSignals();
   runtime::OutputLog log("walnut-gateway", STDOUT_FILENO);
-  GatewayHost host(binder.settings(), dialect, log);
-  const auto started = host.start();
+  auto started = startHost(binder.settings(), dialect, log);
   if (started.has_error()) {
     log.write(LogEvent::processStopped, {{"error", base::errorCodeName(started.error().code)},
                                          {"field", started.error().field},
                                          {"detail", started.error().detail}});
     return static_cast<int>(ExitCode::unavailable);
   }
+  GatewayHost& host = *started.value();
   watchSignals({[&host] { host.dispatcher().post([&host] { host.beginStop(); }); },
                 [&host, argc, argv] {
                   host.dispatcher().post([&host, argc, argv] { reload(host, argc, argv); });
--- a/src/daemon/registry_program.cpp
+++ b/src/daemon/registry_program.cpp
@@ -21,6 +21,8 @@
 
 /// Before a server whose disk refused a write begins anew.
 constexpr base::Duration kStorageRetryPause = std::chrono::milliseconds(300);
+/// The former process of a machine may hold the addresses for a while after a crash.
+constexpr base::Duration kListenRetryTime = std::chrono::seconds(10);
 
 /// A folder without an identity is new or its disk was lost: only a founder gets the identity that
 /// the others expect; any other server gets a fresh one and asks to be admitted.
@@ -83,9 +85,11 @@
 };
 
 /// One life of the server, from recovery to a planned stop or a failure of its storage.
-/// @return the exit code; nothing if the storage failed and the server is to begin anew.
+/// @param listenUntil until when addresses in use are tried again.
+/// @return the exit code; nothing if the storage or an address failed and the server is to begin
+/// anew.
 std::optional<int> runOnce(const RegistrySettings& settings, const RegistryDialects& dialects,
-                           runtime::OutputLog& log, HostSlot& slot) {
+                           runtime::OutputLog& log, HostSlot& slot, base::TimePoint listenUntil) {
   auto folder = openFolder(settings);
   if (folder.has_error()) {
     if (folder.error().code != base::ErrorCode::fileError) {
@@ -101,7 +105,14 @@
   RegistryHost host(settings, dialects, std::move(folder.value()), log);
   const auto started = host.start();
   if (started.has_error()) {
-    return endWith(log, started.error(), ExitCode::unavailable);
+    if (runtime::now() >= listenUntil) {
+      return endWith(log, started.error(), ExitCode::unavailable);
+    }
+    log.write(LogEvent::dependencyLost, {{"dependency", "listen"},
+                                         {"field", started.error().field},
+                                         {"detail", started.error().detail}});
+    log.flush();
+    return std::nullopt;
   }
   log.write(LogEvent::processStarted, {{"version", WALNUT_VERSION},
                                        {"name", settings.logic.name},
@@ -132,8 +143,9 @@
   runtime::OutputLog log("walnut-registry", STDOUT_FILENO);
   HostSlot slot;
   watchSignals({[&slot] { slot.requestStop(); }, [] {}});
+  const base::TimePoint listenUntil = runtime::now() + kListenRetryTime;
   while (!slot.stopRequested()) {
-    const std::optional<int> code = runOnce(binder.settings(), dialects, log, slot);
+    const std::optional<int> code = runOnce(binder.settings(), dialects, log, slot, listenUntil);
     if (code) {
       return *code;
     }
