rehearsal: soaks of orders ask for adapters

Change: the clients of such a soak ask for the adapters of twelve models, and for nothing else with a model.

--- a/src/rehearsal/soak.cpp
+++ b/src/rehearsal/soak.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t kModels = 24;
 constexpr std::size_t kAdapterModels = 3;  ///< The first models are also asked for by adapter.
 constexpr std::size_t kAdaptersPerModel = 4;
+/// Models whose adapters alone are asked for where many orders are wanted.
+constexpr std::size_t kOrderModels = 12;
 
 /// @name Times of a run
 /// @{
@@ -193,8 +195,12 @@
 }
 
 std::vector<std::string> Soak::targets() const {
-  std::vector<std::string> targets = document_.models;
-  for (std::size_t model = 0; model < kAdapterModels; ++model) {
+  std::vector<std::string> targets;
+  if (!options_.ordersOnly) {
+    targets = document_.models;
+  }
+  const std::size_t models = options_.ordersOnly ? kOrderModels : kAdapterModels;
+  for (std::size_t model = 0; model < models; ++model) {
     for (std::size_t adapter = 1; adapter <= kAdaptersPerModel; ++adapter) {
       targets.push_back(document_.models[model] + "/a" + std::to_string(adapter));
     }
