consensus: wording of the vote that is under way

Cause: the comment named the elections the wrong way round, and one function had a comment that belonged to two. Change: comments, one name (termBegan), one function less. No behaviour changed. Result: the tests of consensus pass.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -56,7 +56,7 @@
   grantedAt_.reset();
 }
 
-void VoteHold::termEnded() {
+void VoteHold::termBegan() {
   grantedAt_.reset();
   until_ = base::TimePoint::min();
 }
--- a/src/consensus/election.h
+++ b/src/consensus/election.h
@@ -57,28 +57,26 @@
 
 /// Tracks the vote that this server granted in the present term. Until the vote is durable, and for
 /// a while after that, no pre-vote for a later term is granted: on disks whose syncs take longer
-/// than an election timeout, one election would end the next before its votes are written. Disks of
-/// one cell are expected to be about equally slow, so the time that the own vote took is allowed
-/// for those of others.
+/// than an election timeout, the next election would end this one before its votes are written. The
+/// disks of a cell are often equally slow, so the others get the time that the own vote took.
 class VoteHold {
  public:
   explicit VoteHold(const RaftOptions& options);
 
   void voteGranted(base::TimePoint now);
-  /// The vote is durable, or the term that it was granted in is over.
   void voteDurable(base::TimePoint now);
-  void termEnded();
+  /// A term has begun in which no vote is granted yet.
+  void termBegan();
 
-  bool isWriting() const { return grantedAt_.has_value(); }
   /// @return true while the vote may still elect a leader.
-  bool isUnderWay(base::TimePoint now) const { return isWriting() || now < until_; }
+  bool isUnderWay(base::TimePoint now) const { return grantedAt_ || now < until_; }
   /// @return the time that the last vote took to be durable, up to a bound.
   base::Duration allowance() const { return allowance_; }
 
  private:
   const base::Duration hold_;
   const base::Duration maxAllowance_;
-  std::optional<base::TimePoint> grantedAt_;  // Of a vote that is not durable.
+  std::optional<base::TimePoint> grantedAt_;  // Set while the vote is not durable.
   base::Duration allowance_{0};
   base::TimePoint until_ = base::TimePoint::min();
 };
--- a/src/consensus/raft_impl.cpp
+++ b/src/consensus/raft_impl.cpp
@@ -187,7 +187,7 @@
   if (hardState.votedFor != base::ServerId{}) {
     voteHold_.voteGranted(now_);
   } else {
-    voteHold_.termEnded();
+    voteHold_.termBegan();
   }
   hardState_ = hardState;
   persistQueue_.hardStateChanged(hardState_);
