rehearsal: the soak in files of one job each; a fleet that never serves fails it

A soak whose fleet takes no document, or serves less than a quarter before the final fault, passed: RECOVER compares with before, as the rule says. Change: SoakRun has a header, its faults a file of their own. START is broken if no server takes the first document, or if too little is served before the final fault.

--- a/programs/walnut-rehearse/soak.cpp
+++ b/programs/walnut-rehearse/soak.cpp
@@ -42,7 +42,7 @@
     "  --keep          keeps the logs of runs that passed, too\n"
     "Exit code 1: a rule is broken: RECOVER, LIMIT, LOST (an acknowledged document), MIXED, "
     "ORDER,\n"
-    "TWICE; or a process ended by itself.\n";
+    "TWICE; a process ended by itself; or the fleet served too little from the start.\n";
 
 enum Flag : int { seeds = 1, servers, gateways, workers, duration, orders, keep, help };
 
--- a/src/rehearsal/soak.cpp
+++ b/src/rehearsal/soak.cpp
@@ -3,16 +3,11 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <functional>
-#include <memory>
 #include <utility>
 
-#include "rehearsal/soak_cell.h"
-#include "rehearsal/soak_clients.h"
-#include "rehearsal/soak_worker.h"
+#include "rehearsal/soak_run.h"
 #include "walnut/runtime/clock.h"
 #include "walnut/runtime/settings.h"
 
@@ -44,14 +39,6 @@
 constexpr base::Duration kClosing = seconds(7);  ///< For the requests that are under way.
 /// @}
 
-/// @name Bounds of faults
-/// @{
-constexpr std::size_t kMaxLostDisks = 2;
-/// A server that lost its disk counts as lost until it has caught up (bound `catchUpS`).
-constexpr base::Duration kCatchUp = seconds(4);
-constexpr base::Duration kMaxSyncDelay = milliseconds(600);
-/// @}
-
 constexpr double kMaxLateOrders = 0.5;  ///< Share of the orders.
 constexpr double kLeastShare = 0.25;    ///< Of the rule RECOVER.
 
@@ -68,78 +55,7 @@
 
 }  // namespace
 
-namespace {
-
-/// One run. Everything happens on one event loop; child processes are polled.
-class Soak {
- public:
-  Soak(const SoakOptions& options, std::filesystem::path folder);
-
-  base::Result<SoakResult> run();
-
- private:
-  using Fault = void (Soak::*)();
-  struct NamedFault {
-    const char* name;
-    Fault begin;
-  };
-
-  base::Endpoint nextEndpoint(std::uint16_t port) { return {addressOf(addresses_++), port}; }
-  std::vector<std::string> targets() const;
-  base::Result<void> startWorkers();
-  void runFor(base::Duration duration);
-  void after(base::Duration delay, std::function<void()> task);
-  void start(SoakProcess& process);
-  void note(const std::string& text) { account_.note(dispatcher_.now(), text); }
-  base::Duration between(base::Duration low, base::Duration high) {
-    return random_.between(low, high);
-  }
-  std::vector<SoakProcess*> draw(std::size_t most, const std::function<bool(SoakProcess&)>& of);
-  void changeDocument();
-  void sendDocument(std::uint64_t version);
-  bool checkDocument();
-
-  void drawFault();
-  void kill(const std::vector<SoakProcess*>& processes, base::Duration down);
-  void killServers();
-  void killGateways();
-  void killSome();
-  void killAll();
-  void stopSome();
-  void restartStopped(SoakProcess& process);
-  void reloadGateways();
-  void freezeSome();
-  void loseDisk();
-  void slowSyncs();
-  void cutWorkers();
-  void restartWorkers();
-  /// Draws whether a worker that restarts has its former name.
-  bool keepsName() { return options_.ordersOnly || random_.chance(0.6); }
-  void finalFault();
-
-  const SoakOptions options_;
-  const std::filesystem::path folder_;
-  event::Dispatcher dispatcher_;
-  base::Random random_;
-  SoakAccount account_;
-  std::size_t addresses_ = 0;
-  std::unique_ptr<SoakCell> cell_;
-  std::vector<std::unique_ptr<SoakWorker>> workers_;
-  std::unique_ptr<SoakClients> clients_;
-  net::HttpClient operator_;
-  platform::StandinDocument document_;
-  std::uint64_t acknowledgedVersion_ = 0;
-  std::uint64_t readVersion_ = 0;
-  std::size_t nextServer_ = 0;
-  std::map<std::uint64_t, event::TimerPtr> timers_;
-  std::uint64_t lastTimer_ = 0;
-  bool drawsFaults_ = false;
-  base::TimePoint diskLostUntil_;
-  base::TimePoint faultAt_;
-  base::TimePoint returnedAt_;
-};
-
-Soak::Soak(const SoakOptions& options, std::filesystem::path folder)
+SoakRun::SoakRun(const SoakOptions& options, std::filesystem::path folder)
     : options_(options),
       folder_(std::move(folder)),
       random_(options.seed),
@@ -194,7 +110,9 @@
                                            random_.uniform(0, 1U << 30U), account_);
 }
 
-std::vector<std::string> Soak::targets() const {
+base::Endpoint SoakRun::nextEndpoint(std::uint16_t port) { return {addressOf(addresses_++), port}; }
+
+std::vector<std::string> SoakRun::targets() const {
   std::vector<std::string> targets;
   if (!options_.ordersOnly) {
     targets = document_.models;
@@ -208,14 +126,14 @@
   return targets;
 }
 
-base::Result<void> Soak::startWorkers() {
+base::Result<void> SoakRun::startWorkers() {
   for (const auto& worker : workers_) {
     BOOST_OUTCOME_TRY(worker->start());
   }
   return base::success();
 }
 
-void Soak::runFor(base::Duration duration) {
+void SoakRun::runFor(base::Duration duration) {
   constexpr base::Duration kLongestWait = milliseconds(20);
   const base::TimePoint end = dispatcher_.readClock() + duration;
   while (dispatcher_.readClock() < end) {
@@ -226,7 +144,7 @@
   }
 }
 
-void Soak::after(base::Duration delay, std::function<void()> task) {
+void SoakRun::after(base::Duration delay, std::function<void()> task) {
   const std::uint64_t number = ++lastTimer_;
   timers_[number] = dispatcher_.createTimer([this, number, run = std::move(task)] {
     event::TimerPtr timer = std::move(timers_[number]);
@@ -237,7 +155,7 @@
   timers_[number]->enableAt(dispatcher_.now() + delay);
 }
 
-void Soak::start(SoakProcess& process) {
+void SoakRun::start(SoakProcess& process) {
   const auto started = cell_->start(process);
   if (started.has_error()) {
     account_.violation("ENDED", dispatcher_.now(),
@@ -245,8 +163,8 @@
   }
 }
 
-std::vector<SoakProcess*> Soak::draw(std::size_t most,
-                                     const std::function<bool(SoakProcess&)>& of) {
+std::vector<SoakProcess*> SoakRun::draw(std::size_t most,
+                                        const std::function<bool(SoakProcess&)>& of) {
   std::vector<SoakProcess*> candidates;
   for (SoakProcess& process : cell_->processes()) {
     if (of(process)) {
@@ -263,13 +181,13 @@
 
 // The operator
 
-void Soak::changeDocument() {
+void SoakRun::changeDocument() {
   ++document_.version;
   sendDocument(document_.version);
 }
 
 /// Sends the newest document until it is acknowledged.
-void Soak::sendDocument(std::uint64_t version) {
+void SoakRun::sendDocument(std::uint64_t version) {
   constexpr base::Duration kTimeout = milliseconds(1500);
   const base::Endpoint server = cell_->server(nextServer_++ % cell_->serverCount()).endpoint;
   operator_.call(server.address, server, platform::writeStandinDocument(document_), kTimeout,
@@ -286,7 +204,7 @@
 
 /// Reads the document until an answer comes.
 /// @return false if the time for that is over.
-bool Soak::checkDocument() {
+bool SoakRun::checkDocument() {
   constexpr base::Duration kTimeout = seconds(1);
   constexpr int kMaxTries = 10;
   for (int attempt = 0; attempt < kMaxTries && readVersion_ == 0; ++attempt) {
@@ -311,200 +229,7 @@
   return readVersion_ != 0;
 }
 
-// Faults
-
-void Soak::drawFault() {
-  static constexpr NamedFault kFaults[] = {{"kill servers", &Soak::killServers},
-                                           {"kill gateways", &Soak::killGateways},
-                                           {"kill some", &Soak::killSome},
-                                           {"kill all", &Soak::killAll},
-                                           {"stop some", &Soak::stopSome},
-                                           {"reload gateways", &Soak::reloadGateways},
-                                           {"freeze some", &Soak::freezeSome},
-                                           {"freeze some", &Soak::freezeSome},
-                                           {"lose a disk", &Soak::loseDisk},
-                                           {"slow syncs", &Soak::slowSyncs},
-                                           {"cut workers", &Soak::cutWorkers},
-                                           {"cut workers", &Soak::cutWorkers},
-                                           {"restart workers", &Soak::restartWorkers},
-                                           {"change the document", &Soak::changeDocument}};
-  if (!drawsFaults_) {
-    return;
-  }
-  static constexpr NamedFault kOrderFaults[] = {{"restart workers", &Soak::restartWorkers},
-                                                {"restart workers", &Soak::restartWorkers},
-                                                {"kill servers", &Soak::killServers},
-                                                {"kill all", &Soak::killAll}};
-  const std::size_t kinds = options_.ordersOnly ? std::size(kOrderFaults) : std::size(kFaults);
-  const NamedFault& fault =
-      (options_.ordersOnly ? kOrderFaults : kFaults)[random_.uniform(0, kinds - 1)];
-  account_.count(fault.name);
-  note(fault.name);
-  (this->*fault.begin)();
-  after(between(milliseconds(100), milliseconds(2500)), [this] { drawFault(); });
-}
-
-void Soak::kill(const std::vector<SoakProcess*>& processes, base::Duration down) {
-  for (SoakProcess* const process : processes) {
-    note("  " + process->name);
-    cell_->kill(*process);
-    after(down, [this, process] { start(*process); });
-  }
-}
-
-void Soak::killServers() {
-  kill(draw(2, [](SoakProcess& process) { return process.isServer; }),
-       between(milliseconds(50), milliseconds(1500)));
-}
-
-void Soak::killGateways() {
-  kill(draw(2, [](SoakProcess& process) { return !process.isServer; }),
-       between(milliseconds(50), milliseconds(1500)));
-}
-
-void Soak::killSome() {
-  kill(draw(5, [](SoakProcess&) { return true; }), between(milliseconds(50), milliseconds(1500)));
-}
-
-void Soak::killAll() {
-  std::vector<SoakProcess*> all;
-  for (SoakProcess& process : cell_->processes()) {
-    all.push_back(&process);
-  }
-  kill(all, between(milliseconds(100), seconds(2)));
-}
-
-void Soak::stopSome() {
-  for (SoakProcess* const process : draw(2, [](SoakProcess&) { return true; })) {
-    note("  " + process->name);
-    process->isExpectedToEnd = true;
-    if (process->child) {
-      process->child->signal(SIGTERM);
-    }
-    restartStopped(*process);
-  }
-}
-
-/// Starts it again some time after it has ended.
-void Soak::restartStopped(SoakProcess& process) {
-  constexpr base::Duration kPoll = milliseconds(100);
-  after(kPoll, [this, &process] {
-    if (process.child && process.child->isRunning() && process.isExpectedToEnd) {
-      restartStopped(process);
-    } else if (process.isExpectedToEnd) {
-      after(between(milliseconds(50), seconds(1)), [this, &process] { start(process); });
-    }
-  });
-}
-
-void Soak::reloadGateways() {
-  for (SoakProcess* const process : draw(3, [](SoakProcess& each) { return !each.isServer; })) {
-    process->child->signal(SIGHUP);
-  }
-}
-
-void Soak::freezeSome() {
-  for (SoakProcess* const process : draw(4, [](SoakProcess&) { return true; })) {
-    note("  " + process->name);
-    process->child->signal(SIGSTOP);
-    after(between(milliseconds(300), seconds(4)), [process] { process->child->signal(SIGCONT); });
-  }
-}
-
-/// One disk at a time, so that no more are lost than the cell tolerates, the final fault included.
-void Soak::loseDisk() {
-  const base::TimePoint now = dispatcher_.now();
-  if (now < diskLostUntil_) {
-    note("  none: another one is being replaced");
-    return;
-  }
-  SoakProcess* const server =
-      draw(1, [](SoakProcess& process) { return process.isServer; }).front();
-  const base::Duration down = between(milliseconds(100), seconds(1));
-  diskLostUntil_ = now + down + kCatchUp + seconds(2);
-  kill({server}, down);
-  cell_->loseDisk(*server);
-}
-
-void Soak::slowSyncs() {
-  const base::Duration mean = between(milliseconds(20), kMaxSyncDelay);
-  const base::Duration lasts = between(seconds(1), seconds(6));
-  for (SoakProcess* const server :
-       draw(cell_->serverCount(), [](SoakProcess& process) { return process.isServer; })) {
-    cell_->setSyncDelay(*server, mean);
-    after(lasts, [this, server] {
-      if (drawsFaults_) {
-        cell_->setSyncDelay(*server, base::Duration::zero());
-      }
-    });
-  }
-}
-
-void Soak::cutWorkers() {
-  constexpr LinkFault kKinds[] = {LinkFault::none, LinkFault::dropRequests, LinkFault::dropAnswers,
-                                  LinkFault::silent};
-  const LinkFault kind = kKinds[random_.uniform(0, std::size(kKinds) - 1)];
-  const base::Duration delay = between(milliseconds(1), milliseconds(300));
-  const std::size_t first = random_.uniform(0, workers_.size() - 1);
-  const std::size_t count = random_.uniform(1, 3);
-  for (std::size_t index = first; index < std::min(first + count, workers_.size()); ++index) {
-    LinkProxy& link = workers_[index]->link();
-    link.setFault(kind);
-    link.setDelay(kind == LinkFault::none ? delay : base::Duration::zero());
-    after(between(milliseconds(500), seconds(4)), [&link] {
-      link.setFault(LinkFault::none);
-      link.setDelay(base::Duration::zero());
-      link.closeAll();
-    });
-  }
-}
-
-void Soak::restartWorkers() {
-  const std::size_t count = random_.uniform(1, 3);
-  for (std::size_t restarted = 0; restarted < count; ++restarted) {
-    SoakWorker& worker = *workers_[random_.uniform(0, workers_.size() - 1)];
-    worker.restart(keepsName());
-  }
-}
-
-void Soak::finalFault() {
-  const bool losesDisks = random_.chance(0.5);
-  const bool slow = random_.chance(0.6);
-  const bool restartsWorkers = options_.ordersOnly || random_.chance(0.4);
-  const base::Duration mean = between(milliseconds(50), kMaxSyncDelay);
-  const base::Duration down = between(milliseconds(300), seconds(3));
-  note(std::string("final fault") + (losesDisks ? ", two disks lost" : "") +
-       (restartsWorkers ? ", workers restart" : "") +
-       (slow ? ", syncs take ms " +
-                   std::to_string(std::chrono::duration_cast<milliseconds>(mean).count())
-             : ""));
-  faultAt_ = dispatcher_.readClock();
-  for (SoakProcess& process : cell_->processes()) {
-    cell_->kill(process);
-    if (process.isServer) {
-      cell_->setSyncDelay(process, slow ? mean : base::Duration::zero());
-    }
-  }
-  if (losesDisks) {
-    const std::size_t first = random_.uniform(0, cell_->serverCount() - 1);
-    for (std::size_t lost = 0; lost < kMaxLostDisks; ++lost) {
-      cell_->loseDisk(cell_->server((first + lost) % cell_->serverCount()));
-    }
-  }
-  for (const auto& worker : workers_) {
-    if (restartsWorkers && random_.chance(0.7)) {
-      worker->restart(keepsName());
-    }
-  }
-  runFor(down);
-  for (SoakProcess& process : cell_->processes()) {
-    start(process);
-  }
-  returnedAt_ = dispatcher_.readClock();
-  note("all are started");
-}
-
-base::Result<SoakResult> Soak::run() {
+base::Result<SoakResult> SoakRun::run() {
   BOOST_OUTCOME_TRY(startWorkers());
   for (SoakProcess& process : cell_->processes()) {
     start(process);
@@ -514,6 +239,9 @@
   while (acknowledgedVersion_ == 0 && dispatcher_.readClock() < begin + kStartLimit) {
     runFor(milliseconds(100));
   }
+  if (acknowledgedVersion_ == 0) {
+    account_.violation("START", dispatcher_.now(), "no server takes the first document");
+  }
   clients_->start();
   runFor(kWarmUp);
   drawsFaults_ = true;
@@ -537,7 +265,9 @@
   result.servedSoonAfter = account_.servedShare(returnedAt_, returnedAt_ + kRecovery);
   result.servedAfter =
       account_.servedShare(returnedAt_ + kRecovery, returnedAt_ + kRecovery + kObserved);
-  if (result.servedBefore >= kLeastShare && result.servedAfter < kLeastShare) {
+  if (result.servedBefore < kLeastShare) {
+    account_.violation("START", dispatcher_.now(), "too little is served before the final fault");
+  } else if (result.servedAfter < kLeastShare) {
     account_.violation("RECOVER", dispatcher_.now(), "too little is served after the return");
   }
   result.passed = account_.passed();
@@ -551,14 +281,12 @@
   return result;
 }
 
-}  // namespace
-
 base::Result<SoakResult> runSoak(const SoakOptions& options) {
   std::string pattern = (std::filesystem::temp_directory_path() / "walnut-soak-XXXXXX").string();
   if (::mkdtemp(pattern.data()) == nullptr) {
     return base::Error{base::ErrorCode::fileError, pattern, "can't be created"};
   }
-  Soak soak(options, pattern);
+  SoakRun soak(options, pattern);
   BOOST_OUTCOME_TRY(result, soak.run());
   if (result.passed && !options.keepsLogs) {
     std::error_code ignored;  // What can't be removed stays in the folder of temporary files.
--- /dev/null
+++ b/src/rehearsal/soak_faults.cpp
@@ -0,0 +1,214 @@
+/// @file
+/// The faults of a soak.
+
+#include <algorithm>
+#include <csignal>
+
+#include "rehearsal/soak_run.h"
+
+namespace walnut::rehearsal {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t kMaxLostDisks = 2;
+/// A server that lost its disk counts as lost until it has caught up (bound `catchUpS`).
+constexpr base::Duration kCatchUp = seconds(4);
+constexpr base::Duration kMaxSyncDelay = milliseconds(600);
+
+}  // namespace
+
+void SoakRun::drawFault() {
+  static constexpr NamedFault kFaults[] = {{"kill servers", &SoakRun::killServers},
+                                           {"kill gateways", &SoakRun::killGateways},
+                                           {"kill some", &SoakRun::killSome},
+                                           {"kill all", &SoakRun::killAll},
+                                           {"stop some", &SoakRun::stopSome},
+                                           {"reload gateways", &SoakRun::reloadGateways},
+                                           {"freeze some", &SoakRun::freezeSome},
+                                           {"freeze some", &SoakRun::freezeSome},
+                                           {"lose a disk", &SoakRun::loseDisk},
+                                           {"slow syncs", &SoakRun::slowSyncs},
+                                           {"cut workers", &SoakRun::cutWorkers},
+                                           {"cut workers", &SoakRun::cutWorkers},
+                                           {"restart workers", &SoakRun::restartWorkers},
+                                           {"change the document", &SoakRun::changeDocument}};
+  if (!drawsFaults_) {
+    return;
+  }
+  static constexpr NamedFault kOrderFaults[] = {{"restart workers", &SoakRun::restartWorkers},
+                                                {"restart workers", &SoakRun::restartWorkers},
+                                                {"kill servers", &SoakRun::killServers},
+                                                {"kill all", &SoakRun::killAll}};
+  const std::size_t kinds = options_.ordersOnly ? std::size(kOrderFaults) : std::size(kFaults);
+  const NamedFault& fault =
+      (options_.ordersOnly ? kOrderFaults : kFaults)[random_.uniform(0, kinds - 1)];
+  account_.count(fault.name);
+  note(fault.name);
+  (this->*fault.begin)();
+  after(between(milliseconds(100), milliseconds(2500)), [this] { drawFault(); });
+}
+
+void SoakRun::kill(const std::vector<SoakProcess*>& processes, base::Duration down) {
+  for (SoakProcess* const process : processes) {
+    note("  " + process->name);
+    cell_->kill(*process);
+    after(down, [this, process] { start(*process); });
+  }
+}
+
+void SoakRun::killServers() {
+  kill(draw(2, [](SoakProcess& process) { return process.isServer; }),
+       between(milliseconds(50), milliseconds(1500)));
+}
+
+void SoakRun::killGateways() {
+  kill(draw(2, [](SoakProcess& process) { return !process.isServer; }),
+       between(milliseconds(50), milliseconds(1500)));
+}
+
+void SoakRun::killSome() {
+  kill(draw(5, [](SoakProcess&) { return true; }), between(milliseconds(50), milliseconds(1500)));
+}
+
+void SoakRun::killAll() {
+  std::vector<SoakProcess*> all;
+  for (SoakProcess& process : cell_->processes()) {
+    all.push_back(&process);
+  }
+  kill(all, between(milliseconds(100), seconds(2)));
+}
+
+void SoakRun::stopSome() {
+  for (SoakProcess* const process : draw(2, [](SoakProcess&) { return true; })) {
+    note("  " + process->name);
+    process->isExpectedToEnd = true;
+    if (process->child) {
+      process->child->signal(SIGTERM);
+    }
+    restartStopped(*process);
+  }
+}
+
+/// Starts it again some time after it has ended.
+void SoakRun::restartStopped(SoakProcess& process) {
+  constexpr base::Duration kPoll = milliseconds(100);
+  after(kPoll, [this, &process] {
+    if (process.child && process.child->isRunning() && process.isExpectedToEnd) {
+      restartStopped(process);
+    } else if (process.isExpectedToEnd) {
+      after(between(milliseconds(50), seconds(1)), [this, &process] { start(process); });
+    }
+  });
+}
+
+void SoakRun::reloadGateways() {
+  for (SoakProcess* const process : draw(3, [](SoakProcess& each) { return !each.isServer; })) {
+    process->child->signal(SIGHUP);
+  }
+}
+
+void SoakRun::freezeSome() {
+  for (SoakProcess* const process : draw(4, [](SoakProcess&) { return true; })) {
+    note("  " + process->name);
+    process->child->signal(SIGSTOP);
+    after(between(milliseconds(300), seconds(4)), [process] { process->child->signal(SIGCONT); });
+  }
+}
+
+/// One disk at a time, so that no more are lost than the cell tolerates, the final fault included.
+void SoakRun::loseDisk() {
+  const base::TimePoint now = dispatcher_.now();
+  if (now < diskLostUntil_) {
+    note("  none: another one is being replaced");
+    return;
+  }
+  SoakProcess* const server =
+      draw(1, [](SoakProcess& process) { return process.isServer; }).front();
+  const base::Duration down = between(milliseconds(100), seconds(1));
+  diskLostUntil_ = now + down + kCatchUp + seconds(2);
+  kill({server}, down);
+  cell_->loseDisk(*server);
+}
+
+void SoakRun::slowSyncs() {
+  const base::Duration mean = between(milliseconds(20), kMaxSyncDelay);
+  const base::Duration lasts = between(seconds(1), seconds(6));
+  for (SoakProcess* const server :
+       draw(cell_->serverCount(), [](SoakProcess& process) { return process.isServer; })) {
+    cell_->setSyncDelay(*server, mean);
+    after(lasts, [this, server] {
+      if (drawsFaults_) {
+        cell_->setSyncDelay(*server, base::Duration::zero());
+      }
+    });
+  }
+}
+
+void SoakRun::cutWorkers() {
+  constexpr LinkFault kKinds[] = {LinkFault::none, LinkFault::dropRequests, LinkFault::dropAnswers,
+                                  LinkFault::silent};
+  const LinkFault kind = kKinds[random_.uniform(0, std::size(kKinds) - 1)];
+  const base::Duration delay = between(milliseconds(1), milliseconds(300));
+  const std::size_t first = random_.uniform(0, workers_.size() - 1);
+  const std::size_t count = random_.uniform(1, 3);
+  for (std::size_t index = first; index < std::min(first + count, workers_.size()); ++index) {
+    LinkProxy& link = workers_[index]->link();
+    link.setFault(kind);
+    link.setDelay(kind == LinkFault::none ? delay : base::Duration::zero());
+    after(between(milliseconds(500), seconds(4)), [&link] {
+      link.setFault(LinkFault::none);
+      link.setDelay(base::Duration::zero());
+      link.closeAll();
+    });
+  }
+}
+
+void SoakRun::restartWorkers() {
+  const std::size_t count = random_.uniform(1, 3);
+  for (std::size_t restarted = 0; restarted < count; ++restarted) {
+    SoakWorker& worker = *workers_[random_.uniform(0, workers_.size() - 1)];
+    worker.restart(keepsName());
+  }
+}
+
+void SoakRun::finalFault() {
+  const bool losesDisks = random_.chance(0.5);
+  const bool slow = random_.chance(0.6);
+  const bool restartsWorkers = options_.ordersOnly || random_.chance(0.4);
+  const base::Duration mean = between(milliseconds(50), kMaxSyncDelay);
+  const base::Duration down = between(milliseconds(300), seconds(3));
+  note(std::string("final fault") + (losesDisks ? ", two disks lost" : "") +
+       (restartsWorkers ? ", workers restart" : "") +
+       (slow ? ", syncs take ms " +
+                   std::to_string(std::chrono::duration_cast<milliseconds>(mean).count())
+             : ""));
+  faultAt_ = dispatcher_.readClock();
+  for (SoakProcess& process : cell_->processes()) {
+    cell_->kill(process);
+    if (process.isServer) {
+      cell_->setSyncDelay(process, slow ? mean : base::Duration::zero());
+    }
+  }
+  if (losesDisks) {
+    const std::size_t first = random_.uniform(0, cell_->serverCount() - 1);
+    for (std::size_t lost = 0; lost < kMaxLostDisks; ++lost) {
+      cell_->loseDisk(cell_->server((first + lost) % cell_->serverCount()));
+    }
+  }
+  for (const auto& worker : workers_) {
+    if (restartsWorkers && random_.chance(0.7)) {
+      worker->restart(keepsName());
+    }
+  }
+  runFor(down);
+  for (SoakProcess& process : cell_->processes()) {
+    start(process);
+  }
+  returnedAt_ = dispatcher_.readClock();
+  note("all are started");
+}
+
+}  // namespace walnut::rehearsal
--- /dev/null
+++ b/src/rehearsal/soak_run.h
@@ -0,0 +1,90 @@
+#pragma once
+/// @file
+/// One run of a soak: its processes and stand-ins, its faults and its checks.
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "rehearsal/soak.h"
+#include "rehearsal/soak_cell.h"
+#include "rehearsal/soak_clients.h"
+#include "rehearsal/soak_worker.h"
+#include "walnut/base/random.h"
+
+namespace walnut::rehearsal {
+
+/// One run. Everything happens on one event loop; child processes are polled.
+class SoakRun {
+ public:
+  SoakRun(const SoakOptions& options, std::filesystem::path folder);
+
+  base::Result<SoakResult> run();
+
+ private:
+  using Fault = void (SoakRun::*)();
+  struct NamedFault {
+    const char* name;
+    Fault begin;
+  };
+
+  base::Endpoint nextEndpoint(std::uint16_t port);
+  std::vector<std::string> targets() const;
+  base::Result<void> startWorkers();
+  void runFor(base::Duration duration);
+  void after(base::Duration delay, std::function<void()> task);
+  void start(SoakProcess& process);
+  void note(const std::string& text) { account_.note(dispatcher_.now(), text); }
+  base::Duration between(base::Duration low, base::Duration high) {
+    return random_.between(low, high);
+  }
+  std::vector<SoakProcess*> draw(std::size_t most, const std::function<bool(SoakProcess&)>& of);
+  void changeDocument();
+  void sendDocument(std::uint64_t version);
+  bool checkDocument();
+
+  // Faults (soak_faults.cpp).
+  void drawFault();
+  void kill(const std::vector<SoakProcess*>& processes, base::Duration down);
+  void killServers();
+  void killGateways();
+  void killSome();
+  void killAll();
+  void stopSome();
+  void restartStopped(SoakProcess& process);
+  void reloadGateways();
+  void freezeSome();
+  void loseDisk();
+  void slowSyncs();
+  void cutWorkers();
+  void restartWorkers();
+  /// Draws whether a worker that restarts has its former name.
+  bool keepsName() { return options_.ordersOnly || random_.chance(0.6); }
+  void finalFault();
+
+  const SoakOptions options_;
+  const std::filesystem::path folder_;
+  event::Dispatcher dispatcher_;
+  base::Random random_;
+  SoakAccount account_;
+  std::size_t addresses_ = 0;
+  std::unique_ptr<SoakCell> cell_;
+  std::vector<std::unique_ptr<SoakWorker>> workers_;
+  std::unique_ptr<SoakClients> clients_;
+  net::HttpClient operator_;
+  platform::StandinDocument document_;
+  std::uint64_t acknowledgedVersion_ = 0;
+  std::uint64_t readVersion_ = 0;
+  std::size_t nextServer_ = 0;
+  std::map<std::uint64_t, event::TimerPtr> timers_;
+  std::uint64_t lastTimer_ = 0;
+  bool drawsFaults_ = false;
+  base::TimePoint diskLostUntil_;
+  base::TimePoint faultAt_;
+  base::TimePoint returnedAt_;
+};
+
+}  // namespace walnut::rehearsal
