simulator: syncs of up to two seconds on one to five servers

Cause: the recovery on slow disks was shown for means up to 1 s on all servers only. Change: SlowSyncRecoveryTest with one and four servers, and with means up to 2 s on three, four and five.

--- a/test/simulator/slow_sync_recovery_test.cpp
+++ b/test/simulator/slow_sync_recovery_test.cpp
@@ -109,3 +109,20 @@
 
 /// The same where a majority of the disks is quick.
 TEST(SlowSyncRecoveryTest, withSlowSyncsOfTwoServersServiceIsBackInTime) { checkRecovers(2, 2s); }
+
+TEST(SlowSyncRecoveryTest, withSlowSyncsOfOneServerServiceIsBackInTime) { checkRecovers(1, 2s); }
+
+TEST(SlowSyncRecoveryTest, withSlowSyncsOfFourServersServiceIsBackInTime) { checkRecovers(4, 1s); }
+
+/// The same with syncs that take so long that little of the time for recovery is left.
+TEST(SlowSyncRecoveryTest, withVerySlowSyncsOfThreeServersServiceIsBackInTime) {
+  checkRecovers(3, 2s);
+}
+
+TEST(SlowSyncRecoveryTest, withVerySlowSyncsOfFourServersServiceIsBackInTime) {
+  checkRecovers(4, 2s);
+}
+
+TEST(SlowSyncRecoveryTest, withVerySlowSyncsOfAllServersServiceIsBackInTime) {
+  checkRecovers(5, 2s);
+}
