consensus, rehearsal: two comments and a name

Cause: read as a newcomer, the proxy's comment named other connections than those that fall silent, and a bound's name did not say of what. Change: comments, one name. No behaviour changed. Result: the files build and lint clean.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-/// Bounds how long a voter with a hanging disk keeps others from a new election.
-constexpr int kMaxAllowedTimeouts = 2;
+/// Bounds the allowance, in election timeouts: a voter whose disk hung for long must not keep
+/// others from a new election for as long again.
+constexpr int kMaxAllowanceTimeouts = 2;
 
 }  // namespace
 
@@ -46,7 +47,7 @@
 
 VoteHold::VoteHold(const RaftOptions& options)
     : hold_(options.electionTimeoutMin),
-      maxAllowance_(kMaxAllowedTimeouts * options.electionTimeoutMax) {}
+      maxAllowance_(kMaxAllowanceTimeouts * options.electionTimeoutMax) {}
 
 void VoteHold::voteGranted(base::TimePoint now) { grantedAt_ = now; }
 
--- a/src/rehearsal/link_proxy.h
+++ b/src/rehearsal/link_proxy.h
@@ -20,8 +20,8 @@
   silent,        ///< Nothing arrives, and nobody is told of the end of a connection.
 };
 
-/// Proxy in front of one server. Connections that were opened under a fault stay silent after it,
-/// as bytes are missing; all others go on.
+/// Proxy in front of one server. A direction of a connection that has lost bytes stays silent after
+/// the fault; all others go on.
 class LinkProxy {
  public:
   static base::Result<std::unique_ptr<LinkProxy>> open(event::Dispatcher& dispatcher,
