--- a/src/simulator/fleet_server.cpp
+++ b/src/simulator/fleet_server.cpp
@@ -16,12 +16,16 @@
 constexpr std::size_t kMostInputsInTurn = 64;
 /// Of files and of their folder: when a log is opened, and when a folder is made ready for one.
 constexpr std::size_t kSyncsOfStart = 2;
-constexpr std::size_t kSyncsOfFirstStart = 7;
+constexpr std::size_t kSyncsOfFirstStart = 6;
 
 /// @return how many syncs storage makes for a batch, one after the other.
-std::size_t syncCount(const consensus::PersistBatch& batch) {
+/// @param beginsLog the log has no segment yet.
+std::size_t syncCount(const consensus::PersistBatch& batch, bool beginsLog) {
   constexpr std::size_t kWithFolder = 2;
-  std::size_t syncs = batch.entries.empty() && !batch.truncateFrom ? 0 : 1;
+  std::size_t syncs = 0;
+  if (!batch.entries.empty() || batch.truncateFrom) {
+    syncs += beginsLog ? kWithFolder : 1;
+  }
   syncs += batch.hardState ? kWithFolder : 0;
   syncs += batch.snapshot ? kWithFolder : 0;
   return syncs;
@@ -121,7 +125,7 @@
 
 /// @return true if the batch is durable at once; else Persisted follows.
 bool FleetServer::persist(const consensus::PersistBatch& batch) {
-  const base::Duration time = drawSyncTime(syncCount(batch));
+  const base::Duration time = drawSyncTime(syncCount(batch, log_.state.entries.empty()));
   if (time == base::Duration::zero()) {
     log_.persist(batch);
     return !batch.empty();
--- a/src/simulator/registry_fleet.cpp
+++ b/src/simulator/registry_fleet.cpp
@@ -44,7 +44,11 @@
       served_(options.gateways) {
   FleetServerLinks& serverLinks = *this;
   FleetGatewayLinks& gatewayLinks = *this;
-  for (std::size_t index = 0; index < options.servers; ++index) {
+  const std::size_t servers = options.servers + options.reserves;
+  for (std::size_t index = 0; index < servers; ++index) {
+    if (index >= options.servers) {
+      absentServers_.insert(index);
+    }
     registry::RegistryOptions server;
     server.name = "server-" + std::to_string(index);
     server.self.peerEndpoint = {serverAddress(index), kPeerPort};
@@ -86,10 +90,10 @@
 
 void RegistryFleet::startAll() {
   const consensus::Membership founders = foundingMembership();
-  for (std::size_t index = 0; index < servers_.size(); ++index) {
+  for (std::size_t index = 0; index < options_.servers; ++index) {
     servers_[index]->start(index < options_.founders ? founders : consensus::Membership{});
   }
-  for (std::size_t index = 0; index < servers_.size(); ++index) {
+  for (std::size_t index = 0; index < options_.servers; ++index) {
     greetServers(index);
   }
   founded_ = true;
@@ -326,6 +330,11 @@
   }
 }
 
+void RegistryFleet::removeServer(std::size_t server) {
+  killServer(server, true);
+  absentServers_.insert(server);
+}
+
 /// A process that ends closes its connections.
 void RegistryFleet::endConnectionsOf(std::size_t server) {
   std::vector<protocol::ConnectionId> ended;
@@ -351,6 +360,7 @@
     return;  // Overlapping faults may start it twice.
   }
   noteDisturbance(options_.restAfterFault);
+  absentServers_.erase(server);
   const base::Duration time = servers_[server]->drawStartTime();
   if (time > base::Duration::zero()) {
     scheduler_.after(time, [this, server] { beginServer(server); });
@@ -455,6 +465,9 @@
   // Most of the cell was lost: it is given twice the time.
   noteDisturbance(down + 2 * options_.restAfterFault);
   for (std::size_t index = 0; index < servers_.size(); ++index) {
+    if (absentServers_.count(index) != 0) {
+      continue;
+    }
     scheduler_.after(down + random().between(base::Duration::zero(), kStartSpread),
                      [this, index] { startServer(index); });
   }
--- a/src/simulator/registry_fleet.h
+++ b/src/simulator/registry_fleet.h
@@ -23,6 +23,8 @@
   std::uint64_t seed = 1;
   std::size_t servers = 5;
   std::size_t founders = 3;
+  /// Servers that start only when they are told to, at addresses after those of the others.
+  std::size_t reserves = 0;
   std::size_t gateways = 65;
   std::size_t workers = 90;
   double serverShare = 0.6;
@@ -67,6 +69,8 @@
   /// @{
   void killServer(std::size_t server, bool loseDisk);
   void startServer(std::size_t server);
+  /// Ends a server that never comes back.
+  void removeServer(std::size_t server);
   void killGateway(std::size_t gateway);
   void startGateway(std::size_t gateway);
   /// Cuts a server off from everything, or joins it again.
@@ -81,7 +85,8 @@
   /// Their machines stand still for that long.
   void suspendServer(std::size_t server, base::Duration duration);
   void suspendGateway(std::size_t gateway, base::Duration duration);
-  /// Ends every process at once; all start again after `down`, the servers of `diskLosses` empty.
+  /// Ends every process at once; all that are not gone start again after `down`, the servers of
+  /// `diskLosses` empty.
   void restartAll(base::Duration down, const std::vector<std::size_t>& diskLosses);
   /// @}
 
@@ -178,6 +183,7 @@
   std::size_t lastLeader_ = 0;
   std::size_t leaderships_ = 0;
 
+  std::set<std::size_t> absentServers_;  ///< Gone for good, or reserves that have not started.
   std::set<std::size_t> cutServers_;
   std::set<std::size_t> slowServers_;
   base::TimePoint cellRestsAt_;
