storage: an empty folder is ready after three syncs, not five

What callers see: where syncs take 400 ms, a replaced server asks for its place 2 s after its start at the earliest. Cause: the vote file and the identity were made durable one after the other, each with a sync of the folder, and the folder was synced once more. Change: both files are written, renamed and made durable by one sync of the folder. After a crash in between the identity may be there alone; it was never in use, so such a folder begins anew, as one whose disk was lost.

--- a/include/walnut/factories.h
+++ b/include/walnut/factories.h
@@ -4,6 +4,7 @@
 /// simulator, hollow processes).
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -27,6 +28,12 @@
 namespace walnut::storage {
 /// @return the real file system over one folder, created if absent. Implemented in src/storage.
 base::Result<std::unique_ptr<FileSystem>> openPosixFileSystem(const std::string& folder);
+/// Called before each sync, by the thread that syncs.
+using SyncHook = std::function<void()>;
+/// @return a file system that calls `hook` before each sync of a file or of the folder. Implemented
+/// in src/storage.
+std::unique_ptr<FileSystem> makeSyncHookFileSystem(std::unique_ptr<FileSystem> files,
+                                                   SyncHook hook);
 /// @return a file system whose syncs take longer, for rehearsals of slow disks. Implemented in
 /// src/storage.
 /// @param delayFile file with the mean delay in milliseconds; may change at any time.
--- a/src/storage/log_storage.cpp
+++ b/src/storage/log_storage.cpp
@@ -1,5 +1,6 @@
 #include "walnut/storage/log_storage.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "storage/checked_block.h"
@@ -26,11 +27,16 @@
     recovered_ = false;
     BOOST_OUTCOME_TRY(listed, files_.list());
     FileNames names(listed.begin(), listed.end());
+    if (freshIdentity.value != 0 && holdsIdentityOnly(names)) {
+      BOOST_OUTCOME_TRY(files_.remove(kIdentityFile));
+      names.erase(kIdentityFile);
+    }
     if (!names.contains(kIdentityFile)) {
       BOOST_OUTCOME_TRY(checkFresh(names, freshIdentity));
     }
     BOOST_OUTCOME_TRY(stateFiles_.removeTemporaries(names));
-    if (!names.contains(kIdentityFile)) {
+    const bool isFresh = !names.contains(kIdentityFile);
+    if (isFresh) {
       BOOST_OUTCOME_TRY(initialise(names, freshIdentity));
     }
     if (!names.contains(kVoteFile)) {
@@ -48,8 +54,10 @@
     if (names.contains(kSnapshotFile)) {
       state.snapshot = std::move(snapshot.snapshot);
     }
-    // A rename on which recovery relied may not have been synced before the crash.
-    BOOST_OUTCOME_TRY(files_.syncFolder());
+    if (!isFresh) {
+      // A rename on which recovery relied may not have been synced before the crash.
+      BOOST_OUTCOME_TRY(files_.syncFolder());
+    }
     recovered_ = true;
     return state;
   }
@@ -95,11 +103,19 @@
     return base::success();
   }
 
-  /// Initializes the folder with an identity. The vote file is written first, so that a folder
-  /// which has an identity but no vote file is known to have lost the latter.
+  /// @return true if the folder holds an identity and nothing else of the server's state: a crash
+  /// cut short its initialization, so that the identity was never in use. A server whose files were
+  /// lost later may begin with a fresh identity just as one whose disk was lost.
+  static bool holdsIdentityOnly(const FileNames& names) {
+    return names.contains(kIdentityFile) && !names.contains(kVoteFile) &&
+           std::none_of(names.begin(), names.end(), [](const std::string& name) {
+             return name == kSnapshotFile || segmentNumberOf(name) != 0;
+           });
+  }
+
+  /// Initializes the folder with an identity and an empty vote, with one sync of the folder.
   base::Result<void> initialise(FileNames& names, base::ServerId freshIdentity) {
-    BOOST_OUTCOME_TRY(stateFiles_.writeVote({}));
-    BOOST_OUTCOME_TRY(stateFiles_.writeIdentity(freshIdentity));
+    BOOST_OUTCOME_TRY(stateFiles_.writeFirst(freshIdentity));
     names.insert({kVoteFile, kIdentityFile});
     return base::success();
   }
--- a/src/storage/state_files.cpp
+++ b/src/storage/state_files.cpp
@@ -41,8 +41,13 @@
   return decodePayload<SnapshotFile>(payload, kSnapshotFile);
 }
 
-base::Result<void> StateFiles::writeIdentity(base::ServerId identity) {
-  return replace(BlockKind::identity, kIdentityFile, base::encode(identity));
+base::Result<void> StateFiles::writeFirst(base::ServerId identity) {
+  BOOST_OUTCOME_TRY(
+      writeTemporary(BlockKind::vote, kVoteFile, base::encode(consensus::HardState{})));
+  BOOST_OUTCOME_TRY(writeTemporary(BlockKind::identity, kIdentityFile, base::encode(identity)));
+  BOOST_OUTCOME_TRY(files_.rename(std::string(kVoteFile) + kTemporarySuffix, kVoteFile));
+  BOOST_OUTCOME_TRY(files_.rename(std::string(kIdentityFile) + kTemporarySuffix, kIdentityFile));
+  return files_.syncFolder();
 }
 
 base::Result<void> StateFiles::writeVote(const consensus::HardState& hardState) {
@@ -67,15 +72,17 @@
   return std::string(block.payload);
 }
 
+base::Result<void> StateFiles::writeTemporary(BlockKind kind, const std::string& name,
+                                              std::string_view payload) {
+  BOOST_OUTCOME_TRY(file, files_.openForAppend(name + kTemporarySuffix));
+  BOOST_OUTCOME_TRY(file->append(encodeBlock(kind, payload)));
+  return file->sync();
+}
+
 base::Result<void> StateFiles::replace(BlockKind kind, const std::string& name,
                                        std::string_view payload) {
-  const std::string temporary = name + kTemporarySuffix;
-  {
-    BOOST_OUTCOME_TRY(file, files_.openForAppend(temporary));
-    BOOST_OUTCOME_TRY(file->append(encodeBlock(kind, payload)));
-    BOOST_OUTCOME_TRY(file->sync());
-  }
-  BOOST_OUTCOME_TRY(files_.rename(temporary, name));
+  BOOST_OUTCOME_TRY(writeTemporary(kind, name, payload));
+  BOOST_OUTCOME_TRY(files_.rename(name + kTemporarySuffix, name));
   return files_.syncFolder();
 }
 
--- a/src/storage/state_files.h
+++ b/src/storage/state_files.h
@@ -51,13 +51,17 @@
   base::Result<consensus::HardState> readVote();
   base::Result<SnapshotFile> readSnapshot();
 
-  base::Result<void> writeIdentity(base::ServerId identity);
+  /// Writes the identity and an empty vote into a folder that has neither. After a crash within
+  /// this, either file may be there without the other.
+  base::Result<void> writeFirst(base::ServerId identity);
   base::Result<void> writeVote(const consensus::HardState& hardState);
   /// Fails with `inputTooLarge` before it writes anything.
   base::Result<void> writeSnapshot(const SnapshotFile& snapshot);
 
  private:
   base::Result<std::string> readPayload(BlockKind kind, const std::string& name);
+  base::Result<void> writeTemporary(BlockKind kind, const std::string& name,
+                                    std::string_view payload);
   base::Result<void> replace(BlockKind kind, const std::string& name, std::string_view payload);
 
   FileSystem& files_;
--- a/test/storage/log_storage_test.cpp
+++ b/test/storage/log_storage_test.cpp
@@ -164,3 +164,18 @@
   CHECK_TRUE(storage->persist(batch).has_value());
   CHECK_EQUAL(2U, recoverAnew().entries.size());
 }
+
+/// Guards against a server that starts too slowly to be a voter in time where syncs are slow.
+TEST(LogStorageTest, aFreshFolderTakesThreeSyncs) {
+  std::size_t syncs = 0;
+  const auto counted =
+      makeSyncHookFileSystem(std::make_unique<MemoryFileSystem>(), [&syncs] { ++syncs; });
+  CHECK_TRUE(makeLogStorage(*counted, kSegmentBytes)->recover(kIdentity).has_value());
+  CHECK_EQUAL(3U, syncs);
+}
+
+TEST(LogStorageTest, anIdentityThatWasNeverInUseIsReplaced) {
+  CHECK_TRUE(storage->recover(kIdentity).has_value());
+  CHECK_TRUE(files.remove("vote").has_value());
+  CHECK_EQUAL(99U, recoverAnew().self.value);
+}
