consensus: of two servers that ask for pre-votes at the same time one waits

What callers see: two servers are replaced, the leader among them, on disks whose syncs take 340 ms; three voters are left, two of them stand at the same time, each with its own vote, and the next election is won 3.4 s later, too late for the replacements. Change: a pre-candidate that grants another one its pre-vote yields if that one has the lower id. Pre-votes promise nothing, so this can't make anything unsafe.

--- a/src/consensus/raft_election.cpp
+++ b/src/consensus/raft_election.cpp
@@ -109,6 +109,9 @@
   reply.preVote = request.preVote;
   reply.granted =
       grantsVote({hardState_, leaseHeld, voteHold_.isUnderWay(now_), log_}, from, request);
+  if (reply.granted && request.preVote) {
+    yieldPreVote(from);
+  }
   const bool entersTerm = !request.preVote && request.term > hardState_.term;
   if (entersTerm && (!leaseHeld || request.leadershipTransfer)) {
     becomeFollower(request.term, base::ServerId{});
@@ -128,6 +131,17 @@
   }
 }
 
+/// Of two servers that ask for pre-votes at the same time, the one with the greater id waits, so
+/// that they don't split the votes: on slow disks another election takes seconds.
+void RaftImpl::yieldPreVote(base::ServerId candidate) {
+  if (role_ != Role::preCandidate || isStanding_ || self_ < candidate) {
+    return;
+  }
+  endElectionReport(ElectionEnd::superseded);
+  role_ = Role::follower;
+  electionTimer_.restart(now_);
+}
+
 void RaftImpl::handle(base::ServerId from, const VoteReply& reply) {
   if (reply.preVote && reply.granted) {
     const bool expected = role_ == Role::preCandidate && reply.term == hardState_.term + 1;
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -50,10 +50,11 @@
 };
 
 /// Raft implementation as a state machine over the roles. Transitions: follower -> preCandidate at
-/// the election timeout; preCandidate -> candidate with a majority of pre-votes;
-/// candidate -> leader with a majority of votes, as does a preCandidate with late votes of its
-/// former candidacy; any -> follower on a higher term, on a message from the term's leader, or
-/// (leader) when it loses its majority or membership. follower -> candidate on TimeoutNow; leader
+/// the election timeout; preCandidate -> candidate with a majority of pre-votes; preCandidate ->
+/// follower if a server with a lower id asks for pre-votes at the same time; candidate -> leader
+/// with a majority of votes, as does a preCandidate with late votes of its former candidacy; any ->
+/// follower on a higher term, on a message from the term's leader, or (leader) when it loses its
+/// majority or membership. follower -> candidate on TimeoutNow; leader
 /// -> candidate when a leadership transfer fails.
 class RaftImpl final : public Raft {
  public:
@@ -100,6 +101,7 @@
   void startElection(bool leadershipTransfer);
   void requestVotes(const VoteRequest& request);
   void handleDurableHardState();
+  void yieldPreVote(base::ServerId candidate);
   void checkElectionWon();
   void beginElectionReport(Term term, bool preVote);
   /// Reports the election that is open, if there is one.
--- a/test/consensus/vote_test.cpp
+++ b/test/consensus/vote_test.cpp
@@ -392,3 +392,28 @@
   CHECK_TRUE(server.raft().propose(thawed, "x").error().code == base::ErrorCode::notLeader);
   CHECK_TRUE(server.status().role == Role::follower);
 }
+
+/// Guards against votes that are split between two servers which ask for them at the same time: on
+/// slow disks the next election takes seconds.
+TEST(VoteTest, ofTwoPreCandidatesTheOneWithTheGreaterIdWaits) {
+  TestServer server(2, makeMembership(3));
+  server.advanceToWakeup();
+  CHECK_TRUE(server.status().role == Role::preCandidate);
+  VoteRequest request = makeVoteRequest(2, kBootstrap);
+  request.preVote = true;
+  server.takeSent();
+  server.receive(3, request);
+  CHECK_TRUE(onlyReply(server).granted);
+  CHECK_TRUE(server.status().role == Role::preCandidate);
+  server.receive(1, request);
+  CHECK_TRUE(onlyReply(server).granted);
+  CHECK_TRUE(server.status().role == Role::follower);
+  VoteReply late;
+  late.term = 2;
+  late.preVote = true;
+  late.granted = true;
+  server.receive(3, late);
+  CHECK_TRUE(server.status().role == Role::follower);
+  server.advanceToWakeup();
+  CHECK_TRUE(server.status().role == Role::preCandidate);
+}
