consensus: voters are replaced by joint consensus; learners are added at any time

Cause: a replacement took three entries for each server (learner added, failed voter removed, learner promoted), each committed before the next, with an even number of voters in between; a learner answered its first probe only once its vote file was durable (two syncs). Change: two roles more, incoming and outgoing. An entry with both sets of voters needs a majority of each, in elections too; the leader ends it by itself once it is committed, or another replacement follows on it at once. It may begin as soon as the former voters are committed, without an entry of the leader's own term: a majority of these voters has it, so no server with another change can be elected without them. Learners have no vote and are added and removed at any time. A reply that only asks for other entries promises nothing and goes out before the term is durable; it confirms no heartbeat round.

--- a/include/walnut/consensus/messages.h
+++ b/include/walnut/consensus/messages.h
@@ -17,7 +17,14 @@
 using Term = std::uint64_t;
 using LogIndex = std::uint64_t;
 
-enum class MemberRole : std::uint8_t { learner = 0, voter = 1 };
+/// Roles of a member. While voters are replaced (joint consensus), the cell has two sets of voters:
+/// the former one is `voter` and `outgoing`, the next one `voter` and `incoming`.
+enum class MemberRole : std::uint8_t {
+  learner = 0,   ///< Receives the log and has no vote.
+  voter = 1,     ///< Votes; during a replacement in both sets.
+  incoming = 2,  ///< Votes in the next set only.
+  outgoing = 3,  ///< Votes in the former set only.
+};
 
 /// Identity, role and addresses of one server of the cell.
 struct Member {
@@ -35,8 +42,8 @@
   }
 };
 
-/// List of the servers of a cell. Only one change is made at a time: two consecutive memberships
-/// differ by one voter.
+/// List of the servers of a cell. Only one change of its voters is made at a time: two consecutive
+/// memberships differ by one voter, or one of them has both sets of voters of a replacement.
 struct Membership {
   std::vector<Member> members;
 
--- a/include/walnut/consensus/raft.h
+++ b/include/walnut/consensus/raft.h
@@ -120,8 +120,10 @@
   /// @return the index of the entry, or `notLeader` (also during a leadership transfer).
   virtual base::Result<LogIndex> propose(base::TimePoint now, std::string payload) = 0;
 
-  /// Appends a membership that differs from the current one by one member (added, removed or
-  /// promoted). A learner is promoted to voter only if its log is nearly as long as the leader's.
+  /// Appends a membership with one of these changes: learners are added or removed; one learner is
+  /// promoted, which needs a log that is nearly as long as the leader's; one voter is removed; some
+  /// voters become outgoing and as many learners incoming. The leader itself ends such a
+  /// replacement once it is committed.
   /// @return the index of the entry, `notLeader`, `membershipChangePending` or `outOfRange`.
   virtual base::Result<LogIndex> changeMembership(base::TimePoint now,
                                                   const Membership& membership) = 0;
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -38,11 +38,8 @@
 }
 
 bool VoteTally::won(const Membership& membership) const {
-  std::vector<bool> votes;
-  for (const base::ServerId voter : votersOf(membership)) {
-    votes.push_back(granted_.count(voter) > 0);
-  }
-  return majorityValue(votes);
+  return quorumValue(membership,
+                     [this](base::ServerId voter) { return granted_.count(voter) > 0; });
 }
 
 VoteHold::VoteHold(const RaftOptions& options)
--- a/src/consensus/election.h
+++ b/src/consensus/election.h
@@ -46,7 +46,8 @@
   void clear() { granted_.clear(); }
   void grant(base::ServerId voter) { granted_.insert(voter); }
   bool hasGranted(base::ServerId voter) const { return granted_.count(voter) != 0; }
-  /// @return true if a majority of the voters of `membership` granted their vote.
+  /// @return true if a majority of the voters of `membership`, of each set of them, granted their
+  /// vote.
   bool won(const Membership& membership) const;
   /// @return the voters of `membership` that did not grant their vote.
   std::vector<base::ServerId> missing(const Membership& membership) const;
--- a/src/consensus/membership.h
+++ b/src/consensus/membership.h
@@ -14,8 +14,15 @@
 namespace walnut::consensus {
 
 const Member* findMember(const Membership& membership, base::ServerId server);
+/// @return true if the server votes, in one set of voters or in both.
 bool isVoter(const Membership& membership, base::ServerId server);
+/// @return all servers that vote, in one set of voters or in both.
 std::vector<base::ServerId> votersOf(const Membership& membership);
+/// @return true while voters are replaced, so that there are two sets of them.
+bool isJoint(const Membership& membership);
+/// @return the membership with the next set of voters only.
+Membership withoutFormerVoters(const Membership& membership);
+bool haveSameVoters(const Membership& left, const Membership& right);
 
 /// @return the value that a majority of the voters has reached, which is the greatest value v such
 /// that more than half of `values` are >= v; the default value if there are no voters.
@@ -28,18 +35,47 @@
   return values[values.size() / 2];
 }
 
-enum class MembershipChangeKind : std::uint8_t { learnerAdded, learnerPromoted, memberRemoved };
+/// @return the value that a majority of the voters has reached; during a replacement, that a
+/// majority of each set of voters has reached.
+/// @param valueOf the value of a voter, by its id.
+template <class ValueOf>
+auto quorumValue(const Membership& membership, const ValueOf& valueOf) {
+  using Value = decltype(valueOf(base::ServerId{}));
+  std::vector<Value> former;
+  std::vector<Value> next;
+  for (const Member& member : membership.members) {
+    if (member.role == MemberRole::voter || member.role == MemberRole::outgoing) {
+      former.push_back(valueOf(member.id));
+    }
+    if (member.role == MemberRole::voter || member.role == MemberRole::incoming) {
+      next.push_back(valueOf(member.id));
+    }
+  }
+  return std::min(majorityValue(std::move(former)), majorityValue(std::move(next)));
+}
+
+enum class MembershipChangeKind : std::uint8_t {
+  learners,         ///< Learners are added or removed; the voters stay.
+  learnerPromoted,  ///< One learner becomes a voter.
+  voterRemoved,     ///< One voter is removed.
+  votersReplaced,   ///< Learners become incoming and voters outgoing.
+  replacementDone,  ///< The former set of voters ends.
+  /// The former set of voters ends, and at the same time others of the next set are replaced.
+  replacementFollowed,
+};
 
-/// Difference between two consecutive memberships: one member.
+/// Difference between two consecutive memberships.
 struct MembershipChange {
-  MembershipChangeKind kind = MembershipChangeKind::learnerAdded;
-  base::ServerId server;
+  MembershipChangeKind kind = MembershipChangeKind::learners;
+  std::vector<base::ServerId> added;
+  std::vector<base::ServerId> removed;
+  std::vector<base::ServerId> promoted;
 };
 
-/// @return the difference between `current` and `next`; `outOfRange` unless exactly one learner is
-/// added, one learner is promoted or one member is removed, and at least one voter remains. With a
-/// single change at a time, the majorities of two consecutive memberships always overlap (Ongaro,
-/// "Consensus: Bridging Theory and Practice", 4.1).
+/// @return the difference between `current` and `next`; `outOfRange` unless it is one of the kinds
+/// of changes and at least one voter remains. The majorities of two consecutive memberships always
+/// overlap: those of one changed voter do (Ongaro, "Consensus: Bridging Theory and Practice", 4.1),
+/// and a replacement of several needs a majority of each set of voters (4.3).
 base::Result<MembershipChange> checkMembershipChange(const Membership& current,
                                                      const Membership& next);
 
@@ -59,6 +95,9 @@
   const IndexedMembership& current() const { return history_.back(); }
   /// @return the membership in force at `index`, which must not be below the oldest one kept.
   const IndexedMembership& at(LogIndex index) const;
+  /// @return the index of the entry with which the present sets of voters began, as far as the
+  /// history reaches.
+  LogIndex votersSince() const;
 
   void append(IndexedMembership membership) { history_.push_back(std::move(membership)); }
   void truncateFrom(LogIndex index);
--- a/src/consensus/raft_follower.cpp
+++ b/src/consensus/raft_follower.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Round of a reply that does not confirm the leader; rounds begin with 1.
+constexpr std::uint64_t kNoRound = 0;
+
 /// @return true if the entries are contiguous and follow the previous position, have terms that do
 /// not decrease or exceed the sender's, have known types and contain decodable memberships.
 bool wellFormed(const AppendRequest& request) {
@@ -56,11 +59,18 @@
 }
 
 /// Confirms the leader at once, with what is durable, and the rest after the sync: the leader's
-/// lease must not depend on how long a sync of a follower takes.
+/// lease must not depend on how long a sync of a follower takes. What only asks for other entries
+/// promises nothing and needs no sync.
 void RaftImpl::sendAppendReply(base::ServerId to, const AppendReply& reply) {
   const LogIndex durable = persistQueue_.durableIndex();
   if (!isHardStateDurable()) {
-    sendWhenDurable(to, reply);
+    if (reply.accepted) {
+      sendWhenDurable(to, reply);
+    } else {
+      AppendReply unconfirmed = reply;
+      unconfirmed.round = kNoRound;
+      send(to, unconfirmed);
+    }
     return;
   }
   AppendReply confirmed = reply;
@@ -130,11 +140,14 @@
     reply.nextOffset = reply.installed ? chunk.totalBytes : snapshotReceiver_.nextOffset(chunk);
   }
   reply.term = hardState_.term;
-  if (reply.installed || !isHardStateDurable()) {
+  if (reply.installed) {
     sendWhenDurable(from, reply);
-  } else {
-    send(from, reply);
+    return;
+  }
+  if (!isHardStateDurable()) {
+    reply.round = kNoRound;
   }
+  send(from, reply);
 }
 
 void RaftImpl::installSnapshot(const Snapshot& snapshot) {
--- a/src/consensus/raft_impl.cpp
+++ b/src/consensus/raft_impl.cpp
@@ -130,6 +130,7 @@
 RaftOutputs RaftImpl::takeOutputs() {
   RaftOutputs outputs;
   if (isLeader()) {
+    finishReplacement();
     flushFollowers();
   }
   if (!persistQueue_.isBatchInFlight()) {
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -1,13 +1,14 @@
 #pragma once
 /// @file
 /// Implementation of Raft (Ongaro and Ousterhout, 2014) with the extensions of Ongaro's thesis:
-/// pre-vote, check-quorum, leader lease, read index, one-at-a-time membership change, learners,
-/// leadership transfer, snapshots.
+/// pre-vote, check-quorum, leader lease, read index, membership changes of one voter or by joint
+/// consensus, learners, leadership transfer, snapshots.
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,9 +45,9 @@
   LogIndex firstOwnIndex = 0;                    ///< Index of the no-op entry that opened the term.
   base::TimePoint nextHeartbeat;                 ///< Time at which the next round is opened.
   std::optional<LeadershipTransfer> transfer;
-  /// Server that is being removed from the membership. It still receives entries until the removal
-  /// is committed, so that it learns of its removal.
-  std::optional<base::ServerId> removedServer;
+  /// Servers that are being removed from the membership. They still receive entries until the
+  /// removal is committed, so that they learn of it.
+  std::set<base::ServerId> removedServers;
 };
 
 /// Raft implementation as a state machine over the roles. Transitions: follower -> preCandidate at
@@ -100,8 +101,8 @@
   void startPreVote();
   void startElection(bool leadershipTransfer);
   void requestVotes(const VoteRequest& request);
-  void handleDurableHardState();
   void yieldPreVote(base::ServerId candidate);
+  void handleDurableHardState();
   void checkElectionWon();
   void beginElectionReport(Term term, bool preVote);
   /// Reports the election that is open, if there is one.
@@ -133,7 +134,9 @@
   std::uint64_t quorumConfirmedRound() const;
   bool followerActive(const Progress& progress) const;
   base::Result<void> checkPromotionReady(base::ServerId learner) const;
-  void updateFollowers(const MembershipChange& change);
+  bool overlapsUnsettled(MembershipChangeKind kind) const;
+  void appendMembership(const MembershipChange& change, const Membership& next);
+  void finishReplacement();
   std::optional<base::ServerId> mostUpToDateVoter() const;
   void sendTimeoutNowWhenReady();
   void abandonTransfer();
--- a/src/consensus/raft_leader.cpp
+++ b/src/consensus/raft_leader.cpp
@@ -70,20 +70,15 @@
 /// TimePoint::min() if there is none. A reply counts from the time at which its request's round was
 /// opened, not from its arrival.
 base::TimePoint RaftImpl::quorumConfirmedAt() const {
-  std::vector<base::TimePoint> times;
-  for (const base::ServerId voter : votersOf(membership())) {
-    times.push_back(voter == self_ ? now_ : leaderState_->followers.at(voter).confirmedAt());
-  }
-  return majorityValue(std::move(times));
+  return quorumValue(membership(), [this](base::ServerId voter) {
+    return voter == self_ ? now_ : leaderState_->followers.at(voter).confirmedAt();
+  });
 }
 
 std::uint64_t RaftImpl::quorumConfirmedRound() const {
-  std::vector<std::uint64_t> confirmed;
-  for (const base::ServerId voter : votersOf(membership())) {
-    confirmed.push_back(voter == self_ ? rounds_.latest()
-                                       : leaderState_->followers.at(voter).confirmedRound());
-  }
-  return majorityValue(std::move(confirmed));
+  return quorumValue(membership(), [this](base::ServerId voter) {
+    return voter == self_ ? rounds_.latest() : leaderState_->followers.at(voter).confirmedRound();
+  });
 }
 
 bool RaftImpl::followerActive(const Progress& progress) const {
@@ -165,28 +160,28 @@
 /// are committed by counting (Raft paper, section 5.4.2). This server's log counts as far as it is
 /// synced.
 void RaftImpl::updateCommitIndex() {
-  std::vector<LogIndex> synced;
-  for (const base::ServerId voter : votersOf(membership())) {
-    synced.push_back(voter == self_ ? persistQueue_.durableIndex()
-                                    : leaderState_->followers.at(voter).matchIndex());
-  }
-  const LogIndex index = majorityValue(std::move(synced));
+  const LogIndex index = quorumValue(membership(), [this](base::ServerId voter) {
+    return voter == self_ ? persistQueue_.durableIndex()
+                          : leaderState_->followers.at(voter).matchIndex();
+  });
   if (index > commitIndex_ && log_.termAt(index) == hardState_.term) {
     advanceCommit(index);
     finishRemoval();
   }
 }
 
-/// Notifies the removed server once its removal is committed. If this server itself was removed, it
+/// Notifies removed servers once their removal is committed. If this server itself was removed, it
 /// resigns leadership.
 void RaftImpl::finishRemoval() {
   if (memberships_.current().index > commitIndex_) {
     return;
   }
-  if (leaderState_->removedServer) {
+  if (!leaderState_->removedServers.empty()) {
     flushFollowers();
-    leaderState_->followers.erase(*leaderState_->removedServer);
-    leaderState_->removedServer.reset();
+    for (const base::ServerId removed : leaderState_->removedServers) {
+      leaderState_->followers.erase(removed);
+    }
+    leaderState_->removedServers.clear();
   }
   if (findMember(membership(), self_) == nullptr) {
     flushFollowers();
@@ -205,18 +200,59 @@
   // Without a committed entry of the leader's own term, two leaders could make changes whose
   // majorities do not overlap (Ongaro, raft-dev mailing list, 10 July 2015).
   const bool ownEntryCommitted = commitIndex_ >= leaderState_->firstOwnIndex;
-  if (memberships_.current().index > commitIndex_ || !ownEntryCommitted) {
+  const bool settled = memberships_.current().index <= commitIndex_ && ownEntryCommitted;
+  const auto change = checkMembershipChange(membership(), next);
+  if (!settled && (change.has_error() || !overlapsUnsettled(change.value().kind))) {
     return base::Error{base::ErrorCode::membershipChangePending, "membership",
                        "the former change is not committed yet"};
   }
-  BOOST_OUTCOME_TRY(change, checkMembershipChange(membership(), next));
-  if (change.kind == MembershipChangeKind::learnerPromoted) {
-    BOOST_OUTCOME_TRY(checkPromotionReady(change.server));
+  if (change.has_error()) {
+    return change.error();
+  }
+  if (change.value().kind == MembershipChangeKind::learnerPromoted) {
+    BOOST_OUTCOME_TRY(checkPromotionReady(change.value().promoted.front()));
   }
+  appendMembership(change.value(), next);
+  return log_.lastIndex();
+}
+
+/// @return true if the majorities after a change of this kind overlap with those before, even if
+/// the present membership or an entry of the own term is not committed yet.
+bool RaftImpl::overlapsUnsettled(MembershipChangeKind kind) const {
+  if (kind == MembershipChangeKind::learners) {
+    return true;
+  }
+  // Until a replacement is committed, it needs a majority of the committed voters from which it
+  // began, and so does every other change that could follow on them.
+  const bool replaces = kind == MembershipChangeKind::votersReplaced ||
+                        kind == MembershipChangeKind::replacementFollowed;
+  return replaces && memberships_.votersSince() <= commitIndex_;
+}
+
+void RaftImpl::appendMembership(const MembershipChange& change, const Membership& next) {
   appendEntry(
       {hardState_.term, log_.lastIndex() + 1, EntryType::membership, encodeMembership(next)});
-  updateFollowers(change);
-  return log_.lastIndex();
+  for (const base::ServerId learner : change.added) {
+    leaderState_->followers.insert_or_assign(learner, Progress(log_.lastIndex()));
+  }
+  for (const base::ServerId removed : change.removed) {
+    if (removed != self_) {
+      leaderState_->removedServers.insert(removed);
+    }
+  }
+}
+
+/// Ends the former set of voters once the membership with both sets is committed.
+void RaftImpl::finishReplacement() {
+  if (!isJoint(membership()) || memberships_.votersSince() > commitIndex_ ||
+      leaderState_->transfer) {
+    return;
+  }
+  const Membership next = withoutFormerVoters(membership());
+  const auto change = checkMembershipChange(membership(), next);
+  if (change) {
+    appendMembership(change.value(), next);
+  }
 }
 
 /// Checks that the learner is responsive and its log nearly complete: otherwise it would delay
@@ -232,14 +268,6 @@
   return base::success();
 }
 
-void RaftImpl::updateFollowers(const MembershipChange& change) {
-  if (change.kind == MembershipChangeKind::learnerAdded) {
-    leaderState_->followers.insert_or_assign(change.server, Progress(log_.lastIndex()));
-  } else if (change.kind == MembershipChangeKind::memberRemoved && change.server != self_) {
-    leaderState_->removedServer = change.server;
-  }
-}
-
 void RaftImpl::transferLeadership(base::TimePoint now) {
   advanceTime(now);
   if (!isLeader() || leaderState_->transfer) {
@@ -256,7 +284,10 @@
 std::optional<base::ServerId> RaftImpl::mostUpToDateVoter() const {
   std::optional<base::ServerId> best;
   for (const auto& [server, progress] : leaderState_->followers) {
-    if (!isVoter(membership(), server) || !followerActive(progress)) {
+    const Member* member = findMember(membership(), server);
+    const bool staysVoter = member != nullptr && (member->role == MemberRole::voter ||
+                                                  member->role == MemberRole::incoming);
+    if (!staysVoter || !followerActive(progress)) {
       continue;
     }
     if (!best || progress.matchIndex() > leaderState_->followers.at(*best).matchIndex()) {
--- a/src/consensus/validation.h
+++ b/src/consensus/validation.h
@@ -12,7 +12,7 @@
 /// the log, since it could not be read back.
 inline bool isKnown(EntryType type) { return type <= EntryType::membership; }
 
-inline bool isKnown(MemberRole role) { return role <= MemberRole::voter; }
+inline bool isKnown(MemberRole role) { return role <= MemberRole::outgoing; }
 
 inline bool isWellFormed(const Membership& membership) {
   return std::all_of(membership.members.begin(), membership.members.end(),
--- a/test/consensus/cluster.cpp
+++ b/test/consensus/cluster.cpp
@@ -30,20 +30,22 @@
   freezes += other.freezes;
   cuts += other.cuts;
   membershipChanges += other.membershipChanges;
+  replacements += other.replacements;
   disksLost += other.disksLost;
   snapshotsInstalled += other.snapshotsInstalled;
 }
 
 bool ClusterCounts::everyFaultReached() const {
   return elections > 0 && applied > 0 && crashes > 0 && freezes > 0 && cuts > 0 &&
-         membershipChanges > 0 && disksLost > 0 && snapshotsInstalled > 0;
+         membershipChanges > 0 && replacements > 0 && disksLost > 0 && snapshotsInstalled > 0;
 }
 
 std::string ClusterCounts::describe() const {
   return "terms " + std::to_string(elections) + ", entries " + std::to_string(applied) +
          ", crashes " + std::to_string(crashes) + ", freezes " + std::to_string(freezes) +
          ", cuts " + std::to_string(cuts) + ", membership changes " +
-         std::to_string(membershipChanges) + ", disks lost " + std::to_string(disksLost) +
+         std::to_string(membershipChanges) + ", of these replacements " +
+         std::to_string(replacements) + ", disks lost " + std::to_string(disksLost) +
          ", snapshots installed " + std::to_string(snapshotsInstalled);
 }
 
--- a/test/consensus/cluster.h
+++ b/test/consensus/cluster.h
@@ -25,6 +25,7 @@
   std::uint64_t freezes = 0;
   std::uint64_t cuts = 0;
   std::uint64_t membershipChanges = 0;
+  std::uint64_t replacements = 0;  ///< Membership changes by joint consensus.
   std::uint64_t disksLost = 0;
   std::uint64_t snapshotsInstalled = 0;
 
@@ -92,6 +93,7 @@
   bool lostMember(base::ServerId id);
   Membership drawMembership(const Membership& current);
   void addLearner(Membership& membership);
+  void drawReplacement(Membership& membership);
   void heal();
   bool converged();
 
--- a/test/consensus/cluster_faults.cpp
+++ b/test/consensus/cluster_faults.cpp
@@ -202,17 +202,39 @@
   const Membership next = drawMembership(current);
   if (next != current && leader->raft().changeMembership(now_, next)) {
     ++counts_.membershipChanges;
+    counts_.replacements += isJoint(next) ? 1 : 0;
   }
   processOutputs(*leader);
 }
 
 void Cluster::addLearner(Membership& membership) {
-  if (servers_.size() < kMaxServers && membership.members.size() <= voters_) {
+  if (servers_.size() < kMaxServers && membership.members.size() <= voters_ + 1) {
     const base::ServerId id = addServer({}).id();
     membership.members.push_back(makeMember(id.value, MemberRole::learner));
   }
 }
 
+/// Replaces voters by learners, those with a lost disk first; as many as there are, or fewer.
+void Cluster::drawReplacement(Membership& membership) {
+  std::stable_sort(membership.members.begin(), membership.members.end(),
+                   [&](const Member& left, const Member& right) {
+                     return lostMember(left.id) && !lostMember(right.id);
+                   });
+  auto voter = membership.members.begin();
+  for (Member& learner : membership.members) {
+    if (learner.role != MemberRole::learner || lostMember(learner.id)) {
+      continue;
+    }
+    voter = std::find_if(voter, membership.members.end(),
+                         [](const Member& each) { return each.role == MemberRole::voter; });
+    if (voter == membership.members.end() || random_.chance(0.2)) {
+      return;
+    }
+    voter->role = MemberRole::outgoing;
+    learner.role = MemberRole::incoming;
+  }
+}
+
 /// Draws the operator's next membership: replaces a member with a lost disk, otherwise promotes a
 /// learner, and occasionally adds or removes a member.
 Membership Cluster::drawMembership(const Membership& current) {
@@ -223,7 +245,10 @@
       next.members.begin(), next.members.end(),
       [&](const Member& each) { return each.role == MemberRole::learner && !lostMember(each.id); });
   const bool repairs = lost != next.members.end();
-  if (repairs && random_.chance(0.5)) {
+  const bool joint = random_.chance(0.5);
+  if (joint && learner != next.members.end()) {
+    drawReplacement(next);
+  } else if (repairs && random_.chance(0.5)) {
     next.members.erase(lost);
   } else if (learner != next.members.end()) {
     learner->role = MemberRole::voter;
--- a/test/consensus/codec_test.cpp
+++ b/test/consensus/codec_test.cpp
@@ -131,7 +131,7 @@
   entry.type = static_cast<EntryType>(3);
   CHECK_TRUE(decodeEntry(encodeEntry(entry)).has_error());
   Membership membership = makeMembership(3);
-  membership.members[1].role = static_cast<MemberRole>(2);
+  membership.members[1].role = static_cast<MemberRole>(4);
   CHECK_TRUE(decodeMembership(encodeMembership(membership)).has_error());
   Snapshot snapshot;
   snapshot.membership = membership;
