registry: a replaced server votes within 4 s of its start where syncs take 400 ms

What callers see: a server goes for good, an empty one starts at a new address; 4 s later two other disks are lost and everything restarts: nothing is served any more, for good. Cause: from its start to its vote a replacement took some eleven syncs and three log entries one after the other, 1.2 s in which it waited for a leader that could not know it, and 2 s of silence of the failed voter, counted anew by each new leader. In between the cell had four voters. Change: a server without a place in the cell asks for it at once; all that ask are admitted in one entry; failed voters are replaced together, by joint consensus (feature level 9; a cell with servers of a lower one goes on one by one). Those silent for longest go first, not the last one found. Silence counts from before an election: of the former leader since it was last heard, of others since this server asked for votes; a new leader gives each 300 ms to answer. A voter is replaced after 1.5 s of silence, so that two entries, each of up to two syncs of 0.6 s, fit into the 4 s. Seen before the change of logic was run: join-step (each step with ms and syncs since the start), recovery-millis and recovery-syncs of process-started, the silent voters of member-proposed, walnut_registry_join_seconds and _join_steps_total.

--- a/include/walnut/registry/feature_level.h
+++ b/include/walnut/registry/feature_level.h
@@ -28,12 +28,14 @@
 inline constexpr std::uint32_t kSoftwareVersions = 7;
 /// CutPartsReport, SuspectPartList, PartsAnswered; RefusePart, ReleaseParts.
 inline constexpr std::uint32_t kPromptParts = 8;
+/// Memberships with two sets of voters.
+inline constexpr std::uint32_t kJointMembership = 9;
 }  // namespace feature
 
 /// Feature level of this build.
-inline constexpr std::uint32_t kFeatureLevel = feature::kPromptParts;
+inline constexpr std::uint32_t kFeatureLevel = feature::kJointMembership;
 /// Level to which a cell is raised: that of the latest feature which needs log entries, so that
 /// servers of this level can still be admitted.
-inline constexpr std::uint32_t kCellFeatureLevel = feature::kPromptParts;
+inline constexpr std::uint32_t kCellFeatureLevel = feature::kJointMembership;
 
 }  // namespace walnut::registry
--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -155,6 +155,18 @@
 using RegistryAction = std::variant<control::SendToServer, control::SendToConnection,
                                     SendToEndpoint, CallAnswered, SendOrder, ReadReport>;
 
+/// A step of a server that asks to be admitted, from its start to its vote.
+enum class JoinStep : std::uint8_t {
+  requested,    ///< It asked for admission.
+  leaderHeard,  ///< A leader has made contact.
+  admitted,     ///< It has the membership in which it is a learner.
+  incoming,     ///< It votes in the next set of voters, beside the former one.
+  voter,        ///< It votes.
+};
+
+/// @return the name for logs and metrics.
+std::string_view joinStepName(JoinStep step);
+
 /// Outputs of one step. The driver begins to write `persist`, performs the actions in order, and
 /// passes `Persisted` once `persist`, if it was not empty, is synced.
 struct RegistryOutputs {
@@ -164,6 +176,7 @@
   /// others'. The driver ends the process and performs nothing more.
   std::optional<base::Error> unreadable;
   std::vector<consensus::ElectionReport> elections;  ///< Of this server, ended since; for metrics.
+  std::vector<JoinStep> joinSteps;  ///< Of this server, taken since; for logs and metrics.
 };
 
 /// What a leader knows of its cell; zero on a server that does not lead.
--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -26,6 +26,7 @@
   syncSlow,
   membershipChanged,
   memberProposed,
+  joinStepTaken,
   documentStored,
   documentRefused,
   documentTaken,
--- a/src/daemon/data_folder.h
+++ b/src/daemon/data_folder.h
@@ -2,9 +2,12 @@
 /// @file
 /// The data folder of a controller: its identity, and what was recovered from it.
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
 
+#include "walnut/base/time.h"
 #include "walnut/consensus/raft.h"
 #include "walnut/storage/file_system.h"
 #include "walnut/storage/log_storage.h"
@@ -16,6 +19,9 @@
   std::unique_ptr<storage::FileSystem> files;
   std::unique_ptr<storage::LogStorage> storage;
   consensus::RecoveredState recovered;
+  /// Syncs of files and of the folder so far; null if they are not counted.
+  std::shared_ptr<const std::atomic<std::uint64_t>> syncs;
+  base::TimePoint openedAt;  ///< When the folder began to be opened.
 };
 
 /// Gives an empty folder (created if absent) a freshly drawn identity, durable on return.
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -215,6 +215,9 @@
     metrics_.count("walnut_registry_elections_total",
                    std::string(consensus::electionEndName(election.end)));
   }
+  for (const registry::JoinStep step : outputs.joinSteps) {
+    noteJoinStep(step);
+  }
   for (registry::RegistryAction& action : outputs.actions) {
     std::visit([this](auto& body) { perform(body); }, action);
   }
@@ -259,6 +262,20 @@
                                   {"snapshot", batch.snapshot ? "yes" : "no"}});
 }
 
+void RegistryHost::noteJoinStep(registry::JoinStep step) {
+  const base::Duration sinceStart = runtime::now() - folder_.openedAt;
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart);
+  const std::uint64_t syncs = folder_.syncs == nullptr ? 0 : folder_.syncs->load();
+  const std::string name(registry::joinStepName(step));
+  log_.write(
+      LogEvent::joinStepTaken,
+      {{"step", name}, {"millis", static_cast<std::uint64_t>(millis.count())}, {"syncs", syncs}});
+  metrics_.count("walnut_registry_join_steps_total", name);
+  if (step == registry::JoinStep::voter) {
+    metrics_.observe("walnut_registry_join_seconds", sinceStart);
+  }
+}
+
 void RegistryHost::noteStorageFailure(const base::Error& error) {
   log_.write(LogEvent::dependencyLost, {{"dependency", "storage"},
                                         {"error", base::errorCodeName(error.code)},
--- a/src/daemon/registry_host.h
+++ b/src/daemon/registry_host.h
@@ -93,6 +93,7 @@
   void finishPersist(const consensus::PersistBatch& batch, const base::Result<void>& outcome,
                      base::Duration duration);
   void noteSync(const consensus::PersistBatch& batch, base::Duration duration);
+  void noteJoinStep(registry::JoinStep step);
   void noteStorageFailure(const base::Error& error);
   void checkStopped();
 
--- a/src/daemon/registry_program.cpp
+++ b/src/daemon/registry_program.cpp
@@ -3,6 +3,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -33,17 +35,26 @@
       founder ? founderIdentity(settings.listen)
               : base::ServerId{std::max<std::uint64_t>(runtime::randomSeed(), 1)};
   DataFolder folder;
+  folder.openedAt = runtime::now();
   BOOST_OUTCOME_TRY(files, storage::openPosixFileSystem(settings.dataFolder));
-  folder.files = settings.syncDelayFile.empty()
-                     ? std::move(files)
-                     : storage::makeDelayedFileSystem(std::move(files), settings.syncDelayFile,
-                                                      runtime::randomSeed());
+  if (!settings.syncDelayFile.empty()) {
+    files = storage::makeDelayedFileSystem(std::move(files), settings.syncDelayFile,
+                                           runtime::randomSeed());
+  }
+  const auto syncs = std::make_shared<std::atomic<std::uint64_t>>(0);
+  folder.files = storage::makeSyncHookFileSystem(std::move(files), [syncs] { ++*syncs; });
+  folder.syncs = syncs;
   folder.storage = storage::makeLogStorage(*folder.files, settings.segmentBytes);
   BOOST_OUTCOME_TRY(recovered, folder.storage->recover(fresh));
   folder.recovered = std::move(recovered);
   return folder;
 }
 
+std::uint64_t millisOf(base::Duration duration) {
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+  return static_cast<std::uint64_t>(millis.count());
+}
+
 int endWith(runtime::OutputLog& log, const base::Error& error, ExitCode code) {
   log.write(LogEvent::processStopped, {{"error", base::errorCodeName(error.code)},
                                        {"field", error.field},
@@ -102,6 +113,8 @@
   }
   const base::ServerId self = folder.value().recovered.self;
   const bool fresh = isPristine(folder.value().recovered);
+  const std::uint64_t recoverySyncs = *folder.value().syncs;
+  const base::Duration recoveryTime = runtime::now() - folder.value().openedAt;
   RegistryHost host(settings, dialects, std::move(folder.value()), log);
   const auto started = host.start();
   if (started.has_error()) {
@@ -119,7 +132,9 @@
                                        {"server", self.value},
                                        {"listen", runtime::formatEndpoint(settings.listen)},
                                        {"bootstrap", settings.bootstrap ? "yes" : "no"},
-                                       {"data", fresh ? "empty" : "recovered"}});
+                                       {"data", fresh ? "empty" : "recovered"},
+                                       {"recovery-millis", millisOf(recoveryTime)},
+                                       {"recovery-syncs", recoverySyncs}});
   log.flush();
   slot.set(&host);
   host.run();
--- a/src/registry/membership_policy.cpp
+++ b/src/registry/membership_policy.cpp
@@ -1,6 +1,7 @@
 #include "registry/membership_policy.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace walnut::registry {
 
@@ -10,10 +11,20 @@
 using consensus::MemberRole;
 using consensus::Membership;
 
+/// @return the number of voters, of the smaller set of them during a replacement.
 std::size_t voterCount(const Membership& membership) {
-  return static_cast<std::size_t>(
-      std::count_if(membership.members.begin(), membership.members.end(),
-                    [](const Member& member) { return member.role == MemberRole::voter; }));
+  std::size_t former = 0;
+  std::size_t next = 0;
+  for (const Member& member : membership.members) {
+    former += member.role == MemberRole::voter || member.role == MemberRole::outgoing ? 1 : 0;
+    next += member.role == MemberRole::voter || member.role == MemberRole::incoming ? 1 : 0;
+  }
+  return std::min(former, next);
+}
+
+bool isBeingReplaced(const Membership& membership) {
+  return std::any_of(membership.members.begin(), membership.members.end(),
+                     [](const Member& member) { return member.role > MemberRole::voter; });
 }
 
 const Member* find(const Membership& membership, base::ServerId server) {
@@ -31,14 +42,23 @@
   return next;
 }
 
-Membership promoted(const Membership& membership, base::ServerId server) {
+/// @return the membership once the replacement that is under way has ended.
+Membership afterReplacement(const Membership& membership) {
   Membership next = membership;
+  std::erase_if(next.members,
+                [](const Member& member) { return member.role == MemberRole::outgoing; });
   for (Member& member : next.members) {
+    member.role = member.role == MemberRole::incoming ? MemberRole::voter : member.role;
+  }
+  return next;
+}
+
+void setRole(Membership& membership, base::ServerId server, MemberRole role) {
+  for (Member& member : membership.members) {
     if (member.id == server) {
-      member.role = MemberRole::voter;
+      member.role = role;
     }
   }
-  return next;
 }
 
 }  // namespace
@@ -47,8 +67,9 @@
   return voterCount(membership) / 2 + 1 > tolerableLosses;
 }
 
-MembershipPolicy::MembershipPolicy(const MembershipPolicyOptions& options, base::TimePoint now)
-    : options_(options), since_(now) {}
+MembershipPolicy::MembershipPolicy(const MembershipPolicyOptions& options,
+                                   base::TimePoint leadingSince, base::TimePoint silentSince)
+    : options_(options), leadingSince_(leadingSince), silentSince_(silentSince) {}
 
 void MembershipPolicy::addJoinRequest(const Member& member, const Membership& membership,
                                       base::TimePoint now) {
@@ -71,25 +92,32 @@
 base::Duration MembershipPolicy::timeSinceContact(base::ServerId server,
                                                   base::TimePoint now) const {
   const auto found = lastContact_.find(server);
-  return now - (found == lastContact_.end() ? since_ : std::max(since_, found->second));
+  return now - (found == lastContact_.end() ? silentSince_ : found->second);
 }
 
 std::size_t MembershipPolicy::silentVoters(const Membership& membership, base::ServerId self,
                                            base::TimePoint now) const {
   return static_cast<std::size_t>(std::count_if(
       membership.members.begin(), membership.members.end(), [&](const Member& member) {
-        return member.role == MemberRole::voter && member.id != self &&
+        return member.role != MemberRole::learner && member.id != self &&
                timeSinceContact(member.id, now) > options_.voterTimeout;
       }));
 }
 
 std::optional<Membership> MembershipPolicy::nextChange(const Membership& membership,
                                                        base::ServerId self,
+                                                       ReplacementMethod method,
                                                        base::TimePoint now) const {
   if (auto admitted = admission(membership, now)) {
     return admitted;
   }
-  if (auto replaced = replacement(membership, self, now)) {
+  if (isBeingReplaced(membership)) {
+    // Another replacement follows on the one under way without a membership between them.
+    const Membership next = afterReplacement(membership);
+    return voterCount(next) < requiredVoters() ? std::nullopt
+                                               : replacement(next, self, method, now);
+  }
+  if (auto replaced = replacement(membership, self, method, now)) {
     return replaced;
   }
   return expiredLearner(membership, now);
@@ -97,46 +125,75 @@
 
 std::optional<Membership> MembershipPolicy::admission(const Membership& membership,
                                                       base::TimePoint now) const {
+  Membership next = membership;
   for (const auto& [id, applicant] : applicants_) {
     const bool expired = now - applicant.requestedAt > options_.requestLifetime;
     if (!expired && find(membership, id) == nullptr) {
-      Membership next = membership;
       next.members.push_back(applicant.member);
-      return next;
     }
   }
-  return std::nullopt;
+  return next == membership ? std::nullopt : std::optional(next);
 }
 
-std::optional<Membership> MembershipPolicy::replacement(const Membership& membership,
-                                                        base::ServerId self,
-                                                        base::TimePoint now) const {
-  const Member* ready = nullptr;
-  const Member* failed = nullptr;
+std::vector<base::ServerId> MembershipPolicy::readyLearners(const Membership& membership,
+                                                            base::TimePoint now) const {
+  std::vector<base::ServerId> ready;
+  for (const Member& member : membership.members) {
+    const bool hasContact = lastContact_.count(member.id) != 0;
+    if (member.role == MemberRole::learner && lostServers_.count(member.id) == 0 && hasContact &&
+        timeSinceContact(member.id, now) < options_.voterTimeout) {
+      ready.push_back(member.id);
+    }
+  }
+  return ready;
+}
+
+std::vector<base::ServerId> MembershipPolicy::failedVoters(const Membership& membership,
+                                                           base::ServerId self,
+                                                           base::TimePoint now) const {
+  std::vector<base::ServerId> failed;
+  const bool couldAnswer = now >= leadingSince_ + options_.answerTime;
   for (const Member& member : membership.members) {
     const bool lost = lostServers_.count(member.id) != 0;
-    const base::Duration silence = timeSinceContact(member.id, now);
-    if (member.role == MemberRole::learner) {
-      const bool hasContact = lastContact_.count(member.id) != 0;
-      if (!lost && hasContact && silence < options_.voterTimeout) {
-        ready = &member;
-      }
-    } else if (member.id != self && (lost || silence > options_.voterTimeout)) {
-      failed = failed == nullptr || lost ? &member : failed;
+    const bool silent = couldAnswer && timeSinceContact(member.id, now) > options_.voterTimeout;
+    if (member.role == MemberRole::voter && member.id != self && (lost || silent)) {
+      failed.push_back(member.id);
     }
   }
-  if (ready == nullptr) {
+  std::sort(failed.begin(), failed.end(), [&](base::ServerId left, base::ServerId right) {
+    const auto rank = [&](base::ServerId server) {
+      return std::pair(lostServers_.count(server), timeSinceContact(server, now));
+    };
+    return rank(left) > rank(right);
+  });
+  return failed;
+}
+
+std::optional<Membership> MembershipPolicy::replacement(const Membership& membership,
+                                                        base::ServerId self,
+                                                        ReplacementMethod method,
+                                                        base::TimePoint now) const {
+  const std::vector<base::ServerId> ready = readyLearners(membership, now);
+  if (ready.empty()) {
+    return std::nullopt;
+  }
+  Membership next = membership;
+  if (voterCount(membership) < requiredVoters()) {
+    setRole(next, ready.front(), MemberRole::voter);
+    return next;
+  }
+  const std::vector<base::ServerId> failed = failedVoters(membership, self, now);
+  if (failed.empty()) {
     return std::nullopt;
   }
-  const std::size_t requiredVoters = 2 * static_cast<std::size_t>(options_.tolerableLosses) + 1;
-  const std::size_t voters = voterCount(membership);
-  if (voters < requiredVoters) {
-    return promoted(membership, ready->id);
+  if (method == ReplacementMethod::oneByOne) {
+    return without(membership, failed.front());
   }
-  if (failed != nullptr) {
-    return without(membership, failed->id);
+  for (std::size_t index = 0; index < std::min(failed.size(), ready.size()); ++index) {
+    setRole(next, failed[index], MemberRole::outgoing);
+    setRole(next, ready[index], MemberRole::incoming);
   }
-  return std::nullopt;
+  return next;
 }
 
 std::optional<Membership> MembershipPolicy::expiredLearner(const Membership& membership,
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -50,7 +50,13 @@
       orderTurns_(now),
       recoveredIndex_(raft_->status().lastIndex),
       startedAt_(now),
-      lastLeaderContact_(now) {}
+      lastLeaderContact_(now),
+      candidateSince_(now) {
+  if (!isMember(raft_->status())) {
+    // No leader will make contact before this server asks for admission.
+    lastLeaderContact_ -= options_.joinAfterSilence;
+  }
+}
 
 void RegistryImpl::step(base::TimePoint now, const RegistryInput& input) {
   now_ = std::max(now_, now);
@@ -60,6 +66,9 @@
 
 RegistryOutputs RegistryImpl::takeOutputs() {
   raft_->tick(now_);
+  if (leading_ != nullptr && raft_->status().role == Role::leader) {
+    updateMembership();  // Before the leader ends a replacement on which another one may follow.
+  }
   consensus::RaftOutputs raftOutputs = raft_->takeOutputs();
   RegistryOutputs outputs;
   outputs.persist = std::move(raftOutputs.persist);
@@ -85,11 +94,14 @@
   }
   applyEntries(raftOutputs.committed);
   if (unreadable_) {
-    return {{}, {}, unreadable_, {}};
+    RegistryOutputs failed;
+    failed.unreadable = unreadable_;
+    return failed;
   }
   followLeadership();
   runTasks();
   outputs.actions = std::exchange(actions_, {});
+  outputs.joinSteps = joinProgress_.takeSteps();
   return outputs;
 }
 
@@ -172,6 +184,7 @@
 // Messages
 
 void RegistryImpl::receive(protocol::ConnectionId /*from*/, const consensus::Message& message) {
+  lastHeard_[message.from] = now_;
   if (membershipPolicy_) {
     membershipPolicy_->recordContact(message.from, now_);
   }
@@ -179,6 +192,8 @@
   const consensus::RaftStatus status = raft_->status();
   if (status.leader == message.from && status.leader != base::ServerId{}) {
     lastLeaderContact_ = now_;
+    formerLeader_ = message.from;
+    noteJoinStep(JoinStep::leaderHeard);
   }
 }
 
@@ -360,6 +375,9 @@
 void RegistryImpl::followLeadership() {
   const consensus::RaftStatus status = raft_->status();
   if (status.role != lastRole_ || status.leader != lastLeader_) {
+    if (lastRole_ == Role::follower) {
+      candidateSince_ = now_;
+    }
     log_.write(
         LogEvent::roleChanged,
         {{"role", roleName(status.role)}, {"term", status.term}, {"leader", status.leader.value}});
@@ -377,7 +395,7 @@
 
 void RegistryImpl::beginLeading(const consensus::RaftStatus& status) {
   activeIndex_ = status.lastIndex;
-  membershipPolicy_.emplace(MembershipPolicyOptions{options_.tolerableLosses}, now_);
+  membershipPolicy_.emplace(makeMembershipPolicy(status));
   leading_ =
       std::make_unique<LeaderDuties>(options_, documents_, state_, status.term, status.self, log_,
                                      now_, orderTurns_, lastTakeoverAt_, &registrations_);
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -12,6 +12,7 @@
 #include "registry/document_cache.h"
 #include "registry/document_confirmer.h"
 #include "registry/heartbeat_relay.h"
+#include "registry/join_progress.h"
 #include "registry/leader_duties.h"
 #include "registry/membership_policy.h"
 #include "registry/order_times.h"
@@ -142,12 +143,18 @@
   std::uint32_t levelOf(base::ServerId server) const;
   bool isOfLowerLevel(base::ServerId server) const;
   void requestJoin();
+  static bool isMember(const consensus::RaftStatus& status);
   void runTasks();
   bool toleratesLosses() const;
   bool isActiveLeader() const { return leading_ != nullptr && activeIndex_ <= appliedIndex_; }
   std::vector<base::Endpoint> serverEndpoints() const;
   std::optional<base::Endpoint> peerEndpointOf(base::ServerId server) const;
   void noteMembership();
+  void noteOwnRole(const consensus::RaftStatus& status);
+  void noteJoinStep(JoinStep step);
+  MembershipPolicy makeMembershipPolicy(const consensus::RaftStatus& status) const;
+  /// @return the voters that were not heard lately, with the milliseconds since.
+  std::string describeSilentVoters() const;
   void logElection(const consensus::ElectionReport& election);
 
   const RegistryOptions options_;
@@ -204,6 +211,11 @@
   const base::TimePoint startedAt_;
   base::TimePoint lastLeaderContact_;
   base::TimePoint nextJoinAt_;
+  /// When this server last heard from another one in messages of consensus.
+  std::map<base::ServerId, base::TimePoint> lastHeard_;
+  base::ServerId formerLeader_;     ///< The last other server that led.
+  base::TimePoint candidateSince_;  ///< When this server last ceased to follow.
+  JoinProgress joinProgress_;
   std::vector<base::Endpoint> learnedEndpoints_;  ///< Learned from answers to join requests.
 };
 
--- a/src/registry/registry_membership.cpp
+++ b/src/registry/registry_membership.cpp
@@ -15,6 +15,23 @@
 
 protocol::Message wrap(MessageBody body) { return RegistryMessage{std::move(body)}; }
 
+/// Several heartbeats of a leader.
+constexpr base::Duration kLoggedSilence = std::chrono::milliseconds(500);
+
+std::string_view roleSuffix(consensus::MemberRole role) {
+  switch (role) {
+    case consensus::MemberRole::learner:
+      return "(learner)";
+    case consensus::MemberRole::voter:
+      return "";
+    case consensus::MemberRole::incoming:
+      return "(incoming)";
+    case consensus::MemberRole::outgoing:
+      return "(outgoing)";
+  }
+  return "(unknown)";
+}
+
 }  // namespace
 
 void RegistryImpl::noteMembership() {
@@ -27,10 +44,26 @@
   for (const consensus::Member& member : status.membership.members) {
     members += members.empty() ? "" : ",";
     members += member.peerEndpoint.address;
-    members += member.role == consensus::MemberRole::voter ? "" : "(learner)";
+    members += roleSuffix(member.role);
   }
   log_.write(LogEvent::membershipChanged,
              {{"index", status.membershipIndex}, {"members", members}});
+  noteOwnRole(status);
+}
+
+void RegistryImpl::noteOwnRole(const consensus::RaftStatus& status) {
+  for (const consensus::Member& member : status.membership.members) {
+    if (member.id != status.self) {
+      continue;
+    }
+    if (member.role == consensus::MemberRole::learner) {
+      noteJoinStep(JoinStep::admitted);
+    } else if (member.role == consensus::MemberRole::incoming) {
+      noteJoinStep(JoinStep::incoming);
+    } else if (member.role == consensus::MemberRole::voter) {
+      noteJoinStep(JoinStep::voter);
+    }
+  }
 }
 
 void RegistryImpl::logElection(const consensus::ElectionReport& election) {
@@ -50,9 +83,30 @@
                                        {"millis", static_cast<std::uint64_t>(millis.count())}});
 }
 
+void RegistryImpl::noteJoinStep(JoinStep step) { joinProgress_.reached(step); }
+
+/// Contact counts from before the election, so that a change of leaders doesn't give a failed voter
+/// more time: the former leader is silent since it was last heard, and every other voter since this
+/// server asked for its vote.
+MembershipPolicy RegistryImpl::makeMembershipPolicy(const consensus::RaftStatus& status) const {
+  MembershipPolicy policy({options_.tolerableLosses}, now_, candidateSince_);
+  for (const consensus::Member& member : status.membership.members) {
+    const auto heard = lastHeard_.find(member.id);
+    if (heard != lastHeard_.end() && member.role != consensus::MemberRole::learner) {
+      const bool led = member.id == formerLeader_;
+      policy.recordContact(member.id,
+                           led ? heard->second : std::max(heard->second, candidateSince_));
+    }
+  }
+  return policy;
+}
+
 void RegistryImpl::updateMembership() {
   const consensus::RaftStatus status = raft_->status();
-  const auto next = membershipPolicy_->nextChange(status.membership, status.self, now_);
+  const ReplacementMethod method = state_.featureLevel() >= feature::kJointMembership
+                                       ? ReplacementMethod::joint
+                                       : ReplacementMethod::oneByOne;
+  const auto next = membershipPolicy_->nextChange(status.membership, status.self, method, now_);
   if (!next) {
     return;
   }
@@ -60,8 +114,24 @@
   if (index) {
     log_.write(LogEvent::memberProposed, {{"index", index.value()},
                                           {"members", next->members.size()},
-                                          {"before", status.membership.members.size()}});
+                                          {"before", status.membership.members.size()},
+                                          {"silent", describeSilentVoters()}});
+  }
+}
+
+std::string RegistryImpl::describeSilentVoters() const {
+  const consensus::RaftStatus status = raft_->status();
+  std::string text;
+  for (const consensus::Member& member : status.membership.members) {
+    const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+        membershipPolicy_->timeSinceContact(member.id, now_));
+    if (member.role != consensus::MemberRole::learner && member.id != status.self &&
+        silence > kLoggedSilence) {
+      text += text.empty() ? "" : ",";
+      text += member.peerEndpoint.address + ":" + std::to_string(silence.count());
+    }
   }
+  return text;
 }
 
 std::uint32_t RegistryImpl::levelOf(base::ServerId server) const {
@@ -100,6 +170,9 @@
   }
   nextJoinAt_ = now_ + options_.joinInterval;
   const consensus::RaftStatus status = raft_->status();
+  if (!isMember(status)) {
+    noteJoinStep(JoinStep::requested);
+  }
   std::vector<base::Endpoint> endpoints = options_.joinEndpoints;
   const std::vector<base::Endpoint> members = serverEndpoints();
   endpoints.insert(endpoints.end(), members.begin(), members.end());
@@ -113,6 +186,11 @@
   }
 }
 
+bool RegistryImpl::isMember(const consensus::RaftStatus& status) {
+  return std::any_of(status.membership.members.begin(), status.membership.members.end(),
+                     [&](const consensus::Member& member) { return member.id == status.self; });
+}
+
 std::vector<base::Endpoint> RegistryImpl::serverEndpoints() const {
   std::vector<base::Endpoint> endpoints;
   for (const consensus::Member& member : raft_->status().membership.members) {
--- a/src/simulator/fleet_server.h
+++ b/src/simulator/fleet_server.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "simulator/fleet_document.h"
@@ -41,6 +42,8 @@
   void start(const consensus::Membership& founders);
   void kill();
   void loseDisk() { log_ = {}; }
+  /// Internal endpoints to ask for admission, from the next start on.
+  void setSeeds(std::vector<base::Endpoint> seeds) { options_.joinEndpoints = std::move(seeds); }
   /// Syncs take from half of `mean` to one and a half from now on; zero: no time.
   void setSyncTime(base::Duration mean) { meanSyncTime_ = mean; }
   /// @return the time that the syncs of a start take, drawn.
@@ -71,7 +74,7 @@
   void scheduleWakeup();
 
   const std::size_t index_;
-  const registry::RegistryOptions options_;
+  registry::RegistryOptions options_;
   Scheduler& scheduler_;
   FleetServerLinks& links_;
   Processor processor_;
--- a/src/simulator/registry_fleet.h
+++ b/src/simulator/registry_fleet.h
@@ -69,8 +69,9 @@
   /// @{
   void killServer(std::size_t server, bool loseDisk);
   void startServer(std::size_t server);
-  /// Ends a server that never comes back.
-  void removeServer(std::size_t server);
+  /// Ends a server that never comes back. If it is a seed, processes that start later are told its
+  /// successor in its place.
+  void removeServer(std::size_t server, std::size_t successor);
   void killGateway(std::size_t gateway);
   void startGateway(std::size_t gateway);
   /// Cuts a server off from everything, or joins it again.
@@ -183,6 +184,7 @@
   std::size_t lastLeader_ = 0;
   std::size_t leaderships_ = 0;
 
+  std::vector<std::size_t> seeds_;       ///< Servers that processes are told of when they start.
   std::set<std::size_t> absentServers_;  ///< Gone for good, or reserves that have not started.
   std::set<std::size_t> cutServers_;
   std::set<std::size_t> slowServers_;
