gateway: the age of a view counts from when the leader knew what it says

What callers could see: during a release a gateway that stood still or was cut off reads old views on its return, takes their records for current for half a second, and sends a stream on to a worker that restarted meanwhile with another version (ORDER). Cause, by reading: the age of a view was the time since it was read. Change: a gateway whose document has streams that may be resumed sends the leader a mark every 200 ms; the leader repeats the last one in its next view, which is due at once, if it held its lease when the mark came (feature level 10). A record is current for 500 ms from when the last repeated mark was sent, by the clock that goes on while a process stands still. With leaders that know no marks it is as before. Cost: five small messages a second and gateway, and five views where there were four; not measured.

--- a/include/walnut/registry/feature_level.h
+++ b/include/walnut/registry/feature_level.h
@@ -30,10 +30,12 @@
 inline constexpr std::uint32_t kPromptParts = 8;
 /// Memberships with two sets of voters.
 inline constexpr std::uint32_t kJointMembership = 9;
+/// MarkView; marks in a PackedView.
+inline constexpr std::uint32_t kViewMarks = 10;
 }  // namespace feature
 
 /// Feature level of this build.
-inline constexpr std::uint32_t kFeatureLevel = feature::kJointMembership;
+inline constexpr std::uint32_t kFeatureLevel = feature::kViewMarks;
 /// Level to which a cell is raised: that of the latest feature which needs log entries, so that
 /// servers of this level can still be admitted.
 inline constexpr std::uint32_t kCellFeatureLevel = feature::kJointMembership;
--- a/include/walnut/registry/messages.h
+++ b/include/walnut/registry/messages.h
@@ -261,6 +261,9 @@
   std::vector<WorkerLoad> loads;
   std::uint32_t gateways = 1;           ///< Number of gateways that share common budgets.
   std::vector<base::Endpoint> servers;  ///< Internal endpoints of the cell; empty: as before.
+  /// The gateway's last mark, which the leader received while it held its lease; 0: none since the
+  /// last update. In a PackedView only.
+  std::uint64_t mark = 0;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(term, complete, documentVersion, changed, removed, loads, gateways, servers);
@@ -441,14 +444,13 @@
   }
 };
 
-using MessageBody =
-    std::variant<ForwardedCall, ForwardedAnswer, JoinRequest, JoinReply, Subscribe, NotLeading,
-                 ViewUpdate, DemandUpdate, DocumentPart, DocumentPartAck, PackedView, CutReport,
-                 SuspectList, ConfirmDocument, DocumentConfirmed, QuotaRequest, QuotaGrant,
-                 LateModels, HeartbeatBatch, HeartbeatRequest, LimitReport, ShareRequest,
-                 ShareGrant, WorkerTimingReport, WorkerTimings, ModelForecasts,
-                 StartingRetriesRequest, StartingRetries, StreamsBegan, FindStreamOrigin,
-                 StreamOriginFound, VersionDemand, CutPartsReport, SuspectPartList, PartsAnswered>;
+using MessageBody = std::variant<
+    ForwardedCall, ForwardedAnswer, JoinRequest, JoinReply, Subscribe, NotLeading, ViewUpdate,
+    DemandUpdate, DocumentPart, DocumentPartAck, PackedView, CutReport, SuspectList,
+    ConfirmDocument, DocumentConfirmed, QuotaRequest, QuotaGrant, LateModels, HeartbeatBatch,
+    HeartbeatRequest, LimitReport, ShareRequest, ShareGrant, WorkerTimingReport, WorkerTimings,
+    ModelForecasts, StartingRetriesRequest, StartingRetries, StreamsBegan, FindStreamOrigin,
+    StreamOriginFound, VersionDemand, CutPartsReport, SuspectPartList, PartsAnswered, MarkView>;
 
 /// The alternative of protocol::Message that carries all messages of the registry.
 struct RegistryMessage {
--- a/include/walnut/registry/stream_messages.h
+++ b/include/walnut/registry/stream_messages.h
@@ -77,4 +77,14 @@
   }
 };
 
+/// Gateway to leader: asks for a view that repeats the mark, so that the gateway knows since when
+/// the leader knew what is in that view, however late it is read.
+struct MarkView {
+  std::uint64_t mark = 0;  ///< Not 0; increases on a connection.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(mark);
+  }
+};
+
 }  // namespace walnut::registry
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -84,11 +84,9 @@
     Member sameRole = after;
     sameRole.role = before.role;
     const auto becomes = [&](MemberRole from, MemberRole to) {
-      return before.role == from && after.role == to;
+      return sameRole == before && before.role == from && after.role == to;
     };
-    if (sameRole != before) {
-      isInvalid_ = true;
-    } else if (becomes(MemberRole::learner, MemberRole::voter)) {
+    if (becomes(MemberRole::learner, MemberRole::voter)) {
       change_.promoted.push_back(after.id);
     } else if (becomes(MemberRole::learner, MemberRole::incoming)) {
       ++becameIncoming_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,6 +22,8 @@
 /// Time after a view for which the records in it count as current: twice the interval in which
 /// leaders send views, and less than a load of a model takes.
 constexpr base::Duration kViewValidity = std::chrono::milliseconds(500);
+/// Between two marks: with the time that a view takes, well below kViewValidity.
+constexpr base::Duration kMarkInterval = std::chrono::milliseconds(200);
 /// Time from the start of a worker after which views have its record.
 constexpr base::Duration kRegistrationTime = std::chrono::seconds(1);
 constexpr base::Duration kEarlyRequestTimeout = std::chrono::milliseconds(1500);
@@ -49,6 +51,7 @@
       buffers_(options.bufferLimitBytes),
       lease_(leaseDuration(options.revocation)),
       leaseTimer_(scheduler.createTimer([this] { renewLease(); })),
+      markTimer_(scheduler.createTimer([this] { markView(); })),
       quotaTimer_(scheduler.createTimer([this] { reviewQuota(); })),
       limits_(options.selection.seed),
       shareTimer_(scheduler.createTimer([this] { reviewShares(); })),
@@ -79,7 +82,7 @@
 }
 
 void Gateway::viewReceived(const registry::ViewUpdate& update) {
-  viewedAt_ = scheduler_.now();
+  noteViewAge(update);
   directory_.apply(update);
   applyLimits(update);
   refreshTimings(update);
@@ -135,6 +138,7 @@
   limits_.leaderFollowed();
   streamOrigins_.leaderFollowed();
   renewLease();
+  markView();
   requestQuota(true);
   requestStartingRetries();
 }
@@ -153,8 +157,34 @@
 /// A worker that restarts is empty until the leader has it load a model, so that it writes no
 /// stream before the leader knows it.
 bool Gateway::isRecordCurrent(const Worker& worker) const {
-  return scheduler_.now() <= viewedAt_ + kViewValidity ||
-         launcher_.connectedSince(worker.view.record.id, viewedAt_ - kRegistrationTime);
+  return scheduler_.readClock() <= viewKnownAt_ + kViewValidity ||
+         launcher_.connectedSince(worker.view.record.id, viewKnownAt_ - kRegistrationTime);
+}
+
+/// A view may be read long after it was sent: it waits in the socket of a process that stands
+/// still, and on a cut link. Leaders that repeat no marks are taken to send what they know now.
+void Gateway::noteViewAge(const registry::ViewUpdate& update) {
+  if (!session_.followingWith(registry::feature::kViewMarks)) {
+    viewKnownAt_ = scheduler_.readClock();
+  } else if (const auto sentAt = viewMarks_.sentAt(update.mark)) {
+    viewKnownAt_ = *sentAt;
+  }
+}
+
+/// Asks the leader for a view with the next mark. Only streams that may be resumed depend on the
+/// age of views.
+void Gateway::markView() {
+  const bool needsMarks =
+      document_ != nullptr &&
+      std::any_of(document_->routes.begin(), document_->routes.end(), [](const auto& route) {
+        return route.kind == catalog::RouteKind::streaming && route.resumable;
+      });
+  if (!needsMarks || !session_.followingWith(registry::feature::kViewMarks)) {
+    markTimer_->disable();
+    return;
+  }
+  session_.send(registry::MarkView{viewMarks_.next(scheduler_.readClock())});
+  markTimer_->enableAt(scheduler_.now() + kMarkInterval);
 }
 
 void Gateway::suspectAnswered(const registry::RequestDigest& request) {
@@ -228,6 +258,7 @@
   routes_ = std::make_unique<catalog::RouteTable>(document_);
   keys_ = std::make_unique<KeyTable>(document_);
   refreshTimedServices();
+  markView();
   if (!lease_.documentApplied(document_->version)) {
     renewLease();
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/request_quarantine.h"
 #include "gateway/stream_origins.h"
 #include "gateway/timing_recorder.h"
+#include "gateway/view_marks.h"
 #include "gateway/worker_limits.h"
 #include "gateway/worker_time_model.h"
 #include "routing/retry_budget.h"
@@ -206,6 +207,8 @@
   void logLeaseChange(base::TimePoint now);
   void countTenant(const std::string& tenant, int status);
   void renewLease();
+  void markView();
+  void noteViewAge(const registry::ViewUpdate& update);
   void requestQuota(bool all);
   void requestQuotaSoon();
   void scheduleQuotaReview();
@@ -283,6 +286,7 @@
   DocumentLease lease_;
   bool wasLeaseValid_ = false;  ///< Validity of the lease as last logged.
   event::TimerPtr leaseTimer_;
+  event::TimerPtr markTimer_;
   QuotaAccount quota_;
   std::map<std::string, PendingRequests> pendingRequests_;  ///< By tenant; without empty lists.
   std::size_t pendingCount_ = 0;
@@ -317,7 +321,8 @@
   base::TimePoint demandReportedAt_;
   base::TimePoint demandDueAt_;
   const base::TimePoint startedAt_;  ///< Of the process.
-  base::TimePoint viewedAt_;         ///< When the last view came.
+  ViewMarks viewMarks_;
+  base::TimePoint viewKnownAt_;  ///< The leader knew what the last views say then, or later.
   GatewayCount gatewayCount_{kInitialGatewayCount};
   std::map<std::string, routing::RetryBudget> budgets_;  ///< By service.
   bool followedBefore_ = false;                          ///< This process has followed a leader.
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -64,6 +64,10 @@
   }
   void demand(protocol::ConnectionId gateway, const DemandUpdate& update, base::TimePoint now);
   void versionDemand(protocol::ConnectionId gateway, const VersionDemand& demand);
+  /// Sends the gateway a view with its mark. The leader must hold its lease.
+  void markView(protocol::ConnectionId gateway, const MarkView& message, base::TimePoint now) {
+    publisher_.setMark(gateway, message.mark, now);
+  }
   void cutsReported(const CutReport& report, base::TimePoint now) { crashes_.report(report, now); }
   void cutPartsReported(const CutPartsReport& report) { crashes_.reportParts(report); }
   void partsAnswered(const PartsAnswered& report, base::TimePoint now) {
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -360,6 +360,13 @@
   }
 }
 
+/// Without the lease another server may lead and know of newer workers.
+void RegistryImpl::receiveBody(protocol::ConnectionId from, const MarkView& message) {
+  if (isActiveLeader() && raft_->leaseValid(now_)) {
+    leading_->markView(from, message, now_);
+  }
+}
+
 void RegistryImpl::receiveBody(protocol::ConnectionId /*from*/, const CutReport& message) {
   if (isActiveLeader()) {
     leading_->cutsReported(message, now_);
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -89,6 +89,7 @@
   void receiveBody(protocol::ConnectionId, const LateModels&) {}
   void receiveBody(protocol::ConnectionId, const ModelForecasts&) {}
   void receiveBody(protocol::ConnectionId from, const VersionDemand& message);
+  void receiveBody(protocol::ConnectionId from, const MarkView& message);
   void receiveBody(protocol::ConnectionId, const StreamOriginFound&) {}
   void receiveBody(protocol::ConnectionId, const DocumentPart&) {}
   void receiveBody(protocol::ConnectionId, const NotLeading&) {}
--- a/src/registry/view_codec.cpp
+++ b/src/registry/view_codec.cpp
@@ -18,6 +18,7 @@
 /// @{
 constexpr std::uint64_t kComplete = 1;
 constexpr std::uint64_t kResetsNames = 2;
+constexpr std::uint64_t kMarked = 4;  ///< Of a view: a mark follows the servers.
 constexpr std::uint64_t kWithRecord = 1;
 constexpr std::uint64_t kSilent = 2;
 constexpr std::uint64_t kHoldingsKnown = 4;
@@ -173,7 +174,11 @@
     writer.text(server.address);
     writer.number(server.port);
   }
-  return writer.finish((view.complete ? kComplete : 0) | (resetsNames ? kResetsNames : 0));
+  if (view.mark != 0) {
+    writer.number(view.mark);
+  }
+  return writer.finish((view.complete ? kComplete : 0) | (resetsNames ? kResetsNames : 0) |
+                       (view.mark != 0 ? kMarked : 0));
 }
 
 /// Reads values of a view. Fails permanently at the first unreadable value; all further values are
@@ -324,6 +329,7 @@
     server.address = reader.text();
     server.port = reader.number<std::uint16_t>();
   }
+  view.mark = (flags & kMarked) != 0 ? reader.number() : 0;
   if (!reader.finished()) {
     return malformed(reader.failed() ? "truncated, or refers to an unknown name"
                                      : "trailing bytes after the view");
--- a/src/registry/view_publisher.cpp
+++ b/src/registry/view_publisher.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "walnut/registry/feature_level.h"
 
@@ -141,8 +142,20 @@
   if (!gateway.complete) {
     return now >= completeUpdates_.next();
   }
-  return gateway.revision < revision_ || gateway.documentVersion < documentVersion ||
-         gatewayCountGrew(gateway) || now >= gateway.lastSent + interval_;
+  return gateway.mark != 0 || gateway.revision < revision_ ||
+         gateway.documentVersion < documentVersion || gatewayCountGrew(gateway) ||
+         now >= gateway.lastSent + interval_;
+}
+
+void ViewPublisher::setMark(protocol::ConnectionId id, std::uint64_t mark, base::TimePoint now) {
+  const auto found = gateways_.find(id);
+  if (found == gateways_.end()) {
+    return;
+  }
+  found->second.mark = mark;
+  if (interest_ && found->second.complete) {
+    scheduleAt(id, found->second, now);
+  }
 }
 
 /// A gateway that does not know of many others uses too large a part of the shared budget. But not
@@ -182,6 +195,7 @@
       update.servers = servers;
       gateway.servers = servers;
     }
+    update.mark = std::exchange(gateway.mark, 0);
     gateway.complete = true;
     gateway.revision = revision_;
     gateway.documentVersion = documentVersion;
--- a/src/registry/view_publisher.h
+++ b/src/registry/view_publisher.h
@@ -62,6 +62,9 @@
   /// @return true if `takeUpdates` would return updates.
   bool due(base::TimePoint now, std::uint64_t documentVersion) const;
 
+  /// Repeats the mark of a gateway in its next update, which is due at once.
+  void setMark(protocol::ConnectionId gateway, std::uint64_t mark, base::TimePoint now);
+
   struct Update {
     protocol::ConnectionId gateway;
     ViewUpdate update;
@@ -90,6 +93,7 @@
     std::uint64_t loadRevision = 0;  ///< Revision up to which loads were sent.
     base::TimePoint loadsSentAt;
     std::vector<base::Endpoint> servers;  ///< Value last sent.
+    std::uint64_t mark = 0;               ///< To send; 0: none.
     ViewCursor cursor;
     /// @name Content of the next update, while gateways follow only some workers
     /// @{
--- a/src/simulator/serving_messages.cpp
+++ b/src/simulator/serving_messages.cpp
@@ -37,6 +37,8 @@
       leader_->findStreamOrigin(connection, *question, scheduler_.now(), true);
     } else if (const auto* versions = std::get_if<registry::VersionDemand>(&message)) {
       leader_->versionDemand(connection, *versions);
+    } else if (const auto* mark = std::get_if<registry::MarkView>(&message)) {
+      leader_->markView(connection, *mark, scheduler_.now());
     }
   });
 }
