simulator: gateways that stand still take what came meanwhile in its order; versions with them

A complete view counts as known since its subscription was sent: without that, streams that began right after a restart of the gateways had no origin.

--- a/programs/walnut-rehearse/serving.cpp
+++ b/programs/walnut-rehearse/serving.cpp
@@ -30,7 +30,8 @@
 constexpr const char* kUsage =
     "Usage: walnut-rehearse serving --seeds A-B\n"
     "           [--only failing|crashing|busy|limited|retries|silent|versions|\n"
-    "                  slow-store|parts|late-answers|answering|answering-parts|rejoined]\n"
+    "                  slow-store|parts|late-answers|answering|answering-parts|rejoined|\n"
+    "                  suspended-versions|suspended-rejoined]\n"
     "Runs a leader, gateways, workers and callers under virtual time. The seed draws the size of\n"
     "the fleet and workers that fail what they are sent, in overlapping episodes; and in two more\n"
     "runs requests that crash the workers that run them, beside changes of the leader and "
@@ -40,14 +41,15 @@
     "  --only KIND     just the runs with failing workers, with crashing requests, with such\n"
     "                  requests beside others that queue, with workers that name the requests a\n"
     "                  second that they take, with gateways that are killed while workers fail,\n"
-    "                  or eight kinds that are not among the others: with workers that are\n"
+    "                  or ten kinds that are not among the others: with workers that are\n"
     "                  silent within streams beside new documents; with workers of several\n"
     "                  software versions; with a weight store that is too slow\n"
     "                  for the demand, once with callers that come back after a short pause and\n"
     "                  once with others that heed Retry-After; with prompts that share parts, one\n"
     "                  of which crashes workers; with workers that send answers once more;\n"
     "                  with requests, or parts, that crash workers which have begun to answer;\n"
-    "                  with versions again, and all gateways killed at once\n"
+    "                  with versions again, and all gateways killed at once; and with both of\n"
+    "                  these beside gateways that stand still\n"
     "Exit code 1: a model or an adapter was asked for and never served; too little was served\n"
     "once all was well again; a request that had crashed three workers was sent to workers more\n"
     "than three times later on; another request was refused as if it did such things; a worker\n"
@@ -81,6 +83,8 @@
 constexpr const char* kAnswering = "answering";
 constexpr const char* kAnsweringParts = "answering-parts";
 constexpr const char* kRejoined = "rejoined";
+constexpr const char* kSuspendedVersions = "suspended-versions";
+constexpr const char* kSuspendedRejoined = "suspended-rejoined";
 /// @}
 
 struct Flags {
@@ -95,7 +99,7 @@
   return text == kFailing || text == kCrashing || text == kBusy || text == kLimited ||
          text == kRetries || text == kSilent || text == kVersions || text == kSlowStore ||
          text == kParts || text == kLateAnswers || text == kAnswering || text == kAnsweringParts ||
-         text == kRejoined;
+         text == kRejoined || text == kSuspendedVersions || text == kSuspendedRejoined;
 }
 
 bool parseFlags(int argc, char** argv, Flags& flags) {
@@ -157,6 +161,14 @@
   if (only == kRejoined) {
     passed = print(seed, kRejoined, simulator::runRejoinedCampaign(seed)) && passed;
   }
+  if (only == kSuspendedVersions) {
+    passed =
+        print(seed, kSuspendedVersions, simulator::runSuspendedVersionCampaign(seed)) && passed;
+  }
+  if (only == kSuspendedRejoined) {
+    passed =
+        print(seed, kSuspendedRejoined, simulator::runSuspendedRejoinedCampaign(seed)) && passed;
+  }
   if (only == kParts) {
     passed = print(seed, kParts, simulator::runPartCampaign(seed)) && passed;
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -168,6 +168,8 @@
     viewKnownAt_ = scheduler_.readClock();
   } else if (const auto sentAt = viewMarks_.sentAt(update.mark)) {
     viewKnownAt_ = *sentAt;
+  } else if (update.complete) {
+    viewKnownAt_ = std::max(viewKnownAt_, session_.subscribedAt());
   }
 }
 
--- a/src/gateway/registry_session.cpp
+++ b/src/gateway/registry_session.cpp
@@ -111,6 +111,7 @@
   connection_ = connection;
   featureLevel_ = featureLevel;
   enter(State::subscribing, options_.leaderTimeout);
+  subscribedAt_ = scheduler_.readClock();
   link_.send(connection, subscription_);
 }
 
--- a/src/gateway/registry_session.h
+++ b/src/gateway/registry_session.h
@@ -78,6 +78,8 @@
   bool following() const { return state_ == State::following; }
   /// @return when the last message came from a followed leader, or the time of the start.
   base::TimePoint heardAt() const { return heardAt_; }
+  /// @return when the present subscription was sent: every view on its connection is newer.
+  base::TimePoint subscribedAt() const { return subscribedAt_; }
   /// @return true if the followed server is a leader that supports the feature level.
   bool followingWith(std::uint32_t featureLevel) const {
     return following() && featureLevel_ >= featureLevel;
@@ -110,6 +112,7 @@
   std::uint32_t failedRounds_ = 0;  ///< Search rounds since a leader was last followed.
   base::TimePoint lostAt_;
   base::TimePoint heardAt_;
+  base::TimePoint subscribedAt_;
   bool isLeaderLost_ = true;
 };
 
--- a/src/simulator/serving_gateway.cpp
+++ b/src/simulator/serving_gateway.cpp
@@ -239,10 +239,28 @@
   if (ended_) {
     return;
   }
-  if (scheduler_.now() < suspendedUntil_) {
-    scheduler_.at(suspendedUntil_, [this, input] { run(input); });
+  if (scheduler_.now() < suspendedUntil_ || !suspendedInputs_.empty()) {
+    suspendedInputs_.push_back(input);
     return;
   }
+  take(input);
+}
+
+void ServingGateway::suspend(base::Duration duration) {
+  suspendedUntil_ = std::max(suspendedUntil_, scheduler_.now() + duration);
+  scheduler_.at(suspendedUntil_, [this] { resume(); });
+}
+
+/// Takes what came while the machine stood still, in the order in which it came.
+void ServingGateway::resume() {
+  while (!ended_ && scheduler_.now() >= suspendedUntil_ && !suspendedInputs_.empty()) {
+    const std::function<void()> input = std::move(suspendedInputs_.front());
+    suspendedInputs_.pop_front();
+    take(input);
+  }
+}
+
+void ServingGateway::take(const std::function<void()>& input) {
   input();
   process_->loop.runDeferred();
   scheduleWakeup();
--- a/src/simulator/serving_gateway.h
+++ b/src/simulator/serving_gateway.h
@@ -2,6 +2,7 @@
 /// @file
 /// A gateway of a simulated serving fleet: the same logic as in walnut-router, with requests.
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -44,8 +45,8 @@
   /// @name Faults
   /// @{
   void loseLeader();
-  /// The machine stands still: its clock goes on, and nothing runs.
-  void suspend(base::Duration duration) { suspendedUntil_ = scheduler_.now() + duration; }
+  /// The machine stands still: its clock goes on, nothing runs, and inputs wait in their order.
+  void suspend(base::Duration duration);
   void end() { ended_ = true; }
   bool hasEnded() const { return ended_; }
   /// @}
@@ -53,11 +54,14 @@
  private:
   struct Process;
 
+  void take(const std::function<void()>& input);
+  void resume();
   void scheduleWakeup();
 
   Scheduler& scheduler_;
   base::TimePoint wakeupAt_ = base::kNever;
   base::TimePoint suspendedUntil_;
+  std::deque<std::function<void()>> suspendedInputs_;
   bool ended_ = false;
   std::unique_ptr<Process> process_;
 };
--- a/src/simulator/version_campaign.cpp
+++ b/src/simulator/version_campaign.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint64_t kMostGatewayKills = 2;
 constexpr std::uint64_t kMostGatewayCuts = 2;
 constexpr std::uint64_t kMostLeaderChanges = 2;
+constexpr std::uint64_t kMostSuspensions = 3;
 
 base::Duration drawTime(base::Random& random) {
   return random.between(base::Duration::zero(), kTrouble);
@@ -63,6 +64,8 @@
     repeat("leader-changes", kMostLeaderChanges, [this] { changeLeader(); });
   }
   std::string description() const { return text_.str(); }
+  static base::Duration earliest() { return base::Duration::zero(); }
+  static base::Duration latest() { return kTrouble; }
 
  private:
   void repeat(const char* name, std::uint64_t most, const std::function<void()>& fault) {
@@ -137,6 +140,8 @@
     });
   }
   std::string description() const { return text_.str(); }
+  base::Duration earliest() const { return killAt_ - std::chrono::seconds(5); }
+  base::Duration latest() const { return killAt_ + std::chrono::seconds(5); }
 
  private:
   static base::Duration drawKill(base::Random& random) {
@@ -188,8 +193,24 @@
   std::ostringstream text_;
 };
 
+/// Gateways stand still for seconds, at times between `from` and `until`.
+std::string suspendGateways(base::Random& random, ServingFleet& fleet,
+                            const ServingFleetOptions& options, base::Duration from,
+                            base::Duration until) {
+  const std::uint64_t times = random.uniform(1, kMostSuspensions);
+  for (std::uint64_t count = 0; count < times; ++count) {
+    const std::size_t gateway = random.uniform(0, options.gateways - 1);
+    const base::Duration lasts =
+        random.between(std::chrono::milliseconds(300), std::chrono::seconds(6));
+    fleet.later(random.between(from, until), [gateway, lasts](ServingFleet& suspended) {
+      suspended.suspendGateway(gateway, lasts);
+    });
+  }
+  return " suspensions=" + std::to_string(times);
+}
+
 template <class Troubles>
-VersionCampaignResult runCampaign(std::uint64_t seed, const char* name) {
+VersionCampaignResult runCampaign(std::uint64_t seed, const char* name, bool suspends) {
   base::Random random(seed);
   const ServingFleetOptions options = drawFleet(random, seed);
   ServingFleet fleet(options);
@@ -197,6 +218,10 @@
   fleet.countAnew();
   Troubles troubles(random, fleet, options);
   troubles.add();
+  std::string suspensions;
+  if (suspends) {
+    suspensions = suspendGateways(random, fleet, options, troubles.earliest(), troubles.latest());
+  }
   fleet.run(kTrouble);
   VersionCampaignResult result;
   result.account = fleet.versions();
@@ -204,7 +229,7 @@
   std::ostringstream text;
   text << name << " workers=" << options.workers << " gateways=" << options.gateways
        << " requests/s=" << options.requestsPerSecond << " retries=" << options.retries
-       << troubles.description() << " " << result.account.description()
+       << troubles.description() << suspensions << " " << result.account.description()
        << " served=" << fleet.servedShare();
   if (!result.streamError.empty()) {
     text << " stream-error: " << result.streamError;
@@ -216,11 +241,19 @@
 }  // namespace
 
 VersionCampaignResult runVersionCampaign(std::uint64_t seed) {
-  return runCampaign<VersionTroubles>(seed, "versions");
+  return runCampaign<VersionTroubles>(seed, "versions", false);
 }
 
 VersionCampaignResult runRejoinedCampaign(std::uint64_t seed) {
-  return runCampaign<RejoinedTroubles>(seed, "rejoined");
+  return runCampaign<RejoinedTroubles>(seed, "rejoined", false);
+}
+
+VersionCampaignResult runSuspendedVersionCampaign(std::uint64_t seed) {
+  return runCampaign<VersionTroubles>(seed, "suspended-versions", true);
+}
+
+VersionCampaignResult runSuspendedRejoinedCampaign(std::uint64_t seed) {
+  return runCampaign<RejoinedTroubles>(seed, "suspended-rejoined", true);
 }
 
 }  // namespace walnut::simulator
--- a/src/simulator/version_campaign.h
+++ b/src/simulator/version_campaign.h
@@ -28,4 +28,8 @@
 /// time.
 VersionCampaignResult runRejoinedCampaign(std::uint64_t seed);
 
+/// The same two with gateways that stand still for seconds.
+VersionCampaignResult runSuspendedVersionCampaign(std::uint64_t seed);
+VersionCampaignResult runSuspendedRejoinedCampaign(std::uint64_t seed);
+
 }  // namespace walnut::simulator
