rehearsal: the soak replaces servers, cuts servers, and has workers of several versions and streams that are taken up

Change: each machine counts as lost while it is down or disturbed and 4 s after; a disk may be lost, or a server replaced at a new address, while at most one other is. Half of the runs replace one or two servers on syncs of up to 400 ms just before the final fault. The servers' internal protocol goes through proxies (setting peer-bind-port) that lose one direction or both; such connections stay silent or are closed. Workers restart with one of three software versions; clients keep the events of a broken stream and take it up; ORDER: one version, no gap; LOST: as in the rule, at gateways that were undisturbed for 4 s, beside undisturbed servers.

--- a/programs/walnut-rehearse/soak.cpp
+++ b/programs/walnut-rehearse/soak.cpp
@@ -31,7 +31,8 @@
     "Runs registry servers and gateways as real processes on loopback, with stand-ins for "
     "workers,\n"
     "clients and the operator. The seed draws overlapping kills, stops, reloads, freezes, lost\n"
-    "disks, slow syncs, cut workers and changes, and a final fault of all processes.\n"
+    "disks, servers replaced at new addresses, slow syncs, cut servers and workers, workers of\n"
+    "several software versions and changes, and a final fault of all processes.\n"
     "  --seeds A-B     seeds to run, or one seed A\n"
     "  --servers N     3 .. 9; default: 5\n"
     "  --gateways N    1 .. 150; default: 5\n"
@@ -40,9 +41,10 @@
     "  --orders        only workers that restart under their names and servers that end, beside\n"
     "                  many late orders\n"
     "  --keep          keeps the logs of runs that passed, too\n"
-    "Exit code 1: a rule is broken: RECOVER, LIMIT, LOST (an acknowledged document), MIXED, "
-    "ORDER,\n"
-    "TWICE; a process ended by itself; or the fleet served too little from the start.\n";
+    "Exit code 1: a rule is broken: RECOVER, LIMIT, LOST (an acknowledged document, "
+    "streams\n"
+    "that are taken up), MIXED, ORDER, TWICE; a process ended by itself; or the fleet served too "
+    "little from the start.\n";
 
 enum Flag : int { seeds = 1, servers, gateways, workers, duration, orders, keep, help };
 
--- a/src/daemon/registry_settings.cpp
+++ b/src/daemon/registry_settings.cpp
@@ -30,6 +30,9 @@
   keys_.addEndpoint("listen", settings_.listen, "Address for operators and workers");
   keys_.addInteger("peer-port", peerPort_, 1, kMaxPort,
                    "Port of the internal protocol, on all servers");
+  keys_.addInteger("peer-bind-port", peerBindPort_, 0, kMaxPort,
+                   "Port to accept the internal protocol on, if peer-port is forwarded to it; 0: "
+                   "peer-port");
   keys_.addString("data-folder", settings_.dataFolder, "Folder of the log and the snapshots");
   keys_.addString("sync-delay-file", settings_.syncDelayFile,
                   "For rehearsals: file with the milliseconds by which each sync is delayed");
@@ -67,14 +70,18 @@
   if (settings_.dataFolder.empty()) {
     return base::Error{base::ErrorCode::missingField, "data-folder", "required"};
   }
-  settings_.peer = {settings_.listen.address, static_cast<std::uint16_t>(peerPort_)};
+  const base::Endpoint peer{settings_.listen.address, static_cast<std::uint16_t>(peerPort_)};
+  settings_.peer = peer;
+  if (peerBindPort_ != 0) {
+    settings_.peer.port = static_cast<std::uint16_t>(peerBindPort_);
+  }
   settings_.logic.storeWindow = std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double>(storeWindowSeconds_));
   settings_.logic.quota.window = std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double>(quotaWindowSeconds_));
   settings_.logic.tolerableLosses = static_cast<std::uint32_t>(tolerableLosses_);
   settings_.logic.joinEndpoints = internalEndpoints(settings_.seeds, peerPort_);
-  settings_.logic.self.peerEndpoint = settings_.peer;
+  settings_.logic.self.peerEndpoint = peer;
   settings_.logic.self.resourceEndpoint = settings_.listen;
   settings_.logic.self.zone = {zone_};
   for (const std::string& zone : zones_) {
@@ -97,7 +104,7 @@
     consensus::Member member;
     member.id = founderIdentity(seed);
     member.role = consensus::MemberRole::voter;
-    member.peerEndpoint = {seed.address, settings.peer.port};
+    member.peerEndpoint = {seed.address, settings.logic.self.peerEndpoint.port};
     member.resourceEndpoint = seed;
     membership.members.push_back(member);
   }
--- a/src/daemon/registry_settings.h
+++ b/src/daemon/registry_settings.h
@@ -13,7 +13,7 @@
 struct RegistrySettings {
   registry::RegistryOptions logic;        ///< Without the own identity.
   base::Endpoint listen{"127.0.0.1", 0};  ///< For operators, workers and metrics.
-  base::Endpoint peer{"127.0.0.1", 0};    ///< For the internal protocol.
+  base::Endpoint peer{"127.0.0.1", 0};    ///< To accept the internal protocol on.
   std::string dataFolder;
   std::string syncDelayFile;  ///< See storage::makeDelayedFileSystem; empty: syncs as they are.
   /// First start of the whole system: servers that are among the seeds found the cell.
@@ -39,6 +39,7 @@
   std::string zone_;
   std::vector<std::string> zones_;
   std::int64_t peerPort_ = 0;
+  std::int64_t peerBindPort_ = 0;
   std::int64_t tolerableLosses_ = 2;
   double storeWindowSeconds_ = 5;
   double quotaWindowSeconds_ = 8;
--- a/src/rehearsal/soak.cpp
+++ b/src/rehearsal/soak.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr std::uint16_t kControlPort = 20100;
 constexpr std::uint16_t kFrontPort = 20101;
 constexpr std::uint16_t kWorkerPort = 20104;
 constexpr std::uint16_t kHiddenPort = 20105;
@@ -106,6 +105,9 @@
        (cell.fenced ? ", fenced" : ", unfenced") + ", late orders " + std::to_string(lateOrders));
   cell_ = std::make_unique<SoakCell>(std::move(cell));
   clients.targets = targets();
+  clients.countsTry = [this](std::size_t gateway, const std::string& version) {
+    return countsTry(gateway, version);
+  };
   clients_ = std::make_unique<SoakClients>(dispatcher_, std::move(clients),
                                            random_.uniform(0, 1U << 30U), account_);
 }
@@ -133,6 +135,28 @@
   return base::success();
 }
 
+bool SoakRun::countsTry(std::size_t gateway, const std::string& version) const {
+  const std::vector<SoakProcess>& processes = cell_->processes();
+  const SoakProcess& process = processes.at(cell_->serverCount() + gateway);
+  constexpr std::ptrdiff_t kLeastWorkers = 2;
+  const std::ptrdiff_t workers =
+      std::count_if(workers_.begin(), workers_.end(), [&version](const auto& worker) {
+        return worker->holdsModels() && worker->softwareVersion() == version;
+      });
+  return process.lostUntil <= dispatcher_.now() && lostServers() == 0 &&
+         (version.empty() || workers >= kLeastWorkers);
+}
+
+void SoakRun::openLink(const SoakProcess& server) {
+  const std::string& address = server.endpoint.address;
+  auto link = LinkProxy::open(dispatcher_, {address, kPeerPort}, {address, kPeerBindPort});
+  if (link.has_error()) {
+    account_.violation("ENDED", dispatcher_.now(), "no link to " + server.name);
+    return;
+  }
+  serverLinks_[server.endpoint] = std::move(link.value());
+}
+
 void SoakRun::runFor(base::Duration duration) {
   constexpr base::Duration kLongestWait = milliseconds(20);
   const base::TimePoint end = dispatcher_.readClock() + duration;
@@ -156,6 +180,9 @@
 }
 
 void SoakRun::start(SoakProcess& process) {
+  const base::TimePoint caughtUp = dispatcher_.readClock() + kCatchUp;
+  process.lostUntil =
+      process.lostUntil == base::kNever ? caughtUp : std::max(process.lostUntil, caughtUp);
   const auto started = cell_->start(process);
   if (started.has_error()) {
     account_.violation("ENDED", dispatcher_.now(),
@@ -232,6 +259,9 @@
 base::Result<SoakResult> SoakRun::run() {
   BOOST_OUTCOME_TRY(startWorkers());
   for (SoakProcess& process : cell_->processes()) {
+    if (process.isServer) {
+      openLink(process);
+    }
     start(process);
   }
   changeDocument();
@@ -253,6 +283,11 @@
   for (int step = 0; step < 60 && acknowledgedVersion_ < document_.version; ++step) {
     runFor(milliseconds(100));
   }
+  waitUntilNoServerIsLost();
+  if (!options_.ordersOnly && random_.chance(0.5)) {
+    replaceBeforeFinalFault();
+    waitUntilNoServerIsLost();
+  }
   finalFault();
   runFor(kRecovery + kObserved);
   clients_->stop();
@@ -270,6 +305,10 @@
   } else if (result.servedAfter < kLeastShare) {
     account_.violation("RECOVER", dispatcher_.now(), "too little is served after the return");
   }
+  note(account_.describeTakeUps());
+  if (account_.takesUpTooFew()) {
+    account_.violation("LOST", dispatcher_.now(), account_.describeTakeUps());
+  }
   result.passed = account_.passed();
   result.violations = account_.violations();
   result.notes = account_.notes();
--- a/src/rehearsal/soak_account.cpp
+++ b/src/rehearsal/soak_account.cpp
@@ -36,4 +36,22 @@
   return all == 0 ? 1 : static_cast<double>(served) / static_cast<double>(all);
 }
 
+void SoakAccount::streamTried(bool takesUp, bool hasBegun) {
+  StreamTries& tries = takesUp ? takeUps_ : newStreams_;
+  ++tries.sent;
+  tries.begun += hasBegun ? 1 : 0;
+}
+
+bool SoakAccount::takesUpTooFew() const {
+  constexpr std::uint64_t kLeastTakeUps = 12;  // Of the rule LOST.
+  return takeUps_.sent >= kLeastTakeUps &&
+         2 * takeUps_.begun * newStreams_.sent < newStreams_.begun * takeUps_.sent;
+}
+
+std::string SoakAccount::describeTakeUps() const {
+  return std::to_string(takeUps_.begun) + " of " + std::to_string(takeUps_.sent) +
+         " streams that were taken up went on, " + std::to_string(newStreams_.begun) + " of " +
+         std::to_string(newStreams_.sent) + " new ones began";
+}
+
 }  // namespace walnut::rehearsal
--- a/src/rehearsal/soak_account.h
+++ b/src/rehearsal/soak_account.h
@@ -23,6 +23,13 @@
   void violation(const std::string& rule, base::TimePoint at, const std::string& detail);
   /// A line for the record of faults and changes.
   void note(base::TimePoint at, const std::string& text);
+  /// A try of a stream ended that counts for LOST.
+  /// @param takesUp it took up a stream that had broken.
+  /// @param hasBegun it brought an event.
+  void streamTried(bool takesUp, bool hasBegun);
+  /// @return true if streams that were taken up went on less than half as often as new ones began.
+  bool takesUpTooFew() const;
+  std::string describeTakeUps() const;
   void count(const std::string& event) { ++counts_[event]; }
   /// @return false if a request with this body, which must run once, ran before.
   bool runsFirst(const std::string& body) { return ranOnce_.insert(body).second; }
@@ -36,11 +43,18 @@
   const std::map<std::string, std::uint64_t>& counts() const { return counts_; }
 
  private:
+  struct StreamTries {
+    std::uint64_t sent = 0;
+    std::uint64_t begun = 0;
+  };
+
   std::string timeOf(base::TimePoint at) const;
 
   const base::TimePoint begin_;
   std::vector<base::TimePoint> served_;
   std::vector<base::TimePoint> failed_;
+  StreamTries newStreams_;
+  StreamTries takeUps_;
   std::set<std::string> ranOnce_;
   std::vector<std::string> violations_;
   std::vector<std::string> notes_;
--- a/src/rehearsal/soak_cell.cpp
+++ b/src/rehearsal/soak_cell.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t kFounders = 3;
 constexpr std::size_t kZones = 3;
 constexpr std::uint16_t kReadinessPort = 20102;
-constexpr std::uint16_t kPeerPort = 20103;
 
 std::string zoneOf(std::size_t index) { return "zone-" + std::to_string(index % kZones); }
 
@@ -46,8 +45,9 @@
 
 std::string SoakCell::seeds() const {
   std::string list;
-  for (std::size_t index = 0; index < std::min(kFounders, options_.servers.size()); ++index) {
-    list += (index == 0 ? "\"" : ", \"") + runtime::formatEndpoint(options_.servers[index]) + "\"";
+  for (std::size_t index = 0; index < std::min(kFounders, serverCount()); ++index) {
+    list +=
+        (index == 0 ? "\"" : ", \"") + runtime::formatEndpoint(processes_[index].endpoint) + "\"";
   }
   return list;
 }
@@ -56,6 +56,7 @@
   std::ostringstream text;
   text << "zones: [" << zoneList() << "]\n"
        << "listen: \"" << runtime::formatEndpoint(process.endpoint) << "\"\n"
+       << "peer-bind-port: " << kPeerBindPort << "\n"
        << "data-folder: " << fileOf(process, "-data") << "\n"
        << "sync-delay-file: " << fileOf(process, "-sync-delay") << "\n"
        << "bootstrap: " << (process.hasStarted ? "false" : "true") << "\n"
@@ -110,6 +111,19 @@
   std::filesystem::remove_all(fileOf(server, "-data"), ignored);
 }
 
+void SoakCell::replace(SoakProcess& server, const base::Endpoint& endpoint) {
+  loseDisk(server);
+  server.endpoint = endpoint;
+}
+
+std::vector<base::Endpoint> SoakCell::serverEndpoints() const {
+  std::vector<base::Endpoint> endpoints;
+  for (std::size_t index = 0; index < serverCount(); ++index) {
+    endpoints.push_back(processes_[index].endpoint);
+  }
+  return endpoints;
+}
+
 void SoakCell::setSyncDelay(const SoakProcess& server, base::Duration mean) {
   std::ofstream file(fileOf(server, "-sync-delay"));
   file << std::chrono::duration_cast<std::chrono::milliseconds>(mean).count();
--- a/src/rehearsal/soak_cell.h
+++ b/src/rehearsal/soak_cell.h
@@ -14,6 +14,12 @@
 
 namespace walnut::rehearsal {
 
+/// @name Ports of the servers' internal protocol
+/// @{
+inline constexpr std::uint16_t kPeerPort = 20103;      ///< That others are told; forwarded.
+inline constexpr std::uint16_t kPeerBindPort = 20106;  ///< That the servers listen on.
+/// @}
+
 struct SoakCellOptions {
   std::string binFolder;                 ///< Folder of the programs.
   std::filesystem::path folder;          ///< For settings, disks and logs.
@@ -30,6 +36,8 @@
   std::optional<ChildProcess> child;
   bool hasStarted = false;
   bool isExpectedToEnd = false;  ///< It was killed, or told to stop.
+  /// Until then the machine counts as lost: while it is down or disturbed, and while it catches up.
+  base::TimePoint lostUntil;
 };
 
 /// Starts and ends the processes of one soak.
@@ -45,6 +53,10 @@
   void kill(SoakProcess& process);
   /// The server must not be running.
   void loseDisk(SoakProcess& server);
+  /// Moves a server that is not running to a new address, where it begins with an empty disk.
+  void replace(SoakProcess& server, const base::Endpoint& endpoint);
+  /// @return the present control addresses of the servers.
+  std::vector<base::Endpoint> serverEndpoints() const;
   /// Syncs of the server take from half of `mean` to one and a half longer.
   void setSyncDelay(const SoakProcess& server, base::Duration mean);
   /// @return the names of processes that have ended though nobody told them to.
--- a/src/rehearsal/soak_clients.cpp
+++ b/src/rehearsal/soak_clients.cpp
@@ -23,15 +23,6 @@
 constexpr std::uint64_t kEvents = 6;
 constexpr std::size_t kShownBytes = 120;
 
-/// @return the stream of a whole answer, as stand-in workers write it.
-std::string wholeStream() {
-  std::string text;
-  for (std::uint64_t event = 1; event <= kEvents; ++event) {
-    text += "id: " + std::to_string(event) + "\ndata: part " + std::to_string(event) + "\n\n";
-  }
-  return text;
-}
-
 /// @return an id of 16 hexadecimal digits.
 std::string requestId(std::uint64_t number) {
   std::string text(17, '\0');
@@ -42,16 +33,69 @@
 
 }  // namespace
 
+/// One try of a client. What came of an answer that breaks off is kept.
+class SoakClients::Call : public net::ResponseCallbacks {
+ public:
+  Call(SoakClients& owner, ClientPtr client, const base::Endpoint& gateway)
+      : owner_(owner),
+        client_(std::move(client)),
+        key_(gateway.address),
+        timer_(owner.dispatcher_.createTimer([this] { fail(); })) {}
+
+  void start(const base::Endpoint& gateway, base::Duration timeout) {
+    timer_->enableAt(owner_.dispatcher_.now() + timeout);
+    connection_ = owner_.pool_.acquire(key_, gateway);
+    connection_->send(platform::writeStandinRequest(client_->request), *this);
+  }
+
+  const ClientPtr& client() const { return client_; }
+  bool isWhole() const { return isWhole_; }
+  const net::MessageHead& head() const { return head_; }
+  const std::string& body() const { return body_; }
+
+ private:
+  bool onResponseHead(net::MessageHead head) override {
+    head_ = std::move(head);
+    return true;
+  }
+  void onResponseBody(std::string_view bytes) override { body_.append(bytes); }
+  void onResponseComplete() override {
+    isWhole_ = true;
+    timer_->disable();
+    owner_.pool_.release(key_, std::move(connection_));
+    owner_.ended(*this);
+  }
+  void onResponseFailure(const base::Error& /*error*/, bool /*sent*/) override { fail(); }
+
+  void fail() {
+    timer_->disable();
+    connection_->cancel();
+    owner_.dispatcher_.destroySoon(std::move(connection_));
+    owner_.ended(*this);
+  }
+
+  SoakClients& owner_;
+  const ClientPtr client_;
+  const std::string key_;
+  event::TimerPtr timer_;
+  std::unique_ptr<net::ClientConnection> connection_;
+  net::MessageHead head_;
+  std::string body_;
+  bool isWhole_ = false;
+};
+
 SoakClients::SoakClients(event::Dispatcher& dispatcher, SoakClientsOptions options,
                          std::uint64_t seed, SoakAccount& account)
     : dispatcher_(dispatcher),
       options_(std::move(options)),
       random_(seed),
       account_(account),
-      http_(dispatcher, net::ClientPoolOptions{}),
+      pool_(dispatcher, net::ClientPoolOptions{}),
       nextRequest_(dispatcher.createTimer([this] { sendNext(); })),
       lastRequest_(random_.uniform(1, 1U << 30U) << 20U) {}
 
+SoakClients::~SoakClients() = default;
+
 void SoakClients::start() { sendNext(); }
 
 void SoakClients::sendNext() {
@@ -78,27 +122,67 @@
   const base::Duration left = client->deadline - dispatcher_.now();
   client->request.deadlineMillis =
       static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(left).count());
-  const base::Endpoint& gateway =
-      options_.gateways[random_.uniform(0, options_.gateways.size() - 1)];
-  http_.call(gateway.address, gateway, platform::writeStandinRequest(client->request), left,
-             [this, client](const net::CallOutcome& outcome) { answered(client, outcome); });
+  const std::size_t index = random_.uniform(0, options_.gateways.size() - 1);
+  const base::Endpoint& gateway = options_.gateways[index];
+  client->request.resumeAfter = client->stream.lastId();
+  client->request.resumes = client->stream.begunBy();
+  const std::string version =
+      client->stream.versions().empty() ? "" : *client->stream.versions().begin();
+  client->counts = !client->request.target.empty() && client->stream.lastId() < kEvents &&
+                   options_.countsTry(index, version);
+  auto call = std::make_unique<Call>(*this, client, gateway);
+  Call* const started = call.get();
+  calls_.emplace(started, std::move(call));
+  started->start(gateway, left);
+}
+
+void SoakClients::ended(Call& call) {
+  const auto found = calls_.find(&call);
+  std::unique_ptr<Call> owned = std::move(found->second);
+  calls_.erase(found);
+  answered(owned->client(), *owned);
+  dispatcher_.destroySoon(std::move(owned));
 }
 
-void SoakClients::answered(const ClientPtr& client, const net::CallOutcome& outcome) {
-  const bool whole = outcome.response && outcome.response.value().head.status == kOk;
-  if (whole) {
-    check(*client, outcome.response.value());
+void SoakClients::answered(const ClientPtr& client, const Call& call) {
+  const bool isStream = !client->request.target.empty();
+  const bool isOk = call.head().status == kOk;
+  const bool isDone = isStream ? isOk && checkStream(*client, call) : isOk && call.isWhole();
+  if (std::exchange(client->counts, false)) {
+    account_.streamTried(client->request.resumeAfter > 0,
+                         client->stream.lastId() > client->request.resumeAfter);
+  }
+  if (isDone) {
+    check(*client, call);
     finish(*client, true);
     return;
   }
   base::Duration pause = kRetryPause;
-  if (outcome.response) {
-    const auto seconds = outcome.response.value().head.headers.findNumber("Retry-After");
+  if (call.isWhole()) {
+    const auto seconds = call.head().headers.findNumber("Retry-After");
     pause = seconds ? base::Duration(std::chrono::seconds(*seconds)) : pause;
   }
   tryAgain(client, pause);
 }
 
+/// @return true if the stream has ended with all its events.
+bool SoakClients::checkStream(Client& client, const Call& call) {
+  const std::uint64_t before = client.stream.lastId();
+  const std::string error = client.stream.take(call.body(), client.request.id);
+  if (!error.empty()) {
+    account_.violation("ORDER", dispatcher_.now(), client.request.id + ": " + error);
+  }
+  if (before > 0) {
+    account_.count(client.stream.lastId() > before ? "taken-up" : "not-taken-up");
+  }
+  if (call.isWhole() && client.stream.lastId() != kEvents) {
+    account_.violation("ORDER", dispatcher_.now(),
+                       client.request.id + " got 200 with " + std::to_string(call.body().size()) +
+                           " bytes: " + call.body().substr(0, kShownBytes));
+  }
+  return call.isWhole();
+}
+
 /// A request that must run once is sent once.
 void SoakClients::tryAgain(const ClientPtr& client, base::Duration pause) {
   const base::Duration left = client->deadline - dispatcher_.now();
@@ -117,18 +201,16 @@
   dispatcher_.destroySoon(std::move(client.timer));
 }
 
-void SoakClients::check(const Client& client, const net::HttpResponse& response) {
-  const std::string* seal = response.head.headers.find(platform::kSealHeader);
-  const bool stream = !client.request.target.empty();
-  const std::string expected = stream ? wholeStream() : "answer to " + client.request.body;
+void SoakClients::check(const Client& client, const Call& call) {
+  const std::string* seal = call.head().headers.find(platform::kSealHeader);
   if (seal == nullptr || *seal != "seal of " + client.request.id) {
     account_.violation("MIXED", dispatcher_.now(),
                        client.request.id + " got 200 with the seal " +
                            (seal == nullptr ? std::string("of nobody") : *seal));
-  } else if (response.body != expected) {
-    account_.violation(stream ? "ORDER" : "MIXED", dispatcher_.now(),
-                       client.request.id + " got 200 with " + std::to_string(response.body.size()) +
-                           " bytes: " + response.body.substr(0, kShownBytes));
+  } else if (client.request.target.empty() && call.body() != "answer to " + client.request.body) {
+    account_.violation("MIXED", dispatcher_.now(),
+                       client.request.id + " got 200 with " + std::to_string(call.body().size()) +
+                           " bytes: " + call.body().substr(0, kShownBytes));
   }
 }
 
--- a/src/rehearsal/soak_clients.h
+++ b/src/rehearsal/soak_clients.h
@@ -1,15 +1,18 @@
 #pragma once
 /// @file
-/// Clients of a soak: they send requests at a steady rate, try again, and check each answer.
+/// Clients of a soak: they send requests at a steady rate, try again, take streams up that break,
+/// and check each answer.
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
-#include "net/http_client.h"
+#include "net/client_pool.h"
 #include "platform/standin_dialect.h"
 #include "rehearsal/soak_account.h"
+#include "rehearsal/soak_stream.h"
 #include "walnut/base/random.h"
 
 namespace walnut::rehearsal {
@@ -18,6 +21,9 @@
   std::vector<base::Endpoint> gateways;
   double requestsPerSecond = 40;
   std::vector<std::string> targets;  ///< Models and adapters.
+  /// @return true if the gateway and the servers have been undisturbed for long enough that LOST
+  /// counts, and at least two workers of the software version serve.
+  std::function<bool(std::size_t gateway, const std::string& version)> countsTry;
 };
 
 /// Clients use open connections for as long as these last.
@@ -25,6 +31,9 @@
  public:
   SoakClients(event::Dispatcher& dispatcher, SoakClientsOptions options, std::uint64_t seed,
               SoakAccount& account);
+  ~SoakClients();
+  SoakClients(const SoakClients&) = delete;
+  SoakClients& operator=(const SoakClients&) = delete;
 
   void start();
   /// No new requests begin.
@@ -37,13 +46,18 @@
     base::TimePoint deadline;
     int tries = 0;
     event::TimerPtr timer;
+    SoakStream stream;
+    bool counts = false;  ///< Its present try counts for LOST.
   };
+  class Call;
   using ClientPtr = std::shared_ptr<Client>;
 
   void sendNext();
   void tryOnce(const ClientPtr& client);
-  void answered(const ClientPtr& client, const net::CallOutcome& outcome);
-  void check(const Client& client, const net::HttpResponse& response);
+  void ended(Call& call);
+  void answered(const ClientPtr& client, const Call& call);
+  bool checkStream(Client& client, const Call& call);
+  void check(const Client& client, const Call& call);
   void finish(Client& client, bool served);
   void tryAgain(const ClientPtr& client, base::Duration pause);
 
@@ -51,7 +65,8 @@
   const SoakClientsOptions options_;
   base::Random random_;
   SoakAccount& account_;
-  net::HttpClient http_;
+  net::ClientPool pool_;
+  std::unordered_map<Call*, std::unique_ptr<Call>> calls_;
   event::TimerPtr nextRequest_;
   std::uint64_t lastRequest_ = 0;
   bool stopped_ = false;
--- a/src/rehearsal/soak_faults.cpp
+++ b/src/rehearsal/soak_faults.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 constexpr std::size_t kMaxLostDisks = 2;
-/// A server that lost its disk counts as lost until it has caught up (bound `catchUpS`).
-constexpr base::Duration kCatchUp = seconds(4);
 constexpr base::Duration kMaxSyncDelay = milliseconds(600);
+/// Up to which a replacement has to catch up in time; slower disks count as disturbed.
+constexpr base::Duration kMaxUndisturbedSync = milliseconds(400);
 
 }  // namespace
 
@@ -30,9 +30,11 @@
                                            {"freeze some", &SoakRun::freezeSome},
                                            {"freeze some", &SoakRun::freezeSome},
                                            {"lose a disk", &SoakRun::loseDisk},
+                                           {"replace a server", &SoakRun::replaceServer},
                                            {"slow syncs", &SoakRun::slowSyncs},
                                            {"cut workers", &SoakRun::cutWorkers},
                                            {"cut workers", &SoakRun::cutWorkers},
+                                           {"cut servers", &SoakRun::cutServers},
                                            {"restart workers", &SoakRun::restartWorkers},
                                            {"change the document", &SoakRun::changeDocument}};
   if (!drawsFaults_) {
@@ -55,10 +57,35 @@
   for (SoakProcess* const process : processes) {
     note("  " + process->name);
     cell_->kill(*process);
+    process->lostUntil = base::kNever;
     after(down, [this, process] { start(*process); });
   }
 }
 
+void SoakRun::disturb(SoakProcess& process, base::Duration duration) {
+  process.lostUntil = std::max(process.lostUntil, dispatcher_.now() + duration + kCatchUp);
+}
+
+std::size_t SoakRun::lostServers() const {
+  const std::vector<SoakProcess>& processes = cell_->processes();
+  return static_cast<std::size_t>(
+      std::count_if(processes.begin(), processes.end(), [this](const SoakProcess& process) {
+        return process.isServer && process.lostUntil > dispatcher_.now();
+      }));
+}
+
+SoakProcess* SoakRun::drawServerToLose() {
+  const std::vector<SoakProcess*> drawn =
+      draw(1, [](SoakProcess& process) { return process.isServer; });
+  SoakProcess* const server = drawn.front();
+  const bool isLost = server->lostUntil > dispatcher_.now();
+  if (lostServers() + (isLost ? 0 : 1) > kMaxLostDisks) {
+    note("  none: others are lost or catch up");
+    return nullptr;
+  }
+  return server;
+}
+
 void SoakRun::killServers() {
   kill(draw(2, [](SoakProcess& process) { return process.isServer; }),
        between(milliseconds(50), milliseconds(1500)));
@@ -85,6 +112,7 @@
   for (SoakProcess* const process : draw(2, [](SoakProcess&) { return true; })) {
     note("  " + process->name);
     process->isExpectedToEnd = true;
+    process->lostUntil = base::kNever;
     if (process->child) {
       process->child->signal(SIGTERM);
     }
@@ -114,23 +142,57 @@
   for (SoakProcess* const process : draw(4, [](SoakProcess&) { return true; })) {
     note("  " + process->name);
     process->child->signal(SIGSTOP);
-    after(between(milliseconds(300), seconds(4)), [process] { process->child->signal(SIGCONT); });
+    const base::Duration frozen = between(milliseconds(300), seconds(4));
+    disturb(*process, frozen);
+    after(frozen, [process] { process->child->signal(SIGCONT); });
   }
 }
 
-/// One disk at a time, so that no more are lost than the cell tolerates, the final fault included.
 void SoakRun::loseDisk() {
-  const base::TimePoint now = dispatcher_.now();
-  if (now < diskLostUntil_) {
-    note("  none: another one is being replaced");
-    return;
+  if (SoakProcess* const server = drawServerToLose()) {
+    kill({server}, between(milliseconds(100), seconds(1)));
+    cell_->loseDisk(*server);
+  }
+}
+
+/// A server goes for good, and an empty one begins at a new address.
+void SoakRun::replaceServer() {
+  if (SoakProcess* const server = drawServerToLose()) {
+    replaceAfter(*server, between(milliseconds(100), seconds(1)));
+  }
+}
+
+void SoakRun::replaceAfter(SoakProcess& server, base::Duration down) {
+  kill({&server}, down);
+  cell_->replace(server, nextEndpoint(kControlPort));
+  openLink(server);
+  for (const auto& worker : workers_) {
+    worker->setServers(cell_->serverEndpoints());
+  }
+}
+
+void SoakRun::waitUntilNoServerIsLost() {
+  while (lostServers() > 0) {
+    runFor(milliseconds(50));
+  }
+}
+
+/// Up to two servers are replaced at the same time, so that the final fault comes as soon as they
+/// have to have caught up.
+void SoakRun::replaceBeforeFinalFault() {
+  const base::Duration mean = between(base::Duration::zero(), kMaxUndisturbedSync);
+  const base::Duration down = between(milliseconds(50), seconds(1));
+  note("replaced before the final fault, syncs take ms " +
+       std::to_string(std::chrono::duration_cast<milliseconds>(mean).count()));
+  for (SoakProcess& process : cell_->processes()) {
+    if (process.isServer) {
+      cell_->setSyncDelay(process, mean);
+    }
+  }
+  for (SoakProcess* const server :
+       draw(kMaxLostDisks, [](SoakProcess& process) { return process.isServer; })) {
+    replaceAfter(*server, down);
   }
-  SoakProcess* const server =
-      draw(1, [](SoakProcess& process) { return process.isServer; }).front();
-  const base::Duration down = between(milliseconds(100), seconds(1));
-  diskLostUntil_ = now + down + kCatchUp + seconds(2);
-  kill({server}, down);
-  cell_->loseDisk(*server);
 }
 
 void SoakRun::slowSyncs() {
@@ -139,6 +201,9 @@
   for (SoakProcess* const server :
        draw(cell_->serverCount(), [](SoakProcess& process) { return process.isServer; })) {
     cell_->setSyncDelay(*server, mean);
+    if (mean > kMaxUndisturbedSync) {
+      disturb(*server, lasts);
+    }
     after(lasts, [this, server] {
       if (drawsFaults_) {
         cell_->setSyncDelay(*server, base::Duration::zero());
@@ -166,14 +231,40 @@
   }
 }
 
+/// What others send to a server, or what it answers them, is lost for a while. Connections that
+/// lost bytes stay silent, so that nobody is told of their end, or are closed.
+void SoakRun::cutServers() {
+  constexpr LinkFault kKinds[] = {LinkFault::dropRequests, LinkFault::dropAnswers,
+                                  LinkFault::silent};
+  const LinkFault kind = kKinds[random_.uniform(0, std::size(kKinds) - 1)];
+  const base::Duration lasts = between(milliseconds(300), seconds(4));
+  const bool closes = random_.chance(0.5);
+  for (SoakProcess* const server : draw(2, [](SoakProcess& process) { return process.isServer; })) {
+    note("  " + server->name);
+    disturb(*server, lasts);
+    LinkProxy& link = *serverLinks_.at(server->endpoint);
+    link.setFault(kind);
+    after(lasts, [&link, closes] {
+      link.setFault(LinkFault::none);
+      if (closes) {
+        link.closeAll();
+      }
+    });
+  }
+}
+
 void SoakRun::restartWorkers() {
   const std::size_t count = random_.uniform(1, 3);
   for (std::size_t restarted = 0; restarted < count; ++restarted) {
     SoakWorker& worker = *workers_[random_.uniform(0, workers_.size() - 1)];
-    worker.restart(keepsName());
+    worker.restart(keepsName(), drawVersion());
   }
 }
 
+std::string SoakRun::drawVersion() {
+  return random_.chance(0.5) ? std::string("v1") : "v" + std::to_string(random_.uniform(2, 3));
+}
+
 void SoakRun::finalFault() {
   const bool losesDisks = random_.chance(0.5);
   const bool slow = random_.chance(0.6);
@@ -188,6 +279,7 @@
   faultAt_ = dispatcher_.readClock();
   for (SoakProcess& process : cell_->processes()) {
     cell_->kill(process);
+    process.lostUntil = base::kNever;
     if (process.isServer) {
       cell_->setSyncDelay(process, slow ? mean : base::Duration::zero());
     }
@@ -200,7 +292,7 @@
   }
   for (const auto& worker : workers_) {
     if (restartsWorkers && random_.chance(0.7)) {
-      worker->restart(keepsName());
+      worker->restart(keepsName(), drawVersion());
     }
   }
   runFor(down);
--- a/src/rehearsal/soak_run.h
+++ b/src/rehearsal/soak_run.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "rehearsal/link_proxy.h"
 #include "rehearsal/soak.h"
 #include "rehearsal/soak_cell.h"
 #include "rehearsal/soak_clients.h"
@@ -17,6 +18,11 @@
 
 namespace walnut::rehearsal {
 
+/// Of the servers' control addresses.
+inline constexpr std::uint16_t kControlPort = 20100;
+/// A machine that is back, or new, counts as lost until it has caught up (bound `catchUpS`).
+inline constexpr base::Duration kCatchUp = std::chrono::seconds(4);
+
 /// One run. Everything happens on one event loop; child processes are polled.
 class SoakRun {
  public:
@@ -58,11 +64,28 @@
   void reloadGateways();
   void freezeSome();
   void loseDisk();
+  void replaceServer();
+  void replaceBeforeFinalFault();
+  void replaceAfter(SoakProcess& server, base::Duration down);
+  /// @return a server that may lose its disk, so that no more machines are lost than the cell
+  /// tolerates; null if there is none.
+  SoakProcess* drawServerToLose();
+  std::size_t lostServers() const;
+  void waitUntilNoServerIsLost();
+  /// The machine counts as lost for so long, and until it has caught up.
+  void disturb(SoakProcess& process, base::Duration duration);
   void slowSyncs();
   void cutWorkers();
+  void cutServers();
+  /// Forwards the server's internal protocol from its present address.
+  void openLink(const SoakProcess& server);
+  /// @return true if a try of a stream at this gateway counts for LOST.
+  bool countsTry(std::size_t gateway, const std::string& version) const;
   void restartWorkers();
   /// Draws whether a worker that restarts has its former name.
   bool keepsName() { return options_.ordersOnly || random_.chance(0.6); }
+  /// Draws the software version of a worker that restarts.
+  std::string drawVersion();
   void finalFault();
 
   const SoakOptions options_;
@@ -72,6 +95,8 @@
   SoakAccount account_;
   std::size_t addresses_ = 0;
   std::unique_ptr<SoakCell> cell_;
+  /// In front of the servers' internal protocol, by their control address.
+  std::map<base::Endpoint, std::unique_ptr<LinkProxy>> serverLinks_;
   std::vector<std::unique_ptr<SoakWorker>> workers_;
   std::unique_ptr<SoakClients> clients_;
   net::HttpClient operator_;
@@ -82,7 +107,6 @@
   std::map<std::uint64_t, event::TimerPtr> timers_;
   std::uint64_t lastTimer_ = 0;
   bool drawsFaults_ = false;
-  base::TimePoint diskLostUntil_;
   base::TimePoint faultAt_;
   base::TimePoint returnedAt_;
 };
--- a/src/rehearsal/soak_worker.cpp
+++ b/src/rehearsal/soak_worker.cpp
@@ -64,7 +64,8 @@
   state_.slots = options_.slots;
   state_.holdsModels = options_.holdsModels;
   state_.bornMillis = nowMillis();
-  nextServer_ = random_.uniform(0, options_.servers.size() - 1);
+  servers_ = options_.servers;
+  nextServer_ = random_.uniform(0, servers_.size() - 1);
 }
 
 SoakWorker::~SoakWorker() = default;
@@ -78,8 +79,9 @@
   return base::success();
 }
 
-void SoakWorker::restart(bool keepsName) {
+void SoakWorker::restart(bool keepsName, const std::string& version) {
   ++life_;
+  state_.softwareVersion = version;
   if (!keepsName) {
     state_.id = options_.name + "." + std::to_string(life_);
   }
@@ -114,8 +116,7 @@
 }
 
 void SoakWorker::sendHeartbeat(std::function<void(bool taken)> done) {
-  const base::Endpoint server =
-      home_.value_or(options_.servers[nextServer_ % options_.servers.size()]);
+  const base::Endpoint server = home_.value_or(servers_[nextServer_ % servers_.size()]);
   const net::HttpRequest request = platform::writeStandinHeartbeat(state_, ++heartbeats_);
   client_.call(server.address, server, request, kHeartbeatTimeout,
                [this, life = life_, done = std::move(done)](const net::CallOutcome& outcome) {
@@ -341,7 +342,7 @@
       return;
     }
     answer->sink->writeChunk("id: " + std::to_string(next) + "\ndata: part " +
-                             std::to_string(next) + "\n\n");
+                             std::to_string(next) + " of " + state_.softwareVersion + "\n\n");
     stream(answer, id, next + 1);
   });
 }
--- a/src/rehearsal/soak_worker.h
+++ b/src/rehearsal/soak_worker.h
@@ -30,7 +30,7 @@
   std::uint64_t slots = 8;
   std::size_t maxModels = 5;
   std::size_t adapterSlots = 6;
-  std::vector<base::Endpoint> servers;  ///< That take heartbeats.
+  std::vector<base::Endpoint> servers;  ///< That take heartbeats, at first.
 };
 
 /// Runs on the loop of the soak. A restart keeps the address; what it held and counted is gone.
@@ -44,7 +44,12 @@
 
   base::Result<void> start();
   /// @param keepsName false: it has another name afterwards.
-  void restart(bool keepsName);
+  /// @param version of its software afterwards.
+  void restart(bool keepsName, const std::string& version);
+  bool holdsModels() const { return options_.holdsModels; }
+  const std::string& softwareVersion() const { return state_.softwareVersion; }
+  /// Tells it the present addresses of the servers.
+  void setServers(std::vector<base::Endpoint> servers) { servers_ = std::move(servers); }
   LinkProxy& link() { return *proxy_; }
   void onRequest(net::HttpRequest request, net::ResponseSink& sink) override;
 
@@ -81,6 +86,7 @@
   std::unique_ptr<LinkProxy> proxy_;
   std::uint64_t life_ = 0;  ///< Count of restarts; tasks of an earlier life do nothing.
   std::uint64_t heartbeats_ = 0;
+  std::vector<base::Endpoint> servers_;
   std::optional<base::Endpoint> home_;
   std::size_t nextServer_ = 0;
   std::uint64_t highestFence_ = 0;
--- a/test/rehearsal/soak_test.cpp
+++ b/test/rehearsal/soak_test.cpp
@@ -10,6 +10,7 @@
 #include "rehearsal/child_process.h"
 #include "rehearsal/link_proxy.h"
 #include "rehearsal/soak_account.h"
+#include "rehearsal/soak_stream.h"
 
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
@@ -62,6 +63,42 @@
   CHECK_FALSE(account.runsFirst("a"));
 }
 
+TEST(SoakAccountTest, takeUpsAreComparedWithNewStreams) {
+  SoakAccount account(kBegin);
+  for (int count = 0; count < 11; ++count) {
+    account.streamTried(true, false);
+    account.streamTried(false, true);
+  }
+  CHECK_FALSE_TEXT(account.takesUpTooFew(), "fewer than 12");
+  account.streamTried(true, false);
+  CHECK_TRUE(account.takesUpTooFew());
+  for (int count = 0; count < 12; ++count) {
+    account.streamTried(true, true);
+  }
+  CHECK_FALSE(account.takesUpTooFew());
+}
+
+TEST_GROUP(SoakStreamTest) { SoakStream stream; };
+
+TEST(SoakStreamTest, onlyWholeEventsCount) {
+  STRCMP_EQUAL("", stream.take("id: 1\ndata: part 1 of v1\n\nid: 2\nda", "r1").c_str());
+  CHECK_EQUAL(1, stream.lastId());
+  STRCMP_EQUAL("", stream.take("id: 2\ndata: part 2 of v1\n\n", "r2").c_str());
+  CHECK_EQUAL(2, stream.lastId());
+  STRCMP_EQUAL("r1", stream.begunBy().c_str());
+}
+
+TEST(SoakStreamTest, aMissingOrRepeatedEventIsAnError) {
+  CHECK_FALSE(stream.take("id: 2\ndata: part 2 of v1\n\n", "r1").empty());
+  CHECK_TRUE(stream.take("id: 1\ndata: part 1 of v1\n\n", "r1").empty());
+  CHECK_FALSE(stream.take("id: 1\ndata: part 1 of v1\n\n", "r2").empty());
+}
+
+TEST(SoakStreamTest, eventsOfTwoVersionsAreAnError) {
+  CHECK_TRUE(stream.take("id: 1\ndata: part 1 of v1\n\n", "r1").empty());
+  CHECK_FALSE(stream.take("id: 2\ndata: part 2 of v2\n\n", "r2").empty());
+}
+
 TEST_GROUP(ChildProcessTest){};
 
 TEST(ChildProcessTest, itsOutputAndItsEndAreTold) {
