consensus: a server that is added again before its removal is committed stays a follower

What callers would see: the leader's process ends (std::out_of_range), and the cell elects another one. Cause: learners are added at any time since, so a removed server may be a member again when its removal is committed; the leader then forgot its progress and looked it up for the next majority. Change: only servers that are no members are forgotten.

--- a/src/consensus/raft_leader.cpp
+++ b/src/consensus/raft_leader.cpp
@@ -179,7 +179,9 @@
   if (!leaderState_->removedServers.empty()) {
     flushFollowers();
     for (const base::ServerId removed : leaderState_->removedServers) {
-      leaderState_->followers.erase(removed);
+      if (findMember(membership(), removed) == nullptr) {  // It may have been added again.
+        leaderState_->followers.erase(removed);
+      }
     }
     leaderState_->removedServers.clear();
   }
--- a/test/consensus/membership_change_test.cpp
+++ b/test/consensus/membership_change_test.cpp
@@ -433,3 +433,28 @@
   CHECK_TRUE(server.status().commitIndex >= last);
   CHECK_FALSE(isJoint(server.status().membership));
 }
+
+/// Guards against a leader that ends: a server which is added again before its removal is committed
+/// is a follower still.
+TEST(ReplacementTest, aRemovedServerIsAddedAgainBeforeItsRemovalIsCommitted) {
+  const LogIndex index = beginReplacement();
+  accept(2, index);
+  accept(4, index);
+  CHECK_FALSE(isJoint(server.status().membership));
+  CHECK_TRUE(change(with(server.status().membership, 3, MemberRole::learner)).has_value());
+  accept(4, server.status().lastIndex);
+  CHECK_EQUAL(server.status().lastIndex, server.status().commitIndex);
+  Membership next = server.status().membership;
+  for (Member& member : next.members) {
+    if (member.id.value == 5) {
+      member.role = MemberRole::outgoing;
+    } else if (member.id.value == 3) {
+      member.role = MemberRole::incoming;
+    }
+  }
+  CHECK_TRUE(change(next).has_value());
+  accept(3, server.status().lastIndex);
+  server.takeSent();
+  server.advance(RaftOptions{}.heartbeatInterval);
+  CHECK_TRUE(sentTo(3));
+}
