registry, consensus: a leader weighs a change of members once, not in each turn of its loop

What callers see: nothing yet; a leader's loop did up to twice the work. Cause: since the change that is due was worked out twice a turn, and compared in full also while it has to wait for an earlier one; the majority was worked out for two sets of voters also where there is one. Change: a change that was refused as pending is tried again once the commit index has advanced or the change differs; the additional look is taken during a replacement only; one set of voters is counted once; a membership is copied only if somebody applies.

--- a/src/consensus/membership.h
+++ b/src/consensus/membership.h
@@ -41,17 +41,18 @@
 template <class ValueOf>
 auto quorumValue(const Membership& membership, const ValueOf& valueOf) {
   using Value = decltype(valueOf(base::ServerId{}));
-  std::vector<Value> former;
-  std::vector<Value> next;
-  for (const Member& member : membership.members) {
-    if (member.role == MemberRole::voter || member.role == MemberRole::outgoing) {
-      former.push_back(valueOf(member.id));
+  const auto reached = [&](MemberRole ownRole) {
+    std::vector<Value> values;
+    values.reserve(membership.members.size());
+    for (const Member& member : membership.members) {
+      if (member.role == MemberRole::voter || member.role == ownRole) {
+        values.push_back(valueOf(member.id));
+      }
     }
-    if (member.role == MemberRole::voter || member.role == MemberRole::incoming) {
-      next.push_back(valueOf(member.id));
-    }
-  }
-  return std::min(majorityValue(std::move(former)), majorityValue(std::move(next)));
+    return majorityValue(std::move(values));
+  };
+  const Value next = reached(MemberRole::incoming);
+  return isJoint(membership) ? std::min(reached(MemberRole::outgoing), next) : next;
 }
 
 enum class MembershipChangeKind : std::uint8_t {
--- a/src/registry/membership_policy.cpp
+++ b/src/registry/membership_policy.cpp
@@ -125,14 +125,15 @@
 
 std::optional<Membership> MembershipPolicy::admission(const Membership& membership,
                                                       base::TimePoint now) const {
-  Membership next = membership;
+  std::optional<Membership> next;
   for (const auto& [id, applicant] : applicants_) {
     const bool expired = now - applicant.requestedAt > options_.requestLifetime;
     if (!expired && find(membership, id) == nullptr) {
-      next.members.push_back(applicant.member);
+      next = next ? std::move(next) : std::optional(membership);
+      next->members.push_back(applicant.member);
     }
   }
-  return next == membership ? std::nullopt : std::optional(next);
+  return next;
 }
 
 std::vector<base::ServerId> MembershipPolicy::readyLearners(const Membership& membership,
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -66,7 +66,7 @@
 
 RegistryOutputs RegistryImpl::takeOutputs() {
   raft_->tick(now_);
-  if (leading_ != nullptr && raft_->status().role == Role::leader) {
+  if (leading_ != nullptr && isReplacing_) {
     updateMembership();  // Before the leader ends a replacement on which another one may follow.
   }
   consensus::RaftOutputs raftOutputs = raft_->takeOutputs();
@@ -418,6 +418,7 @@
   }
   leading_.reset();
   membershipPolicy_.reset();
+  waitingChange_.reset();
   confirmer_ = {};
   callsByEntry_.clear();
   pendingWorkers_.clear();
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -203,6 +203,13 @@
   consensus::Role lastRole_ = consensus::Role::follower;
   base::ServerId lastLeader_;
   consensus::LogIndex lastMembershipIndex_ = 0;
+  bool isReplacing_ = false;  ///< The last membership has two sets of voters.
+  /// A change that had to wait for the commit index to advance.
+  struct WaitingChange {
+    consensus::Membership next;
+    consensus::LogIndex commitIndex = 0;
+  };
+  std::optional<WaitingChange> waitingChange_;
 
   /// When this process last saw a server take over the order lease.
   std::optional<base::TimePoint> lastTakeoverAt_;
--- a/src/registry/registry_membership.cpp
+++ b/src/registry/registry_membership.cpp
@@ -41,7 +41,9 @@
   }
   lastMembershipIndex_ = status.membershipIndex;
   std::string members;
+  isReplacing_ = false;
   for (const consensus::Member& member : status.membership.members) {
+    isReplacing_ = isReplacing_ || member.role > consensus::MemberRole::voter;
     members += members.empty() ? "" : ",";
     members += member.peerEndpoint.address;
     members += roleSuffix(member.role);
@@ -107,10 +109,15 @@
                                        ? ReplacementMethod::joint
                                        : ReplacementMethod::oneByOne;
   const auto next = membershipPolicy_->nextChange(status.membership, status.self, method, now_);
-  if (!next) {
+  if (!next || (waitingChange_ && waitingChange_->commitIndex == status.commitIndex &&
+                waitingChange_->next == *next)) {
     return;
   }
   const auto index = raft_->changeMembership(now_, *next);
+  waitingChange_.reset();
+  if (index.has_error() && index.error().code == base::ErrorCode::membershipChangePending) {
+    waitingChange_ = WaitingChange{*next, status.commitIndex};
+  }
   if (index) {
     log_.write(LogEvent::memberProposed, {{"index", index.value()},
                                           {"members", next->members.size()},
