--- a/include/walnut/registry/registry.h
+++ b/include/walnut/registry/registry.h
@@ -197,6 +197,8 @@
   /// @return the maxima of the estimates for workers; zero on a server that does not lead.
   virtual WorkerTimingMaxima timingMaxima() const = 0;
   virtual LeaderFigures leaderFigures() const = 0;
+  /// @return true while this server leads and has applied what was committed before its term.
+  virtual bool isServing() const = 0;
 };
 
 /// @param founders membership of a new cell, the same on all its servers; empty for a server that
--- a/include/walnut/runtime/event_log.h
+++ b/include/walnut/runtime/event_log.h
@@ -27,6 +27,7 @@
   membershipChanged,
   memberProposed,
   joinStepTaken,
+  recoveryStepTaken,
   documentStored,
   documentRefused,
   documentTaken,
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -218,6 +218,7 @@
   for (const registry::JoinStep step : outputs.joinSteps) {
     noteJoinStep(step);
   }
+  noteRecovery();
   for (registry::RegistryAction& action : outputs.actions) {
     std::visit([this](auto& body) { perform(body); }, action);
   }
@@ -265,17 +266,49 @@
 void RegistryHost::noteJoinStep(registry::JoinStep step) {
   const base::Duration sinceStart = runtime::now() - folder_.openedAt;
   const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart);
-  const std::uint64_t syncs = folder_.syncs == nullptr ? 0 : folder_.syncs->load();
   const std::string name(registry::joinStepName(step));
-  log_.write(
-      LogEvent::joinStepTaken,
-      {{"step", name}, {"millis", static_cast<std::uint64_t>(millis.count())}, {"syncs", syncs}});
+  log_.write(LogEvent::joinStepTaken, {{"step", name},
+                                       {"millis", static_cast<std::uint64_t>(millis.count())},
+                                       {"syncs", syncsSinceStart()}});
   metrics_.count("walnut_registry_join_steps_total", name);
   if (step == registry::JoinStep::voter) {
     metrics_.observe("walnut_registry_join_seconds", sinceStart);
   }
 }
 
+/// The recovery of a server ends once it follows a leader, or serves as one.
+void RegistryHost::noteRecovery() {
+  if (recovered_) {
+    return;
+  }
+  const base::ServerId leader = registry_->raftStatus().leader;
+  if (!leaderWasKnown_ && leader != base::ServerId{}) {
+    leaderWasKnown_ = true;
+    noteRecoveryStep("leader-known");
+  }
+  const bool isServing = registry_->isServing();
+  if (isServing) {
+    noteRecoveryStep("serving");
+  }
+  if (isServing || (leaderWasKnown_ && leader != base::ServerId{} && leader != self_)) {
+    recovered_ = true;
+    metrics_.observe("walnut_registry_recovery_seconds", runtime::now() - folder_.openedAt);
+    metrics_.set("walnut_registry_recovery_syncs", static_cast<double>(syncsSinceStart()));
+  }
+}
+
+void RegistryHost::noteRecoveryStep(const std::string& step) {
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(runtime::now() - folder_.openedAt);
+  log_.write(LogEvent::recoveryStepTaken, {{"step", step},
+                                           {"millis", static_cast<std::uint64_t>(millis.count())},
+                                           {"syncs", syncsSinceStart()}});
+}
+
+std::uint64_t RegistryHost::syncsSinceStart() const {
+  return folder_.syncs == nullptr ? 0 : folder_.syncs->load();
+}
+
 void RegistryHost::noteStorageFailure(const base::Error& error) {
   log_.write(LogEvent::dependencyLost, {{"dependency", "storage"},
                                         {"error", base::errorCodeName(error.code)},
--- a/src/daemon/registry_host.h
+++ b/src/daemon/registry_host.h
@@ -94,6 +94,10 @@
                      base::Duration duration);
   void noteSync(const consensus::PersistBatch& batch, base::Duration duration);
   void noteJoinStep(registry::JoinStep step);
+  void noteRecovery();
+  void noteRecoveryStep(const std::string& step);
+  /// @return the syncs that storage made one after the other.
+  std::uint64_t syncsSinceStart() const;
   void noteStorageFailure(const base::Error& error);
   void checkStopped();
 
@@ -117,6 +121,8 @@
   bool serveSoon_ = false;
   std::uint64_t lastCall_ = 0;
   bool storageFailed_ = false;
+  bool leaderWasKnown_ = false;
+  bool recovered_ = false;
   base::TimePoint longTurnLoggedAt_;
   base::TimePoint refusedCallLoggedAt_;
   std::uint64_t refusedCalls_ = 0;  ///< Since the last line of them.
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -37,6 +37,7 @@
   consensus::RaftStatus raftStatus() const override { return raft_->status(); }
   WorkerTimingMaxima timingMaxima() const override;
   LeaderFigures leaderFigures() const override;
+  bool isServing() const override { return isActiveLeader(); }
 
  private:
   /// A call that waits for the confirmation of its linearizable read.
