registry: a server that has just asked for admission replaces a silent voter after 0.7 s; all at once

Cause: of the 4 s, up to 1.5 s went by until the voter that is gone counted as failed; with two of them one was replaced after the other if their silence differed by a millisecond or one of the new servers was ready a moment later.

Change: 0.7 s while a server is ready that asked for admission within the last 5 s; voters that fell silent within 150 ms of each other count as failed together; a replacement waits up to 300 ms for another new server. A new voter that is silent while its first batch is synced is not replaced itself.

--- a/src/registry/membership_policy.cpp
+++ b/src/registry/membership_policy.cpp
@@ -84,6 +84,7 @@
   std::erase_if(applicants_, [&member](const auto& entry) {
     return entry.second.member.peerEndpoint == member.peerEndpoint;
   });
+  newcomers_.try_emplace(member.id, now);
   Member learner = member;
   learner.role = MemberRole::learner;
   applicants_[member.id] = {learner, now};
@@ -149,18 +150,49 @@
   return ready;
 }
 
+bool MembershipPolicy::isNewcomer(base::ServerId server, base::TimePoint now) const {
+  const auto found = newcomers_.find(server);
+  return found != newcomers_.end() && now < found->second + options_.newcomerTime;
+}
+
+base::Duration MembershipPolicy::voterTimeout(const std::vector<base::ServerId>& ready,
+                                              base::TimePoint now) const {
+  const bool hasNewcomer = std::any_of(
+      ready.begin(), ready.end(), [&](base::ServerId learner) { return isNewcomer(learner, now); });
+  return hasNewcomer ? options_.replacedVoterTimeout : options_.voterTimeout;
+}
+
+bool MembershipPolicy::awaitsNewcomer(const Membership& membership,
+                                      const std::vector<base::ServerId>& ready,
+                                      base::TimePoint now) const {
+  return std::any_of(membership.members.begin(), membership.members.end(),
+                     [&](const Member& member) {
+                       const auto asked = newcomers_.find(member.id);
+                       return member.role == MemberRole::learner && asked != newcomers_.end() &&
+                              now < asked->second + options_.newcomerWait &&
+                              std::find(ready.begin(), ready.end(), member.id) == ready.end();
+                     });
+}
+
 std::vector<base::ServerId> MembershipPolicy::failedVoters(const Membership& membership,
                                                            base::ServerId self,
+                                                           base::Duration timeout,
                                                            base::TimePoint now) const {
   std::vector<base::ServerId> failed;
+  bool isAnyFailed = false;
   const bool couldAnswer = now >= leadingSince_ + options_.answerTime;
   for (const Member& member : membership.members) {
     const bool lost = lostServers_.count(member.id) != 0;
-    const bool silent = couldAnswer && timeSinceContact(member.id, now) > options_.voterTimeout;
+    const bool silent = couldAnswer && !isNewcomer(member.id, now) &&
+                        timeSinceContact(member.id, now) > timeout - options_.silenceSpread;
     if (member.role == MemberRole::voter && member.id != self && (lost || silent)) {
       failed.push_back(member.id);
+      isAnyFailed = isAnyFailed || lost || timeSinceContact(member.id, now) > timeout;
     }
   }
+  if (!isAnyFailed) {
+    return {};
+  }
   std::sort(failed.begin(), failed.end(), [&](base::ServerId left, base::ServerId right) {
     const auto rank = [&](base::ServerId server) {
       return std::pair(lostServers_.count(server), timeSinceContact(server, now));
@@ -183,10 +215,14 @@
     setRole(next, ready.front(), MemberRole::voter);
     return next;
   }
-  const std::vector<base::ServerId> failed = failedVoters(membership, self, now);
+  const std::vector<base::ServerId> failed =
+      failedVoters(membership, self, voterTimeout(ready, now), now);
   if (failed.empty()) {
     return std::nullopt;
   }
+  if (failed.size() > ready.size() && awaitsNewcomer(membership, ready, now)) {
+    return std::nullopt;
+  }
   if (method == ReplacementMethod::oneByOne) {
     return without(membership, failed.front());
   }
--- a/src/registry/membership_policy.h
+++ b/src/registry/membership_policy.h
@@ -15,9 +15,20 @@
 struct MembershipPolicyOptions {
   /// Number of disks that may be lost at once. A complete cell has 2 * losses + 1 voters.
   std::uint32_t tolerableLosses = 2;
-  /// A voter that was unresponsive for longer is replaced by a learner. What is left of the 4 s in
-  /// which a replacement has to vote has room for two entries, each of up to two syncs.
+  /// A voter that was unresponsive for longer is replaced by a learner.
   base::Duration voterTimeout = std::chrono::milliseconds(1500);
+  /// The same while a server that has just asked for admission is ready: most likely it was started
+  /// in place of one that is gone. What is left of the 4 s in which a replacement has to vote has
+  /// room for an election and two entries on slow disks.
+  base::Duration replacedVoterTimeout = std::chrono::milliseconds(700);
+  /// Voters that fell silent so shortly after a failed one count as failed with it.
+  base::Duration silenceSpread = std::chrono::milliseconds(150);
+  /// For so long a server counts as one that has just asked. It may be silent while its first batch
+  /// is synced.
+  base::Duration newcomerTime = std::chrono::seconds(5);
+  /// For so long a replacement waits for another such server to be ready, so that all failed voters
+  /// are replaced at once.
+  base::Duration newcomerWait = std::chrono::milliseconds(300);
   /// A new leader gives every voter this time to answer it, however long it was silent before.
   base::Duration answerTime = std::chrono::milliseconds(300);
   /// A learner that was unresponsive for this long is removed.
@@ -78,9 +89,16 @@
                                                    base::TimePoint now) const;
   std::vector<base::ServerId> readyLearners(const consensus::Membership& membership,
                                             base::TimePoint now) const;
+  /// @return the silence after which a voter counts as failed, given these learners.
+  base::Duration voterTimeout(const std::vector<base::ServerId>& ready, base::TimePoint now) const;
+  bool isNewcomer(base::ServerId server, base::TimePoint now) const;
+  /// @return true if a learner that is not ready asked for admission a moment ago.
+  bool awaitsNewcomer(const consensus::Membership& membership,
+                      const std::vector<base::ServerId>& ready, base::TimePoint now) const;
   /// @return the voters to replace: those whose disk is lost first, then the longest unresponsive.
   std::vector<base::ServerId> failedVoters(const consensus::Membership& membership,
-                                           base::ServerId self, base::TimePoint now) const;
+                                           base::ServerId self, base::Duration timeout,
+                                           base::TimePoint now) const;
   std::optional<consensus::Membership> expiredLearner(const consensus::Membership& membership,
                                                       base::TimePoint now) const;
 
@@ -89,6 +107,7 @@
   const base::TimePoint silentSince_;
   std::map<base::ServerId, base::TimePoint> lastContact_;
   std::map<base::ServerId, Applicant> applicants_;
+  std::map<base::ServerId, base::TimePoint> newcomers_;  ///< When they first asked for admission.
   std::set<base::ServerId> lostServers_;
 };
 
--- a/test/registry/membership_policy_test.cpp
+++ b/test/registry/membership_policy_test.cpp
@@ -35,6 +35,14 @@
   return count;
 }
 
+std::size_t outgoingCount(const Membership& membership) {
+  std::size_t count = 0;
+  for (const Member& one : membership.members) {
+    count += one.role == MemberRole::outgoing ? 1 : 0;
+  }
+  return count;
+}
+
 }  // namespace
 
 TEST_GROUP(MembershipPolicyTest) {
@@ -152,6 +160,46 @@
   }
 }
 
+/// Guards against a replacement that votes too late, as the server in whose place it was started
+/// doesn't count as failed yet.
+TEST(MembershipPolicyTest, aServerThatHasJustAskedReplacesASilentVoterSooner) {
+  Membership cell = voters({1, 2, 3, 4, 5});
+  recordContacts({2, 3, 4, 5}, start + 10s);
+  policy.addJoinRequest(member(6, MemberRole::voter, 6), cell, start + 10500ms);
+  cell = *nextChange(cell, start + 10500ms);
+  recordContacts({2, 3, 4, 6}, start + 10650ms);
+  CHECK_FALSE(nextChange(cell, start + 10650ms).has_value());
+  CHECK_EQUAL(1, outgoingCount(*nextChange(cell, start + 10750ms)));
+}
+
+/// Guards against two replacements one after the other where one would do.
+TEST(MembershipPolicyTest, votersThatFellSilentTogetherAreReplacedTogether) {
+  Membership cell = voters({1, 2, 3, 4, 5});
+  recordContacts({2, 3, 4}, start + 10s);
+  recordContacts({5}, start + 10050ms);
+  for (const std::uint16_t id : {6, 7}) {
+    policy.addJoinRequest(member(id, MemberRole::voter, id), cell, start + 10500ms);
+  }
+  cell = *nextChange(cell, start + 10500ms);
+  recordContacts({2, 3, 6}, start + 10720ms);
+  CHECK_FALSE_TEXT(nextChange(cell, start + 10720ms).has_value(), "7 is about to be ready");
+  CHECK_EQUAL(1, outgoingCount(*nextChange(cell, start + 10820ms)));
+  recordContacts({7}, start + 10720ms);
+  CHECK_EQUAL(2, outgoingCount(*nextChange(cell, start + 10720ms)));
+}
+
+/// Guards against the removal of a new voter that is silent while its first batch is synced.
+TEST(MembershipPolicyTest, aServerThatHasJustAskedIsNotReplaced) {
+  Membership cell = voters({1, 2, 3, 4, 5});
+  cell.members.push_back(member(7, MemberRole::learner, 7));
+  policy.addJoinRequest(member(6, MemberRole::voter, 6), cell, start + 10s);
+  cell.members[4] = member(6, MemberRole::voter, 6);
+  recordContacts({2, 3, 4, 7}, start + 13s);
+  CHECK_FALSE(nextChange(cell, start + 13s).has_value());
+  recordContacts({2, 3, 4, 7}, start + 16s);
+  CHECK_EQUAL(1, outgoingCount(*nextChange(cell, start + 16s)));
+}
+
 /// Guards against the removal of a voter that a new leader has not asked yet.
 TEST(MembershipPolicyTest, aNewLeaderGivesSilentVotersTimeToAnswer) {
   Membership cell = voters({1, 2, 3, 4, 5});
