gateway: a stream that goes on at one version only doesn't wait for open breakers

Cause: a breaker protects callers by sending them elsewhere; for such a stream there is no elsewhere.

Change: if only workers with an open breaker are left that could go on with a stream of a version, one of them is chosen, unless the leader reports it as failing.

Evidence: StreamVersionTest.aStreamThatIsTakenUpGoesOnThoughTheBreakerOfItsWorkerIsOpen fails with the selector before (3 requests sent where 4 are expected) and passes with this one.

--- a/src/gateway/worker_selector.cpp
+++ b/src/gateway/worker_selector.cpp
@@ -83,6 +83,9 @@
       worse(NoWorkerReason::excluded);
     } else if (!worker->breaker.allows(now)) {
       worse(NoWorkerReason::broken);
+      if (filter.software && !worker->view.failing && shareState(*worker) == ShareState::open) {
+        candidates.broken.push_back(worker);
+      }
     } else if (worker->view.failing) {
       worse(NoWorkerReason::failing);
       if (shareState(*worker) == ShareState::open) {
@@ -101,7 +104,12 @@
   }
   const double typical =
       latencies == 0 ? kDefaultLatency : latencySum / static_cast<double>(latencies);
-  selection.worker = cheapest(candidates.usable, typical, service, facts, now);
+  // A stream that only workers of one version can go on with has no other choice: the breakers of
+  // all of them may be open because connections were reset.
+  const bool hasNoOther =
+      candidates.usable.empty() && candidates.failing.empty() && candidates.requestable.empty();
+  selection.worker =
+      cheapest(hasNoOther ? candidates.broken : candidates.usable, typical, service, facts, now);
   if (selection.worker != nullptr) {
     selection.expectedWait = expectedWait(service, *selection.worker, now);
   } else {
--- a/src/gateway/worker_selector.h
+++ b/src/gateway/worker_selector.h
@@ -165,6 +165,7 @@
   struct Candidates {
     std::vector<WorkerDirectory::WorkerPtr> usable;
     std::vector<WorkerDirectory::WorkerPtr> failing;
+    std::vector<WorkerDirectory::WorkerPtr> broken;  ///< Only of a stream's own version.
     std::vector<WorkerDirectory::WorkerPtr> requestable;
   };
 
--- a/test/gateway/stream_version_test.cpp
+++ b/test/gateway/stream_version_test.cpp
@@ -125,6 +125,26 @@
   STRCMP_EQUAL("id: 2\n\n", second->body.c_str());
 }
 
+/// Guards against a stream that is taken up and waits until its caller leaves, as resets of
+/// connections have opened the breaker of the only worker that can go on with it.
+TEST(StreamVersionTest, aStreamThatIsTakenUpGoesOnThoughTheBreakerOfItsWorkerIsOpen) {
+  declare({"v1"});
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (const char* id : {"r1", "r2", "r3"}) {
+    callers.push_back(beginStream(id));
+  }
+  for (std::size_t index = 0; index < callers.size(); ++index) {
+    harness.lose(sent(index));
+    leave(*callers[index]);
+  }
+  const std::size_t before = sentCount();
+  const auto other = harness.request("stream", "r4");
+  CHECK_EQUAL_TEXT(before, sentCount(), "the breaker is open");
+  const auto second = takeUp("r5", "r1");
+  CHECK_EQUAL(before + 1, sentCount());
+  checkVersion("v1");
+}
+
 /// Guards against the version of the worker at which a stream went on being taken for the one that
 /// began it: what counts is the request that brought the first event.
 TEST(StreamVersionTest, aStreamThatWasTakenUpIsKnownByTheRequestThatBeganIt) {
