rehearsal: the soak has processor quotas, hanging syncs, and gone machines that are silent

Change: faults "processor quotas" (25 to 70 percent of each 100 ms, up to five processes) and "hanging syncs" (2 to 4 s at one or two servers that count as lost); a server that is killed or replaced may be silent: its links pass on nothing and tell nobody until it is back, or for good. The final fault draws quotas, hanging syncs in place of lost disks, and silence on the links to servers and workers.

--- a/src/rehearsal/soak_faults.cpp
+++ b/src/rehearsal/soak_faults.cpp
@@ -17,6 +17,15 @@
 constexpr base::Duration kMaxSyncDelay = milliseconds(600);
 /// Up to which a replacement has to catch up in time; slower disks count as disturbed.
 constexpr base::Duration kMaxUndisturbedSync = milliseconds(400);
+/// Of servers whose syncs hang; they count as lost.
+constexpr base::Duration kLeastHangingSync = seconds(2);
+constexpr base::Duration kMaxHangingSync = seconds(4);
+/// In which a process with a quota runs and then stands still.
+constexpr base::Duration kQuotaPeriod = milliseconds(100);
+constexpr double kLeastQuota = 0.25;
+constexpr double kMaxQuota = 0.7;
+/// Time of recovery and of what is judged after it.
+constexpr base::Duration kObservedAfterReturn = seconds(18);
 
 }  // namespace
 
@@ -32,6 +41,8 @@
                                            {"lose a disk", &SoakRun::loseDisk},
                                            {"replace a server", &SoakRun::replaceServer},
                                            {"slow syncs", &SoakRun::slowSyncs},
+                                           {"hanging syncs", &SoakRun::hangSyncs},
+                                           {"processor quotas", &SoakRun::limitProcessors},
                                            {"cut workers", &SoakRun::cutWorkers},
                                            {"cut workers", &SoakRun::cutWorkers},
                                            {"cut servers", &SoakRun::cutServers},
@@ -55,13 +66,31 @@
 
 void SoakRun::kill(const std::vector<SoakProcess*>& processes, base::Duration down) {
   for (SoakProcess* const process : processes) {
-    note("  " + process->name);
+    const bool isSilent = process->isServer && random_.chance(0.3);
+    note("  " + process->name + (isSilent ? ", silent" : ""));
+    if (isSilent) {
+      silenceWhileDown(*process, down);
+    }
     cell_->kill(*process);
     process->lostUntil = base::kNever;
     after(down, [this, process] { start(*process); });
   }
 }
 
+/// As a machine that loses its power: connections to it neither end nor are refused, until it is
+/// back and knows none of them. One that is replaced is never back at its address.
+void SoakRun::silenceWhileDown(const SoakProcess& server, base::Duration down) {
+  const base::Endpoint endpoint = server.endpoint;
+  LinkProxy& link = *serverLinks_.at(endpoint);
+  link.setFault(LinkFault::silent);
+  after(down, [&link, &server, endpoint] {
+    if (server.endpoint == endpoint) {
+      link.setFault(LinkFault::none);
+      link.closeAll();
+    }
+  });
+}
+
 void SoakRun::disturb(SoakProcess& process, base::Duration duration) {
   process.lostUntil = std::max(process.lostUntil, dispatcher_.now() + duration + kCatchUp);
 }
@@ -212,6 +241,46 @@
   }
 }
 
+/// The syncs of one or two servers take seconds.
+void SoakRun::hangSyncs() {
+  const base::Duration mean = between(kLeastHangingSync, kMaxHangingSync);
+  const base::Duration lasts = between(seconds(1), seconds(4));
+  const std::size_t count = random_.uniform(1, kMaxLostDisks);
+  for (std::size_t hanging = 0; hanging < count; ++hanging) {
+    SoakProcess* const server = drawServerToLose();
+    if (server == nullptr) {
+      return;
+    }
+    note("  " + server->name);
+    cell_->setSyncDelay(*server, mean);
+    disturb(*server, lasts + mean * 3 / 2);
+    after(lasts, [this, server] { cell_->setSyncDelay(*server, base::Duration::zero()); });
+  }
+}
+
+void SoakRun::limitProcessors() {
+  const double share = kLeastQuota + random_.unit() * (kMaxQuota - kLeastQuota);
+  const base::Duration lasts = between(seconds(1), seconds(6));
+  for (SoakProcess* const process : draw(5, [](SoakProcess&) { return true; })) {
+    note("  " + process->name);
+    disturb(*process, lasts);
+    limitProcessor(*process, share, dispatcher_.now() + lasts);
+  }
+}
+
+/// Lets a process run for its share of each period, whichever life of it that is.
+void SoakRun::limitProcessor(SoakProcess& process, double share, base::TimePoint until) {
+  const auto running = std::chrono::duration_cast<base::Duration>(kQuotaPeriod * share);
+  if (dispatcher_.now() >= until) {
+    return;
+  }
+  process.child->signal(SIGSTOP);
+  after(kQuotaPeriod - running, [this, &process, share, until, running] {
+    process.child->signal(SIGCONT);
+    after(running, [this, &process, share, until] { limitProcessor(process, share, until); });
+  });
+}
+
 void SoakRun::cutWorkers() {
   constexpr LinkFault kKinds[] = {LinkFault::none, LinkFault::dropRequests, LinkFault::dropAnswers,
                                   LinkFault::silent};
@@ -266,17 +335,22 @@
 }
 
 void SoakRun::finalFault() {
-  const bool losesDisks = random_.chance(0.5);
+  const std::size_t hanging = random_.chance(0.3) ? random_.uniform(1, kMaxLostDisks) : 0;
+  const std::size_t lostDisks = random_.chance(0.5) ? kMaxLostDisks - hanging : 0;
   const bool slow = random_.chance(0.6);
+  const bool hasQuotas = random_.chance(0.25);
+  const bool isSilent = random_.chance(0.4);
   const bool restartsWorkers = options_.ordersOnly || random_.chance(0.4);
   const base::Duration mean = between(milliseconds(50), kMaxSyncDelay);
   const base::Duration down = between(milliseconds(300), seconds(3));
-  note(std::string("final fault") + (losesDisks ? ", two disks lost" : "") +
-       (restartsWorkers ? ", workers restart" : "") +
+  note(std::string("final fault, disks lost: ") + std::to_string(lostDisks) +
+       ", syncs hang: " + std::to_string(hanging) + (isSilent ? ", silent" : "") +
+       (hasQuotas ? ", quotas" : "") + (restartsWorkers ? ", workers restart" : "") +
        (slow ? ", syncs take ms " +
                    std::to_string(std::chrono::duration_cast<milliseconds>(mean).count())
              : ""));
   faultAt_ = dispatcher_.readClock();
+  setAllLinks(isSilent ? LinkFault::silent : LinkFault::none);
   for (SoakProcess& process : cell_->processes()) {
     cell_->kill(process);
     process.lostUntil = base::kNever;
@@ -284,11 +358,13 @@
       cell_->setSyncDelay(process, slow ? mean : base::Duration::zero());
     }
   }
-  if (losesDisks) {
-    const std::size_t first = random_.uniform(0, cell_->serverCount() - 1);
-    for (std::size_t lost = 0; lost < kMaxLostDisks; ++lost) {
-      cell_->loseDisk(cell_->server((first + lost) % cell_->serverCount()));
-    }
+  const std::size_t first = random_.uniform(0, cell_->serverCount() - 1);
+  for (std::size_t lost = 0; lost < lostDisks; ++lost) {
+    cell_->loseDisk(cell_->server((first + lost) % cell_->serverCount()));
+  }
+  for (std::size_t index = lostDisks; index < lostDisks + hanging; ++index) {
+    cell_->setSyncDelay(cell_->server((first + index) % cell_->serverCount()),
+                        between(kLeastHangingSync, kMaxHangingSync));
   }
   for (const auto& worker : workers_) {
     if (restartsWorkers && random_.chance(0.7)) {
@@ -296,11 +372,26 @@
     }
   }
   runFor(down);
+  setAllLinks(LinkFault::none);
   for (SoakProcess& process : cell_->processes()) {
     start(process);
+    if (hasQuotas) {
+      limitProcessor(process, kMaxQuota * (process.isServer ? 1 : 0.5),
+                     dispatcher_.now() + kObservedAfterReturn);
+    }
   }
   returnedAt_ = dispatcher_.readClock();
   note("all are started");
 }
 
+/// Of connections over a silent link neither end learns that the other is gone.
+void SoakRun::setAllLinks(LinkFault fault) {
+  for (const auto& [endpoint, link] : serverLinks_) {
+    link->setFault(fault);
+  }
+  for (const auto& worker : workers_) {
+    worker->link().setFault(fault);
+  }
+}
+
 }  // namespace walnut::rehearsal
--- a/src/rehearsal/soak_run.h
+++ b/src/rehearsal/soak_run.h
@@ -74,7 +74,12 @@
   void waitUntilNoServerIsLost();
   /// The machine counts as lost for so long, and until it has caught up.
   void disturb(SoakProcess& process, base::Duration duration);
+  void silenceWhileDown(const SoakProcess& server, base::Duration down);
   void slowSyncs();
+  void hangSyncs();
+  void limitProcessors();
+  void limitProcessor(SoakProcess& process, double share, base::TimePoint until);
+  void setAllLinks(LinkFault fault);
   void cutWorkers();
   void cutServers();
   /// Forwards the server's internal protocol from its present address.
