--- a/src/storage/log_storage.cpp
+++ b/src/storage/log_storage.cpp
@@ -95,7 +95,7 @@
     ++syncing_;
     changed_.notify_all();
     lock.unlock();
-    const base::Result<void> outcome = frame.file->sync();
+    base::Result<void> outcome = frame.file->sync();
     lock.lock();
     --syncing_;
     if (outcome.has_value()) {
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -195,6 +195,7 @@
 
 base::Result<void> PosixFileSystem::syncTogether(const std::vector<AppendFile*>& files) {
   std::vector<std::future<base::Result<void>>> syncs;
+  syncs.reserve(files.size());
   for (AppendFile* file : files) {
     // Without a thread to spare, the sync runs in `get`.
     syncs.push_back(
--- a/src/storage/sync_hook_file_system.cpp
+++ b/src/storage/sync_hook_file_system.cpp
@@ -49,6 +49,7 @@
   base::Result<void> syncTogether(const std::vector<AppendFile*>& files) override {
     hook_();
     std::vector<AppendFile*> inner;
+    inner.reserve(files.size());
     for (AppendFile* file : files) {
       inner.push_back(&static_cast<SyncHookAppendFile*>(file)->inner());
     }
