consensus: the simulated operator asks for the next change before one is committed; a follower's first refusal

Change: ClusterTest's operator asks for further changes of members while the former one is pending, as the registry does; a test says what a follower whose term is not durable answers.

--- a/test/consensus/cluster.h
+++ b/test/consensus/cluster.h
@@ -92,6 +92,7 @@
   void operate();
   bool lostMember(base::ServerId id);
   Membership drawMembership(const Membership& current);
+  bool changeMembership(ClusterServer& leader);
   void addLearner(Membership& membership);
   void drawReplacement(Membership& membership);
   void heal();
--- a/test/consensus/cluster_faults.cpp
+++ b/test/consensus/cluster_faults.cpp
@@ -198,15 +198,24 @@
   if (leader == nullptr) {
     return;
   }
-  const Membership current = leader->raft().status().membership;
-  const Membership next = drawMembership(current);
-  if (next != current && leader->raft().changeMembership(now_, next)) {
-    ++counts_.membershipChanges;
-    counts_.replacements += isJoint(next) ? 1 : 0;
+  while (changeMembership(*leader) && random_.chance(0.5)) {
+    // The next change is asked for before this one can be committed.
   }
   processOutputs(*leader);
 }
 
+/// @return true if a change was drawn and permitted.
+bool Cluster::changeMembership(ClusterServer& leader) {
+  const Membership current = leader.raft().status().membership;
+  const Membership next = drawMembership(current);
+  if (next == current || leader.raft().changeMembership(now_, next).has_error()) {
+    return false;
+  }
+  ++counts_.membershipChanges;
+  counts_.replacements += isJoint(next) ? 1 : 0;
+  return true;
+}
+
 void Cluster::addLearner(Membership& membership) {
   if (servers_.size() < kMaxServers && membership.members.size() <= voters_ + 1) {
     const base::ServerId id = addServer({}).id();
--- a/test/consensus/replication_test.cpp
+++ b/test/consensus/replication_test.cpp
@@ -105,6 +105,26 @@
   CHECK_EQUAL_TEXT(2U, reply.matchIndex, "the entry is not durable");
 }
 
+/// Guards against a server that joins and gets no entries until its term is written, and against a
+/// lease that counts on a term which a crash may undo.
+TEST(FollowerTest, beforeTheTermIsDurableARefusalAsksForEntriesAndConfirmsNothing) {
+  TestServer server(1, makeMembership(3));
+  AppendRequest request = makeAppend(2, {9, 2}, {});
+  request.round = 7;
+  server.raft().receive(server.now(), {base::ServerId{2}, base::ServerId{1}, request});
+  const RaftOutputs outputs = server.raft().takeOutputs();
+  CHECK_TRUE(outputs.persist.hardState == (HardState{2, base::ServerId{}}));
+  CHECK_EQUAL(1U, outputs.messages.size());
+  const auto& reply = std::get<AppendReply>(outputs.messages.front().body);
+  CHECK_FALSE(reply.accepted);
+  CHECK_EQUAL(2U, reply.hintIndex);
+  CHECK_EQUAL(0U, reply.round);
+  server.raft().onPersisted(server.now());
+  CHECK_EQUAL(0U, server.raft().takeOutputs().messages.size());
+  server.receive(2, request);
+  CHECK_EQUAL(7U, server.takeSentBodies<AppendReply>().back().round);
+}
+
 TEST(FollowerTest, refusalsHintWhereToTryNext) {
   struct Case {
     LogPosition previous;
