gateway: memory and descriptors by its own machine; a planned stop refuses what can't end in time

Two faults, in one commit as they meet in the same files.

What callers saw. (1) Workers that send bytes without end took a gateway to 470 MB where its machine has 260 (a third of the host's memory was its limit, and what is held took up to three times what is counted); the process is killed and everybody's requests end with it. (2) In a planned stop, requests that came up to 1.5 s before the end were passed on whatever their time, and cut with no answer where 60 ms were less than a pause of the processor quota.

(1) A limit read from the host instead of from the settings that the platform fills; strings that double; whole bodies copied behind their heads; events of streams and bodies that are being received outside the limit; head fields without a bound on their number; an allocator that keeps large buffers. (2) The end followed constants, not what runs.

(1) memory-mb and max-descriptors, from the template; buffers grow by a quarter and are handed over; events above 20 KiB ask for room like bodies; bodies reserve theirs before they are received, or are refused as not run; at most 1,024 head fields; large buffers go back to the system. At the limit of connections an idle one makes room, or the new one is closed at once. (2) A request is refused as not run as soon as it may still run when the last answers are given: by its time-out and deadline, or by the longest run of its route, which counts twice where it must not be repeated. Requests that wait for quota are refused, too; a new connection is left 0.5 s for its first request before it is closed as idle.

The default of buffer-limit-mb is a quarter of the memory, no longer a third: its test has another name and compares the same two values.

--- a/include/walnut/net/server.h
+++ b/include/walnut/net/server.h
@@ -48,6 +48,13 @@
   virtual ~RequestHandler() = default;
   /// Called when a request has been received whole. The handler may respond at once or later.
   virtual void onRequest(HttpRequest request, ResponseSink& sink) = 0;
+  /// @name Memory of request bodies while these are received
+  /// @{
+  /// @return false if there is no room: the request is refused as not run.
+  virtual bool reserveBody(std::size_t /*bytes*/) { return true; }
+  /// Called before `onRequest`, or when the request will not come.
+  virtual void releaseBody(std::size_t /*bytes*/) {}
+  /// @}
 };
 
 /// Limits on the size of requests and on the time that callers may take to send them and to read
--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -16,13 +16,9 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr std::string_view kMetricsPath = "/metrics";
-/// Until new connections have stopped coming: two readiness calls, a second apart, and some more.
-constexpr base::Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
-/// Requests that come as late as this before the end of the process are refused as not run.
-constexpr base::Duration kRefuseBeforeEnd = std::chrono::milliseconds(1500);
-/// For the last answers to leave.
-constexpr base::Duration kFinalAnswers = std::chrono::milliseconds(60);
 constexpr base::Duration kStopCheckInterval = std::chrono::milliseconds(50);
+/// Between two checks whether the last answers are written.
+constexpr base::Duration kFinalCheckInterval = std::chrono::milliseconds(5);
 
 net::ClientPoolOptions poolOptions() {
   net::ClientPoolOptions options;
@@ -77,6 +73,7 @@
   BOOST_OUTCOME_TRY(front, net::HttpServer::open(dispatcher_, settings_.listen, {}, gateway_));
   front_ = std::move(front);
   front_->setByteCounter(&gateway_.buffers());
+  front_->setMaxConnections(settings_.maxConnections);
   BOOST_OUTCOME_TRY(readiness, net::HttpServer::open(dispatcher_, settings_.readiness, {}, probe_));
   readiness_ = std::move(readiness);
   session_.start();
@@ -145,40 +142,49 @@
              {{"servers", static_cast<std::uint64_t>(settings.session.servers.size())}});
 }
 
-void GatewayHost::beginStop() {
+void GatewayHost::beginStop(base::TimePoint signalledAt) {
   log_.write(
       LogEvent::processStopping,
       {{"reason", "signal"}, {"running", static_cast<std::uint64_t>(gateway_.exchangeCount())}});
-  gateway_.beginStop();
+  stop_ = gateway::StopSchedule(signalledAt, settings_.grace);
+  gateway_.beginStop(stop_.cancelsAt);
   front_->announceClose();
-  stopBeganAt_ = dispatcher_.now();
-  stopDeadline_ = stopBeganAt_ + settings_.stopTimeout;
   checkStopped();
 }
 
 void GatewayHost::checkStopped() {
   const base::TimePoint now = dispatcher_.now();
-  if (now >= stopBeganAt_ + kAcceptAfterStop) {
+  if (now >= stop_.acceptsUntil) {
     gateway_.refuseStreams();
     front_->closeIdle();
   }
-  if (now >= stopDeadline_ - kRefuseBeforeEnd) {
+  if (now >= stop_.refusesFrom) {
     gateway_.refuseAll();
   }
-  const bool settled = now >= stopBeganAt_ + kAcceptAfterStop && gateway_.exchangeCount() == 0 &&
-                       front_->connectionCount() == 0;
-  if (!settled && now >= stopDeadline_ && now < stopDeadline_ + kFinalAnswers) {
+  const bool hadCancelled = hasCancelled_;
+  if (now >= stop_.cancelsAt && !hasCancelled_) {
+    hasCancelled_ = true;
+    log_.write(LogEvent::processStopping,
+               {{"reason", "end of the grace"},
+                {"running", static_cast<std::uint64_t>(gateway_.exchangeCount())}});
+    front_->stopListening();
     gateway_.cancelAll();
-    stopTimer_->enableAt(stopDeadline_ + kFinalAnswers);
-    return;
   }
-  if (settled || now >= stopDeadline_) {
+  if (isStopped(now, hadCancelled)) {
     log_.write(LogEvent::processStopped,
-               {{"cut", static_cast<std::uint64_t>(gateway_.exchangeCount())}});
+               {{"connections", static_cast<std::uint64_t>(front_->connectionCount())}});
     dispatcher_.stop();
     return;
   }
-  stopTimer_->enableAt(now + kStopCheckInterval);
+  stopTimer_->enableAt(now + (hasCancelled_ ? kFinalCheckInterval : kStopCheckInterval));
+}
+
+/// The cancelled requests' answers are written before the next check, also if the loop was held up
+/// until the end.
+bool GatewayHost::isStopped(base::TimePoint now, bool hadCancelled) const {
+  const bool settled =
+      now >= stop_.acceptsUntil && gateway_.exchangeCount() == 0 && front_->connectionCount() == 0;
+  return settled || (hadCancelled && now >= stop_.endsBy);
 }
 
 }  // namespace walnut::daemon
--- a/src/daemon/gateway_host.h
+++ b/src/daemon/gateway_host.h
@@ -10,6 +10,7 @@
 #include "gateway/gateway.h"
 #include "gateway/pooled_launcher.h"
 #include "gateway/registry_follower.h"
+#include "gateway/stop_schedule.h"
 #include "net/http_server.h"
 #include "runtime/output_log.h"
 #include "runtime/prometheus_sink.h"
@@ -18,8 +19,8 @@
 namespace walnut::daemon {
 
 /// Everything but the transport's own thread runs on the event loop. Planned stop: not ready at
-/// once; callers are asked to open other connections; what runs is finished; at the latest before
-/// the end of the grace, the loop stops.
+/// once; callers are asked to open other connections; what may still run at the end is refused; the
+/// loop stops once the last answer is written, at the latest before the end of the grace.
 class GatewayHost : public gateway::RegistryLink {
  public:
   GatewayHost(const GatewaySettings& settings, const gateway::RequestDialect& dialect,
@@ -34,7 +35,8 @@
   const base::Endpoint& frontEndpoint() const { return front_->endpoint(); }
   const base::Endpoint& readinessEndpoint() const { return readiness_->endpoint(); }
 
-  void beginStop();
+  /// @param signalledAt when the grace began.
+  void beginStop(base::TimePoint signalledAt);
   /// Takes what may change while the process runs: the servers of the registry.
   void reload(const GatewaySettings& settings);
 
@@ -57,6 +59,7 @@
   void takeEvent(transport::Event& event);
   void afterView();
   void checkStopped();
+  bool isStopped(base::TimePoint now, bool hadCancelled) const;
 
   const GatewaySettings settings_;
   const gateway::RequestDialect& dialect_;
@@ -71,8 +74,8 @@
   std::unique_ptr<net::HttpServer> front_;
   std::unique_ptr<net::HttpServer> readiness_;
   event::TimerPtr stopTimer_;
-  base::TimePoint stopBeganAt_;
-  base::TimePoint stopDeadline_;
+  gateway::StopSchedule stop_;
+  bool hasCancelled_ = false;
   std::uint64_t limitsVersion_ = 0;
   std::unique_ptr<transport::Transport> transport_;  ///< Last: its thread posts to the loop.
 };
--- a/src/daemon/gateway_program.cpp
+++ b/src/daemon/gateway_program.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <thread>
 
+#include "daemon/allocator.h"
 #include "daemon/gateway_host.h"
 #include "daemon/signal_watcher.h"
 #include "walnut/runtime/clock.h"
@@ -57,6 +58,7 @@
   if (parsed.exitNow) {
     return static_cast<int>(parsed.exitCode);
   }
+  limitRetainedMemory();
   blockWatchedSignals();
   runtime::OutputLog log("walnut-gateway", STDOUT_FILENO);
   auto started = startHost(binder.settings(), dialect, log);
@@ -67,7 +69,10 @@
     return static_cast<int>(ExitCode::unavailable);
   }
   GatewayHost& host = *started.value();
-  watchSignals({[&host] { host.dispatcher().post([&host] { host.beginStop(); }); },
+  watchSignals({[&host] {
+                  host.dispatcher().post(
+                      [&host, signalledAt = runtime::now()] { host.beginStop(signalledAt); });
+                },
                 [&host, argc, argv] {
                   host.dispatcher().post([&host, argc, argv] { reload(host, argc, argv); });
                 }});
--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -21,11 +21,12 @@
 /// memory gets it once half of the limit is free.
 constexpr std::int64_t kMinBufferLimitMb = 16;
 constexpr std::int64_t kMaxBufferLimitMb = 1 << 20;
-constexpr std::int64_t kMemoryPerBufferLimit = 3;
+/// What is counted may exist twice while it is sent on; the rest is for heads and the program.
+constexpr std::int64_t kMemoryPerBufferLimit = 4;
+constexpr std::int64_t kMaxMemoryMb = 1 << 22;
+constexpr std::int64_t kMaxDescriptors = 1 << 24;
 constexpr std::int64_t kMebibyte = 1 << 20;
 /// @}
-/// Before the end of the grace: what is left then would be cut by the kill anyway.
-constexpr base::Duration kGraceMargin = std::chrono::milliseconds(400);
 
 }  // namespace
 
@@ -39,16 +40,15 @@
   return endpoints;
 }
 
-std::int64_t defaultBufferLimitMb() {
-  const std::int64_t pages = ::sysconf(_SC_PHYS_PAGES);
-  const std::int64_t pageBytes = ::sysconf(_SC_PAGESIZE);
-  return std::clamp(pages * pageBytes / kMemoryPerBufferLimit / kMebibyte, kMinBufferLimitMb,
-                    kMaxBufferLimitMb);
+std::int64_t defaultBufferLimitMb(std::int64_t memoryMb) {
+  if (memoryMb == 0) {
+    memoryMb = ::sysconf(_SC_PHYS_PAGES) * ::sysconf(_SC_PAGESIZE) / kMebibyte;
+  }
+  return std::clamp(memoryMb / kMemoryPerBufferLimit, kMinBufferLimitMb, kMaxBufferLimitMb);
 }
 
 GatewaySettingsBinder::GatewaySettingsBinder()
-    : bufferLimitMb_(defaultBufferLimitMb()),
-      keys_("walnut-router gateway", "Routes requests of callers to workers of services.") {
+    : keys_("walnut-router gateway", "Routes requests of callers to workers of services.") {
   keys_.addString("name", settings_.name, "Name of this process in logs");
   keys_.addString("zone", zone_, "Availability zone of this process");
   keys_.addEndpoint("listen", settings_.listen, "Address for callers");
@@ -63,10 +63,15 @@
                 "Repeated arrivals beyond the ratio in 10 s, over all gateways");
   keys_.addMillis("revocation-ms", settings_.logic.revocation, kMinRevocationMillis, kMaxMillis,
                   "From a key being taken away until no gateway lets it through");
-  keys_.addInteger("buffer-limit-mb", bufferLimitMb_, kMinBufferLimitMb, kMaxBufferLimitMb,
-                   "Memory held for slow readers and for bodies, of all callers together");
+  keys_.addInteger("memory-mb", memoryMb_, 0, kMaxMemoryMb,
+                   "Memory that this process may take; 0: that of the host");
+  keys_.addInteger("max-descriptors", maxDescriptors_, 0, kMaxDescriptors,
+                   "Descriptors that this process may open; 0: no limit but the system's");
+  keys_.addInteger("buffer-limit-mb", bufferLimitMb_, 0, kMaxBufferLimitMb,
+                   "Memory held for slow readers and for bodies, of all callers together; 0: a "
+                   "quarter of memory-mb");
   keys_.addInteger("grace-seconds", graceSeconds_, 1, kMaxGraceSeconds,
-                   "Time from SIGTERM to the end of the process");
+                   "Time from SIGTERM until the process is killed");
 }
 
 runtime::Settings::Parsed GatewaySettingsBinder::parse(int argc, char** argv) {
@@ -77,8 +82,18 @@
 base::Result<void> GatewaySettingsBinder::resolve() {
   settings_.logic.selection.zone = {zone_};
   settings_.session.servers = internalEndpoints(seeds_, peerPort_);
-  settings_.logic.bufferLimitBytes = static_cast<std::size_t>(bufferLimitMb_ * kMebibyte);
-  settings_.stopTimeout = std::chrono::seconds(graceSeconds_) - kGraceMargin;
+  if (bufferLimitMb_ != 0 && bufferLimitMb_ < kMinBufferLimitMb) {
+    return base::Error{base::ErrorCode::outOfRange, "buffer-limit-mb",
+                       "at least " + std::to_string(kMinBufferLimitMb)};
+  }
+  const std::int64_t limitMb =
+      bufferLimitMb_ != 0 ? bufferLimitMb_ : defaultBufferLimitMb(memoryMb_);
+  settings_.logic.bufferLimitBytes = static_cast<std::size_t>(limitMb * kMebibyte);
+  if (maxDescriptors_ != 0) {
+    // The rest is for workers, the registry and files.
+    settings_.maxConnections = static_cast<std::size_t>(maxDescriptors_ * 2 / 3);
+  }
+  settings_.grace = std::chrono::seconds(graceSeconds_);
   return base::success();
 }
 
--- a/src/event/output_buffer.h
+++ b/src/event/output_buffer.h
@@ -5,6 +5,9 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
+
+#include "walnut/base/tight_append.h"
 
 namespace walnut::event {
 
@@ -12,7 +15,17 @@
 /// Its memory is released whenever it becomes empty.
 class OutputBuffer {
  public:
-  void append(std::string_view bytes) { buffer_ += bytes; }
+  void append(std::string_view bytes) { base::tightAppend(buffer_, bytes); }
+
+  /// Takes the bytes over without a copy if the buffer is empty.
+  void append(std::string&& bytes) {
+    if (empty()) {
+      buffer_ = std::move(bytes);
+      written_ = 0;
+    } else {
+      append(std::string_view(bytes));
+    }
+  }
 
   /// @return all buffered bytes, oldest first.
   std::string_view front() const { return std::string_view(buffer_).substr(written_); }
@@ -26,7 +39,7 @@
     } else if (written_ > buffer_.size() / 2) {
       // Moving the rest only once more than half is written keeps the total copying linear in the
       // number of bytes sent.
-      buffer_.erase(0, written_);
+      std::string(buffer_, written_).swap(buffer_);
       written_ = 0;
     }
   }
--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "walnut/base/tight_append.h"
+
 namespace walnut::gateway {
 
 namespace {
@@ -55,7 +57,7 @@
 }  // namespace
 
 std::string EventStream::feed(std::string_view bytes) {
-  partial_.append(bytes);
+  base::tightAppend(partial_, bytes);
   std::string whole;
   std::size_t taken = 0;
   while (true) {
@@ -77,7 +79,9 @@
     ++eventCount_;
     whole.append(event);
   }
-  partial_.erase(0, taken);
+  if (taken > 0) {
+    std::string(partial_, taken).swap(partial_);
+  }
   return whole;
 }
 
--- a/src/gateway/event_stream.h
+++ b/src/gateway/event_stream.h
@@ -20,7 +20,7 @@
   /// Skips events up to this id, which the caller already has.
   void skipUpTo(std::uint64_t id) { skipUpTo_ = id; }
   /// Drops an incomplete event.
-  void restart() { partial_.clear(); }
+  void restart() { std::string().swap(partial_); }
 
   /// Bytes of the incomplete event.
   std::size_t partialSize() const { return partial_.size(); }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -75,24 +75,6 @@
   }
 }
 
-void Exchange::stopWaiting() {
-  if (state_ == State::choosing && !headSent_) {
-    failFinally("stopping");
-  }
-}
-
-void Exchange::cancel() {
-  if (state_ == State::attempting) {
-    worker_->breaker.recordNoOutcome(now());
-    dropAttempt();
-    mayHaveRun_ = true;
-    state_ = State::choosing;
-  }
-  if (state_ == State::choosing) {
-    failFinally("stopping");
-  }
-}
-
 void Exchange::choose() {
   if (state_ != State::choosing) {
     return;
@@ -101,7 +83,7 @@
     onDeadline();
     return;
   }
-  if (originSearch_ != 0) {
+  if (originSearch_ != 0 || refuseIfStopComesFirst()) {
     return;
   }
   if (stopIfSuspect()) {
@@ -159,7 +141,7 @@
   respondedAt_.reset();
   hasSurvived_ = false;
   bodyUse_ = BodyUse::discard;
-  body_.clear();
+  isCallerBehind_ = false;
   discardedBytes_ = 0;
   context_.takeShare(worker->view.record.id);
   context_.attemptBegan(*worker, facts_);
@@ -194,6 +176,7 @@
 }
 
 void Exchange::releaseAttempt() {
+  recordRunTime();
   context_.attemptEnded(*worker_, facts_);
   usedConnections_.push_back(attempt_->connection());
   attempt_->release();
@@ -201,6 +184,7 @@
 }
 
 void Exchange::dropAttempt() {
+  recordRunTime();
   context_.attemptEnded(*worker_, facts_);
   if (attempt_ != nullptr) {
     attempt_->cancel();
@@ -266,7 +250,7 @@
 
 void Exchange::recordAttempt(Executed executed, std::string_view reason) {
   logAttemptFailed(executed, reason);
-  events_.restart();
+  dropCollected();
   excluded_.insert(worker_->view.record.id);
   if (executed != Executed::no || isHeadReceived_) {
     ++deliveredAttempts_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -17,6 +17,7 @@
 #include "gateway/late_starts.h"
 #include "gateway/part_quarantine.h"
 #include "gateway/request_quarantine.h"
+#include "gateway/run_times.h"
 #include "gateway/stream_origins.h"
 #include "gateway/worker_selector.h"
 #include "net/client_pool.h"
@@ -163,6 +164,12 @@
   /// @}
   /// @return the memory that is held for all callers.
   virtual BufferBudget& buffers() = 0;
+  /// @name A planned stop of the process
+  /// @{
+  /// @return when requests that still run are cancelled; nothing if no stop is planned.
+  virtual std::optional<base::TimePoint> stopsAt() const = 0;
+  virtual RunTimes& runTimes() = 0;
+  /// @}
   virtual std::uint64_t documentVersion() const = 0;
   /// @return true if the registry's leader receives this gateway's demand reports.
   virtual bool hasLeader() const = 0;
@@ -219,6 +226,8 @@
   /// which a stream is sent to another worker.
   static constexpr base::Duration kStallFloor = std::chrono::milliseconds(900);
   static constexpr std::uint32_t kMaxDeliveredAttempts = 8;
+  /// Maximum size of one event of a stream; an event carries a few tokens.
+  static constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
   enum class State : std::uint8_t { choosing, attempting, ended };
   /// Whether a failed attempt was executed by its worker.
@@ -259,6 +268,9 @@
   bool mayCrashWorker() const;
   void reportCut();
   void reportSuspectAnswered();
+  base::Duration longestRun() const;
+  bool refuseIfStopComesFirst();
+  void recordRunTime();
   bool wouldBeginLate(const Selection& selection) const;
   bool mayStartLate() const;
   bool startsNow(const Selection& selection);
@@ -292,12 +304,14 @@
   void beginHolding();
   void reserveOutput(std::size_t bytes);
   bool mayReadOn();
-  void holdPartialEvent();
+  void makeRoomForEvent();
   void beginCollecting();
   void collect(std::string_view bytes);
   void discard(std::string_view bytes);
   void rejectOverlongAnswer();
-  void makeRoomForBody();
+  void makeRoom(std::size_t size);
+  void resumeReading();
+  void dropCollected();
   void passBodyOn();
   /// @}
   void recordGap(base::Duration pause);
@@ -417,8 +431,10 @@
   BufferBudget::Share requestShare_;
   BufferBudget::Share answerShare_;  ///< A collected body, or an incomplete event.
   std::size_t outputReserve_ = 0;    ///< Committed for output, as last told to the sink.
-  std::size_t expectedBody_ = 0;     ///< Size of the body to be collected, or its upper bound.
+  /// Size of the body or the event to be collected, or its upper bound.
+  std::size_t expectedBody_ = 0;
   bool isBodySizeKnown_ = false;
+  bool isCallerBehind_ = false;  ///< Reading is paused until the caller has read all.
 
   // State of a streaming response.
   bool headSent_ = false;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -21,8 +21,6 @@
 constexpr base::Duration kMissingModelPeriod = std::chrono::milliseconds(500);
 constexpr base::Duration kMissingAdapterPeriod = std::chrono::milliseconds(25);
 constexpr int kStallFactor = 4;
-/// Maximum size of one event of a stream; an event carries a few tokens.
-constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
 }  // namespace
 
@@ -96,12 +94,16 @@
 
 void Exchange::forwardEvents(std::string_view bytes) {
   const std::string whole = events_.feed(bytes);
-  holdPartialEvent();
   if (!whole.empty()) {
     passEventsOn(whole);
   }
-  if (state_ == State::attempting && events_.partialSize() > kMaxEventBytes) {
+  if (state_ != State::attempting) {
+    return;
+  }
+  if (events_.partialSize() > kMaxEventBytes) {
     rejectOverlongAnswer();
+  } else {
+    makeRoomForEvent();
   }
 }
 
@@ -127,6 +129,7 @@
   sink_.writeChunk(whole);
   armStallTimer(std::max(kStallFloor, kStallFactor * route_.targetGap));
   if (!mayReadOn()) {
+    isCallerBehind_ = true;
     attempt_->setReading(false);
     stallTimer_->disable();
   }
@@ -145,7 +148,8 @@
 void Exchange::onCallerDrained() {
   if (state_ == State::attempting && attempt_ != nullptr) {
     reserveOutput(events_.partialSize() + BufferBudget::kReadReserve);
-    attempt_->setReading(true);
+    isCallerBehind_ = false;
+    resumeReading();
   }
 }
 
--- a/src/gateway/exchange_buffers.cpp
+++ b/src/gateway/exchange_buffers.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gateway/exchange.h"
+#include "walnut/base/tight_append.h"
 
 namespace walnut::gateway {
 
@@ -47,11 +48,22 @@
   return true;
 }
 
-/// Counts the incomplete event that is held back. What fits into the reserve of a read is committed
-/// with the output.
-void Exchange::holdPartialEvent() {
+/// Commits the memory for the next read of an incomplete event that is held back. What fits into
+/// the reserve of a read is committed with the output.
+void Exchange::makeRoomForEvent() {
   const std::size_t partial = events_.partialSize();
-  answerShare_.set({partial, partial - std::min(partial, kReadReserve)});
+  if (partial <= kReadReserve) {
+    const bool wasWaiting = answerShare_.isWaiting();
+    answerShare_.clear();
+    answerShare_.set({partial, 0});
+    if (wasWaiting) {
+      resumeReading();
+    }
+  } else {
+    expectedBody_ = kMaxEventBytes + kReadReserve;
+    isBodySizeKnown_ = false;
+    makeRoom(partial);
+  }
 }
 
 void Exchange::beginCollecting() {
@@ -61,7 +73,7 @@
       length.value_or(std::numeric_limits<std::uint64_t>::max()), kMaxBufferedBody));
   isBodySizeKnown_ = length.has_value();
   if (isBodySizeKnown_) {
-    makeRoomForBody();
+    makeRoom(0);
   }
 }
 
@@ -70,8 +82,8 @@
     rejectOverlongAnswer();
     return;
   }
-  body_.append(bytes);
-  makeRoomForBody();
+  base::tightAppend(body_, bytes);
+  makeRoom(body_.size());
 }
 
 /// Reads a body that is not passed on, so that its connection may be reused.
@@ -89,16 +101,15 @@
   stallTimer_->disable();
   context_.attemptFailed(*worker_);
   recordFailure();
-  answerShare_.clear();
   dropAttempt();
   attemptEnded(executed, "the answer is too long");
 }
 
-/// Commits the memory for the next read of the body. Up to half of the limit, a body of unknown
-/// size takes memory as it grows. Beyond it, the memory of the whole body is committed: if many had
-/// part of theirs, none could be completed. The reading waits until there is that much room.
-void Exchange::makeRoomForBody() {
-  const std::size_t size = body_.size();
+/// Commits the memory for the next read of a body or an event of which `size` bytes are held. Up to
+/// half of the limit, one of unknown size takes memory as it grows. Beyond it, the memory of the
+/// whole is committed: if many had part of theirs, none could be completed. The reading waits until
+/// there is that much room.
+void Exchange::makeRoom(std::size_t size) {
   const std::size_t present = answerShare_.count().committed;
   if (!answerShare_.isWaiting() && present < expectedBody_) {
     const std::size_t step = std::min(size + kReadReserve, expectedBody_);
@@ -106,13 +117,9 @@
       answerShare_.set({size, std::max(present, step)});
       return;
     }
-    const auto readOn = [this] {
-      if (state_ == State::attempting && attempt_ != nullptr) {
-        attempt_->setReading(true);
-      }
-    };
-    if (!answerShare_.requestRoom(expectedBody_, readOn)) {
+    if (!answerShare_.requestRoom(expectedBody_, [this] { resumeReading(); })) {
       attempt_->setReading(false);
+      stallTimer_->disable();
     }
   }
   // What has come with the read before the pause is within the reserve of the output.
@@ -120,6 +127,21 @@
   answerShare_.set({size, std::max(answerShare_.count().committed, beyondReserve)});
 }
 
+/// Reads on from the worker once neither the caller nor the memory holds that up.
+void Exchange::resumeReading() {
+  if (state_ == State::attempting && attempt_ != nullptr && !answerShare_.isWaiting() &&
+      !isCallerBehind_) {
+    attempt_->setReading(true);
+  }
+}
+
+/// Releases what was collected of an answer that is not passed on.
+void Exchange::dropCollected() {
+  events_.restart();
+  std::string().swap(body_);
+  answerShare_.clear();
+}
+
 void Exchange::passBodyOn() {
   answerShare_.clear();
   respondWith(std::move(head_), std::move(body_));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -276,7 +276,7 @@
 }
 
 bool Gateway::ready() const {
-  return isPrepared() && !stopping_ && (!document_->keyed || lease_.valid(scheduler_.readClock()));
+  return isPrepared() && !stopsAt_ && (!document_->keyed || lease_.valid(scheduler_.readClock()));
 }
 
 void Gateway::refuseAll() {
@@ -288,6 +288,7 @@
     early.sink->setGoneCallback(nullptr);
     refuse(*early.sink, dialect_.readRequest(early.request).requestId, kUnavailable, "stopping");
   }
+  reviewQuota();
 }
 
 void Gateway::cancelAll() { forEachExchange(&Exchange::cancel); }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,7 +92,8 @@
 
   /// @return true if requests can be admitted and the gateway is not shutting down.
   bool ready() const;
-  void beginStop() { stopping_ = true; }
+  /// Refuses from now on what may still run at `stopsAt`, and says that it is not ready.
+  void beginStop(base::TimePoint stopsAt) { stopsAt_ = stopsAt; }
   /// Refuses new streams from now on: the process may shut down before they are complete.
   void refuseStreams() { refusingStreams_ = true; }
   /// Refuses every request from now on, also those that wait for a worker: the process is about to
@@ -110,6 +111,8 @@
 
   // net::RequestHandler
   void onRequest(net::HttpRequest request, net::ResponseSink& sink) override;
+  bool reserveBody(std::size_t bytes) override;
+  void releaseBody(std::size_t bytes) override;
 
   // ExchangeContext
   event::Scheduler& scheduler() override { return scheduler_; }
@@ -161,6 +164,8 @@
   BufferBudget& buffers() override { return buffers_; }
   StreamOrigins& streamOrigins() override { return streamOrigins_; }
   bool isRecordCurrent(const Worker& worker) const override;
+  std::optional<base::TimePoint> stopsAt() const override { return stopsAt_; }
+  RunTimes& runTimes() override { return runTimes_; }
   std::uint64_t documentVersion() const override;
   bool hasLeader() const override { return session_.following(); }
   void exchangeEnded(Exchange& exchange, int status) override;
@@ -337,7 +342,8 @@
   std::uint64_t lastExchange_ = 0;
   std::list<EarlyRequest> early_;
   event::TimerPtr earlyTimer_;
-  bool stopping_ = false;
+  std::optional<base::TimePoint> stopsAt_;
+  RunTimes runTimes_;
   bool refusingStreams_ = false;
   bool refusingAll_ = false;
 };
--- a/src/gateway/gateway_admission.cpp
+++ b/src/gateway/gateway_admission.cpp
@@ -324,7 +324,8 @@
 }
 
 /// Refuses requests that have waited too long, because there is no leader or the leader does not
-/// answer. The refusal is 503, not 429: the tenant is not known to exceed its quota.
+/// answer, and all once the process is about to stop. The refusal is 503, not 429: the tenant is
+/// not known to exceed its quota.
 void Gateway::reviewQuota() {
   quotaReviewAt_.reset();
   const base::TimePoint now = scheduler_.now();
@@ -339,7 +340,7 @@
       if (!answering) {
         extendWait(*entry);
       }
-      if (now < entry->until) {
+      if (now < entry->until && !refusingAll_) {
         ++entry;
         continue;
       }
@@ -353,7 +354,8 @@
   std::erase_if(pendingRequests_, [](const auto& entry) { return entry.second.empty(); });
   for (const PendingRequest& pending : late) {
     countLeaderlessWait(pending, "refused");
-    refuse(*pending.sink, pending.facts.requestId, kUnavailable, "quota is not confirmed",
+    refuse(*pending.sink, pending.facts.requestId, kUnavailable,
+           refusingAll_ ? "stopping" : "quota is not confirmed",
            answering ? kRetryAfterUnconfirmed : timeToNextLeader(contact, now),
            pending.facts.tenant);
   }
--- a/src/gateway/gateway_buffers.cpp
+++ b/src/gateway/gateway_buffers.cpp
@@ -52,6 +52,24 @@
   return true;
 }
 
+/// Leaves half of the limit to requests that run: bodies may be received for as long as their
+/// callers like.
+bool Gateway::reserveBody(std::size_t bytes) {
+  if (!buffers_.fitsInHalf(bytes)) {
+    metrics_.count("walnut_gateway_refused_buffers_total", "body");
+    log_.write(LogEvent::requestRefused, {{"status", std::uint64_t{kUnavailable}},
+                                          {"reason", "no room for the body"},
+                                          {"bytes", std::uint64_t{bytes}},
+                                          {"committed", std::uint64_t{buffers_.committed()}},
+                                          {"limit", std::uint64_t{buffers_.limit()}}});
+    return false;
+  }
+  buffers_.countChanged({}, {bytes, bytes});
+  return true;
+}
+
+void Gateway::releaseBody(std::size_t bytes) { buffers_.countChanged({bytes, bytes}, {}); }
+
 void Gateway::reviewBufferLimit() {
   if (buffersFull_ &&
       buffers_.committed() <= buffers_.limit() / kLeftDenominator * kLeftNumerator) {
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -59,7 +59,10 @@
   if (request.method == "HEAD") {
     parser_.expectNoBody();
   }
-  connection_.write(encodeRequestHead(request) + request.body);
+  std::string bytes = encodeRequestHead(request);
+  bytes.reserve(bytes.size() + request.body.size());
+  bytes += request.body;
+  connection_.writeOwned(std::move(bytes));
 }
 
 void ClientConnection::cancel() {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -83,6 +83,17 @@
   updateCount();
 }
 
+void Connection::writeOwned(std::string bytes) {
+  if (state_ == State::closed) {
+    return;
+  }
+  output_.append(std::move(bytes));
+  if (state_ == State::open) {
+    flush();
+  }
+  updateCount();
+}
+
 void Connection::reserveOutput(std::size_t bytes) {
   reservedOutput_ = bytes;
   updateCount();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -49,6 +49,8 @@
 
   /// Buffers the bytes and writes as many as the socket accepts.
   void write(std::string_view bytes);
+  /// The same for a large buffer, which is not copied if nothing else is buffered.
+  void writeOwned(std::string bytes);
   /// Closes at once; output that the socket has not yet accepted is lost.
   void close();
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -15,11 +16,15 @@
                                              [accepting](const Poco::Net::StreamSocket& socket) {
                                                accepting->accept(socket);
                                              }));
+  server->endpoint_ = listener->endpoint();
   server->listener_ = std::move(listener);
   return server;
 }
 
 void HttpServer::accept(const Poco::Net::StreamSocket& socket) {
+  if (connections_.size() >= maxConnections_ && !closeOneIdle()) {
+    return;  // The socket is closed with its last owner.
+  }
   auto connection =
       std::make_unique<ServerConnection>(dispatcher_, socket, limits_, handler_,
                                          [this](ServerConnection& closed) { release(closed); });
@@ -33,6 +38,17 @@
   connections_.emplace(key, std::move(connection));
 }
 
+/// @return false if no connection is idle.
+bool HttpServer::closeOneIdle() {
+  const auto idle = std::find_if(connections_.begin(), connections_.end(),
+                                 [](const auto& entry) { return entry.second->mayClose(); });
+  if (idle == connections_.end()) {
+    return false;
+  }
+  idle->second->closeWhenIdle();
+  return true;
+}
+
 void HttpServer::release(ServerConnection& connection) {
   const auto found = connections_.find(&connection);
   if (found != connections_.end()) {
@@ -48,6 +64,8 @@
   }
 }
 
+void HttpServer::stopListening() { listener_.reset(); }
+
 void HttpServer::closeIdle() {
   std::vector<ServerConnection*> all;
   for (const auto& [key, connection] : connections_) {
--- a/src/net/message_parser.cpp
+++ b/src/net/message_parser.cpp
@@ -22,6 +22,9 @@
 
 constexpr int kContinue = 0;
 constexpr int kSkipBody = 1;
+constexpr int kStop = -1;
+/// Each field takes memory beyond its bytes.
+constexpr std::size_t kMaxHeadFields = 1024;
 
 }  // namespace
 
@@ -44,6 +47,10 @@
     MessageParser& owner = self(parser);
     if (owner.valueSeen_) {
       owner.flushHeader();
+      if (owner.head_.headers.all().size() >= kMaxHeadFields) {
+        owner.tooManyFields_ = true;
+        return kStop;
+      }
     }
     owner.headerName_.append(data, size);
     return kContinue;
@@ -117,6 +124,7 @@
   started_ = false;
   headDone_ = false;
   complete_ = false;
+  tooManyFields_ = false;
   headBytes_ = 0;
 }
 
@@ -145,6 +153,10 @@
   if (!headWasDone && !headDone_) {
     headBytes_ += bytes.size();
   }
+  if (tooManyFields_) {
+    return Error{ErrorCode::inputTooLarge, "head",
+                 "over " + std::to_string(kMaxHeadFields) + " fields"};
+  }
   if (failure == HPE_HEADER_OVERFLOW || headBytes_ > maxHeadBytes_) {
     return Error{ErrorCode::inputTooLarge, "head",
                  "over " + std::to_string(maxHeadBytes_) + " bytes"};
--- a/src/net/message_parser.h
+++ b/src/net/message_parser.h
@@ -75,6 +75,7 @@
   bool started_ = false;
   bool headDone_ = false;
   bool complete_ = false;
+  bool tooManyFields_ = false;
   std::size_t headBytes_ = 0;
 };
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "walnut/base/tight_append.h"
+
 namespace walnut::net {
 
 namespace {
@@ -15,6 +17,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
+constexpr int kUnavailable = 503;
 /// Bytes of further requests that are buffered while one is handled; beyond that, reading pauses.
 constexpr std::size_t kMaxPending = 64U << 10U;
 /// Longest time to wait, after a request was rejected, for what the caller is still sending:
@@ -22,6 +25,15 @@
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(1);
 /// Time to read on after a time-out that finds unread bytes.
 constexpr base::Duration kUnreadTimeout = std::chrono::milliseconds(200);
+/// Larger bodies are written by a call of their own rather than copied behind the head.
+constexpr std::size_t kMaxCopiedBody = 16U << 10U;
+/// Bodies up to this size are received without asking for room.
+constexpr std::size_t kUnreservedBody = 16U << 10U;
+/// Room that a body of unknown length takes at a time.
+constexpr std::size_t kBodyStep = 256U << 10U;
+/// Until the first request of a new connection has come, if the server closes idle ones.
+constexpr base::Duration kFirstRequestTime = std::chrono::milliseconds(500);
+constexpr std::string_view kRetryAfterNoRoom = "1";
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::int64_t wholeSeconds(base::Duration duration) {
@@ -38,6 +50,7 @@
       limits_(limits),
       handler_(handler),
       onClosed_(std::move(onClosed)),
+      openedAt_(dispatcher.now()),
       connection_(dispatcher, socket, *this),
       parser_(MessageParser::Kind::request, limits.maxHeadBytes, *this),
       timer_(dispatcher.createTimer([this] { onTimeout(); })) {
@@ -50,8 +63,13 @@
   closeIfIdle();
 }
 
+bool ServerConnection::mayClose() const {
+  const bool expectsFirst = !hasBegunRequest_ && dispatcher_.now() < openedAt_ + kFirstRequestTime;
+  return idle() && !expectsFirst && connection_.bufferedBytes() == 0 && !connection_.hasUnread();
+}
+
 void ServerConnection::closeIfIdle() {
-  if (closeWhenIdle_ && idle() && connection_.bufferedBytes() == 0 && !connection_.hasUnread()) {
+  if (closeWhenIdle_ && mayClose()) {
     connection_.close();
     becomeClosed();
   }
@@ -128,6 +146,7 @@
   while (!pending_.empty() && (state_ == State::idle || state_ == State::reading) && !refused_) {
     if (state_ == State::idle) {
       state_ = State::reading;
+      hasBegunRequest_ = true;
       request_ = {};
       armTimer();
     }
@@ -150,6 +169,10 @@
   request_.target = std::move(head.target);
   request_.headers = std::move(head.headers);
   headRequest_ = request_.method == "HEAD";
+  const std::uint64_t length = request_.headers.findNumber("Content-Length").value_or(0);
+  if (length <= limits_.maxBodyBytes && !reserveBody(static_cast<std::size_t>(length))) {
+    return;
+  }
   const std::string* expect = request_.headers.find("Expect");
   if (expect != nullptr) {
     connection_.write(kContinueResponse);
@@ -166,7 +189,32 @@
     refuse(kContentTooLarge);
     return;
   }
-  request_.body.append(bytes);
+  const std::size_t size = request_.body.size() + bytes.size();
+  const bool hasRoom = size <= std::max(kUnreservedBody, reservedBody_) ||
+                       reserveBody(std::max(size, reservedBody_ + kBodyStep));
+  if (hasRoom) {
+    base::tightAppend(request_.body, bytes);
+  }
+}
+
+/// Reserves the memory of the body that is being received, or refuses the request as not run.
+/// @return false if it was refused.
+bool ServerConnection::reserveBody(std::size_t bytes) {
+  if (bytes <= std::max(kUnreservedBody, reservedBody_)) {
+    return true;
+  }
+  if (!handler_.reserveBody(bytes - reservedBody_)) {
+    refuse(kUnavailable);
+    return false;
+  }
+  reservedBody_ = bytes;
+  return true;
+}
+
+void ServerConnection::releaseBody() {
+  if (reservedBody_ > 0) {
+    handler_.releaseBody(std::exchange(reservedBody_, 0));
+  }
 }
 
 void ServerConnection::onComplete() {
@@ -175,14 +223,20 @@
   }
   state_ = State::handling;
   armTimer();
+  releaseBody();
   handler_.onRequest(std::move(request_), *this);
 }
 
 void ServerConnection::refuse(int status) {
   refused_ = true;
   announceClose_ = true;
+  releaseBody();
+  request_.body = {};
   HttpResponse response;
   response.head.status = status;
+  if (status == kUnavailable) {
+    response.head.headers.add("Retry-After", std::string(kRetryAfterNoRoom));
+  }
   state_ = State::handling;
   respond(std::move(response));
 }
@@ -202,10 +256,14 @@
   finishHead(response.head);
   response.head.headers.set("Content-Length", std::to_string(response.body.size()));
   std::string bytes = encodeResponseHead(response.head);
-  if (!headRequest_) {
+  if (!headRequest_ && response.body.size() <= kMaxCopiedBody) {
     bytes += response.body;
+    response.body.clear();
+  }
+  connection_.writeOwned(std::move(bytes));
+  if (!headRequest_ && !response.body.empty()) {
+    connection_.writeOwned(std::move(response.body));
   }
-  connection_.write(bytes);
   finishAnswer();
 }
 
@@ -308,6 +366,7 @@
   }
   state_ = State::closed;
   timer_->disable();
+  releaseBody();
   onClosed_(*this);
 }
 
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -32,6 +32,8 @@
   void announceClose() { announceClose_ = true; }
   /// Counts the output that the caller has not read.
   void countOutput(ByteCounter& counter) { connection_.countOutput(counter); }
+  /// @return true if `closeWhenIdle` would close it now.
+  bool mayClose() const;
   bool idle() const { return state_ == State::idle && pending_.empty(); }
 
   // ResponseSink
@@ -61,6 +63,8 @@
   void onComplete() override;
 
   void parsePending();
+  bool reserveBody(std::size_t bytes);
+  void releaseBody();
   void refuse(int status);
   void finishAnswer();
   void beginClosing();
@@ -79,12 +83,15 @@
   const ServerLimits& limits_;
   RequestHandler& handler_;
   const ClosedCallback onClosed_;
+  const base::TimePoint openedAt_;
+  bool hasBegunRequest_ = false;
   Connection connection_;
   MessageParser parser_;
   event::TimerPtr timer_;
   State state_ = State::idle;
   HttpRequest request_;
-  std::string pending_;  ///< Received bytes that are not parsed yet.
+  std::string pending_;           ///< Received bytes that are not parsed yet.
+  std::size_t reservedBody_ = 0;  ///< Memory that the handler has reserved for `request_.body`.
   base::TimePoint idleSince_;
   base::Duration announcedIdleTimeout_{0};  ///< As the last answer's head said.
   std::size_t unsent_ = 0;                  ///< Buffered output when the timer was last armed.
--- a/test/daemon/gateway_path_test.cpp
+++ b/test/daemon/gateway_path_test.cpp
@@ -18,6 +18,7 @@
 #include "platform/request_dialect.h"
 #include "platform/worker_dialect.h"
 #include "walnut/factories.h"
+#include "walnut/runtime/clock.h"
 
 // Last: it redefines new.
 #include <CppUTest/TestHarness.h>
@@ -112,7 +113,7 @@
   void startGateway() {
     GatewaySettings settings;
     settings.session.servers = {registry->peerEndpoint()};
-    settings.stopTimeout = 20s;
+    settings.grace = 20s;
     gateway = std::make_unique<GatewayHost>(settings, requests, gatewayLog);
     CHECK_TRUE(gateway->start().has_value());
     gatewayThread = std::thread([this] { gateway->run(); });
@@ -303,7 +304,7 @@
 
 TEST(GatewayPathTest, aStoppingGatewayIsNotReadyAndEnds) {
   declareAndRegister();
-  gateway->dispatcher().post([this] { gateway->beginStop(); });
+  gateway->dispatcher().post([this] { gateway->beginStop(runtime::now()); });
   int status = 200;
   for (int round = 0; round < 400 && status == 200; ++round) {
     status =
--- a/test/daemon/gateway_settings_test.cpp
+++ b/test/daemon/gateway_settings_test.cpp
@@ -26,13 +26,20 @@
   CHECK_EQUAL(40U << 20U, binder.settings().logic.bufferLimitBytes);
 }
 
-TEST(GatewaySettingsTest, theBufferLimitIsAThirdOfTheMachinesMemoryByDefault) {
+TEST(GatewaySettingsTest, theBufferLimitIsAQuarterOfTheHostsMemoryByDefault) {
   GatewaySettingsBinder binder;
   CHECK_FALSE(parse(binder, "--name=g").exitNow);
   CHECK_EQUAL(static_cast<std::size_t>(defaultBufferLimitMb()) << 20U,
               binder.settings().logic.bufferLimitBytes);
 }
 
+/// Guards against a process that takes the host's memory for that of its own, smaller machine.
+TEST(GatewaySettingsTest, theBufferLimitIsAQuarterOfTheMemoryThatIsGiven) {
+  GatewaySettingsBinder binder;
+  CHECK_FALSE(parse(binder, "--memory-mb=260").exitNow);
+  CHECK_EQUAL(65U << 20U, binder.settings().logic.bufferLimitBytes);
+}
+
 /// Guards against a start with a limit that no collected response fits into.
 TEST(GatewaySettingsTest, aBufferLimitOutOfRangeEndsTheStart) {
   for (const char* flag : {"--buffer-limit-mb=15", "--buffer-limit-mb=1048577"}) {
--- a/test/gateway/buffer_budget_test.cpp
+++ b/test/gateway/buffer_budget_test.cpp
@@ -198,3 +198,51 @@
   CHECK(buffers().peakCommitted() <= buffers().limit());
   CHECK_EQUAL(0, buffers().committed());
 }
+
+/// Guards against events without end, of which many workers' parts exceed the memory together.
+TEST(GatewayBuffersTest, eventsWithoutEndStayWithinTheLimit) {
+  std::vector<std::unique_ptr<Caller>> callers;
+  constexpr int kCallers = 60;
+  for (int number = 0; number < kCallers; ++number) {
+    callers.push_back(request("bound", "r" + std::to_string(number), 1));
+  }
+  const auto sent = harness.launcher.sent;
+  for (std::size_t number = 0; number < sent.size(); ++number) {
+    harness.head(*sent[number], 200, "r" + std::to_string(number), true);
+  }
+  const std::string piece(16 * kKib, 'y');
+  bool moves = true;
+  while (moves) {
+    moves = false;
+    for (const auto& each : sent) {
+      if (!each->cancelled && each->reading) {
+        moves = true;
+        each->callbacks->onResponseBody(piece);
+        harness.scheduler.settle();
+      }
+    }
+  }
+  CHECK(buffers().peakCommitted() <= buffers().limit());
+  for (const auto& caller : callers) {
+    CHECK_EQUAL(502, caller->status);
+  }
+  CHECK_EQUAL(0, buffers().committed());
+}
+
+/// Guards against a stream that is not read on after its event has waited for memory.
+TEST(GatewayBuffersTest, aStreamGoesOnOnceThereIsRoomForItsEvent) {
+  const auto caller = request("stream", "r1", 1);
+  const auto sent = harness.launcher.sent.back();
+  harness.head(*sent, 200, "r1", true);
+  BufferBudget::Share others{buffers()};
+  others.set({15 * kMib, 15 * kMib + 900 * kKib});
+  sent->callbacks->onResponseBody("data: " + std::string(100 * kKib, 'y'));
+  CHECK_FALSE(sent->reading);
+  others.clear();
+  harness.scheduler.settle();
+  CHECK_TRUE(sent->reading);
+  sent->callbacks->onResponseBody("\n\n");
+  sent->callbacks->onResponseComplete();
+  CHECK_TRUE(caller->complete);
+  CHECK_EQUAL(100 * kKib + 8, caller->body.size());
+}
--- a/test/net/message_parser_test.cpp
+++ b/test/net/message_parser_test.cpp
@@ -81,6 +81,18 @@
   CHECK_TRUE(outcome.error().code == base::ErrorCode::inputTooLarge);
 }
 
+/// Guards against fields of a few bytes each, which take far more memory than their bytes.
+TEST(MessageParserTest, aHeadOfTooManyFieldsIsRefused) {
+  MessageParser parser(MessageParser::Kind::response, 64U << 10U, collected);
+  std::string text = "HTTP/1.1 200 OK\r\n";
+  for (int field = 0; field < 2000; ++field) {
+    text += "a: b\r\n";
+  }
+  const auto outcome = feedAll(parser, text, 100);
+  CHECK_TRUE(outcome.has_error());
+  CHECK_TRUE(outcome.error().code == base::ErrorCode::inputTooLarge);
+}
+
 TEST(MessageParserTest, aResponseWithoutLengthEndsWithItsConnection) {
   MessageParser parser(MessageParser::Kind::response, kMaxHead, collected);
   CHECK_TRUE(feedAll(parser, "HTTP/1.1 200 OK\r\n\r\nabc", 7).has_value());
--- a/test/net/server_connection_test.cpp
+++ b/test/net/server_connection_test.cpp
@@ -23,6 +23,15 @@
 
 struct FunctionHandler : RequestHandler {
   std::function<void(HttpRequest, ResponseSink&)> handle;
+  std::size_t room = 64U << 20U;  ///< For bodies that are being received.
+  std::size_t reserved = 0;
+
+  bool reserveBody(std::size_t bytes) override {
+    const bool fits = reserved + bytes <= room;
+    reserved += fits ? bytes : 0;
+    return fits;
+  }
+  void releaseBody(std::size_t bytes) override { reserved -= bytes; }
   void onRequest(HttpRequest request, ResponseSink& sink) override {
     handle(std::move(request), sink);
   }
@@ -258,3 +267,101 @@
   CHECK_TRUE(ended);
   CHECK_TRUE(runtime::now() < start + 1s);
 }
+
+/// Guards against a stopping process that closes a connection before its first request has come.
+TEST(ServerConnectionTest, aNewConnectionIsLeftTimeForItsFirstRequest) {
+  handler.handle = [](HttpRequest, ResponseSink& sink) { sink.respond(textResponse("answer")); };
+  begin(10s);
+  runFor(50ms);
+  server->closeIdle();
+  runFor(50ms);
+  send(requestText(""));
+  readUntil([this] { return ended; });
+  CHECK_TRUE(received.find("answer") != std::string::npos);
+  connect();
+  const base::TimePoint start = runtime::now();
+  while (!ended && runtime::now() < start + 5s) {
+    server->closeIdle();
+    runFor(10ms);
+    read(kLargeBody);
+  }
+  CHECK_TRUE(ended);
+}
+
+TEST(ServerConnectionTest, aServerThatStopsListeningRefusesNewConnections) {
+  begin(10s);
+  server->stopListening();
+  CHECK_THROWS(Poco::Exception, connect());
+}
+
+/// Guards against uploads that take a process beyond its memory while they are received.
+TEST(ServerConnectionTest, aBodyWithoutRoomIsRefusedBeforeItIsReceived) {
+  handler.room = 100'000;
+  begin(10s);
+  send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n");
+  readUntil([this] { return received.find("\r\n\r\n") != std::string::npos; });
+  CHECK_TRUE(received.find(" 503 ") != std::string::npos);
+  CHECK_TRUE(received.find("Retry-After: 1") != std::string::npos);
+  readUntil([this] { return ended; });
+  CHECK_EQUAL(0, handler.reserved);
+}
+
+TEST(ServerConnectionTest, aChunkedBodyTakesRoomAsItGrows) {
+  handler.room = 300'000;
+  begin(10s);
+  send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string chunk = "8000\r\n" + std::string(0x8000, 'b') + "\r\n";
+  const base::TimePoint start = runtime::now();
+  while (received.find(" 503 ") == std::string::npos && runtime::now() < start + 5s) {
+    CHECK(handler.reserved <= handler.room);
+    send(chunk);
+    runFor(5ms);
+    read(kLargeBody);
+  }
+  CHECK_TRUE(received.find(" 503 ") != std::string::npos);
+  readUntil([this] { return ended; });
+  CHECK_EQUAL(0, handler.reserved);
+}
+
+TEST(ServerConnectionTest, theRoomOfABodyIsReleasedWhenItIsHandedOverOrItsCallerLeaves) {
+  std::size_t reservedThen = 1;
+  handler.handle = [this, &reservedThen](HttpRequest, ResponseSink& sink) {
+    reservedThen = handler.reserved;
+    sink.respond(textResponse("answer"));
+  };
+  begin(10s);
+  send(requestText(std::string(100'000, 'b')));
+  readUntil([this] { return received.find("answer") != std::string::npos; });
+  CHECK_EQUAL(0, reservedThen);
+  send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\nbegin");
+  runFor(50ms);
+  CHECK_EQUAL(200'000, handler.reserved);
+  caller.close();
+  runFor(50ms);
+  CHECK_EQUAL(0, handler.reserved);
+}
+
+/// Guards against callers that leave a process no descriptor for its workers.
+TEST(ServerConnectionTest, atTheLimitAnIdleConnectionMakesRoomOrTheNewOneIsClosed) {
+  ResponseSink* running = nullptr;
+  handler.handle = [&running](HttpRequest request, ResponseSink& sink) {
+    if (request.body == "runs") {
+      running = &sink;
+    } else {
+      sink.respond(textResponse("answer"));
+    }
+  };
+  begin(10s);
+  server->setMaxConnections(1);
+  send(requestText(""));
+  readUntil([this] { return received.find("answer") != std::string::npos; });
+  const Poco::Net::StreamSocket idle = caller;
+  connect();
+  send(requestText("runs"));
+  readUntil([&running] { return running != nullptr; });
+  CHECK_EQUAL(1, server->connectionCount());
+  const Poco::Net::StreamSocket busy = caller;
+  connect();
+  readUntil([this] { return ended; });
+  CHECK_EQUAL(1, server->connectionCount());
+}
