gateway: answers without end leave room to requests at sound workers

Change: collected answers take three quarters of the limit at most, and grow by up to a quarter of it before each has to get the memory of the whole; while some wait, requests are admitted to the rest. The test that none is admitted in that case stays (the requests there hold more than their part).

--- a/src/gateway/buffer_budget.cpp
+++ b/src/gateway/buffer_budget.cpp
@@ -9,6 +9,7 @@
   if (this != &other) {
     clear();
     budget_ = std::exchange(other.budget_, nullptr);
+    use_ = other.use_;
     count_ = std::exchange(other.count_, {});
   }
   return *this;
@@ -16,7 +17,11 @@
 
 void BufferBudget::Share::set(const net::ByteCount& count) {
   if (budget_ != nullptr && count != count_) {
-    budget_->countChanged(std::exchange(count_, count), count);
+    const net::ByteCount before = std::exchange(count_, count);
+    if (use_ == Use::answers) {
+      budget_->answers_ = budget_->answers_ - before.committed + count.committed;
+    }
+    budget_->countChanged(before, count);
   }
 }
 
@@ -57,7 +62,9 @@
 
 bool BufferBudget::giveRoom(Share& share, std::size_t committed) {
   const std::size_t present = share.count_.committed;
-  if (committed > present && !fits(committed - present)) {
+  const std::size_t more = committed - std::min(present, committed);
+  const bool isAnswer = share.use_ == Use::answers;
+  if (more > 0 && (!fits(more) || (isAnswer && answers_ + more > answersLimit()))) {
     return false;
   }
   share.set({share.count_.held, std::max(present, committed)});
--- a/src/gateway/buffer_budget.h
+++ b/src/gateway/buffer_budget.h
@@ -3,6 +3,7 @@
 /// Bounds the memory that a gateway holds for all its callers together.
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <list>
@@ -28,11 +29,15 @@
   BufferBudget(const BufferBudget&) = delete;
   BufferBudget& operator=(const BufferBudget&) = delete;
 
+  /// What the memory is for. Answers that are collected never take all: workers may send without
+  /// end, and requests to others go on meanwhile.
+  enum class Use : std::uint8_t { requests, answers };
+
   /// Memory of one holder, which is released with it.
   class Share {
    public:
     Share() = default;
-    explicit Share(BufferBudget& budget) : budget_(&budget) {}
+    explicit Share(BufferBudget& budget, Use use = Use::requests) : budget_(&budget), use_(use) {}
     Share(Share&& other) noexcept { *this = std::move(other); }
     Share& operator=(Share&& other) noexcept;
     Share(const Share&) = delete;
@@ -55,6 +60,7 @@
    private:
     friend class BufferBudget;
     BufferBudget* budget_ = nullptr;
+    Use use_ = Use::requests;
     net::ByteCount count_;
     bool isWaiting_ = false;
   };
@@ -72,10 +78,17 @@
   bool fits(std::size_t bytes) const { return committed_ + bytes <= limit_; }
   /// @return true if so many bytes more would leave half of the limit free.
   bool fitsInHalf(std::size_t bytes) const { return committed_ + bytes <= limit_ / 2; }
-  /// @return true if a new request with a body of this size may be taken. While a response that has
-  /// begun waits for room, none is: new requests would take the room from it for ever.
+  /// @return true if an answer whose size is not known may grow by so many bytes. The rest is left
+  /// to answers that get the memory of the whole at once.
+  bool letsGrow(std::size_t bytes) const {
+    return answers_ + bytes <= answersLimit() / 3 && fits(bytes);
+  }
+  /// @return true if a new request with a body of this size may be taken. While an answer waits for
+  /// room, the part for answers is left to it: new requests would take the room from it for ever.
   bool admits(std::size_t bodyBytes) const {
-    return waiting_.empty() && fits(bodyBytes + kReadReserve);
+    const std::size_t bytes = bodyBytes + kReadReserve;
+    return fits(bytes) &&
+           (waiting_.empty() || committed_ - answers_ + bytes <= limit_ - answersLimit());
   }
   /// @return the bytes buffered for one caller above which reading from its worker pauses: `usual`
   /// up to half of the limit, from there on proportional to what is left.
@@ -94,10 +107,12 @@
     std::function<void()> ready;
   };
   bool giveRoom(Share& share, std::size_t committed);
+  std::size_t answersLimit() const { return limit_ / 4 * 3; }
 
   const std::size_t limit_;
   std::size_t held_ = 0;
   std::size_t committed_ = 0;
+  std::size_t answers_ = 0;  ///< Of the committed bytes, those of answers.
   std::size_t peakCommitted_ = 0;
   std::list<Waiting> waiting_;
   std::function<void()> onRoom_;
--- a/src/gateway/exchange_buffers.cpp
+++ b/src/gateway/exchange_buffers.cpp
@@ -23,7 +23,7 @@
 
 void Exchange::beginHolding() {
   requestShare_ = BufferBudget::Share(context_.buffers());
-  answerShare_ = BufferBudget::Share(context_.buffers());
+  answerShare_ = BufferBudget::Share(context_.buffers(), BufferBudget::Use::answers);
   requestShare_.set({request_.body.size(), request_.body.size()});
   reserveOutput(kReadReserve);
 }
@@ -106,14 +106,14 @@
 }
 
 /// Commits the memory for the next read of a body or an event of which `size` bytes are held. Up to
-/// half of the limit, one of unknown size takes memory as it grows. Beyond it, the memory of the
+/// a part of the limit, one of unknown size takes memory as it grows. Beyond it, the memory of the
 /// whole is committed: if many had part of theirs, none could be completed. The reading waits until
 /// there is that much room.
 void Exchange::makeRoom(std::size_t size) {
   const std::size_t present = answerShare_.count().committed;
   if (!answerShare_.isWaiting() && present < expectedBody_) {
     const std::size_t step = std::min(size + kReadReserve, expectedBody_);
-    if (step <= present || (!isBodySizeKnown_ && context_.buffers().fitsInHalf(step - present))) {
+    if (step <= present || (!isBodySizeKnown_ && context_.buffers().letsGrow(step - present))) {
       answerShare_.set({size, std::max(present, step)});
       return;
     }
