consensus: servers that stand still again and again elect a leader that stays

After a loss of two disks service doesn't come back while the remaining servers are held up, as on an overloaded host, and syncs are slow.

Cause: a leader resigned 500 ms after it had last heard of a majority, less than its peers or itself stood still; the membership that takes the empty servers in was never committed. A process that goes on after a pause ran its timers before it had read what had come: leaders resigned, followers asked for votes. A candidate forgot the pre-votes of its former rounds.

Change: while leaders are lost less than 10 s apart, the time without a majority and the followers' wait double, up to 2 s; the lease does not depend on it. After a hold-up a leader reads for 100 ms before it resigns (unless nobody confirmed it for 2 s), a follower before it asks for votes. Pre-votes count for 4 s, over the rounds of one term.

ClusterTest and all 146 tests of the folder pass.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -11,6 +11,8 @@
 /// Bounds the allowance, in election timeouts: a voter whose disk hung for long must not keep
 /// others from a new election for as long again.
 constexpr int kMaxAllowanceTimeouts = 2;
+/// Leaders that are lost closer together follow each other.
+constexpr base::Duration kSteadyLeadership = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -24,9 +26,9 @@
   }
 }
 
-void ElectionTimer::onLeaderContact(base::TimePoint now) {
+void ElectionTimer::onLeaderContact(base::TimePoint now, base::Duration extra) {
   lastLeaderContact_ = now;
-  restart(now);
+  restart(now, extra);
 }
 
 void ElectionTimer::restart(base::TimePoint now, base::Duration extra) {
@@ -59,6 +61,13 @@
   until_ = base::TimePoint::min();
 }
 
+void LeaderPatience::leaderLost(base::TimePoint now) {
+  const bool follows =
+      lastLossAt_ != base::TimePoint::min() && now < lastLossAt_ + kSteadyLeadership;
+  doublings_ = follows ? std::min(doublings_ + 1, kMaxDoublings) : 0;
+  lastLossAt_ = now;
+}
+
 std::string_view electionEndName(ElectionEnd end) {
   switch (end) {
     case ElectionEnd::won:
--- a/src/consensus/election.h
+++ b/src/consensus/election.h
@@ -22,7 +22,10 @@
   ElectionTimer(const RaftOptions& options, std::uint64_t seed, base::TimePoint now);
 
   /// Records that a message from the current leader arrived, and restarts the timeout.
-  void onLeaderContact(base::TimePoint now);
+  /// @param extra time to add to the timeout.
+  void onLeaderContact(base::TimePoint now, base::Duration extra = base::Duration::zero());
+  /// Sets the deadline, such as to read first what came while this process was held up.
+  void postpone(base::TimePoint deadline) { deadline_ = deadline; }
   /// Draws a new deadline; also called when a vote is granted or an election begins.
   /// @param extra time to add to the timeout.
   void restart(base::TimePoint now, base::Duration extra = base::Duration::zero());
@@ -82,6 +85,29 @@
   base::TimePoint until_ = base::TimePoint::min();
 };
 
+/// Lengthens the time for which a leader stays without a quorum, and for which followers wait for
+/// it, while leaders are lost one after the other. Where processes are held up for longer than that
+/// time, each leader would be lost before it has committed anything, and an election takes as long.
+/// Whether a leader holds its lease doesn't depend on it.
+class LeaderPatience {
+ public:
+  explicit LeaderPatience(const RaftOptions& options) : base_(options.checkQuorumTimeout) {}
+
+  /// A leader was lost, this server or another.
+  void leaderLost(base::TimePoint now);
+  base::Duration quorumTimeout() const { return base_ * (1 << doublings_); }
+  base::Duration longestQuorumTimeout() const { return base_ * (1 << kMaxDoublings); }
+  /// @return by how much longer than usual a follower waits for a leader.
+  base::Duration followerAllowance() const { return quorumTimeout() - base_; }
+
+ private:
+  static constexpr int kMaxDoublings = 2;
+
+  const base::Duration base_;
+  int doublings_ = 0;
+  base::TimePoint lastLossAt_ = base::TimePoint::min();
+};
+
 /// State of a voter on which its decision about a vote request depends.
 struct VoterState {
   HardState hardState;
--- a/src/consensus/raft_election.cpp
+++ b/src/consensus/raft_election.cpp
@@ -5,7 +5,15 @@
 
 namespace walnut::consensus {
 
-/// Votes that were asked for before are still counted while their term lasts.
+namespace {
+
+/// A pre-vote promises nothing, so it may have become wrong meanwhile.
+constexpr base::Duration kPreVoteValidity = std::chrono::seconds(4);
+
+}  // namespace
+
+/// Votes that were asked for before are still counted while their term lasts. So are pre-votes for
+/// a while: the replies of servers that are held up in turn come one after the other.
 void RaftImpl::startPreVote() {
   electionTimer_.restart(now_);
   if (!isVoter(membership(), self_)) {
@@ -14,8 +22,12 @@
   endElectionReport(ElectionEnd::timedOut);
   beginElectionReport(hardState_.term + 1, true);
   role_ = Role::preCandidate;
-  leader_ = base::ServerId{};
-  preVotes_.clear();
+  setLeader(base::ServerId{});
+  if (preVoteTerm_ != hardState_.term + 1 || now_ >= preVotesSince_ + kPreVoteValidity) {
+    preVoteTerm_ = hardState_.term + 1;
+    preVotesSince_ = now_;
+    preVotes_.clear();
+  }
   preVotes_.grant(self_);
   VoteRequest request;
   request.term = hardState_.term + 1;
--- a/src/consensus/raft_impl.cpp
+++ b/src/consensus/raft_impl.cpp
@@ -14,6 +14,12 @@
 /// Term of the bootstrap entry, in which no leader is ever elected.
 constexpr Term kBootstrapTerm = 1;
 
+/// @name Timers of a process that was held up run before it has read what came meanwhile
+/// @{
+constexpr base::Duration kHeldUp = std::chrono::milliseconds(100);
+constexpr base::Duration kReadAfterHoldUp = std::chrono::milliseconds(100);
+/// @}
+
 /// Multiplier that mixes the server id into the seed, so that servers configured with the same seed
 /// draw different timeouts.
 constexpr std::uint64_t kSeedMultiplier = 0x9e3779b97f4a7c15ULL;
@@ -46,7 +52,8 @@
                     options.maxBatchesInFlight),
       installed_(snapshot_),
       electionTimer_(options_, seed ^ (recovered.self.value * kSeedMultiplier), now),
-      voteHold_(options_) {
+      voteHold_(options_),
+      patience_(options_) {
   for (const LogEntry& entry : log_.range(log_.firstIndex(), log_.lastIndex())) {
     if (entry.type == EntryType::membership) {
       memberships_.append({entry.index, decodeMembership(entry.payload).value()});
@@ -72,6 +79,9 @@
 void RaftImpl::advanceTime(base::TimePoint now) {
   now_ = std::max(now_, now);
   if (isLeader()) {
+    if (now_ >= leaderState_->nextHeartbeat + kHeldUp) {
+      resumedUntil_ = now_ + kReadAfterHoldUp;
+    }
     checkQuorum();
   }
 }
@@ -81,7 +91,11 @@
   if (isLeader()) {
     tickLeader();
   } else if (now_ >= electionTimer_.deadline() && !persistQueue_.isHardStateChanging()) {
-    startPreVote();
+    if (now_ >= electionTimer_.deadline() + kHeldUp) {
+      electionTimer_.postpone(now_ + kReadAfterHoldUp);
+    } else {
+      startPreVote();
+    }
   }
 }
 
@@ -178,8 +192,7 @@
     return mayStand ? electionTimer_.deadline() : base::kNever;
   }
   base::TimePoint wakeup = leaderState_->nextHeartbeat;
-  const base::TimePoint confirmed = std::max(quorumConfirmedAt(), leaderState_->since);
-  wakeup = std::min(wakeup, confirmed + options_.checkQuorumTimeout);
+  wakeup = std::min(wakeup, quorumDeadline());
   if (leaderState_->transfer) {
     wakeup = std::min(wakeup, leaderState_->transfer->deadline);
   }
@@ -225,6 +238,13 @@
   endElectionReport(ElectionEnd::superseded);
   isStanding_ = false;
   role_ = Role::follower;
+  setLeader(leader);
+}
+
+void RaftImpl::setLeader(base::ServerId leader) {
+  if (leader == base::ServerId{} && leader_ != base::ServerId{}) {
+    patience_.leaderLost(now_);
+  }
   leader_ = leader;
 }
 
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -133,6 +133,8 @@
   void becomeLeader();
   void tickLeader();
   void checkQuorum();
+  base::TimePoint quorumDeadline() const;
+  void setLeader(base::ServerId leader);
   void handle(base::ServerId from, const AppendReply& reply);
   void handle(base::ServerId from, const SnapshotReply& reply);
   Progress* followerProgress(base::ServerId server);
@@ -183,7 +185,11 @@
   base::ServerId leader_;  // Leader of the current term; zero if unknown.
   ElectionTimer electionTimer_;
   VoteHold voteHold_;
+  LeaderPatience patience_;
   VoteTally preVotes_;
+  Term preVoteTerm_ = 0;  ///< That the pre-votes are for.
+  base::TimePoint preVotesSince_;
+  base::TimePoint resumedUntil_;  ///< Until then, what came during a hold-up is being read.
   VoteTally votes_;
   /// This server asked for votes in the present term and may still be elected by them, also by
   /// votes that arrive after the timeout.
--- a/src/consensus/raft_leader.cpp
+++ b/src/consensus/raft_leader.cpp
@@ -38,7 +38,7 @@
 void RaftImpl::tickLeader() {
   LeaderState& state = *leaderState_;
   if (now_ >= state.nextHeartbeat) {
-    rounds_.removeBefore(now_ - options_.checkQuorumTimeout);
+    rounds_.removeBefore(now_ - patience_.quorumTimeout());
     rounds_.open(now_);
     state.nextHeartbeat = now_ + options_.heartbeatInterval;
   }
@@ -47,13 +47,21 @@
   }
 }
 
+/// A leader that was held up reads first what came meanwhile, unless another one has been elected
+/// for certain.
 void RaftImpl::checkQuorum() {
-  const base::TimePoint confirmed = std::max(quorumConfirmedAt(), leaderState_->since);
-  if (now_ >= confirmed + options_.checkQuorumTimeout) {
+  if (now_ >= quorumDeadline()) {
     becomeFollower(hardState_.term, base::ServerId{});
   }
 }
 
+base::TimePoint RaftImpl::quorumDeadline() const {
+  const base::TimePoint confirmed = std::max(quorumConfirmedAt(), leaderState_->since);
+  const base::TimePoint read =
+      std::min(resumedUntil_, confirmed + patience_.longestQuorumTimeout());
+  return std::max(confirmed + patience_.quorumTimeout(), read);
+}
+
 bool RaftImpl::leaseValid(base::TimePoint now) const {
   if (!isLeader()) {
     return false;
--- /dev/null
+++ b/test/simulator/held_up_recovery_test.cpp
@@ -0,0 +1,114 @@
+/// @file
+/// Every process ends at once and is started again, two disks are lost, syncs are slow, and from
+/// then on each server stands still again and again, as on an overloaded host.
+/// WALNUT_HELD_UP_SEEDS sets the number of seeds.
+
+#include <cstdlib>
+#include <memory>
+#include <vector>
+
+#include "simulator/registry_fleet.h"
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace walnut;
+using namespace walnut::simulator;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t kDefaultSeeds = 30;
+constexpr std::size_t kRoutes = 50;
+/// Within which service is back after all machines are (bound `recoveryS` of the deployments).
+constexpr base::Duration kRecovery = 12s;
+constexpr base::Duration kObserved = 20s;
+constexpr base::Duration kStep = 20ms;
+constexpr double kLeastShare = 0.25;  ///< Of what was served before.
+constexpr base::Duration kSync = 400ms;
+constexpr base::Duration kLongestRun = 1s;
+
+/// Holds up each server by itself, for up to a longest time.
+class HoldUps {
+ public:
+  HoldUps(RegistryFleet& fleet, base::Duration longest)
+      : fleet_(fleet), longest_(longest), nextAt_(fleet.serverCount()) {}
+
+  void run(base::Duration duration) {
+    for (base::Duration passed{0}; passed < duration; passed += kStep) {
+      for (std::size_t server = 0; server < nextAt_.size(); ++server) {
+        if (time_ >= nextAt_[server]) {
+          const base::Duration held = fleet_.random().between(kStep, longest_);
+          fleet_.suspendServer(server, held);
+          nextAt_[server] =
+              time_ + held + fleet_.random().between(base::Duration::zero(), kLongestRun);
+        }
+      }
+      fleet_.run(kStep);
+      time_ += kStep;
+      admitting_ += fleet_.gatewaysAdmitting();
+      samples_ += fleet_.gatewayCount();
+    }
+  }
+  /// @return the share of the gateways that let requests through since the last call.
+  double takeServedShare() {
+    const double share = static_cast<double>(admitting_) / static_cast<double>(samples_);
+    admitting_ = 0;
+    samples_ = 0;
+    return share;
+  }
+
+ private:
+  RegistryFleet& fleet_;
+  const base::Duration longest_;
+  std::vector<base::Duration> nextAt_;
+  base::Duration time_{0};
+  std::size_t admitting_ = 0;
+  std::size_t samples_ = 0;
+};
+
+double servedAfterReturn(std::uint64_t seed, base::Duration longestHoldUp) {
+  RegistryFleetOptions options;
+  options.seed = seed;
+  options.gateways = 6;
+  options.workers = 10;
+  RegistryFleet fleet(options);
+  fleet.startAll();
+  fleet.run(5s);
+  fleet.declare(kRoutes);
+  fleet.run(3s);
+  for (std::size_t server = 0; server < fleet.serverCount(); ++server) {
+    fleet.slowDisk(server, kSync);
+  }
+  const std::size_t lost = fleet.random().uniform(0, fleet.serverCount() - 1);
+  fleet.restartAll(1s, {lost, (lost + 1) % fleet.serverCount()});
+  fleet.run(1s);
+  HoldUps holdUps(fleet, longestHoldUp);
+  holdUps.run(kRecovery);
+  (void)holdUps.takeServedShare();
+  holdUps.run(kObserved);
+  return holdUps.takeServedShare();
+}
+
+void checkRecovers(base::Duration longestHoldUp) {
+  const char* seeds = std::getenv("WALNUT_HELD_UP_SEEDS");
+  const std::uint64_t last = seeds == nullptr ? kDefaultSeeds : std::strtoull(seeds, nullptr, 10);
+  std::string failures;
+  for (std::uint64_t seed = 1; seed <= last; ++seed) {
+    const double share = servedAfterReturn(seed, longestHoldUp);
+    if (share < kLeastShare) {
+      failures += " " + std::to_string(seed) + " (" + std::to_string(share) + ")";
+    }
+  }
+  const std::string text = "too little is served at seeds" + failures;
+  CHECK_TRUE_TEXT(failures.empty(), text.c_str());
+}
+
+}  // namespace
+
+TEST_GROUP(HeldUpRecoveryTest){};
+
+// Guards against elections without end among servers that are held up (RECOVER).
+TEST(HeldUpRecoveryTest, serviceIsBackBesideHoldUpsOfAnElectionTimeout) { checkRecovers(600ms); }
+
+TEST(HeldUpRecoveryTest, serviceIsBackBesideLongHoldUps) { checkRecovers(1200ms); }
