rehearsal: the soak has limits on memory, answers without end, planned stops beside quotas, power losses

A process that takes more than 256 MB is killed and reported (MEMORY). Before the drawn faults two gateways are stopped at 0.25 to 1 of a processor, while 24 callers each go on over open connections and three of ten requests take up to 3 s: a request that ran and got no answer is LOST (but for what the rule excuses), one that ran and got 503 is REFUSED. Workers send answers without end beside bursts of 150 callers, also over the final fault. Servers keep copies of what is durable (durable-copy-folder), so that a loss of power takes what was not synced, or each piece of it. What a seed draws otherwise stays the same: the new faults have their own draws (--no-limits: without them).

--- a/include/walnut/factories.h
+++ b/include/walnut/factories.h
@@ -39,6 +39,13 @@
 /// @param delayFile file with the mean delay in milliseconds; may change at any time.
 std::unique_ptr<FileSystem> makeDelayedFileSystem(std::unique_ptr<FileSystem> files,
                                                   const std::string& delayFile, std::uint64_t seed);
+/// @return a file system that keeps copies of what is durable, for rehearsals of power losses.
+/// Implemented in src/storage.
+/// @param folder of `files`.
+/// @param copyFolder gets the copies; created if absent.
+std::unique_ptr<FileSystem> makeDurableCopyFileSystem(std::unique_ptr<FileSystem> files,
+                                                      const std::string& folder,
+                                                      const std::string& copyFolder);
 /// Creates the log storage over `files`.
 /// @param segmentBytes size at which a new log segment is begun. Implemented in src/storage.
 std::unique_ptr<LogStorage> makeLogStorage(FileSystem& files, std::uint64_t segmentBytes);
--- a/programs/walnut-rehearse/soak.cpp
+++ b/programs/walnut-rehearse/soak.cpp
@@ -32,7 +32,11 @@
     "workers,\n"
     "clients and the operator. The seed draws overlapping kills, stops, reloads, freezes, lost\n"
     "disks, servers replaced at new addresses, slow syncs, cut servers and workers, workers of\n"
-    "several software versions and changes, and a final fault of all processes.\n"
+    "several software versions and changes, planned stops beside processor quotas, answers "
+    "without\n"
+    "end, losses of power, and a final fault of all processes. A process that takes more memory "
+    "than\n"
+    "its machine has is killed.\n"
     "  --seeds A-B     seeds to run, or one seed A\n"
     "  --servers N     3 .. 9; default: 5\n"
     "  --gateways N    1 .. 150; default: 5\n"
@@ -40,13 +44,16 @@
     "  --seconds N     of faults before the final one, 1 .. 3600; default: 12\n"
     "  --orders        only workers that restart under their names and servers that end, beside\n"
     "                  many late orders\n"
+    "  --no-limits     without planned stops beside processor quotas, answers without end and\n"
+    "                  losses of power\n"
     "  --keep          keeps the logs of runs that passed, too\n"
     "Exit code 1: a rule is broken: RECOVER, LIMIT, LOST (an acknowledged document, "
     "streams\n"
-    "that are taken up), MIXED, ORDER, TWICE; a process ended by itself; or the fleet served too "
+    "that are taken up, requests in a planned stop), REFUSED, MEMORY, MIXED, ORDER, TWICE; a "
+    "process ended by itself; or the fleet served too "
     "little from the start.\n";
 
-enum Flag : int { seeds = 1, servers, gateways, workers, duration, orders, keep, help };
+enum Flag : int { seeds = 1, servers, gateways, workers, duration, orders, noLimits, keep, help };
 
 constexpr option kOptions[] = {{"seeds", required_argument, nullptr, Flag::seeds},
                                {"servers", required_argument, nullptr, Flag::servers},
@@ -54,6 +61,7 @@
                                {"workers", required_argument, nullptr, Flag::workers},
                                {"seconds", required_argument, nullptr, Flag::duration},
                                {"orders", no_argument, nullptr, Flag::orders},
+                               {"no-limits", no_argument, nullptr, Flag::noLimits},
                                {"keep", no_argument, nullptr, Flag::keep},
                                {"help", no_argument, nullptr, Flag::help},
                                {nullptr, 0, nullptr, 0}};
@@ -97,6 +105,10 @@
       return flags.soak.faults > base::Duration::zero();
     case Flag::orders:
       flags.soak.ordersOnly = true;
+      flags.soak.limits = false;
+      return true;
+    case Flag::noLimits:
+      flags.soak.limits = false;
       return true;
     case Flag::keep:
       flags.soak.keepsLogs = true;
--- a/src/daemon/registry_program.cpp
+++ b/src/daemon/registry_program.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <thread>
 
+#include "daemon/allocator.h"
 #include "daemon/signal_watcher.h"
 #include "walnut/factories.h"
 #include "walnut/runtime/clock.h"
@@ -41,6 +42,10 @@
     files = storage::makeDelayedFileSystem(std::move(files), settings.syncDelayFile,
                                            runtime::randomSeed());
   }
+  if (!settings.durableCopyFolder.empty()) {
+    files = storage::makeDurableCopyFileSystem(std::move(files), settings.dataFolder,
+                                               settings.durableCopyFolder);
+  }
   const auto syncs = std::make_shared<std::atomic<std::uint64_t>>(0);
   folder.files = storage::makeSyncHookFileSystem(std::move(files), [syncs] { ++*syncs; });
   folder.syncs = syncs;
@@ -154,6 +159,7 @@
   if (parsed.exitNow) {
     return static_cast<int>(parsed.exitCode);
   }
+  limitRetainedMemory();
   blockWatchedSignals();
   runtime::OutputLog log("walnut-registry", STDOUT_FILENO);
   HostSlot slot;
--- a/src/daemon/registry_settings.cpp
+++ b/src/daemon/registry_settings.cpp
@@ -36,6 +36,8 @@
   keys_.addString("data-folder", settings_.dataFolder, "Folder of the log and the snapshots");
   keys_.addString("sync-delay-file", settings_.syncDelayFile,
                   "For rehearsals: file with the milliseconds by which each sync is delayed");
+  keys_.addString("durable-copy-folder", settings_.durableCopyFolder,
+                  "For rehearsals: folder that gets copies of what is synced");
   keys_.addBoolean("bootstrap", settings_.bootstrap,
                    "First start of the whole system: the seeds found the cell");
   keys_.addEndpointList("seeds", settings_.seeds, "Control addresses of some servers");
--- a/src/daemon/registry_settings.h
+++ b/src/daemon/registry_settings.h
@@ -15,7 +15,8 @@
   base::Endpoint listen{"127.0.0.1", 0};  ///< For operators, workers and metrics.
   base::Endpoint peer{"127.0.0.1", 0};    ///< To accept the internal protocol on.
   std::string dataFolder;
-  std::string syncDelayFile;  ///< See storage::makeDelayedFileSystem; empty: syncs as they are.
+  std::string durableCopyFolder;  ///< See storage::makeDurableCopyFileSystem; empty: no copies.
+  std::string syncDelayFile;      ///< See storage::makeDelayedFileSystem; empty: syncs as they are.
   /// First start of the whole system: servers that are among the seeds found the cell.
   bool bootstrap = false;
   std::vector<base::Endpoint> seeds;  ///< Control addresses.
--- a/src/rehearsal/child_process.h
+++ b/src/rehearsal/child_process.h
@@ -23,6 +23,7 @@
   ChildProcess& operator=(ChildProcess&& other) noexcept;
   ~ChildProcess();
 
+  pid_t id() const { return pid_; }
   /// Does nothing if the process has ended.
   void signal(int number);
   /// @return true while the process has not ended.
--- a/src/rehearsal/soak.cpp
+++ b/src/rehearsal/soak.cpp
@@ -58,6 +58,7 @@
     : options_(options),
       folder_(std::move(folder)),
       random_(options.seed),
+      limitsRandom_(~options.seed),
       account_(dispatcher_.readClock()),
       operator_(dispatcher_, net::ClientPoolOptions{}) {
   SoakCellOptions cell;
@@ -162,6 +163,7 @@
   const base::TimePoint end = dispatcher_.readClock() + duration;
   while (dispatcher_.readClock() < end) {
     dispatcher_.runOnce(kLongestWait);
+    watchMemory();
     for (const std::string& name : cell_->takeUnexpectedEnds()) {
       account_.violation("ENDED", dispatcher_.now(), name + " ended by itself");
     }
@@ -274,6 +276,10 @@
   }
   clients_->start();
   runFor(kWarmUp);
+  if (options_.limits) {
+    runPlannedStops();
+    waitUntilNoServerIsLost();
+  }
   drawsFaults_ = true;
   drawFault();
   runFor(options_.faults);
@@ -314,6 +320,8 @@
   result.notes = account_.notes();
   result.counts = account_.counts();
   result.counts["requests"] = account_.requestCount();
+  result.counts["peak-mb-gateway"] = peakGatewayMb_;
+  result.counts["peak-mb-server"] = peakServerMb_;
   for (SoakProcess& process : cell_->processes()) {
     cell_->kill(process);
   }
--- a/src/rehearsal/soak.h
+++ b/src/rehearsal/soak.h
@@ -25,6 +25,9 @@
   /// Only faults that leave orders under way: workers that restart under their names, servers that
   /// end; half of the orders are late.
   bool ordersOnly = false;
+  /// Also what concerns the limits of machines: memory, answers without end, planned stops beside
+  /// processor quotas, losses of power.
+  bool limits = true;
   bool keepsLogs = false;  ///< Also those of a run that passed.
 };
 
--- a/src/rehearsal/soak_account.h
+++ b/src/rehearsal/soak_account.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,8 +31,26 @@
   bool takesUpTooFew() const;
   std::string describeTakeUps() const;
   void count(const std::string& event) { ++counts_[event]; }
+  /// A run of a request that must run once.
+  struct Run {
+    base::TimePoint beganAt;
+    std::optional<base::TimePoint> endedAt;
+  };
   /// @return false if a request with this body, which must run once, ran before.
-  bool runsFirst(const std::string& body) { return ranOnce_.insert(body).second; }
+  bool runsFirst(const std::string& body, base::TimePoint at) {
+    return ranOnce_.try_emplace(body, Run{at, std::nullopt}).second;
+  }
+  void runEnded(const std::string& body, base::TimePoint at) {
+    const auto found = ranOnce_.find(body);
+    if (found != ranOnce_.end()) {
+      found->second.endedAt = at;
+    }
+  }
+  /// @return null if no request with this body, which must run once, ran.
+  const Run* findRun(const std::string& body) const {
+    const auto found = ranOnce_.find(body);
+    return found == ranOnce_.end() ? nullptr : &found->second;
+  }
 
   /// @return the share of the requests sent in [from, until) that were served; 1 if there is none.
   double servedShare(base::TimePoint from, base::TimePoint until) const;
@@ -55,7 +73,7 @@
   std::vector<base::TimePoint> failed_;
   StreamTries newStreams_;
   StreamTries takeUps_;
-  std::set<std::string> ranOnce_;
+  std::map<std::string, Run> ranOnce_;  ///< By body.
   std::vector<std::string> violations_;
   std::vector<std::string> notes_;
   std::map<std::string, std::uint64_t> counts_;
--- a/src/rehearsal/soak_cell.cpp
+++ b/src/rehearsal/soak_cell.cpp
@@ -1,5 +1,7 @@
 #include "rehearsal/soak_cell.h"
 
+#include <unistd.h>
+
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -59,6 +61,7 @@
        << "peer-bind-port: " << kPeerBindPort << "\n"
        << "data-folder: " << fileOf(process, "-data") << "\n"
        << "sync-delay-file: " << fileOf(process, "-sync-delay") << "\n"
+       << "durable-copy-folder: " << fileOf(process, "-durable") << "\n"
        << "bootstrap: " << (process.hasStarted ? "false" : "true") << "\n"
        << "tolerable-losses: 2\nheartbeat-ms: 1200\norder-lease-ms: 3000\n"
        << (options_.fenced ? "orders-fenced: true\n" : "")
@@ -70,7 +73,8 @@
   std::ostringstream text;
   text << "listen: \"" << runtime::formatEndpoint(process.endpoint) << "\"\n"
        << "readiness: \"" << process.endpoint.address << ":" << kReadinessPort << "\"\n"
-       << "retry-ratio: 0.2\nretry-slack: 52\ngrace-seconds: 8\n";
+       << "retry-ratio: 0.2\nretry-slack: 52\ngrace-seconds: " << kGrace.count()
+       << "\nmemory-mb: " << kProcessMemoryMb << "\n";
   return text.str();
 }
 
@@ -109,6 +113,22 @@
 void SoakCell::loseDisk(SoakProcess& server) {
   std::error_code ignored;  // A disk that was never written to is as good as lost.
   std::filesystem::remove_all(fileOf(server, "-data"), ignored);
+  std::filesystem::remove_all(fileOf(server, "-durable"), ignored);
+}
+
+std::string SoakCell::losePower(SoakProcess& server, UnsyncedLoss loss, base::Random& random) {
+  return rehearsal::losePower(fileOf(server, "-data"), fileOf(server, "-durable"), loss, random);
+}
+
+std::size_t SoakCell::residentMb(SoakProcess& process) const {
+  if (!process.child || !process.child->isRunning()) {
+    return 0;
+  }
+  std::ifstream file("/proc/" + std::to_string(process.child->id()) + "/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE)) >> 20U;
 }
 
 void SoakCell::replace(SoakProcess& server, const base::Endpoint& endpoint) {
--- a/src/rehearsal/soak_cell.h
+++ b/src/rehearsal/soak_cell.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "rehearsal/child_process.h"
+#include "rehearsal/power_loss.h"
 #include "walnut/base/ids.h"
 #include "walnut/base/time.h"
 
@@ -28,6 +29,11 @@
   bool fenced = true;
 };
 
+/// From SIGTERM until a process is killed (bound `graceS`).
+inline constexpr std::chrono::seconds kGrace{8};
+/// Memory that a process may take, as the sheets of the deployments say.
+inline constexpr std::size_t kProcessMemoryMb = 256;
+
 /// A registry server or a gateway.
 struct SoakProcess {
   std::string name;
@@ -49,8 +55,14 @@
   std::vector<SoakProcess>& processes() { return processes_; }
   /// Servers come first.
   SoakProcess& server(std::size_t index) { return processes_.at(index); }
+  SoakProcess& gateway(std::size_t index) { return processes_.at(serverCount() + index); }
   base::Result<void> start(SoakProcess& process);
   void kill(SoakProcess& process);
+  /// The server must not be running: what was not synced is gone, or each piece of it by itself.
+  /// @return what was lost; empty if nothing was.
+  std::string losePower(SoakProcess& server, UnsyncedLoss loss, base::Random& random);
+  /// @return the memory that the process takes; 0 if it is not running.
+  std::size_t residentMb(SoakProcess& process) const;
   /// The server must not be running.
   void loseDisk(SoakProcess& server);
   /// Moves a server that is not running to a new address, where it begins with an empty disk.
--- a/src/rehearsal/soak_clients.cpp
+++ b/src/rehearsal/soak_clients.cpp
@@ -116,13 +116,25 @@
                                                  std::chrono::duration<double>(gap)));
 }
 
+void SoakClients::burst(std::size_t gateway, std::size_t requests) {
+  for (std::size_t sent = 0; sent < requests; ++sent) {
+    const auto client = std::make_shared<Client>();
+    client->request.body = "body " + requestId(++lastRequest_);
+    client->sentAt = dispatcher_.now();
+    client->deadline = client->sentAt + kPlainDeadline;
+    client->gateway = gateway;
+    tryOnce(client);
+  }
+}
+
 void SoakClients::tryOnce(const ClientPtr& client) {
   ++client->tries;
   client->request.id = requestId(++lastRequest_);
   const base::Duration left = client->deadline - dispatcher_.now();
   client->request.deadlineMillis =
       static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(left).count());
-  const std::size_t index = random_.uniform(0, options_.gateways.size() - 1);
+  const std::size_t index =
+      client->gateway.value_or(random_.uniform(0, options_.gateways.size() - 1));
   const base::Endpoint& gateway = options_.gateways[index];
   client->request.resumeAfter = client->stream.lastId();
   client->request.resumes = client->stream.begunBy();
--- a/src/rehearsal/soak_clients.h
+++ b/src/rehearsal/soak_clients.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -36,6 +37,8 @@
   SoakClients& operator=(const SoakClients&) = delete;
 
   void start();
+  /// Sends so many plain requests to one gateway at once.
+  void burst(std::size_t gateway, std::size_t requests);
   /// No new requests begin.
   void stop() { stopped_ = true; }
 
@@ -45,6 +48,7 @@
     base::TimePoint sentAt;
     base::TimePoint deadline;
     int tries = 0;
+    std::optional<std::size_t> gateway;  ///< Of all tries; not set: drawn for each.
     event::TimerPtr timer;
     SoakStream stream;
     bool counts = false;  ///< Its present try counts for LOST.
--- a/src/rehearsal/soak_faults.cpp
+++ b/src/rehearsal/soak_faults.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t kMaxLostDisks = 2;
+constexpr double kFloodShare = 0.15;  ///< Of the faults that are drawn.
 constexpr base::Duration kMaxSyncDelay = milliseconds(600);
 /// Up to which a replacement has to catch up in time; slower disks count as disturbed.
 constexpr base::Duration kMaxUndisturbedSync = milliseconds(400);
@@ -61,6 +62,10 @@
   account_.count(fault.name);
   note(fault.name);
   (this->*fault.begin)();
+  if (options_.limits && limitsRandom_.chance(kFloodShare)) {
+    account_.count("answers without end");
+    floodAnswers();
+  }
   after(between(milliseconds(100), milliseconds(2500)), [this] { drawFault(); });
 }
 
@@ -135,6 +140,9 @@
     all.push_back(&process);
   }
   kill(all, between(milliseconds(100), seconds(2)));
+  if (options_.limits && limitsRandom_.chance(0.5)) {
+    losePower();
+  }
 }
 
 void SoakRun::stopSome() {
@@ -340,12 +348,14 @@
   const bool slow = random_.chance(0.6);
   const bool hasQuotas = random_.chance(0.25);
   const bool isSilent = random_.chance(0.4);
+  const bool losesPower = options_.limits && limitsRandom_.chance(0.5);
+  const bool floods = options_.limits && limitsRandom_.chance(0.3);
   const bool restartsWorkers = options_.ordersOnly || random_.chance(0.4);
   const base::Duration mean = between(milliseconds(50), kMaxSyncDelay);
   const base::Duration down = between(milliseconds(300), seconds(3));
-  note(std::string("final fault, disks lost: ") + std::to_string(lostDisks) +
-       ", syncs hang: " + std::to_string(hanging) + (isSilent ? ", silent" : "") +
-       (hasQuotas ? ", quotas" : "") + (restartsWorkers ? ", workers restart" : "") +
+  note(std::string("final fault, disks lost: ") + std::to_string(lostDisks) + ", syncs hang: " +
+       std::to_string(hanging) + (isSilent ? ", silent" : "") + (hasQuotas ? ", quotas" : "") +
+       (losesPower ? ", power is lost" : "") + (restartsWorkers ? ", workers restart" : "") +
        (slow ? ", syncs take ms " +
                    std::to_string(std::chrono::duration_cast<milliseconds>(mean).count())
              : ""));
@@ -358,6 +368,13 @@
       cell_->setSyncDelay(process, slow ? mean : base::Duration::zero());
     }
   }
+  if (losesPower) {
+    losePower();
+  }
+  if (floods) {
+    constexpr std::size_t kFloodingPart = 3;  // One of so many workers.
+    flood(workers_.size() / kFloodingPart, kObservedAfterReturn);
+  }
   const std::size_t first = random_.uniform(0, cell_->serverCount() - 1);
   for (std::size_t lost = 0; lost < lostDisks; ++lost) {
     cell_->loseDisk(cell_->server((first + lost) % cell_->serverCount()));
--- a/src/rehearsal/soak_run.h
+++ b/src/rehearsal/soak_run.h
@@ -13,6 +13,7 @@
 #include "rehearsal/soak.h"
 #include "rehearsal/soak_cell.h"
 #include "rehearsal/soak_clients.h"
+#include "rehearsal/soak_stop.h"
 #include "rehearsal/soak_worker.h"
 #include "walnut/base/random.h"
 
@@ -93,10 +94,26 @@
   std::string drawVersion();
   void finalFault();
 
+  // Limits of machines (soak_limits.cpp).
+  struct PlannedStop {
+    SoakProcess* process = nullptr;
+    std::unique_ptr<SoakStopCallers> callers;
+    base::TimePoint signalledAt;  ///< When it is, or was.
+    bool isOver = false;
+  };
+  void watchMemory();
+  void floodAnswers();
+  void flood(std::size_t count, base::Duration lasts);
+  void runPlannedStops();
+  void advanceStop(PlannedStop& stop);
+  void losePower();
+
   const SoakOptions options_;
   const std::filesystem::path folder_;
   event::Dispatcher dispatcher_;
   base::Random random_;
+  /// For the limits of machines, so that the other faults of a seed are the same without them.
+  base::Random limitsRandom_;
   SoakAccount account_;
   std::size_t addresses_ = 0;
   std::unique_ptr<SoakCell> cell_;
@@ -112,6 +129,9 @@
   std::map<std::uint64_t, event::TimerPtr> timers_;
   std::uint64_t lastTimer_ = 0;
   bool drawsFaults_ = false;
+  base::TimePoint memoryCheckedAt_;
+  std::size_t peakServerMb_ = 0;
+  std::size_t peakGatewayMb_ = 0;
   base::TimePoint faultAt_;
   base::TimePoint returnedAt_;
 };
--- a/src/rehearsal/soak_worker.cpp
+++ b/src/rehearsal/soak_worker.cpp
@@ -23,6 +23,9 @@
 constexpr base::Duration kLateOrderMin = std::chrono::seconds(2);
 constexpr base::Duration kLateOrderMax = std::chrono::seconds(12);
 constexpr base::Duration kPlainTime = milliseconds(30);
+constexpr double kSlowShare = 0.3;  ///< Of plain requests, at slow workers.
+constexpr std::size_t kFloodBytes = 64U << 10U;
+constexpr base::Duration kFloodPause = milliseconds(1);
 constexpr base::Duration kEventTime = milliseconds(40);
 constexpr std::uint64_t kEvents = 6;
 constexpr std::size_t kMaxAdaptersUnderWay = 4;
@@ -285,6 +288,18 @@
   return kAccepted;
 }
 
+/// Sends bytes that are neither an answer nor an event, until the gateway closes.
+void SoakWorker::pour(const AnswerPtr& answer) {
+  if (answer->sink == nullptr || answer->life != life_) {
+    --active_;
+    return;
+  }
+  if (answer->sink->bufferedBytes() == 0) {
+    answer->sink->writeChunk(std::string(kFloodBytes, 'x'));
+  }
+  after(kFloodPause, [this, answer] { pour(answer); });
+}
+
 bool SoakWorker::holds(const std::string& target) const {
   const std::size_t slash = target.find('/');
   const std::string model = target.substr(0, slash);
@@ -308,13 +323,18 @@
   }
   account_.count("runs");
   if (request.path().starts_with(platform::kStandinOncePrefix) &&
-      !account_.runsFirst(request.body)) {
+      !account_.runsFirst(request.body, dispatcher_.now())) {
     account_.violation("TWICE", dispatcher_.now(), "request " + id + " ran again");
   }
   response.head.status = kOk;
   response.head.headers.add(std::string(platform::kSealHeader), "seal of " + id);
   ++active_;
   const AnswerPtr answer = track(sink);
+  if (floods_) {
+    sink.beginChunked(response.head);
+    pour(answer);
+    return;
+  }
   if (model != nullptr) {
     const std::uint64_t last = request.headers.findNumber(platform::kResumeHeader).value_or(0);
     sink.beginChunked(response.head);
@@ -322,8 +342,11 @@
     return;
   }
   response.body = "answer to " + request.body;
-  after(kPlainTime, [this, answer, response] {
+  const bool isSlow = slowest_ > kPlainTime && random_.chance(kSlowShare);
+  const base::Duration time = isSlow ? random_.between(kPlainTime, slowest_) : kPlainTime;
+  after(time, [this, answer, response, body = request.body] {
     --active_;
+    account_.runEnded(body, dispatcher_.now());
     if (answer->sink != nullptr) {
       answer->sink->respond(response);
     }
--- a/src/rehearsal/soak_worker.h
+++ b/src/rehearsal/soak_worker.h
@@ -46,6 +46,10 @@
   /// @param keepsName false: it has another name afterwards.
   /// @param version of its software afterwards.
   void restart(bool keepsName, const std::string& version);
+  /// Answers have no end from now on, or are whole again.
+  void setFlooding(bool floods) { floods_ = floods; }
+  /// Some plain requests take up to so long.
+  void setSlowest(base::Duration slowest) { slowest_ = slowest; }
   bool holdsModels() const { return options_.holdsModels; }
   const std::string& softwareVersion() const { return state_.softwareVersion; }
   /// Tells it the present addresses of the servers.
@@ -74,6 +78,7 @@
   std::size_t adapterCount() const;
   platform::StandinModel* find(const std::string& model);
   void serve(const net::HttpRequest& request, net::ResponseSink& sink);
+  void pour(const AnswerPtr& answer);
   void stream(const AnswerPtr& answer, const std::string& id, std::uint64_t next);
 
   event::Dispatcher& dispatcher_;
@@ -91,6 +96,8 @@
   std::size_t nextServer_ = 0;
   std::uint64_t highestFence_ = 0;
   std::uint64_t active_ = 0;
+  bool floods_ = false;
+  base::Duration slowest_{0};
   std::map<std::uint64_t, event::TimerPtr> timers_;
   std::uint64_t lastTimer_ = 0;
 };
