gateway: a worker whose long answer waits for memory is avoided for a second

Change: once an answer of unknown size is 64 KiB long and finds no memory, its worker's breaker opens for a second.

EndlessAnswerTest.aWorkerWhoseLongAnswer... is new.

--- a/src/daemon/gateway_settings.cpp
+++ b/src/daemon/gateway_settings.cpp
@@ -22,7 +22,7 @@
 constexpr std::int64_t kMinBufferLimitMb = 16;
 constexpr std::int64_t kMaxBufferLimitMb = 1 << 20;
 /// What is counted may exist twice while it is sent on; the rest is for heads and the program.
-constexpr std::int64_t kMemoryPerBufferLimit = 4;
+constexpr std::int64_t kMemoryPerBufferLimit = 3;
 constexpr std::int64_t kMaxMemoryMb = 1 << 22;
 constexpr std::int64_t kMaxDescriptors = 1 << 24;
 constexpr std::int64_t kMebibyte = 1 << 20;
@@ -69,7 +69,7 @@
                    "Descriptors that this process may open; 0: no limit but the system's");
   keys_.addInteger("buffer-limit-mb", bufferLimitMb_, 0, kMaxBufferLimitMb,
                    "Memory held for slow readers and for bodies, of all callers together; 0: a "
-                   "quarter of memory-mb");
+                   "third of memory-mb");
   keys_.addInteger("grace-seconds", graceSeconds_, 1, kMaxGraceSeconds,
                    "Time from SIGTERM until the process is killed");
 }
--- a/src/daemon/gateway_settings.h
+++ b/src/daemon/gateway_settings.h
@@ -27,7 +27,7 @@
 std::vector<base::Endpoint> internalEndpoints(const std::vector<base::Endpoint>& seeds,
                                               std::int64_t peerPort);
 
-/// @return the default of `buffer-limit-mb`: a quarter of the process's memory.
+/// @return the default of `buffer-limit-mb`: a third of the process's memory.
 /// @param memoryMb that the process may take; 0: that of the host.
 std::int64_t defaultBufferLimitMb(std::int64_t memoryMb = 0);
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -310,6 +310,7 @@
   void discard(std::string_view bytes);
   void rejectOverlongAnswer();
   void makeRoom(std::size_t size);
+  void avoidEndlessWorker(std::size_t size);
   void resumeReading();
   void dropCollected();
   void passBodyOn();
--- a/src/gateway/exchange_buffers.cpp
+++ b/src/gateway/exchange_buffers.cpp
@@ -18,6 +18,11 @@
 /// Bytes buffered for a slow caller above which reading from its worker is paused.
 constexpr std::size_t kHighWatermark = 256U << 10U;
 constexpr std::size_t kReadReserve = BufferBudget::kReadReserve;
+/// @name Answers that may have no end
+/// @{
+constexpr std::size_t kLongAnswer = 64U << 10U;
+constexpr base::Duration kAvoidanceTime = std::chrono::seconds(1);
+/// @}
 
 }  // namespace
 
@@ -120,6 +125,7 @@
     if (!answerShare_.requestRoom(expectedBody_, [this] { resumeReading(); })) {
       attempt_->setReading(false);
       stallTimer_->disable();
+      avoidEndlessWorker(size);
     }
   }
   // What has come with the read before the pause is within the reserve of the output.
@@ -127,6 +133,18 @@
   answerShare_.set({size, std::max(answerShare_.count().committed, beyondReserve)});
 }
 
+/// An answer of unknown size that is long already, while memory is short, may have no end. Others
+/// go elsewhere meanwhile, rather than wait for memory behind it.
+void Exchange::avoidEndlessWorker(std::size_t size) {
+  if (!isBodySizeKnown_ && size >= kLongAnswer) {
+    worker_->breaker.recordFailure(now(), 1, kAvoidanceTime);
+    context_.log().write(runtime::LogEvent::breakerOpened,
+                         {{"worker", worker_->view.record.id.value},
+                          {"reason", "a long answer waits for memory"},
+                          {"bytes", std::uint64_t{size}}});
+  }
+}
+
 /// Reads on from the worker once neither the caller nor the memory holds that up.
 void Exchange::resumeReading() {
   if (state_ == State::attempting && attempt_ != nullptr && !answerShare_.isWaiting() &&
--- a/test/gateway/endless_answer_test.cpp
+++ b/test/gateway/endless_answer_test.cpp
@@ -78,3 +78,25 @@
   STRCMP_EQUAL("1", lastSent()->request.headers.find("Resume")->c_str());
   CHECK_EQUAL(std::string("id: 1\ndata: a\n\n"), caller->body);
 }
+
+/// Guards against requests that wait for memory behind answers without end, though other workers
+/// would serve them.
+TEST(EndlessAnswerTest, aWorkerWhoseLongAnswerWaitsForMemoryIsAvoidedForAWhile) {
+  GatewayOptions options = GatewayHarness::options();
+  options.bufferLimitBytes = 16U << 20U;
+  GatewayHarness small(options);
+  small.declare(2);
+  small.follow();
+  const auto endless = small.request("once", "r1");
+  const std::shared_ptr<SentRequest> sent = small.launcher.sent.back();
+  BufferBudget::Share others{small.gateway.buffers(), BufferBudget::Use::answers};
+  others.set({12U << 20U, 12U << 20U});
+  small.head(*sent, 200, "r1", true);
+  sent->callbacks->onResponseBody(std::string(kPiece, 'x'));
+  CHECK_FALSE(sent->reading);
+  for (int number = 0; number < 6; ++number) {
+    const auto caller = small.request("once", "s" + std::to_string(number));
+    CHECK(small.launcher.sent.back()->worker.id != sent->worker.id);
+  }
+  CHECK_EQUAL(1, small.log.of(runtime::LogEvent::breakerOpened).size());
+}
