rehearsal: the account of a soak notes when a request that must run once ran

Cause: SoakAccount::runsFirst takes the time of the run since planned stops are checked; its test did not compile any more, which the builds of single targets before did not show.

--- a/test/rehearsal/soak_test.cpp
+++ b/test/rehearsal/soak_test.cpp
@@ -59,8 +59,8 @@
 
 TEST(SoakAccountTest, aBodyRunsFirstOnce) {
   SoakAccount account(kBegin);
-  CHECK_TRUE(account.runsFirst("a"));
-  CHECK_FALSE(account.runsFirst("a"));
+  CHECK_TRUE(account.runsFirst("a", kBegin));
+  CHECK_FALSE(account.runsFirst("a", kBegin));
 }
 
 TEST(SoakAccountTest, takeUpsAreComparedWithNewStreams) {
