--- a/test/rehearsal/soak_test.cpp
+++ b/test/rehearsal/soak_test.cpp
@@ -63,6 +63,15 @@
   CHECK_FALSE(account.runsFirst("a", kBegin));
 }
 
+TEST(SoakAccountTest, theEndOfARunIsKept) {
+  SoakAccount account(kBegin);
+  POINTERS_EQUAL(nullptr, account.findRun("a"));
+  CHECK_TRUE(account.runsFirst("a", kBegin));
+  CHECK_FALSE(account.findRun("a")->endedAt.has_value());
+  account.runEnded("a", kBegin + 1s);
+  CHECK_TRUE(account.findRun("a")->endedAt == kBegin + 1s);
+}
+
 TEST(SoakAccountTest, takeUpsAreComparedWithNewStreams) {
   SoakAccount account(kBegin);
   for (int count = 0; count < 11; ++count) {
