--- a/test/simulator/held_up_recovery_test.cpp
+++ b/test/simulator/held_up_recovery_test.cpp
@@ -112,3 +112,9 @@
 TEST(HeldUpRecoveryTest, serviceIsBackBesideHoldUpsOfAnElectionTimeout) { checkRecovers(600ms); }
 
 TEST(HeldUpRecoveryTest, serviceIsBackBesideLongHoldUps) { checkRecovers(1200ms); }
+
+// Guards against leaders that resign before they have committed anything, one after the other
+// (RECOVER).
+TEST(HeldUpRecoveryTest, serviceIsBackBesideHoldUpsOfTheLongestElectionTimeout) {
+  checkRecovers(consensus::RaftOptions().electionTimeoutMax);
+}
