gateway: log what a gateway that is not ready waits for

Change: each second until a gateway is ready, dependency-lost dependency=document says whether it lacks a leader, the document or its confirmation, the server, the state of the session and the time in it, and when a leader was last heard; dependency-regained says how long that took.

--- a/src/daemon/gateway_host.cpp
+++ b/src/daemon/gateway_host.cpp
@@ -51,6 +51,7 @@
       session_(settings.session, dispatcher_, *this, log, runtime::randomSeed()),
       gateway_(withSeed(settings.logic), dispatcher_, dialect, launcher_, session_, log, metrics_),
       follower_(dispatcher_, session_, gateway_, log),
+      readinessLog_(dispatcher_, session_, gateway_, log),
       probe_(*this),
       stopTimer_(dispatcher_.createTimer([this] { checkStopped(); })) {
   dispatcher_.setEndOfTurn([this] { log_.flushIfDue(dispatcher_.now()); });
@@ -78,6 +79,7 @@
   readiness_ = std::move(readiness);
   session_.start();
   gateway_.start();
+  readinessLog_.start();
   return base::success();
 }
 
@@ -148,6 +150,7 @@
       {{"reason", "signal"}, {"running", static_cast<std::uint64_t>(gateway_.exchangeCount())}});
   stop_ = gateway::StopSchedule(signalledAt, settings_.grace);
   gateway_.beginStop(stop_.cancelsAt);
+  readinessLog_.stop();
   front_->announceClose();
   checkStopped();
 }
--- a/src/daemon/gateway_host.h
+++ b/src/daemon/gateway_host.h
@@ -9,6 +9,7 @@
 #include "event/dispatcher.h"
 #include "gateway/gateway.h"
 #include "gateway/pooled_launcher.h"
+#include "gateway/readiness_log.h"
 #include "gateway/registry_follower.h"
 #include "gateway/stop_schedule.h"
 #include "net/http_server.h"
@@ -70,6 +71,7 @@
   gateway::RegistrySession session_;
   gateway::Gateway gateway_;
   gateway::RegistryFollower follower_;
+  gateway::ReadinessLog readinessLog_;
   ProbeHandler probe_;
   std::unique_ptr<net::HttpServer> front_;
   std::unique_ptr<net::HttpServer> readiness_;
