gateway: a leader that is held up is waited for

What callers saw: after a fault of all, a leader served some gateways and others refused requests for good (RECOVER), where servers are held up for over a second.

Cause: a gateway closed its connection after 900 ms without a message (400 ms until it was open), so that what the leader answered once it went on was lost, each time anew. After a hold-up of its own it closed the connection before it had read what came meanwhile.

Change: the connection to a silent server is kept while another leader is searched, and taken up again if a message comes before another leader is followed. A server that accepts late is subscribed to unless the leader is known. The timeout doubles while connected servers are silent, and begins anew after 10 s with a leader. A held-up gateway reads before it gives a server up.

--- a/src/gateway/registry_session.cpp
+++ b/src/gateway/registry_session.cpp
@@ -13,6 +13,16 @@
 
 /// Limit of the doublings of the backoff: more would exceed its upper bound.
 constexpr std::uint32_t kMaxDoublings = 8;
+/// The same of the leader's timeout, which leaves room within the time to recover for another
+/// leader.
+constexpr std::uint32_t kMaxSilences = 3;
+/// Once a leader has been followed for so long, its next silence counts as the first.
+constexpr base::Duration kSteadyLeader = std::chrono::seconds(10);
+/// @name Timers of a process that was held up run before it has read what came meanwhile
+/// @{
+constexpr base::Duration kHeldUp = std::chrono::milliseconds(100);
+constexpr base::Duration kReadAfterHoldUp = std::chrono::milliseconds(100);
+/// @}
 
 }  // namespace
 
@@ -32,8 +42,17 @@
 }
 
 void RegistrySession::enter(State state, base::Duration timeout) {
+  if (state != state_ || state != State::following) {
+    stateSince_ = scheduler_.now();
+  }
   state_ = state;
-  timer_->enableAt(scheduler_.now() + timeout);
+  isReadingFirst_ = false;
+  timeoutAt_ = scheduler_.now() + timeout;
+  timer_->enableAt(timeoutAt_);
+}
+
+base::Duration RegistrySession::leaderTimeout() const {
+  return options_.leaderTimeout * (1U << std::min(silences_, kMaxSilences));
 }
 
 void RegistrySession::search() {
@@ -49,6 +68,11 @@
 
 void RegistrySession::connectNext() {
   isHinted_ = hint_.has_value();
+  if (hint_ && isAwaited(*hint_)) {
+    hint_.reset();
+    enter(State::searching, nextBackoff());
+    return;
+  }
   if (hint_) {
     server_ = *std::exchange(hint_, std::nullopt);
   } else {
@@ -78,39 +102,95 @@
 }
 
 void RegistrySession::disconnect() {
+  endFollowing();
+  if (connection_) {
+    link_.close(*std::exchange(connection_, std::nullopt));
+  }
+  // A leader named by another server is contacted at once, without backoff, unless that server was
+  // itself contacted because another one had named it: during an election two servers may name each
+  // other as the leader.
+  const bool atOnce = hint_ && !isHinted_ && !isAwaited(*hint_);
+  enter(State::searching, atOnce ? base::Duration::zero() : nextBackoff());
+}
+
+void RegistrySession::endFollowing() {
   if (state_ == State::following) {
     isLeaderLost_ = true;
     lostAt_ = scheduler_.now();
     log_.write(LogEvent::dependencyLost,
                {{"dependency", "registry"}, {"server", runtime::formatEndpoint(server_)}});
   }
+}
+
+/// Searches for a leader while the silent server may still answer.
+void RegistrySession::setAsideServer() {
+  const bool wasFollowed = following();
+  endFollowing();
+  dropSilentServer();
+  silent_ = SilentServer{server_,          *std::exchange(connection_, std::nullopt),
+                         featureLevel_,    subscribedAt_,
+                         scheduler_.now(), wasFollowed};
+  ++silences_;
+  enter(State::searching, nextBackoff());
+}
+
+void RegistrySession::dropSilentServer() {
+  if (silent_) {
+    link_.close(silent_->connection);
+    silent_.reset();
+  }
+}
+
+/// @return true if another connection to the server would only add to its work: it is silent, and
+/// has had less time for an answer than connected servers get.
+bool RegistrySession::isAwaited(const base::Endpoint& server) const {
+  return silent_ && silent_->server == server &&
+         scheduler_.now() < silent_->since + leaderTimeout();
+}
+
+void RegistrySession::messageArrived(protocol::ConnectionId connection) {
+  if (!silent_ || silent_->connection != connection || state_ == State::following) {
+    return;
+  }
   if (connection_) {
-    link_.close(*std::exchange(connection_, std::nullopt));
+    link_.close(*connection_);
   }
-  // A leader named by another server is contacted at once, without backoff, unless that server was
-  // itself contacted because another one had named it: during an election two servers may name each
-  // other as the leader.
-  const bool atOnce = hint_ && !isHinted_;
-  enter(State::searching, atOnce ? base::Duration::zero() : nextBackoff());
+  const SilentServer resumed = *std::exchange(silent_, std::nullopt);
+  server_ = resumed.server;
+  connection_ = resumed.connection;
+  featureLevel_ = resumed.featureLevel;
+  subscribedAt_ = resumed.subscribedAt;
+  isHinted_ = false;
+  hint_.reset();
+  enter(resumed.wasFollowed ? State::following : State::subscribing, leaderTimeout());
 }
 
 void RegistrySession::onTimer() {
   if (state_ == State::searching) {
     connectNext();
-  } else {
+  } else if (scheduler_.now() >= timeoutAt_ + kHeldUp && !std::exchange(isReadingFirst_, true)) {
+    timer_->enableAt(scheduler_.now() + kReadAfterHoldUp);
+  } else if (state_ == State::connecting) {
     disconnect();
+  } else {
+    setAsideServer();
   }
 }
 
 void RegistrySession::opened(protocol::ConnectionId connection, const base::Endpoint& server,
                              std::uint32_t featureLevel) {
-  if (state_ != State::connecting || server != server_) {
+  const bool isExpected = state_ == State::connecting && server == server_;
+  const bool isLeaderUnknown =
+      state_ == State::connecting ? !isHinted_ : state_ == State::searching && !hint_;
+  if (!isExpected && !isLeaderUnknown) {
     link_.close(connection);
     return;
   }
+  server_ = server;
+  isHinted_ = isExpected && isHinted_;
   connection_ = connection;
   featureLevel_ = featureLevel;
-  enter(State::subscribing, options_.leaderTimeout);
+  enter(State::subscribing, leaderTimeout());
   subscribedAt_ = scheduler_.readClock();
   link_.send(connection, subscription_);
 }
@@ -122,6 +202,9 @@
 }
 
 void RegistrySession::closed(protocol::ConnectionId connection) {
+  if (silent_ && silent_->connection == connection) {
+    silent_.reset();
+  }
   if (connection_ == connection) {
     connection_.reset();
     disconnect();
@@ -152,6 +235,7 @@
     return false;
   }
   learnServers(update.servers);
+  dropSilentServer();
   if (std::exchange(isLeaderLost_, false)) {
     const auto gap =
         std::chrono::duration_cast<std::chrono::milliseconds>(scheduler_.now() - lostAt_);
@@ -162,7 +246,10 @@
   }
   failedRounds_ = 0;
   heardAt_ = scheduler_.now();
-  enter(State::following, options_.leaderTimeout);
+  if (state_ == State::following && heardAt_ >= stateSince_ + kSteadyLeader) {
+    silences_ = 0;
+  }
+  enter(State::following, leaderTimeout());
   return true;
 }
 
@@ -171,7 +258,7 @@
     return false;
   }
   heardAt_ = scheduler_.now();
-  enter(State::following, options_.leaderTimeout);
+  enter(State::following, leaderTimeout());
   return true;
 }
 
--- a/src/gateway/registry_session.h
+++ b/src/gateway/registry_session.h
@@ -20,7 +20,8 @@
   std::vector<base::Endpoint> servers;  ///< Initial servers; more are learned.
   base::Duration connectTimeout = std::chrono::milliseconds(400);
   /// Time without a message after which the server is considered lost: the leader sends one each
-  /// quarter of a second.
+  /// quarter of a second. It doubles while connected servers are silent one after the other: on an
+  /// overloaded host they are held up for longer.
   base::Duration leaderTimeout = std::chrono::milliseconds(900);
   base::Duration retryPause = std::chrono::milliseconds(60);
   /// Upper bound of the backoff, which doubles with each round over all servers that found no
@@ -42,6 +43,8 @@
 /// Client state machine that subscribes to the registry's leader. States: searching (no server
 /// selected) -> connecting -> asking (subscribed, no view received) -> following (views come in) ->
 /// searching. One server is contacted at a time; a server that is not the leader names the leader.
+/// A server that answers late is taken all the same, unless the leader is known; so is one that was
+/// silent and goes on, unless another one is followed.
 class RegistrySession {
  public:
   enum class State : std::uint8_t { searching, connecting, subscribing, following };
@@ -64,6 +67,9 @@
   void notLeading(protocol::ConnectionId connection, const registry::NotLeading& message);
   /// @return false if the update is not from the server that is followed.
   bool viewReceived(protocol::ConnectionId connection, const registry::ViewUpdate& update);
+  /// Takes up a silent server again if a message came over its connection and no other server is
+  /// followed meanwhile. To be called before a message is handled.
+  void messageArrived(protocol::ConnectionId connection);
   /// @return true if the connection is of the current subscription.
   bool isCurrent(protocol::ConnectionId connection) const { return connection_ == connection; }
   /// Counts bytes of a document as a sign of life of the leader, like a view.
@@ -76,6 +82,11 @@
   /// Sends a message to the leader, or drops it if none is followed.
   void send(registry::MessageBody message);
   bool following() const { return state_ == State::following; }
+  State state() const { return state_; }
+  /// @return the server that is contacted or followed, or was last.
+  const base::Endpoint& server() const { return server_; }
+  /// @return when the present state began; while following, when the leader was first heard.
+  base::TimePoint stateSince() const { return stateSince_; }
   /// @return when the last message came from a followed leader, or the time of the start.
   base::TimePoint heardAt() const { return heardAt_; }
   /// @return when the present subscription was sent: every view on its connection is newer.
@@ -90,7 +101,12 @@
   void connectNext();
   void disconnect();
   void onTimer();
+  void setAsideServer();
+  void dropSilentServer();
+  bool isAwaited(const base::Endpoint& server) const;
+  void endFollowing();
   void enter(State state, base::Duration timeout);
+  base::Duration leaderTimeout() const;
   base::Duration nextBackoff();
   void learnServers(const std::vector<base::Endpoint>& servers);
 
@@ -101,6 +117,21 @@
   base::Random random_;
   event::TimerPtr timer_;
   State state_ = State::searching;
+  base::TimePoint stateSince_;
+  base::TimePoint timeoutAt_;
+  bool isReadingFirst_ = false;  ///< The present timeout passed while this process was held up.
+  std::uint32_t silences_ = 0;   ///< Connected servers that were silent, one after the other.
+  /// A connected server that was silent for too long, and may only be held up. Its connection is
+  /// kept while another leader is searched.
+  struct SilentServer {
+    base::Endpoint server;
+    protocol::ConnectionId connection;
+    std::uint32_t featureLevel = 0;
+    base::TimePoint subscribedAt;
+    base::TimePoint since;
+    bool wasFollowed = false;
+  };
+  std::optional<SilentServer> silent_;
   std::vector<base::Endpoint> learnedServers_;
   std::vector<base::Endpoint> untriedServers_;  ///< In the present search, in random order.
   std::optional<base::Endpoint> hint_;          ///< The leader, as named by another server.
