transport: a connected peer gets longer for its Hello than for the connection

Cause: a kernel connects at once, but a process that is held up reads and answers later. After a second the connection was closed, and opened again, so that peers that are held up in turn took several tries.

Change: once connected, the Hello may take eight connect timeouts (8 s). The connection itself still has one second.

--- a/src/transport/transport_impl.cpp
+++ b/src/transport/transport_impl.cpp
@@ -24,6 +24,9 @@
 constexpr int kListenBacklog = 512;
 /// Time for which accepting is suspended when the system runs out of descriptors or memory.
 constexpr base::Duration kAcceptPause = std::chrono::milliseconds(100);
+/// Time for a Hello, in connect timeouts: the peer's kernel connects at once, but its process may
+/// be held up.
+constexpr int kGreetingTimeouts = 8;
 constexpr base::Duration kMaxPollDuration = std::chrono::seconds(1);
 
 base::Endpoint toEndpoint(const Poco::Net::SocketAddress& address) {
@@ -352,8 +355,14 @@
 }
 
 base::TimePoint TransportImpl::deadlineOf(const Connection& connection) const {
-  if (connection.state() != ConnectionState::open) {
-    return connection.startedAt() + std::chrono::milliseconds(options_.connectTimeoutMillis);
+  const auto connectTimeout = std::chrono::milliseconds(options_.connectTimeoutMillis);
+  switch (connection.state()) {
+    case ConnectionState::connecting:
+      return connection.startedAt() + connectTimeout;
+    case ConnectionState::greeting:
+      return connection.lastReceivedAt() + kGreetingTimeouts * connectTimeout;
+    case ConnectionState::open:
+      break;
   }
   return connection.lastReceivedAt() + std::chrono::milliseconds(options_.idleCloseMillis);
 }
