--- a/src/daemon/gateway_program.cpp
+++ b/src/daemon/gateway_program.cpp
@@ -7,6 +7,7 @@
 
 #include "daemon/allocator.h"
 #include "daemon/gateway_host.h"
+#include "daemon/guarded_run.h"
 #include "daemon/signal_watcher.h"
 #include "walnut/runtime/clock.h"
 
@@ -83,9 +84,9 @@
              {"zone", binder.settings().logic.selection.zone.value},
              {"servers", static_cast<std::uint64_t>(binder.settings().session.servers.size())}});
   log.flush();
-  host.run();
+  const bool hasRun = runGuarded(host, log);
   log.flush();
-  return static_cast<int>(ExitCode::ok);
+  return static_cast<int>(hasRun ? ExitCode::ok : ExitCode::internal);  // To be started again.
 }
 
 }  // namespace walnut::daemon
--- a/src/daemon/registry_program.cpp
+++ b/src/daemon/registry_program.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "daemon/allocator.h"
+#include "daemon/guarded_run.h"
 #include "daemon/signal_watcher.h"
 #include "walnut/factories.h"
 #include "walnut/runtime/clock.h"
@@ -100,10 +101,10 @@
   bool stopRequested_ = false;
 };
 
-/// One life of the server, from recovery to a planned stop or a failure of its storage.
+/// One life of the server, from recovery to a planned stop or a failure.
 /// @param listenUntil until when addresses in use are tried again.
-/// @return the exit code; nothing if the storage or an address failed and the server is to begin
-/// anew.
+/// @return the exit code; nothing if the storage, an address or the loop failed and the server is
+/// to begin anew.
 std::optional<int> runOnce(const RegistrySettings& settings, const RegistryDialects& dialects,
                            runtime::OutputLog& log, HostSlot& slot, base::TimePoint listenUntil) {
   auto folder = openFolder(settings);
@@ -142,10 +143,10 @@
                                        {"recovery-syncs", recoverySyncs}});
   log.flush();
   slot.set(&host);
-  host.run();
+  const bool hasRun = runGuarded(host, log);
   slot.set(nullptr);
   log.flush();
-  if (host.storageFailed()) {
+  if (!hasRun || host.storageFailed()) {
     return std::nullopt;
   }
   return static_cast<int>(ExitCode::ok);
--- a/src/transport/transport_impl.cpp
+++ b/src/transport/transport_impl.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
+#include <exception>
 
 #include "walnut/runtime/clock.h"
 #include "walnut/runtime/log.h"
@@ -108,6 +109,10 @@
     } catch (const Poco::Exception& exception) {
       // The poll set itself failed. The connections are kept, and the next iteration retries.
       runtime::logError("poll-failed", {ErrorCode::internal, "poll", exception.displayText()});
+    } catch (const std::exception& exception) {
+      const Error error = {ErrorCode::internal, "transport", exception.what()};
+      runtime::logError("transport-failed", error);
+      endAll(error);
     }
   }
 }
@@ -404,6 +409,12 @@
   }
 }
 
+void TransportImpl::endAll(const Error& error) {
+  while (!connections_.empty()) {
+    end(connections_.begin()->first, error);
+  }
+}
+
 Result<std::unique_ptr<Transport>> makeTransport(const TransportOptions& options, EventSink sink) {
   BOOST_OUTCOME_TRY(helloFrame, encodeFrame(options.hello));
   try {
--- a/src/transport/transport_impl.h
+++ b/src/transport/transport_impl.h
@@ -79,6 +79,8 @@
   base::TimePoint deadlineOf(const Connection& connection) const;
   base::Error timeoutErrorOf(const Connection& connection) const;
   void end(protocol::ConnectionId connection, const base::Error& error);
+  /// After an unexpected error nothing is known of the state of the connections.
+  void endAll(const base::Error& error);
 
   const TransportOptions options_;
   const std::string helloFrame_;
