soak: held-up servers, full disks, wrong clocks, spares, readiness

Cause: the soak had nothing of what an overloaded host does to all servers, and counted only what was served, not whether each gateway says that it is ready.

--- a/programs/walnut-rehearse/soak.cpp
+++ b/programs/walnut-rehearse/soak.cpp
@@ -44,16 +44,32 @@
     "  --seconds N     of faults before the final one, 1 .. 3600; default: 12\n"
     "  --orders        only workers that restart under their names and servers that end, beside\n"
     "                  many late orders\n"
-    "  --no-limits     without planned stops beside processor quotas, answers without end and\n"
-    "                  losses of power\n"
+    "  --no-hosts      without servers that are held up, full disks, spare servers, wrong clocks "
+    "and\n"
+    "                  the check that gateways say they are ready\n"
+    "  --no-limits     the same, and without planned stops beside processor quotas, answers "
+    "without\n"
+    "                  end and losses of power\n"
     "  --keep          keeps the logs of runs that passed, too\n"
     "Exit code 1: a rule is broken: RECOVER, LIMIT, LOST (an acknowledged document, "
     "streams\n"
-    "that are taken up, requests in a planned stop), REFUSED, MEMORY, MIXED, ORDER, TWICE; a "
+    "that are taken up, requests in a planned stop), READY, REFUSED, MEMORY, MIXED, ORDER, TWICE; "
+    "a "
     "process ended by itself; or the fleet served too "
     "little from the start.\n";
 
-enum Flag : int { seeds = 1, servers, gateways, workers, duration, orders, noLimits, keep, help };
+enum Flag : int {
+  seeds = 1,
+  servers,
+  gateways,
+  workers,
+  duration,
+  orders,
+  noHosts,
+  noLimits,
+  keep,
+  help
+};
 
 constexpr option kOptions[] = {{"seeds", required_argument, nullptr, Flag::seeds},
                                {"servers", required_argument, nullptr, Flag::servers},
@@ -61,6 +77,7 @@
                                {"workers", required_argument, nullptr, Flag::workers},
                                {"seconds", required_argument, nullptr, Flag::duration},
                                {"orders", no_argument, nullptr, Flag::orders},
+                               {"no-hosts", no_argument, nullptr, Flag::noHosts},
                                {"no-limits", no_argument, nullptr, Flag::noLimits},
                                {"keep", no_argument, nullptr, Flag::keep},
                                {"help", no_argument, nullptr, Flag::help},
@@ -106,9 +123,14 @@
     case Flag::orders:
       flags.soak.ordersOnly = true;
       flags.soak.limits = false;
+      flags.soak.hosts = false;
+      return true;
+    case Flag::noHosts:
+      flags.soak.hosts = false;
       return true;
     case Flag::noLimits:
       flags.soak.limits = false;
+      flags.soak.hosts = false;
       return true;
     case Flag::keep:
       flags.soak.keepsLogs = true;
--- a/src/rehearsal/soak.cpp
+++ b/src/rehearsal/soak.cpp
@@ -38,8 +38,14 @@
 constexpr base::Duration kClosing = seconds(7);  ///< For the requests that are under way.
 /// @}
 
+/// By which the time of day of a worker's machine may be wrong.
+constexpr base::Duration kWrongestClock = seconds(2400);
 constexpr double kMaxLateOrders = 0.5;  ///< Share of the orders.
 constexpr double kLeastShare = 0.25;    ///< Of the rule RECOVER.
+constexpr double kSparesShare = 0.3;    ///< Of the runs.
+
+/// So that faults of hosts are drawn apart from all others.
+constexpr std::uint64_t kHostsSeed = 0x9e3779b97f4a7c15ULL;
 
 /// Loopback addresses of this process, so that soaks may run side by side.
 std::string addressOf(std::size_t index) {
@@ -59,6 +65,7 @@
       folder_(std::move(folder)),
       random_(options.seed),
       limitsRandom_(~options.seed),
+      hostsRandom_(options.seed ^ kHostsSeed),
       account_(dispatcher_.readClock()),
       operator_(dispatcher_, net::ClientPoolOptions{}) {
   SoakCellOptions cell;
@@ -87,6 +94,10 @@
     worker.fenced = cell.fenced;
     worker.lateOrders = lateOrders;
     worker.servers = cell.servers;
+    if (options_.hosts) {
+      worker.clockOffset =
+          hostsRandom_.between(base::Duration::zero(), 2 * kWrongestClock) - kWrongestClock;
+    }
     workers_.push_back(
         std::make_unique<SoakWorker>(dispatcher_, worker, random_.uniform(0, 1U << 30U), account_));
   }
@@ -294,10 +305,16 @@
     replaceBeforeFinalFault();
     waitUntilNoServerIsLost();
   }
+  if (options_.hosts && hostsRandom_.chance(kSparesShare)) {
+    startSpares();
+  }
   finalFault();
-  runFor(kRecovery + kObserved);
+  runFor(returnedAt_ + kRecovery + kObserved - dispatcher_.readClock());
   clients_->stop();
   runFor(kClosing);
+  if (options_.hosts) {
+    checkReadiness();
+  }
   if (!checkDocument()) {
     account_.violation("RECOVER", dispatcher_.now(), "no server answers the operator");
   }
--- a/src/rehearsal/soak.h
+++ b/src/rehearsal/soak.h
@@ -28,6 +28,9 @@
   /// Also what concerns the limits of machines: memory, answers without end, planned stops beside
   /// processor quotas, losses of power.
   bool limits = true;
+  /// Also overloaded hosts: servers that are held up, full disks, workers whose clocks are wrong;
+  /// spare servers; gateways that have to say that they are ready.
+  bool hosts = true;
   bool keepsLogs = false;  ///< Also those of a run that passed.
 };
 
--- a/src/rehearsal/soak_cell.cpp
+++ b/src/rehearsal/soak_cell.cpp
@@ -1,5 +1,6 @@
 #include "rehearsal/soak_cell.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -32,6 +33,8 @@
 }  // namespace
 
 SoakCell::SoakCell(SoakCellOptions options) : options_(std::move(options)) {
+  // Processes are kept by their addresses.
+  processes_.reserve(options_.servers.size() + options_.gateways.size() + kMaxSpares);
   for (std::size_t index = 0; index < options_.servers.size(); ++index) {
     processes_.push_back({"server-" + std::to_string(index), options_.servers[index], true, {}});
   }
@@ -149,6 +152,24 @@
   file << std::chrono::duration_cast<std::chrono::milliseconds>(mean).count();
 }
 
+SoakProcess& SoakCell::addSpare(const base::Endpoint& endpoint) {
+  processes_.push_back({"spare-" + std::to_string(processes_.size()), endpoint, true, {}});
+  processes_.back().hasStarted = true;  // It founds no cell.
+  return processes_.back();
+}
+
+void SoakCell::setDiskFull(const SoakProcess& process, bool full) {
+  rlimit limit{};
+  if (::prlimit(process.child->id(), RLIMIT_FSIZE, nullptr, &limit) == 0) {
+    limit.rlim_cur = full ? 0 : limit.rlim_max;
+    (void)::prlimit(process.child->id(), RLIMIT_FSIZE, &limit, nullptr);
+  }
+}
+
+base::Endpoint SoakCell::readinessOf(const SoakProcess& gateway) {
+  return {gateway.endpoint.address, kReadinessPort};
+}
+
 std::vector<std::string> SoakCell::takeUnexpectedEnds() {
   std::vector<std::string> names;
   for (SoakProcess& process : processes_) {
--- a/src/rehearsal/soak_cell.h
+++ b/src/rehearsal/soak_cell.h
@@ -34,6 +34,9 @@
 /// Memory that a process may take, as the sheets of the deployments say.
 inline constexpr std::size_t kProcessMemoryMb = 256;
 
+/// Servers that may be added to those of the start.
+inline constexpr std::size_t kMaxSpares = 2;
+
 /// A registry server or a gateway.
 struct SoakProcess {
   std::string name;
@@ -71,6 +74,12 @@
   std::vector<base::Endpoint> serverEndpoints() const;
   /// Syncs of the server take from half of `mean` to one and a half longer.
   void setSyncDelay(const SoakProcess& server, base::Duration mean);
+  /// Adds a server that is in no list of seeds; it is to be started.
+  SoakProcess& addSpare(const base::Endpoint& endpoint);
+  /// Writes to files of a running process fail from now on, or succeed again.
+  static void setDiskFull(const SoakProcess& process, bool full);
+  /// @return where a gateway is asked whether it is ready.
+  static base::Endpoint readinessOf(const SoakProcess& gateway);
   /// @return the names of processes that have ended though nobody told them to.
   std::vector<std::string> takeUnexpectedEnds();
 
--- a/src/rehearsal/soak_faults.cpp
+++ b/src/rehearsal/soak_faults.cpp
@@ -399,6 +399,10 @@
   }
   returnedAt_ = dispatcher_.readClock();
   note("all are started");
+  if (options_.hosts) {
+    beginHostFaults();
+    watchReadiness();
+  }
 }
 
 /// Of connections over a silent link neither end learns that the other is gone.
--- a/src/rehearsal/soak_run.h
+++ b/src/rehearsal/soak_run.h
@@ -108,12 +108,22 @@
   void advanceStop(PlannedStop& stop);
   void losePower();
 
+  // Overloaded hosts, spares and readiness (soak_hosts.cpp).
+  void startSpares();
+  void beginHostFaults();
+  void holdUp(SoakProcess& process, base::Duration longest, base::TimePoint until);
+  /// Starts to ask the gateways whether they are ready, until all have said so.
+  void watchReadiness();
+  void askReadiness(std::size_t gateway);
+  void checkReadiness();
+
   const SoakOptions options_;
   const std::filesystem::path folder_;
   event::Dispatcher dispatcher_;
   base::Random random_;
   /// For the limits of machines, so that the other faults of a seed are the same without them.
   base::Random limitsRandom_;
+  base::Random hostsRandom_;  ///< For the same reason.
   SoakAccount account_;
   std::size_t addresses_ = 0;
   std::unique_ptr<SoakCell> cell_;
@@ -132,6 +142,7 @@
   base::TimePoint memoryCheckedAt_;
   std::size_t peakServerMb_ = 0;
   std::size_t peakGatewayMb_ = 0;
+  std::map<std::size_t, base::TimePoint> readyAt_;  ///< By gateway, since the return.
   base::TimePoint faultAt_;
   base::TimePoint returnedAt_;
 };
--- a/src/rehearsal/soak_worker.cpp
+++ b/src/rehearsal/soak_worker.cpp
@@ -44,10 +44,10 @@
   return response;
 }
 
-std::uint64_t nowMillis() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-          .count());
+/// @param offset of the machine's clock.
+std::uint64_t nowMillis(base::Duration offset) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch() + offset;
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
 }
 
 }  // namespace
@@ -66,7 +66,7 @@
   state_.zone = options_.zone;
   state_.slots = options_.slots;
   state_.holdsModels = options_.holdsModels;
-  state_.bornMillis = nowMillis();
+  state_.bornMillis = nowMillis(options_.clockOffset);
   servers_ = options_.servers;
   nextServer_ = random_.uniform(0, servers_.size() - 1);
 }
@@ -88,7 +88,7 @@
   if (!keepsName) {
     state_.id = options_.name + "." + std::to_string(life_);
   }
-  state_.bornMillis = nowMillis();
+  state_.bornMillis = nowMillis(options_.clockOffset);
   state_.orderCount = 0;
   state_.orderUnderWay = false;
   state_.models.clear();
--- a/src/rehearsal/soak_worker.h
+++ b/src/rehearsal/soak_worker.h
@@ -27,6 +27,7 @@
   bool holdsModels = false;
   bool fenced = true;     ///< Orders with a lower fencing token are refused.
   double lateOrders = 0;  ///< Share of orders that are carried out seconds later, unanswered.
+  base::Duration clockOffset{0};  ///< Of its time of day.
   std::uint64_t slots = 8;
   std::size_t maxModels = 5;
   std::size_t adapterSlots = 6;
