registry, daemon: hold-ups and unexpected errors have modules of their own

Change: HoldUpDetector notices that a server runs late; callGuarded turns an unexpected error of a storage thread into a result, as runGuarded does for a loop; a test of split votes moves to held_up_test.cpp. Nothing else changes.

--- a/src/daemon/guarded_run.h
+++ b/src/daemon/guarded_run.h
@@ -1,6 +1,6 @@
 #pragma once
 /// @file
-/// Runs a host's event loop so that an unexpected error ends this life of it with a log line.
+/// Turns unexpected errors, which would end the process, into ones that end one life of its host.
 
 #include <exception>
 
@@ -24,4 +24,15 @@
   }
 }
 
+/// Calls a function that returns a result.
+/// @return its result, or `internal` if it throws.
+template <class Function>
+base::Result<void> callGuarded(const char* field, const Function& function) {
+  try {
+    return function();
+  } catch (const std::exception& exception) {
+    return base::Error{base::ErrorCode::internal, field, exception.what()};
+  }
+}
+
 }  // namespace walnut::daemon
--- a/src/daemon/registry_host.cpp
+++ b/src/daemon/registry_host.cpp
@@ -1,10 +1,10 @@
 #include "daemon/registry_host.h"
 
 #include <algorithm>
-#include <exception>
 #include <utility>
 #include <variant>
 
+#include "daemon/guarded_run.h"
 #include "walnut/registry/feature_level.h"
 #include "walnut/runtime/clock.h"
 
@@ -53,15 +53,6 @@
   return options;
 }
 
-/// An unexpected error of a storage thread ends this life of the server, not its process.
-base::Result<void> persist(storage::LogStorage& storage, const consensus::PersistBatch& batch) {
-  try {
-    return storage.persist(batch);
-  } catch (const std::exception& exception) {
-    return base::Error{base::ErrorCode::internal, "persist", exception.what()};
-  }
-}
-
 registry::RegistryOptions withOverlappingBatches(registry::RegistryOptions options) {
   options.raft.maxBatchesInFlight = kMaxBatchesInFlight;
   return options;
@@ -257,7 +248,8 @@
   while (!unwritten_.empty() && syncing_ < kMaxSyncs && !storageFailed_) {
     const bool begun = storageThreads_.run([this, next = unwritten_.front()] {
       const base::TimePoint begin = runtime::now();
-      const base::Result<void> outcome = persist(*folder_.storage, *next);
+      const base::Result<void> outcome =
+          callGuarded("persist", [&] { return folder_.storage->persist(*next); });
       const base::Duration duration = runtime::now() - begin;
       dispatcher_.post(
           [this, next, outcome, duration] { finishPersist(*next, outcome, duration); });
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -13,9 +13,6 @@
 using consensus::Role;
 using runtime::LogEvent;
 
-/// Time between two runs of an idle server, by which it notices that it was held up.
-constexpr base::Duration kRunInterval = std::chrono::milliseconds(100);
-
 std::string_view roleName(Role role) {
   switch (role) {
     case Role::follower:
@@ -55,7 +52,7 @@
       recoveredIndex_(raft_->status().lastIndex),
       startedAt_(now),
       lastLeaderContact_(now),
-      nextRunAt_(now + kRunInterval),
+      holdUps_(now),
       candidateSince_(now) {
   if (!isMember(raft_->status())) {
     // No leader will make contact before this server asks for admission.
@@ -65,18 +62,13 @@
 
 void RegistryImpl::step(base::TimePoint now, const RegistryInput& input) {
   now_ = std::max(now_, now);
-  noteHoldUp();
+  if (const base::Duration late = holdUps_.ran(now_); late > base::Duration::zero()) {
+    raft_->heldUp(now_, late);
+  }
   raft_->tick(now_);
   std::visit([this](const auto& body) { handle(body); }, input);
 }
 
-void RegistryImpl::noteHoldUp() {
-  if (now_ >= nextRunAt_) {
-    raft_->heldUp(now_, now_ - nextRunAt_);
-    nextRunAt_ = now_ + kRunInterval;
-  }
-}
-
 RegistryOutputs RegistryImpl::takeOutputs() {
   raft_->tick(now_);
   if (leading_ != nullptr && isReplacing_) {
@@ -126,7 +118,7 @@
   if (callsRemaining_) {
     return now_;
   }
-  base::TimePoint next = std::min({raft_->nextWakeup(), calls_.nextDeadline(), nextRunAt_});
+  base::TimePoint next = std::min({raft_->nextWakeup(), calls_.nextDeadline(), holdUps_.nextRun()});
   if (leading_ != nullptr) {
     next = std::min({next, leading_->nextWakeup(), confirmer_.nextRound()});
   } else {
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -12,6 +12,7 @@
 #include "registry/document_cache.h"
 #include "registry/document_confirmer.h"
 #include "registry/heartbeat_relay.h"
+#include "registry/hold_up_detector.h"
 #include "registry/join_progress.h"
 #include "registry/leader_duties.h"
 #include "registry/membership_policy.h"
@@ -124,7 +125,6 @@
   void answerUnavailable(std::uint64_t call, std::string_view reason);
 
   // Periodic tasks
-  void noteHoldUp();
   void followLeadership();
   void beginLeading(const consensus::RaftStatus& status);
   void endLeading();
@@ -221,7 +221,7 @@
   const base::TimePoint startedAt_;
   base::TimePoint lastLeaderContact_;
   base::TimePoint nextJoinAt_;
-  base::TimePoint nextRunAt_;  ///< A later run means that this process was held up.
+  HoldUpDetector holdUps_;
   /// When this server last heard from another one in messages of consensus.
   std::map<base::ServerId, base::TimePoint> lastHeard_;
   base::ServerId formerLeader_;     ///< The last other server that led.
--- a/test/consensus/held_up_test.cpp
+++ b/test/consensus/held_up_test.cpp
@@ -4,6 +4,7 @@
 
 #include "consensus/election.h"
 #include "consensus/host_pace.h"
+#include "consensus/test_messages.h"
 #include "consensus/test_server.h"
 
 // Last: it redefines new.
@@ -203,3 +204,24 @@
   CHECK_TRUE(server.status().role == Role::leader);
   CHECK_FALSE(server.raft().leaseValid(server.now()));
 }
+
+// Guards against split votes that are waited for until the election timeout, which on slow servers
+// is seconds (RECOVER).
+TEST(HeldUpTest, ofTwoCandidatesTheOneWithTheLowerIdStandsAgain) {
+  for (const std::uint64_t rival : {1, 3}) {
+    RaftOptions options;
+    options.electionTimeoutMax = 60s;
+    TestServer server(2, makeMembership(3), options);
+    server.advanceToWakeup();
+    VoteReply granted;
+    granted.term = 2;
+    granted.preVote = true;
+    granted.granted = true;
+    server.receive(rival, granted);
+    CHECK_TRUE(server.status().role == Role::candidate);
+    server.receive(rival, makeVoteRequest(2, {1, 1}));
+    CHECK_EQUAL(2U, server.status().term);
+    server.advance(options.electionTimeoutMin);
+    CHECK_EQUAL(rival == 3 ? 3U : 2U, server.status().term);
+  }
+}
--- a/test/daemon/guarded_run_test.cpp
+++ b/test/daemon/guarded_run_test.cpp
@@ -45,3 +45,13 @@
   CHECK_TRUE(runGuarded(host, log));
   CHECK_TRUE(log.events.empty());
 }
+
+// Guards against an error of a storage thread that ends the process.
+TEST(GuardedRunTest, anUnexpectedErrorOfACallIsAResult) {
+  const auto failed =
+      callGuarded("persist", []() -> base::Result<void> { throw std::runtime_error("disk"); });
+  CHECK_TRUE(failed.error().code == base::ErrorCode::internal);
+  STRCMP_EQUAL("persist", failed.error().field.c_str());
+  CHECK_TRUE(
+      callGuarded("persist", [] { return base::Result<void>(base::success()); }).has_value());
+}
