gateway: a silent server that no longer leads delays nothing

Cause, found by reading the diff: a former leader that was held up says so when it goes on. A gateway took it up again for that message, and closed the connection over which it had just subscribed to the new leader.

Change: such a message only closes the former leader's connection.

--- a/src/gateway/registry_follower.cpp
+++ b/src/gateway/registry_follower.cpp
@@ -17,7 +17,9 @@
 
 bool RegistryFollower::messageReceived(protocol::ConnectionId connection,
                                        const registry::RegistryMessage& message) {
-  session_.messageArrived(connection);
+  if (!std::holds_alternative<registry::NotLeading>(message.body)) {
+    session_.messageArrived(connection);
+  }
   return std::visit([this, connection](const auto& body) { return receive(connection, body); },
                     message.body);
 }
--- a/src/gateway/registry_session.cpp
+++ b/src/gateway/registry_session.cpp
@@ -220,6 +220,9 @@
 void RegistrySession::notLeading(protocol::ConnectionId connection,
                                  const registry::NotLeading& message) {
   learnServers(message.servers);
+  if (silent_ && silent_->connection == connection) {
+    dropSilentServer();
+  }
   if (connection_ != connection) {
     return;
   }
--- a/src/gateway/registry_session.h
+++ b/src/gateway/registry_session.h
@@ -67,8 +67,8 @@
   void notLeading(protocol::ConnectionId connection, const registry::NotLeading& message);
   /// @return false if the update is not from the server that is followed.
   bool viewReceived(protocol::ConnectionId connection, const registry::ViewUpdate& update);
-  /// Takes up a silent server again if a message came over its connection and no other server is
-  /// followed meanwhile. To be called before a message is handled.
+  /// Takes up a silent server again if a message of a leader came over its connection and no other
+  /// server is followed meanwhile. To be called before such a message is handled.
   void messageArrived(protocol::ConnectionId connection);
   /// @return true if the connection is of the current subscription.
   bool isCurrent(protocol::ConnectionId connection) const { return connection_ == connection; }
--- a/test/gateway/registry_session_test.cpp
+++ b/test/gateway/registry_session_test.cpp
@@ -209,3 +209,13 @@
   accept(3);
   CHECK_TRUE(session->isCurrent({3}));
 }
+
+TEST(RegistrySessionTest, aSilentServerThatNoLongerLeadsDelaysNothing) {
+  follow(1);
+  scheduler.advance(1500ms);
+  accept(2);
+  session->notLeading({1}, {{}, std::nullopt});
+  CHECK_TRUE(session->isCurrent({2}));
+  CHECK_TRUE(link.closes == std::vector<protocol::ConnectionId>{{1}});
+  CHECK_TRUE(session->viewReceived({2}, {}));
+}
