gateway: the first silence of a server changes no timeout

What callers saw: after a leader was lost without a word, a gateway found the next one up to a second later than on; LimitedWorkerTest.theLimitIsKeptAndUsedOverChangesOfLeader (simulator) failed, as its gateways used less than half of the workers' limits.

Cause: the time without a message after which a server counts as silent doubled from the first silence on, and a new leader's predecessor is silent once.

Change: it doubles from the second silence on.

Result: the test failed before and passes.

--- a/src/gateway/registry_session.cpp
+++ b/src/gateway/registry_session.cpp
@@ -52,7 +52,8 @@
 }
 
 base::Duration RegistrySession::leaderTimeout() const {
-  return options_.leaderTimeout * (1U << std::min(silences_, kMaxSilences));
+  const std::uint32_t repeated = silences_ == 0 ? 0 : silences_ - 1;
+  return options_.leaderTimeout * (1U << std::min(repeated, kMaxSilences));
 }
 
 void RegistrySession::search() {
--- a/src/gateway/registry_session.h
+++ b/src/gateway/registry_session.h
@@ -20,8 +20,8 @@
   std::vector<base::Endpoint> servers;  ///< Initial servers; more are learned.
   base::Duration connectTimeout = std::chrono::milliseconds(400);
   /// Time without a message after which the server is considered lost: the leader sends one each
-  /// quarter of a second. It doubles while connected servers are silent one after the other: on an
-  /// overloaded host they are held up for longer.
+  /// quarter of a second. From the second one on it doubles with each connected server that is
+  /// silent: on an overloaded host they are held up for longer.
   base::Duration leaderTimeout = std::chrono::milliseconds(900);
   base::Duration retryPause = std::chrono::milliseconds(60);
   /// Upper bound of the backoff, which doubles with each round over all servers that found no
