simulator: series of faults and returns in one life of a cell

No test had more than one.

Change: FaultSeriesTest draws five faults (all processes end, two disks are lost, servers freeze, all end again during the return) beside slow syncs, held-up servers, paused hosts and machines that answer nobody while they are down, and asks after each return when every gateway is ready.

--- a/src/simulator/registry_fleet.cpp
+++ b/src/simulator/registry_fleet.cpp
@@ -258,6 +258,9 @@
 
 void RegistryFleet::answerOpen(std::size_t gateway, std::uint64_t life, std::size_t server) {
   const bool accepted = servers_[server]->running();
+  if (!accepted && !options_.answersWhenDown) {
+    return;
+  }
   const base::Endpoint endpoint = servers_[server]->options().self.peerEndpoint;
   const protocol::ConnectionId connection{servers_.size() + ++lastConnection_};
   if (accepted) {
--- a/src/simulator/registry_fleet.h
+++ b/src/simulator/registry_fleet.h
@@ -39,6 +39,8 @@
   base::Duration revokedWithin = std::chrono::seconds(5);
   /// What gateways go by; other than `revokedWithin` only to show that the check sees it.
   base::Duration gatewayRevocation = std::chrono::seconds(5);
+  /// Whether connections to a server that is down are refused at once, instead of timing out.
+  bool answersWhenDown = true;
 };
 
 /// A gateway that served by an older document than it should have, or than before, or by none; or
--- a/test/simulator/held_up_recovery_test.cpp
+++ b/test/simulator/held_up_recovery_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "simulator/hold_ups.h"
 #include "simulator/registry_fleet.h"
 
 // Last: it redefines new.
@@ -24,62 +25,10 @@
 /// Within which service is back after all machines are (bound `recoveryS` of the deployments).
 constexpr base::Duration kRecovery = 12s;
 constexpr base::Duration kObserved = 20s;
-constexpr base::Duration kStep = 20ms;
 constexpr double kLeastShare = 0.25;  ///< Of what was served before.
 constexpr base::Duration kSync = 400ms;
 /// Drawn from half of it to one and a half, so that no sync takes over a second.
 constexpr base::Duration kSlowSync = 666ms;
-constexpr base::Duration kLongestRun = 1s;
-
-/// Holds up each server by itself, for up to a longest time.
-class HoldUps {
- public:
-  HoldUps(RegistryFleet& fleet, base::Duration longest)
-      : fleet_(fleet),
-        longest_(longest),
-        nextAt_(fleet.serverCount()),
-        readyAt_(fleet.gatewayCount(), base::Duration::max()) {}
-
-  void run(base::Duration duration) {
-    for (base::Duration passed{0}; passed < duration; passed += kStep) {
-      for (std::size_t server = 0; server < nextAt_.size(); ++server) {
-        if (time_ >= nextAt_[server]) {
-          const base::Duration held = fleet_.random().between(kStep, longest_);
-          fleet_.suspendServer(server, held);
-          nextAt_[server] =
-              time_ + held + fleet_.random().between(base::Duration::zero(), kLongestRun);
-        }
-      }
-      fleet_.run(kStep);
-      time_ += kStep;
-      admitting_ += fleet_.gatewaysAdmitting();
-      samples_ += fleet_.gatewayCount();
-      for (std::size_t gateway = 0; gateway < readyAt_.size(); ++gateway) {
-        if (fleet_.gatewayAdmits(gateway)) {
-          readyAt_[gateway] = std::min(readyAt_[gateway], time_);
-        }
-      }
-    }
-  }
-  /// @return when the last gateway first let requests through.
-  base::Duration allReadyAt() const { return *std::max_element(readyAt_.begin(), readyAt_.end()); }
-  /// @return the share of the gateways that let requests through since the last call.
-  double takeServedShare() {
-    const double share = static_cast<double>(admitting_) / static_cast<double>(samples_);
-    admitting_ = 0;
-    samples_ = 0;
-    return share;
-  }
-
- private:
-  RegistryFleet& fleet_;
-  const base::Duration longest_;
-  std::vector<base::Duration> nextAt_;
-  std::vector<base::Duration> readyAt_;
-  base::Duration time_{0};
-  std::size_t admitting_ = 0;
-  std::size_t samples_ = 0;
-};
 
 struct Recovery {
   double servedShare = 0;        ///< Once the time to recover was over.
