consensus: elections and quorums count what comes on waking

What callers saw: after a fault, servers that stand still for up to 3 s again and again elected leaders that resigned before they served, and split their votes; service was back after more than 12 s, or not at all.

Cause: waits that end by the clock although the messages that would end them wait in sockets. Two servers that had asked each other for pre-votes stood in the same millisecond when the third one went on, as one yields only to a request that comes while it is a pre-candidate. A leader that had been held up resigned 100 ms after it went on, or, 2 s after its last confirmation, before it had read anything. The others then waited for it by as much as an exchange takes, three hold-ups and a sync. A new leader knows no pace yet.

Change: a server that has won its pre-votes waits 100 ms for the request of one with a lower id, if that one has asked in this term. A leader waits for its first quorum for twice the time of its election, and after a hold-up for as long as that took; it reads first whatever that time is where servers are slow. One that resigns stands again after the usual timeout. Followers wait for a silent leader by one hold-up. Pre-votes that were granted before a leader was heard don't count after it. Replies to vote requests count in the pace. Leases are as before.

--- a/src/consensus/host_pace.h
+++ b/src/consensus/host_pace.h
@@ -42,6 +42,8 @@
   /// @return the time that a message, a sync of what it brings and the reply usually take; zero on
   /// hosts that are not slow.
   base::Duration exchangeTime(base::TimePoint now) const;
+  /// @return the time for which a server is usually held up; zero on hosts that are not slow.
+  base::Duration holdUpTime(base::TimePoint now) const { return holdUps_.usual(now); }
 
  private:
   struct Batch {
--- a/src/consensus/raft_election.cpp
+++ b/src/consensus/raft_election.cpp
@@ -10,6 +10,9 @@
 /// A pre-vote promises nothing, so it may have become wrong meanwhile.
 constexpr base::Duration kPreVoteValidity = std::chrono::seconds(4);
 
+/// A server that runs and has its pre-votes sends its vote requests within that time.
+constexpr base::Duration kYieldTime = std::chrono::milliseconds(100);
+
 }  // namespace
 
 /// Votes take as long as the servers are slow. Pre-votes may be asked for again at any time.
@@ -40,10 +43,16 @@
       now_ >= preVotesSince_ + kPreVoteValidity + allowance()) {
     preVoteTerm_ = hardState_.term + 1;
     preVotesSince_ = now_;
-    preVotes_.clear();
+    clearPreVotes();
   }
 }
 
+void RaftImpl::clearPreVotes() {
+  preVotes_.clear();
+  preVotesWonAt_.reset();
+  yieldsToLowerId_ = false;
+}
+
 /// A server that asks for a pre-vote follows no leader either, and would grant one to a log that is
 /// as long as its own. It needn't be asked, which among servers that are held up takes seconds.
 void RaftImpl::countAskerAsSupporter(base::ServerId asker, const VoteRequest& request) {
@@ -59,14 +68,17 @@
   }
 }
 
-/// After a hold-up, the request of another candidate may be waiting to be read: to vote for it is
-/// better than to split the votes.
+/// The request of another candidate may be on its way, or wait to be read after a hold-up: to vote
+/// for it is better than to split the votes.
 void RaftImpl::checkPreVotesWon() {
   if (!preVotes_.won(membership())) {
     return;
   }
-  if (now_ < resumedUntil_) {
-    electionTimer_.postpone(std::min(electionTimer_.deadline(), resumedUntil_));
+  preVotesWonAt_ = preVotesWonAt_.value_or(now_);
+  const base::TimePoint standsAt =
+      std::max(resumedUntil_, yieldsToLowerId_ ? *preVotesWonAt_ + kYieldTime : now_);
+  if (now_ < standsAt) {
+    electionTimer_.postpone(std::min(electionTimer_.deadline(), standsAt));
   } else {
     startElection(false);
   }
@@ -190,7 +202,7 @@
   reply.granted =
       grantsVote({hardState_, leaseHeld, voteHold_.isUnderWay(now_), log_}, from, request);
   if (reply.granted && request.preVote) {
-    yieldPreVote(from);
+    yieldPreVote(from, request.term);
   }
   const bool entersTerm = !request.preVote && request.term > hardState_.term;
   if (entersTerm && (!leaseHeld || request.leadershipTransfer)) {
@@ -207,15 +219,14 @@
   return reply;
 }
 
-/// Of two servers that ask for pre-votes at the same time, the one with the greater id waits, so
-/// that they don't split the votes: on slow disks another election takes seconds.
-void RaftImpl::yieldPreVote(base::ServerId candidate) {
-  if (role_ != Role::preCandidate || isStanding_ || self_ < candidate) {
-    return;
+/// Of two servers that could stand at the same time, the one with the greater id lets the other go
+/// first, so that they don't split the votes: on slow servers another election takes seconds. One
+/// that is held up meanwhile finds the vote request when it goes on.
+void RaftImpl::yieldPreVote(base::ServerId candidate, Term term) {
+  if (candidate < self_ && term == hardState_.term + 1) {
+    forgetOldPreVotes();
+    yieldsToLowerId_ = true;
   }
-  endElectionReport(ElectionEnd::superseded);
-  role_ = Role::follower;
-  electionTimer_.restart(now_);
 }
 
 void RaftImpl::handle(base::ServerId from, const VoteReply& reply) {
@@ -233,6 +244,7 @@
     return;
   }
   if (reply.granted) {
+    pace_.replyCame(now_, now_ - standingSince_);
     votes_.grant(from);
     checkElectionWon();
   } else {
--- a/src/consensus/raft_follower.cpp
+++ b/src/consensus/raft_follower.cpp
@@ -41,7 +41,8 @@
     return false;
   }
   becomeFollower(term, from);
-  electionTimer_.onLeaderContact(now_, allowance());
+  electionTimer_.onLeaderContact(now_, silenceAllowance());
+  clearPreVotes();  // They were granted while no leader was heard.
   return true;
 }
 
--- a/src/consensus/raft_impl.cpp
+++ b/src/consensus/raft_impl.cpp
@@ -94,6 +94,7 @@
   pace_.heldUp(now, duration);
   if (duration >= kHeldUp) {
     resumedUntil_ = std::max(resumedUntil_, now + kReadAfterHoldUp);
+    answersUntil_ = std::max(answersUntil_, now + std::min(duration, kMaxExchangeTime));
   }
 }
 
@@ -101,6 +102,10 @@
   return std::max(patience_.allowance(now_), std::min(pace_.exchangeTime(now_), kMaxExchangeTime));
 }
 
+base::Duration RaftImpl::silenceAllowance() const {
+  return std::max(patience_.allowance(now_), std::min(pace_.holdUpTime(now_), kMaxExchangeTime));
+}
+
 void RaftImpl::tick(base::TimePoint now) {
   advanceTime(now);
   if (isLeader()) {
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -44,6 +44,7 @@
 struct LeaderState {
   std::map<base::ServerId, Progress> followers;  ///< All members except this server.
   base::TimePoint since;                         ///< Time at which this server became leader.
+  base::Duration electionTime{0};                ///< From its first request for a pre-vote on.
   std::uint64_t firstRound = 0;                  ///< Lower rounds belong to an earlier leadership.
   LogIndex firstOwnIndex = 0;                    ///< Index of the no-op entry that opened the term.
   base::TimePoint nextHeartbeat;                 ///< Time at which the next round is opened.
@@ -54,11 +55,10 @@
 };
 
 /// Raft implementation as a state machine over the roles. Transitions: follower -> preCandidate at
-/// the election timeout; preCandidate -> candidate with a majority of pre-votes; preCandidate ->
-/// follower if a server with a lower id asks for pre-votes at the same time; candidate -> leader
-/// with a majority of votes, as does a preCandidate with late votes of its former candidacy; any ->
-/// follower on a higher term, on a message from the term's leader, or (leader) when it loses its
-/// majority or membership. follower -> candidate on TimeoutNow; leader
+/// the election timeout; preCandidate -> candidate with a majority of pre-votes; candidate ->
+/// leader with a majority of votes, as does a preCandidate with late votes of its former candidacy;
+/// any -> follower on a higher term, on a message from the term's leader, or (leader) when it loses
+/// its majority or membership. follower -> candidate on TimeoutNow; leader
 /// -> candidate when a leadership transfer fails.
 class RaftImpl final : public Raft {
  public:
@@ -91,6 +91,8 @@
   /// @return by how much longer than usual to wait for others, as they are slow or leaders are lost
   /// one after the other.
   base::Duration allowance() const;
+  /// @return the same for a leader that is silent.
+  base::Duration silenceAllowance() const;
   void setHardState(const HardState& hardState);
   void becomeFollower(Term term, base::ServerId leader);
   void appendEntry(LogEntry entry);
@@ -113,11 +115,12 @@
   void startElection(bool leadershipTransfer);
   void requestVotes(const VoteRequest& request);
   void restartElectionTimer();
-  void yieldPreVote(base::ServerId candidate);
+  void yieldPreVote(base::ServerId candidate, Term term);
   void handleDurableHardState();
   void checkElectionWon();
   void checkPreVotesWon();
   void forgetOldPreVotes();
+  void clearPreVotes();
   void countAskerAsSupporter(base::ServerId asker, const VoteRequest& request);
   bool areVotesSplit() const {
     return isStanding_ && rivals_.shouldStandAgain(self_, preVotes_, membership());
@@ -147,7 +150,8 @@
   void becomeLeader();
   void tickLeader();
   void checkQuorum();
-  base::Duration quorumTimeout() const { return options_.checkQuorumTimeout + allowance(); }
+  /// @param confirmedAt when a majority last accepted this leader, as quorumConfirmedAt.
+  base::Duration quorumTimeout(base::TimePoint confirmedAt) const;
   base::TimePoint quorumDeadline() const;
   void setLeader(base::ServerId leader);
   void handle(base::ServerId from, const AppendReply& reply);
@@ -206,6 +210,10 @@
   Term preVoteTerm_ = 0;  ///< That the pre-votes are for.
   base::TimePoint preVotesSince_;
   base::TimePoint resumedUntil_;  ///< Until then, what came during a hold-up is being read.
+  /// Until then, others that are held up for as long as this server was may answer.
+  base::TimePoint answersUntil_;
+  std::optional<base::TimePoint> preVotesWonAt_;
+  bool yieldsToLowerId_ = false;  ///< Another server with a lower id may stand in that term.
   VoteTally votes_;
   RivalCandidates rivals_;  ///< In the present term.
   /// This server asked for votes in the present term and may still be elected by them, also by
--- a/src/consensus/raft_leader.cpp
+++ b/src/consensus/raft_leader.cpp
@@ -14,6 +14,11 @@
 /// After a longer hold-up another leader has been elected, so that nothing is left to be read that
 /// could confirm this one.
 constexpr base::Duration kLongestReading = std::chrono::seconds(2);
+/// The same where servers are slow, in times that a leader waits for its quorum.
+constexpr int kQuorumTimeoutsForReading = 3;
+
+/// Times that the election took, for which a new leader waits for the first confirmation.
+constexpr int kElectionTimesForFirstQuorum = 2;
 
 base::Error notLeader() {
   return base::Error{base::ErrorCode::notLeader, "", "this server does not lead"};
@@ -28,6 +33,7 @@
   setLeader(self_);
   LeaderState& state = leaderState_.emplace();
   state.since = now_;
+  state.electionTime = now_ - (preVoteTerm_ == hardState_.term ? preVotesSince_ : standingSince_);
   state.firstRound = rounds_.open(now_);
   state.nextHeartbeat = now_ + options_.heartbeatInterval;
   state.firstOwnIndex = log_.lastIndex() + 1;
@@ -42,7 +48,7 @@
 void RaftImpl::tickLeader() {
   LeaderState& state = *leaderState_;
   if (now_ >= state.nextHeartbeat) {
-    rounds_.removeBefore(now_ - quorumTimeout());
+    rounds_.removeBefore(now_ - quorumTimeout(quorumConfirmedAt()));
     rounds_.open(now_);
     state.nextHeartbeat = now_ + options_.heartbeatInterval;
   }
@@ -56,13 +62,26 @@
 void RaftImpl::checkQuorum() {
   if (now_ >= quorumDeadline()) {
     becomeFollower(hardState_.term, base::ServerId{});
+    electionTimer_.restart(now_);  // The others wait for this one, which is known to have resigned.
   }
 }
 
+/// The first entry of a term takes an exchange and a sync of each server, as the election did.
+base::Duration RaftImpl::quorumTimeout(base::TimePoint confirmedAt) const {
+  const base::Duration first = confirmedAt == base::TimePoint::min()
+                                   ? kElectionTimesForFirstQuorum * leaderState_->electionTime
+                                   : base::Duration::zero();
+  return options_.checkQuorumTimeout + std::max(allowance(), first);
+}
+
 base::TimePoint RaftImpl::quorumDeadline() const {
-  const base::TimePoint confirmed = std::max(quorumConfirmedAt(), leaderState_->since);
-  const base::TimePoint read = std::min(resumedUntil_, confirmed + kLongestReading);
-  return std::max(confirmed + quorumTimeout(), read);
+  const base::TimePoint confirmedAt = quorumConfirmedAt();
+  const base::TimePoint confirmed = std::max(confirmedAt, leaderState_->since);
+  const base::Duration timeout = quorumTimeout(confirmedAt);
+  const base::Duration longestReading =
+      std::max(kLongestReading, kQuorumTimeoutsForReading * timeout);
+  const base::TimePoint read = std::min(resumedUntil_, confirmed + longestReading);
+  return std::max({confirmed + timeout, read, answersUntil_});
 }
 
 bool RaftImpl::leaseValid(base::TimePoint now) const {
