registry: without a lease, gateways are served by read rounds

Cause: a leader sent views and documents only while its lease was valid, which takes answers of a majority within 500 ms. With two disks lost three servers have to run at the same time, which servers that are held up for up to 3 s do 1 to 2 percent of the time. A subscription to a leader that had not committed an entry of its term yet was turned away, and confirmations of documents waited for the round before their own.

Change: LeadershipProof. A subscription is accepted once a read round that began after it is confirmed (Raft thesis, 6.4), or under the lease at once, as before; without the lease, further views each need a round that began after the one before. Replies count whenever they come. A leader keeps subscriptions until it has committed an entry of its term; rounds that confirm documents overlap. Orders, marks of views, quotas, shares and retries need the lease as before.

--- a/src/registry/document_confirmer.h
+++ b/src/registry/document_confirmer.h
@@ -4,6 +4,7 @@
 /// of the cell answers many of them.
 
 #include <cstdint>
+#include <deque>
 #include <utility>
 #include <vector>
 
@@ -14,7 +15,8 @@
 
 /// Batcher of document version queries; used by the leader. A query is answered by a read round
 /// that began after its arrival, so the answer covers all that any leader acknowledged before the
-/// query.
+/// query. Rounds overlap: where servers are slow, a query must not wait for the end of the round
+/// before its own.
 class DocumentConfirmer {
  public:
   /// Least time between two rounds. A round takes one message to every other server; at 20 rounds a
@@ -32,34 +34,40 @@
 
   /// @return true if a round should begin now.
   bool roundDue(base::TimePoint now) const {
-    return !isConfirming_ && !waitingQueries_.empty() && now >= nextRound_;
+    return !waitingQueries_.empty() && now >= nextRound_ && rounds_.size() < kMaxRounds;
   }
   /// @return when `roundDue` becomes true without further queries.
   base::TimePoint nextRound() const {
-    return isConfirming_ || waitingQueries_.empty() ? base::kNever : nextRound_;
+    return waitingQueries_.empty() || rounds_.size() >= kMaxRounds ? base::kNever : nextRound_;
   }
   /// Begins a round that answers all queries received so far.
   /// @param token token of the linearizable read.
   void begin(std::uint64_t token, base::TimePoint now) {
-    token_ = token;
-    isConfirming_ = true;
-    roundQueries_ = std::exchange(waitingQueries_, {});
+    rounds_.push_back({token, std::exchange(waitingQueries_, {})});
     nextRound_ = now + kRoundSpacing;
   }
 
-  bool isConfirming() const { return isConfirming_; }
-  std::uint64_t token() const { return token_; }
-  /// Ends the round, whose read is confirmed. @return the queries that it answers.
+  bool isConfirming() const { return !rounds_.empty(); }
+  /// @return the token of the oldest round.
+  std::uint64_t token() const { return rounds_.front().token; }
+  /// Ends the oldest round, whose read is confirmed. @return the queries that it answers.
   std::vector<Query> takeConfirmed() {
-    isConfirming_ = false;
-    return std::exchange(roundQueries_, {});
+    std::vector<Query> queries = std::move(rounds_.front().queries);
+    rounds_.pop_front();
+    return queries;
   }
 
  private:
+  /// Queries that come while so many rounds are open share the next one.
+  static constexpr std::size_t kMaxRounds = 64;
+
+  struct Round {
+    std::uint64_t token = 0;
+    std::vector<Query> queries;
+  };
+
   std::vector<Query> waitingQueries_;
-  std::vector<Query> roundQueries_;
-  std::uint64_t token_ = 0;
-  bool isConfirming_ = false;
+  std::deque<Round> rounds_;  ///< Oldest first; confirmed in this order.
   base::TimePoint nextRound_;
 };
 
--- a/src/registry/leader_duties.cpp
+++ b/src/registry/leader_duties.cpp
@@ -285,7 +285,7 @@
   refreshTimedServices();
 }
 
-void LeaderDuties::run(base::TimePoint now, bool leaseValid,
+bool LeaderDuties::run(base::TimePoint now, Authority authority,
                        const std::vector<base::Endpoint>& servers) {
   if (now >= nextCheck_) {
     nextCheck_ = now + kCheckInterval;
@@ -295,12 +295,12 @@
     reviewCrashes(now);
     storeHoldings(now);
   }
-  if (!leaseValid) {
+  if (!authority.hasLease) {
     nextPlan_ = std::max(nextPlan_, now + options_.planInterval);
     planSoon_ = false;
   }
   const bool planDue = (planSoon_ && now >= lastPlanAt_ + planSpacing()) || now >= nextPlan_;
-  if (leaseValid && planDue && workersProcessed_) {
+  if (authority.hasLease && planDue && workersProcessed_) {
     planSoon_ = false;
     lastPlanAt_ = now;
     nextPlan_ = now + options_.planInterval;
@@ -313,7 +313,8 @@
       recordAllWorkers(now);
     }
   }
-  if (leaseValid) {
+  const std::size_t actions = actions_.size();
+  if (authority.maySendToGateways) {
     sendSuspects(now);
     sendSuspectParts(now);
     announceForecasts(now);
@@ -323,6 +324,7 @@
   } else {
     publishAgainAt_ = now + kCheckInterval;
   }
+  return actions_.size() > actions;
 }
 
 void LeaderDuties::storeHoldings(base::TimePoint now) {
--- a/src/registry/leader_duties.h
+++ b/src/registry/leader_duties.h
@@ -99,10 +99,14 @@
   /// To be called after each change of the replicated state.
   void stateChanged(base::TimePoint now);
 
+  /// What a leader may do now.
+  struct Authority {
+    bool hasLease = false;           ///< It certainly leads now; otherwise no orders are sent.
+    bool maySendToGateways = false;  ///< It has led since it sent them something before.
+  };
   /// Runs all tasks that are due.
-  /// @param leaseValid whether this server certainly leads at `now`. Otherwise no orders are sent
-  /// and gateways are sent nothing, as another server may have acknowledged newer changes.
-  void run(base::TimePoint now, bool leaseValid, const std::vector<base::Endpoint>& servers);
+  /// @return true if gateways were sent something.
+  bool run(base::TimePoint now, Authority authority, const std::vector<base::Endpoint>& servers);
 
   std::vector<RegistryAction> takeActions() { return std::exchange(actions_, {}); }
   std::vector<Command> takeCommands() { return std::exchange(commands_, {}); }
--- a/src/registry/registry_impl.cpp
+++ b/src/registry/registry_impl.cpp
@@ -140,6 +140,7 @@
 
 void RegistryImpl::handle(const LinkClosed& input) {
   gatewayPeers_.erase(input.connection);
+  waitingSubscriptions_.erase(input.connection);
   if (leading_ != nullptr) {
     leading_->unsubscribe(input.connection);
   }
@@ -249,31 +250,12 @@
   }
 }
 
-/// Only the leader serves gateways: the state that another server has applied may be older than
-/// what was acknowledged, and it is older after a restart.
-void RegistryImpl::receiveBody(protocol::ConnectionId from, const Subscribe& message) {
-  if (isActiveLeader()) {
-    const auto found = gatewayPeers_.find(from);
-    const Peer gateway = found == gatewayPeers_.end() ? Peer{} : found->second;
-    leading_->subscribe(from, message, gateway.zone, gateway.featureLevel);
-    return;
-  }
-  actions_.emplace_back(control::SendToConnection{
-      from, wrap(NotLeading{serverEndpoints(), peerEndpointOf(raft_->status().leader)})});
-}
-
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const DocumentPartAck& message) {
   if (isActiveLeader()) {
     leading_->documentPartAcknowledged(from, message);
   }
 }
 
-void RegistryImpl::receiveBody(protocol::ConnectionId from, const ConfirmDocument& message) {
-  if (isActiveLeader()) {
-    confirmer_.addQuery(from, message);
-  }
-}
-
 void RegistryImpl::receiveBody(protocol::ConnectionId from, const QuotaRequest& message) {
   if (isActiveLeader() && raft_->leaseValid(now_)) {
     leading_->quotaRequested(from, message, now_);
@@ -415,16 +397,20 @@
   leading_ =
       std::make_unique<LeaderDuties>(options_, documents_, state_, status.term, status.self, log_,
                                      now_, orderTurns_, lastTakeoverAt_, &registrations_);
+  sendingProof_.begin(*raft_, now_);
   pendingDocumentVersion_ = 0;
   proposedLevel_ = 0;
 }
 
 void RegistryImpl::endLeading() {
-  const consensus::RaftStatus status = raft_->status();
   for (const protocol::ConnectionId gateway : leading_->gateways()) {
-    actions_.emplace_back(control::SendToConnection{
-        gateway, wrap(NotLeading{serverEndpoints(), peerEndpointOf(status.leader)})});
+    refuseGateway(gateway);
+  }
+  for (const auto& [gateway, waiting] : waitingSubscriptions_) {
+    refuseGateway(gateway);
   }
+  waitingSubscriptions_.clear();
+  sendingProof_ = {};
   leading_.reset();
   membershipPolicy_.reset();
   waitingChange_.reset();
@@ -440,11 +426,12 @@
   handOverCalls();
   answerReads();
   confirmDocuments();
+  logWaitingGateways();
   if (leading_ != nullptr) {
     updateMembership();
     raiseFeatureLevel();
     if (isActiveLeader()) {
-      leading_->run(now_, raft_->leaseValid(now_), serverEndpoints());
+      runDuties();
       for (const Command& command : leading_->takeCommands()) {
         (void)raft_->propose(now_, encodeCommand(command));
       }
@@ -459,33 +446,6 @@
   takeSnapshotIfDue();
 }
 
-/// Gateways trust the answer for some time by their own clocks. It is therefore sent only once a
-/// majority has confirmed, after the query arrived, that no other server leads.
-void RegistryImpl::confirmDocuments() {
-  if (!isActiveLeader()) {
-    return;
-  }
-  if (confirmer_.isConfirming()) {
-    const auto ready = raft_->readReady(confirmer_.token());
-    if (ready.has_error()) {
-      confirmer_ = {};
-      return;
-    }
-    if (ready.value() && appliedIndex_ >= *ready.value()) {
-      for (const DocumentConfirmer::Query& query : confirmer_.takeConfirmed()) {
-        actions_.emplace_back(control::SendToConnection{
-            query.gateway, wrap(DocumentConfirmed{query.sequence, state_.documentVersion()})});
-      }
-    }
-  }
-  if (confirmer_.roundDue(now_)) {
-    const auto token = raft_->beginRead(now_);
-    if (token) {
-      confirmer_.begin(token.value(), now_);
-    }
-  }
-}
-
 std::unique_ptr<Registry> makeRegistry(const RegistryOptions& options,
                                        consensus::RecoveredState recovered,
                                        const consensus::Membership& founders,
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -15,6 +15,7 @@
 #include "registry/hold_up_detector.h"
 #include "registry/join_progress.h"
 #include "registry/leader_duties.h"
+#include "registry/leadership_proof.h"
 #include "registry/membership_policy.h"
 #include "registry/order_times.h"
 #include "registry/registration_times.h"
@@ -151,6 +152,13 @@
   bool toleratesLosses() const;
   bool isActiveLeader() const { return leading_ != nullptr && activeIndex_ <= appliedIndex_; }
   std::vector<base::Endpoint> serverEndpoints() const;
+  // Gateways (registry_gateways.cpp).
+  /// Tells the gateway that this server doesn't lead.
+  void refuseGateway(protocol::ConnectionId gateway);
+  void subscribe(protocol::ConnectionId gateway, const Subscribe& request);
+  void acceptSubscriptions();
+  void logWaitingGateways();
+  void runDuties();
   std::optional<base::Endpoint> peerEndpointOf(base::ServerId server) const;
   void noteMembership();
   void noteOwnRole(const consensus::RaftStatus& status);
@@ -191,6 +199,14 @@
   consensus::LogIndex activeIndex_ = 0;  ///< Index of this leader's own first entry.
   std::optional<MembershipPolicy> membershipPolicy_;
   DocumentConfirmer confirmer_;
+  struct WaitingSubscription {
+    Subscribe request;
+    LeadershipProof proof;  ///< Begun when it came.
+    base::TimePoint since;
+  };
+  std::map<protocol::ConnectionId, WaitingSubscription> waitingSubscriptions_;
+  base::TimePoint nextWaitLogAt_;
+  LeadershipProof sendingProof_;  ///< Begun when gateways were last sent something.
   std::uint64_t pendingDocumentVersion_ = 0;
   consensus::LogIndex pendingDocumentIndex_ = 0;
   std::uint32_t proposedLevel_ = 0;
--- a/src/simulator/serving_fleet.cpp
+++ b/src/simulator/serving_fleet.cpp
@@ -131,7 +131,7 @@
   if (leader_ == nullptr) {
     return;
   }
-  leader_->run(scheduler_.now(), true, {});
+  leader_->run(scheduler_.now(), {true, true}, {});
   for (const registry::Command& command : leader_->takeCommands()) {
     state_.apply(command);
     leader_->stateChanged(scheduler_.now());
--- a/test/registry/cluster.h
+++ b/test/registry/cluster.h
@@ -141,6 +141,8 @@
     run(timeout);
     return toGateway_;
   }
+  /// @return the messages sent to the gateway since it last sent one.
+  const std::vector<MessageBody>& sentToGateway() const { return toGateway_; }
   /// Connects the gateway to a server, as a build of that feature level.
   void connectGateway(std::uint16_t port, std::uint32_t level) {
     protocol::Hello hello;
--- a/test/registry/leader_duties_fixture.h
+++ b/test/registry/leader_duties_fixture.h
@@ -97,7 +97,7 @@
   void run(base::Duration duration) {
     const base::TimePoint end = now + duration;
     for (; now < end; now += 10ms) {
-      duties->run(now, true, {});
+      duties->run(now, {true, true}, {});
       for (const Command& command : duties->takeCommands()) {
         commit(command);
       }
--- a/test/registry/leader_duties_test.cpp
+++ b/test/registry/leader_duties_test.cpp
@@ -255,10 +255,10 @@
 TEST(LeaderDutiesTest, withoutAValidLeaseGatewaysAreToldNothing) {
   lead();
   duties->subscribe(kGateway, {});
-  duties->run(now, false, {});
+  duties->run(now, {}, {});
   CHECK_TRUE(duties->takeActions().empty());
   CHECK_TRUE(duties->nextWakeup() > now);
-  duties->run(now, true, {});
+  duties->run(now, {true, true}, {});
   actions = duties->takeActions();
   CHECK_TRUE(count<control::SendToConnection>() >= 2);
 }
@@ -266,7 +266,7 @@
 TEST(LeaderDutiesTest, aGatewayIsSentTheViewBeforeTheDocument) {
   lead();
   duties->subscribe(kGateway, {});
-  duties->run(now, true, {});
+  duties->run(now, {true, true}, {});
   actions = duties->takeActions();
   std::vector<bool> views;
   for (const RegistryAction& action : actions) {
--- a/test/registry/leader_faults_test.cpp
+++ b/test/registry/leader_faults_test.cpp
@@ -54,7 +54,7 @@
   demandModel("b");
   sleep(5s);
   actions.clear();
-  duties->run(now, false, {});
+  duties->run(now, {}, {});
   for (RegistryAction& action : duties->takeActions()) {
     actions.push_back(std::move(action));
   }
