gateway: what several held-up servers answer counts, and confirms the document at once

What callers saw: gateways that stayed without a document for another exchange with the leader, of seconds each, after it had answered them.

Cause: a gateway kept the connection to one silent server only, so that the subscription to a held-up leader was closed for that to another held-up server; one that accepted late was turned away beside another. The document was confirmed by a request that was sent only once it was held, and a request that had waited for longer than the lease lasts confirmed nothing.

Change: connections to all silent servers are kept while a leader is searched. A request to confirm the document goes with each subscription and is repeated while the first document is awaited.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -66,6 +66,11 @@
       startedAt_(scheduler.now()),
       earlyTimer_(scheduler.createTimer([this] { refuseExpiredEarly(); })) {
   prepareBuffers();
+  // Answered along with the subscription: where servers are slow, each exchange takes seconds.
+  session_.setConfirmationSource([this]() -> std::optional<registry::ConfirmDocument> {
+    return needsConfirmation() ? std::optional(lease_.makeRequest(scheduler_.readClock()))
+                               : std::nullopt;
+  });
 }
 
 Gateway::~Gateway() = default;
@@ -73,6 +78,7 @@
 void Gateway::start() {
   demandDueAt_ = scheduler_.now() + options_.demandInterval;
   demandTimer_->enableAt(demandDueAt_);
+  renewLease();
 }
 
 std::shared_ptr<const catalog::Document> Gateway::document() const { return document_; }
@@ -261,7 +267,8 @@
   keys_ = std::make_unique<KeyTable>(document_);
   refreshTimedServices();
   markView();
-  if (!lease_.documentApplied(document_->version)) {
+  const bool isConfirmed = lease_.documentApplied(document_->version);
+  if (!isConfirmed || previous == 0) {
     renewLease();
   }
   if (!early_.empty() && isPrepared()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -211,6 +211,8 @@
   const catalog::Tenant* authenticate(RequestFacts& facts, net::ResponseSink& sink);
   void logLeaseChange(base::TimePoint now);
   void countTenant(const std::string& tenant, int status);
+  /// @return true unless the held document has no keys.
+  bool needsConfirmation() const { return document_ == nullptr || document_->keyed; }
   void renewLease();
   void markView();
   void noteViewAge(const registry::ViewUpdate& update);
--- a/src/gateway/gateway_admission.cpp
+++ b/src/gateway/gateway_admission.cpp
@@ -119,16 +119,16 @@
 
 /// Asks the leader for the newest document version, which renews the lease. Does nothing while the
 /// document in force has no keys.
+/// A request that is under way for longer than the lease lasts confirms nothing, so it is repeated
+/// while the first document is awaited, too.
 void Gateway::renewLease() {
-  if (document_ == nullptr || !document_->keyed) {
+  if (!needsConfirmation()) {
     return;
   }
   const base::TimePoint now = scheduler_.readClock();
   logLeaseChange(now);
   leaseTimer_->enableAt(now + lease_.duration() / kRenewalsPerLease);
-  if (session_.following()) {
-    session_.send(lease_.makeRequest(now));
-  }
+  session_.sendToCandidates(lease_.makeRequest(now));
 }
 
 void Gateway::documentConfirmed(const registry::DocumentConfirmed& answer) {
--- a/src/gateway/registry_session.cpp
+++ b/src/gateway/registry_session.cpp
@@ -127,36 +127,54 @@
 void RegistrySession::setAsideServer() {
   const bool wasFollowed = following();
   endFollowing();
-  dropSilentServer();
-  silent_ = SilentServer{server_,          *std::exchange(connection_, std::nullopt),
-                         featureLevel_,    subscribedAt_,
-                         scheduler_.now(), wasFollowed};
+  keepSilent({server_, *std::exchange(connection_, std::nullopt), featureLevel_, subscribedAt_,
+              scheduler_.now(), wasFollowed});
   ++silences_;
   enter(State::searching, nextBackoff());
 }
 
-void RegistrySession::dropSilentServer() {
-  if (silent_) {
-    link_.close(silent_->connection);
-    silent_.reset();
+void RegistrySession::keepSilent(SilentServer server) {
+  const auto former =
+      std::find_if(silent_.begin(), silent_.end(),
+                   [&server](const SilentServer& kept) { return kept.server == server.server; });
+  if (former != silent_.end()) {
+    link_.close(former->connection);
+    silent_.erase(former);
+  }
+  silent_.push_back(std::move(server));
+}
+
+std::vector<RegistrySession::SilentServer>::iterator RegistrySession::findSilent(
+    protocol::ConnectionId connection) {
+  return std::find_if(silent_.begin(), silent_.end(), [connection](const SilentServer& server) {
+    return server.connection == connection;
+  });
+}
+
+void RegistrySession::dropSilentServers() {
+  for (const SilentServer& server : std::exchange(silent_, {})) {
+    link_.close(server.connection);
   }
 }
 
 /// @return true if another connection to the server would only add to its work: it is silent, and
 /// has had less time for an answer than connected servers get.
 bool RegistrySession::isAwaited(const base::Endpoint& server) const {
-  return silent_ && silent_->server == server &&
-         scheduler_.now() < silent_->since + leaderTimeout();
+  return std::any_of(silent_.begin(), silent_.end(), [&](const SilentServer& silent) {
+    return silent.server == server && scheduler_.now() < silent.since + leaderTimeout();
+  });
 }
 
 void RegistrySession::messageArrived(protocol::ConnectionId connection) {
-  if (!silent_ || silent_->connection != connection || state_ == State::following) {
+  const auto found = findSilent(connection);
+  if (found == silent_.end() || state_ == State::following) {
     return;
   }
   if (connection_) {
     link_.close(*connection_);
   }
-  const SilentServer resumed = *std::exchange(silent_, std::nullopt);
+  const SilentServer resumed = std::move(*found);
+  silent_.erase(found);
   server_ = resumed.server;
   connection_ = resumed.connection;
   featureLevel_ = resumed.featureLevel;
@@ -184,7 +202,11 @@
   const bool isLeaderUnknown =
       state_ == State::connecting ? !isHinted_ : state_ == State::searching && !hint_;
   if (!isExpected && !isLeaderUnknown) {
-    link_.close(connection);
+    if (state_ == State::subscribing && !isHinted_) {
+      subscribeAside(connection, server, featureLevel);
+    } else {
+      link_.close(connection);
+    }
     return;
   }
   server_ = server;
@@ -193,7 +215,21 @@
   featureLevel_ = featureLevel;
   enter(State::subscribing, leaderTimeout());
   subscribedAt_ = scheduler_.readClock();
+  sendSubscription(connection);
+}
+
+void RegistrySession::sendSubscription(protocol::ConnectionId connection) {
   link_.send(connection, subscription_);
+  if (const auto request = confirmationSource_ ? confirmationSource_() : std::nullopt) {
+    link_.send(connection, *request);
+  }
+}
+
+void RegistrySession::subscribeAside(protocol::ConnectionId connection,
+                                     const base::Endpoint& server, std::uint32_t featureLevel) {
+  const base::TimePoint subscribedAt = scheduler_.readClock();
+  sendSubscription(connection);
+  keepSilent({server, connection, featureLevel, subscribedAt, scheduler_.now(), false});
 }
 
 void RegistrySession::openFailed(const base::Endpoint& server) {
@@ -203,8 +239,8 @@
 }
 
 void RegistrySession::closed(protocol::ConnectionId connection) {
-  if (silent_ && silent_->connection == connection) {
-    silent_.reset();
+  if (const auto found = findSilent(connection); found != silent_.end()) {
+    silent_.erase(found);
   }
   if (connection_ == connection) {
     connection_.reset();
@@ -221,8 +257,9 @@
 void RegistrySession::notLeading(protocol::ConnectionId connection,
                                  const registry::NotLeading& message) {
   learnServers(message.servers);
-  if (silent_ && silent_->connection == connection) {
-    dropSilentServer();
+  if (const auto found = findSilent(connection); found != silent_.end()) {
+    link_.close(connection);
+    silent_.erase(found);
   }
   if (connection_ != connection) {
     return;
@@ -239,7 +276,7 @@
     return false;
   }
   learnServers(update.servers);
-  dropSilentServer();
+  dropSilentServers();
   if (std::exchange(isLeaderLost_, false)) {
     const auto gap =
         std::chrono::duration_cast<std::chrono::milliseconds>(scheduler_.now() - lostAt_);
@@ -278,4 +315,13 @@
   }
 }
 
+void RegistrySession::sendToCandidates(const registry::MessageBody& message) {
+  if (connection_) {
+    link_.send(*connection_, message);
+  }
+  for (const SilentServer& server : silent_) {
+    link_.send(server.connection, message);
+  }
+}
+
 }  // namespace walnut::gateway
--- a/src/gateway/registry_session.h
+++ b/src/gateway/registry_session.h
@@ -3,8 +3,10 @@
 /// Finds the registry's leader and stays subscribed to it. Contains the decisions only; the driver
 /// manages connections.
 
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -59,6 +61,10 @@
   /// and how much of a newer one has been received.
   void setSubscription(const registry::Subscribe& subscription) { subscription_ = subscription; }
 
+  /// Sets what makes the request to confirm the document that follows each subscription.
+  using ConfirmationSource = std::function<std::optional<registry::ConfirmDocument>()>;
+  void setConfirmationSource(ConfirmationSource source) { confirmationSource_ = std::move(source); }
+
   /// @param featureLevel supported by the server (registry/feature_level.h).
   void opened(protocol::ConnectionId connection, const base::Endpoint& server,
               std::uint32_t featureLevel);
@@ -81,6 +87,8 @@
 
   /// Sends a message to the leader, or drops it if none is followed.
   void send(registry::MessageBody message);
+  /// Sends a message to the leader, or to all servers that may turn out to lead.
+  void sendToCandidates(const registry::MessageBody& message);
   bool following() const { return state_ == State::following; }
   State state() const { return state_; }
   /// @return the server that is contacted or followed, or was last.
@@ -97,12 +105,30 @@
   }
 
  private:
+  /// A connected server that was silent for too long, and may only be held up. Its connection is
+  /// kept while another leader is searched, and so is what it answers when it goes on.
+  struct SilentServer {
+    base::Endpoint server;
+    protocol::ConnectionId connection;
+    std::uint32_t featureLevel = 0;
+    base::TimePoint subscribedAt;
+    base::TimePoint since;
+    bool wasFollowed = false;
+  };
+
   void search();
   void connectNext();
   void disconnect();
   void onTimer();
   void setAsideServer();
-  void dropSilentServer();
+  std::vector<SilentServer>::iterator findSilent(protocol::ConnectionId connection);
+  void dropSilentServers();
+  /// Subscribes to a server that accepted late, beside another one.
+  void subscribeAside(protocol::ConnectionId connection, const base::Endpoint& server,
+                      std::uint32_t featureLevel);
+  void sendSubscription(protocol::ConnectionId connection);
+  /// Keeps a connection instead of a former one to the same server.
+  void keepSilent(SilentServer server);
   bool isAwaited(const base::Endpoint& server) const;
   void endFollowing();
   void enter(State state, base::Duration timeout);
@@ -121,17 +147,7 @@
   base::TimePoint timeoutAt_;
   bool isReadingFirst_ = false;  ///< The present timeout passed while this process was held up.
   std::uint32_t silences_ = 0;   ///< Connected servers that were silent, one after the other.
-  /// A connected server that was silent for too long, and may only be held up. Its connection is
-  /// kept while another leader is searched.
-  struct SilentServer {
-    base::Endpoint server;
-    protocol::ConnectionId connection;
-    std::uint32_t featureLevel = 0;
-    base::TimePoint subscribedAt;
-    base::TimePoint since;
-    bool wasFollowed = false;
-  };
-  std::optional<SilentServer> silent_;
+  std::vector<SilentServer> silent_;  ///< At most one connection of each server.
   std::vector<base::Endpoint> learnedServers_;
   std::vector<base::Endpoint> untriedServers_;  ///< In the present search, in random order.
   std::optional<base::Endpoint> hint_;          ///< The leader, as named by another server.
@@ -140,6 +156,7 @@
   std::optional<protocol::ConnectionId> connection_;
   std::uint32_t featureLevel_ = 0;  ///< Of the connected server.
   registry::Subscribe subscription_;
+  ConfirmationSource confirmationSource_;
   std::uint32_t failedRounds_ = 0;  ///< Search rounds since a leader was last followed.
   base::TimePoint lostAt_;
   base::TimePoint heardAt_;
--- a/test/gateway/registry_session_test.cpp
+++ b/test/gateway/registry_session_test.cpp
@@ -210,6 +210,30 @@
   CHECK_TRUE(session->isCurrent({3}));
 }
 
+// Guards against gateways that drop the subscription to a held-up leader for that to another
+// held-up server, so that its answer is lost (RECOVER).
+TEST(RegistrySessionTest, theAnswersOfSeveralSilentServersAreAwaited) {
+  accept(1);
+  scheduler.advance(1500ms);
+  accept(2);
+  scheduler.advance(1500ms);
+  CHECK_EQUAL(0, link.closes.size());
+  session->messageArrived({1});
+  CHECK_TRUE(session->viewReceived({1}, {}));
+  CHECK_TRUE(session->following());
+  CHECK_TRUE(std::count(link.closes.begin(), link.closes.end(), protocol::ConnectionId{2}) == 1);
+}
+
+TEST(RegistrySessionTest, aServerThatAcceptsLateIsSubscribedToBesideAnother) {
+  const base::Endpoint first = link.opens.back();
+  scheduler.advance(1s);
+  accept(1);
+  session->opened({2}, first, registry::kFeatureLevel);
+  CHECK_TRUE(session->isCurrent({1}));
+  session->messageArrived({2});
+  CHECK_TRUE(session->viewReceived({2}, {}));
+}
+
 TEST(RegistrySessionTest, aSilentServerThatNoLongerLeadsDelaysNothing) {
   follow(1);
   scheduler.advance(1500ms);
