soak: series of faults and returns in one life of a cell

Cause: a run of the soak had one final fault; the reports name several cases on one run.

So many faults (all or the servers end, with lost disks, freeze, or end again during the return), beside slow syncs, held-up servers or a paused host and machines that answer nobody while they are down; every gateway has to be ready in time after each return.

--- a/programs/walnut-rehearse/soak.cpp
+++ b/programs/walnut-rehearse/soak.cpp
@@ -24,6 +24,7 @@
 constexpr std::uint64_t kMaxGateways = 150;
 constexpr std::uint64_t kMaxWorkers = 200;
 constexpr std::uint64_t kMaxSeconds = 3600;
+constexpr std::uint64_t kMaxCycles = 1000;
 constexpr std::uint64_t kPlainPart = 4;  ///< One of so many workers serves the plain service.
 
 constexpr const char* kUsage =
@@ -42,6 +43,12 @@
     "  --gateways N    1 .. 150; default: 5\n"
     "  --workers N     2 .. 200; default: 11\n"
     "  --seconds N     of faults before the final one, 1 .. 3600; default: 12\n"
+    "  --cycles N      in place of the final fault, so many faults of all or most processes and\n"
+    "                  returns in one life of the cell, 1 .. 1000: processes that end, lost "
+    "disks,\n"
+    "                  frozen processes, beside slow syncs, held-up servers or a paused host, and\n"
+    "                  machines that answer nobody while they are down; every gateway has to be\n"
+    "                  ready in time after each\n"
     "  --orders        only workers that restart under their names and servers that end, beside\n"
     "                  many late orders\n"
     "  --no-hosts      without servers that are held up, full disks, spare servers, wrong clocks "
@@ -64,6 +71,7 @@
   gateways,
   workers,
   duration,
+  cycles,
   orders,
   noHosts,
   noLimits,
@@ -76,6 +84,7 @@
                                {"gateways", required_argument, nullptr, Flag::gateways},
                                {"workers", required_argument, nullptr, Flag::workers},
                                {"seconds", required_argument, nullptr, Flag::duration},
+                               {"cycles", required_argument, nullptr, Flag::cycles},
                                {"orders", no_argument, nullptr, Flag::orders},
                                {"no-hosts", no_argument, nullptr, Flag::noHosts},
                                {"no-limits", no_argument, nullptr, Flag::noLimits},
@@ -120,6 +129,9 @@
       flags.soak.faults =
           std::chrono::seconds(readNumber(value, 1, kMaxSeconds, number) ? number : 0);
       return flags.soak.faults > base::Duration::zero();
+    case Flag::cycles:
+      flags.soak.cycles = readNumber(value, 1, kMaxCycles, number) ? number : 0;
+      return flags.soak.cycles != 0;
     case Flag::orders:
       flags.soak.ordersOnly = true;
       flags.soak.limits = false;
--- a/src/rehearsal/soak.cpp
+++ b/src/rehearsal/soak.cpp
@@ -308,11 +308,15 @@
   if (options_.hosts && hostsRandom_.chance(kSparesShare)) {
     startSpares();
   }
-  finalFault();
+  if (options_.cycles > 0) {
+    runSeries();
+  } else {
+    finalFault();
+  }
   runFor(returnedAt_ + kRecovery + kObserved - dispatcher_.readClock());
   clients_->stop();
   runFor(kClosing);
-  if (options_.hosts) {
+  if (options_.hosts && options_.cycles == 0) {
     checkReadiness();
   }
   if (!checkDocument()) {
--- a/src/rehearsal/soak.h
+++ b/src/rehearsal/soak.h
@@ -31,6 +31,9 @@
   /// Also overloaded hosts: servers that are held up, full disks, workers whose clocks are wrong;
   /// spare servers; gateways that have to say that they are ready.
   bool hosts = true;
+  /// So many faults of all or most processes and returns in one life of the cell, with a check of
+  /// readiness after each; 0: one final fault.
+  std::size_t cycles = 0;
   bool keepsLogs = false;  ///< Also those of a run that passed.
 };
 
--- a/src/rehearsal/soak_hosts.cpp
+++ b/src/rehearsal/soak_hosts.cpp
@@ -103,11 +103,18 @@
   request.target = std::string(platform::kReadyPath);
   const base::Endpoint endpoint = SoakCell::readinessOf(cell_->gateway(gateway));
   operator_.call(endpoint.address + "-ready", endpoint, request, milliseconds(500),
-                 [this, gateway](const net::CallOutcome& outcome) {
+                 [this, gateway, watched = returns_](const net::CallOutcome& outcome) {
+                   if (watched != returns_) {
+                     return;
+                   }
                    if (outcome.response && outcome.response.value().head.status == kOk) {
                      readyAt_.emplace(gateway, dispatcher_.now());
                    } else {
-                     after(kReadinessInterval, [this, gateway] { askReadiness(gateway); });
+                     after(kReadinessInterval, [this, gateway, watched] {
+                       if (watched == returns_) {
+                         askReadiness(gateway);
+                       }
+                     });
                    }
                  });
 }
--- a/src/rehearsal/soak_run.h
+++ b/src/rehearsal/soak_run.h
@@ -117,6 +117,21 @@
   void askReadiness(std::size_t gateway);
   void checkReadiness();
 
+  // Series of faults (soak_series.cpp).
+  void runSeries();
+  void drawHostsOfSeries();
+  void pauseAll(base::Duration longest);
+  void signalAll(int signal);
+  void checkReturn(const std::string& fault);
+  void endAll();
+  void endAllLosingDisks();
+  void endServers();
+  void endAllTwice();
+  void endAndStart(bool gatewaysToo, std::size_t lostDisks);
+  void freezeServers();
+  void freezeAll();
+  void freeze(const std::vector<SoakProcess*>& processes);
+
   const SoakOptions options_;
   const std::filesystem::path folder_;
   event::Dispatcher dispatcher_;
@@ -143,6 +158,8 @@
   std::size_t peakServerMb_ = 0;
   std::size_t peakGatewayMb_ = 0;
   std::map<std::size_t, base::TimePoint> readyAt_;  ///< By gateway, since the return.
+  std::size_t returns_ = 0;                         ///< After which readiness was watched.
+  bool isSilentWhenDown_ = false;  ///< Machines that are down answer nobody, in a series.
   base::TimePoint faultAt_;
   base::TimePoint returnedAt_;
 };
